Lay out the workspace, its core types and interfaces

Cause: the repository is empty; the crates need agreed interfaces before they can be written side by side.

Conclusion: decision crates and edges can now be built against these types.

--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,27 @@
+//! Values that every other crate uses: names, ids, time, demand, payloads and outcomes.
+//!
+//! Nothing here decides, blocks or reads a clock. Names are shared immutable strings, so a clone
+//! costs one reference count.
+
+mod demand;
+mod id;
+mod name;
+mod outcome;
+mod payload;
+mod sorted;
+mod time;
+
+pub use demand::{Capacity, Demand, Spread, TargetKind};
+pub use greengage_derive::value;
+pub use id::{
+    AttemptId, Digest, Incarnation, Index, JobKey, JobNumber, NodeId, OpId, RequestId, Revision,
+    Term, Version,
+};
+pub use name::{
+    AccountName, Address, Name, NameError, RackName, TargetName, TemplateName, VmName, ZoneName,
+    NAME_BYTES,
+};
+pub use outcome::{Failure, GuardAction, Outcome, Refusal};
+pub use payload::Payload;
+pub use sorted::SortedMap;
+pub use time::{Hlc, Time, Wall};
--- /dev/null
+++ b/crates/core/src/outcome.rs
@@ -0,0 +1,188 @@
+//! How a submission ends, and how it is refused.
+//!
+//! An outcome is complete or failed; there is no partial one. `Failure::not_run` is true only
+//! where no task of the submission can have started.
+
+use std::fmt;
+
+use greengage_derive::value;
+
+use crate::demand::Demand;
+use crate::name::TargetName;
+use crate::payload::Payload;
+
+/// The end of a submission.
+#[value]
+pub enum Outcome {
+    /// The result of each task, in the order of the tasks.
+    Complete(Vec<Payload>),
+    /// No result.
+    Failed(Failure),
+}
+
+/// What a worker's guard did to a task that exceeded its declared size.
+#[value(copy)]
+#[serde(rename_all = "lowercase")]
+pub enum GuardAction {
+    /// The task goes on more slowly.
+    Throttled,
+    /// The task's state was saved and the task ended.
+    Checkpointed,
+    /// The task ended.
+    Stopped,
+}
+
+/// Why a submission failed.
+#[value]
+pub enum Failure {
+    /// A start was sent and its result can't be had.
+    MayHaveRun {
+        /// The task.
+        task: u32,
+        /// The target that it was sent to, where known.
+        target: Option<TargetName>,
+    },
+    /// The task ran and reported an error.
+    TaskFailed {
+        /// The task.
+        task: u32,
+        /// The target's message.
+        message: String,
+    },
+    /// A worker's guard ended the task.
+    Guard {
+        /// The task.
+        task: u32,
+        /// What the guard did.
+        action: GuardAction,
+    },
+    /// The caller cancelled the submission.
+    Cancelled {
+        /// Whether a task can have started.
+        begun: bool,
+    },
+    /// The deadline passed.
+    Deadline {
+        /// Whether a task can have started.
+        begun: bool,
+    },
+    /// No target accepted a task before the retries were used up; nothing ran.
+    NoTarget,
+}
+
+impl Failure {
+    /// Whether it is certain that no task of the submission started.
+    pub fn not_run(&self) -> bool {
+        match self {
+            Failure::Cancelled { begun } | Failure::Deadline { begun } => !begun,
+            Failure::NoTarget => true,
+            Failure::MayHaveRun { .. } | Failure::TaskFailed { .. } | Failure::Guard { .. } => {
+                false
+            }
+        }
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::MayHaveRun {
+                task,
+                target: Some(target),
+            } => write!(
+                f,
+                "task {task} was sent to target {target:?} and its result is lost: it may have run"
+            ),
+            Failure::MayHaveRun { task, target: None } => write!(
+                f,
+                "the result of task {task} is lost: it may have run; check before submitting again"
+            ),
+            Failure::TaskFailed { task, message } => write!(f, "task {task} failed: {message}"),
+            Failure::Guard { task, action } => write!(
+                f,
+                "the worker's guard ended task {task} ({action:?}): raise the template's demand"
+            ),
+            Failure::Cancelled { begun: false } => write!(f, "cancelled, not run"),
+            Failure::Cancelled { begun: true } => write!(f, "cancelled, may have run in part"),
+            Failure::Deadline { begun: false } => {
+                write!(
+                    f,
+                    "the deadline passed, not run: submit again with a new id"
+                )
+            }
+            Failure::Deadline { begun: true } => {
+                write!(f, "the deadline passed, may have run in part")
+            }
+            Failure::NoTarget => write!(f, "no target accepted a task, not run: submit again"),
+        }
+    }
+}
+
+/// Why work was refused before it was accepted. Refused work did not run.
+#[value]
+pub enum Refusal {
+    /// It would be answered after its deadline.
+    Late {
+        /// When to try again, in milliseconds.
+        retry_ms: u64,
+    },
+    /// The account has as much queued as its quota allows.
+    Quota {
+        /// The quota in tasks.
+        limit: u32,
+        /// When to try again, in milliseconds.
+        retry_ms: u64,
+    },
+    /// The queue is full.
+    Full {
+        /// When to try again, in milliseconds.
+        retry_ms: u64,
+    },
+    /// No target that could exist fits the demand.
+    Impossible {
+        /// The demand of one task.
+        demand: Demand,
+    },
+    /// The VM is shutting down.
+    Draining,
+}
+
+impl Refusal {
+    /// When to try again, in milliseconds, where that can help.
+    pub fn retry_ms(&self) -> Option<u64> {
+        match self {
+            Refusal::Late { retry_ms }
+            | Refusal::Quota { retry_ms, .. }
+            | Refusal::Full { retry_ms } => Some(*retry_ms),
+            Refusal::Impossible { .. } => None,
+            Refusal::Draining => Some(0),
+        }
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refusal::Late { retry_ms } => write!(
+                f,
+                "not run: it would miss its deadline; submit again in {retry_ms} ms"
+            ),
+            Refusal::Quota { limit, retry_ms } => write!(
+                f,
+                "not run: the account's quota of {limit} queued tasks is used up; submit again \
+                 in {retry_ms} ms"
+            ),
+            Refusal::Full { retry_ms } => write!(
+                f,
+                "not run: the queue is full; submit again in {retry_ms} ms"
+            ),
+            Refusal::Impossible { demand } => write!(
+                f,
+                "not run: no target can offer {demand} to one task; lower the template's demand"
+            ),
+            Refusal::Draining => {
+                write!(f, "not run: this VM is shutting down; submit to another VM")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,2 @@
+//! Entry point.
+fn main() {}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder until the crate's first commit.
