Add the ledger state machine

Cause: dispatch and control need the replicated record of submissions. Ruled out: one sorted vector of entries (an insertion moves up to a million keys) and a hash table (it stalls while it grows).

Begin now returns only the keys that this command began, also for keys that were begun before; the comment on Applied::Begun says so.

--- a/crates/ledger/src/command.rs
+++ b/crates/ledger/src/command.rs
@@ -103,7 +103,8 @@
     Accepted,
     /// The key is known with the same digest; the stage says how far it has come.
     Duplicate(Stage),
-    /// These submissions are begun now; others of the command were closed or unknown.
+    /// These submissions are begun with this command; others of it were begun before, closed or
+    /// unknown.
     Begun(Vec<JobKey>),
     /// The submission is closed now.
     Closed,
--- /dev/null
+++ b/crates/ledger/src/ledger.rs
@@ -0,0 +1,345 @@
+//! The state machine.
+//!
+//! Invariants, asserted where they could break and checked as a whole by [`Ledger::verify`]:
+//! a closed entry never opens again; a stage never goes back; the applied index grows with each
+//! command and is the index of the last one. `Begin` returns only those keys that this command
+//! moved from accepted to begun, so a command that is proposed twice starts nothing twice.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use greengage_core::{
+    value, AccountName, Digest, Incarnation, Index, JobKey, Name, Outcome, SortedMap, TargetName,
+    Wall, ZoneName,
+};
+
+use crate::command::{Applied, Command, Entry, Refused, Stage, Submission};
+use crate::state::{Inner, Number, Slot, State};
+
+/// What the ledger holds.
+#[value(copy)]
+#[derive(Default)]
+pub struct Counts {
+    /// Entries of any stage.
+    pub entries: u64,
+    /// Entries that are accepted or begun.
+    pub open: u64,
+    /// Bytes of keys, tasks, results and fixed fields; indexes are not included.
+    pub bytes: u64,
+}
+
+/// Numbers of entries by the caller's id. A B-tree because a sorted vector would move half a
+/// million numbers for each accepted key, and a hash table would stall while it grows.
+type Ids = BTreeMap<Name, Number>;
+
+/// The record of submissions.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    state: Inner,
+    /// Entries by key. Zones and accounts are few, so their names are stored once.
+    keys: SortedMap<ZoneName, SortedMap<AccountName, Ids>>,
+    /// Open entries in the order of acceptance; B-trees for the same reason as `Ids`.
+    open: BTreeSet<Number>,
+    /// Closed entries by the time of their acceptance, which is the order of expiry.
+    closed: BTreeSet<(Wall, Number)>,
+    bytes: u64,
+}
+
+impl Ledger {
+    /// An empty ledger.
+    pub fn new() -> Ledger {
+        Ledger::default()
+    }
+
+    /// Applies the command at `index`, which must be higher than any before.
+    ///
+    /// Indexes may skip numbers, since a log also has entries that are no commands.
+    ///
+    /// # Panics
+    ///
+    /// When `index` is not higher than the applied index.
+    pub fn apply(&mut self, index: Index, command: &Command) -> Applied {
+        assert!(
+            index > self.state.applied,
+            "command at index {index} after index {}: a log entry was applied twice",
+            self.state.applied
+        );
+        self.state.applied = index;
+        match command {
+            Command::Accept {
+                key,
+                digest,
+                submission,
+                begun,
+                at,
+            } => self.accept(key, *digest, submission, *begun, *at),
+            Command::Begin { keys } => self.begin(keys),
+            Command::Close { key, outcome } => self.close(key, outcome),
+            Command::Register {
+                target,
+                incarnation,
+            } => self.register(target, *incarnation),
+            Command::Deregister {
+                target,
+                incarnation,
+            } => self.deregister(target, *incarnation),
+            Command::Expire { before } => self.expire(*before),
+        }
+    }
+
+    fn accept(
+        &mut self,
+        key: &JobKey,
+        digest: Digest,
+        submission: &Arc<Submission>,
+        begun: bool,
+        at: Wall,
+    ) -> Applied {
+        if let Some(entry) = self.get(key) {
+            if entry.digest == digest {
+                return Applied::Duplicate(entry.stage.clone());
+            }
+            return Applied::Refused(Refused::OtherContent { key: key.clone() });
+        }
+        let key = self.share(key);
+        let slot = Slot {
+            key: key.clone(),
+            entry: Entry {
+                digest,
+                submission: Some(submission.clone()),
+                stage: if begun { Stage::Begun } else { Stage::Accepted },
+                accepted: at,
+            },
+        };
+        self.bytes += slot_bytes(&slot);
+        let number = self.state.push(slot);
+        self.open.insert(number);
+        let accounts = self.keys.entry(key.zone, SortedMap::new);
+        let ids = accounts.entry(key.account, Ids::new);
+        ids.insert(key.id, number);
+        Applied::Accepted
+    }
+
+    /// The key with the account's and zone's names that the ledger already holds. Decoded keys
+    /// bring names of their own, which would cost 80 bytes for each entry.
+    fn share(&self, key: &JobKey) -> JobKey {
+        let ids = self.keys.get(&key.zone).and_then(|a| a.get(&key.account));
+        let known = ids.and_then(|ids| ids.values().next());
+        let Some(known) = known.map(|number| &self.state.slot(*number).key) else {
+            return key.clone();
+        };
+        JobKey {
+            account: known.account.clone(),
+            zone: known.zone.clone(),
+            id: key.id.clone(),
+        }
+    }
+
+    fn begin(&mut self, keys: &[JobKey]) -> Applied {
+        let mut begun = Vec::with_capacity(keys.len());
+        for key in keys {
+            let Some(number) = self.number(key) else {
+                continue;
+            };
+            if let Stage::Accepted = self.state.slot(number).entry.stage {
+                self.state.entry_mut(number).stage = Stage::Begun;
+                begun.push(key.clone());
+            }
+        }
+        Applied::Begun(begun)
+    }
+
+    fn close(&mut self, key: &JobKey, outcome: &Arc<Outcome>) -> Applied {
+        let Some(number) = self.number(key) else {
+            return Applied::Refused(Refused::Unknown { key: key.clone() });
+        };
+        let slot = self.state.slot(number);
+        if let Stage::Closed(first) = &slot.entry.stage {
+            return Applied::AlreadyClosed(first.clone());
+        }
+        let before = slot_bytes(slot);
+        let entry = self.state.entry_mut(number);
+        entry.stage = Stage::Closed(outcome.clone());
+        entry.submission = None;
+        let accepted = entry.accepted;
+        self.bytes = self.bytes - before + slot_bytes(self.state.slot(number));
+        assert!(self.open.remove(&number), "an entry is closed only once");
+        self.closed.insert((accepted, number));
+        Applied::Closed
+    }
+
+    fn register(&mut self, target: &TargetName, incarnation: Incarnation) -> Applied {
+        let targets = Arc::make_mut(&mut self.state.targets);
+        let incarnations = targets.entry(target.clone(), Vec::new);
+        if let Err(i) = incarnations.binary_search(&incarnation) {
+            incarnations.insert(i, incarnation);
+        }
+        Applied::Done
+    }
+
+    fn deregister(&mut self, target: &TargetName, incarnation: Incarnation) -> Applied {
+        let targets = Arc::make_mut(&mut self.state.targets);
+        if let Some(incarnations) = targets.get_mut(target) {
+            incarnations.retain(|i| *i != incarnation);
+            if incarnations.is_empty() {
+                targets.remove(target);
+            }
+        }
+        Applied::Done
+    }
+
+    fn expire(&mut self, before: Wall) -> Applied {
+        while let Some((accepted, number)) = self.closed.first().copied() {
+            if accepted >= before {
+                break;
+            }
+            self.closed.pop_first();
+            let slot = self.state.take(number);
+            assert!(
+                matches!(slot.entry.stage, Stage::Closed(_)),
+                "entry {} expires while it is open",
+                slot.key
+            );
+            self.bytes -= slot_bytes(&slot);
+            self.forget(&slot.key);
+        }
+        Applied::Done
+    }
+
+    fn forget(&mut self, key: &JobKey) {
+        let accounts = self.keys.get_mut(&key.zone).expect("the zone has an entry");
+        let ids = accounts
+            .get_mut(&key.account)
+            .expect("the account has an entry");
+        ids.remove(&key.id);
+        if ids.is_empty() {
+            accounts.remove(&key.account);
+            if accounts.is_empty() {
+                self.keys.remove(&key.zone);
+            }
+        }
+    }
+
+    fn number(&self, key: &JobKey) -> Option<Number> {
+        let ids = self.keys.get(&key.zone)?.get(&key.account)?;
+        ids.get(&key.id).copied()
+    }
+
+    /// The entry of `key`.
+    pub fn get(&self, key: &JobKey) -> Option<&Entry> {
+        self.number(key).map(|n| &self.state.slot(n).entry)
+    }
+
+    /// Accepted and begun entries in the order of acceptance.
+    pub fn open(&self) -> impl Iterator<Item = (&JobKey, &Entry)> {
+        self.open.iter().map(|number| {
+            let slot = self.state.slot(*number);
+            (&slot.key, &slot.entry)
+        })
+    }
+
+    /// Target incarnations that may have been sent starts, in the order of their names.
+    pub fn registered(&self) -> impl Iterator<Item = (&TargetName, Incarnation)> {
+        let targets = self.state.targets.iter();
+        targets.flat_map(|(target, all)| all.iter().map(move |incarnation| (target, *incarnation)))
+    }
+
+    /// The index of the last command.
+    pub fn applied(&self) -> Index {
+        self.state.applied
+    }
+
+    /// What the ledger holds.
+    pub fn counts(&self) -> Counts {
+        Counts {
+            entries: (self.open.len() + self.closed.len()) as u64,
+            open: self.open.len() as u64,
+            bytes: self.bytes,
+        }
+    }
+
+    /// The present state. Payloads and entries are shared with the ledger, not copied.
+    pub fn snapshot(&self) -> State {
+        State(Arc::new(self.state.clone()))
+    }
+
+    /// Replaces the content by `state` and builds the indexes again.
+    ///
+    /// # Panics
+    ///
+    /// When `state` is older than the ledger.
+    pub fn restore(&mut self, state: State) {
+        assert!(
+            state.applied() >= self.state.applied,
+            "state at index {} after index {}: a ledger never goes back",
+            state.applied(),
+            self.state.applied
+        );
+        let mut ledger = Ledger {
+            state: Inner::clone(&state.0),
+            ..Ledger::default()
+        };
+        for (number, slot) in state.0.slots() {
+            let entry = &slot.entry;
+            match entry.stage {
+                Stage::Accepted | Stage::Begun => {
+                    ledger.open.insert(number);
+                }
+                Stage::Closed(_) => {
+                    ledger.closed.insert((entry.accepted, number));
+                }
+            }
+            ledger.bytes += slot_bytes(slot);
+            let key = slot.key.clone();
+            let accounts = ledger.keys.entry(key.zone, SortedMap::new);
+            let ids = accounts.entry(key.account, Ids::new);
+            let other = ids.insert(key.id, number);
+            assert!(other.is_none(), "key {} is in the state twice", slot.key);
+        }
+        *self = ledger;
+    }
+
+    /// Checks all invariants at a cost in proportion to the entries; for tests.
+    ///
+    /// # Panics
+    ///
+    /// When an invariant is broken.
+    pub fn verify(&self) {
+        let mut entries = 0;
+        let mut bytes = 0;
+        for (number, slot) in self.state.slots() {
+            let entry = &slot.entry;
+            let closed = matches!(entry.stage, Stage::Closed(_));
+            assert_eq!(self.number(&slot.key), Some(number), "{}", slot.key);
+            assert_eq!(entry.submission.is_none(), closed, "{}", slot.key);
+            assert_eq!(self.open.contains(&number), !closed, "{}", slot.key);
+            let due = self.closed.contains(&(entry.accepted, number));
+            assert_eq!(due, closed, "{}", slot.key);
+            assert!(number < self.state.next, "{}", slot.key);
+            entries += 1;
+            bytes += slot_bytes(slot);
+        }
+        let ids = self.keys.values().flat_map(SortedMap::values);
+        assert_eq!(ids.map(BTreeMap::len).sum::<usize>(), entries);
+        assert_eq!(self.open.len() + self.closed.len(), entries);
+        assert_eq!(self.bytes, bytes);
+        for (chunk, content) in &self.state.chunks {
+            let used = content.slots.iter().flatten().count() as u64;
+            assert_eq!(content.used, used, "chunk {chunk}");
+            assert!(used > 0, "chunk {chunk} is empty");
+        }
+    }
+}
+
+fn slot_bytes(slot: &Slot) -> u64 {
+    let submission = slot.entry.submission.as_ref();
+    let tasks = submission.map_or(0, |s| s.tasks.iter().map(|task| task.len()).sum::<usize>());
+    let results = match &slot.entry.stage {
+        Stage::Accepted | Stage::Begun => 0,
+        Stage::Closed(outcome) => match &**outcome {
+            Outcome::Complete(results) => results.iter().map(|result| result.len()).sum::<usize>(),
+            Outcome::Failed(_) => 0,
+        },
+    };
+    (size_of::<Slot>() + slot.key.id.as_str().len() + tasks + results) as u64
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -4,5 +4,9 @@
 //! has the same state.
 
 mod command;
+mod ledger;
+mod state;
 
 pub use command::{Applied, Command, Entry, Refused, Stage, Submission};
+pub use ledger::{Counts, Ledger};
+pub use state::State;
--- /dev/null
+++ b/crates/ledger/src/state.rs
@@ -0,0 +1,128 @@
+//! The part of the ledger that is replicated, stored and sent: entries in chunks.
+//!
+//! Entries are numbered in the order of acceptance and kept in chunks of [`CHUNK_SLOTS`] numbers.
+//! A chunk is shared between the ledger and its snapshots and copied before the first change
+//! after a snapshot, so a snapshot costs one reference count for each chunk and never copies a
+//! payload. Numbers are part of the state: a restored ledger has the same chunks as the one that
+//! made the snapshot.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use greengage_core::{value, Incarnation, Index, JobKey, SortedMap, TargetName};
+
+use crate::command::Entry;
+
+/// Entries of one chunk. A larger chunk makes the first change after a snapshot dearer, a smaller
+/// one the snapshot; 64 keeps both under 1 ms at a million entries.
+pub(crate) const CHUNK_SLOTS: u64 = 64;
+
+/// The number of an entry in the order of acceptance.
+pub(crate) type Number = u64;
+
+/// An entry and its key.
+#[value]
+pub(crate) struct Slot {
+    pub(crate) key: JobKey,
+    pub(crate) entry: Entry,
+}
+
+/// The entries with the numbers from a multiple of [`CHUNK_SLOTS`] on.
+#[value]
+#[derive(Default)]
+pub(crate) struct Chunk {
+    /// Slots by number; `None` where the entry has expired.
+    pub(crate) slots: Vec<Option<Slot>>,
+    /// Slots in use.
+    pub(crate) used: u64,
+}
+
+/// Targets and those of their incarnations that may have been sent starts.
+pub(crate) type Targets = SortedMap<TargetName, Vec<Incarnation>>;
+
+/// The content of a state.
+#[value]
+#[derive(Default)]
+pub(crate) struct Inner {
+    /// The index of the last command.
+    pub(crate) applied: Index,
+    /// The number of the next entry.
+    pub(crate) next: Number,
+    /// Chunks by the number of their first slot, divided by [`CHUNK_SLOTS`]. A B-tree because at
+    /// a million entries a sorted vector would move 16,000 chunks for each one that expires.
+    pub(crate) chunks: BTreeMap<Number, Arc<Chunk>>,
+    /// Registered targets.
+    pub(crate) targets: Arc<Targets>,
+}
+
+impl Inner {
+    pub(crate) fn slot(&self, number: Number) -> &Slot {
+        let chunk = &self.chunks[&(number / CHUNK_SLOTS)];
+        chunk.slots[(number % CHUNK_SLOTS) as usize]
+            .as_ref()
+            .expect("an indexed entry has a slot")
+    }
+
+    pub(crate) fn entry_mut(&mut self, number: Number) -> &mut Entry {
+        let chunk = self
+            .chunks
+            .get_mut(&(number / CHUNK_SLOTS))
+            .expect("an indexed entry has a chunk");
+        let slot = Arc::make_mut(chunk).slots[(number % CHUNK_SLOTS) as usize].as_mut();
+        &mut slot.expect("an indexed entry has a slot").entry
+    }
+
+    /// Appends an entry and returns its number.
+    pub(crate) fn push(&mut self, slot: Slot) -> Number {
+        let number = self.next;
+        self.next += 1;
+        let chunk = self.chunks.entry(number / CHUNK_SLOTS).or_default();
+        let chunk = Arc::make_mut(chunk);
+        // A chunk that lost all its entries was dropped and starts again with empty slots.
+        chunk.slots.resize((number % CHUNK_SLOTS) as usize, None);
+        chunk.slots.push(Some(slot));
+        chunk.used += 1;
+        number
+    }
+
+    /// Removes an entry and returns its slot.
+    pub(crate) fn take(&mut self, number: Number) -> Slot {
+        let first = number / CHUNK_SLOTS;
+        let chunk = self
+            .chunks
+            .get_mut(&first)
+            .expect("an indexed entry has a chunk");
+        let chunk = Arc::make_mut(chunk);
+        let slot = chunk.slots[(number % CHUNK_SLOTS) as usize]
+            .take()
+            .expect("an indexed entry has a slot");
+        chunk.used -= 1;
+        if chunk.used == 0 {
+            self.chunks.remove(&first);
+        }
+        slot
+    }
+
+    /// All entries with their numbers, in the order of acceptance.
+    pub(crate) fn slots(&self) -> impl Iterator<Item = (Number, &Slot)> {
+        self.chunks.iter().flat_map(|(first, chunk)| {
+            let slots = chunk.slots.iter().enumerate();
+            slots.filter_map(move |(i, slot)| {
+                let slot = slot.as_ref()?;
+                Some((first * CHUNK_SLOTS + i as u64, slot))
+            })
+        })
+    }
+}
+
+/// The ledger's state at one index; a clone costs one reference count.
+#[value]
+#[derive(Default)]
+pub struct State(pub(crate) Arc<Inner>);
+
+impl State {
+    /// The index of the last command in the state.
+    pub fn applied(&self) -> Index {
+        self.0.applied
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/apply.rs
@@ -0,0 +1,205 @@
+//! Single commands: input, expected output.
+
+use std::sync::Arc;
+
+use greengage_core::{
+    AccountName, Digest, Failure, Incarnation, Index, JobKey, Name, Outcome, Payload, TargetName,
+    TemplateName, Version, Wall, ZoneName,
+};
+use greengage_ledger::{Applied, Command, Ledger, Refused, Stage, Submission};
+
+fn key(id: &str) -> JobKey {
+    JobKey {
+        account: AccountName::new("lampang").unwrap(),
+        zone: ZoneName::new("a").unwrap(),
+        id: Name::new(id).unwrap(),
+    }
+}
+
+fn accept(id: &str, digest: u8, begun: bool, at: u64) -> Command {
+    let submission = Submission {
+        template: TemplateName::new("tours").unwrap(),
+        account: AccountName::new("lampang").unwrap(),
+        version: Version(1),
+        tasks: vec![Payload::new(*b"task")],
+        deadline: Wall(at + 1000),
+    };
+    Command::Accept {
+        key: key(id),
+        digest: Digest([digest; 32]),
+        submission: Arc::new(submission),
+        begun,
+        at: Wall(at),
+    }
+}
+
+fn close(id: &str, outcome: Outcome) -> Command {
+    Command::Close {
+        key: key(id),
+        outcome: Arc::new(outcome),
+    }
+}
+
+fn begin(ids: &[&str]) -> Command {
+    Command::Begin {
+        keys: ids.iter().map(|id| key(id)).collect(),
+    }
+}
+
+fn complete() -> Outcome {
+    Outcome::Complete(vec![Payload::new(*b"result")])
+}
+
+fn run(commands: &[Command]) -> (Ledger, Vec<Applied>) {
+    let mut ledger = Ledger::new();
+    let mut applied = Vec::new();
+    for (i, command) in commands.iter().enumerate() {
+        applied.push(ledger.apply(Index(i as u64 + 1), command));
+        ledger.verify();
+    }
+    (ledger, applied)
+}
+
+fn last(commands: &[Command]) -> Applied {
+    run(commands).1.pop().unwrap()
+}
+
+/// Guards against a resubmission that runs again, at any stage and after the close.
+#[test]
+fn resubmission_is_a_duplicate_at_every_stage() {
+    let new = accept("1", 1, false, 0);
+    let other = accept("1", 2, false, 0);
+    let closed = Stage::Closed(Arc::new(complete()));
+    let steps = [
+        (vec![], Stage::Accepted),
+        (vec![begin(&["1"])], Stage::Begun),
+        (vec![begin(&["1"]), close("1", complete())], closed.clone()),
+        (vec![close("1", complete())], closed),
+    ];
+    let other_content = Applied::Refused(Refused::OtherContent { key: key("1") });
+    for (between, stage) in steps {
+        let before = [vec![new.clone()], between].concat();
+        let same = [before.clone(), vec![new.clone()]].concat();
+        assert_eq!(last(&same), Applied::Duplicate(stage));
+        let different = [before, vec![other.clone()]].concat();
+        assert_eq!(last(&different), other_content);
+    }
+}
+
+/// Guards against a duplicate that moves an accepted entry to begun without a `Begin`.
+#[test]
+fn duplicate_with_begun_does_not_begin() {
+    let commands = [accept("1", 1, false, 0), accept("1", 1, true, 0)];
+    let (ledger, applied) = run(&commands);
+    assert_eq!(applied[1], Applied::Duplicate(Stage::Accepted));
+    assert_eq!(ledger.get(&key("1")).unwrap().stage, Stage::Accepted);
+}
+
+/// Guards against a second outcome for a caller that already has the first.
+#[test]
+fn first_close_wins() {
+    let failed = Outcome::Failed(Failure::NoTarget);
+    let new = accept("1", 1, true, 0);
+    let commands = [new, close("1", complete()), close("1", failed)];
+    let (ledger, applied) = run(&commands);
+    assert_eq!(applied[1], Applied::Closed);
+    assert_eq!(applied[2], Applied::AlreadyClosed(Arc::new(complete())));
+    let entry = ledger.get(&key("1")).unwrap();
+    assert_eq!(entry.stage, Stage::Closed(Arc::new(complete())));
+    assert_eq!(entry.submission, None);
+}
+
+/// Guards against a closed entry that begins, and against tasks that start twice because a
+/// `Begin` was proposed twice.
+#[test]
+fn begin_returns_only_what_it_began() {
+    let commands = [
+        accept("1", 1, false, 0),
+        accept("2", 1, false, 0),
+        accept("3", 1, true, 0),
+        close("2", complete()),
+        begin(&["1", "1", "2", "3", "unknown"]),
+        begin(&["1"]),
+    ];
+    let (ledger, applied) = run(&commands);
+    assert_eq!(applied[4], Applied::Begun(vec![key("1")]));
+    assert_eq!(applied[5], Applied::Begun(vec![]));
+    let open: Vec<_> = ledger.open().map(|(key, _)| key.clone()).collect();
+    assert_eq!(open, [key("1"), key("3")]);
+}
+
+/// Guards against a close that invents an entry.
+#[test]
+fn close_of_an_unknown_key_is_refused() {
+    let refused = Applied::Refused(Refused::Unknown { key: key("1") });
+    assert_eq!(last(&[close("1", complete())]), refused);
+}
+
+/// Guards against an expiry that removes open work or work within its retention.
+#[test]
+fn expiry_removes_only_closed_entries_before_its_time() {
+    let commands = [
+        accept("open", 1, true, 5),
+        accept("late", 1, true, 20),
+        accept("early", 1, true, 9),
+        accept("due", 1, true, 10),
+        close("late", complete()),
+        close("early", complete()),
+        close("due", complete()),
+        Command::Expire { before: Wall(10) },
+    ];
+    let (ledger, _) = run(&commands);
+    let known = ["open", "late", "early", "due"].map(|id| ledger.get(&key(id)).is_some());
+    assert_eq!(known, [true, true, false, true]);
+    assert_eq!(ledger.counts().entries, 3);
+    assert_eq!(ledger.counts().open, 1);
+}
+
+/// Guards against counters that drift, which would stop admission for good.
+#[test]
+fn everything_expired_leaves_no_bytes() {
+    let mut commands = Vec::new();
+    for i in 0..200 {
+        commands.push(accept(&i.to_string(), 1, true, i));
+        commands.push(close(&i.to_string(), complete()));
+    }
+    commands.push(Command::Expire { before: Wall(200) });
+    let (ledger, _) = run(&commands);
+    assert_eq!(ledger.counts(), Default::default());
+}
+
+/// Guards against a fence that misses an earlier incarnation which still runs a task.
+#[test]
+fn several_incarnations_of_a_target_are_registered_at_once() {
+    let target = TargetName::new("t").unwrap();
+    let register = |incarnation| Command::Register {
+        target: target.clone(),
+        incarnation: Incarnation(incarnation),
+    };
+    let deregister = Command::Deregister {
+        target: target.clone(),
+        incarnation: Incarnation(1),
+    };
+    let mut commands = vec![register(2), register(1), register(1)];
+    let all = |ledger: &Ledger| ledger.registered().map(|(_, i)| i.0).collect::<Vec<_>>();
+    assert_eq!(all(&run(&commands).0), [1, 2]);
+    commands.extend([deregister.clone(), deregister]);
+    assert_eq!(all(&run(&commands).0), [2]);
+}
+
+/// Guards against a log entry that is applied twice after a restart.
+#[test]
+#[should_panic(expected = "applied twice")]
+fn repeated_index_panics() {
+    let mut ledger = Ledger::new();
+    ledger.apply(Index(3), &accept("1", 1, false, 0));
+    ledger.apply(Index(3), &accept("2", 1, false, 0));
+}
+
+/// Guards against an older snapshot that takes back applied commands.
+#[test]
+#[should_panic(expected = "never goes back")]
+fn older_state_panics() {
+    let (mut ledger, _) = run(&[accept("1", 1, false, 0)]);
+    ledger.restore(Ledger::new().snapshot());
+}
