Add the policy state machine

Cause: templates and parameters need one replicated owner that answers resends and never goes back. Ruled out: keeping digests of edits (decision crates contain no encodings to compute them over), and forgetting refused edits (a resend would then get another answer).

Add EditError::Unfit, which names the account whose parameters a changed template doesn't fit.

Before and after: no tests; now 12 pass (cargo test -p greengage-policy).

--- a/crates/policy/src/document.rs
+++ b/crates/policy/src/document.rs
@@ -40,6 +40,67 @@
     pub default: Option<ParamValue>,
 }
 
+/// Shortest deadline and expected run time in milliseconds.
+pub const MIN_SPAN_MS: u64 = 1;
+
+/// Longest deadline and expected run time in milliseconds, one hour: the retention of outcomes.
+pub const MAX_SPAN_MS: u64 = 3_600_000;
+
+/// Most tasks of one job.
+pub const MAX_TASKS: u32 = 1_200;
+
+/// Most further attempts of a repeatable request.
+pub const MAX_RETRIES: u32 = 10;
+
+/// Greatest weight of an account.
+pub const MAX_WEIGHT: u32 = 1_000;
+
+/// Most bytes of a text value.
+pub const TEXT_BYTES: usize = 1_024;
+
+/// Most parameters that a template declares; every VM holds all templates.
+pub const MAX_PARAMS: usize = 256;
+
+impl ParamValue {
+    /// The type of the value.
+    pub fn kind(&self) -> ParamKind {
+        match self {
+            ParamValue::Integer(_) => ParamKind::Integer,
+            ParamValue::Text(_) => ParamKind::Text,
+            ParamValue::Boolean(_) => ParamKind::Boolean,
+        }
+    }
+
+    /// Checks the type and the length of the value of `param`.
+    fn check(&self, param: &Name, kind: ParamKind) -> Result<(), EditError> {
+        if self.kind() != kind {
+            return Err(EditError::Mistyped {
+                param: param.clone(),
+                kind,
+            });
+        }
+        match self {
+            ParamValue::Integer(_) | ParamValue::Boolean(_) => Ok(()),
+            ParamValue::Text(text) => {
+                let field = format_args!("length in bytes of parameter {param}");
+                range(field, text.len() as u64, 0, TEXT_BYTES as u64)
+            }
+        }
+    }
+}
+
+fn range(field: impl fmt::Display, value: u64, min: u64, max: u64) -> Result<(), EditError> {
+    if (min..=max).contains(&value) {
+        return Ok(());
+    }
+    Err(EditError::Range {
+        field: field.to_string(),
+        value,
+        min,
+        max,
+    })
+}
+
 /// A template: how one kind of work is run.
 #[value]
 pub struct Template {
@@ -63,6 +124,32 @@
     pub params: SortedMap<Name, Param>,
 }
 
+impl Template {
+    /// Checks ranges and the types of defaults.
+    pub fn check(&self) -> Result<(), EditError> {
+        range("deadline_ms", self.deadline_ms, MIN_SPAN_MS, MAX_SPAN_MS)?;
+        range("expected_ms", self.expected_ms, MIN_SPAN_MS, MAX_SPAN_MS)?;
+        range("max_tasks", self.max_tasks.into(), 1, MAX_TASKS.into())?;
+        range("retries", self.retries.into(), 0, MAX_RETRIES.into())?;
+        let count = self.params.len() as u64;
+        range("number of params", count, 0, MAX_PARAMS as u64)?;
+        match self.target {
+            TargetKind::Executor => {}
+            // Without this, any number of tasks would fit a worker at once.
+            TargetKind::Worker => {
+                let milli_cores = self.demand.milli_cores.into();
+                range("demand.milli_cores", milli_cores, 1, u32::MAX.into())?;
+            }
+        }
+        for (name, param) in self.params.iter() {
+            if let Some(default) = &param.default {
+                default.check(name, param.kind)?;
+            }
+        }
+        Ok(())
+    }
+}
+
 /// The parameters of one client account for one template.
 #[value]
 pub struct Params {
@@ -80,6 +167,31 @@
     pub values: SortedMap<Name, ParamValue>,
 }
 
+impl Params {
+    /// Checks ranges, and the values against the parameters that `template` declares.
+    pub fn check(&self, template: &Template) -> Result<(), EditError> {
+        let max = u32::MAX.into();
+        range("weight", self.weight.into(), 1, MAX_WEIGHT.into())?;
+        range("quota", self.quota.into(), 1, max)?;
+        range("concurrency", self.concurrency.into(), 1, max)?;
+        if let Some(deadline) = self.deadline_ms {
+            range("deadline_ms", deadline, MIN_SPAN_MS, MAX_SPAN_MS)?;
+        }
+        for (name, value) in self.values.iter() {
+            match template.params.get(name) {
+                Some(param) => value.check(name, param.kind)?,
+                None => return Err(EditError::Undeclared(name.clone())),
+            }
+        }
+        for (name, param) in template.params.iter() {
+            if param.default.is_none() && !self.values.contains(name) {
+                return Err(EditError::Missing(name.clone()));
+            }
+        }
+        Ok(())
+    }
+}
+
 /// What an edit writes.
 #[value]
 pub enum Document {
@@ -189,6 +301,13 @@
     },
     /// The operation id was used for another edit.
     OtherEdit(OpId),
+    /// The changed template doesn't fit the parameters of an account.
+    Unfit {
+        /// The account.
+        account: AccountName,
+        /// What doesn't fit.
+        error: Box<EditError>,
+    },
     /// The template still has parameters of accounts.
     InUse {
         /// The template.
@@ -240,6 +359,12 @@
                 "operation id {} was used for another edit: use a new one",
                 op.0
             ),
+            EditError::Unfit { account, error } => {
+                write!(
+                    f,
+                    "the parameters of client account {account} don't fit: {error}"
+                )
+            }
             EditError::InUse { template, accounts } => write!(
                 f,
                 "template {template} has parameters of {accounts} accounts: remove them first"
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,7 +4,12 @@
 //! operation id; a resend of the same operation is answered again and not applied again.
 
 mod document;
+mod policy;
+mod state;
 
 pub use document::{
-    Command, Document, EditError, Outcome, Param, ParamKind, ParamValue, Params, Resolved, Template,
+    Command, Document, EditError, Outcome, Param, ParamKind, ParamValue, Params, Resolved,
+    Template, MAX_PARAMS, MAX_RETRIES, MAX_SPAN_MS, MAX_TASKS, MAX_WEIGHT, MIN_SPAN_MS, TEXT_BYTES,
 };
+pub use policy::{Policy, Stale, MAX_RECORDS, MAX_TRACES};
+pub use state::State;
--- /dev/null
+++ b/crates/policy/src/policy.rs
@@ -0,0 +1,401 @@
+//! The state machine.
+//!
+//! Each command is answered once: its operation id is kept with the edit and the outcome, for
+//! refused edits too, and a resend gets that outcome again whatever happened in between. The same
+//! id with another edit is refused and leaves the first record as it is. The newest
+//! [`MAX_RECORDS`] operations are kept; a resend of an older one is judged by its version.
+//!
+//! Versions of one document only grow. A removed document leaves a trace with its version; an
+//! edit that creates it again is made from version 0 or from that version. The newest
+//! [`MAX_TRACES`] traces are kept. Dropping one raises a floor under the version of every
+//! document created later, so that its versions grow all the same.
+
+use std::fmt;
+use std::sync::Arc;
+
+use greengage_core::{value, AccountName, Name, OpId, Revision, SortedMap, TemplateName, Version};
+
+use crate::document::{
+    Command, Document, EditError, Outcome, ParamValue, Params, Resolved, Template,
+};
+use crate::state::{Inner, Record, Slot, State};
+
+/// Operations whose outcome is kept: almost four days at 5,300 edits a day.
+pub const MAX_RECORDS: usize = 20_000;
+
+/// Removed documents whose version is kept.
+pub const MAX_TRACES: usize = 10_000;
+
+/// Why a state was not taken over.
+#[value]
+pub struct Stale {
+    /// The index of the last applied command.
+    pub applied: Revision,
+    /// The index of the state.
+    pub offered: Revision,
+}
+
+impl fmt::Display for Stale {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "a configuration at index {} was offered after index {}: ask another VM for a newer one",
+            self.offered, self.applied
+        )
+    }
+}
+
+impl std::error::Error for Stale {}
+
+/// Templates, parameters and the edits that made them.
+#[derive(Clone, Debug, Default)]
+pub struct Policy {
+    state: State,
+    /// The sequence number of each kept record; the oldest has the number `dropped`.
+    ops: SortedMap<OpId, u64>,
+    dropped: u64,
+}
+
+impl Policy {
+    /// A policy without documents.
+    pub fn new() -> Policy {
+        Policy::default()
+    }
+
+    /// Applies the command at log index `revision`, which must be higher than any before.
+    ///
+    /// # Panics
+    ///
+    /// When `revision` is not higher than the index of the last command.
+    pub fn apply(&mut self, revision: Revision, command: &Command) -> Outcome {
+        let state = &*self.state.0;
+        assert!(
+            revision > state.applied,
+            "edit at revision {revision} after {}: a log entry was applied twice",
+            state.applied
+        );
+        let Command::Edit { op, from, document } = command;
+        let inner = Arc::make_mut(&mut self.state.0);
+        inner.applied = revision;
+        if let Some(number) = self.ops.get(op) {
+            let record = &inner.records[(number - self.dropped) as usize];
+            if record.from == *from && record.document == *document {
+                return record.outcome.clone();
+            }
+            return Outcome::Refused(EditError::OtherEdit(op.clone()));
+        }
+        let outcome = match inner.edit(revision, *from, document) {
+            Ok(version) => Outcome::Applied { version, revision },
+            Err(error) => Outcome::Refused(error),
+        };
+        self.remember(Record {
+            op: op.clone(),
+            from: *from,
+            document: document.clone(),
+            outcome: outcome.clone(),
+        });
+        outcome
+    }
+
+    fn remember(&mut self, record: Record) {
+        let records = &mut Arc::make_mut(&mut self.state.0).records;
+        if records.len() == MAX_RECORDS {
+            let oldest = records.pop_front().expect("the records are not empty");
+            self.ops.remove(&oldest.op);
+            self.dropped += 1;
+        }
+        let number = self.dropped + records.len() as u64;
+        self.ops.insert(record.op.clone(), number);
+        records.push_back(Arc::new(record));
+    }
+
+    /// A template and its version.
+    pub fn template(&self, name: &TemplateName) -> Option<(Version, &Template)> {
+        let slot = self.state.0.templates.get(name)?;
+        Some((slot.version, slot.content.as_deref()?))
+    }
+
+    /// An account's parameters for a template and their version.
+    pub fn params(
+        &self,
+        template: &TemplateName,
+        account: &AccountName,
+    ) -> Option<(Version, &Params)> {
+        let slot = self.state.0.params.get(template)?.get(account)?;
+        Some((slot.version, slot.content.as_deref()?))
+    }
+
+    /// All templates with their versions, in the order of their names.
+    pub fn templates(&self) -> impl Iterator<Item = (&TemplateName, Version, &Template)> {
+        let slots = self.state.0.templates.iter();
+        slots.filter_map(|(name, slot)| Some((name, slot.version, slot.content.as_deref()?)))
+    }
+
+    /// All parameters with their versions, in the order of template and account.
+    pub fn all_params(
+        &self,
+    ) -> impl Iterator<Item = (&TemplateName, &AccountName, Version, &Params)> {
+        let templates = self.state.0.params.iter();
+        templates.flat_map(|(template, accounts)| {
+            accounts.iter().filter_map(move |(account, slot)| {
+                Some((template, account, slot.version, slot.content.as_deref()?))
+            })
+        })
+    }
+
+    /// A template with an account's parameters filled in.
+    pub fn resolve(
+        &self,
+        name: &TemplateName,
+        account: &AccountName,
+    ) -> Result<Resolved, EditError> {
+        let (version, template) = self
+            .template(name)
+            .ok_or_else(|| EditError::UnknownTemplate(name.clone()))?;
+        let (_, params) = self
+            .params(name, account)
+            .ok_or_else(|| unknown_account(name, account))?;
+        Ok(Resolved {
+            version,
+            template: template.clone(),
+            params: params.clone(),
+            values: fill(template, params)?,
+            deadline_ms: params.deadline_ms.unwrap_or(template.deadline_ms),
+        })
+    }
+
+    /// The index of the last edit that had an effect; 0 when there is none yet.
+    pub fn revision(&self) -> Revision {
+        self.state.0.revision
+    }
+
+    /// The index of the last command, whether or not it had an effect.
+    pub fn applied(&self) -> Revision {
+        self.state.0.applied
+    }
+
+    /// The present state, shared with the policy until its next change.
+    pub fn snapshot(&self) -> State {
+        self.state.clone()
+    }
+
+    /// Replaces the content by `state`, unless that is older.
+    pub fn restore(&mut self, state: State) -> Result<(), Stale> {
+        if state.applied() < self.applied() {
+            return Err(Stale {
+                applied: self.applied(),
+                offered: state.applied(),
+            });
+        }
+        let numbers = state.0.records.iter().zip(0..);
+        self.ops = numbers.map(|(r, i)| (r.op.clone(), i)).collect();
+        self.dropped = 0;
+        self.state = state;
+        Ok(())
+    }
+
+    /// Checks that all documents are valid and fit each other; for tests.
+    ///
+    /// # Panics
+    ///
+    /// When an invariant is broken.
+    pub fn verify(&self) {
+        let state = &*self.state.0;
+        assert!(state.revision <= state.applied);
+        for (name, _, template) in self.templates() {
+            assert_eq!(template.check(), Ok(()), "template {name}");
+        }
+        for (name, account, _, params) in self.all_params() {
+            let (_, template) = self.template(name).expect("parameters have a template");
+            assert_eq!(params.check(template), Ok(()), "{name} of {account}");
+        }
+        assert!(state.records.len() <= MAX_RECORDS);
+        assert_eq!(state.records.len(), self.ops.len());
+        for (i, record) in state.records.iter().enumerate() {
+            let number = self.ops.get(&record.op).expect("a record has a number");
+            assert_eq!(*number, self.dropped + i as u64);
+        }
+    }
+}
+
+impl Inner {
+    /// Applies an edit that was not seen before and returns the document's new version.
+    fn edit(
+        &mut self,
+        revision: Revision,
+        from: Version,
+        document: &Document,
+    ) -> Result<Version, EditError> {
+        let floor = self.floor;
+        let version = match document {
+            Document::Template { name, content } => {
+                self.check_template(from, name, content.as_ref())?;
+                let slot = self.templates.entry(name.clone(), || empty(floor));
+                write(slot, revision, content)
+            }
+            Document::Params {
+                template,
+                account,
+                content,
+            } => {
+                self.check_params(from, template, account, content.as_ref())?;
+                let accounts = self.params.entry(template.clone(), SortedMap::new);
+                let slot = accounts.entry(account.clone(), || empty(floor));
+                write(slot, revision, content)
+            }
+        };
+        self.revision = revision;
+        self.drop_trace();
+        Ok(version)
+    }
+
+    fn check_template(
+        &self,
+        from: Version,
+        name: &TemplateName,
+        content: Option<&Template>,
+    ) -> Result<(), EditError> {
+        let slot = self.templates.get(name);
+        check_version(slot, from, || format!("template {:?}", name.as_str()))?;
+        let accounts = || {
+            let slots = self.params.get(name).into_iter().flat_map(SortedMap::iter);
+            slots.filter_map(|(account, slot)| Some((account, slot.content.as_deref()?)))
+        };
+        let Some(template) = content else {
+            if slot.is_none_or(|s| s.content.is_none()) {
+                return Err(EditError::UnknownTemplate(name.clone()));
+            }
+            return match accounts().count() as u32 {
+                0 => Ok(()),
+                accounts => Err(EditError::InUse {
+                    template: name.clone(),
+                    accounts,
+                }),
+            };
+        };
+        template.check()?;
+        for (account, params) in accounts() {
+            params.check(template).map_err(|error| EditError::Unfit {
+                account: account.clone(),
+                error: Box::new(error),
+            })?;
+        }
+        Ok(())
+    }
+
+    fn check_params(
+        &self,
+        from: Version,
+        name: &TemplateName,
+        account: &AccountName,
+        content: Option<&Params>,
+    ) -> Result<(), EditError> {
+        let template = self.templates.get(name).and_then(|s| s.content.as_ref());
+        let template = template.ok_or_else(|| EditError::UnknownTemplate(name.clone()))?;
+        let slot = self.params.get(name).and_then(|a| a.get(account));
+        check_version(slot, from, || {
+            format!(
+                "the parameters of client account {:?} for template {:?}",
+                account.as_str(),
+                name.as_str()
+            )
+        })?;
+        match content {
+            Some(params) => params.check(template),
+            None if slot.is_some_and(|s| s.content.is_some()) => Ok(()),
+            None => Err(unknown_account(name, account)),
+        }
+    }
+
+    /// Drops the oldest trace of a removed document when there are too many.
+    fn drop_trace(&mut self) {
+        let accounts = self.params.values().map(SortedMap::len).sum::<usize>();
+        if self.templates.len() + accounts <= MAX_TRACES {
+            return;
+        }
+        let templates = self
+            .templates
+            .values()
+            .map(|s| (s.content.is_none(), s.revision));
+        let params = self
+            .params
+            .values()
+            .flat_map(SortedMap::values)
+            .map(|s| (s.content.is_none(), s.revision));
+        let traces = templates.chain(params).filter(|(removed, _)| *removed);
+        let (count, oldest) = traces.fold((0, Revision(u64::MAX)), |(count, oldest), (_, r)| {
+            (count + 1, oldest.min(r))
+        });
+        if count <= MAX_TRACES {
+            return;
+        }
+        let floor = &mut self.floor;
+        self.templates.retain(|_, s| keep(s, oldest, floor));
+        self.params.retain(|_, accounts| {
+            accounts.retain(|_, s| keep(s, oldest, floor));
+            !accounts.is_empty()
+        });
+    }
+}
+
+/// Whether a slot stays when the trace made at revision `oldest` is dropped.
+fn keep<T>(slot: &Slot<T>, oldest: Revision, floor: &mut Version) -> bool {
+    if slot.content.is_some() || slot.revision != oldest {
+        return true;
+    }
+    *floor = slot.version.max(*floor);
+    false
+}
+
+fn empty<T>(floor: Version) -> Slot<T> {
+    Slot {
+        version: floor,
+        revision: Revision(0),
+        content: None,
+    }
+}
+
+fn write<T: Clone>(slot: &mut Slot<T>, revision: Revision, content: &Option<T>) -> Version {
+    slot.version = slot.version.next();
+    slot.revision = revision;
+    slot.content = content.clone().map(Arc::new);
+    slot.version
+}
+
+fn check_version<T>(
+    slot: Option<&Slot<T>>,
+    from: Version,
+    what: impl FnOnce() -> String,
+) -> Result<(), EditError> {
+    let (current, exists) = match slot {
+        Some(slot) => (slot.version, slot.content.is_some()),
+        None => (Version(0), false),
+    };
+    if from == current || (from == Version(0) && !exists) {
+        return Ok(());
+    }
+    Err(EditError::Conflict {
+        what: what(),
+        current,
+        named: from,
+    })
+}
+
+fn unknown_account(template: &TemplateName, account: &AccountName) -> EditError {
+    EditError::UnknownAccount {
+        template: template.clone(),
+        account: account.clone(),
+    }
+}
+
+/// The value of each parameter that the template declares.
+fn fill(template: &Template, params: &Params) -> Result<SortedMap<Name, ParamValue>, EditError> {
+    let declared = template.params.iter();
+    declared
+        .map(|(name, param)| {
+            let value = params.values.get(name).or(param.default.as_ref());
+            let value = value.ok_or_else(|| EditError::Missing(name.clone()))?;
+            Ok((name.clone(), value.clone()))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/policy/src/state.rs
@@ -0,0 +1,61 @@
+//! The part of the policy that is replicated, stored and sent.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use greengage_core::{value, AccountName, OpId, Revision, SortedMap, TemplateName, Version};
+
+use crate::document::{Document, Outcome, Params, Template};
+
+/// A document or, without content, the trace of a removed one, which keeps its version.
+#[value]
+pub(crate) struct Slot<T> {
+    /// The version of the last edit.
+    pub(crate) version: Version,
+    /// The revision of the last edit.
+    pub(crate) revision: Revision,
+    /// The content, `None` once removed.
+    pub(crate) content: Option<Arc<T>>,
+}
+
+/// An edit that was answered.
+#[value]
+pub(crate) struct Record {
+    pub(crate) op: OpId,
+    pub(crate) from: Version,
+    pub(crate) document: Document,
+    pub(crate) outcome: Outcome,
+}
+
+/// The content of a state.
+#[value]
+#[derive(Default)]
+pub(crate) struct Inner {
+    /// The index of the last command, whether or not it had an effect.
+    pub(crate) applied: Revision,
+    /// The index of the last edit that had an effect.
+    pub(crate) revision: Revision,
+    /// The highest version of a removed document whose trace was dropped.
+    pub(crate) floor: Version,
+    pub(crate) templates: SortedMap<TemplateName, Slot<Template>>,
+    pub(crate) params: SortedMap<TemplateName, SortedMap<AccountName, Slot<Params>>>,
+    /// Answered edits, oldest first.
+    pub(crate) records: VecDeque<Arc<Record>>,
+}
+
+/// The configuration at one revision; a clone costs one reference count.
+#[value]
+#[derive(Default)]
+pub struct State(pub(crate) Arc<Inner>);
+
+impl State {
+    /// The index of the last command in the state.
+    pub fn applied(&self) -> Revision {
+        self.0.applied
+    }
+
+    /// The revision in force.
+    pub fn revision(&self) -> Revision {
+        self.0.revision
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/apply.rs
@@ -0,0 +1,381 @@
+//! Single edits: input, expected outcome.
+
+use greengage_core::{
+    AccountName, Demand, Name, OpId, Revision, SortedMap, Spread, TargetKind, TemplateName, Version,
+};
+use greengage_policy::{
+    Command, Document, EditError, Outcome, Param, ParamKind, ParamValue, Params, Policy, Template,
+    MAX_RECORDS, MAX_TRACES,
+};
+
+fn name(text: &str) -> Name {
+    Name::new(text).unwrap()
+}
+
+fn tours() -> TemplateName {
+    TemplateName::new("tours").unwrap()
+}
+
+fn lampang() -> AccountName {
+    AccountName::new("lampang").unwrap()
+}
+
+fn template() -> Template {
+    Template {
+        target: TargetKind::Executor,
+        demand: Demand::default(),
+        spread: Spread::Any,
+        deadline_ms: 1000,
+        repeatable: true,
+        retries: 2,
+        max_tasks: 10,
+        expected_ms: 50,
+        params: SortedMap::new(),
+    }
+}
+
+fn declaring(params: &[(&str, ParamKind, Option<ParamValue>)]) -> Template {
+    let params = params.iter().map(|(n, kind, default)| {
+        let (kind, default) = (*kind, default.clone());
+        (name(n), Param { kind, default })
+    });
+    Template {
+        params: params.collect(),
+        ..template()
+    }
+}
+
+fn params(values: &[(&str, ParamValue)]) -> Params {
+    Params {
+        weight: 1,
+        quota: 100,
+        concurrency: 10,
+        burst: 0,
+        deadline_ms: None,
+        values: values.iter().map(|(n, v)| (name(n), v.clone())).collect(),
+    }
+}
+
+fn edit(op: &str, from: u64, document: Document) -> Command {
+    Command::Edit {
+        op: OpId(name(op)),
+        from: Version(from),
+        document,
+    }
+}
+
+fn set(content: impl Into<Option<Template>>) -> Document {
+    Document::Template {
+        name: tours(),
+        content: content.into(),
+    }
+}
+
+fn assign(content: impl Into<Option<Params>>) -> Document {
+    Document::Params {
+        template: tours(),
+        account: lampang(),
+        content: content.into(),
+    }
+}
+
+fn run(documents: &[(u64, Document)]) -> (Policy, Vec<Outcome>) {
+    let mut policy = Policy::new();
+    let mut outcomes = Vec::new();
+    for (i, (from, document)) in documents.iter().enumerate() {
+        let command = edit(&format!("op{i}"), *from, document.clone());
+        outcomes.push(policy.apply(Revision(i as u64 + 1), &command));
+        policy.verify();
+    }
+    (policy, outcomes)
+}
+
+fn last(documents: &[(u64, Document)]) -> Outcome {
+    run(documents).1.pop().unwrap()
+}
+
+fn applied(version: u64, revision: u64) -> Outcome {
+    Outcome::Applied {
+        version: Version(version),
+        revision: Revision(revision),
+    }
+}
+
+fn conflict(current: u64, named: u64) -> Outcome {
+    Outcome::Refused(EditError::Conflict {
+        what: "template \"tours\"".to_string(),
+        current: Version(current),
+        named: Version(named),
+    })
+}
+
+/// Guards against two edits made from the same version that both apply, one reverting the other.
+#[test]
+fn of_two_edits_from_one_version_the_first_wins() {
+    let (policy, outcomes) = run(&[
+        (0, set(template())),
+        (1, set(declaring(&[("a", ParamKind::Integer, None)]))),
+        (1, set(template())),
+        (0, set(template())),
+    ]);
+    let expected = [applied(1, 1), applied(2, 2), conflict(2, 1), conflict(2, 0)];
+    assert_eq!(outcomes, expected);
+    assert_eq!(policy.revision(), Revision(2));
+    assert_eq!(policy.applied(), Revision(4));
+}
+
+/// Guards against a resend after a lost response that applies twice or gets another answer, also
+/// when other edits came in between and the first answer was a refusal.
+#[test]
+fn resend_gets_the_first_outcome() {
+    let mut policy = Policy::new();
+    let create = edit("create", 0, set(template()));
+    let stale = edit("stale", 7, set(template()));
+    let change = edit("change", 1, set(template()));
+    assert_eq!(policy.apply(Revision(1), &create), applied(1, 1));
+    assert_eq!(policy.apply(Revision(2), &stale), conflict(1, 7));
+    assert_eq!(policy.apply(Revision(3), &change), applied(2, 3));
+    assert_eq!(policy.apply(Revision(4), &create), applied(1, 1));
+    assert_eq!(policy.apply(Revision(5), &stale), conflict(1, 7));
+    let mut restored = Policy::new();
+    restored.restore(policy.snapshot()).unwrap();
+    assert_eq!(restored.apply(Revision(6), &create), applied(1, 1));
+    assert_eq!(restored.revision(), Revision(3));
+}
+
+/// Guards against an operation id that answers for an edit it was not used for.
+#[test]
+fn operation_id_of_another_edit_is_refused() {
+    let mut policy = Policy::new();
+    let create = edit("op", 0, set(template()));
+    policy.apply(Revision(1), &create);
+    let other = Outcome::Refused(EditError::OtherEdit(OpId(name("op"))));
+    let same_from = edit("op", 0, set(None));
+    let same_document = edit("op", 1, set(template()));
+    assert_eq!(policy.apply(Revision(2), &same_from), other);
+    assert_eq!(policy.apply(Revision(3), &same_document), other);
+    assert_eq!(policy.apply(Revision(4), &create), applied(1, 1));
+}
+
+/// Guards against a version that is used twice after a removal, which would let an old edit apply.
+#[test]
+fn versions_grow_over_removal() {
+    let (_, outcomes) = run(&[
+        (0, set(template())),
+        (1, set(None)),
+        (1, set(template())),
+        (0, set(template())),
+        (3, set(None)),
+        (4, set(template())),
+        (0, set(template())),
+    ]);
+    let versions = [applied(1, 1), applied(2, 2), conflict(2, 1), applied(3, 4)];
+    assert_eq!(outcomes[..4], versions);
+    let versions = [applied(4, 5), applied(5, 6), conflict(5, 0)];
+    assert_eq!(outcomes[4..], versions);
+}
+
+/// Guards against a configuration that no request can be resolved with.
+#[test]
+fn changed_template_has_to_fit_the_accounts() {
+    let number = |v| ("n", ParamValue::Integer(v));
+    let before = [
+        (0, set(declaring(&[("n", ParamKind::Integer, None)]))),
+        (0, assign(params(&[number(1)]))),
+    ];
+    let missing = [
+        ("n", ParamKind::Integer, None),
+        ("m", ParamKind::Integer, None),
+    ];
+    let mistyped = EditError::Mistyped {
+        param: name("n"),
+        kind: ParamKind::Text,
+    };
+    let cases = [
+        (template(), EditError::Undeclared(name("n"))),
+        (declaring(&missing), EditError::Missing(name("m"))),
+        (declaring(&[("n", ParamKind::Text, None)]), mistyped),
+    ];
+    for (template, error) in cases {
+        let error = Box::new(error);
+        let account = lampang();
+        let unfit = EditError::Unfit { account, error };
+        let edits = [before.to_vec(), vec![(1, set(template))]].concat();
+        assert_eq!(last(&edits), Outcome::Refused(unfit));
+    }
+    let in_use = EditError::InUse {
+        template: tours(),
+        accounts: 1,
+    };
+    let edits = [before.to_vec(), vec![(1, set(None))]].concat();
+    assert_eq!(last(&edits), Outcome::Refused(in_use));
+    let edits = [before.to_vec(), vec![(1, assign(None)), (1, set(None))]].concat();
+    assert_eq!(last(&edits), applied(2, 4));
+}
+
+/// Guards against documents that don't exist being changed or looked up.
+#[test]
+fn unknown_documents_are_named() {
+    let no_template = EditError::UnknownTemplate(tours());
+    let no_account = EditError::UnknownAccount {
+        template: tours(),
+        account: lampang(),
+    };
+    let refused = |error: &EditError| Outcome::Refused(error.clone());
+    assert_eq!(last(&[(0, set(None))]), refused(&no_template));
+    assert_eq!(last(&[(0, assign(params(&[])))]), refused(&no_template));
+    let (policy, outcomes) = run(&[(0, set(template())), (0, assign(None))]);
+    assert_eq!(outcomes[1], refused(&no_account));
+    assert_eq!(policy.resolve(&tours(), &lampang()), Err(no_account));
+    let none = Policy::new().resolve(&tours(), &lampang());
+    assert_eq!(none, Err(no_template));
+}
+
+/// Guards against an account's value or deadline being ignored, and a default being lost.
+#[test]
+fn resolve_fills_in_values() {
+    let declared = [
+        ("a", ParamKind::Integer, Some(ParamValue::Integer(1))),
+        ("b", ParamKind::Boolean, Some(ParamValue::Boolean(true))),
+    ];
+    let mut given = params(&[("a", ParamValue::Integer(5))]);
+    given.deadline_ms = Some(77);
+    let (policy, _) = run(&[(0, set(declaring(&declared))), (0, assign(given))]);
+    let resolved = policy.resolve(&tours(), &lampang()).unwrap();
+    let values = [
+        ("a", ParamValue::Integer(5)),
+        ("b", ParamValue::Boolean(true)),
+    ];
+    assert_eq!(resolved.values, params(&values).values);
+    assert_eq!((resolved.deadline_ms, resolved.version), (77, Version(1)));
+}
+
+/// Guards against values outside the ranges that dispatch is built for.
+#[test]
+fn ranges_are_checked() {
+    let text = |bytes: usize| Some(ParamValue::Text("x".repeat(bytes)));
+    let worker = |milli_cores| Template {
+        target: TargetKind::Worker,
+        demand: Demand {
+            milli_cores,
+            ..Demand::default()
+        },
+        ..template()
+    };
+    let change = |f: fn(&mut Template)| {
+        let mut t = template();
+        f(&mut t);
+        t
+    };
+    let templates = [
+        (change(|t| t.deadline_ms = 0), Some("deadline_ms")),
+        (change(|t| t.deadline_ms = 3_600_000), None),
+        (change(|t| t.deadline_ms = 3_600_001), Some("deadline_ms")),
+        (change(|t| t.expected_ms = 0), Some("expected_ms")),
+        (change(|t| t.max_tasks = 0), Some("max_tasks")),
+        (change(|t| t.max_tasks = 1_200), None),
+        (change(|t| t.max_tasks = 1_201), Some("max_tasks")),
+        (change(|t| t.retries = 10), None),
+        (change(|t| t.retries = 11), Some("retries")),
+        (worker(0), Some("demand.milli_cores")),
+        (worker(1), None),
+        (declaring(&[("a", ParamKind::Text, text(1_024))]), None),
+        (
+            declaring(&[("a", ParamKind::Text, text(1_025))]),
+            Some("length in bytes of parameter a"),
+        ),
+    ];
+    for (template, field) in templates {
+        assert_eq!(out_of_range(template.check()).as_deref(), field);
+    }
+    let change = |f: fn(&mut Params)| {
+        let mut p = params(&[]);
+        f(&mut p);
+        p
+    };
+    let accounts = [
+        (change(|p| p.weight = 0), Some("weight")),
+        (change(|p| p.weight = 1_000), None),
+        (change(|p| p.weight = 1_001), Some("weight")),
+        (change(|p| p.quota = 0), Some("quota")),
+        (change(|p| p.concurrency = 0), Some("concurrency")),
+        (change(|p| p.deadline_ms = Some(0)), Some("deadline_ms")),
+        (change(|p| p.deadline_ms = Some(3_600_000)), None),
+    ];
+    for (params, field) in accounts {
+        assert_eq!(out_of_range(params.check(&template())).as_deref(), field);
+    }
+}
+
+fn out_of_range(result: Result<(), EditError>) -> Option<String> {
+    match result {
+        Ok(()) => None,
+        Err(EditError::Range { field, .. }) => Some(field),
+        Err(other) => panic!("{other}"),
+    }
+}
+
+/// Guards against operation ids that fill the memory, and against dropping the newest first.
+#[test]
+fn oldest_operation_ids_are_dropped_first() {
+    let mut policy = Policy::new();
+    let stale = |i: usize| edit(&format!("op{i}"), 7, set(template()));
+    for i in 0..=MAX_RECORDS {
+        policy.apply(Revision(i as u64 + 1), &stale(i));
+    }
+    policy.verify();
+    let revision = Revision(MAX_RECORDS as u64 + 2);
+    // Operation 1 is still known; operation 0 isn't, so its id may be used for another edit.
+    let other = edit("op1", 0, set(template()));
+    let refused = Outcome::Refused(EditError::OtherEdit(OpId(name("op1"))));
+    assert_eq!(policy.apply(revision, &other), refused);
+    let other = edit("op0", 0, set(template()));
+    let revision = revision.next();
+    assert_eq!(policy.apply(revision, &other), applied(1, revision.0));
+}
+
+/// Guards against removed documents that fill the memory, and against a version that is used
+/// twice after the trace of a removed document was dropped.
+#[test]
+fn dropped_traces_leave_a_floor_of_versions() {
+    let mut policy = Policy::new();
+    let mut revision = Revision(0);
+    let mut apply = |name: &str, from, content| {
+        revision = revision.next();
+        let name = TemplateName::new(name).unwrap();
+        let document = Document::Template { name, content };
+        policy.apply(revision, &edit(&format!("op{revision}"), from, document))
+    };
+    for i in 0..=MAX_TRACES {
+        apply(&format!("t{i}"), 0, Some(template()));
+        apply(&format!("t{i}"), 1, None);
+    }
+    let Outcome::Applied { version, .. } = apply("t0", 0, Some(template())) else {
+        panic!("a dropped document can be created again");
+    };
+    assert_eq!(version, Version(3));
+    let Outcome::Applied { version, .. } = apply("t1", 0, Some(template())) else {
+        panic!("a removed document can be created again");
+    };
+    assert_eq!(version, Version(3));
+}
+
+/// Guards against an edit that is applied twice after a restart.
+#[test]
+#[should_panic(expected = "applied twice")]
+fn repeated_revision_panics() {
+    let mut policy = Policy::new();
+    policy.apply(Revision(2), &edit("a", 0, set(template())));
+    policy.apply(Revision(2), &edit("b", 0, set(template())));
+}
+
+/// Guards against an older configuration that comes into force, whoever offers it.
+#[test]
+fn older_state_is_refused() {
+    let (old, _) = run(&[(0, set(template()))]);
+    let (mut policy, _) = run(&[(0, set(template())), (1, set(None))]);
+    let stale = policy.restore(old.snapshot()).unwrap_err();
+    assert_eq!((stale.applied, stale.offered), (Revision(2), Revision(1)));
+    assert_eq!(policy.revision(), Revision(2));
+    assert!(policy.template(&tours()).is_none());
+}
