Add the transport between VMs over QUIC

Change: start, send, deliver and set_peers on one thread; one dialed connection per direction with a stream per class; queues bounded in bytes and age; mutual TLS with one authority; stateless resets that are valid across restarts; counters.

Before: a placeholder.

--- /dev/null
+++ b/crates/transport/src/keys.rs
@@ -0,0 +1,261 @@
+//! The deployment's certificate authority and the key pair of each VM.
+//!
+//! A deployment has one authority. It signs one certificate per VM, which is valid for a DNS
+//! name derived from the VM's name. Both ends of a connection check the other's certificate, so
+//! the authority's private key is needed only to add a VM and is not kept on the VMs.
+
+use std::fmt;
+use std::fs;
+use std::io::{self, Write};
+use std::os::unix::fs::{OpenOptionsExt, PermissionsExt};
+use std::path::{Path, PathBuf};
+
+use greengage_core::VmName;
+use rcgen::{BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer};
+use rcgen::{KeyPair as RawKey, KeyUsagePurpose};
+
+/// File of the authority's certificate.
+pub const AUTHORITY_FILE: &str = "authority.pem";
+/// File of the authority's private key; belongs on no VM.
+pub const AUTHORITY_KEY_FILE: &str = "authority.key";
+/// File of the VM's certificate.
+pub const CERTIFICATE_FILE: &str = "vm.pem";
+/// File of the VM's private key.
+pub const KEY_FILE: &str = "vm.key";
+
+const KEY_MODE: u32 = 0o600;
+const CERTIFICATE_MODE: u32 = 0o644;
+
+/// The certificate authority of a deployment.
+#[derive(Clone)]
+pub struct Authority {
+    /// The certificate in PEM.
+    pub certificate: String,
+    /// The private key in PEM.
+    pub key: String,
+}
+
+/// The certificate and private key of one VM.
+#[derive(Clone)]
+pub struct KeyPair {
+    /// The certificate in PEM.
+    pub certificate: String,
+    /// The private key in PEM.
+    pub key: String,
+}
+
+/// What a VM needs to connect to the others.
+#[derive(Clone)]
+pub struct Keys {
+    /// The authority's certificate in PEM.
+    pub authority: String,
+    /// The VM's certificate in PEM.
+    pub certificate: String,
+    /// The VM's private key in PEM.
+    pub key: String,
+}
+
+/// Why keys can't be made, read or written.
+#[derive(Debug)]
+pub enum KeysError {
+    /// A file can't be read.
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        error: io::Error,
+    },
+    /// A file can't be written.
+    Write {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        error: io::Error,
+    },
+    /// A file holds no certificate or key in PEM.
+    Invalid {
+        /// The file.
+        file: &'static str,
+        /// The cause.
+        cause: String,
+    },
+    /// A certificate can't be signed.
+    Sign(String),
+}
+
+impl fmt::Display for KeysError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            KeysError::Read { path, error } => write!(
+                f,
+                "cannot read {}: {error}; issue keys for this VM into that folder",
+                path.display()
+            ),
+            KeysError::Write { path, error } => write!(
+                f,
+                "cannot write {}: {error}; create the folder and make it writable",
+                path.display()
+            ),
+            KeysError::Invalid { file, cause } => write!(
+                f,
+                "{file} is not valid: {cause}; replace it with the file that was issued for this VM"
+            ),
+            KeysError::Sign(cause) => write!(
+                f,
+                "cannot sign a certificate: {cause}; check that {AUTHORITY_KEY_FILE} holds the \
+                 authority's private key"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for KeysError {}
+
+/// Makes the authority of a new deployment.
+pub fn make_authority() -> Result<Authority, KeysError> {
+    let key = RawKey::generate().map_err(sign)?;
+    let certificate = authority_params().self_signed(&key).map_err(sign)?;
+    Ok(Authority {
+        certificate: certificate.pem(),
+        key: key.serialize_pem(),
+    })
+}
+
+/// Makes a key for `vm` and has `authority` sign its certificate.
+pub fn issue(authority: &Authority, vm: &VmName) -> Result<KeyPair, KeysError> {
+    let issuer = Issuer::new(
+        authority_params(),
+        RawKey::from_pem(&authority.key).map_err(sign)?,
+    );
+    let key = RawKey::generate().map_err(sign)?;
+    let mut params = CertificateParams::new(vec![dns_name(vm)]).map_err(sign)?;
+    params
+        .distinguished_name
+        .push(DnType::CommonName, vm.as_str());
+    params.use_authority_key_identifier_extension = true;
+    params.key_usages = vec![KeyUsagePurpose::DigitalSignature];
+    params.extended_key_usages = vec![
+        ExtendedKeyUsagePurpose::ServerAuth,
+        ExtendedKeyUsagePurpose::ClientAuth,
+    ];
+    let certificate = params.signed_by(&key, &issuer).map_err(sign)?;
+    Ok(KeyPair {
+        certificate: certificate.pem(),
+        key: key.serialize_pem(),
+    })
+}
+
+fn sign(error: rcgen::Error) -> KeysError {
+    KeysError::Sign(error.to_string())
+}
+
+/// The authority's certificate apart from its key, the same each time so that a certificate can
+/// be issued with only the key at hand.
+fn authority_params() -> CertificateParams {
+    let mut params = CertificateParams::default();
+    params
+        .distinguished_name
+        .push(DnType::CommonName, "greengage authority");
+    params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign];
+    params
+}
+
+/// Longest part of a DNS name between two dots.
+const LABEL_BYTES: usize = 63;
+/// Keeps the last label from consisting of digits only, which DNS names don't allow.
+const DNS_SUFFIX: &str = "vm.greengage";
+
+/// The DNS name that stands for `vm` in certificates.
+///
+/// A VM name may have characters and upper-case letters that a DNS name doesn't keep apart, so
+/// its bytes are written in base 32. Base 16 would exceed the 253 bytes of a DNS name for the
+/// longest VM names.
+pub fn dns_name(vm: &VmName) -> String {
+    const DIGITS: &[u8; 32] = b"abcdefghijklmnopqrstuvwxyz234567";
+    let bytes = vm.as_str().as_bytes();
+    let mut text = String::new();
+    let mut in_label = 0;
+    for position in (0..bytes.len() * 8).step_by(5) {
+        let byte = |i: usize| u16::from(bytes.get(i).copied().unwrap_or(0));
+        let pair = byte(position / 8) << 8 | byte(position / 8 + 1);
+        let digit = (pair >> (11 - position % 8)) & 31;
+        if in_label == LABEL_BYTES {
+            text.push('.');
+            in_label = 0;
+        }
+        text.push(char::from(DIGITS[usize::from(digit)]));
+        in_label += 1;
+    }
+    format!("{text}.{DNS_SUFFIX}")
+}
+
+impl Authority {
+    /// Reads the authority's files from `folder`.
+    pub fn load(folder: &Path) -> Result<Authority, KeysError> {
+        Ok(Authority {
+            certificate: read(folder, AUTHORITY_FILE)?,
+            key: read(folder, AUTHORITY_KEY_FILE)?,
+        })
+    }
+
+    /// Writes the authority's files into `folder`; only the owner can read the key.
+    pub fn save(&self, folder: &Path) -> Result<(), KeysError> {
+        write(folder, AUTHORITY_FILE, &self.certificate, CERTIFICATE_MODE)?;
+        write(folder, AUTHORITY_KEY_FILE, &self.key, KEY_MODE)
+    }
+}
+
+impl Keys {
+    /// The keys of a VM whose `pair` was issued by `authority`.
+    pub fn new(authority: &Authority, pair: KeyPair) -> Keys {
+        Keys {
+            authority: authority.certificate.clone(),
+            certificate: pair.certificate,
+            key: pair.key,
+        }
+    }
+
+    /// Reads a VM's files from `folder`.
+    pub fn load(folder: &Path) -> Result<Keys, KeysError> {
+        Ok(Keys {
+            authority: read(folder, AUTHORITY_FILE)?,
+            certificate: read(folder, CERTIFICATE_FILE)?,
+            key: read(folder, KEY_FILE)?,
+        })
+    }
+
+    /// Writes a VM's files into `folder`; only the owner can read the key.
+    pub fn save(&self, folder: &Path) -> Result<(), KeysError> {
+        write(folder, AUTHORITY_FILE, &self.authority, CERTIFICATE_MODE)?;
+        write(
+            folder,
+            CERTIFICATE_FILE,
+            &self.certificate,
+            CERTIFICATE_MODE,
+        )?;
+        write(folder, KEY_FILE, &self.key, KEY_MODE)
+    }
+}
+
+fn read(folder: &Path, file: &str) -> Result<String, KeysError> {
+    let path = folder.join(file);
+    fs::read_to_string(&path).map_err(|error| KeysError::Read { path, error })
+}
+
+fn write(folder: &Path, file: &str, text: &str, mode: u32) -> Result<(), KeysError> {
+    let path = folder.join(file);
+    let attempt = || {
+        let mut file = fs::OpenOptions::new()
+            .write(true)
+            .create(true)
+            .truncate(true)
+            .mode(mode)
+            .open(&path)?;
+        // `mode` has no effect on a file that existed before.
+        file.set_permissions(fs::Permissions::from_mode(mode))?;
+        file.write_all(text.as_bytes())?;
+        file.sync_all()
+    };
+    attempt().map_err(|error| KeysError::Write { path, error })
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,1 +1,348 @@
-//! Placeholder until the crate's first commit.
+//! Messages of bytes between VMs, over QUIC with mutual TLS.
+//!
+//! Messages may be lost, and each arrives at most once. The messages of one class from one VM
+//! arrive in order, except around the replacement of a connection.
+//!
+//! - `keys`: the deployment's authority and the key pairs of the VMs.
+//! - `queue`: messages that wait for a peer.
+//! - `link`: the connection to one peer, which only sends.
+//! - `accept`: the connections from peers, which only receive.
+//! - `frame`: the division of a stream into messages.
+//! - `tls`: settings of TLS and QUIC.
+//!
+//! All connections share one thread with a single-threaded runtime; no async type leaves this
+//! crate. The thread ends when the `Transport` is dropped, because that closes its channel.
+
+mod accept;
+mod counter;
+mod frame;
+pub mod keys;
+mod link;
+mod queue;
+mod tls;
+
+use std::fmt;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use greengage_core::{SortedMap, VmName};
+use quinn::{Endpoint, TokioRuntime};
+use tokio::runtime::Runtime;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::watch;
+use tokio::task::{spawn_local, LocalSet};
+
+use accept::Receiver;
+use counter::Counters;
+pub use counter::{ClassCounts, Counts};
+pub use frame::{FrameError, MESSAGE_BYTES};
+use keys::{Keys, KeysError};
+use link::{Link, CLOSED};
+pub use queue::Class;
+use queue::{queue, Queue, QueueSender, CLASSES};
+use tls::Tls;
+
+/// Default for [`Settings::silent`].
+pub const SILENT: Duration = Duration::from_millis(1500);
+/// Default for [`Settings::queue`].
+pub const QUEUE_BYTES: usize = 64 << 20;
+
+/// Longest time that a dropped transport takes to tell its peers.
+const CLOSE_TIME: Duration = Duration::from_millis(200);
+
+/// Settings of one VM's transport.
+#[derive(Clone)]
+pub struct Settings {
+    /// This VM.
+    pub vm: VmName,
+    /// Where peers connect to.
+    pub listen: SocketAddr,
+    /// Where the other VMs listen.
+    pub peers: SortedMap<VmName, SocketAddr>,
+    /// This VM's keys.
+    pub keys: Keys,
+    /// How long a connection may be silent before it is replaced.
+    pub silent: Duration,
+    /// Most bytes that wait, per peer and class; at least one message always fits.
+    pub queue: usize,
+}
+
+/// Why the transport can't start.
+#[derive(Debug)]
+pub enum TransportError {
+    /// Another process listens on the address.
+    AddressInUse(SocketAddr),
+    /// The address can't be listened on.
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        error: io::Error,
+    },
+    /// The keys can't be used.
+    Keys(KeysError),
+    /// The thread can't be started.
+    Thread(io::Error),
+}
+
+impl fmt::Display for TransportError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            TransportError::AddressInUse(address) => write!(
+                f,
+                "UDP address {address} is in use: stop the process that uses it or set another \
+                 peer address"
+            ),
+            TransportError::Listen { address, error } => write!(
+                f,
+                "cannot listen on UDP address {address}: {error}; set the peer address to one of \
+                 this VM's own"
+            ),
+            TransportError::Keys(error) => error.fmt(f),
+            TransportError::Thread(error) => write!(
+                f,
+                "cannot start the transport thread: {error}; raise the limit of threads"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for TransportError {}
+
+impl From<KeysError> for TransportError {
+    fn from(error: KeysError) -> TransportError {
+        TransportError::Keys(error)
+    }
+}
+
+/// The queues of one peer, from the caller's side.
+struct Peer {
+    address: SocketAddr,
+    queues: [QueueSender; CLASSES],
+}
+
+type Peers = SortedMap<VmName, Arc<Peer>>;
+
+/// Tells the transport thread about a new peer.
+struct NewPeer {
+    vm: VmName,
+    address: SocketAddr,
+    queues: [Queue; CLASSES],
+}
+
+/// Sends messages to peers; a clone costs two reference counts.
+#[derive(Clone)]
+pub struct Sender {
+    peers: watch::Receiver<Peers>,
+    counters: Arc<Counters>,
+}
+
+impl Sender {
+    /// Queues `bytes` for `to` without blocking; false when the peer is unknown, its queue is
+    /// full, the message is longer than [`MESSAGE_BYTES`] or the transport was dropped.
+    pub fn send(&self, to: &VmName, class: Class, bytes: Vec<u8>) -> bool {
+        let queued = bytes.len() <= MESSAGE_BYTES
+            && self
+                .peers
+                .borrow()
+                .get(to)
+                .is_some_and(|peer| peer.queues[class as usize].send(bytes));
+        if !queued {
+            self.counters.dropped(class);
+        }
+        queued
+    }
+
+    /// What has been counted since the start.
+    pub fn counts(&self) -> Counts {
+        self.counters.read()
+    }
+}
+
+/// One VM's connections to the others.
+pub struct Transport {
+    sender: Sender,
+    peers: watch::Sender<Peers>,
+    /// Closing it ends the thread.
+    new_peers: Option<UnboundedSender<NewPeer>>,
+    thread: Option<JoinHandle<()>>,
+    local: SocketAddr,
+    silent: Duration,
+    queue: usize,
+}
+
+/// Starts to listen and to connect to the peers. `deliver` is called on the transport thread and
+/// must not block.
+pub fn start(
+    settings: Settings,
+    deliver: impl FnMut(VmName, Vec<u8>) + Send + 'static,
+) -> Result<Transport, TransportError> {
+    let tls = Tls::new(&settings.keys, settings.silent)?;
+    let address = settings.listen;
+    let listen = |error: io::Error| match error.kind() {
+        io::ErrorKind::AddrInUse => TransportError::AddressInUse(address),
+        _ => TransportError::Listen { address, error },
+    };
+    let socket = UdpSocket::bind(address).map_err(listen)?;
+    let local = socket.local_addr().map_err(listen)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(TransportError::Thread)?;
+    let endpoint = {
+        let _context = runtime.enter();
+        let server = Some(tls.server);
+        Endpoint::new(tls.endpoint, server, socket, Arc::new(TokioRuntime)).map_err(listen)?
+    };
+
+    let counters = Arc::new(Counters::default());
+    let (new_peers, inbox) = unbounded_channel();
+    let (peers, peers_view) = watch::channel(Peers::new());
+    let links = Links {
+        vm: settings.vm,
+        local,
+        client: tls.client,
+        silent: settings.silent,
+        counters: counters.clone(),
+    };
+    let thread = thread::Builder::new()
+        .name("transport".to_owned())
+        .spawn(move || links.run(runtime, endpoint, inbox, Box::new(deliver)))
+        .map_err(TransportError::Thread)?;
+    let transport = Transport {
+        sender: Sender {
+            peers: peers_view,
+            counters,
+        },
+        peers,
+        new_peers: Some(new_peers),
+        thread: Some(thread),
+        local,
+        silent: settings.silent,
+        queue: settings.queue,
+    };
+    transport.set_peers(&settings.peers);
+    Ok(transport)
+}
+
+impl Transport {
+    /// See [`Sender::send`].
+    pub fn send(&self, to: &VmName, class: Class, bytes: Vec<u8>) -> bool {
+        self.sender.send(to, class, bytes)
+    }
+
+    /// A handle for other threads.
+    pub fn sender(&self) -> Sender {
+        self.sender.clone()
+    }
+
+    /// The address that peers connect to, with the port that was chosen for port 0.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.local
+    }
+
+    /// What has been counted since the start.
+    pub fn counts(&self) -> Counts {
+        self.sender.counts()
+    }
+
+    /// Replaces the peers. A peer whose address stays the same keeps its connection and queue;
+    /// messages for other peers that were not sent yet are lost.
+    pub fn set_peers(&self, peers: &SortedMap<VmName, SocketAddr>) {
+        let mut added = Vec::new();
+        self.peers.send_modify(|current| {
+            *current = peers
+                .iter()
+                .map(|(vm, address)| match current.get(vm) {
+                    Some(peer) if peer.address == *address => (vm.clone(), peer.clone()),
+                    Some(_) | None => {
+                        let (peer, new) = self.peer(vm, *address);
+                        added.push(new);
+                        (vm.clone(), Arc::new(peer))
+                    }
+                })
+                .collect();
+        });
+        for peer in added {
+            // The receiver lives as long as the thread, which ends after this is dropped.
+            if let Some(new_peers) = &self.new_peers {
+                let _ = new_peers.send(peer);
+            }
+        }
+    }
+
+    fn peer(&self, vm: &VmName, address: SocketAddr) -> (Peer, NewPeer) {
+        let [control, traffic, bulk] = Class::ALL
+            .map(|class| queue(class, self.queue, self.silent, self.sender.counters.clone()));
+        let peer = Peer {
+            address,
+            queues: [control.0, traffic.0, bulk.0],
+        };
+        let new = NewPeer {
+            vm: vm.clone(),
+            address,
+            queues: [control.1, traffic.1, bulk.1],
+        };
+        (peer, new)
+    }
+}
+
+impl Drop for Transport {
+    fn drop(&mut self) {
+        self.new_peers = None;
+        // `deliver` may own the transport; then this is the transport thread.
+        if let Some(thread) = self.thread.take() {
+            if thread.thread().id() != thread::current().id() && thread.join().is_err() {
+                log::error!("the transport thread panicked");
+            }
+        }
+    }
+}
+
+/// What the transport thread needs to make links.
+struct Links {
+    vm: VmName,
+    local: SocketAddr,
+    client: quinn::ClientConfig,
+    silent: Duration,
+    counters: Arc<Counters>,
+}
+
+impl Links {
+    /// The transport thread.
+    fn run(
+        self,
+        runtime: Runtime,
+        endpoint: Endpoint,
+        mut inbox: UnboundedReceiver<NewPeer>,
+        deliver: accept::Deliver,
+    ) {
+        let tasks = LocalSet::new();
+        tasks.block_on(&runtime, async {
+            let receiver = Receiver::new(deliver, self.counters.clone(), self.silent);
+            spawn_local(Rc::new(receiver).run(endpoint.clone()));
+            while let Some(peer) = inbox.recv().await {
+                spawn_local(self.link(peer.vm, peer.address).run(peer.queues));
+            }
+            endpoint.close(CLOSED, b"shutdown");
+            // Best effort: a peer that isn't told notices the silence.
+            let _ = tokio::time::timeout(CLOSE_TIME, endpoint.wait_idle()).await;
+        });
+    }
+
+    fn link(&self, peer: VmName, address: SocketAddr) -> Link {
+        Link {
+            vm: self.vm.clone(),
+            peer,
+            address,
+            local: self.local.ip(),
+            client: self.client.clone(),
+            silent: self.silent,
+            counters: self.counters.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/transport/src/tls.rs
@@ -0,0 +1,205 @@
+//! TLS and QUIC settings of both ends of a connection.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use greengage_core::VmName;
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use quinn::crypto::{CryptoError, HmacKey};
+use quinn::{ClientConfig, ConnectionId, ConnectionIdGenerator, EndpointConfig, ServerConfig};
+use quinn::{IdleTimeout, TransportConfig, VarInt};
+use rustls::client::Resumption;
+use rustls::crypto::tls13::{Hkdf, OkmBlock};
+use rustls::crypto::CryptoProvider;
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use rustls::server::WebPkiClientVerifier;
+use rustls::RootCertStore;
+
+use crate::keys::{dns_name, Keys, KeysError, AUTHORITY_FILE, CERTIFICATE_FILE, KEY_FILE};
+use crate::queue::CLASSES;
+
+const PROTOCOL: &[u8] = b"greengage/1";
+
+/// Bytes of one stream that may be on the way at once.
+const STREAM_WINDOW: u32 = 4 << 20;
+/// More than all streams of a connection can use, so that a full stream leaves room for others.
+const CONNECTION_WINDOW: u32 = STREAM_WINDOW * (CLASSES as u32 + 1);
+/// Sets the first retransmission of a handshake to about 60 ms; the default of 333 ms would make
+/// it a second. Round trips between zones take about 3 ms.
+const INITIAL_RTT: Duration = Duration::from_millis(20);
+/// Bytes of a connection id; the default length of quinn.
+const ID_BYTES: usize = 8;
+/// Handshakes that wait for the transport thread.
+const MOST_INCOMING: usize = 64;
+/// Bytes kept of each of them.
+const INCOMING_BYTES: u64 = 16 << 10;
+
+/// The settings made from one VM's keys.
+pub(crate) struct Tls {
+    pub(crate) client: ClientConfig,
+    pub(crate) server: ServerConfig,
+    pub(crate) endpoint: EndpointConfig,
+}
+
+impl Tls {
+    pub(crate) fn new(keys: &Keys, silent: Duration) -> Result<Tls, KeysError> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let mut roots = RootCertStore::empty();
+        roots
+            .add(certificate(&keys.authority, AUTHORITY_FILE)?)
+            .map_err(invalid(AUTHORITY_FILE))?;
+        let roots = Arc::new(roots);
+        let chain = vec![certificate(&keys.certificate, CERTIFICATE_FILE)?];
+        let key = PrivateKeyDer::from_pem_slice(keys.key.as_bytes()).map_err(invalid(KEY_FILE))?;
+
+        let verifier = WebPkiClientVerifier::builder_with_provider(roots.clone(), provider.clone())
+            .build()
+            .map_err(invalid(AUTHORITY_FILE))?;
+        let mut server = rustls::ServerConfig::builder_with_provider(provider.clone())
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(invalid(KEY_FILE))?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(chain.clone(), key.clone_key())
+            .map_err(invalid(KEY_FILE))?;
+        server.alpn_protocols = vec![PROTOCOL.to_vec()];
+        // Every connection checks both certificates, so no session is resumed.
+        server.send_tls13_tickets = 0;
+        let mut client = rustls::ClientConfig::builder_with_provider(provider.clone())
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(invalid(KEY_FILE))?
+            .with_root_certificates(roots)
+            .with_client_auth_cert(chain, key.clone_key())
+            .map_err(invalid(KEY_FILE))?;
+        client.alpn_protocols = vec![PROTOCOL.to_vec()];
+        client.resumption = Resumption::disabled();
+
+        let server = QuicServerConfig::try_from(server).map_err(invalid(CERTIFICATE_FILE))?;
+        let client = QuicClientConfig::try_from(client).map_err(invalid(CERTIFICATE_FILE))?;
+        let mut server = ServerConfig::with_crypto(Arc::new(server));
+        server
+            .transport_config(Arc::new(transport(silent, None)))
+            .max_incoming(MOST_INCOMING)
+            .incoming_buffer_size(INCOMING_BYTES)
+            .incoming_buffer_size_total(INCOMING_BYTES * MOST_INCOMING as u64)
+            .migration(false);
+        let mut client = ClientConfig::new(Arc::new(client));
+        client.transport_config(Arc::new(transport(silent, Some(silent / 3))));
+        Ok(Tls {
+            client,
+            server,
+            endpoint: endpoint(provider, key.secret_der()),
+        })
+    }
+}
+
+fn invalid<E: ToString>(file: &'static str) -> impl Fn(E) -> KeysError {
+    move |error| KeysError::Invalid {
+        file,
+        cause: error.to_string(),
+    }
+}
+
+fn certificate(pem: &str, file: &'static str) -> Result<CertificateDer<'static>, KeysError> {
+    CertificateDer::from_pem_slice(pem.as_bytes()).map_err(invalid(file))
+}
+
+/// Only the dialing end sends keep-alive packets. If the accepting end sent them too, they would
+/// hide from the dialing end that its own packets no longer arrive.
+fn transport(silent: Duration, keep_alive: Option<Duration>) -> TransportConfig {
+    let mut transport = TransportConfig::default();
+    // A timeout too long for the protocol's field becomes no timeout; the link checks as well.
+    let idle = IdleTimeout::try_from(silent).ok();
+    transport
+        .max_idle_timeout(idle)
+        .keep_alive_interval(keep_alive)
+        .initial_rtt(INITIAL_RTT)
+        .max_concurrent_bidi_streams(VarInt::from_u32(0))
+        .max_concurrent_uni_streams(VarInt::from_u32(CLASSES as u32))
+        .stream_receive_window(VarInt::from_u32(STREAM_WINDOW))
+        .receive_window(VarInt::from_u32(CONNECTION_WINDOW))
+        .send_window(u64::from(CONNECTION_WINDOW))
+        .datagram_receive_buffer_size(None);
+    transport
+}
+
+/// Settings of an endpoint whose stateless resets are valid across restarts of the process.
+///
+/// A restarted VM doesn't know the connections of its peers. It answers their packets with a
+/// stateless reset, which they accept only if its key is the one from before the restart. Without
+/// it they would notice the restart only after the idle timeout.
+fn endpoint(provider: Arc<CryptoProvider>, key: &[u8]) -> EndpointConfig {
+    let hkdf = hkdf(&provider);
+    let seed = hkdf
+        .extract_from_secret(None, key)
+        .expand_block(&[b"greengage stateless reset"]);
+    let mut config = EndpointConfig::new(Arc::new(ResetKey { hkdf, seed }));
+    // quinn's default generator recognises only ids made with a key of its own process and
+    // drops packets with others instead of sending a reset.
+    config.cid_generator(move || Box::new(RandomIds(provider.clone())));
+    config
+}
+
+fn hkdf(provider: &CryptoProvider) -> &'static dyn Hkdf {
+    provider
+        .cipher_suites
+        .iter()
+        .find_map(|suite| suite.tls13())
+        .expect("the ring provider has TLS 1.3")
+        .hkdf_provider
+}
+
+struct ResetKey {
+    hkdf: &'static dyn Hkdf,
+    seed: OkmBlock,
+}
+
+impl HmacKey for ResetKey {
+    fn sign(&self, data: &[u8], signature: &mut [u8]) {
+        let tag = self.hkdf.hmac_sign(&self.seed, data);
+        signature.copy_from_slice(tag.as_ref());
+    }
+
+    fn signature_len(&self) -> usize {
+        self.seed.as_ref().len()
+    }
+
+    fn verify(&self, data: &[u8], signature: &[u8]) -> Result<(), CryptoError> {
+        if self.hkdf.hmac_sign(&self.seed, data).as_ref() == signature {
+            Ok(())
+        } else {
+            Err(CryptoError)
+        }
+    }
+}
+
+struct RandomIds(Arc<CryptoProvider>);
+
+impl ConnectionIdGenerator for RandomIds {
+    fn generate_cid(&mut self) -> ConnectionId {
+        let mut bytes = [0; ID_BYTES];
+        self.0
+            .secure_random
+            .fill(&mut bytes)
+            .expect("the system has a random source");
+        ConnectionId::new(&bytes)
+    }
+
+    fn cid_len(&self) -> usize {
+        ID_BYTES
+    }
+
+    fn cid_lifetime(&self) -> Option<Duration> {
+        None
+    }
+}
+
+/// Whether `certificate` was issued for `vm`.
+pub(crate) fn names(certificate: &CertificateDer<'_>, vm: &VmName) -> bool {
+    let Ok(name) = ServerName::try_from(dns_name(vm)) else {
+        return false;
+    };
+    webpki::EndEntityCert::try_from(certificate)
+        .and_then(|c| c.verify_is_valid_for_subject_name(&name))
+        .is_ok()
+}
--- /dev/null
+++ b/crates/transport/tests/transport/common.rs
@@ -0,0 +1,87 @@
+//! Transports on loopback addresses for the tests.
+
+use std::net::SocketAddr;
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+
+use greengage_core::VmName;
+use greengage_transport::keys::{issue, make_authority, Authority, Keys};
+use greengage_transport::{start, Class, Settings, Transport, QUEUE_BYTES, SILENT};
+
+/// Longest wait for something that must happen.
+pub(crate) const LIMIT: Duration = Duration::from_secs(10);
+
+pub(crate) fn vm(name: &str) -> VmName {
+    VmName::new(name).unwrap()
+}
+
+pub(crate) fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// A VM under test and what was delivered to it.
+pub(crate) struct Node {
+    pub(crate) transport: Transport,
+    pub(crate) inbox: Receiver<(VmName, Vec<u8>)>,
+}
+
+pub(crate) fn settings(
+    authority: &Authority,
+    name: &str,
+    peers: &[(&str, SocketAddr)],
+) -> Settings {
+    Settings {
+        vm: vm(name),
+        listen: any_port(),
+        peers: peers.iter().map(|(name, at)| (vm(name), *at)).collect(),
+        keys: Keys::new(authority, issue(authority, &vm(name)).unwrap()),
+        silent: SILENT,
+        queue: QUEUE_BYTES,
+    }
+}
+
+pub(crate) fn node(settings: Settings) -> Node {
+    let (outbox, inbox) = channel();
+    let deliver = move |from, bytes| {
+        let _ = outbox.send((from, bytes));
+    };
+    Node {
+        transport: start(settings, deliver).unwrap(),
+        inbox,
+    }
+}
+
+/// Two VMs that know each other.
+pub(crate) fn pair() -> (Node, Node) {
+    let authority = make_authority().unwrap();
+    let a = node(settings(&authority, "a", &[]));
+    let b = node(settings(
+        &authority,
+        "b",
+        &[("a", a.transport.local_addr())],
+    ));
+    let peers = [(vm("b"), b.transport.local_addr())];
+    a.transport.set_peers(&peers.into_iter().collect());
+    (a, b)
+}
+
+impl Node {
+    pub(crate) fn receive(&self) -> (VmName, Vec<u8>) {
+        self.inbox.recv_timeout(LIMIT).expect("a message arrives")
+    }
+}
+
+/// Sends `Control` messages from `from` each 20 ms until `to` receives one, and returns how long
+/// that took; at most `limit`.
+pub(crate) fn flows(from: &Node, to: &Node, name: &str, limit: Duration) -> Duration {
+    let start = Instant::now();
+    while to.inbox.try_recv().is_ok() {}
+    while start.elapsed() < limit {
+        from.transport
+            .send(&vm(name), Class::Control, b"beat".to_vec());
+        if to.inbox.recv_timeout(Duration::from_millis(20)).is_ok() {
+            return start.elapsed();
+        }
+    }
+    panic!("no message from {name}'s peer arrived within {limit:?}");
+}
--- /dev/null
+++ b/crates/transport/tests/transport/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the transport over real loopback sockets.
+
+mod common;
+mod messages;
