Add Raft as a state machine without I/O

Cause: the control and ledger groups need agreement; the crate held only the agreed types. A library for agreement is ruled out by the design.

Messages that depend on a save are held back inside.

Before: no tests.

--- /dev/null
+++ b/crates/agreement/src/log.rs
@@ -0,0 +1,238 @@
+//! The log in memory: snapshot, entries, configurations, and how much is durable.
+//!
+//! Entries start after `floor`, which lies at or below the snapshot's index: a tail of older
+//! entries stays in memory so that a member that is slightly behind needs no snapshot.
+
+use std::collections::VecDeque;
+
+use greengage_core::{Index, Term};
+
+use crate::{Config, Entry, EntryKind, SaveSeq, Snapshot};
+
+/// Entries kept in memory below the snapshot; a follower within one round trip of the leader
+/// misses fewer than this at a few thousand entries per second.
+const TAIL_ENTRIES: u64 = 1024;
+
+pub(crate) struct Log<C, S> {
+    snapshot: Option<Snapshot<S>>,
+    floor: Index,
+    floor_term: Term,
+    entries: VecDeque<Entry<C>>,
+    /// Configurations by the index from which they are in use; the last one is in use now.
+    configs: Vec<(Index, Config)>,
+    commit: Index,
+    applied: Index,
+    /// All entries up to here are durable.
+    durable: Index,
+    /// The last entry that each outstanding save makes durable.
+    pending: VecDeque<(SaveSeq, Index)>,
+    /// The first entry changed since the last save was issued.
+    dirty: Option<Index>,
+}
+
+impl<C: Clone, S: Clone> Log<C, S> {
+    pub(crate) fn new(
+        initial: Config,
+        snapshot: Option<Snapshot<S>>,
+        entries: Vec<Entry<C>>,
+    ) -> Log<C, S> {
+        let (floor, floor_term, config) = match &snapshot {
+            Some(s) => (s.index, s.term, s.config.clone()),
+            None => (Index(0), Term(0), initial),
+        };
+        let mut log = Log {
+            snapshot,
+            floor,
+            floor_term,
+            entries: VecDeque::new(),
+            configs: vec![(floor, config)],
+            commit: floor,
+            applied: floor,
+            durable: floor,
+            pending: VecDeque::new(),
+            dirty: None,
+        };
+        for entry in entries.into_iter().filter(|e| e.index > floor) {
+            log.append(entry);
+        }
+        log.durable = log.last();
+        log.dirty = None;
+        log
+    }
+
+    pub(crate) fn last(&self) -> Index {
+        Index(self.floor.0 + self.entries.len() as u64)
+    }
+
+    pub(crate) fn last_term(&self) -> Term {
+        self.entries.back().map_or(self.floor_term, |e| e.term)
+    }
+
+    pub(crate) fn commit(&self) -> Index {
+        self.commit
+    }
+
+    pub(crate) fn applied(&self) -> Index {
+        self.applied
+    }
+
+    pub(crate) fn durable(&self) -> Index {
+        self.durable
+    }
+
+    pub(crate) fn snapshot(&self) -> Option<&Snapshot<S>> {
+        self.snapshot.as_ref()
+    }
+
+    pub(crate) fn snapshot_index(&self) -> Index {
+        self.snapshot.as_ref().map_or(Index(0), |s| s.index)
+    }
+
+    /// The configuration in use.
+    pub(crate) fn config(&self) -> &Config {
+        &self.configs[self.configs.len() - 1].1
+    }
+
+    /// The index from which the configuration in use applies.
+    pub(crate) fn config_index(&self) -> Index {
+        self.configs[self.configs.len() - 1].0
+    }
+
+    fn offset(&self, index: Index) -> usize {
+        (index.0 - self.floor.0 - 1) as usize
+    }
+
+    /// The term of the entry at `index`, where it is in memory.
+    pub(crate) fn term(&self, index: Index) -> Option<Term> {
+        if index == self.floor {
+            return Some(self.floor_term);
+        }
+        if index < self.floor || index > self.last() {
+            return None;
+        }
+        Some(self.entries[self.offset(index)].term)
+    }
+
+    /// Up to `limit` entries from `from` on, which must be above the floor.
+    pub(crate) fn slice(&self, from: Index, limit: usize) -> Vec<Entry<C>> {
+        let start = self.offset(from);
+        let end = start.saturating_add(limit).min(self.entries.len());
+        self.entries.range(start..end).cloned().collect()
+    }
+
+    pub(crate) fn append(&mut self, entry: Entry<C>) {
+        assert_eq!(
+            entry.index,
+            self.last().next(),
+            "the log must have no gap: repair or replace this data folder"
+        );
+        assert!(entry.term >= self.last_term(), "terms never fall in a log");
+        self.dirty.get_or_insert(entry.index);
+        if let EntryKind::Config(config) = &entry.kind {
+            self.configs.push((entry.index, config.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    /// Drops all entries from `from` on.
+    pub(crate) fn truncate(&mut self, from: Index) {
+        assert!(from > self.commit, "committed entries are never truncated");
+        let kept = Index(from.0 - 1);
+        self.entries.truncate(self.offset(from));
+        self.configs.retain(|(index, _)| *index <= kept);
+        self.durable = self.durable.min(kept);
+        for (_, last) in &mut self.pending {
+            *last = (*last).min(kept);
+        }
+        self.dirty = self.dirty.filter(|d| *d <= kept);
+    }
+
+    pub(crate) fn commit_to(&mut self, index: Index) {
+        assert!(index >= self.commit, "the commit index never goes back");
+        assert!(
+            index <= self.last(),
+            "only entries in the log are committed"
+        );
+        self.commit = index;
+    }
+
+    /// Entries that are committed but not applied; counts them as applied.
+    pub(crate) fn take_committed(&mut self) -> Vec<Entry<C>> {
+        if self.applied == self.commit {
+            return Vec::new();
+        }
+        let count = (self.commit.0 - self.applied.0) as usize;
+        let entries = self.slice(self.applied.next(), count);
+        self.applied = self.commit;
+        entries
+    }
+
+    /// Makes a snapshot of `state`, which includes all entries up to `index`. `None` when there
+    /// is nothing to shorten.
+    pub(crate) fn compact(&mut self, index: Index, state: S) -> Option<Snapshot<S>> {
+        assert!(
+            index <= self.applied,
+            "a snapshot holds only applied entries"
+        );
+        if index <= self.snapshot_index() {
+            return None;
+        }
+        let term = self.term(index).expect("applied entries are in memory");
+        let position = self.configs.iter().rposition(|(i, _)| *i <= index);
+        let position = position.expect("the first configuration lies at or below the snapshot");
+        let snapshot = Snapshot {
+            term,
+            index,
+            config: self.configs[position].1.clone(),
+            state,
+        };
+        self.configs.drain(..position);
+        self.snapshot = Some(snapshot.clone());
+        let floor = Index(index.0.saturating_sub(TAIL_ENTRIES)).max(self.floor);
+        if let Some(term) = self.term(floor) {
+            let dropped = (floor.0 - self.floor.0) as usize;
+            self.entries.drain(..dropped);
+            self.floor = floor;
+            self.floor_term = term;
+        }
+        Some(snapshot)
+    }
+
+    /// Replaces the whole log by a leader's snapshot.
+    pub(crate) fn install(&mut self, snapshot: Snapshot<S>) {
+        assert!(
+            snapshot.index > self.commit,
+            "a snapshot never takes back committed entries"
+        );
+        self.floor = snapshot.index;
+        self.floor_term = snapshot.term;
+        self.commit = snapshot.index;
+        self.applied = snapshot.index;
+        self.entries.clear();
+        self.configs = vec![(snapshot.index, snapshot.config.clone())];
+        self.durable = Index(0);
+        self.pending.clear();
+        self.dirty = None;
+        self.snapshot = Some(snapshot);
+    }
+
+    /// The entries changed since the last save.
+    pub(crate) fn take_dirty(&mut self) -> Vec<Entry<C>> {
+        match self.dirty.take() {
+            Some(from) => self.slice(from, usize::MAX),
+            None => Vec::new(),
+        }
+    }
+
+    /// Notes that the save `seq` covers everything up to the last entry.
+    pub(crate) fn issued(&mut self, seq: SaveSeq) {
+        self.pending.push_back((seq, self.last()));
+    }
+
+    /// Notes that all saves up to `seq` are durable.
+    pub(crate) fn saved(&mut self, seq: SaveSeq) {
+        while let Some((_, last)) = self.pending.pop_front_if(|(s, _)| *s <= seq) {
+            self.durable = self.durable.max(last);
+        }
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/membership.rs
@@ -0,0 +1,123 @@
+//! Members: seats, and changes of one member at a time.
+//!
+//! Majorities of two configurations that differ in one voter overlap, so a configuration is safe
+//! to use as soon as it is appended. That holds only from one committed configuration to the next
+//! and only once the leader has committed an entry of its own term.
+
+use greengage_core::NodeId;
+
+use crate::progress::{Mode, Progress};
+use crate::raft::{Raft, State};
+use crate::{Change, ChangeError, Config, EntryKind, Refused, Seat, Ticket};
+
+impl<C: Clone, S: Clone> Raft<C, S> {
+    fn seat(&self, node: &NodeId) -> Option<Seat> {
+        self.log.config().members.get(node).copied()
+    }
+
+    pub(crate) fn is_voter(&self, node: &NodeId) -> bool {
+        self.seat(node) == Some(Seat::Voter)
+    }
+
+    pub(crate) fn is_witness(&self, node: &NodeId) -> bool {
+        self.seat(node) == Some(Seat::Witness)
+    }
+
+    /// Whether `node` is a voter or a witness.
+    pub(crate) fn is_voting(&self, node: &NodeId) -> bool {
+        self.is_voter(node) || self.is_witness(node)
+    }
+
+    /// The voters and witnesses.
+    pub(crate) fn voting(&self) -> impl Iterator<Item = &NodeId> {
+        let members = self.log.config().members.iter();
+        members
+            .filter(|(_, s)| **s != Seat::Learner)
+            .map(|(n, _)| n)
+    }
+
+    /// Makes the leader's list of other members match the configuration.
+    pub(crate) fn track_members(&mut self) {
+        let State::Leader(lead) = &mut self.state else {
+            return;
+        };
+        let members = &self.log.config().members;
+        lead.progress.retain(|n, _| members.contains(n));
+        for node in members.keys().filter(|n| **n != self.node) {
+            let next = self.log.last().next();
+            lead.progress
+                .entry(node.clone(), || Progress::new(next, self.now));
+        }
+    }
+
+    pub(crate) fn change(&mut self, ticket: Ticket, change: Change) {
+        match self.changed(change) {
+            Ok(config) => {
+                let index = self.append_own(EntryKind::Config(config));
+                self.track_members();
+                self.appended(ticket, index);
+                self.replicate_all();
+            }
+            Err(reason) => self.refuse(ticket, reason),
+        }
+    }
+
+    /// The configuration after `change`.
+    fn changed(&self, change: Change) -> Result<Config, Refused> {
+        if let Some(reason) = self.not_steady() {
+            return Err(reason);
+        }
+        let State::Leader(lead) = &self.state else {
+            return Err(self.not_leader());
+        };
+        let commit = self.log.commit();
+        if self.log.config_index() > commit || lead.own > commit {
+            return Err(Refused::Change(ChangeError::Pending));
+        }
+        let mut config = self.log.config().clone();
+        let error = match change {
+            Change::AddLearner(node) => match self.seat(&node) {
+                Some(_) => Some(ChangeError::Present(node)),
+                None => {
+                    config.members.insert(node, Seat::Learner);
+                    None
+                }
+            },
+            Change::Promote { node, seat } => match self.seat(&node) {
+                None => Some(ChangeError::Unknown(node)),
+                Some(Seat::Voter | Seat::Witness) => Some(ChangeError::Present(node)),
+                Some(Seat::Learner) if seat == Seat::Learner => Some(ChangeError::Present(node)),
+                Some(Seat::Learner) => {
+                    let entries = self.missing(lead.progress.get(&node));
+                    config.members.insert(node.clone(), seat);
+                    (entries > 0).then_some(ChangeError::Behind { node, entries })
+                }
+            },
+            Change::Remove(node) => match config.members.remove(&node) {
+                None => Some(ChangeError::Unknown(node)),
+                Some(_) => {
+                    let voters = config.members.values().any(|s| *s == Seat::Voter);
+                    (!voters).then_some(ChangeError::LastVoter)
+                }
+            },
+        };
+        match error {
+            Some(error) => Err(Refused::Change(error)),
+            None => Ok(config),
+        }
+    }
+
+    /// How many committed entries a learner misses; at least 1 while it doesn't answer.
+    fn missing(&self, progress: Option<&Progress>) -> u64 {
+        let Some(progress) = progress else {
+            return self.log.commit().0;
+        };
+        let missing = self.log.commit().0.saturating_sub(progress.matched.0);
+        let answers = progress.mode == Mode::Replicate
+            && self.now.since(progress.active) < self.timing.election;
+        match answers {
+            true => missing,
+            false => missing.max(1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/agreement/src/random.rs
@@ -0,0 +1,25 @@
+//! A small seeded generator (splitmix64) for election timeouts.
+
+use std::time::Duration;
+
+pub(crate) struct Random(u64);
+
+impl Random {
+    pub(crate) fn new(seed: u64) -> Random {
+        Random(seed)
+    }
+
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    /// A span between `base` and twice `base`.
+    pub(crate) fn timeout(&mut self, base: Duration) -> Duration {
+        let micros = (base.as_micros() as u64).max(1);
+        Duration::from_micros(micros + self.next() % micros)
+    }
+}
--- /dev/null
+++ b/crates/agreement/tests/group/basic.rs
@@ -0,0 +1,53 @@
+//! Elections, replication and restarts without faults of the network.
+
+use greengage_agreement::Seat::Voter;
+use greengage_core::Index;
+
+use crate::support::{id, Group, THREE};
+
+/// Guards against a group that elects nobody, or loses or reorders commands.
+#[test]
+fn elects_replicates_and_applies_in_order() {
+    let mut group = Group::new(&THREE, 1);
+    let leader = group.elect();
+    for command in 1..=100 {
+        group.propose(&leader, command);
+    }
+    group.run(500);
+    for node in group.nodes.values() {
+        assert_eq!(node.state, (1..=100).collect::<Vec<u64>>());
+    }
+    assert_eq!(group.leaders.len(), 1);
+}
+
+/// Guards against a restart that forgets entries, terms or votes.
+#[test]
+fn restarts_from_disk() {
+    let mut group = Group::new(&THREE, 2);
+    group.elect();
+    group.commit(1, 2000);
+    for name in ["a", "b", "c"] {
+        group.crash(&id(name));
+    }
+    for name in ["a", "b", "c"] {
+        group.restart(&id(name));
+    }
+    group.elect();
+    group.commit(2, 2000);
+    group.run(500);
+    for node in group.nodes.values() {
+        assert_eq!(node.state, [1, 2]);
+        assert_eq!(node.raft.applied(), Index(4));
+    }
+}
+
+/// Guards against a single voter that waits for others.
+#[test]
+fn single_voter_leads_and_commits() {
+    let mut group = Group::new(&[("a", Voter)], 3);
+    let leader = group.elect();
+    group.commit(7, 100);
+    let read = group.read(&leader);
+    assert!(group.ready.contains_key(&read));
+    assert_eq!(group.nodes[&id("a")].state, [7]);
+}
--- /dev/null
+++ b/crates/agreement/tests/group/main.rs
@@ -0,0 +1,6 @@
+//! Tests of whole groups of nodes.
+
+mod basic;
+mod election;
+mod membership;
+mod support;
--- /dev/null
+++ b/crates/agreement/tests/group/membership.rs
@@ -0,0 +1,46 @@
+//! Learners, promotion and removal.
+
+use greengage_agreement::{Change, ChangeError, Refused, Seat};
+
+use crate::support::{id, Disk, Group, THREE};
+
+/// Guards against a promotion before the learner has the log, a second change before the first
+/// one is committed, and a removed voter that disturbs the others.
+#[test]
+fn replaces_a_voter() {
+    let mut group = Group::new(&THREE, 5);
+    let leader = group.elect();
+    for command in 0..1000 {
+        group.propose(&leader, command);
+    }
+    let lost = group.follower();
+    group.crash(&lost);
+    let spare = id("d#7");
+    group.start(&spare, Disk::default());
+    let add = group.change(&leader, Change::AddLearner(spare.clone()));
+    let promote = Change::Promote {
+        node: spare.clone(),
+        seat: Seat::Voter,
+    };
+    let early = group.change(&leader, promote.clone());
+    assert_eq!(group.refused[&early], Refused::Change(ChangeError::Pending));
+    assert!(group.run_until(100, |g| g.committed(add)).is_some());
+    let early = group.change(&leader, promote.clone());
+    assert!(matches!(
+        &group.refused[&early],
+        Refused::Change(ChangeError::Behind { node, .. }) if *node == spare
+    ));
+    group.run(500);
+    let promoted = group.change(&leader, promote);
+    group.run(100);
+    assert!(group.committed(promoted));
+    let removed = group.change(&leader, Change::Remove(lost.clone()));
+    group.run(100);
+    assert!(group.committed(removed));
+
+    group.restart(&lost);
+    group.run(5_000);
+    assert_eq!(group.leader(), Some(leader));
+    assert_eq!(group.leaders.len(), 1);
+    assert_eq!(group.nodes[&spare].state, (0..1000).collect::<Vec<u64>>());
+}
--- /dev/null
+++ b/crates/agreement/tests/group/support.rs
@@ -0,0 +1,443 @@
+//! Nodes, disks and a network in one thread, for the tests of this crate.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use greengage_agreement::{
+    Config, Effect, Entry, EntryKind, Event, HardState, Message, Raft, Refused, Role, Save, Seat,
+    Setup, Snapshot, Ticket, Timing,
+};
+use greengage_core::{Index, NodeId, Term, Time, VmName};
+
+pub(crate) type Command = u64;
+pub(crate) type State = Vec<u64>;
+pub(crate) type Msg = Message<Command, State>;
+
+pub(crate) fn id(name: &str) -> NodeId {
+    let (vm, folder) = name.split_once('#').unwrap_or((name, "0"));
+    NodeId {
+        vm: VmName::new(vm).expect("a valid name"),
+        folder: folder.parse().expect("a number"),
+    }
+}
+
+pub(crate) fn config(members: &[(&str, Seat)]) -> Config {
+    Config {
+        members: members.iter().map(|(n, s)| (id(n), *s)).collect(),
+    }
+}
+
+pub(crate) const THREE: [(&str, Seat); 3] =
+    [("a", Seat::Voter), ("b", Seat::Voter), ("c", Seat::Voter)];
+
+/// A small seeded generator.
+pub(crate) struct Rng(pub u64);
+
+impl Rng {
+    pub(crate) fn below(&mut self, limit: u64) -> u64 {
+        self.0 = self
+            .0
+            .wrapping_mul(6364136223846793005)
+            .wrapping_add(1442695040888963407);
+        (self.0 >> 33) % limit
+    }
+}
+
+/// What survives a crash.
+#[derive(Clone, Default)]
+pub(crate) struct Disk {
+    pub(crate) hard: HardState,
+    pub(crate) snapshot: Option<Snapshot<State>>,
+    pub(crate) entries: Vec<Entry<Command>>,
+}
+
+impl Disk {
+    fn write(&mut self, save: Save<Command, State>) {
+        if let Some(hard) = save.hard {
+            self.hard = hard;
+        }
+        if let Some(first) = save.entries.first() {
+            self.entries.retain(|e| e.index < first.index);
+            self.entries.extend(save.entries);
+        }
+        if let Some(snapshot) = save.snapshot {
+            let place = (snapshot.index, snapshot.term);
+            if self.entries.iter().any(|e| (e.index, e.term) == place) {
+                self.entries.retain(|e| e.index > snapshot.index);
+            } else {
+                self.entries.clear();
+            }
+            self.snapshot = Some(snapshot);
+        }
+    }
+}
+
+pub(crate) struct Node {
+    pub(crate) raft: Raft<Command, State>,
+    pub(crate) disk: Disk,
+    pub(crate) state: State,
+    pub(crate) up: bool,
+    saves: VecDeque<(Time, Save<Command, State>)>,
+}
+
+/// A group of nodes, the messages between them and all that must hold about them.
+pub(crate) struct Group {
+    pub(crate) now: Time,
+    pub(crate) rng: Rng,
+    pub(crate) nodes: BTreeMap<NodeId, Node>,
+    pub(crate) timing: Timing,
+    pub(crate) initial: Config,
+    /// Pairs (from, to) whose messages are lost.
+    pub(crate) cut: BTreeSet<(NodeId, NodeId)>,
+    /// Percentage of messages that are lost, and of those that are delivered twice.
+    pub(crate) loss: u64,
+    pub(crate) twice: u64,
+    /// Longest delay of a message and of a save in microseconds.
+    pub(crate) delay: u64,
+    pub(crate) sync: u64,
+    /// Number of entries after which a node compacts its log.
+    pub(crate) compact: u64,
+    queue: BTreeMap<(Time, u64), (NodeId, NodeId, Msg)>,
+    count: u64,
+    pub(crate) sent: u64,
+    /// Each term's leader.
+    pub(crate) leaders: BTreeMap<Term, NodeId>,
+    /// The command or other entry applied at each index.
+    pub(crate) applied: BTreeMap<Index, (Term, EntryKind<Command>)>,
+    pub(crate) proposed: BTreeMap<Ticket, (Index, Term)>,
+    pub(crate) refused: BTreeMap<Ticket, Refused>,
+    /// Each pending read's lowest permitted index, and each answered read's index.
+    pub(crate) reads: BTreeMap<Ticket, Index>,
+    pub(crate) ready: BTreeMap<Ticket, Index>,
+    /// The highest index whose application anyone has seen.
+    pub(crate) seen: Index,
+}
+
+impl Group {
+    pub(crate) fn new(members: &[(&str, Seat)], seed: u64) -> Group {
+        let mut group = Group {
+            now: Time(0),
+            rng: Rng(seed),
+            nodes: BTreeMap::new(),
+            timing: Timing::default(),
+            initial: config(members),
+            cut: BTreeSet::new(),
+            loss: 0,
+            twice: 0,
+            delay: 1000,
+            sync: 3000,
+            compact: u64::MAX,
+            queue: BTreeMap::new(),
+            count: 0,
+            sent: 0,
+            leaders: BTreeMap::new(),
+            applied: BTreeMap::new(),
+            proposed: BTreeMap::new(),
+            refused: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            ready: BTreeMap::new(),
+            seen: Index(0),
+        };
+        for (name, _) in members {
+            group.start(&id(name), Disk::default());
+        }
+        group
+    }
+
+    /// Starts `node` from `disk`; only nodes of the initial group know that group.
+    pub(crate) fn start(&mut self, node: &NodeId, disk: Disk) {
+        let config = match self.initial.members.contains(node) {
+            true => self.initial.clone(),
+            false => Config::default(),
+        };
+        let raft = Raft::new(Setup {
+            node: node.clone(),
+            config,
+            hard: disk.hard.clone(),
+            snapshot: disk.snapshot.clone(),
+            entries: disk.entries.clone(),
+            timing: self.timing.clone(),
+            seed: self.rng.below(u64::MAX >> 33),
+            now: self.now,
+        });
+        let state = disk
+            .snapshot
+            .as_ref()
+            .map_or(Vec::new(), |s| s.state.clone());
+        let node = (
+            node.clone(),
+            Node {
+                raft,
+                disk,
+                state,
+                up: true,
+                saves: VecDeque::new(),
+            },
+        );
+        self.nodes.insert(node.0, node.1);
+    }
+
+    /// Stops `node`; of the saves that aren't durable a random number, from the last one back, is
+    /// lost.
+    pub(crate) fn crash(&mut self, node: &NodeId) {
+        let node = self.nodes.get_mut(node).expect("a known node");
+        node.up = false;
+        let kept = self.rng.below(node.saves.len() as u64 + 1) as usize;
+        for (_, save) in node.saves.drain(..).take(kept) {
+            node.disk.write(save);
+        }
+    }
+
+    pub(crate) fn restart(&mut self, node: &NodeId) {
+        let disk = self.nodes[node].disk.clone();
+        self.start(node, disk);
+    }
+
+    /// Cuts or repairs both directions between `a` and all others.
+    pub(crate) fn isolate(&mut self, a: &NodeId, cut: bool) {
+        let others: Vec<NodeId> = self.nodes.keys().filter(|n| *n != a).cloned().collect();
+        for b in others {
+            for pair in [(a.clone(), b.clone()), (b, a.clone())] {
+                match cut {
+                    true => self.cut.insert(pair),
+                    false => self.cut.remove(&pair),
+                };
+            }
+        }
+    }
+
+    pub(crate) fn step(&mut self, node: &NodeId, event: Event<Command, State>) {
+        let now = self.now;
+        let Some(n) = self.nodes.get_mut(node).filter(|n| n.up) else {
+            return;
+        };
+        let before = n.raft.status().commit;
+        let effects = n.raft.step(now, event);
+        assert!(n.raft.status().commit >= before);
+        for effect in effects {
+            self.carry_out(node, effect);
+        }
+    }
+
+    fn carry_out(&mut self, node: &NodeId, effect: Effect<Command, State>) {
+        let now = self.now;
+        let n = self.nodes.get_mut(node).expect("a known node");
+        match effect {
+            Effect::Save(save) => {
+                let due = now + Duration::from_micros(1 + self.rng.below(self.sync));
+                let due = n.saves.back().map_or(due, |(last, _)| due.max(*last));
+                n.saves.push_back((due, save));
+            }
+            Effect::Send { to, message } => self.post(node.clone(), to, message),
+            Effect::Apply(entries) => {
+                for entry in entries {
+                    let value = (entry.term, entry.kind.clone());
+                    let known = self.applied.entry(entry.index).or_insert(value.clone());
+                    assert_eq!(
+                        *known, value,
+                        "{node} applied another entry at {}",
+                        entry.index
+                    );
+                    if let EntryKind::Command(command) = entry.kind {
+                        n.state.push(command);
+                    }
+                    self.seen = self.seen.max(entry.index);
+                }
+                let applied = n.raft.applied();
+                if n.raft.since_snapshot() > self.compact {
+                    let state = n.state.clone();
+                    self.step(
+                        node,
+                        Event::Compact {
+                            index: applied,
+                            state,
+                        },
+                    );
+                }
+            }
+            Effect::Restore(snapshot) => {
+                let commands = self.applied.range(..=snapshot.index).map(|(_, e)| &e.1);
+                let commands = commands.filter_map(|kind| match kind {
+                    EntryKind::Command(command) => Some(*command),
+                    EntryKind::Noop | EntryKind::Config(_) => None,
+                });
+                let commands: State = commands.collect();
+                assert_eq!(commands, snapshot.state, "{node} restored another state");
+                n.state = snapshot.state;
+            }
+            Effect::Appended {
+                ticket,
+                index,
+                term,
+            } => {
+                self.proposed.insert(ticket, (index, term));
+            }
+            Effect::Refused { ticket, reason } => {
+                self.refused.insert(ticket, reason);
+            }
+            Effect::ReadReady { ticket, index } => {
+                let least = self.reads[&ticket];
+                assert!(index >= least, "read {ticket:?} at {index} misses {least}");
+                self.ready.insert(ticket, index);
+            }
+            Effect::Role { role, term, .. } => {
+                if role == Role::Leader {
+                    let known = self.leaders.entry(term).or_insert(node.clone());
+                    assert_eq!(known, node, "term {term} has two leaders");
+                }
+            }
+        }
+    }
+
+    fn post(&mut self, from: NodeId, to: NodeId, message: Msg) {
+        self.sent += 1;
+        let copies = 1 + u64::from(self.rng.below(100) < self.twice);
+        for _ in 0..copies {
+            if self.rng.below(100) >= self.loss {
+                let due = self.now + Duration::from_micros(1 + self.rng.below(self.delay));
+                self.count += 1;
+                let letter = (from.clone(), to.clone(), message.clone());
+                self.queue.insert((due, self.count), letter);
+            }
+        }
+    }
+
+    /// Handles the next message, save or timer due before `until`; `false` when there is none.
+    fn advance(&mut self, until: Time) -> bool {
+        let mut next = (until, None);
+        for (id, n) in self.nodes.iter().filter(|(_, n)| n.up) {
+            let wake = n.raft.wake();
+            if wake < next.0 {
+                next = (wake, Some((id.clone(), false)));
+            }
+            if let Some((due, _)) = n.saves.front().filter(|(due, _)| *due < next.0) {
+                next = (*due, Some((id.clone(), true)));
+            }
+        }
+        if let Some((key, _)) = self.queue.first_key_value().filter(|(k, _)| k.0 < next.0) {
+            self.now = self.now.max(key.0);
+            let (_, (from, to, message)) = self.queue.pop_first().expect("a message");
+            if !self.cut.contains(&(from.clone(), to.clone())) {
+                self.step(&to, Event::Receive { from, message });
+            }
+            return true;
+        }
+        let (time, Some((id, save))) = next else {
+            return false;
+        };
+        self.now = self.now.max(time);
+        if save {
+            let n = self.nodes.get_mut(&id).expect("a known node");
+            let (_, save) = n.saves.pop_front().expect("a save");
+            let seq = save.seq;
+            n.disk.write(save);
+            self.step(&id, Event::Saved(seq));
+        } else {
+            self.step(&id, Event::Tick);
+            let wake = self.nodes[&id].raft.wake();
+            assert!(wake > self.now, "{id} would spin");
+        }
+        true
+    }
+
+    pub(crate) fn run(&mut self, millis: u64) {
+        let until = self.now + Duration::from_millis(millis);
+        while self.advance(until) {}
+        self.now = until;
+    }
+
+    /// Runs until `done` or the limit; returns the time it took in milliseconds.
+    pub(crate) fn run_until(
+        &mut self,
+        millis: u64,
+        mut done: impl FnMut(&Group) -> bool,
+    ) -> Option<u64> {
+        let start = self.now;
+        let until = start + Duration::from_millis(millis);
+        while !done(self) {
+            if !self.advance(until) {
+                self.now = until;
+                return None;
+            }
+        }
+        Some(self.now.since(start).as_millis() as u64)
+    }
+
+    /// The running leader with the highest term.
+    pub(crate) fn leader(&self) -> Option<NodeId> {
+        let leading = self.nodes.iter().filter(|(_, n)| n.up);
+        leading
+            .map(|(id, n)| (n.raft.status(), id))
+            .filter(|(s, _)| s.role == Role::Leader)
+            .max_by_key(|(s, _)| s.term)
+            .map(|(_, id)| id.clone())
+    }
+
+    /// Runs until there is a leader that has committed an entry of its term.
+    pub(crate) fn elect(&mut self) -> NodeId {
+        let done = |g: &Group| {
+            g.leader().is_some_and(|l| {
+                let s = g.nodes[&l].raft.status();
+                g.applied.get(&s.commit).is_some_and(|(t, _)| *t == s.term)
+            })
+        };
+        self.run_until(2000, done).expect("a leader within 2 s");
+        self.leader().expect("a leader")
+    }
+
+    /// A running node that doesn't lead.
+    pub(crate) fn follower(&self) -> NodeId {
+        let leader = self.leader();
+        let mut up = self.nodes.iter().filter(|(_, n)| n.up).map(|(id, _)| id);
+        up.find(|n| Some(*n) != leader.as_ref())
+            .expect("a follower")
+            .clone()
+    }
+
+    fn ticket(&mut self) -> Ticket {
+        self.count += 1;
+        Ticket(self.count)
+    }
+
+    pub(crate) fn propose(&mut self, node: &NodeId, command: Command) -> Ticket {
+        let ticket = self.ticket();
+        self.step(node, Event::Propose { ticket, command });
+        ticket
+    }
+
+    pub(crate) fn read(&mut self, node: &NodeId) -> Ticket {
+        let ticket = self.ticket();
+        self.reads.insert(ticket, self.seen);
+        self.step(node, Event::Read(ticket));
+        ticket
+    }
+
+    pub(crate) fn change(&mut self, node: &NodeId, change: greengage_agreement::Change) -> Ticket {
+        let ticket = self.ticket();
+        self.step(node, Event::Change { ticket, change });
+        ticket
+    }
+
+    /// Whether the proposal or change was applied by someone.
+    pub(crate) fn committed(&self, ticket: Ticket) -> bool {
+        let place = self.proposed.get(&ticket);
+        place.is_some_and(|(i, t)| self.applied.get(i).is_some_and(|(term, _)| term == t))
+    }
+
+    /// Proposes through the leader until a command is committed; returns the time it took.
+    pub(crate) fn commit(&mut self, command: Command, millis: u64) -> u64 {
+        let start = self.now;
+        let until = start + Duration::from_millis(millis);
+        while self.now < until {
+            if let Some(leader) = self.leader() {
+                let ticket = self.propose(&leader, command);
+                if self.run_until(200, |g| g.committed(ticket)).is_some() {
+                    return self.now.since(start).as_millis() as u64;
+                }
+            } else {
+                self.run(10);
+            }
+        }
+        panic!("no commit within {millis} ms of {start:?}");
+    }
+}
