--- /dev/null
+++ b/crates/journal/src/folder.rs
@@ -0,0 +1,170 @@
+//! The files of a data folder: their names, the identity file and snapshot files.
+//!
+//! Files: `identity`, `lock`, `segment-<number>`, `snapshot-<index>-<group>`, and `temporary-…`
+//! while a file is being written; what is left of such files is removed when the folder is
+//! opened. Other files are left alone.
+
+use std::path::{Path, PathBuf};
+
+use greengage_core::{value, Index, Name, NodeId, VmName};
+
+use crate::disk::Disk;
+use crate::error::JournalError;
+
+/// The version of all file formats.
+pub(crate) const FORMAT: u64 = 1;
+
+pub(crate) const IDENTITY: &str = "identity";
+pub(crate) const LOCK: &str = "lock";
+const TEMPORARY: &str = "temporary-";
+const SEGMENT: &str = "segment-";
+const SNAPSHOT: &str = "snapshot-";
+
+/// Who a data folder belongs to.
+#[value(local)]
+pub struct Identity {
+    /// The VM and the folder's id.
+    pub node: NodeId,
+    /// Whether the folder was empty and got its id now.
+    pub fresh: bool,
+}
+
+/// The kinds of file in a data folder.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum FileName {
+    Identity,
+    Segment(u64),
+    Snapshot { index: Index, group: Name },
+    Temporary,
+    Other,
+}
+
+impl FileName {
+    pub(crate) fn parse(name: &str) -> FileName {
+        if name == IDENTITY {
+            return FileName::Identity;
+        }
+        if name.starts_with(TEMPORARY) {
+            return FileName::Temporary;
+        }
+        if let Some(number) = name.strip_prefix(SEGMENT) {
+            if let Some(number) = parse_number(number) {
+                return FileName::Segment(number);
+            }
+        }
+        if let Some((index, group)) = name.strip_prefix(SNAPSHOT).and_then(|n| n.split_once('-')) {
+            if let (Some(index), Ok(group)) = (parse_number(index), Name::new(group)) {
+                let index = Index(index);
+                return FileName::Snapshot { index, group };
+            }
+        }
+        FileName::Other
+    }
+}
+
+fn parse_number(text: &str) -> Option<u64> {
+    let digits = text.len() == 20 && text.bytes().all(|b| b.is_ascii_digit());
+    text.parse().ok().filter(|_| digits)
+}
+
+pub(crate) fn segment_name(number: u64) -> String {
+    format!("{SEGMENT}{number:020}")
+}
+
+pub(crate) fn snapshot_name(index: Index, group: &Name) -> String {
+    format!("{SNAPSHOT}{:020}-{group}", index.0)
+}
+
+/// The path under which a file is written before it gets its name.
+pub(crate) fn temporary(folder: &Path, name: &str) -> PathBuf {
+    folder.join(format!("{TEMPORARY}{name}"))
+}
+
+/// The text of an identity file.
+pub(crate) fn encode_identity(node: &NodeId) -> String {
+    let text = format!(
+        "greengageproxy data folder\nformat: {FORMAT}\nvm: {}\nfolder: {}\n",
+        node.vm, node.folder
+    );
+    let sum = crc32fast::hash(text.as_bytes());
+    format!("{text}checksum: {sum:08x}\n")
+}
+
+/// Reads an identity file, `None` where there is none.
+pub(crate) fn read_identity(
+    disk: &dyn Disk,
+    folder: &Path,
+) -> Result<Option<NodeId>, JournalError> {
+    let path = folder.join(IDENTITY);
+    let bytes = match disk.read(&path) {
+        Ok(bytes) => bytes,
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+        Err(error) => return Err(JournalError::io("read", &path, &error)),
+    };
+    let damaged = || JournalError::damaged(&path, 0, "it is not a valid identity file");
+    let text = std::str::from_utf8(&bytes).map_err(|_| damaged())?;
+    let (fields, sum) = text.rsplit_once("checksum: ").ok_or_else(damaged)?;
+    if sum != format!("{:08x}\n", crc32fast::hash(fields.as_bytes())) {
+        return Err(damaged());
+    }
+    let field = |name| fields.lines().find_map(|line| line.strip_prefix(name));
+    let number = |name| field(name).and_then(|text| text.parse().ok());
+    match number("format: ") {
+        Some(FORMAT) => {}
+        Some(version) => return Err(JournalError::Format { path, version }),
+        None => return Err(damaged()),
+    }
+    let vm = field("vm: ").and_then(|vm| VmName::new(vm).ok());
+    Ok(Some(NodeId {
+        vm: vm.ok_or_else(damaged)?,
+        folder: number("folder: ").ok_or_else(damaged)?,
+    }))
+}
+
+/// Bytes of a snapshot file before its payload, which are its checksum. The format version is in
+/// the identity file and in each segment.
+const SNAPSHOT_HEAD: usize = 4;
+
+/// The bytes of a snapshot file that precede its payload.
+pub(crate) fn snapshot_head(folder: u64, group: &Name, index: Index, payload: &[u8]) -> [u8; 4] {
+    snapshot_checksum(folder, group, index, payload).to_le_bytes()
+}
+
+fn snapshot_checksum(folder: u64, group: &Name, index: Index, payload: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&folder.to_le_bytes());
+    hasher.update(&index.0.to_le_bytes());
+    hasher.update(group.as_str().as_bytes());
+    hasher.update(&(payload.len() as u64).to_le_bytes());
+    hasher.update(payload);
+    hasher.finalize()
+}
+
+/// Reads the payload of a snapshot file.
+pub(crate) fn read_snapshot(
+    disk: &dyn Disk,
+    folder: &Path,
+    id: u64,
+    group: &Name,
+    index: Index,
+) -> Result<Vec<u8>, JournalError> {
+    let path = folder.join(snapshot_name(index, group));
+    let mut bytes = match disk.read(&path) {
+        Ok(bytes) => bytes,
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => {
+            return Err(JournalError::Lost { path })
+        }
+        Err(error) => return Err(JournalError::io("read", &path, &error)),
+    };
+    let Some((head, payload)) = bytes.split_at_checked(SNAPSHOT_HEAD) else {
+        return Err(JournalError::damaged(&path, 0, "it is too short"));
+    };
+    if head != snapshot_head(id, group, index, payload) {
+        return Err(JournalError::damaged(
+            &path,
+            0,
+            "the checksum does not match",
+        ));
+    }
+    Ok(bytes.split_off(SNAPSHOT_HEAD))
+}
--- /dev/null
+++ b/crates/journal/src/journal.rs
@@ -0,0 +1,760 @@
+//! Opening a data folder, writing batches, rotation of segments.
+//!
+//! A segment starts with a head that repeats the hard state and the snapshot index of each group.
+//! Older segments therefore matter only for their live entries, and the oldest one is removed when
+//! it has none. A group that seldom takes a snapshot would keep the oldest segment for good while
+//! a busy one fills the disk; so when more than half of the log and [`SPARE_SEGMENTS`] segments
+//! on top are dead, rotation copies the live entries of the oldest segment into the new head.
+//! Segments are removed oldest first, each removal being durable before the next.
+//!
+//! A snapshot is in force once its record in the log is durable. Its file is written under a
+//! temporary name, synced, renamed, and the folder is synced before that record is written.
+
+use std::any::Any;
+use std::num::NonZeroU64;
+use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::Duration;
+
+use greengage_core::{value, Index, Name, NodeId, SortedMap, VmName};
+
+use crate::disk::{Disk, DiskFile};
+use crate::error::JournalError;
+use crate::folder::{
+    encode_identity, read_identity, read_snapshot, segment_name, snapshot_head, snapshot_name,
+    temporary, FileName, Identity, FORMAT, IDENTITY, LOCK,
+};
+use crate::group::{Log, Place, Usage};
+use crate::record::{fits, scan, Encoder, Kind, Record, Scan, Seed};
+
+/// The length at which a segment is followed by a new one, unless set otherwise: 64 MiB.
+pub const SEGMENT_BYTES: u64 = 64 << 20;
+
+/// Dead segments that the log may hold in addition to half of its bytes.
+const SPARE_SEGMENTS: u64 = 4;
+
+/// The length of a first segment without records of groups: its head and a mark.
+const EMPTY_SEGMENT: usize = 86;
+
+/// The group name of records that belong to no group.
+const NO_GROUP: &str = "";
+
+/// How a data folder is used.
+#[value(local)]
+pub struct Settings {
+    /// The data folder.
+    pub folder: PathBuf,
+    /// This VM.
+    pub vm: VmName,
+    /// The id to give to an empty folder; a random number.
+    pub fresh: NonZeroU64,
+    /// The length in bytes at which a segment is followed by a new one.
+    pub segment_bytes: u64,
+    /// Added to each sync, to measure how the system behaves on a slower disk.
+    pub sync_delay: Duration,
+}
+
+/// What has to become durable for one group, in one step.
+#[value(local)]
+pub struct Batch {
+    /// The group.
+    pub group: Name,
+    /// Replaces the hard state.
+    pub hard: Option<Vec<u8>>,
+    /// Consecutive entries; they replace all entries from the first one's index on.
+    pub entries: Vec<(Index, Vec<u8>)>,
+    /// A snapshot up to an index; entries up to that index are dropped.
+    pub snapshot: Option<(Index, Vec<u8>)>,
+    /// With a snapshot that the log doesn't lead to: all earlier entries are dropped.
+    pub clear: bool,
+}
+
+/// What was recovered of one group.
+#[value(local)]
+#[derive(Default)]
+pub struct Recovered {
+    /// The hard state.
+    pub hard: Option<Vec<u8>>,
+    /// The snapshot and the index that it reaches.
+    pub snapshot: Option<(Index, Vec<u8>)>,
+    /// The entries behind the snapshot, without gaps.
+    pub entries: Vec<(Index, Vec<u8>)>,
+}
+
+/// An open data folder.
+pub struct Journal {
+    disk: Box<dyn Disk>,
+    settings: Settings,
+    /// The folder's id.
+    id: u64,
+    log: Log,
+    /// The last segment.
+    file: Box<dyn DiskFile>,
+    number: u64,
+    len: u64,
+    /// The length of the last segment's head.
+    head: u64,
+    /// The error of an earlier write.
+    failed: Option<JournalError>,
+    _lock: Box<dyn Any + Send>,
+}
+
+/// Prepares an empty folder, creating it where needed, as that of an initial voter: id 0.
+pub fn init(disk: &dyn Disk, folder: &Path, vm: &VmName) -> Result<Identity, JournalError> {
+    match disk.create_folder(folder) {
+        Ok(()) => {
+            let parent = folder.parent().filter(|p| !p.as_os_str().is_empty());
+            sync_folder(disk, parent.unwrap_or(Path::new(".")), Duration::ZERO)?;
+        }
+        Err(error) if error.kind() == std::io::ErrorKind::AlreadyExists => {}
+        Err(error) => return Err(JournalError::io("create", folder, &error)),
+    }
+    let _lock = lock(disk, folder)?;
+    if let Some(node) = read_identity(disk, folder)? {
+        return Err(JournalError::Initialized {
+            path: folder.to_path_buf(),
+            owner: node.vm,
+        });
+    }
+    let node = NodeId {
+        vm: vm.clone(),
+        folder: 0,
+    };
+    prepare(disk, folder, &node, Duration::ZERO)?;
+    Ok(Identity { node, fresh: true })
+}
+
+impl Journal {
+    /// Opens a data folder and recovers its records.
+    ///
+    /// An empty folder gets the id `fresh` of the settings.
+    pub fn open(
+        disk: Box<dyn Disk>,
+        settings: Settings,
+    ) -> Result<(Journal, Identity, SortedMap<Name, Recovered>), JournalError> {
+        let folder = settings.folder.clone();
+        let lock = lock(&*disk, &folder)?;
+        let identity = identify(&*disk, &settings)?;
+        let id = identity.node.folder;
+        let files = list(&*disk, &folder)?;
+        for (name, kind) in &files {
+            if *kind == FileName::Temporary {
+                remove(&*disk, &folder.join(name))?;
+            }
+        }
+        let (log, last) = replay(&*disk, &folder, id, &files)?;
+        let path = folder.join(segment_name(last.number));
+        let mut file = disk
+            .append(&path, last.len)
+            .map_err(|e| JournalError::io("open", &path, &e))?;
+        sync(&mut *file, &path, settings.sync_delay)?;
+        sync_folder(&*disk, &folder, settings.sync_delay)?;
+        let journal = Journal {
+            disk,
+            settings,
+            id,
+            log,
+            file,
+            number: last.number,
+            len: last.len,
+            head: last.head,
+            failed: None,
+            _lock: lock,
+        };
+        let recovered = journal.recover(&files)?;
+        Ok((journal, identity, recovered))
+    }
+
+    /// Reads what is in force and removes snapshot files that are not.
+    fn recover(
+        &self,
+        files: &[(String, FileName)],
+    ) -> Result<SortedMap<Name, Recovered>, JournalError> {
+        let folder = &self.settings.folder;
+        let mut recovered = SortedMap::new();
+        for (name, group) in self.log.groups.iter() {
+            if let Some(missing) = group.gap() {
+                return Err(JournalError::Gap {
+                    path: folder.clone(),
+                    group: name.clone(),
+                    missing,
+                });
+            }
+            let snapshot = match group.snapshot {
+                Index(0) => None,
+                index => {
+                    let payload = read_snapshot(&*self.disk, folder, self.id, name, index)?;
+                    Some((index, payload))
+                }
+            };
+            let found = Recovered {
+                hard: group.hard.clone(),
+                snapshot,
+                entries: Vec::with_capacity(group.entries.len()),
+            };
+            recovered.insert(name.clone(), found);
+        }
+        for (segment, usage) in self.log.segments.iter() {
+            if usage.live > 0 {
+                for (group, index, payload) in self.live_entries(*segment)? {
+                    let found = recovered.entry(group, Recovered::default);
+                    found.entries.push((index, payload));
+                }
+            }
+        }
+        for group in recovered.values_mut() {
+            group.entries.sort_unstable_by_key(|(index, _)| *index);
+        }
+        for (file, kind) in files {
+            if let FileName::Snapshot { index, group } = kind {
+                if self.log.groups.get(group).map(|g| g.snapshot) != Some(*index) {
+                    remove(&*self.disk, &folder.join(file))?;
+                }
+            }
+        }
+        Ok(recovered)
+    }
+
+    /// The live entries of a segment, which was read without an error before.
+    fn live_entries(&self, segment: u64) -> Result<Vec<(Name, Index, Vec<u8>)>, JournalError> {
+        let path = self.settings.folder.join(segment_name(segment));
+        let bytes = read(&*self.disk, &path)?;
+        let seed = Seed {
+            folder: self.id,
+            segment,
+        };
+        let mut entries = Vec::new();
+        for record in scan(seed, &bytes).records {
+            let place = Some(place(segment, &record));
+            let group = self.log.groups.get(record.group);
+            if let (Kind::Entry | Kind::Copy, Some(group)) = (record.kind, group) {
+                if group.entries.get(&record.index).copied() == place {
+                    let name = group_name(&path, &record)?;
+                    entries.push((name, record.index, record.payload.to_vec()));
+                }
+            }
+        }
+        Ok(entries)
+    }
+
+    /// Makes all batches durable, in order, with one sync of the log.
+    ///
+    /// After an error other than `Order` or `TooLong` nothing is written any more.
+    pub fn write(&mut self, batches: &[Batch]) -> Result<(), JournalError> {
+        if let Some(cause) = &self.failed {
+            let cause = Box::new(cause.clone());
+            return Err(JournalError::Stopped { cause });
+        }
+        self.check(batches)?;
+        if batches.is_empty() {
+            return Ok(());
+        }
+        let result = self.write_checked(batches);
+        if let Err(error) = &result {
+            self.failed = Some(error.clone());
+        }
+        result
+    }
+
+    /// Bytes of all segments.
+    pub fn log_bytes(&self) -> u64 {
+        self.log.usage().len
+    }
+
+    fn check(&self, batches: &[Batch]) -> Result<(), JournalError> {
+        // The last and the snapshot's index of each group after the batches checked so far.
+        let mut reached = SortedMap::new();
+        for batch in batches {
+            let order = |reason| {
+                Err(JournalError::Order {
+                    group: batch.group.clone(),
+                    reason,
+                })
+            };
+            let group = self.log.groups.get(&batch.group);
+            let start = || group.map_or_else(Default::default, |g| (g.last(), g.snapshot));
+            let (last, snapshot) = reached.entry(batch.group.clone(), start);
+            match &batch.snapshot {
+                Some((index, _)) if *index < *snapshot => {
+                    return order("the snapshot is older than the one in force");
+                }
+                Some((Index(0), _)) => return order("the snapshot has index 0"),
+                Some((index, _)) => *snapshot = *index,
+                None if batch.clear => return order("entries are dropped without a snapshot"),
+                None => {}
+            }
+            if batch.clear {
+                *last = Index(0);
+            }
+            *last = (*last).max(*snapshot);
+            for (i, (index, _)) in batch.entries.iter().enumerate() {
+                match i {
+                    0 if *index == Index(0) => return order("an entry has index 0"),
+                    0 if *index > last.next() => return order("entries are missing"),
+                    0 => {}
+                    _ if *index != last.next() => return order("the entries have a gap"),
+                    _ => {}
+                }
+                *last = *index;
+            }
+            *last = (*last).max(*snapshot);
+            let entries = batch.entries.iter().map(|(_, payload)| payload);
+            if let Some(long) = entries.chain(&batch.hard).find(|payload| !fits(payload)) {
+                return Err(JournalError::TooLong {
+                    group: batch.group.clone(),
+                    bytes: long.len() as u64,
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn write_checked(&mut self, batches: &[Batch]) -> Result<(), JournalError> {
+        if self.len - self.head >= self.settings.segment_bytes {
+            self.rotate()?;
+        }
+        let mut replaced = Vec::new();
+        for batch in batches {
+            if let Some((index, payload)) = &batch.snapshot {
+                self.write_snapshot(&batch.group, *index, payload)?;
+            }
+        }
+        let mut records = self.encoder(self.len);
+        for batch in batches {
+            let group = &batch.group;
+            // The hard state comes first, since a torn write may keep only the first records and
+            // no entry may be recovered without the term that it was written in.
+            if let Some(hard) = &batch.hard {
+                self.record(&mut records, Kind::Hard, group, Index(0), hard);
+            }
+            let snapshot = batch.snapshot.as_ref().map(|(index, _)| *index);
+            let before = self.log.groups.get(group).map_or(Index(0), |g| g.snapshot);
+            if before != Index(0) && snapshot.is_some_and(|index| index != before) {
+                replaced.push(snapshot_name(before, group));
+            }
+            if let (Some(index), true) = (snapshot, batch.clear) {
+                self.record(&mut records, Kind::Install, group, index, &[]);
+            }
+            for (index, payload) in &batch.entries {
+                self.record(&mut records, Kind::Entry, group, *index, payload);
+            }
+            if let (Some(index), false) = (snapshot, batch.clear) {
+                self.record(&mut records, Kind::Snapshot, group, index, &[]);
+            }
+        }
+        self.append(&records.bytes)?;
+        self.sync()?;
+        // The batches are durable now, so a later failure concerns only later batches.
+        if let Err(error) = self.finish(&replaced) {
+            log::error!("the journal takes no more batches: {error}");
+            self.failed = Some(error);
+        }
+        Ok(())
+    }
+
+    /// Writes the mark after a sync and removes what is no longer needed.
+    fn finish(&mut self, replaced: &[String]) -> Result<(), JournalError> {
+        self.mark()?;
+        for name in replaced {
+            remove(&*self.disk, &self.settings.folder.join(name))?;
+        }
+        self.drop_segments()
+    }
+
+    /// Writes a snapshot file under its final name; it is not in force yet.
+    fn write_snapshot(
+        &self,
+        group: &Name,
+        index: Index,
+        payload: &[u8],
+    ) -> Result<(), JournalError> {
+        let name = snapshot_name(index, group);
+        let head = snapshot_head(self.id, group, index, payload);
+        let delay = self.settings.sync_delay;
+        write_file(
+            &*self.disk,
+            &self.settings.folder,
+            &name,
+            &[&head, payload],
+            delay,
+        )
+    }
+
+    fn seed(&self) -> Seed {
+        Seed {
+            folder: self.id,
+            segment: self.number,
+        }
+    }
+
+    fn encoder(&self, start: u64) -> Encoder {
+        Encoder::new(self.seed(), start)
+    }
+
+    /// Encodes a record of a group and follows it.
+    ///
+    /// The log in memory runs ahead of the file here; after a failed write it isn't used again.
+    fn record(
+        &mut self,
+        records: &mut Encoder,
+        kind: Kind,
+        group: &Name,
+        index: Index,
+        payload: &[u8],
+    ) {
+        let (offset, len) = records.push(kind, group.as_str(), index, payload);
+        let place = Place {
+            segment: self.number,
+            offset,
+            len,
+        };
+        self.log.apply(group, kind, index, payload, place);
+    }
+
+    fn path(&self) -> PathBuf {
+        self.settings.folder.join(segment_name(self.number))
+    }
+
+    fn append(&mut self, bytes: &[u8]) -> Result<(), JournalError> {
+        let written = self.file.write(bytes);
+        written.map_err(|e| JournalError::io("write", &self.path(), &e))?;
+        self.len += bytes.len() as u64;
+        self.log.segments.entry(self.number, Usage::default).len = self.len;
+        Ok(())
+    }
+
+    fn sync(&mut self) -> Result<(), JournalError> {
+        let path = self.path();
+        sync(&mut *self.file, &path, self.settings.sync_delay)
+    }
+
+    /// Records that everything so far is synced.
+    fn mark(&mut self) -> Result<(), JournalError> {
+        let mut records = self.encoder(self.len);
+        records.push(Kind::Mark, NO_GROUP, Index(0), &[]);
+        self.append(&records.bytes)
+    }
+
+    /// Starts a new segment.
+    fn rotate(&mut self) -> Result<(), JournalError> {
+        let mut records = self.encoder(self.len);
+        records.push(Kind::End, NO_GROUP, Index(0), &[]);
+        self.append(&records.bytes)?;
+        self.sync()?;
+        let usage = self.log.usage();
+        let spare = SPARE_SEGMENTS * self.settings.segment_bytes;
+        let mut copies = Vec::new();
+        if usage.len > 2 * usage.live + spare {
+            let oldest = self.log.segments.keys().next().copied();
+            copies = self.live_entries(oldest.expect("there is a last segment"))?;
+        }
+        self.number += 1;
+        self.len = 0;
+        let mut records = self.encoder(0);
+        records.push(Kind::Segment, NO_GROUP, Index(0), &FORMAT.to_le_bytes());
+        for (name, group) in self.log.groups.clone().iter() {
+            if let Some(hard) = &group.hard {
+                self.record(&mut records, Kind::Hard, name, Index(0), hard);
+            }
+            if group.snapshot != Index(0) {
+                self.record(&mut records, Kind::Snapshot, name, group.snapshot, &[]);
+            }
+        }
+        for (name, index, payload) in copies {
+            self.record(&mut records, Kind::Copy, &name, index, &payload);
+        }
+        records.push(Kind::Mark, NO_GROUP, Index(0), &[]);
+        let path = self.path();
+        self.file = create(&*self.disk, &path)?;
+        self.append(&records.bytes)?;
+        self.head = self.len;
+        self.sync()?;
+        sync_folder(&*self.disk, &self.settings.folder, self.settings.sync_delay)?;
+        // Older segments go only when it is proved that the head was synced.
+        self.mark()?;
+        self.sync()?;
+        self.drop_segments()
+    }
+
+    /// Removes the oldest segments as long as they have no live entry.
+    fn drop_segments(&mut self) -> Result<(), JournalError> {
+        loop {
+            let oldest = self.log.segments.iter().next();
+            let (number, live) = oldest.map_or((self.number, 0), |(n, usage)| (*n, usage.live));
+            if number == self.number || live > 0 {
+                return Ok(());
+            }
+            let path = self.settings.folder.join(segment_name(number));
+            remove(&*self.disk, &path)?;
+            sync_folder(&*self.disk, &self.settings.folder, self.settings.sync_delay)?;
+            self.log.segments.remove(&number);
+        }
+    }
+}
+
+fn lock(disk: &dyn Disk, folder: &Path) -> Result<Box<dyn Any + Send>, JournalError> {
+    // Listing first tells a missing folder from a lock file that can't be made.
+    list(disk, folder)?;
+    let path = folder.join(LOCK);
+    match disk.lock(&path) {
+        Ok(Some(lock)) => Ok(lock),
+        Ok(None) => Err(JournalError::Locked {
+            path: folder.to_path_buf(),
+        }),
+        Err(error) => Err(JournalError::io("lock", &path, &error)),
+    }
+}
+
+/// The files of the folder with their kinds.
+fn list(disk: &dyn Disk, folder: &Path) -> Result<Vec<(String, FileName)>, JournalError> {
+    let names = disk.list(folder).map_err(|error| match error.kind() {
+        std::io::ErrorKind::NotFound => JournalError::NoFolder {
+            path: folder.to_path_buf(),
+        },
+        _ => JournalError::io("list", folder, &error),
+    })?;
+    let files = names.into_iter().map(|name| {
+        let kind = FileName::parse(&name);
+        (name, kind)
+    });
+    Ok(files.collect())
+}
+
+/// Reads the identity, or makes one for an empty folder.
+fn identify(disk: &dyn Disk, settings: &Settings) -> Result<Identity, JournalError> {
+    let node = match read_identity(disk, &settings.folder)? {
+        Some(node) => node,
+        None => {
+            let node = NodeId {
+                vm: settings.vm.clone(),
+                folder: settings.fresh.get(),
+            };
+            prepare(disk, &settings.folder, &node, settings.sync_delay)?;
+            return Ok(Identity { node, fresh: true });
+        }
+    };
+    if node.vm != settings.vm {
+        return Err(JournalError::OtherVm {
+            path: settings.folder.clone(),
+            owner: node.vm,
+            vm: settings.vm.clone(),
+        });
+    }
+    Ok(Identity { node, fresh: false })
+}
+
+/// Writes the first segment, then the identity, into an empty folder. In this order a folder with
+/// an identity and no segment has lost its log.
+fn prepare(
+    disk: &dyn Disk,
+    folder: &Path,
+    node: &NodeId,
+    delay: Duration,
+) -> Result<(), JournalError> {
+    let no_identity = || JournalError::NoIdentity {
+        path: folder.join(IDENTITY),
+    };
+    for (name, kind) in list(disk, folder)? {
+        match kind {
+            FileName::Identity | FileName::Temporary | FileName::Other => {}
+            // Left by a preparation that was interrupted before it wrote the identity.
+            FileName::Segment(1) => {
+                if read(disk, &folder.join(name))?.len() > EMPTY_SEGMENT {
+                    return Err(no_identity());
+                }
+            }
+            FileName::Segment(_) | FileName::Snapshot { .. } => return Err(no_identity()),
+        }
+    }
+    let seed = Seed {
+        folder: node.folder,
+        segment: 1,
+    };
+    let mut head = Encoder::new(seed, 0);
+    head.push(Kind::Segment, NO_GROUP, Index(0), &FORMAT.to_le_bytes());
+    head.push(Kind::Mark, NO_GROUP, Index(0), &[]);
+    let mut mark = Encoder::new(seed, head.bytes.len() as u64);
+    mark.push(Kind::Mark, NO_GROUP, Index(0), &[]);
+    let path = folder.join(segment_name(1));
+    let mut file = create(disk, &path)?;
+    for bytes in [&head.bytes, &mark.bytes] {
+        let written = file.write(bytes);
+        written.map_err(|e| JournalError::io("write", &path, &e))?;
+        sync(&mut *file, &path, delay)?;
+    }
+    let text = encode_identity(node);
+    write_file(disk, folder, IDENTITY, &[text.as_bytes()], delay)
+}
+
+/// Writes a file under a temporary name, syncs it, renames it and syncs the folder.
+fn write_file(
+    disk: &dyn Disk,
+    folder: &Path,
+    name: &str,
+    parts: &[&[u8]],
+    delay: Duration,
+) -> Result<(), JournalError> {
+    let path = temporary(folder, name);
+    let mut file = create(disk, &path)?;
+    for part in parts {
+        let written = file.write(part);
+        written.map_err(|e| JournalError::io("write", &path, &e))?;
+    }
+    sync(&mut *file, &path, delay)?;
+    let renamed = disk.rename(&path, &folder.join(name));
+    renamed.map_err(|e| JournalError::io("rename", &path, &e))?;
+    sync_folder(disk, folder, delay)
+}
+
+/// The last segment as it was read.
+struct Last {
+    number: u64,
+    len: u64,
+    head: u64,
+}
+
+/// Reads all segments.
+fn replay(
+    disk: &dyn Disk,
+    folder: &Path,
+    id: u64,
+    files: &[(String, FileName)],
+) -> Result<(Log, Last), JournalError> {
+    let mut numbers: Vec<u64> = Vec::new();
+    numbers.extend(files.iter().filter_map(|(_, kind)| match kind {
+        FileName::Segment(number) => Some(*number),
+        _ => None,
+    }));
+    numbers.sort_unstable();
+    let lost = |number| {
+        Err(JournalError::Lost {
+            path: folder.join(segment_name(number)),
+        })
+    };
+    let (Some(first), Some(last)) = (numbers.first().copied(), numbers.last().copied()) else {
+        return lost(1);
+    };
+    if let Some(pair) = numbers.windows(2).find(|pair| pair[1] != pair[0] + 1) {
+        return lost(pair[0] + 1);
+    }
+    let mut log = Log::default();
+    let mut end = None;
+    for number in numbers {
+        let path = folder.join(segment_name(number));
+        let bytes = read(disk, &path)?;
+        let seed = Seed {
+            folder: id,
+            segment: number,
+        };
+        let scan = scan(seed, &bytes);
+        let damaged = |reason| Err(JournalError::damaged(&path, scan.end, reason));
+        let torn = scan.end < bytes.len() as u64;
+        if torn && (scan.damaged || number != last) {
+            return damaged("a record does not match its checksum");
+        }
+        check_format(&path, &scan)?;
+        let marks = |r: &&Record<'_>| r.kind == Kind::Mark;
+        let Some(mark) = scan.records.iter().find(marks) else {
+            if number != last || number == first {
+                return damaged("the head of the segment is incomplete");
+            }
+            // The process ended while it created this segment; the older ones are complete.
+            log::warn!("{} is incomplete and is removed", path.display());
+            remove(disk, &path)?;
+            break;
+        };
+        let ended = scan.records.last().map(|r| r.kind) == Some(Kind::End);
+        if number != last && !ended {
+            return damaged("the end of the segment is missing");
+        }
+        if torn {
+            let (len, end) = (bytes.len(), scan.end);
+            log::warn!(
+                "{}: torn write cut from {len} to {end} bytes",
+                path.display()
+            );
+        }
+        follow(&mut log, number, &path, &scan)?;
+        end = Some(Last {
+            number,
+            len: scan.end,
+            head: mark.offset + mark.len,
+        });
+    }
+    Ok((log, end.expect("the first segment was read")))
+}
+
+fn check_format(path: &Path, scan: &Scan<'_>) -> Result<(), JournalError> {
+    let Some(first) = scan.records.first() else {
+        return Ok(());
+    };
+    match (first.kind, first.payload.try_into().map(u64::from_le_bytes)) {
+        (Kind::Segment, Ok(FORMAT)) => Ok(()),
+        (Kind::Segment, Ok(version)) => Err(JournalError::Format {
+            path: path.to_path_buf(),
+            version,
+        }),
+        _ => Err(JournalError::damaged(
+            path,
+            0,
+            "it has no valid first record",
+        )),
+    }
+}
+
+fn follow(log: &mut Log, number: u64, path: &Path, scan: &Scan<'_>) -> Result<(), JournalError> {
+    log.segments.entry(number, Usage::default).len = scan.end;
+    for record in &scan.records {
+        match record.kind {
+            Kind::Segment | Kind::Mark | Kind::End => {}
+            Kind::Hard | Kind::Install | Kind::Snapshot | Kind::Entry | Kind::Copy => {
+                let name = group_name(path, record)?;
+                let place = place(number, record);
+                log.apply(&name, record.kind, record.index, record.payload, place);
+            }
+        }
+    }
+    Ok(())
+}
+
+fn group_name(path: &Path, record: &Record<'_>) -> Result<Name, JournalError> {
+    Name::new(record.group)
+        .map_err(|_| JournalError::damaged(path, record.offset, "a group has no valid name"))
+}
+
+fn place(segment: u64, record: &Record<'_>) -> Place {
+    Place {
+        segment,
+        offset: record.offset,
+        len: record.len,
+    }
+}
+
+fn read(disk: &dyn Disk, path: &Path) -> Result<Vec<u8>, JournalError> {
+    disk.read(path)
+        .map_err(|e| JournalError::io("read", path, &e))
+}
+
+fn create(disk: &dyn Disk, path: &Path) -> Result<Box<dyn DiskFile>, JournalError> {
+    disk.create(path)
+        .map_err(|e| JournalError::io("create", path, &e))
+}
+
+fn remove(disk: &dyn Disk, path: &Path) -> Result<(), JournalError> {
+    disk.remove(path)
+        .map_err(|e| JournalError::io("remove", path, &e))
+}
+
+fn sync(file: &mut dyn DiskFile, path: &Path, delay: Duration) -> Result<(), JournalError> {
+    file.sync()
+        .map_err(|e| JournalError::io("sync", path, &e))?;
+    thread::sleep(delay);
+    Ok(())
+}
+
+fn sync_folder(disk: &dyn Disk, folder: &Path, delay: Duration) -> Result<(), JournalError> {
+    disk.sync_folder(folder)
+        .map_err(|e| JournalError::io("sync", folder, &e))?;
+    thread::sleep(delay);
+    Ok(())
+}
