Add the dispatcher's queues, placement and admission

Cause: the crate had agreed types only; the control crate needs a state machine that admits, queues, begins, starts and completes jobs. One index of free targets per distinct work list was ruled out, because each target may have its own list; the index is per kind of work and demand instead.

Change: add Dispatch with admit, step, wake, verify and figures for metrics; fair shares per pool of competing work, shortest remaining work first with a bound on overtaking, a reserve for short work, begins ahead of starts, a retry budget, pauses after refused starts. A randomised test checks all counters, at-most-once starts and that each job ends once.

--- /dev/null
+++ b/crates/dispatch/src/fair.rs
@@ -0,0 +1,431 @@
+//! Shares of client accounts: start-time fair queueing over expected run time.
+//!
+//! A *lane* holds the queued jobs of one account and one shape. A *flow* is an account's part in
+//! a pool; its tag is the work that it was granted, divided by its weight. The flow with the
+//! lowest tag goes first. A flow that was idle joins at the tag of the last start, so that it has
+//! no credit for that time, but never behind those that wait for the same shape already.
+//!
+//! Jobs that are begun before they start are ordered by the tag that the flow will have once its
+//! begun tasks have started.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use greengage_core::{SortedMap, Time};
+
+use crate::event::Share;
+use crate::ids::{AccountId, JobId, PoolId, ShapeId, WorkId};
+use crate::jobs::Line;
+use crate::queue::{Place, Queue};
+
+/// Size classes of the backlog, two doublings of the size each.
+pub(crate) const CLASSES: usize = 32;
+
+/// An account's limits for a kind of work and what counts against them.
+pub(crate) struct Limit {
+    pub(crate) share: Share,
+    /// Tasks in the queue.
+    pub(crate) queued: u32,
+    /// Tasks whose attempt isn't settled.
+    pub(crate) running: u32,
+    /// Tasks of recorded jobs that are begun, or about to be, and wait for a target.
+    pub(crate) primed: u32,
+    /// Since when more is queued than the quota.
+    pub(crate) over: Option<Time>,
+}
+
+impl Default for Limit {
+    fn default() -> Limit {
+        Limit {
+            share: Share {
+                weight: 1,
+                quota: u32::MAX,
+                concurrency: u32::MAX,
+                burst: 0,
+            },
+            queued: 0,
+            running: 0,
+            primed: 0,
+            over: None,
+        }
+    }
+}
+
+impl Limit {
+    /// Notes since when more is queued than the quota.
+    pub(crate) fn note_quota(&mut self, now: Time) {
+        self.over = match (self.queued > self.share.quota, self.over) {
+            (false, _) => None,
+            (true, None) => Some(now),
+            (true, over) => over,
+        };
+    }
+}
+
+/// An account in a pool.
+#[derive(Default)]
+pub(crate) struct Flow {
+    /// Granted microseconds divided by the weight. 64 bits last for years at the size in view.
+    pub(crate) tag: u64,
+    /// What the tag will grow by when the primed tasks start.
+    pub(crate) primed: u64,
+    /// Shapes in which the account has queued tasks.
+    pub(crate) lanes: Vec<ShapeId>,
+    /// Queued work in microseconds.
+    pub(crate) backlog: u64,
+    /// The weight at the last change of the backlog.
+    pub(crate) weight: u64,
+}
+
+/// The queued jobs of an account and a shape.
+#[derive(Default)]
+pub(crate) struct Lane {
+    pub(crate) starts: Queue,
+    pub(crate) begins: Queue,
+    /// Queued tasks, also of jobs that are being begun or pause.
+    pub(crate) queued: u32,
+    /// Tasks of recorded jobs that are primed.
+    pub(crate) primed: u32,
+    /// What these will cost the flow.
+    pub(crate) primed_cost: u64,
+    /// Remaining work in microseconds by size class of the job.
+    pub(crate) backlog: [u64; CLASSES],
+    /// The account's rank by `Wait`, where it waits.
+    ranks: [Option<u64>; 3],
+}
+
+/// The size class of a job with `micros` of work left.
+pub(crate) fn class(micros: u64) -> usize {
+    (u64::BITS - micros.leading_zeros()) as usize / 2 % CLASSES
+}
+
+impl Lane {
+    /// All remaining work in microseconds.
+    pub(crate) fn total(&self) -> u64 {
+        self.backlog.iter().sum()
+    }
+
+    /// Whether a job is in a queue.
+    pub(crate) fn holds(&self, line: Line, place: Place) -> bool {
+        match line {
+            Line::Starts => self.starts.contains(place),
+            Line::Begins => self.begins.contains(place),
+        }
+    }
+
+    pub(crate) fn line(&mut self, line: Line) -> &mut Queue {
+        match line {
+            Line::Starts => &mut self.starts,
+            Line::Begins => &mut self.begins,
+        }
+    }
+}
+
+/// What an account waits for in a shape.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Wait {
+    /// A start.
+    Start,
+    /// A begin.
+    Begin,
+    /// A begin, and none of its jobs of this shape is begun yet.
+    First,
+}
+
+/// The accounts that wait for a shape, in fair order.
+pub(crate) struct ShapeQueue {
+    /// By `Wait`. BTreeSets, because an account moves in them with each of its starts.
+    waiting: [BTreeSet<(u64, AccountId)>; 3],
+    pub(crate) lanes: SortedMap<AccountId, Lane>,
+    /// Primed tasks of all accounts.
+    pub(crate) primed: u32,
+    pub(crate) work: WorkId,
+}
+
+impl ShapeQueue {
+    /// The account that is first in line.
+    pub(crate) fn first(&self, wait: Wait) -> Option<(u64, AccountId)> {
+        self.waiting[wait as usize].first().copied()
+    }
+}
+
+/// All shares and queues.
+pub(crate) struct Fair {
+    /// Whether accounts share by weight; else the oldest or shortest job of all goes first.
+    pub(crate) by_weight: bool,
+    /// Whether the shortest job of an account goes first.
+    pub(crate) shortest: bool,
+    /// How long a job may be overtaken.
+    pub(crate) overtake: Duration,
+    pub(crate) limits: SortedMap<(AccountId, WorkId), Limit>,
+    /// By pool id.
+    pub(crate) flows: Vec<SortedMap<AccountId, Flow>>,
+    /// By shape id.
+    pub(crate) shapes: Vec<ShapeQueue>,
+    /// The tag of the last start, by pool id.
+    virtuals: Vec<u64>,
+}
+
+impl Fair {
+    pub(crate) fn new(by_weight: bool, shortest: bool, overtake: Duration) -> Fair {
+        Fair {
+            by_weight,
+            shortest,
+            overtake,
+            limits: SortedMap::new(),
+            flows: Vec::new(),
+            shapes: Vec::new(),
+            virtuals: Vec::new(),
+        }
+    }
+
+    pub(crate) fn limit(&mut self, account: AccountId, work: WorkId) -> &mut Limit {
+        self.limits.entry((account, work), Limit::default)
+    }
+
+    /// Sets up the queue of a new shape, whose id may have been used by one without jobs.
+    pub(crate) fn add_shape(&mut self, shape: ShapeId, work: WorkId) {
+        let queue = ShapeQueue {
+            waiting: Default::default(),
+            lanes: SortedMap::new(),
+            primed: 0,
+            work,
+        };
+        match self.shapes.get_mut(shape.at()) {
+            Some(old) => *old = queue,
+            None => self.shapes.push(queue),
+        }
+    }
+
+    pub(crate) fn shape(&self, shape: ShapeId) -> &ShapeQueue {
+        &self.shapes[shape.at()]
+    }
+
+    pub(crate) fn shape_mut(&mut self, shape: ShapeId) -> &mut ShapeQueue {
+        &mut self.shapes[shape.at()]
+    }
+
+    pub(crate) fn lane(&mut self, shape: ShapeId, account: AccountId) -> &mut Lane {
+        self.shape_mut(shape).lanes.entry(account, Lane::default)
+    }
+
+    fn flow(&mut self, account: AccountId, pool: PoolId) -> &mut Flow {
+        if self.flows.len() <= pool.at() {
+            self.flows.resize_with(pool.at() + 1, SortedMap::new);
+        }
+        self.flows[pool.at()].entry(account, Flow::default)
+    }
+
+    /// The tag of the last start in a pool.
+    pub(crate) fn current(&self, pool: PoolId) -> u64 {
+        self.virtuals.get(pool.at()).copied().unwrap_or(0)
+    }
+
+    /// The weight of an account for a kind of work.
+    pub(crate) fn weight(&self, account: AccountId, work: WorkId) -> u64 {
+        let limit = self.limits.get(&(account, work));
+        limit.map_or(1, |l| u64::from(l.share.weight.max(1)))
+    }
+
+    /// Counts a change of what the account's begun tasks will cost.
+    pub(crate) fn prime(&mut self, account: AccountId, pool: PoolId, cost: i64) {
+        let flow = self.flow(account, pool);
+        flow.primed = flow.primed.saturating_add_signed(cost);
+    }
+
+    /// Counts a change of a job's queued tasks of `unit` microseconds each.
+    pub(crate) fn resize(
+        &mut self,
+        account: AccountId,
+        shape: ShapeId,
+        pool: PoolId,
+        unit: u64,
+        (old, new): (u32, u32),
+    ) {
+        let lane = self.lane(shape, account);
+        let empty = lane.queued == 0;
+        lane.queued = lane.queued - old + new;
+        let (before, after) = (unit * u64::from(old), unit * u64::from(new));
+        lane.backlog[class(before)] -= before;
+        lane.backlog[class(after)] += after;
+        if empty {
+            self.enter(account, pool, shape);
+        }
+        let weight = self.weight(account, self.shape(shape).work);
+        let flow = self.flow(account, pool);
+        flow.backlog = flow.backlog - before + after;
+        flow.weight = weight;
+    }
+
+    /// The cost of `micros` of work in the account's tag.
+    pub(crate) fn cost(&self, account: AccountId, work: WorkId, micros: u64) -> u64 {
+        (micros / self.weight(account, work)).max(1)
+    }
+
+    /// Notes that an account has queued tasks of a shape.
+    fn enter(&mut self, account: AccountId, pool: PoolId, shape: ShapeId) {
+        let queue = self.shape(shape);
+        let ahead = [Wait::Start, Wait::Begin]
+            .into_iter()
+            .filter_map(|w| queue.first(w).map(|(rank, _)| rank))
+            .min();
+        let current = self.current(pool);
+        let by_weight = self.by_weight;
+        let flow = self.flow(account, pool);
+        if flow.lanes.is_empty() {
+            let join = match ahead {
+                Some(rank) if by_weight => current.min(rank),
+                Some(_) | None => current,
+            };
+            flow.tag = flow.tag.max(join);
+        }
+        if let Err(i) = flow.lanes.binary_search(&shape) {
+            flow.lanes.insert(i, shape);
+        }
+    }
+
+    /// Notes that an account has no queued task of a shape any more.
+    pub(crate) fn leave(&mut self, account: AccountId, pool: PoolId, shape: ShapeId) {
+        if let Some(flow) = self
+            .flows
+            .get_mut(pool.at())
+            .and_then(|f| f.get_mut(&account))
+        {
+            if let Ok(i) = flow.lanes.binary_search(&shape) {
+                flow.lanes.remove(i);
+            }
+        }
+    }
+
+    /// Charges a flow for a start.
+    pub(crate) fn charge(&mut self, account: AccountId, pool: PoolId, cost: u64) {
+        if self.virtuals.len() <= pool.at() {
+            self.virtuals.resize(pool.at() + 1, 0);
+        }
+        let flow = self.flow(account, pool);
+        let tag = flow.tag;
+        flow.tag = tag.saturating_add(cost);
+        let current = &mut self.virtuals[pool.at()];
+        *current = tag.max(*current);
+    }
+
+    /// Takes back the charge of a start that didn't run.
+    pub(crate) fn refund(&mut self, account: AccountId, pool: PoolId, cost: u64) {
+        let flow = self.flow(account, pool);
+        flow.tag = flow.tag.saturating_sub(cost);
+    }
+
+    /// Changes an account's limits; what it lagged behind under the old ones is no credit.
+    pub(crate) fn share(&mut self, account: AccountId, work: WorkId, pool: PoolId, share: Share) {
+        self.limit(account, work).share = share;
+        let current = self.current(pool);
+        if let Some(flow) = self
+            .flows
+            .get_mut(pool.at())
+            .and_then(|f| f.get_mut(&account))
+        {
+            flow.tag = flow.tag.max(current);
+        }
+        self.refresh(account, pool);
+    }
+
+    /// Starts all flows anew after the pools changed.
+    pub(crate) fn regroup(&mut self, pool_of: impl Fn(WorkId) -> PoolId) {
+        self.flows.clear();
+        self.virtuals.clear();
+        let mut used = Vec::new();
+        for (s, queue) in self.shapes.iter().enumerate() {
+            let shape = ShapeId::new(s);
+            for (account, lane) in queue.lanes.iter().filter(|(_, l)| l.queued > 0) {
+                used.push((*account, shape, queue.work, lane.primed_cost, lane.total()));
+            }
+        }
+        for (account, shape, work, primed, backlog) in &used {
+            let weight = self.weight(*account, *work);
+            let flow = self.flow(*account, pool_of(*work));
+            flow.primed += primed;
+            flow.backlog += backlog;
+            flow.weight = weight;
+            flow.lanes.push(*shape);
+        }
+        for (account, _, work, _, _) in used {
+            self.refresh(account, pool_of(work));
+        }
+    }
+
+    /// Brings an account's ranks in a pool up to date.
+    pub(crate) fn refresh(&mut self, account: AccountId, pool: PoolId) {
+        let Some(flow) = self.flows.get(pool.at()).and_then(|f| f.get(&account)) else {
+            return;
+        };
+        let (tag, primed) = (flow.tag, flow.primed);
+        for shape in &flow.lanes {
+            let queue = &mut self.shapes[shape.at()];
+            let Some(lane) = queue.lanes.get_mut(&account) else {
+                continue;
+            };
+            let Some(limit) = self.limits.get(&(account, queue.work)) else {
+                continue;
+            };
+            let free = limit.share.concurrency.saturating_sub(limit.running);
+            let start = match self.by_weight {
+                true => tag,
+                false => lane.starts.rank(),
+            };
+            let begin = match self.by_weight {
+                true => tag.saturating_add(primed),
+                false => lane.begins.rank(),
+            };
+            let may_start = !lane.starts.is_empty() && free > 0;
+            let may_begin = !lane.begins.is_empty() && free > limit.primed;
+            let ranks = [
+                may_start.then_some(start),
+                may_begin.then_some(begin),
+                (may_begin && lane.primed == 0).then_some(begin),
+            ];
+            for (i, new) in ranks.into_iter().enumerate() {
+                rerank(&mut queue.waiting[i], account, &mut lane.ranks[i], new);
+            }
+        }
+    }
+
+    /// The job that goes next among the shapes for which `wait` names a line.
+    pub(crate) fn next(
+        &self,
+        now: Time,
+        shapes: &[ShapeId],
+        wait: impl Fn(ShapeId) -> Option<Wait>,
+    ) -> Option<JobId> {
+        let first = |s: &ShapeId| self.shapes.get(s.at())?.first(wait(*s)?);
+        let (_, account) = shapes.iter().filter_map(first).min()?;
+        let head = |s: &ShapeId| {
+            let lane = self.shapes.get(s.at())?.lanes.get(&account)?;
+            let wait = wait(*s)?;
+            lane.ranks[wait as usize]?;
+            match wait {
+                Wait::Start => lane.starts.head(now, self.overtake),
+                Wait::Begin | Wait::First => lane.begins.head(now, self.overtake),
+            }
+        };
+        let (_, _, job) = shapes.iter().filter_map(head).min()?;
+        Some(job)
+    }
+}
+
+fn rerank(
+    set: &mut BTreeSet<(u64, AccountId)>,
+    account: AccountId,
+    old: &mut Option<u64>,
+    new: Option<u64>,
+) {
+    if *old == new {
+        return;
+    }
+    if let Some(rank) = old.take() {
+        set.remove(&(rank, account));
+    }
+    if let Some(rank) = new {
+        set.insert((rank, account));
+    }
+    *old = new;
+}
--- /dev/null
+++ b/crates/dispatch/src/ids.rs
@@ -0,0 +1,70 @@
+//! Small ids for names, so that the hot path compares integers instead of strings.
+
+use greengage_core::SortedMap;
+
+macro_rules! ids {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+        pub(crate) struct $name(pub(crate) u32);
+
+        impl $name {
+            pub(crate) fn new(index: usize) -> $name {
+                $name(u32::try_from(index).expect("an id fits 32 bits"))
+            }
+
+            pub(crate) fn at(self) -> usize {
+                self.0 as usize
+            }
+        }
+    )*};
+}
+
+ids! {
+    /// A client account.
+    AccountId;
+    /// A kind of work on one kind of target.
+    WorkId;
+    /// A target.
+    TargetId;
+    /// What placement has to know of a task: work, demand, spread.
+    ShapeId;
+    /// A job in the slab.
+    JobId;
+    /// Kinds of work that share targets, directly or through others.
+    PoolId;
+}
+
+/// A rack; 0 stands for none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RackId(pub(crate) u32);
+
+/// Names and their ids, which are never reused.
+pub(crate) struct Table<K> {
+    ids: SortedMap<K, usize>,
+    names: Vec<K>,
+}
+
+impl<K: Ord + Clone> Table<K> {
+    pub(crate) fn new() -> Table<K> {
+        Table {
+            ids: SortedMap::new(),
+            names: Vec::new(),
+        }
+    }
+
+    /// The id of a name, made where there is none.
+    pub(crate) fn id(&mut self, name: &K) -> usize {
+        if let Some(id) = self.ids.get(name) {
+            return *id;
+        }
+        let id = self.names.len();
+        self.names.push(name.clone());
+        self.ids.insert(name.clone(), id);
+        id
+    }
+
+    pub(crate) fn name(&self, id: usize) -> &K {
+        &self.names[id]
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/placement.rs
@@ -0,0 +1,91 @@
+//! Which target takes a task.
+
+use rand::Rng;
+
+use greengage_core::{SortedMap, Spread};
+
+use crate::event::Placement;
+use crate::ids::{RackId, TargetId};
+use crate::targets::Shape;
+
+/// Racks that are compared for one task of a job that is spread. A zone of today has fewer; in a
+/// larger one the search starts at another rack for each task and takes the best of this many.
+const RACKS_COMPARED: usize = 64;
+
+/// Chooses a target with room, other than `avoid` where there is a choice.
+pub(crate) fn choose(
+    shape: &Shape,
+    placement: Placement,
+    racks: &SortedMap<RackId, u32>,
+    avoid: Option<TargetId>,
+    rng: &mut impl Rng,
+) -> Option<TargetId> {
+    match shape.key.spread {
+        Spread::Any => choose_in(shape, RackId(0), placement, avoid, rng),
+        Spread::Racks => {
+            let rack = choose_rack(shape, racks, rng)?;
+            let target = choose_in(shape, rack, placement, avoid, rng)?;
+            if Some(target) != avoid {
+                return Some(target);
+            }
+            // The rack has only the target to avoid: take the next rack instead.
+            let next = shape.ready.range(rack..).nth(1);
+            match next.or_else(|| shape.ready.first_key_value()) {
+                Some((rack, _)) => choose_in(shape, *rack, placement, avoid, rng),
+                None => Some(target),
+            }
+        }
+    }
+}
+
+fn choose_rack(
+    shape: &Shape,
+    racks: &SortedMap<RackId, u32>,
+    rng: &mut impl Rng,
+) -> Option<RackId> {
+    let last = shape.ready.last_key_value()?.0;
+    let from = RackId(rng.random_range(0..=last.0));
+    let mut best = None;
+    let wrapped = shape.ready.range(from..).chain(shape.ready.range(..from));
+    for (rack, _) in wrapped.take(RACKS_COMPARED) {
+        let count = racks.get(rack).copied().unwrap_or(0);
+        if best.is_none_or(|(least, _)| count < least) {
+            best = Some((count, *rack));
+        }
+        if count == 0 {
+            break;
+        }
+    }
+    best.map(|(_, rack)| rack)
+}
+
+fn choose_in(
+    shape: &Shape,
+    rack: RackId,
+    placement: Placement,
+    avoid: Option<TargetId>,
+    rng: &mut impl Rng,
+) -> Option<TargetId> {
+    let ready = shape.ready.get(&rack)?;
+    match placement {
+        Placement::Fastest => {
+            let mut order = ready.iter().map(|(_, _, target)| *target);
+            let first = order.next()?;
+            match Some(first) == avoid {
+                true => order.next().or(Some(first)),
+                false => Some(first),
+            }
+        }
+        Placement::Random => {
+            // Speed is left out of the order here, so the tie-breaker alone, drawn anew with each
+            // start, makes this a random choice.
+            let from = (0, rng.random(), TargetId(0));
+            let mut order = ready.range(from..).chain(ready.range(..from)).map(|o| o.2);
+            let first = order.next()?;
+            match Some(first) == avoid {
+                true => order.next().or(Some(first)),
+                false => Some(first),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/verify.rs
@@ -0,0 +1,142 @@
+//! Checks of the counters against what they count.
+
+use std::collections::BTreeMap;
+
+use greengage_core::Demand;
+
+use crate::dispatch::Dispatch;
+use crate::ids::TargetId;
+
+impl Dispatch {
+    /// Checks all invariants; looks at every job, attempt and target.
+    pub fn verify(&self) -> Result<(), String> {
+        self.verify_targets()?;
+        self.verify_queues()
+    }
+
+    fn verify_targets(&self) -> Result<(), String> {
+        let mut sums: BTreeMap<TargetId, (u32, Demand, u64)> = BTreeMap::new();
+        for run in self.attempts.values() {
+            let sum = sums.entry(run.grant.target).or_default();
+            sum.0 += 1;
+            sum.1 = sum.1.plus(&run.grant.demand);
+            sum.2 += run.grant.long;
+        }
+        let mut free_slots = 0;
+        for (id, target) in &self.targets.all {
+            let name = &target.name;
+            let sum = sums.remove(&TargetId::new(id)).unwrap_or_default();
+            check(sum == (target.running, target.granted, target.long), || {
+                format!("target {name}: attempts hold {sum:?}, counted are {target:?}")
+            })?;
+            check(!target.exceeded() || target.excused, || {
+                format!("target {name}: more is granted than it offers: {target:?}")
+            })?;
+            free_slots += target.free_slots();
+        }
+        check(sums.is_empty(), || {
+            format!("attempts on unknown targets: {sums:?}")
+        })?;
+        check(free_slots == self.targets.free_slots, || {
+            format!(
+                "{free_slots} free slots, counted {}",
+                self.targets.free_slots
+            )
+        })?;
+        for (s, shape) in &self.targets.shapes {
+            let found = self.targets.recount(crate::ids::ShapeId::new(s));
+            let counted = (shape.room, shape.slots, shape.rate, shape.could);
+            let ready: usize = shape.ready.values().map(|set| set.len()).sum();
+            check(found == (counted, ready), || {
+                format!(
+                    "shape {:?}: found {found:?}, counted {counted:?}, {ready}",
+                    shape.key
+                )
+            })?;
+        }
+        Ok(())
+    }
+
+    fn verify_queues(&self) -> Result<(), String> {
+        let (mut tasks, mut bytes) = (0, 0);
+        let mut running: BTreeMap<_, u32> = BTreeMap::new();
+        for attempt in self.attempts.keys() {
+            *running.entry(attempt.job).or_default() += 1;
+        }
+        let mut lanes: BTreeMap<_, (u32, u32, u64, usize)> = BTreeMap::new();
+        for (id, job) in self.jobs.iter() {
+            let n = job.number;
+            tasks += u64::from(job.queued);
+            bytes += if job.queued > 0 { job.bytes } else { 0 };
+            let held = running.get(&n).copied().unwrap_or(0);
+            check(held == job.running, || {
+                format!("job {n}: {held} attempts, {job:?}")
+            })?;
+            let sum = job.queued + job.running + job.done;
+            check(sum == job.tasks, || {
+                format!("job {n}: {sum} tasks, {job:?}")
+            })?;
+            let fresh = job.tasks - job.next + job.back.len() as u32;
+            check(fresh == job.queued, || {
+                format!("job {n}: {fresh} to start, {job:?}")
+            })?;
+            check(job.line == job.wanted(), || {
+                format!("job {n} is in the wrong line: {job:?}")
+            })?;
+            let lane = lanes.entry((job.shape, job.account)).or_default();
+            lane.0 += job.queued;
+            lane.2 += job.unit * u64::from(job.queued);
+            if let Some(cost) = job.primed {
+                lane.1 += job.queued;
+                check(cost > 0, || format!("job {n} is primed for nothing"))?;
+            }
+            if let Some(line) = job.line {
+                lane.3 += 1;
+                let queue = self.fair.shape(job.shape).lanes.get(&job.account);
+                let found = queue.is_some_and(|l| l.holds(line, job.place(id)));
+                check(found, || format!("job {n} is not in its queue: {job:?}"))?;
+            }
+        }
+        check(
+            (tasks, bytes) == (self.queued_tasks, self.queued_bytes),
+            || format!("{tasks} tasks and {bytes} bytes queued, counters differ"),
+        )?;
+        for (s, _) in &self.targets.shapes {
+            let shape = crate::ids::ShapeId::new(s);
+            for (account, lane) in self.fair.shape(shape).lanes.iter() {
+                let found = lanes.remove(&(shape, *account)).unwrap_or_default();
+                let jobs = lane.starts.len() + lane.begins.len();
+                let counted = (lane.queued, lane.primed, lane.total(), jobs);
+                check(found == counted, || {
+                    format!("lane {shape:?} {account:?}: {found:?}, counted {counted:?}")
+                })?;
+            }
+        }
+        self.verify_limits()
+    }
+
+    fn verify_limits(&self) -> Result<(), String> {
+        for ((account, work), limit) in self.fair.limits.iter() {
+            let held = self.attempts.values();
+            let held = held
+                .filter(|r| r.account == *account && r.work == *work)
+                .count();
+            let shapes = self.targets.works[work.at()].shapes.iter();
+            let lanes = shapes.filter_map(|s| self.fair.shape(*s).lanes.get(account));
+            let (queued, primed) =
+                lanes.fold((0, 0), |sum, l| (sum.0 + l.queued, sum.1 + l.primed));
+            let counted = (limit.running as usize, limit.queued, limit.primed);
+            check((held, queued, primed) == counted, || {
+                format!("{account:?} {work:?}: {held}, {queued}, {primed}, counted {counted:?}")
+            })?;
+        }
+        Ok(())
+    }
+}
+
+fn check(holds: bool, message: impl FnOnce() -> String) -> Result<(), String> {
+    match holds {
+        true => Ok(()),
+        false => Err(message()),
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/random.rs
@@ -0,0 +1,338 @@
+//! A randomised run over all events, checked after each: the counters match, no task of a recorded
+//! job starts again unless it is known not to have run, and each job ends exactly once.
+//!
+//! `GREENGAGE_SEED` and `GREENGAGE_CASES` choose the seed and the number of runs.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use greengage_core::{
+    AccountName, Capacity, Demand, GuardAction, JobNumber, RackName, Spread, TargetKind,
+    TargetName, TemplateName, Time,
+};
+use greengage_dispatch::{
+    Admission, Attempt, Dispatch, Effect, Event, Job, Limits, Mode, Placement, Running, Settled,
+    Share, TargetSpec, Tuning,
+};
+use greengage_membership::Standing;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+const EVENTS: usize = 1500;
+
+fn variable(name: &str, default: u64) -> u64 {
+    match std::env::var(name) {
+        Ok(text) => text
+            .parse()
+            .unwrap_or_else(|_| panic!("{name} is not a number: {text}")),
+        Err(_) => default,
+    }
+}
+
+#[derive(Default)]
+struct World {
+    now: Time,
+    next: u64,
+    /// Jobs without an end, and whether they are recorded.
+    open: BTreeMap<JobNumber, (bool, u32)>,
+    begins: Vec<JobNumber>,
+    begun: BTreeSet<JobNumber>,
+    running: BTreeMap<Attempt, TargetName>,
+    /// Starts whose outcome was not `NotRun`.
+    used: BTreeSet<(JobNumber, u32)>,
+    done: BTreeMap<JobNumber, u32>,
+}
+
+fn name(rng: &mut StdRng, prefix: &str, n: u32) -> String {
+    format!("{prefix}{}", rng.random_range(0..n))
+}
+
+impl World {
+    fn job(&mut self, rng: &mut StdRng) -> Job {
+        self.next += 1;
+        let kind = *[TargetKind::Executor, TargetKind::Worker]
+            .choose(rng)
+            .unwrap();
+        let modes = [
+            Mode::Recorded { begun: false },
+            Mode::Recorded { begun: true },
+            Mode::Repeatable { retries: 2 },
+        ];
+        Job {
+            number: JobNumber(self.next),
+            account: AccountName::new(&name(rng, "a", 4)).unwrap(),
+            work: TemplateName::new(&name(rng, "w", 4)).unwrap(),
+            tasks: *[1, 1, 2, 5, 70].choose(rng).unwrap(),
+            target: kind,
+            demand: Demand {
+                milli_cores: rng.random_range(0..5) * 500,
+                memory_mib: rng.random_range(0..3) * 1000,
+                accelerators: rng.random_range(0..8) / 7,
+            },
+            spread: *[Spread::Any, Spread::Racks].choose(rng).unwrap(),
+            deadline: self.now + Duration::from_millis(rng.random_range(0..5000)),
+            expected: Duration::from_millis(rng.random_range(0..3000)),
+            mode: *modes.choose(rng).unwrap(),
+            bytes: rng.random_range(0..1000),
+        }
+    }
+
+    fn target(&self, rng: &mut StdRng) -> TargetSpec {
+        let n = rng.random_range(0..8);
+        let capacity = match n % 2 {
+            0 => Capacity::Executor {
+                slots: rng.random_range(0..6),
+                connections: 60,
+            },
+            _ => Capacity::Worker(Demand {
+                milli_cores: rng.random_range(0..10) * 1000,
+                memory_mib: 8000,
+                accelerators: rng.random_range(0..2),
+            }),
+        };
+        TargetSpec {
+            target: TargetName::new(&format!("t{n}")).unwrap(),
+            rack: (n % 3 > 0).then(|| RackName::new(&format!("r{}", n % 3)).unwrap()),
+            work: (0..4)
+                .filter(|_| rng.random_bool(0.6))
+                .map(|w| TemplateName::new(&format!("w{w}")).unwrap())
+                .collect(),
+            capacity,
+        }
+    }
+
+    fn event(&mut self, rng: &mut StdRng) -> Event {
+        let target = TargetName::new(&name(rng, "t", 8)).unwrap();
+        match rng.random_range(0..100) {
+            0..25 => self.submit(rng),
+            25..27 => self.adopt(rng),
+            27..70 if !self.running.is_empty() => self.settle(rng),
+            27..45 if !self.begins.is_empty() => {
+                let i = rng.random_range(0..self.begins.len());
+                let job = self.begins.swap_remove(i);
+                self.begun.insert(job);
+                Event::Begun(job)
+            }
+            70..74 => Event::Cancel(JobNumber(rng.random_range(0..=self.next))),
+            74..82 => Event::Target(self.target(rng)),
+            82..85 => Event::Gone(target),
+            85..89 => Event::Standing {
+                target,
+                standing: *[
+                    Standing::Live,
+                    Standing::Live,
+                    Standing::Probation,
+                    Standing::Ejected,
+                    Standing::Suspect,
+                    Standing::Leaving,
+                ]
+                .choose(rng)
+                .unwrap(),
+            },
+            89..92 => Event::Usage {
+                target,
+                used: Demand {
+                    milli_cores: rng.random_range(0..6000),
+                    memory_mib: rng.random_range(0..6000),
+                    accelerators: 0,
+                },
+            },
+            92..95 => Event::Share {
+                work: TemplateName::new(&name(rng, "w", 4)).unwrap(),
+                account: AccountName::new(&name(rng, "a", 4)).unwrap(),
+                share: Share {
+                    weight: rng.random_range(0..5),
+                    quota: rng.random_range(0..100),
+                    concurrency: rng.random_range(0..20),
+                    burst: rng.random_range(0..10),
+                },
+            },
+            _ => Event::Tick,
+        }
+    }
+
+    fn submit(&mut self, rng: &mut StdRng) -> Event {
+        let job = self.job(rng);
+        let recorded = matches!(job.mode, Mode::Recorded { .. });
+        if job.mode == (Mode::Recorded { begun: true }) {
+            self.begun.insert(job.number);
+        }
+        self.open.insert(job.number, (recorded, job.tasks));
+        Event::Submit(job)
+    }
+
+    fn adopt(&mut self, rng: &mut StdRng) -> Event {
+        let mut job = self.job(rng);
+        job.mode = Mode::Recorded { begun: true };
+        self.open.insert(job.number, (true, job.tasks));
+        self.begun.insert(job.number);
+        let mut done = Vec::new();
+        let mut running = Vec::new();
+        for task in 0..job.tasks {
+            let attempt = Attempt {
+                job: job.number,
+                task,
+                number: 1,
+            };
+            match rng.random_range(0..4) {
+                0 => done.push(task),
+                1 => running.push(Running {
+                    attempt,
+                    target: TargetName::new(&name(rng, "t", 10)).unwrap(),
+                }),
+                _ => continue,
+            }
+            self.used.insert((job.number, task));
+        }
+        self.done.insert(job.number, done.len() as u32);
+        for run in &running {
+            self.running.insert(run.attempt, run.target.clone());
+        }
+        Event::Adopt { job, done, running }
+    }
+
+    fn settle(&mut self, rng: &mut StdRng) -> Event {
+        let i = rng.random_range(0..self.running.len());
+        let attempt = *self.running.keys().nth(i).unwrap();
+        let settled = match rng.random_range(0..20) {
+            0 => Settled::Failed {
+                message: "failed".into(),
+            },
+            1 => Settled::Lost,
+            2..5 => Settled::NotRun,
+            5 => Settled::Guard(GuardAction::Throttled),
+            6 => Settled::Guard(GuardAction::Stopped),
+            _ => Settled::Done {
+                service: Duration::from_millis(rng.random_range(1..2000)),
+            },
+        };
+        if settled != Settled::Guard(GuardAction::Throttled) {
+            self.running.remove(&attempt);
+        }
+        if settled == Settled::NotRun {
+            self.used.remove(&(attempt.job, attempt.task));
+        }
+        if let Settled::Done { .. } = settled {
+            *self.done.entry(attempt.job).or_default() += 1;
+        }
+        Event::Settled { attempt, settled }
+    }
+
+    fn check(&mut self, effects: &[Effect]) {
+        for effect in effects {
+            match effect {
+                Effect::Begin(jobs) => {
+                    for job in jobs {
+                        assert!(!self.begun.contains(job), "{job} begins twice");
+                        assert!(!self.begins.contains(job), "{job} begins twice");
+                        self.begins.push(*job);
+                    }
+                }
+                Effect::Start { attempt, target } => {
+                    let (recorded, tasks) = self.open[&attempt.job];
+                    assert!(attempt.task < tasks, "{attempt:?} is beyond the job");
+                    let new = self.used.insert((attempt.job, attempt.task));
+                    assert!(new || !recorded, "{attempt:?} starts a second time");
+                    assert!(
+                        !recorded || self.begun.contains(&attempt.job),
+                        "{attempt:?}"
+                    );
+                    let old = self.running.insert(*attempt, target.clone());
+                    assert!(
+                        old.is_none(),
+                        "{attempt:?} has the number of a running attempt"
+                    );
+                }
+                Effect::Stop { attempt, target } => {
+                    assert_eq!(
+                        self.running.get(attempt),
+                        Some(target),
+                        "stopped without running"
+                    );
+                }
+                Effect::Complete(job) => {
+                    let (_, tasks) = self.open.remove(job).expect("a job ends once");
+                    assert_eq!(self.done.get(job).copied().unwrap_or(0), tasks, "partial");
+                }
+                Effect::Failed { job, .. } => {
+                    self.open.remove(job).expect("a job ends once");
+                }
+            }
+        }
+    }
+}
+
+fn run(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let tuning = Tuning {
+        placement: *[Placement::Random, Placement::Fastest]
+            .choose(&mut rng)
+            .unwrap(),
+        fair: rng.random_bool(0.7),
+        shortest: rng.random_bool(0.7),
+        short_percent: rng.random_range(0..60),
+        admission: rng.random(),
+        limits: Limits {
+            overtake: Duration::from_millis(rng.random_range(0..3000)),
+            ..Tuning::default().limits
+        },
+        ..Tuning::default()
+    };
+    let mut dispatch = Dispatch::new(tuning, seed);
+    let mut world = World::default();
+    for n in 0..EVENTS {
+        world.now = world.now + Duration::from_millis(rng.random_range(0..20));
+        if rng.random_bool(0.2) {
+            let job = world.job(&mut rng);
+            let before = dispatch.queued_tasks();
+            let _: Admission = dispatch.admit(world.now, &job);
+            assert_eq!(before, dispatch.queued_tasks(), "admit changed the queue");
+        }
+        let event = world.event(&mut rng);
+        let shown = format!("{event:?}");
+        let effects = dispatch.step(world.now, event);
+        world.check(&effects);
+        if let Err(message) = dispatch.verify() {
+            panic!("seed {seed}, event {n}, {shown}: {message}");
+        }
+    }
+    // All attempts are settled and all deadlines pass: nothing may stay behind.
+    while let Some((attempt, _)) = world.running.pop_first() {
+        let settled = Settled::Lost;
+        let effects = dispatch.step(world.now, Event::Settled { attempt, settled });
+        world.check(&effects);
+    }
+    while let Some(at) = dispatch.wake() {
+        world.now = world.now.max(at);
+        let effects = dispatch.step(world.now, Event::Tick);
+        world.check(&effects);
+        while let Some((attempt, _)) = world.running.pop_first() {
+            let settled = Settled::Lost;
+            let effects = dispatch.step(world.now, Event::Settled { attempt, settled });
+            world.check(&effects);
+        }
+    }
+    assert!(
+        world.open.is_empty(),
+        "seed {seed}: jobs without an end: {:?}",
+        world.open
+    );
+    assert_eq!(
+        (
+            dispatch.jobs(),
+            dispatch.running_tasks(),
+            dispatch.queued_tasks()
+        ),
+        (0, 0, 0)
+    );
+    assert_eq!(dispatch.queued_bytes(), 0);
+}
+
+#[test]
+fn counters_and_at_most_once_hold_over_random_events() {
+    let seed = variable("GREENGAGE_SEED", 1);
+    for case in 0..variable("GREENGAGE_CASES", 12) {
+        run(seed + case);
+    }
+}
