Add the membership state machine

Cause: the leader of a zone must know which targets may be sent work and which VMs are alive. Ruled out: ejection state per incarnation (a restart loop would readmit a target that fails everything) and sorted vectors for the timers (a renewal would move thousands of entries).

Change: leases, suspicion, grace, leaving, new incarnations, ejection by rate and by streak, probation, doubling, a share of ejected targets per kind of work, and liveness of VMs. After a pause of the process nothing is declared gone before another lease.

Before: event types only.

--- /dev/null
+++ b/crates/membership/examples/cost.rs
@@ -0,0 +1,59 @@
+//! Prints the cost of a step for several numbers of targets.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use greengage_core::{
+    Address, Capacity, Demand, Incarnation, TargetName, TemplateName, Time, ZoneName,
+};
+use greengage_membership::{Announcement, Event, Limits, Membership, Result};
+
+const STEPS: u64 = 400_000;
+
+fn main() {
+    println!("targets  ns per renewal  ns per attempt  ns per wake");
+    for count in [440, 4_400, 44_000] {
+        let targets: Vec<Announcement> = (0..count).map(announcement).collect();
+        let mut machine = Membership::new(Limits::default(), Time(0));
+        let mut now = 0;
+        // All targets renew once a second.
+        let gap = 1_000_000 / count;
+        let mut run = |gap: u64, event: &dyn Fn(&Announcement) -> Event| {
+            let start = Instant::now();
+            for i in 0..STEPS {
+                now += gap;
+                black_box(machine.step(Time(now), event(&targets[(i % count) as usize])));
+            }
+            start.elapsed().as_nanos() as u64 / STEPS
+        };
+        let renewal = run(gap, &|a| Event::Announce(a.clone()));
+        // No time passes, so that no lease ends.
+        let attempt = run(0, &|a| Event::Attempt {
+            target: a.target.clone(),
+            result: Result::Success,
+        });
+        let start = Instant::now();
+        for _ in 0..STEPS {
+            black_box(machine.wake());
+        }
+        let wake = start.elapsed().as_nanos() as u64 / STEPS;
+        println!("{count:7}  {renewal:14}  {attempt:14}  {wake:11}");
+    }
+}
+
+fn announcement(i: u64) -> Announcement {
+    Announcement {
+        target: TargetName::new(&format!("worker-{i}")).expect("a valid name"),
+        incarnation: Incarnation(1),
+        address: Address::new("127.0.0.1:9000").expect("a valid address"),
+        zone: ZoneName::new("east").expect("a valid name"),
+        rack: None,
+        work: (0..4)
+            .map(|k| TemplateName::new(&format!("kind-{k}")).expect("a valid name"))
+            .collect(),
+        capacity: Capacity::Worker(Demand::default()),
+        usage: None,
+        fencing: true,
+        leaving: false,
+    }
+}
--- /dev/null
+++ b/crates/membership/src/vms.rs
@@ -0,0 +1,79 @@
+//! Which VMs of the system are alive, by their reports.
+
+use greengage_core::{SortedMap, Time, VmName};
+
+use crate::event::{VmStatus, VmView};
+
+/// A VM and its last report.
+struct Vm {
+    status: VmStatus,
+    up: bool,
+    deadline: Time,
+}
+
+/// All VMs; a sorted vector, since there are at most some hundreds.
+#[derive(Default)]
+pub(crate) struct Vms {
+    vms: SortedMap<VmName, Vm>,
+}
+
+/// What a report brought about.
+pub(crate) struct Report {
+    /// Whether the VM came up or restarted.
+    pub(crate) up: bool,
+    /// The deadline that no longer applies.
+    pub(crate) replaced: Option<Time>,
+}
+
+impl Vms {
+    /// Takes note of a report that holds until `deadline`; none when the report is from an
+    /// older incarnation.
+    pub(crate) fn report(&mut self, status: VmStatus, deadline: Time) -> Option<Report> {
+        let old = self.vms.get(&status.vm);
+        if old.is_some_and(|vm| vm.status.incarnation > status.incarnation) {
+            return None;
+        }
+        let report = Report {
+            up: old.is_none_or(|vm| !vm.up || vm.status.incarnation < status.incarnation),
+            replaced: old.map(|vm| vm.deadline),
+        };
+        let vm = Vm {
+            status,
+            up: true,
+            deadline,
+        };
+        self.vms.insert(vm.status.vm.clone(), vm);
+        Some(report)
+    }
+
+    /// Sets a VM's next deadline.
+    pub(crate) fn postpone(&mut self, name: &VmName, deadline: Time) {
+        if let Some(vm) = self.vms.get_mut(name) {
+            vm.deadline = deadline;
+        }
+    }
+
+    /// Marks a VM as down; false when it was down already and is now forgotten.
+    pub(crate) fn expire(&mut self, name: &VmName) -> bool {
+        match self.vms.get_mut(name) {
+            Some(vm) if vm.up => {
+                vm.up = false;
+                true
+            }
+            Some(_) | None => {
+                self.vms.remove(name);
+                false
+            }
+        }
+    }
+
+    pub(crate) fn view(&self) -> VmView {
+        VmView {
+            vms: self
+                .vms
+                .iter()
+                .map(|(name, vm)| (name.clone(), (vm.status.clone(), vm.up)))
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/membership/main.rs
@@ -0,0 +1,133 @@
+//! Tests of the membership state machine: events in, effects out.
+
+mod random;
+mod rules;
+
+use std::time::Duration;
+
+use greengage_core::{Address, Capacity, Incarnation, TargetName, TemplateName, Time, ZoneName};
+use greengage_membership::{Announcement, Effect, Event, Limits, Membership, Result, Standing};
+
+fn target(name: &str) -> TargetName {
+    TargetName::new(name).unwrap()
+}
+
+/// An executor that runs `tours`.
+fn announcement(name: &str, incarnation: u64) -> Announcement {
+    Announcement {
+        target: target(name),
+        incarnation: Incarnation(incarnation),
+        address: Address::new("127.0.0.1:9000").unwrap(),
+        zone: ZoneName::new("east").unwrap(),
+        rack: None,
+        work: vec![TemplateName::new("tours").unwrap()],
+        capacity: Capacity::Executor {
+            slots: 8,
+            connections: 60,
+        },
+        usage: None,
+        fencing: true,
+        leaving: false,
+    }
+}
+
+fn ms(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn up(name: &str, incarnation: u64) -> Effect {
+    Effect::Up(announcement(name, incarnation))
+}
+
+fn gone(name: &str, incarnation: u64) -> Effect {
+    Effect::Gone {
+        target: target(name),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+fn now_is(name: &str, standing: Standing) -> Effect {
+    Effect::Standing {
+        target: target(name),
+        standing,
+    }
+}
+
+fn announce(name: &str, incarnation: u64) -> Event {
+    Event::Announce(announcement(name, incarnation))
+}
+
+fn attempt(name: &str, result: Result) -> Event {
+    Event::Attempt {
+        target: target(name),
+        result,
+    }
+}
+
+/// A machine and its time.
+struct Run {
+    machine: Membership,
+    now: Time,
+    /// Targets that renew each second, with their incarnations.
+    renewing: Vec<(&'static str, u64)>,
+}
+
+impl Run {
+    fn new() -> Run {
+        Run::with(Limits::default())
+    }
+
+    fn with(limits: Limits) -> Run {
+        Run {
+            machine: Membership::new(limits, ms(0)),
+            now: ms(0),
+            renewing: Vec::new(),
+        }
+    }
+
+    /// A machine with live targets that renew.
+    fn live(names: &[&'static str]) -> Run {
+        let mut run = Run::new();
+        for name in names {
+            run.step(announce(name, 1));
+            run.renewing.push((name, 1));
+        }
+        run
+    }
+
+    fn step(&mut self, event: Event) -> Vec<Effect> {
+        self.machine.step(self.now, event)
+    }
+
+    /// Lets time pass up to `end`, with a step at each deadline and each renewal.
+    fn until(&mut self, end: Time) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        while self.now < end {
+            let second = ms((self.now.0 / 1_000_000 + 1) * 1000);
+            let wake = self.machine.wake().unwrap_or(end);
+            self.now = second.min(wake.max(self.now)).min(end);
+            effects.extend(self.step(Event::Tick));
+            if self.now == second {
+                for (name, incarnation) in self.renewing.clone() {
+                    effects.extend(self.step(announce(name, incarnation)));
+                }
+            }
+        }
+        effects
+    }
+
+    fn wait(&mut self, span: Duration) -> Vec<Effect> {
+        self.until(self.now + span)
+    }
+
+    /// `count` attempts with the same result.
+    fn attempts(&mut self, name: &str, result: Result, count: usize) -> Vec<Effect> {
+        (0..count)
+            .flat_map(|_| self.step(attempt(name, result)))
+            .collect()
+    }
+
+    fn standing(&self, name: &str) -> Option<Standing> {
+        self.machine.target(&target(name)).map(|t| t.standing)
+    }
+}
