--- /dev/null
+++ b/crates/timeline/tests/timeline.rs
@@ -0,0 +1,138 @@
+//! Tests of the timeline: stamps, bounds and the merge.
+
+use greengage_core::{AccountName, Hlc, JobKey, Name, TargetName, VmName, Wall, ZoneName};
+use greengage_timeline::{merge, Event, Timeline};
+
+fn timeline(vm: &str) -> Timeline {
+    Timeline::new(VmName::new(vm).unwrap(), 4)
+}
+
+fn note(timeline: &mut Timeline, now: u64, what: &str) -> Hlc {
+    timeline.record(Wall(now), None, None, what)
+}
+
+fn whats(events: &[Event]) -> Vec<&str> {
+    events.iter().map(|e| e.what.as_str()).collect()
+}
+
+/// Guards against an effect that is shown before its cause because of skewed clocks.
+#[test]
+fn the_merge_shows_causes_before_effects_despite_skewed_clocks() {
+    let (mut a, mut b) = (timeline("a"), timeline("b"));
+    note(&mut a, 9000, "accepted");
+    let sent = a.stamp(Wall(9000));
+    // The clock of `b` is 5 s behind.
+    note(&mut b, 4001, "idle");
+    assert!(b.observe(sent, Wall(4002)));
+    note(&mut b, 4003, "started");
+    let reply = b.stamp(Wall(4004));
+    a.observe(reply, Wall(9000));
+    note(&mut a, 9000, "closed");
+    let lists = vec![b.select(None, None), a.select(None, None)];
+    assert_eq!(
+        whats(&merge(lists)),
+        ["idle", "accepted", "started", "closed"]
+    );
+}
+
+/// Guards against an order that changes from one merge to the next.
+#[test]
+fn equal_stamps_are_ordered_by_vm_and_then_stay_in_order() {
+    let event = |vm: &str, what: &str| Event {
+        at: Hlc::default(),
+        vm: VmName::new(vm).unwrap(),
+        key: None,
+        target: None,
+        what: what.to_owned(),
+    };
+    let lists = vec![
+        vec![event("b", "1"), event("b", "2")],
+        vec![event("a", "3")],
+        vec![event("b", "4")],
+    ];
+    assert_eq!(whats(&merge(lists)), ["3", "1", "2", "4"]);
+}
+
+/// Guards against stamps that go back with the clock of the machine.
+#[test]
+fn a_clock_that_jumps_back_keeps_stamps_growing() {
+    let mut a = timeline("a");
+    let mut last = note(&mut a, 500_000, "before");
+    for now in [400_000, 400_001, 500_000, 1, 500_001] {
+        let at = a.stamp(Wall(now));
+        assert!(at > last, "{at} after {last}");
+        last = at;
+    }
+    assert_eq!(
+        last,
+        Hlc {
+            wall: Wall(500_001),
+            count: 0
+        }
+    );
+}
+
+/// Guards against one broken clock that moves the stamps of all processes.
+#[test]
+fn a_stamp_far_ahead_is_not_adopted() {
+    let mut a = timeline("a");
+    let far = |wall| Hlc {
+        wall: Wall(wall),
+        count: 7,
+    };
+    assert!(!a.observe(far(160_001), Wall(100_000)));
+    assert_eq!(a.stamp(Wall(100_000)).wall, Wall(100_000));
+    assert!(a.observe(far(160_000), Wall(100_000)));
+    assert!(a.stamp(Wall(100_000)) > far(160_000));
+}
+
+/// Guards against an overflow of the counter, which a peer can send.
+#[test]
+fn a_counter_that_is_used_up_carries_over() {
+    let mut a = timeline("a");
+    let last = Hlc {
+        wall: Wall(1000),
+        count: u32::MAX,
+    };
+    assert!(a.observe(last, Wall(900)));
+    let at = a.stamp(Wall(900));
+    assert!(at > last);
+    assert_eq!(at.wall, Wall(1001));
+}
+
+/// Guards against unbounded memory, and against a loss of the latest events.
+#[test]
+fn the_oldest_events_make_room() {
+    let mut a = timeline("a");
+    for now in 0..10 {
+        note(&mut a, now, &now.to_string());
+    }
+    assert_eq!(whats(&a.select(None, None)), ["6", "7", "8", "9"]);
+    let mut none = Timeline::new(VmName::new("a").unwrap(), 0);
+    note(&mut none, 1, "dropped");
+    assert!(none.select(None, None).is_empty());
+}
+
+/// Guards against events of other submissions or targets in a selection.
+#[test]
+fn a_selection_holds_what_concerns_the_submission_and_the_target() {
+    let key = |id: &str| JobKey {
+        account: AccountName::new("acme").unwrap(),
+        zone: ZoneName::new("east").unwrap(),
+        id: Name::new(id).unwrap(),
+    };
+    let target = |name: &str| TargetName::new(name).unwrap();
+    let mut a = timeline("a");
+    a.record(Wall(1), Some(key("1")), Some(target("x")), "one on x");
+    a.record(Wall(2), Some(key("1")), Some(target("y")), "one on y");
+    a.record(Wall(3), Some(key("2")), Some(target("x")), "two on x");
+    a.record(Wall(4), None, Some(target("x")), "x is up");
+    let one = key("1");
+    let x = target("x");
+    assert_eq!(whats(&a.select(Some(&one), None)), ["one on x", "one on y"]);
+    assert_eq!(
+        whats(&a.select(None, Some(&x))),
+        ["one on x", "two on x", "x is up"]
+    );
+    assert_eq!(whats(&a.select(Some(&one), Some(&x))), ["one on x"]);
+}
