--- a/crates/agreement/src/message.rs
+++ b/crates/agreement/src/message.rs
@@ -77,8 +77,8 @@
 /// What has to become durable, in one step.
 ///
 /// `entries` replace all entries of the durable log from the index of the first one on. With
-/// `snapshot`, entries up to its index may be dropped; when the log has no entry with the
-/// snapshot's index and term, the whole log is dropped.
+/// `snapshot`, entries up to its index may be dropped; with `clear`, all earlier entries must be
+/// dropped first, since they don't lead to the snapshot.
 #[value]
 pub struct Save<C, S> {
     /// The number to report in `Event::Saved`.
@@ -89,6 +89,8 @@
     pub entries: Vec<Entry<C>>,
     /// A snapshot to store.
     pub snapshot: Option<Snapshot<S>>,
+    /// Whether to drop all earlier entries.
+    pub clear: bool,
 }
 
 /// The caller's number of a proposal, a read or a change.
--- a/crates/agreement/src/outbox.rs
+++ b/crates/agreement/src/outbox.rs
@@ -110,6 +110,7 @@
                 hard: self.hard.take(),
                 entries,
                 snapshot: self.snapshot.take(),
+                clear: self.restore.is_some(),
             }));
         }
         let saved = self.saved;
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -179,6 +179,8 @@
     pub status: VmStatus,
     /// Whether the report still holds.
     pub alive: bool,
+    /// The id of its data folder, where it has one.
+    pub folder: Option<u64>,
 }
 
 /// Why a VM takes no new work.
--- a/crates/control/src/call.rs
+++ b/crates/control/src/call.rs
@@ -112,6 +112,8 @@
         /// Why, for the time line.
         reason: String,
     },
+    /// The target runs under another incarnation than the call names; it did nothing.
+    Restarted,
     /// The answer to a fence.
     Fenced {
         /// The target's incarnation.
--- /dev/null
+++ b/crates/control/src/configuration.rs
@@ -0,0 +1,333 @@
+//! The configuration: edits through the control group, and their way to VMs that are no members.
+//!
+//! Members apply committed edits from the group's log. The control leader pushes them on to every
+//! other VM, at once when an edit is applied and again when a VM reports an older revision; a VM
+//! that doesn't hear the leader is helped by any VM that reports a higher revision. Only committed
+//! edits are pushed, and a VM never goes back to a lower revision.
+
+use std::collections::VecDeque;
+
+use greengage_agreement as agreement;
+use greengage_agreement::{EntryKind, Ticket};
+use greengage_core::{Index, Revision, VmName};
+use greengage_membership::VmStatus;
+use greengage_policy as policy;
+
+use crate::api::{ApiError, Group, Reply, Request};
+use crate::control::Control;
+use crate::message::{Body, Effect, GroupSave};
+use crate::replica::refused;
+use crate::zone::Origin;
+
+/// How many status intervals without a push mean that the control leader isn't heard.
+const SILENT_INTERVALS: u32 = 4;
+
+/// The newest edits, for VMs that are a little behind.
+pub(crate) struct EditLog {
+    edits: VecDeque<(Revision, policy::Command)>,
+    limit: usize,
+    /// Every edit after this revision is in `edits`.
+    after: Revision,
+}
+
+impl EditLog {
+    pub(crate) fn new(limit: usize) -> EditLog {
+        EditLog {
+            edits: VecDeque::new(),
+            limit,
+            after: Revision(0),
+        }
+    }
+
+    fn push(&mut self, revision: Revision, command: policy::Command) {
+        self.edits.push_back((revision, command));
+        if self.edits.len() > self.limit {
+            if let Some((dropped, _)) = self.edits.pop_front() {
+                self.after = dropped;
+            }
+        }
+    }
+
+    pub(crate) fn reset(&mut self, revision: Revision) {
+        self.edits.clear();
+        self.after = revision;
+    }
+
+    /// The edits after `revision`, or none when some of them aren't kept any more.
+    fn after(&self, revision: Revision) -> Option<Vec<(Revision, policy::Command)>> {
+        if revision < self.after {
+            return None;
+        }
+        let first = self.edits.partition_point(|(r, _)| *r <= revision);
+        Some(self.edits.iter().skip(first).cloned().collect())
+    }
+}
+
+impl Control {
+    /// Whether this VM hears the control leader, or is it.
+    pub(crate) fn hears_control(&self) -> bool {
+        if let Some(group) = &self.control {
+            if self.control_member() {
+                return group.replica.leads() || group.replica.leader().is_some();
+            }
+        }
+        let limit = self.site.limits.status * SILENT_INTERVALS;
+        let heard = |at| self.now.time.since(at) <= limit;
+        self.pusher.as_ref().is_some_and(|(_, at)| heard(*at))
+    }
+
+    /// Whether this VM is a member of the control group at present.
+    pub(crate) fn control_member(&self) -> bool {
+        self.control.as_ref().is_some_and(|group| {
+            let config = group.replica.status().config;
+            config.members.contains(group.replica.node())
+        })
+    }
+
+    /// The VM that leads the control group, as far as this one knows.
+    pub(crate) fn control_leader(&self) -> Option<VmName> {
+        if let Some(group) = &self.control {
+            if let Some(leader) = group.replica.leader() {
+                return Some(leader.vm.clone());
+            }
+        }
+        match self.hears_control() {
+            true => self.pusher.as_ref().map(|(vm, _)| vm.clone()),
+            false => None,
+        }
+    }
+
+    pub(crate) fn leads_control(&self) -> bool {
+        self.control
+            .as_ref()
+            .is_some_and(|group| group.replica.leads())
+    }
+
+    /// Proposes an edit on behalf of a caller.
+    pub(crate) fn edit(&mut self, origin: Origin, command: policy::Command) {
+        let now = self.now.time;
+        let Some(group) = &mut self.control else {
+            return self.answer(origin, Reply::Error(ApiError::NoLeader(Group::Control)));
+        };
+        let (ticket, effects) = group.replica.propose(now, command);
+        if refused(ticket, &effects).is_some() {
+            self.drive_control(effects);
+            return self.redirect(origin);
+        }
+        if let Some((index, term)) = appended(ticket, &effects) {
+            group.edits.insert(index, (term, origin));
+        }
+        self.drive_control(effects);
+    }
+
+    /// Reads current state on behalf of a caller.
+    pub(crate) fn read_control(&mut self, origin: Origin, request: Request) {
+        let now = self.now.time;
+        let Some(group) = &mut self.control else {
+            return self.answer(origin, Reply::Error(ApiError::NoLeader(Group::Control)));
+        };
+        let (ticket, effects) = group.replica.read(now);
+        if refused(ticket, &effects).is_some() {
+            self.drive_control(effects);
+            return self.redirect(origin);
+        }
+        group.reads.insert(ticket, (origin, request));
+        self.drive_control(effects);
+    }
+
+    pub(crate) fn read_ready(&mut self, ticket: Ticket) {
+        let Some(group) = &mut self.control else {
+            return;
+        };
+        if let Some((origin, request)) = group.reads.remove(&ticket) {
+            let reply = self.read_document(&request);
+            self.answer(origin, reply);
+        }
+    }
+
+    pub(crate) fn apply_control(&mut self, entries: Vec<agreement::Entry<policy::Command>>) {
+        let before = self.policy.revision();
+        for entry in entries {
+            let (index, term) = (entry.index, entry.term);
+            match entry.kind {
+                EntryKind::Noop => {}
+                EntryKind::Command(command) => {
+                    let outcome = self.apply_edit(Revision(index.0), command);
+                    self.answer_edit(index, term, outcome);
+                }
+                EntryKind::Config(config) => {
+                    let group = self.control.as_mut().expect("entries come from the group");
+                    let change = group.changes.remove(&index);
+                    self.changed(change, term, config);
+                }
+            }
+        }
+        self.compact_control();
+        self.revised(before);
+    }
+
+    fn answer_edit(
+        &mut self,
+        index: Index,
+        term: greengage_core::Term,
+        outcome: Option<policy::Outcome>,
+    ) {
+        let group = self.control.as_mut().expect("entries come from the group");
+        let Some((proposed, origin)) = group.edits.remove(&index) else {
+            return;
+        };
+        match outcome {
+            Some(outcome) if proposed == term => self.answer(origin, Reply::Edit(outcome)),
+            _ => self.redirect(origin),
+        }
+    }
+
+    /// Applies a committed edit, unless the data folder's copy of the configuration has it.
+    fn apply_edit(
+        &mut self,
+        revision: Revision,
+        command: policy::Command,
+    ) -> Option<policy::Outcome> {
+        if revision <= self.policy.applied() {
+            return None;
+        }
+        let outcome = self.policy.apply(revision, &command);
+        self.edit_log.push(revision, command);
+        Some(outcome)
+    }
+
+    /// Sends callers of edits whose fate is unknown to the next leader; a resend of the same
+    /// operation is answered and not applied again.
+    pub(crate) fn drop_edits(&mut self) {
+        let Some(group) = &mut self.control else {
+            return;
+        };
+        let edits = std::mem::take(&mut group.edits);
+        let reads = std::mem::take(&mut group.reads);
+        let edits = edits.into_iter().map(|(_, (_, origin))| origin);
+        let reads = reads.into_iter().map(|(_, (origin, _))| origin);
+        for origin in edits.chain(reads).collect::<Vec<_>>() {
+            self.redirect(origin);
+        }
+    }
+
+    fn compact_control(&mut self) {
+        let now = self.now.time;
+        let every = self.site.limits.compact;
+        let state = || self.policy.snapshot();
+        if let Some(group) = &mut self.control {
+            let effects = group.replica.compact(now, every, state);
+            self.drive_control(effects);
+        }
+    }
+
+    /// Takes over a whole state, unless it is older than what is in force here.
+    pub(crate) fn restore_policy(&mut self, state: policy::State) {
+        let before = self.policy.revision();
+        if self.policy.restore(state).is_ok() {
+            self.edit_log.reset(self.policy.applied());
+            self.revised(before);
+        }
+    }
+
+    /// Does what follows a change of the revision.
+    fn revised(&mut self, before: Revision) {
+        let revision = self.policy.revision();
+        assert!(revision >= before, "the revision never goes back");
+        if revision == before {
+            return;
+        }
+        self.record(&format!("revision {revision} is in force"));
+        if self.site.folder.is_some() && !self.disk_failed {
+            let save = GroupSave::Policy(self.policy.snapshot());
+            self.out.push(Effect::Save(save));
+        }
+        self.with_zone(|zone, cx| zone.share(cx));
+        self.push_all(before);
+        self.report();
+    }
+
+    fn push_all(&mut self, before: Revision) {
+        if !self.leads_control() {
+            return;
+        }
+        for vm in self.followers() {
+            self.push(&vm, before);
+        }
+    }
+
+    /// The VMs that are no members of the control group.
+    fn followers(&self) -> Vec<VmName> {
+        let Some(group) = &self.control else {
+            return Vec::new();
+        };
+        let config = group.replica.status().config;
+        let member = |vm: &VmName| config.members.keys().any(|node| node.vm == *vm);
+        let others = self.site.others().map(|(vm, _)| vm);
+        others.filter(|vm| !member(vm)).cloned().collect()
+    }
+
+    /// Pushes to a VM that reported, as its leader or as a helper.
+    pub(crate) fn push_to(&mut self, status: &VmStatus) {
+        let behind = status.revision < self.policy.revision();
+        let leader = self.leads_control() && self.followers().contains(&status.vm);
+        if leader || (behind && !status.control) {
+            self.push(&status.vm, status.revision);
+        }
+    }
+
+    fn push(&mut self, vm: &VmName, after: Revision) {
+        let leading = self.leads_control();
+        let body = match self.edit_log.after(after) {
+            Some(edits) => Body::Edits {
+                after,
+                edits,
+                leading,
+            },
+            None => Body::Policy {
+                state: self.policy.snapshot(),
+                leading,
+            },
+        };
+        self.send(vm, body);
+    }
+
+    /// Notes the leader of the control group on a VM that is no member of it.
+    pub(crate) fn pushed_by(&mut self, from: &VmName, leading: bool) {
+        if leading {
+            self.pusher = Some((from.clone(), self.now.time));
+        }
+    }
+
+    pub(crate) fn pushed_edits(&mut self, after: Revision, edits: &[(Revision, policy::Command)]) {
+        let before = self.policy.revision();
+        if self.control_member() || after > self.policy.applied() {
+            return;
+        }
+        for (revision, command) in edits {
+            self.apply_edit(*revision, command.clone());
+        }
+        self.revised(before);
+    }
+
+    pub(crate) fn pushed_policy(&mut self, state: &policy::State) {
+        if !self.control_member() {
+            self.restore_policy(state.clone());
+        }
+    }
+}
+
+/// Where a proposal was appended in the same step.
+pub(crate) fn appended<C, S>(
+    ticket: Ticket,
+    effects: &[agreement::Effect<C, S>],
+) -> Option<(Index, greengage_core::Term)> {
+    effects.iter().find_map(|effect| match effect {
+        agreement::Effect::Appended {
+            ticket: t,
+            index,
+            term,
+        } if *t == ticket => Some((*index, *term)),
+        _ => None,
+    })
+}
--- /dev/null
+++ b/crates/control/src/control.rs
@@ -0,0 +1,780 @@
+//! The control thread's state and its single entry point.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use greengage_agreement as agreement;
+use greengage_agreement::{EntryKind, Role, Seat, Ticket};
+use greengage_core::{Index, NodeId, RequestId, Revision, SortedMap, Term, Time, VmName, ZoneName};
+use greengage_ledger as ledger;
+use greengage_ledger::Ledger;
+use greengage_membership as membership;
+use greengage_membership::{Membership, VmStatus};
+use greengage_policy as policy;
+use greengage_policy::Policy;
+use greengage_timeline::Timeline;
+
+use crate::api::{ApiError, Group, NotReady, Reply, Request};
+use crate::call::Seen;
+use crate::configuration::EditLog;
+use crate::message::{Body, Effect, Envelope, Event, GroupSave, Now, Restored, Saved};
+use crate::replica::{self, refused, Replica};
+use crate::routing::{Caller, RouteTimer};
+use crate::site::Site;
+use crate::timers::Timers;
+use crate::zone::{Cx, Origin, Output, Zone, ZoneLimits};
+
+/// The effects of one step of a ledger group.
+type LedgerEffects = Vec<agreement::Effect<ledger::Command, ledger::State>>;
+/// The effects of one step of the control group.
+type PolicyEffects = Vec<agreement::Effect<policy::Command, policy::State>>;
+
+/// What the data folder held at start.
+#[derive(Default)]
+pub struct Durable {
+    /// The control group.
+    pub control: Restored<policy::Command, policy::State>,
+    /// The ledger groups by zone.
+    pub ledgers: SortedMap<ZoneName, Restored<ledger::Command, ledger::State>>,
+    /// The last applied configuration.
+    pub policy: Option<policy::State>,
+}
+
+/// A ledger group in which this VM has a seat, or may get one.
+pub(crate) struct LedgerGroup {
+    pub(crate) replica: Replica<ledger::Command, ledger::State>,
+    pub(crate) ledger: Ledger,
+    /// Callers of membership changes, by the index that decides.
+    pub(crate) changes: SortedMap<Index, (Term, Origin)>,
+}
+
+/// The control group in which this VM has a seat, or may get one.
+pub(crate) struct ControlGroup {
+    pub(crate) replica: Replica<policy::Command, policy::State>,
+    /// Callers of edits, by the index that decides.
+    pub(crate) edits: SortedMap<Index, (Term, Origin)>,
+    /// Callers of membership changes, by the index that decides.
+    pub(crate) changes: SortedMap<Index, (Term, Origin)>,
+    /// Callers of current reads, by ticket.
+    pub(crate) reads: SortedMap<Ticket, (Origin, Request)>,
+}
+
+/// The control thread's state.
+pub struct Control {
+    pub(crate) site: Site,
+    pub(crate) now: Now,
+    pub(crate) policy: Policy,
+    pub(crate) control: Option<ControlGroup>,
+    pub(crate) ledgers: SortedMap<ZoneName, LedgerGroup>,
+    pub(crate) zone: Option<Zone>,
+    pub(crate) membership: Membership,
+    pub(crate) timeline: Timeline,
+    /// Requests of this VM's front ends without a reply. A `BTreeMap`, because callers come and
+    /// go at random places by the ten thousand.
+    pub(crate) callers: BTreeMap<RequestId, Caller>,
+    pub(crate) routes: Timers<RouteTimer>,
+    /// The leader of each zone's ledger group, as last heard.
+    pub(crate) leaders: SortedMap<ZoneName, (Term, VmName)>,
+    /// The data folder of each VM, as last heard.
+    pub(crate) folders: SortedMap<VmName, Option<u64>>,
+    /// The control leader and when it was last heard, on a VM that is no member of the group.
+    pub(crate) pusher: Option<(VmName, Time)>,
+    pub(crate) edit_log: EditLog,
+    pub(crate) next_status: Time,
+    pub(crate) draining: Option<Time>,
+    drained: bool,
+    pub(crate) disk_failed: bool,
+    pub(crate) out: Vec<Effect>,
+}
+
+impl Control {
+    /// Starts from a verified site and what the data folder held.
+    pub fn new(site: Site, durable: Durable, now: Now) -> Control {
+        let mut policy = Policy::new();
+        let snapshot = durable.control.snapshot.as_ref();
+        let snapshot = snapshot.map(|snapshot| snapshot.state.clone());
+        // The later of the two wins; an earlier state is refused.
+        for state in snapshot.into_iter().chain(durable.policy) {
+            let _ = policy.restore(state);
+        }
+        let mut edit_log = EditLog::new(site.limits.edits);
+        edit_log.reset(policy.applied());
+        let mut control = Control {
+            now,
+            policy,
+            control: None,
+            ledgers: SortedMap::new(),
+            zone: None,
+            membership: Membership::new(membership::Limits::default(), now.time),
+            timeline: Timeline::new(site.vm.clone(), site.limits.events),
+            callers: BTreeMap::new(),
+            routes: Timers::new(),
+            leaders: SortedMap::new(),
+            folders: SortedMap::new(),
+            pusher: None,
+            edit_log,
+            next_status: now.time,
+            draining: None,
+            drained: false,
+            disk_failed: false,
+            out: Vec::new(),
+            site,
+        };
+        control.start_groups(durable.control, durable.ledgers);
+        control
+    }
+
+    fn start_groups(
+        &mut self,
+        control: Restored<policy::Command, policy::State>,
+        mut ledgers: SortedMap<ZoneName, Restored<ledger::Command, ledger::State>>,
+    ) {
+        let roles = self.site.roles().clone();
+        if roles.control {
+            self.control = Some(ControlGroup {
+                replica: self.replica(self.site.first_control(), control, 0),
+                edits: SortedMap::new(),
+                changes: SortedMap::new(),
+                reads: SortedMap::new(),
+            });
+        }
+        let own = roles.ledger.then(|| self.site.zone().clone());
+        for (i, zone) in own.into_iter().chain(roles.witness).enumerate() {
+            let restored = ledgers.remove(&zone).unwrap_or_default();
+            let mut ledger = Ledger::new();
+            if let Some(snapshot) = &restored.snapshot {
+                ledger.restore(snapshot.state.clone());
+            }
+            let config = self.site.first_ledger(&zone);
+            let group = LedgerGroup {
+                replica: self.replica(config, restored, i as u64 + 1),
+                ledger,
+                changes: SortedMap::new(),
+            };
+            self.ledgers.insert(zone, group);
+        }
+    }
+
+    fn replica<C: Clone, S: Clone>(
+        &self,
+        config: agreement::Config,
+        restored: Restored<C, S>,
+        salt: u64,
+    ) -> Replica<C, S> {
+        Replica::new(replica::Start {
+            node: self.site.node(),
+            config,
+            timing: self.site.limits.timing.clone(),
+            restored,
+            seed: self.site.seed.wrapping_add(salt),
+            now: self.now.time,
+        })
+    }
+
+    /// Handles one event at the present time.
+    pub fn step(&mut self, now: Now, event: Event) -> Vec<Effect> {
+        self.now = now;
+        match event {
+            Event::Tick => {}
+            Event::Request { id, wait, request } => self.request(id, wait, request),
+            Event::Peer { from, envelope } => self.peer(&from, &envelope),
+            Event::Saved(saved) => self.saved(saved),
+            Event::DiskFailed => self.fail_disk(),
+            Event::Seen { token, seen } => self.seen(token, seen),
+            Event::Drain => self.drain(),
+        }
+        self.tick();
+        std::mem::take(&mut self.out)
+    }
+
+    /// When the next `Event::Tick` is due.
+    pub fn wake(&self) -> Time {
+        let mut wake = self.next_status;
+        let groups = self.ledgers.values().map(|group| group.replica.wake());
+        let control = self.control.iter().map(|group| group.replica.wake());
+        let zone = self.zone.iter().filter_map(Zone::wake);
+        let rest = self.routes.next().into_iter().chain(self.membership.wake());
+        for at in groups.chain(control).chain(zone).chain(rest) {
+            wake = wake.min(at);
+        }
+        wake
+    }
+
+    /// The revision in force.
+    pub fn revision(&self) -> Revision {
+        self.policy.revision()
+    }
+
+    /// Requests without a reply at this VM.
+    pub fn waiting(&self) -> usize {
+        self.callers.len()
+    }
+
+    fn tick(&mut self) {
+        if self.tick_due() {
+            self.tick_groups();
+        }
+        let now = self.now.time;
+        let due = |at: Option<Time>| at.is_some_and(|at| at <= now);
+        if due(self.membership.wake()) {
+            self.member(membership::Event::Tick);
+        }
+        if self.zone.as_ref().is_some_and(|zone| due(zone.wake())) {
+            self.with_zone(|zone, cx| zone.tick(cx));
+        }
+        self.tick_routes();
+        if self.next_status <= self.now.time {
+            self.report();
+        }
+        self.check_drained();
+    }
+
+    fn tick_due(&self) -> bool {
+        let now = self.now.time;
+        let control = self.control.iter().any(|group| group.replica.wake() <= now);
+        control
+            || self
+                .ledgers
+                .values()
+                .any(|group| group.replica.wake() <= now)
+    }
+
+    fn tick_groups(&mut self) {
+        let now = self.now.time;
+        if let Some(group) = &mut self.control {
+            if group.replica.wake() <= now {
+                let effects = group.replica.step(now, agreement::Event::Tick);
+                self.drive_control(effects);
+            }
+        }
+        for zone in self.ledger_zones() {
+            let group = self.ledgers.get_mut(&zone).expect("listed just now");
+            if group.replica.wake() <= now {
+                let effects = group.replica.step(now, agreement::Event::Tick);
+                self.drive_ledger(&zone, effects);
+            }
+        }
+    }
+
+    fn ledger_zones(&self) -> Vec<ZoneName> {
+        self.ledgers.keys().cloned().collect()
+    }
+
+    // Messages between VMs.
+
+    pub(crate) fn send(&mut self, to: &VmName, body: Body) {
+        let stamp = self.timeline.stamp(self.now.wall);
+        self.out.push(Effect::Send {
+            to: to.clone(),
+            envelope: Envelope { stamp, body },
+        });
+    }
+
+    fn peer(&mut self, from: &VmName, envelope: &Arc<Envelope>) {
+        self.timeline.observe(envelope.stamp, self.now.wall);
+        match &envelope.body {
+            Body::Control {
+                from: node,
+                to,
+                message,
+            } => {
+                if node.vm == *from && *to == self.site.node() {
+                    self.receive_control(node.clone(), message.clone());
+                }
+            }
+            Body::Ledger {
+                zone,
+                from: node,
+                to,
+                message,
+            } => {
+                if node.vm == *from && *to == self.site.node() {
+                    self.receive_ledger(zone, node.clone(), message.clone());
+                }
+            }
+            Body::Forward { id, wait, request } => {
+                let origin = Origin {
+                    vm: from.clone(),
+                    id: *id,
+                };
+                self.forwarded(origin, *wait, request.clone());
+            }
+            Body::Reply { id, reply } => self.replied(*id, reply.clone()),
+            Body::Redirect { id } => self.redirected(*id),
+            Body::Announce(announcement) => {
+                self.member(membership::Event::Announce(announcement.clone()));
+            }
+            Body::Leave(target) => self.member(membership::Event::Leave(target.clone())),
+            Body::Status { status, folder } => self.status(from, status.clone(), *folder),
+            Body::Edits {
+                after,
+                edits,
+                leading,
+            } => {
+                self.pushed_by(from, *leading);
+                self.pushed_edits(*after, edits);
+            }
+            Body::Policy { state, leading } => {
+                self.pushed_by(from, *leading);
+                self.pushed_policy(state);
+            }
+        }
+    }
+
+    fn receive_control(&mut self, from: NodeId, message: crate::PolicyMessage) {
+        let now = self.now.time;
+        if let Some(group) = &mut self.control {
+            let event = agreement::Event::Receive { from, message };
+            let effects = group.replica.step(now, event);
+            self.drive_control(effects);
+        }
+    }
+
+    fn receive_ledger(&mut self, zone: &ZoneName, from: NodeId, message: crate::LedgerMessage) {
+        let now = self.now.time;
+        if let Some(group) = self.ledgers.get_mut(zone) {
+            let event = agreement::Event::Receive { from, message };
+            let effects = group.replica.step(now, event);
+            self.drive_ledger(zone, effects);
+        }
+    }
+
+    fn saved(&mut self, saved: Saved) {
+        let now = self.now.time;
+        match saved.group {
+            Group::Control => {
+                if let Some(group) = &mut self.control {
+                    let effects = group.replica.step(now, agreement::Event::Saved(saved.seq));
+                    self.drive_control(effects);
+                }
+            }
+            Group::Ledger(zone) => {
+                if let Some(group) = self.ledgers.get_mut(&zone) {
+                    let effects = group.replica.step(now, agreement::Event::Saved(saved.seq));
+                    self.drive_ledger(&zone, effects);
+                }
+            }
+        }
+    }
+
+    /// Goes on as an entry VM without votes: what can't be stored can't be promised.
+    fn fail_disk(&mut self) {
+        if self.disk_failed {
+            return;
+        }
+        self.disk_failed = true;
+        self.record("the disk failed; this VM votes and leads no more");
+        self.control = None;
+        self.ledgers.clear();
+        self.end_zone();
+        self.report();
+    }
+
+    pub(crate) fn record(&mut self, what: &str) {
+        let wall = self.now.wall;
+        self.timeline.record(wall, None, None, what.to_string());
+    }
+
+    // The ledger groups.
+
+    pub(crate) fn drive_ledger(&mut self, name: &ZoneName, effects: LedgerEffects) {
+        for effect in effects {
+            match effect {
+                agreement::Effect::Save(save) => {
+                    let zone = name.clone();
+                    self.out
+                        .push(Effect::Save(GroupSave::Ledger { zone, save }));
+                }
+                agreement::Effect::Send { to, message } => {
+                    let body = Body::Ledger {
+                        zone: name.clone(),
+                        from: self.site.node(),
+                        to: to.clone(),
+                        message,
+                    };
+                    self.send(&to.vm, body);
+                }
+                agreement::Effect::Apply(entries) => {
+                    for entry in entries {
+                        self.apply_ledger(name, entry);
+                    }
+                    self.compact_ledger(name);
+                }
+                agreement::Effect::Restore(snapshot) => {
+                    if let Some(group) = self.ledgers.get_mut(name) {
+                        group.ledger.restore(snapshot.state);
+                    }
+                }
+                agreement::Effect::ReadReady { ticket, .. } => {
+                    if name == self.site.zone() {
+                        self.with_zone(|zone, cx| zone.confirmed(cx, ticket));
+                    }
+                }
+                agreement::Effect::Role { role, term, .. } => self.ledger_role(name, role, term),
+                // The proposer looks at these itself.
+                agreement::Effect::Appended { .. } | agreement::Effect::Refused { .. } => {}
+            }
+        }
+    }
+
+    fn apply_ledger(&mut self, name: &ZoneName, entry: agreement::Entry<ledger::Command>) {
+        let Some(group) = self.ledgers.get_mut(name) else {
+            return;
+        };
+        match entry.kind {
+            EntryKind::Command(command) => {
+                let applied = group.ledger.apply(entry.index, &command);
+                if name == self.site.zone() {
+                    self.with_zone(|zone, cx| zone.applied(cx, &command, applied));
+                }
+            }
+            EntryKind::Noop => {}
+            EntryKind::Config(config) => {
+                let change = group.changes.remove(&entry.index);
+                self.changed(change, entry.term, config);
+            }
+        }
+        self.begin_zone(name, entry.term);
+    }
+
+    /// Answers the caller of a membership change that is committed.
+    pub(crate) fn changed(
+        &mut self,
+        change: Option<(Term, Origin)>,
+        term: Term,
+        config: agreement::Config,
+    ) {
+        if let Some((proposed, origin)) = change {
+            let reply = match proposed == term {
+                true => Reply::Changed(config),
+                false => Reply::Error(ApiError::UnknownOutcome { key: None }),
+            };
+            self.answer(origin, reply);
+        }
+    }
+
+    fn compact_ledger(&mut self, name: &ZoneName) {
+        let now = self.now.time;
+        let every = self.site.limits.compact;
+        if let Some(group) = self.ledgers.get_mut(name) {
+            let ledger = &group.ledger;
+            let effects = group.replica.compact(now, every, || ledger.snapshot());
+            self.drive_ledger(name, effects);
+        }
+    }
+
+    fn ledger_role(&mut self, name: &ZoneName, role: Role, term: Term) {
+        self.record(&format!("ledger group of {name}: {role:?} in term {term}"));
+        if name == self.site.zone() && !matches!(role, Role::Leader) {
+            self.end_zone();
+        }
+    }
+
+    /// Becomes the zone's dispatcher once an entry of the own term is applied. From then on every
+    /// entry of earlier terms is applied too.
+    fn begin_zone(&mut self, name: &ZoneName, term: Term) {
+        if name != self.site.zone() || self.zone.is_some() {
+            return;
+        }
+        let Some(group) = self.ledgers.get(name) else {
+            return;
+        };
+        if !group.replica.leads() || group.replica.term() != term {
+            return;
+        }
+        let limits = ZoneLimits {
+            retention: self.site.limits.retention,
+            fence: self.site.limits.fence,
+            repoll: self.site.limits.repoll,
+        };
+        let targets = self.membership.targets();
+        let seed = self.site.seed ^ term.0;
+        let mut cx = Cx {
+            now: self.now,
+            ledger: &group.ledger,
+            policy: &self.policy,
+            timeline: &mut self.timeline,
+            out: Vec::new(),
+        };
+        let zone = Zone::new(name.clone(), term, seed, limits, targets, &mut cx);
+        let out = cx.out;
+        self.zone = Some(zone);
+        self.leaders
+            .insert(name.clone(), (term, self.site.vm.clone()));
+        self.record(&format!("dispatching for zone {name} in term {term}"));
+        self.report();
+        self.zone_outputs(out);
+        self.reroute();
+    }
+
+    fn end_zone(&mut self) {
+        let Some(zone) = self.zone.take() else { return };
+        let name = zone.name.clone();
+        self.record(&format!("no longer dispatching for zone {name}"));
+        let own = |leader: &(Term, VmName)| leader.1 == self.site.vm;
+        if self.leaders.get(&name).is_some_and(own) {
+            self.leaders.remove(&name);
+        }
+        self.report();
+        self.reroute();
+    }
+
+    /// Runs `act` on the zone's leader state, if this VM has it, and carries out its outputs.
+    pub(crate) fn with_zone(&mut self, act: impl FnOnce(&mut Zone, &mut Cx<'_>)) {
+        let Some(zone) = &mut self.zone else { return };
+        let group = self.ledgers.get(&zone.name).expect("a leader is a member");
+        let mut cx = Cx {
+            now: self.now,
+            ledger: &group.ledger,
+            policy: &self.policy,
+            timeline: &mut self.timeline,
+            out: Vec::new(),
+        };
+        act(zone, &mut cx);
+        let out = cx.out;
+        self.zone_outputs(out);
+    }
+
+    fn zone_outputs(&mut self, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Propose(command) => self.propose_ledger(command),
+                Output::Read => self.read_ledger(),
+                Output::Call { token, call } => self.out.push(Effect::Call { token, call }),
+                Output::Answer { origin, reply } => self.answer(origin, reply),
+            }
+        }
+    }
+
+    fn propose_ledger(&mut self, command: ledger::Command) {
+        let now = self.now.time;
+        let name = self.site.zone().clone();
+        let Some(group) = self.ledgers.get_mut(&name) else {
+            return;
+        };
+        let (ticket, effects) = group.replica.propose(now, command.clone());
+        if refused(ticket, &effects).is_some() {
+            if let Some(zone) = &mut self.zone {
+                zone.delay(now, command);
+            }
+        }
+        self.drive_ledger(&name, effects);
+    }
+
+    fn read_ledger(&mut self) {
+        let now = self.now.time;
+        let name = self.site.zone().clone();
+        let Some(group) = self.ledgers.get_mut(&name) else {
+            return;
+        };
+        let (ticket, effects) = group.replica.read(now);
+        if let Some(zone) = &mut self.zone {
+            zone.reading(ticket);
+        }
+        self.drive_ledger(&name, effects);
+    }
+
+    fn seen(&mut self, token: u64, seen: Seen) {
+        let target = self
+            .zone
+            .as_ref()
+            .and_then(|zone| zone.target_of(token))
+            .cloned();
+        let health = Zone::health(&seen);
+        self.with_zone(|zone, cx| zone.seen(cx, token, seen));
+        if let (Some(target), Some(result)) = (target, health) {
+            self.member(membership::Event::Attempt { target, result });
+        }
+    }
+
+    // Membership.
+
+    pub(crate) fn member(&mut self, event: membership::Event) {
+        for effect in self.membership.step(self.now.time, event) {
+            match &effect {
+                membership::Effect::VmDown(vm) => self.vm_down(&vm.clone()),
+                membership::Effect::VmUp(_) => {}
+                _ => self.with_zone(|zone, cx| zone.member(cx, &effect)),
+            }
+        }
+    }
+
+    fn vm_down(&mut self, vm: &VmName) {
+        self.record(&format!("VM {vm} does not report any more"));
+        let zones: Vec<ZoneName> = self
+            .leaders
+            .iter()
+            .filter(|(_, leader)| leader.1 == *vm)
+            .map(|(zone, _)| zone.clone())
+            .collect();
+        for zone in zones {
+            self.leaders.remove(&zone);
+        }
+    }
+
+    fn status(&mut self, from: &VmName, status: VmStatus, folder: Option<u64>) {
+        if status.vm != *from {
+            return;
+        }
+        self.folders.insert(from.clone(), folder);
+        let changed = self.note_leader(&status);
+        self.push_to(&status);
+        self.member(membership::Event::Vm(status));
+        if changed {
+            self.reroute();
+        }
+    }
+
+    fn note_leader(&mut self, status: &VmStatus) -> bool {
+        let known = self.leaders.get(&status.zone).cloned();
+        match (status.leading, known) {
+            (Some(term), Some((old, vm))) if term < old || (term == old && vm == status.vm) => {
+                false
+            }
+            (Some(term), _) => {
+                let leader = (term, status.vm.clone());
+                self.leaders.insert(status.zone.clone(), leader);
+                true
+            }
+            (None, Some((_, vm))) if vm == status.vm => {
+                self.leaders.remove(&status.zone);
+                false
+            }
+            (None, _) => false,
+        }
+    }
+
+    /// This VM's report on itself.
+    pub(crate) fn own_status(&self) -> VmStatus {
+        VmStatus {
+            vm: self.site.vm.clone(),
+            zone: self.site.zone().clone(),
+            incarnation: self.site.incarnation,
+            revision: self.policy.revision(),
+            control: self.hears_control(),
+            leading: self.zone.as_ref().map(|zone| zone.term),
+            weight: self.site.weight,
+            load: self.callers.len() as u32 + self.zone.as_ref().map_or(0, Zone::load),
+            draining: self.draining.is_some(),
+            disk_failed: self.disk_failed,
+        }
+    }
+
+    /// Reports to all other VMs.
+    pub(crate) fn report(&mut self) {
+        self.next_status = self.now.time + self.site.limits.status;
+        let status = self.own_status();
+        let folder = self.site.folder;
+        let others: Vec<VmName> = self.site.others().map(|(vm, _)| vm.clone()).collect();
+        for vm in others {
+            let status = status.clone();
+            self.send(&vm, Body::Status { status, folder });
+        }
+        self.member(membership::Event::Vm(status));
+    }
+
+    pub(crate) fn ready(&self) -> Reply {
+        if self.draining.is_some() {
+            return Reply::NotReady(NotReady::Draining);
+        }
+        if self.policy.revision() == Revision(0) && !self.hears_control() {
+            return Reply::NotReady(NotReady::NoConfiguration);
+        }
+        if !self.leaders.contains(self.site.zone()) {
+            return Reply::NotReady(NotReady::NoLeader);
+        }
+        Reply::Ready
+    }
+
+    // Shutdown.
+
+    fn drain(&mut self) {
+        if self.draining.is_some() {
+            return;
+        }
+        self.draining = Some(self.now.time + self.site.limits.drain_grace);
+        self.record("draining");
+        self.report();
+    }
+
+    /// Hands leadership over and reports when nothing is in flight any more.
+    fn check_drained(&mut self) {
+        let Some(since) = self.draining else { return };
+        if self.drained {
+            return;
+        }
+        let leads = self.hand_over();
+        let busy = self.zone.as_ref().is_some_and(|zone| !zone.idle());
+        if !leads && !busy && self.callers.is_empty() && self.now.time >= since {
+            self.drained = true;
+            self.out.push(Effect::Drained);
+        }
+    }
+
+    /// Transfers what can be transferred; returns whether a transfer is still under way.
+    fn hand_over(&mut self) -> bool {
+        let now = self.now.time;
+        let mut leads = false;
+        if let Some(group) = &mut self.control {
+            if group.replica.leads() && voters(&group.replica.status()) > 1 {
+                leads = true;
+                let effects = group.replica.step(now, agreement::Event::Transfer(None));
+                self.drive_control(effects);
+            }
+        }
+        for name in self.ledger_zones() {
+            let Some(group) = self.ledgers.get_mut(&name) else {
+                continue;
+            };
+            if !group.replica.leads() {
+                continue;
+            }
+            if voters(&group.replica.status()) > 1 {
+                leads = true;
+                let effects = group.replica.step(now, agreement::Event::Transfer(None));
+                self.drive_ledger(&name, effects);
+            } else if let Some(zone) = &mut self.zone {
+                zone.drain();
+            }
+        }
+        leads
+    }
+}
+
+/// Members that can lead and vote.
+fn voters(status: &agreement::Status) -> usize {
+    let votes = |seat: &&Seat| matches!(seat, Seat::Voter);
+    status.config.members.values().filter(votes).count()
+}
+
+impl Control {
+    pub(crate) fn drive_control(&mut self, effects: PolicyEffects) {
+        for effect in effects {
+            match effect {
+                agreement::Effect::Save(save) => {
+                    self.out.push(Effect::Save(GroupSave::Control(save)));
+                }
+                agreement::Effect::Send { to, message } => {
+                    let body = Body::Control {
+                        from: self.site.node(),
+                        to: to.clone(),
+                        message,
+                    };
+                    self.send(&to.vm, body);
+                }
+                agreement::Effect::Apply(entries) => self.apply_control(entries),
+                agreement::Effect::Restore(snapshot) => self.restore_policy(snapshot.state),
+                agreement::Effect::ReadReady { ticket, .. } => self.read_ready(ticket),
+                agreement::Effect::Role { role, term, .. } => {
+                    self.record(&format!("control group: {role:?} in term {term}"));
+                    if !matches!(role, Role::Leader) {
+                        self.drop_edits();
+                    }
+                    self.reroute();
+                }
+                // The proposer looks at these itself.
+                agreement::Effect::Appended { .. } | agreement::Effect::Refused { .. } => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/operators.rs
@@ -0,0 +1,195 @@
+//! Requests of operators that a VM answers from its own state or passes to a group it leads.
+
+use greengage_agreement as agreement;
+use greengage_agreement::{Change, Refused, Ticket};
+use greengage_core::{Index, NodeId, Term};
+use greengage_policy::EditError;
+
+use crate::api::{ApiError, Documents, Group, Reply, Request, Versioned, VmInfo};
+use crate::configuration::appended;
+use crate::control::Control;
+use crate::replica::refused;
+use crate::zone::Origin;
+
+impl Control {
+    pub(crate) fn operate(&mut self, origin: Origin, request: Request) {
+        let reply = match request {
+            Request::Change { group, change } => return self.change(origin, group, change),
+            Request::Transfer { group, to } => return self.transfer(origin, group, to),
+            Request::Template { .. } | Request::Params { .. } => self.read_document(&request),
+            Request::Documents => self.documents(),
+            Request::Targets => Reply::Targets(self.membership.targets()),
+            Request::Vms => self.vms(),
+            Request::Group(group) => self.group(&group),
+            Request::Timeline(filter) => {
+                let events = self
+                    .timeline
+                    .select(filter.key.as_ref(), filter.target.as_ref());
+                Reply::Timeline(events)
+            }
+            Request::Ready => self.ready(),
+            Request::Submit(_)
+            | Request::Single(_)
+            | Request::Outcome(_)
+            | Request::Cancel(_)
+            | Request::Announce(_)
+            | Request::Leave(_)
+            | Request::Edit(_) => unreachable!("decided by `decide`"),
+        };
+        self.answer(origin, reply);
+    }
+
+    /// Reads a document from the configuration in force here.
+    pub(crate) fn read_document(&self, request: &Request) -> Reply {
+        let revision = self.policy.revision();
+        match request {
+            Request::Template { name, .. } => match self.policy.template(name) {
+                Some((version, template)) => Reply::Template(Versioned {
+                    version,
+                    revision,
+                    content: template.clone(),
+                }),
+                None => Reply::Error(ApiError::Policy(EditError::UnknownTemplate(name.clone()))),
+            },
+            Request::Params {
+                template, account, ..
+            } => match self.policy.params(template, account) {
+                Some((version, params)) => Reply::Params(Versioned {
+                    version,
+                    revision,
+                    content: params.clone(),
+                }),
+                None => Reply::Error(ApiError::Policy(EditError::UnknownAccount {
+                    template: template.clone(),
+                    account: account.clone(),
+                })),
+            },
+            _ => unreachable!("only documents are read"),
+        }
+    }
+
+    fn documents(&self) -> Reply {
+        let revision = self.policy.revision();
+        let templates = self.policy.templates().map(|(name, version, template)| {
+            let content = template.clone();
+            let versioned = Versioned {
+                version,
+                revision,
+                content,
+            };
+            (name.clone(), versioned)
+        });
+        let params = self
+            .policy
+            .all_params()
+            .map(|(template, account, version, params)| {
+                let content = params.clone();
+                let versioned = Versioned {
+                    version,
+                    revision,
+                    content,
+                };
+                (template.clone(), account.clone(), versioned)
+            });
+        Reply::Documents(Documents {
+            revision,
+            templates: templates.collect(),
+            params: params.collect(),
+        })
+    }
+
+    fn vms(&self) -> Reply {
+        let view = self.membership.vms();
+        let info = |(status, alive): (greengage_membership::VmStatus, bool)| VmInfo {
+            folder: match status.vm == self.site.vm {
+                true => self.site.folder,
+                false => self.folders.get(&status.vm).copied().flatten(),
+            },
+            status,
+            alive,
+        };
+        Reply::Vms(view.vms.into_iter().map(|(_, entry)| info(entry)).collect())
+    }
+
+    fn group(&self, group: &Group) -> Reply {
+        let status = match group {
+            Group::Control => self.control.as_ref().map(|group| group.replica.status()),
+            Group::Ledger(zone) => self.ledgers.get(zone).map(|group| group.replica.status()),
+        };
+        match status {
+            Some(status) => Reply::Group(status),
+            None => Reply::Error(ApiError::NotMember(group.clone())),
+        }
+    }
+
+    fn change(&mut self, origin: Origin, group: Group, change: Change) {
+        let now = self.now.time;
+        match &group {
+            Group::Control => {
+                let Some(state) = &mut self.control else {
+                    return self.redirect(origin);
+                };
+                let (ticket, effects) = state.replica.change(now, change);
+                let decided = decided(ticket, &effects);
+                if let Ok(Some((index, term))) = decided {
+                    state.changes.insert(index, (term, origin.clone()));
+                }
+                self.drive_control(effects);
+                self.refuse_change(origin, decided);
+            }
+            Group::Ledger(zone) => {
+                let Some(state) = self.ledgers.get_mut(zone) else {
+                    return self.redirect(origin);
+                };
+                let (ticket, effects) = state.replica.change(now, change);
+                let decided = decided(ticket, &effects);
+                if let Ok(Some((index, term))) = decided {
+                    state.changes.insert(index, (term, origin.clone()));
+                }
+                self.drive_ledger(zone, effects);
+                self.refuse_change(origin, decided);
+            }
+        }
+    }
+
+    fn refuse_change(&mut self, origin: Origin, decided: Result<Option<(Index, Term)>, Refused>) {
+        match decided {
+            Ok(_) => {}
+            Err(Refused::Change(error)) => {
+                self.answer(origin, Reply::Error(ApiError::Change(error)));
+            }
+            Err(Refused::NotLeader { .. } | Refused::Transferring) => self.redirect(origin),
+        }
+    }
+
+    fn transfer(&mut self, origin: Origin, group: Group, to: Option<NodeId>) {
+        let now = self.now.time;
+        let event = agreement::Event::Transfer(to.clone());
+        match &group {
+            Group::Control => {
+                if let Some(state) = &mut self.control {
+                    let effects = state.replica.step(now, event);
+                    self.drive_control(effects);
+                }
+            }
+            Group::Ledger(zone) => {
+                if let Some(state) = self.ledgers.get_mut(zone) {
+                    let effects = state.replica.step(now, agreement::Event::Transfer(to));
+                    self.drive_ledger(zone, effects);
+                }
+            }
+        }
+        self.answer(origin, Reply::Noted);
+    }
+}
+
+/// Whether a change was appended, and where, or why it was refused.
+fn decided<C, S>(
+    ticket: Ticket,
+    effects: &[agreement::Effect<C, S>],
+) -> Result<Option<(Index, Term)>, Refused> {
+    match refused(ticket, effects) {
+        Some(reason) => Err(reason),
+        None => Ok(appended(ticket, effects)),
+    }
+}
--- /dev/null
+++ b/crates/control/src/recovery.rs
@@ -0,0 +1,330 @@
+//! What a new leader does about jobs that an earlier leader began.
+//!
+//! An earlier leader can only have sent starts to target incarnations that the ledger registers.
+//! Each of them is fenced: from its answer on it refuses starts of lower terms, and the answer
+//! lists the attempts that it knows. Once all have answered, a task that none of them knows was
+//! never started and never will be by an earlier leader, so it may be started now. When one can't
+//! answer, such a task may have run there, and its job fails.
+
+use std::collections::BTreeMap;
+
+use greengage_core::{
+    AttemptId, Failure, Incarnation, JobNumber, Outcome, SortedMap, TargetName, Time,
+};
+use greengage_dispatch as dispatch;
+use greengage_dispatch::{Attempt, Mode, Running};
+use greengage_ledger::{Command, Stage};
+
+use crate::call::State;
+use crate::zone::{job_spec, Cx, Live, LiveStage, Zone};
+
+/// The state of a recovery, from the start of a leader's term until all is resolved.
+pub(crate) struct Recovery {
+    /// Registered target incarnations that haven't answered.
+    waiting: SortedMap<(TargetName, Incarnation), ()>,
+    /// Whether a registered incarnation is lost, so that an unknown task may have run.
+    incomplete: bool,
+    /// What the targets know, by job.
+    found: BTreeMap<JobNumber, Vec<Found>>,
+    /// Incarnations to deregister once the jobs are resolved.
+    gone: Vec<(TargetName, Incarnation)>,
+    /// When targets that haven't answered count as lost.
+    until: Time,
+}
+
+/// An attempt that a target knows.
+struct Found {
+    id: AttemptId,
+    target: TargetName,
+    state: State,
+}
+
+impl Zone {
+    /// Takes over the open submissions of the ledger.
+    pub(crate) fn take_over(&mut self, cx: &mut Cx<'_>) {
+        let open: Vec<_> = cx
+            .ledger
+            .open()
+            .map(|(key, entry)| (key.clone(), entry.clone()))
+            .collect();
+        for (key, entry) in open {
+            let submission = entry.submission.expect("an open entry has its content");
+            let resolved = cx.policy.resolve(&submission.template, &submission.account);
+            let begun = matches!(entry.stage, Stage::Begun);
+            let resolved = match resolved {
+                Ok(resolved) => resolved,
+                Err(_) => {
+                    // The template was removed after the submission was accepted.
+                    let failure = match begun {
+                        true => Failure::MayHaveRun {
+                            task: 0,
+                            target: None,
+                        },
+                        false => Failure::NoTarget,
+                    };
+                    let outcome = Outcome::Failed(failure).into();
+                    self.propose(cx, Command::Close { key, outcome });
+                    continue;
+                }
+            };
+            let number = self.next_job();
+            let mut spec = job_spec(number, &submission, &resolved, cx.now);
+            spec.mode = Mode::Recorded { begun };
+            self.enter(Live {
+                key,
+                single: None,
+                digest: entry.digest,
+                results: vec![None; submission.tasks.len()],
+                submission,
+                values: resolved.values,
+                stage: match begun {
+                    true => LiveStage::Recovering,
+                    false => LiveStage::Queued,
+                },
+                spec: spec.clone(),
+                cancel: false,
+            });
+            if !begun {
+                self.dispatch_step(cx, dispatch::Event::Submit(spec));
+            }
+        }
+        let until = cx.now.time + self.limits.fence;
+        self.recovery = Some(Recovery {
+            waiting: cx
+                .ledger
+                .registered()
+                .map(|(target, incarnation)| ((target.clone(), incarnation), ()))
+                .collect(),
+            incomplete: false,
+            found: BTreeMap::new(),
+            gone: Vec::new(),
+            until,
+        });
+        self.set_recovery_timer(until);
+    }
+
+    /// Takes a target's answer to a fence.
+    pub(crate) fn fenced(
+        &mut self,
+        cx: &mut Cx<'_>,
+        target: &TargetName,
+        incarnation: Incarnation,
+        attempts: Vec<(AttemptId, State)>,
+    ) {
+        let mut unknown = Vec::new();
+        for (id, state) in attempts {
+            let number = self.keys.get(&id.key).copied();
+            let recovering =
+                number.is_some_and(|number| self.live[&number].stage == LiveStage::Recovering);
+            match (&mut self.recovery, number) {
+                (Some(recovery), Some(number)) if recovering => {
+                    recovery.found.entry(number).or_default().push(Found {
+                        id,
+                        target: target.clone(),
+                        state,
+                    });
+                }
+                _ if matches!(state, State::Running) => unknown.push(id),
+                _ => {}
+            }
+        }
+        if let Some(recovery) = &mut self.recovery {
+            recovery.waiting.remove(&(target.clone(), incarnation));
+        }
+        for id in unknown {
+            self.stop_unknown(cx, target, id);
+        }
+    }
+
+    /// Notes that a registered incarnation can't answer.
+    pub(crate) fn not_fenced(&mut self, target: &TargetName, incarnation: Incarnation) {
+        if let Some(recovery) = &mut self.recovery {
+            let key = (target.clone(), incarnation);
+            if recovery.waiting.remove(&key).is_some() {
+                recovery.incomplete = true;
+            }
+        }
+    }
+
+    /// Gives up earlier incarnations of a target that runs under a later one.
+    pub(crate) fn supersede(
+        &mut self,
+        cx: &mut Cx<'_>,
+        target: &TargetName,
+        incarnation: Incarnation,
+    ) {
+        if self.recovery.is_none() {
+            return;
+        }
+        let earlier: Vec<Incarnation> = cx
+            .ledger
+            .registered()
+            .filter(|(known, old)| *known == target && *old < incarnation)
+            .map(|(_, old)| old)
+            .collect();
+        for old in earlier {
+            self.not_fenced(target, old);
+            self.deregister(cx, target.clone(), old);
+        }
+    }
+
+    /// Deregisters a lost incarnation, after the jobs that it may have run are closed.
+    pub(crate) fn deregister(
+        &mut self,
+        cx: &mut Cx<'_>,
+        target: TargetName,
+        incarnation: Incarnation,
+    ) {
+        match &mut self.recovery {
+            Some(recovery) => recovery.gone.push((target, incarnation)),
+            None => self.propose(
+                cx,
+                Command::Deregister {
+                    target,
+                    incarnation,
+                },
+            ),
+        }
+    }
+
+    /// Ends the wait for targets that haven't answered.
+    pub(crate) fn recovery_due(&mut self, cx: &mut Cx<'_>) {
+        let Some(recovery) = &mut self.recovery else {
+            return;
+        };
+        if cx.now.time < recovery.until {
+            return;
+        }
+        for (key, ()) in std::mem::take(&mut recovery.waiting) {
+            recovery.incomplete = true;
+            recovery.gone.push(key);
+        }
+        self.check_recovery(cx);
+    }
+
+    /// Resolves the begun jobs once every registered incarnation has answered or is lost.
+    pub(crate) fn check_recovery(&mut self, cx: &mut Cx<'_>) {
+        let answered = |recovery: &Recovery| recovery.waiting.is_empty();
+        if !self.recovery.as_ref().is_some_and(answered) {
+            return;
+        }
+        let mut recovery = self.recovery.take().expect("just looked at");
+        let jobs: Vec<JobNumber> = self
+            .live
+            .iter()
+            .filter(|(_, live)| live.stage == LiveStage::Recovering)
+            .map(|(number, _)| *number)
+            .collect();
+        for number in jobs {
+            let found = recovery.found.remove(&number).unwrap_or_default();
+            self.resolve(cx, number, found, recovery.incomplete);
+        }
+        for (target, incarnation) in recovery.gone {
+            self.deregister(cx, target, incarnation);
+        }
+    }
+
+    /// Decides on one begun job from what the targets know.
+    fn resolve(&mut self, cx: &mut Cx<'_>, number: JobNumber, found: Vec<Found>, lost: bool) {
+        let live = self.live.get_mut(&number).expect("listed by the caller");
+        let tasks = live.submission.tasks.len() as u32;
+        let mut best: Vec<Option<Found>> = (0..tasks).map(|_| None).collect();
+        for item in found {
+            if item.id.task < tasks {
+                let place = &mut best[item.id.task as usize];
+                if place
+                    .as_ref()
+                    .is_none_or(|old| rank(&old.state) < rank(&item.state))
+                {
+                    *place = Some(item);
+                }
+            }
+        }
+        let mut done = Vec::new();
+        let mut running = Vec::new();
+        let mut failure = None;
+        for (task, item) in best.into_iter().enumerate() {
+            let task = task as u32;
+            let Some(item) = item else {
+                if lost {
+                    failure.get_or_insert(Failure::MayHaveRun { task, target: None });
+                }
+                continue;
+            };
+            match item.state {
+                State::Done { result, .. } => {
+                    live.results[task as usize] = Some(result);
+                    done.push(task);
+                }
+                State::Running | State::Guard(greengage_core::GuardAction::Throttled) => {
+                    let attempt = Attempt {
+                        job: number,
+                        task,
+                        number: item.id.number,
+                    };
+                    running.push(Running {
+                        attempt,
+                        target: item.target,
+                    });
+                }
+                State::Failed { message } => {
+                    failure.get_or_insert(Failure::TaskFailed { task, message });
+                }
+                State::Guard(action) => {
+                    failure.get_or_insert(Failure::Guard { task, action });
+                }
+                State::Never => {
+                    if lost {
+                        failure.get_or_insert(Failure::MayHaveRun { task, target: None });
+                    }
+                }
+            }
+        }
+        live.stage = LiveStage::Begun;
+        let spec = live.spec.clone();
+        if let Some(failure) = failure {
+            for item in running {
+                let id = AttemptId {
+                    key: self.live[&number].key.clone(),
+                    task: item.attempt.task,
+                    number: item.attempt.number,
+                };
+                self.stop_unknown(cx, &item.target, id);
+            }
+            return self.close(cx, number, Outcome::Failed(failure));
+        }
+        // A target that answered and then left is no longer known; its attempts are lost.
+        let (followed, lost): (Vec<Running>, Vec<Running>) = running
+            .into_iter()
+            .partition(|item| self.targets.contains(&item.target));
+        if let Some(item) = lost.first() {
+            let failure = Failure::MayHaveRun {
+                task: item.attempt.task,
+                target: Some(item.target.clone()),
+            };
+            return self.close(cx, number, Outcome::Failed(failure));
+        }
+        for item in &followed {
+            self.adopt(cx, item.attempt, &item.target);
+        }
+        self.dispatch_step(
+            cx,
+            dispatch::Event::Adopt {
+                job: spec,
+                done,
+                running: followed,
+            },
+        );
+    }
+}
+
+/// How much an answer about an attempt says; a task may have been refused on one target and run
+/// on another.
+fn rank(state: &State) -> u8 {
+    match state {
+        State::Never => 0,
+        State::Failed { .. } | State::Guard(_) => 1,
+        State::Running => 2,
+        State::Done { .. } => 3,
+    }
+}
--- /dev/null
+++ b/crates/control/src/replica.rs
@@ -0,0 +1,160 @@
+//! One group's agreement state as this VM runs it.
+
+use greengage_agreement::{
+    Change, Config, Effect, Event, Raft, Refused, Role, Setup, Status, Ticket, Timing,
+};
+use greengage_core::{Index, NodeId, Term, Time};
+
+use crate::message::Restored;
+
+/// A group's Raft with what the control thread remembers about it.
+pub(crate) struct Replica<C, S> {
+    raft: Raft<C, S>,
+    node: NodeId,
+    tickets: u64,
+    role: Role,
+    term: Term,
+    leader: Option<NodeId>,
+    applied: Index,
+    compacted: Index,
+}
+
+/// What a replica starts from.
+pub(crate) struct Start<C, S> {
+    pub(crate) node: NodeId,
+    pub(crate) config: Config,
+    pub(crate) timing: Timing,
+    pub(crate) restored: Restored<C, S>,
+    pub(crate) seed: u64,
+    pub(crate) now: Time,
+}
+
+impl<C: Clone, S: Clone> Replica<C, S> {
+    pub(crate) fn new(start: Start<C, S>) -> Replica<C, S> {
+        let snapshot = start.restored.snapshot.as_ref();
+        let applied = snapshot.map_or(Index(0), |snapshot| snapshot.index);
+        let node = start.node.clone();
+        let raft = Raft::new(Setup {
+            node: start.node,
+            config: start.config,
+            hard: start.restored.hard,
+            snapshot: start.restored.snapshot,
+            entries: start.restored.entries,
+            timing: start.timing,
+            seed: start.seed,
+            now: start.now,
+        });
+        Replica {
+            raft,
+            node,
+            tickets: 0,
+            role: Role::Follower,
+            term: Term(0),
+            leader: None,
+            applied,
+            compacted: applied,
+        }
+    }
+
+    pub(crate) fn node(&self) -> &NodeId {
+        &self.node
+    }
+
+    pub(crate) fn leads(&self) -> bool {
+        matches!(self.role, Role::Leader)
+    }
+
+    pub(crate) fn term(&self) -> Term {
+        self.term
+    }
+
+    pub(crate) fn leader(&self) -> Option<&NodeId> {
+        self.leader.as_ref()
+    }
+
+    pub(crate) fn wake(&self) -> Time {
+        self.raft.wake()
+    }
+
+    pub(crate) fn status(&self) -> Status {
+        self.raft.status()
+    }
+
+    /// Runs one event and notes changes of role and applied index.
+    pub(crate) fn step(&mut self, now: Time, event: Event<C, S>) -> Vec<Effect<C, S>> {
+        let effects = self.raft.step(now, event);
+        for effect in &effects {
+            match effect {
+                Effect::Role { role, term, leader } => {
+                    self.role = *role;
+                    self.term = *term;
+                    self.leader = leader.clone();
+                }
+                Effect::Apply(entries) => {
+                    if let Some(last) = entries.last() {
+                        assert!(last.index > self.applied, "entries are applied in order");
+                        self.applied = last.index;
+                    }
+                }
+                Effect::Restore(snapshot) => {
+                    assert!(snapshot.index >= self.applied, "a snapshot goes forward");
+                    self.applied = snapshot.index;
+                }
+                _ => {}
+            }
+        }
+        effects
+    }
+
+    fn ticket(&mut self) -> Ticket {
+        self.tickets += 1;
+        Ticket(self.tickets)
+    }
+
+    /// Proposes a command.
+    pub(crate) fn propose(&mut self, now: Time, command: C) -> (Ticket, Vec<Effect<C, S>>) {
+        let ticket = self.ticket();
+        (ticket, self.step(now, Event::Propose { ticket, command }))
+    }
+
+    /// Asks for an index from which a read is current.
+    pub(crate) fn read(&mut self, now: Time) -> (Ticket, Vec<Effect<C, S>>) {
+        let ticket = self.ticket();
+        (ticket, self.step(now, Event::Read(ticket)))
+    }
+
+    /// Changes one member.
+    pub(crate) fn change(&mut self, now: Time, change: Change) -> (Ticket, Vec<Effect<C, S>>) {
+        let ticket = self.ticket();
+        (ticket, self.step(now, Event::Change { ticket, change }))
+    }
+
+    /// Shortens the log once `every` entries were applied since the last time.
+    pub(crate) fn compact(
+        &mut self,
+        now: Time,
+        every: u64,
+        state: impl FnOnce() -> S,
+    ) -> Vec<Effect<C, S>> {
+        if self.applied.0 < self.compacted.0 + every {
+            return Vec::new();
+        }
+        self.compacted = self.applied;
+        let index = self.applied;
+        self.step(
+            now,
+            Event::Compact {
+                index,
+                state: state(),
+            },
+        )
+    }
+}
+
+/// Whether a proposal was refused in the same step, and why.
+pub(crate) fn refused<C, S>(ticket: Ticket, effects: &[Effect<C, S>]) -> Option<Refused> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Refused { ticket: t, reason } if *t == ticket => Some(reason.clone()),
+        _ => None,
+    })
+}
--- /dev/null
+++ b/crates/control/src/routing.rs
@@ -0,0 +1,465 @@
+//! The way of a request to the VM that decides it, and of the reply back to the caller.
+//!
+//! Each request of a front end is kept here until it has its one reply. Requests that carry a key
+//! or an operation id are idempotent and are sent again when the deciding VM changes or stays
+//! silent. A caller whose request can't be decided in time hears that the outcome is unknown; it
+//! hears "not run" only from the VM that decides.
+
+use std::time::Duration;
+
+use greengage_core::{JobKey, Refusal, RequestId, Time, VmName, ZoneName};
+use greengage_membership as membership;
+use greengage_membership::Announcement;
+
+use crate::api::{ApiError, Group, NewJob, NewRequest, Reply, Request};
+use crate::control::Control;
+use crate::message::{Body, Effect};
+use crate::site::home_zone;
+use crate::zone::Origin;
+
+/// How much longer than its caller waits a request is kept, so that a new leader can be elected
+/// before the outcome counts as unknown.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Between two looks for a VM that decides, when none is known.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
+/// A request of a front end without a reply.
+pub(crate) struct Caller {
+    request: Request,
+    /// When the caller wants at least to hear how far its request has come.
+    until: Time,
+    /// When the outcome counts as unknown.
+    limit: Time,
+    /// Where the request is now.
+    at: Place,
+    /// Whether it was ever sent to a VM that could have acted on it.
+    sent: bool,
+    /// A submission that arrived while this VM shuts down and is only looked up.
+    lookup: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Place {
+    /// No VM that decides is known.
+    Nowhere,
+    /// At this VM.
+    Here,
+    /// At another VM since a time.
+    Sent(VmName, Time),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum RouteTimer {
+    /// Look again for a VM that decides, or send again to a silent one.
+    Retry(RequestId),
+    /// The outcome counts as unknown.
+    Limit(RequestId),
+}
+
+/// Who decides a request.
+enum Decider {
+    /// Any VM.
+    Here,
+    /// The leader of a zone's ledger group.
+    Zone(ZoneName),
+    /// The leader of the control group.
+    Control,
+}
+
+impl Control {
+    /// Takes a request of a front end.
+    pub(crate) fn request(&mut self, id: RequestId, wait: Duration, request: Request) {
+        let request = match self.prepare(request) {
+            Ok(request) => request,
+            Err(reply) => return self.out.push(Effect::Reply { id, reply }),
+        };
+        let (request, lookup) = self.while_draining(request);
+        if lookup && matches!(request, Request::Single(_)) {
+            let reply = Reply::Error(ApiError::Refused(Refusal::Draining));
+            return self.out.push(Effect::Reply { id, reply });
+        }
+        let until = self.now.time + wait;
+        let limit = until + PATIENCE;
+        self.routes.set(limit, RouteTimer::Limit(id));
+        self.callers.insert(
+            id,
+            Caller {
+                request,
+                until,
+                limit,
+                at: Place::Nowhere,
+                sent: false,
+                lookup,
+            },
+        );
+        self.route(id);
+    }
+
+    /// Fills in the home zone and checks what any VM can check.
+    fn prepare(&self, request: Request) -> Result<Request, Reply> {
+        match request {
+            Request::Submit(mut job) => {
+                let zone = match &job.zone {
+                    Some(zone) => zone.clone(),
+                    None => home_zone(&self.site.zones(), &job.account, &job.id),
+                };
+                self.check_zone(&zone)?;
+                job.zone = Some(zone);
+                Ok(Request::Submit(job))
+            }
+            Request::Single(request) => self.prepare_single(request),
+            Request::Outcome(key) => {
+                self.check_zone(&key.zone)?;
+                Ok(Request::Outcome(key))
+            }
+            Request::Cancel(key) => {
+                self.check_zone(&key.zone)?;
+                Ok(Request::Cancel(key))
+            }
+            other => Ok(other),
+        }
+    }
+
+    /// A request that isn't repeatable becomes a job of one task.
+    fn prepare_single(&self, mut request: NewRequest) -> Result<Request, Reply> {
+        let resolved = self.policy.resolve(&request.template, &request.account);
+        let resolved = resolved.map_err(|error| Reply::Error(ApiError::Policy(error)))?;
+        if resolved.template.repeatable {
+            let zone = match request.zone {
+                Some(zone) => zone,
+                None => self.site.zone().clone(),
+            };
+            self.check_zone(&zone)?;
+            request.zone = Some(zone);
+            return Ok(Request::Single(request));
+        }
+        let Some(id) = request.id else {
+            let template = request.template;
+            return Err(Reply::Error(ApiError::MissingId { template }));
+        };
+        self.prepare(Request::Submit(NewJob {
+            account: request.account,
+            zone: request.zone,
+            id,
+            template: request.template,
+            digest: request.digest,
+            tasks: vec![request.task],
+        }))
+    }
+
+    fn check_zone(&self, zone: &ZoneName) -> Result<(), Reply> {
+        let known = self.site.zones();
+        if known.contains(zone) {
+            return Ok(());
+        }
+        let zone = zone.clone();
+        Err(Reply::Error(ApiError::UnknownZone { zone, known }))
+    }
+
+    /// While this VM shuts down, a submission is only looked up: the key may be known from an
+    /// earlier submission, so that "not run" can't be said without asking.
+    fn while_draining(&self, request: Request) -> (Request, bool) {
+        if self.draining.is_none() {
+            return (request, false);
+        }
+        match request {
+            Request::Submit(job) => (Request::Outcome(job_key(&job)), true),
+            Request::Single(request) => (Request::Single(request), true),
+            other => (other, false),
+        }
+    }
+
+    /// Sends a request to the VM that decides it.
+    fn route(&mut self, id: RequestId) {
+        let now = self.now.time;
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        let wait = caller.until.since(now);
+        let request = caller.request.clone();
+        let (place, retry) = match self.decider(&request) {
+            Some(vm) if vm == self.site.vm => (Place::Here, None),
+            Some(vm) => (Place::Sent(vm, now), Some(self.site.limits.resend)),
+            None => (Place::Nowhere, Some(LOOK_AGAIN)),
+        };
+        let caller = self.callers.get_mut(&id).expect("looked up above");
+        caller.at = place.clone();
+        if place != Place::Nowhere {
+            caller.sent = true;
+        }
+        if let Some(retry) = retry {
+            self.routes.set(now + retry, RouteTimer::Retry(id));
+        }
+        let origin = Origin {
+            vm: self.site.vm.clone(),
+            id,
+        };
+        match place {
+            Place::Here => self.decide(origin, wait, request),
+            Place::Sent(vm, _) => self.send(&vm, Body::Forward { id, wait, request }),
+            Place::Nowhere => {}
+        }
+    }
+
+    /// The VM that decides a request, where one is known.
+    fn decider(&self, request: &Request) -> Option<VmName> {
+        match self.decider_kind(request) {
+            Decider::Here => Some(self.site.vm.clone()),
+            Decider::Zone(zone) => self.leaders.get(&zone).map(|(_, vm)| vm.clone()),
+            Decider::Control => self.control_leader(),
+        }
+    }
+
+    fn decider_kind(&self, request: &Request) -> Decider {
+        match request {
+            Request::Submit(job) => Decider::Zone(job_key(job).zone),
+            Request::Single(request) => match &request.zone {
+                Some(zone) => Decider::Zone(zone.clone()),
+                None => Decider::Here,
+            },
+            Request::Outcome(key) | Request::Cancel(key) => Decider::Zone(key.zone.clone()),
+            Request::Edit(_) => Decider::Control,
+            Request::Template { current, .. } | Request::Params { current, .. } => match current {
+                true => Decider::Control,
+                false => Decider::Here,
+            },
+            Request::Change { group, .. } | Request::Transfer { group, .. } => match group {
+                Group::Control => Decider::Control,
+                Group::Ledger(zone) => Decider::Zone(zone.clone()),
+            },
+            // Only the leader sees how attempts end, and so knows the standing of each target.
+            Request::Targets if self.leaders.contains(self.site.zone()) => {
+                Decider::Zone(self.site.zone().clone())
+            }
+            Request::Targets
+            | Request::Announce(_)
+            | Request::Leave(_)
+            | Request::Documents
+            | Request::Vms
+            | Request::Group(_)
+            | Request::Timeline(_)
+            | Request::Ready => Decider::Here,
+        }
+    }
+
+    /// Takes a request that another VM forwarded.
+    pub(crate) fn forwarded(&mut self, origin: Origin, wait: Duration, request: Request) {
+        if self.decider(&request).as_ref() == Some(&self.site.vm) {
+            self.decide(origin, wait, request);
+        } else {
+            self.redirect(origin);
+        }
+    }
+
+    /// Decides a request at this VM.
+    fn decide(&mut self, origin: Origin, wait: Duration, request: Request) {
+        match request {
+            Request::Submit(job) => {
+                let key = job_key(&job);
+                self.at_zone(origin, |origin, zone, cx| {
+                    zone.submit(cx, origin, wait, key, job)
+                });
+            }
+            Request::Single(request) => {
+                self.at_zone(origin, |origin, zone, cx| zone.single(cx, origin, request));
+            }
+            Request::Outcome(key) => {
+                self.at_zone(origin, |origin, zone, cx| {
+                    zone.outcome(cx, origin, wait, key)
+                });
+            }
+            Request::Cancel(key) => {
+                self.at_zone(origin, |origin, zone, cx| {
+                    zone.cancel(cx, origin, wait, key)
+                });
+            }
+            Request::Announce(announcement) => self.announce(origin, announcement),
+            Request::Leave(target) => {
+                self.relay(Body::Leave(target.clone()));
+                self.member(membership::Event::Leave(target));
+                self.answer(origin, Reply::Noted);
+            }
+            Request::Edit(command) => self.edit(origin, command),
+            Request::Template { current: true, .. } | Request::Params { current: true, .. } => {
+                self.read_control(origin, request);
+            }
+            other => self.operate(origin, other),
+        }
+    }
+
+    fn at_zone(
+        &mut self,
+        origin: Origin,
+        act: impl FnOnce(Origin, &mut crate::zone::Zone, &mut crate::zone::Cx<'_>),
+    ) {
+        if self.zone.is_none() {
+            return self.redirect(origin);
+        }
+        self.with_zone(|zone, cx| act(origin, zone, cx));
+    }
+
+    fn announce(&mut self, origin: Origin, announcement: Announcement) {
+        if announcement.zone != *self.site.zone() {
+            let error = ApiError::OtherZone {
+                target: announcement.target,
+                zone: announcement.zone,
+                own: self.site.zone().clone(),
+            };
+            return self.answer(origin, Reply::Error(error));
+        }
+        // Every VM of the zone learns of the target, so that a new leader knows it at once.
+        self.relay(Body::Announce(announcement.clone()));
+        self.member(membership::Event::Announce(announcement));
+        self.answer(origin, Reply::Noted);
+    }
+
+    fn relay(&mut self, body: Body) {
+        let zone = self.site.zone().clone();
+        let others = self.site.others().filter(|(_, spec)| spec.zone == zone);
+        let vms: Vec<VmName> = others.map(|(vm, _)| vm.clone()).collect();
+        for vm in vms {
+            self.send(&vm, body.clone());
+        }
+    }
+
+    // Replies.
+
+    /// Gives a caller its reply, wherever its connection is.
+    pub(crate) fn answer(&mut self, origin: Origin, reply: Reply) {
+        if origin.vm == self.site.vm {
+            return self.replied(origin.id, reply);
+        }
+        let id = origin.id;
+        self.send(&origin.vm, Body::Reply { id, reply });
+    }
+
+    /// Gives a caller of this VM its reply; later ones are dropped.
+    pub(crate) fn replied(&mut self, id: RequestId, reply: Reply) {
+        let Some(caller) = self.callers.remove(&id) else {
+            return;
+        };
+        let reply = match reply {
+            Reply::Error(ApiError::UnknownKey(_)) if caller.lookup => {
+                Reply::Error(ApiError::Refused(Refusal::Draining))
+            }
+            other => other,
+        };
+        self.out.push(Effect::Reply { id, reply });
+    }
+
+    /// Tells the VM that holds a caller to look for another VM that decides.
+    pub(crate) fn redirect(&mut self, origin: Origin) {
+        if origin.vm == self.site.vm {
+            return self.redirected(origin.id);
+        }
+        self.send(&origin.vm, Body::Redirect { id: origin.id });
+    }
+
+    /// Looks again for the VM that decides, after a pause.
+    pub(crate) fn redirected(&mut self, id: RequestId) {
+        let now = self.now.time;
+        if let Some(caller) = self.callers.get_mut(&id) {
+            caller.at = Place::Nowhere;
+            self.routes.set(now + LOOK_AGAIN, RouteTimer::Retry(id));
+        }
+    }
+
+    /// Sends requests again whose deciding VM has changed.
+    pub(crate) fn reroute(&mut self) {
+        let moved = |(_, caller): &(&RequestId, &Caller)| {
+            let decider = self.decider(&caller.request);
+            match &caller.at {
+                Place::Nowhere => decider.is_some(),
+                Place::Here => decider.as_ref() != Some(&self.site.vm),
+                Place::Sent(vm, _) => decider.is_some() && decider.as_ref() != Some(vm),
+            }
+        };
+        let ids: Vec<RequestId> = self
+            .callers
+            .iter()
+            .filter(moved)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            self.route(id);
+        }
+    }
+
+    pub(crate) fn tick_routes(&mut self) {
+        while let Some(timer) = self.routes.pop(self.now.time) {
+            match timer {
+                RouteTimer::Retry(id) => self.retry(id),
+                RouteTimer::Limit(id) => self.give_up(id),
+            }
+        }
+    }
+
+    fn retry(&mut self, id: RequestId) {
+        let Some(caller) = self.callers.get(&id) else {
+            return;
+        };
+        let silent = match &caller.at {
+            Place::Nowhere => true,
+            Place::Here => false,
+            Place::Sent(_, since) => self.now.time.since(*since) >= self.site.limits.resend,
+        };
+        if silent {
+            self.route(id);
+        }
+    }
+
+    fn give_up(&mut self, id: RequestId) {
+        let Some(caller) = self.callers.get(&id) else {
+            return;
+        };
+        if caller.limit > self.now.time {
+            return;
+        }
+        let error = match &caller.request {
+            Request::Submit(job) => ApiError::UnknownOutcome {
+                key: Some(job_key(job)),
+            },
+            Request::Outcome(key) | Request::Cancel(key) => ApiError::UnknownOutcome {
+                key: Some(key.clone()),
+            },
+            Request::Single(_) if !caller.sent => ApiError::Unavailable {
+                what: "the zone's ledger group has no leader that can be reached".to_string(),
+            },
+            Request::Change {
+                group: Group::Ledger(zone),
+                ..
+            }
+            | Request::Transfer {
+                group: Group::Ledger(zone),
+                ..
+            } => ApiError::NoLeader(Group::Ledger(zone.clone())),
+            Request::Edit(_)
+            | Request::Template { .. }
+            | Request::Params { .. }
+            | Request::Change { .. }
+            | Request::Transfer { .. } => ApiError::NoLeader(Group::Control),
+            Request::Single(_)
+            | Request::Announce(_)
+            | Request::Leave(_)
+            | Request::Documents
+            | Request::Targets
+            | Request::Vms
+            | Request::Group(_)
+            | Request::Timeline(_)
+            | Request::Ready => ApiError::UnknownOutcome { key: None },
+        };
+        self.replied(id, Reply::Error(error));
+    }
+}
+
+/// The key of a submission whose home zone is filled in.
+pub(crate) fn job_key(job: &NewJob) -> JobKey {
+    JobKey {
+        account: job.account.clone(),
+        zone: job
+            .zone
+            .clone()
+            .expect("prepared by the VM that received it"),
+        id: job.id.clone(),
+    }
+}
--- /dev/null
+++ b/crates/control/src/site.rs
@@ -0,0 +1,263 @@
+//! The deployment as this VM's settings describe it.
+
+use std::fmt;
+use std::time::Duration;
+
+use greengage_agreement::{Config, Seat, Timing};
+use greengage_core::{value, AccountName, Incarnation, Name, NodeId, SortedMap, VmName, ZoneName};
+
+/// What a VM does besides taking callers.
+#[value]
+#[derive(Default)]
+pub struct Roles {
+    /// Votes in the control group.
+    pub control: bool,
+    /// Votes in the ledger group of its zone.
+    pub ledger: bool,
+    /// Zones in whose ledger groups it is a witness.
+    pub witness: Vec<ZoneName>,
+}
+
+impl Roles {
+    /// Whether any of the roles needs a data folder.
+    pub fn need_disk(&self) -> bool {
+        self.control || self.ledger || !self.witness.is_empty()
+    }
+}
+
+/// A VM of the deployment.
+#[value]
+pub struct VmSpec {
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its roles.
+    pub roles: Roles,
+}
+
+/// Time limits and sizes of the control thread.
+#[value]
+pub struct Limits {
+    /// Time limits of agreement.
+    pub timing: Timing,
+    /// Between two status reports to the other VMs.
+    pub status: Duration,
+    /// How long a forwarded request goes unanswered before it is sent again.
+    pub resend: Duration,
+    /// How long a closed submission is kept.
+    pub retention: Duration,
+    /// How long a new leader waits for registered targets to answer its fence.
+    pub fence: Duration,
+    /// Between two calls to a target that can't be reached.
+    pub repoll: Duration,
+    /// Applied entries after which a log is compacted.
+    pub compact: u64,
+    /// Events that the time line keeps.
+    pub events: usize,
+    /// Edits kept for VMs that are a little behind; others get the whole state.
+    pub edits: usize,
+    /// How long a draining VM takes callers, so that the balancer sees that it isn't ready.
+    pub drain_grace: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            timing: Timing::default(),
+            status: Duration::from_millis(500),
+            resend: Duration::from_secs(2),
+            retention: Duration::from_secs(3600),
+            fence: Duration::from_millis(3500),
+            repoll: Duration::from_millis(200),
+            compact: 10_000,
+            events: 50_000,
+            edits: 1_000,
+            drain_grace: Duration::from_secs(1),
+        }
+    }
+}
+
+/// This VM and its deployment.
+#[value]
+pub struct Site {
+    /// This VM.
+    pub vm: VmName,
+    /// All VMs, this one included.
+    pub vms: SortedMap<VmName, VmSpec>,
+    /// The id of the data folder, where there is one.
+    pub folder: Option<u64>,
+    /// One life of this process; grows with each start.
+    pub incarnation: Incarnation,
+    /// The traffic that this VM can take, relative to others.
+    pub weight: u32,
+    /// Seed of random choices.
+    pub seed: u64,
+    /// Time limits and sizes.
+    pub limits: Limits,
+}
+
+/// Why settings describe no deployment.
+#[value(local)]
+pub enum SiteError {
+    /// This VM isn't in the list of VMs.
+    Absent(VmName),
+    /// No VM votes in the control group.
+    NoControl,
+    /// No VM votes in the ledger group of a zone.
+    NoLedger(ZoneName),
+    /// A witness of its own zone or of an unknown one.
+    Witness {
+        /// The VM.
+        vm: VmName,
+        /// The zone.
+        zone: ZoneName,
+    },
+    /// This VM has a role that needs a data folder, and none is set.
+    NoFolder(VmName),
+}
+
+impl fmt::Display for SiteError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SiteError::Absent(vm) => {
+                write!(
+                    f,
+                    "VM {vm} is not in the list of VMs: add it or correct the name"
+                )
+            }
+            SiteError::NoControl => {
+                write!(
+                    f,
+                    "no VM has the role control: give it to an odd number of VMs"
+                )
+            }
+            SiteError::NoLedger(zone) => write!(
+                f,
+                "zone {zone} has no VM with the role ledger: give it to the zone's VMs with disks"
+            ),
+            SiteError::Witness { vm, zone } => write!(
+                f,
+                "VM {vm} can't be a witness of zone {zone}: name another configured zone"
+            ),
+            SiteError::NoFolder(vm) => write!(
+                f,
+                "VM {vm} has a role that needs a disk: set a data folder or drop the role"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for SiteError {}
+
+impl Site {
+    /// Checks that the deployment can work.
+    pub fn verify(&self) -> Result<(), SiteError> {
+        let own = match self.vms.get(&self.vm) {
+            Some(own) => own,
+            None => return Err(SiteError::Absent(self.vm.clone())),
+        };
+        if !self.vms.values().any(|spec| spec.roles.control) {
+            return Err(SiteError::NoControl);
+        }
+        let zones = self.zones();
+        for zone in &zones {
+            let voter = |spec: &VmSpec| spec.roles.ledger && spec.zone == *zone;
+            if !self.vms.values().any(voter) {
+                return Err(SiteError::NoLedger(zone.clone()));
+            }
+        }
+        for (vm, spec) in self.vms.iter() {
+            let wrong = |zone: &&ZoneName| **zone == spec.zone || !zones.contains(zone);
+            if let Some(zone) = spec.roles.witness.iter().find(wrong) {
+                return Err(SiteError::Witness {
+                    vm: vm.clone(),
+                    zone: zone.clone(),
+                });
+            }
+        }
+        if own.roles.need_disk() && self.folder.is_none() {
+            return Err(SiteError::NoFolder(self.vm.clone()));
+        }
+        Ok(())
+    }
+
+    /// This VM's availability zone.
+    pub fn zone(&self) -> &ZoneName {
+        &self.vms.get(&self.vm).expect("verified").zone
+    }
+
+    /// This VM's roles.
+    pub fn roles(&self) -> &Roles {
+        &self.vms.get(&self.vm).expect("verified").roles
+    }
+
+    /// The configured zones in order.
+    pub fn zones(&self) -> Vec<ZoneName> {
+        let mut zones: Vec<ZoneName> = self.vms.values().map(|spec| spec.zone.clone()).collect();
+        zones.sort();
+        zones.dedup();
+        zones
+    }
+
+    /// The other VMs.
+    pub fn others(&self) -> impl Iterator<Item = (&VmName, &VmSpec)> {
+        self.vms.iter().filter(|(vm, _)| **vm != self.vm)
+    }
+
+    /// This VM's identity in its groups.
+    pub fn node(&self) -> NodeId {
+        NodeId {
+            vm: self.vm.clone(),
+            folder: self.folder.unwrap_or(0),
+        }
+    }
+
+    /// The first members of the control group, or none for a data folder made later.
+    pub fn first_control(&self) -> Config {
+        self.first(|spec| spec.roles.control.then_some(Seat::Voter))
+    }
+
+    /// The first members of a zone's ledger group, or none for a data folder made later.
+    pub fn first_ledger(&self, zone: &ZoneName) -> Config {
+        self.first(|spec| {
+            if spec.roles.ledger && spec.zone == *zone {
+                return Some(Seat::Voter);
+            }
+            spec.roles.witness.contains(zone).then_some(Seat::Witness)
+        })
+    }
+
+    fn first(&self, seat: impl Fn(&VmSpec) -> Option<Seat>) -> Config {
+        // A folder with another id than 0 was made after the group: its VM has to be added by the
+        // leader, because the folder may replace one that has voted.
+        if self.folder != Some(0) {
+            return Config::default();
+        }
+        let member = |(vm, spec): (&VmName, &VmSpec)| {
+            let vm = vm.clone();
+            seat(spec).map(|seat| (NodeId { vm, folder: 0 }, seat))
+        };
+        Config {
+            members: self.vms.iter().filter_map(member).collect(),
+        }
+    }
+}
+
+/// The home zone of a key whose caller names none: the same for each resubmission, whichever VM
+/// receives it.
+pub fn home_zone(zones: &[ZoneName], account: &AccountName, id: &Name) -> ZoneName {
+    assert!(!zones.is_empty(), "a verified site has a zone");
+    let hash = fnv(account.as_str().as_bytes(), FNV_OFFSET);
+    let hash = fnv(&[0], hash);
+    let hash = fnv(id.as_str().as_bytes(), hash);
+    zones[(hash % zones.len() as u64) as usize].clone()
+}
+
+/// Start value of the 64-bit FNV-1a hash.
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+/// Factor of the 64-bit FNV-1a hash.
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+fn fnv(bytes: &[u8], start: u64) -> u64 {
+    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
+    bytes.iter().fold(start, step)
+}
