--- /dev/null
+++ b/crates/http/src/front.rs
@@ -0,0 +1,399 @@
+//! The listener for callers and targets.
+//!
+//! A request is translated and passed on, and its responder is parked until the reply arrives. One
+//! thread owns the parked responders and is fed by a channel: first the responder, then, in any
+//! time after that, the reply. It never writes to a connection, so a slow caller delays no other.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{unbounded, Receiver, RecvTimeoutError, Sender};
+use greengage_control::api::{ApiError, NewJob, NewRequest, Reply, Request};
+use greengage_core::{
+    AccountName, Address, JobKey, Name, RequestId, TargetName, TemplateName, VmName, ZoneName,
+};
+use greengage_membership::Announcement;
+use tiny_http::Method;
+
+use crate::document;
+use crate::json::{digest, DocumentError, Fields};
+use crate::reply;
+use crate::server::{self, Answer, Handled, HttpError, Responder, Server};
+use crate::status::{self, refuse, Refused};
+
+/// Bounds of the listener.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Connections, threads, sizes and times.
+    pub server: server::Limits,
+    /// Most tasks of one job.
+    pub tasks: usize,
+    /// How long an answer is held when the caller names no time.
+    pub wait: Duration,
+    /// Longest time that an answer is held.
+    pub wait_most: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            server: server::Limits::default(),
+            tasks: 1200,
+            wait: Duration::from_secs(30),
+            wait_most: Duration::from_secs(60),
+        }
+    }
+}
+
+/// What the listener is started with.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The address to listen on.
+    pub listen: SocketAddr,
+    /// The VM, named in errors.
+    pub vm: VmName,
+    /// Bounds.
+    pub limits: Limits,
+}
+
+/// How long after its wait a parked request is answered if no reply came.
+const REPLY_GRACE: Duration = Duration::from_secs(5);
+
+/// How often parked requests are checked for their time.
+const SWEEP: Duration = Duration::from_millis(500);
+
+/// Ids of this listener are multiples of this; see [`is_caller`].
+pub(crate) const ID_STEP: u64 = 2;
+
+/// Whether `id` was given by the listener for callers and targets; the one for operators gives the
+/// other ids.
+pub fn is_caller(id: RequestId) -> bool {
+    id.0.is_multiple_of(ID_STEP)
+}
+
+enum Parked {
+    Wait {
+        id: RequestId,
+        responder: Responder,
+        form: reply::Form,
+        until: Instant,
+    },
+    Reply {
+        id: RequestId,
+        reply: Reply,
+    },
+}
+
+/// Answers held requests from any thread without blocking.
+#[derive(Clone)]
+pub struct Replies(Sender<Parked>);
+
+impl Replies {
+    /// Answers a held request; a reply to an unknown id is dropped.
+    pub fn reply(&self, id: RequestId, reply: Reply) {
+        let _ = self.0.send(Parked::Reply { id, reply });
+    }
+}
+
+/// The running listener; it stops when dropped.
+pub struct Front {
+    server: Server,
+    replies: Replies,
+    held: Arc<AtomicUsize>,
+}
+
+impl Front {
+    /// Answers a held request; a reply to an unknown id is dropped.
+    pub fn reply(&self, id: RequestId, reply: Reply) {
+        self.replies.reply(id, reply);
+    }
+
+    /// A handle that answers held requests.
+    pub fn replies(&self) -> Replies {
+        self.replies.clone()
+    }
+
+    /// The address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// The number of requests whose reply is awaited.
+    pub fn held(&self) -> usize {
+        self.held.load(Ordering::Relaxed)
+    }
+
+    /// The number of open connections.
+    pub fn connections(&self) -> usize {
+        self.server.connections()
+    }
+
+    /// Stops listening; open connections are closed after their next answer.
+    pub fn close(&mut self) {
+        self.server.close();
+    }
+}
+
+/// Starts the listener. `submit` takes a request and how long its reply may be held; it returns
+/// false when the request was not taken.
+pub fn start(
+    settings: Settings,
+    submit: impl Fn(RequestId, Duration, Request) -> bool + Send + Sync + 'static,
+) -> Result<Front, HttpError> {
+    let (sender, receiver) = unbounded();
+    let held = Arc::new(AtomicUsize::new(0));
+    let counted = held.clone();
+    thread::Builder::new()
+        .name("callers-replies".to_string())
+        .spawn(move || answer_parked(&receiver, &counted))
+        .map_err(HttpError::Thread)?;
+    let ids = AtomicU64::new(1);
+    let replies = Replies(sender.clone());
+    let Settings { listen, vm, limits } = settings;
+    let server_limits = limits.server.clone();
+    let handler = move |request: server::Request, responder: Responder| -> Handled {
+        let taken = match route(&request, &limits) {
+            Ok(Routed::Submit(taken)) => taken,
+            Ok(Routed::Answer(answer)) => return Some((responder, answer)),
+            Err(answer) => return Some((responder, *answer)),
+        };
+        let id = RequestId(ids.fetch_add(1, Ordering::Relaxed) * ID_STEP);
+        let wait = Parked::Wait {
+            id,
+            responder,
+            form: taken.form,
+            until: Instant::now() + taken.wait + REPLY_GRACE,
+        };
+        // Parked before it is submitted, so that the reply finds it.
+        let _ = sender.send(wait);
+        if !submit(id, taken.wait, taken.request) {
+            let reply = Reply::Error(ApiError::Busy { vm: vm.clone() });
+            let _ = sender.send(Parked::Reply { id, reply });
+        }
+        None
+    };
+    Ok(Front {
+        server: Server::start("callers", listen, server_limits, handler)?,
+        replies,
+        held,
+    })
+}
+
+fn answer_parked(receiver: &Receiver<Parked>, held: &AtomicUsize) {
+    // A B-tree because ids are removed in any order and thousands may be parked.
+    let mut parked: BTreeMap<RequestId, (Responder, reply::Form, Instant)> = BTreeMap::new();
+    let mut sweep = Instant::now() + SWEEP;
+    loop {
+        match receiver.recv_deadline(sweep) {
+            Ok(Parked::Wait {
+                id,
+                responder,
+                form,
+                until,
+            }) => {
+                parked.insert(id, (responder, form, until));
+            }
+            Ok(Parked::Reply { id, reply }) => {
+                if let Some((responder, form, _)) = parked.remove(&id) {
+                    responder.send(reply::answer(&reply, form));
+                }
+            }
+            Err(RecvTimeoutError::Timeout) => {
+                let now = Instant::now();
+                sweep = now + SWEEP;
+                let late: Vec<RequestId> = parked
+                    .iter()
+                    .filter(|(_, (_, _, until))| *until <= now)
+                    .map(|(id, _)| *id)
+                    .collect();
+                for id in late {
+                    if let Some((responder, ..)) = parked.remove(&id) {
+                        responder.send(status::answer(&ApiError::UnknownOutcome { key: None }));
+                    }
+                }
+            }
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        held.store(parked.len(), Ordering::Relaxed);
+    }
+}
+
+/// A request to pass on.
+struct Taken {
+    request: Request,
+    wait: Duration,
+    form: reply::Form,
+}
+
+enum Routed {
+    Submit(Taken),
+    Answer(Answer),
+}
+
+fn route(request: &server::Request, limits: &Limits) -> Result<Routed, Refused> {
+    let segments = request
+        .segments()
+        .ok_or_else(|| refuse(400, "path", "the path has an invalid escape: correct it"))?;
+    let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
+    let body = &request.body;
+    let mut form = reply::Form::Job;
+    let taken = match (&request.method, segments.as_slice()) {
+        (Method::Post, ["v1", "jobs"]) => Request::Submit(job(body, limits.tasks)?),
+        (Method::Get, ["v1", "jobs", zone, account, id]) => {
+            Request::Outcome(key(zone, account, id)?)
+        }
+        (Method::Delete, ["v1", "jobs", zone, account, id]) => {
+            Request::Cancel(key(zone, account, id)?)
+        }
+        (Method::Post, ["v1", "requests"]) => {
+            form = reply::Form::Single;
+            Request::Single(single(body)?)
+        }
+        (Method::Post, ["v1", "targets"]) => Request::Announce(announcement(body)?),
+        (Method::Delete, ["v1", "targets", name]) => {
+            Request::Leave(TargetName::new(name).map_err(|e| segment("target", name, e))?)
+        }
+        (Method::Get, ["healthz"]) => {
+            return Ok(Routed::Answer(Answer::json(200, r#"{"state":"alive"}"#)))
+        }
+        (Method::Get, ["readyz"]) => Request::Ready,
+        (_, segments) => return Err(unknown_path(segments)),
+    };
+    let wait = wait(request, limits)?;
+    Ok(Routed::Submit(Taken {
+        request: taken,
+        wait,
+        form,
+    }))
+}
+
+fn unknown_path(segments: &[&str]) -> Refused {
+    let allowed = match segments {
+        ["v1", "jobs" | "requests" | "targets"] => "POST",
+        ["v1", "jobs", _, _, _] => "GET and DELETE",
+        ["v1", "targets", _] => "DELETE",
+        ["healthz" | "readyz"] => "GET",
+        _ => {
+            return refuse(
+                404,
+                "path",
+                "no such path: use /v1/jobs, /v1/requests, /v1/targets, /healthz or /readyz",
+            )
+        }
+    };
+    refuse(405, "method", &format!("this path takes {allowed}"))
+}
+
+fn segment(what: &str, text: &str, error: greengage_core::NameError) -> Refused {
+    refuse(400, "path", &format!("{what} {text:?}: {error}"))
+}
+
+fn key(zone: &str, account: &str, id: &str) -> Result<JobKey, Refused> {
+    Ok(JobKey {
+        zone: ZoneName::new(zone).map_err(|e| segment("zone", zone, e))?,
+        account: AccountName::new(account).map_err(|e| segment("account", account, e))?,
+        id: Name::new(id).map_err(|e| segment("id", id, e))?,
+    })
+}
+
+fn wait(request: &server::Request, limits: &Limits) -> Result<Duration, Refused> {
+    let params = request
+        .params()
+        .ok_or_else(|| refuse(400, "query", "the query has an invalid escape: correct it"))?;
+    let mut wait = limits.wait;
+    for (name, value) in params {
+        let most = limits.wait_most.as_millis() as u64;
+        match (name.as_str(), value.parse::<u64>()) {
+            ("wait_ms", Ok(ms)) if ms <= most => wait = Duration::from_millis(ms),
+            ("wait_ms", _) => {
+                return Err(refuse(
+                    400,
+                    "query",
+                    &format!("wait_ms is {value:?}: give a whole number from 0 to {most}"),
+                ))
+            }
+            _ => {
+                return Err(refuse(
+                    400,
+                    "query",
+                    &format!("parameter {name:?} is not known: remove it or use wait_ms"),
+                ))
+            }
+        }
+    }
+    Ok(wait)
+}
+
+fn job(body: &[u8], limit: usize) -> Result<NewJob, DocumentError> {
+    let mut fields = Fields::parse(body)?;
+    let account = fields.name("account", AccountName::new)?;
+    let zone = fields.name_opt("zone", ZoneName::new)?;
+    let id = fields.name("id", Name::new)?;
+    let template = fields.name("template", TemplateName::new)?;
+    let tasks = fields.payloads("tasks", limit)?;
+    fields.finish()?;
+    Ok(NewJob {
+        account,
+        zone,
+        id,
+        digest: digest(template.as_str(), &tasks),
+        template,
+        tasks,
+    })
+}
+
+fn single(body: &[u8]) -> Result<NewRequest, DocumentError> {
+    let mut fields = Fields::parse(body)?;
+    let account = fields.name("account", AccountName::new)?;
+    let zone = fields.name_opt("zone", ZoneName::new)?;
+    let id = fields.name_opt("id", Name::new)?;
+    let template = fields.name("template", TemplateName::new)?;
+    let task = fields.payload("task")?;
+    fields.finish()?;
+    Ok(NewRequest {
+        account,
+        zone,
+        id,
+        digest: digest(template.as_str(), std::slice::from_ref(&task)),
+        template,
+        task,
+    })
+}
+
+fn announcement(body: &[u8]) -> Result<Announcement, DocumentError> {
+    let mut fields = Fields::parse(body)?;
+    let target = fields.name("target", TargetName::new)?;
+    let incarnation = greengage_core::Incarnation(fields.need_u64("incarnation")?);
+    let address = fields.name("address", Address::new)?;
+    if address.as_str().parse::<SocketAddr>().is_err() {
+        let problem = format!("is {:?}: give IP:port", address.as_str());
+        return Err(fields.invalid("address", problem));
+    }
+    let zone = fields.name("zone", ZoneName::new)?;
+    let rack = fields.name_opt("rack", greengage_core::RackName::new)?;
+    let work = fields.names("work", TemplateName::new)?;
+    let capacity = document::read_capacity(fields.need_object("capacity")?)?;
+    let usage = fields
+        .object("usage")?
+        .map(document::read_demand)
+        .transpose()?;
+    let fencing = fields.boolean("fencing")?.unwrap_or(false);
+    let leaving = fields.boolean("leaving")?.unwrap_or(false);
+    fields.finish()?;
+    Ok(Announcement {
+        target,
+        incarnation,
+        address,
+        zone,
+        rack,
+        work,
+        capacity,
+        usage,
+        fencing,
+        leaving,
+    })
+}
--- /dev/null
+++ b/crates/http/src/json.rs
@@ -0,0 +1,367 @@
+//! Reading JSON objects field by field, with errors that name the field, the value and the remedy.
+//!
+//! Fields are kept as raw text until they are read, so a task or a result passes through without a
+//! change to its numbers.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use greengage_core::{Digest, NameError, Payload, SortedMap};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use serde_json::Value;
+use sha2::{Digest as _, Sha256};
+
+/// Why a document is not what it should be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DocumentError {
+    /// The field with its path; empty for the document itself.
+    pub field: String,
+    /// What is wrong and what to do.
+    pub problem: String,
+}
+
+impl fmt::Display for DocumentError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.field.as_str() {
+            "" => write!(f, "the document {}", self.problem),
+            field => write!(f, "field {field:?} {}", self.problem),
+        }
+    }
+}
+
+impl std::error::Error for DocumentError {}
+
+/// Longest part of a value that is repeated in an error.
+const SHOWN_CHARS: usize = 60;
+
+fn shown(raw: &str) -> String {
+    match raw.char_indices().nth(SHOWN_CHARS) {
+        Some((at, _)) => format!("{}...", &raw[..at]),
+        None => raw.to_string(),
+    }
+}
+
+/// The fields of one object that have not been read yet.
+pub struct Fields<'a> {
+    path: String,
+    raw: BTreeMap<String, &'a RawValue>,
+    known: Vec<&'static str>,
+}
+
+impl<'a> Fields<'a> {
+    /// Reads a document that must be an object.
+    pub fn parse(body: &'a [u8]) -> Result<Fields<'a>, DocumentError> {
+        let raw = serde_json::from_slice(body).map_err(|e| DocumentError {
+            field: String::new(),
+            problem: format!("is not a JSON object: {e}; correct it"),
+        })?;
+        Ok(Fields {
+            path: String::new(),
+            raw,
+            known: Vec::new(),
+        })
+    }
+
+    fn at(&self, name: &str) -> String {
+        match self.path.as_str() {
+            "" => name.to_string(),
+            path => format!("{path}.{name}"),
+        }
+    }
+
+    fn error(&self, name: &str, problem: String) -> DocumentError {
+        DocumentError {
+            field: self.at(name),
+            problem,
+        }
+    }
+
+    fn wrong(&self, name: &str, raw: &RawValue, remedy: &str) -> DocumentError {
+        self.error(name, format!("is {}: {remedy}", shown(raw.get())))
+    }
+
+    /// The raw value of an optional field; `null` counts as absent.
+    pub fn raw(&mut self, name: &'static str) -> Option<&'a RawValue> {
+        self.known.push(name);
+        self.raw.remove(name).filter(|raw| raw.get() != "null")
+    }
+
+    /// The raw value of a required field, which may be `null`.
+    pub fn payload(&mut self, name: &'static str) -> Result<Payload, DocumentError> {
+        self.known.push(name);
+        match self.raw.remove(name) {
+            Some(raw) => Ok(payload(raw)),
+            None => Err(self.missing(name)),
+        }
+    }
+
+    fn missing(&self, name: &str) -> DocumentError {
+        self.error(name, "is missing: add it".to_string())
+    }
+
+    fn required<T>(&self, name: &str, value: Option<T>) -> Result<T, DocumentError> {
+        value.ok_or_else(|| self.missing(name))
+    }
+
+    /// An optional value that `read` accepts; `remedy` says what it accepts.
+    fn value<T: Deserialize<'a>>(
+        &mut self,
+        name: &'static str,
+        remedy: &str,
+    ) -> Result<Option<T>, DocumentError> {
+        let Some(raw) = self.raw(name) else {
+            return Ok(None);
+        };
+        match serde_json::from_str(raw.get()) {
+            Ok(value) => Ok(Some(value)),
+            Err(_) => Err(self.wrong(name, raw, remedy)),
+        }
+    }
+
+    /// An optional name.
+    pub fn name_opt<T>(
+        &mut self,
+        name: &'static str,
+        make: impl Fn(&str) -> Result<T, NameError>,
+    ) -> Result<Option<T>, DocumentError> {
+        match self.value::<String>(name, "give a text")? {
+            Some(text) => match make(&text) {
+                Ok(value) => Ok(Some(value)),
+                Err(e) => Err(self.error(name, format!("is {:?}: {e}", shown(&text)))),
+            },
+            None => Ok(None),
+        }
+    }
+
+    /// A required name.
+    pub fn name<T>(
+        &mut self,
+        name: &'static str,
+        make: impl Fn(&str) -> Result<T, NameError>,
+    ) -> Result<T, DocumentError> {
+        let value = self.name_opt(name, make)?;
+        self.required(name, value)
+    }
+
+    /// A list of names; empty when absent.
+    pub fn names<T>(
+        &mut self,
+        name: &'static str,
+        make: impl Fn(&str) -> Result<T, NameError>,
+    ) -> Result<Vec<T>, DocumentError> {
+        let texts: Vec<String> = self
+            .value(name, "give an array of texts")?
+            .unwrap_or_default();
+        let mut names = Vec::with_capacity(texts.len());
+        for text in &texts {
+            names.push(
+                make(text).map_err(|e| self.error(name, format!("has {:?}: {e}", shown(text))))?,
+            );
+        }
+        Ok(names)
+    }
+
+    /// An optional text.
+    pub fn text(&mut self, name: &'static str) -> Result<Option<String>, DocumentError> {
+        self.value(name, "give a text")
+    }
+
+    /// An optional truth value.
+    pub fn boolean(&mut self, name: &'static str) -> Result<Option<bool>, DocumentError> {
+        self.value(name, "give true or false")
+    }
+
+    /// An optional whole number.
+    pub fn u64(&mut self, name: &'static str) -> Result<Option<u64>, DocumentError> {
+        self.value(name, "give a whole number from 0")
+    }
+
+    /// An optional whole number of 32 bits.
+    pub fn u32(&mut self, name: &'static str) -> Result<Option<u32>, DocumentError> {
+        self.value(name, "give a whole number from 0 to 4294967295")
+    }
+
+    /// A required whole number.
+    pub fn need_u64(&mut self, name: &'static str) -> Result<u64, DocumentError> {
+        let value = self.u64(name)?;
+        self.required(name, value)
+    }
+
+    /// A required whole number of 32 bits.
+    pub fn need_u32(&mut self, name: &'static str) -> Result<u32, DocumentError> {
+        let value = self.u32(name)?;
+        self.required(name, value)
+    }
+
+    /// A required text that is one of a closed set.
+    pub fn choice<T: Copy>(
+        &mut self,
+        name: &'static str,
+        choices: &[(&str, T)],
+    ) -> Result<Option<T>, DocumentError> {
+        let remedy = choices
+            .iter()
+            .map(|(text, _)| format!("{text:?}"))
+            .collect::<Vec<_>>()
+            .join(" or ");
+        let remedy = format!("give {remedy}");
+        let Some(raw) = self.raw(name) else {
+            return Ok(None);
+        };
+        let text: Option<String> = serde_json::from_str(raw.get()).ok();
+        let found = choices.iter().find(|(t, _)| Some(*t) == text.as_deref());
+        match found {
+            Some((_, value)) => Ok(Some(*value)),
+            None => Err(self.wrong(name, raw, &remedy)),
+        }
+    }
+
+    /// An optional object.
+    pub fn object(&mut self, name: &'static str) -> Result<Option<Fields<'a>>, DocumentError> {
+        let raw = self.value(name, "give an object")?;
+        Ok(raw.map(|raw| Fields {
+            path: self.at(name),
+            raw,
+            known: Vec::new(),
+        }))
+    }
+
+    /// A required object.
+    pub fn need_object(&mut self, name: &'static str) -> Result<Fields<'a>, DocumentError> {
+        let value = self.object(name)?;
+        self.required(name, value)
+    }
+
+    /// An optional map from names to values; `read` gets the value and a function that makes the
+    /// error for this entry.
+    pub fn map<K: Ord, V>(
+        &mut self,
+        name: &'static str,
+        key: impl Fn(&str) -> Result<K, NameError>,
+        read: impl Fn(&'a RawValue, &str) -> Result<V, DocumentError>,
+    ) -> Result<SortedMap<K, V>, DocumentError> {
+        let raw: BTreeMap<String, &'a RawValue> =
+            self.value(name, "give an object")?.unwrap_or_default();
+        let mut map = SortedMap::new();
+        for (text, raw) in raw {
+            let path = format!("{}.{}", self.at(name), shown(&text));
+            let key = key(&text).map_err(|e| DocumentError {
+                field: path.clone(),
+                problem: format!("has a key that is no name: {e}"),
+            })?;
+            map.insert(key, read(raw, &path)?);
+        }
+        Ok(map)
+    }
+
+    /// An array of raw values; at least one and at most `limit`.
+    pub fn payloads(
+        &mut self,
+        name: &'static str,
+        limit: usize,
+    ) -> Result<Vec<Payload>, DocumentError> {
+        let remedy = format!("give an array of 1 to {limit} values");
+        let values: Option<Vec<&'a RawValue>> = self.value(name, &remedy)?;
+        let values = self.required(name, values)?;
+        if values.is_empty() || values.len() > limit {
+            return Err(self.error(name, format!("has {} values: {remedy}", values.len())));
+        }
+        Ok(values.into_iter().map(payload).collect())
+    }
+
+    /// An array of objects; empty when absent.
+    pub fn objects(&mut self, name: &'static str) -> Result<Vec<Fields<'a>>, DocumentError> {
+        let values: Vec<BTreeMap<String, &'a RawValue>> = self
+            .value(name, "give an array of objects")?
+            .unwrap_or_default();
+        let path = self.at(name);
+        Ok(values
+            .into_iter()
+            .enumerate()
+            .map(|(i, raw)| Fields {
+                path: format!("{path}[{i}]"),
+                raw,
+                known: Vec::new(),
+            })
+            .collect())
+    }
+
+    /// An object's fields from its raw value, for an entry of a map.
+    pub fn of(raw: &'a RawValue, path: &str) -> Result<Fields<'a>, DocumentError> {
+        match serde_json::from_str(raw.get()) {
+            Ok(fields) => Ok(Fields {
+                path: path.to_string(),
+                raw: fields,
+                known: Vec::new(),
+            }),
+            Err(_) => Err(DocumentError {
+                field: path.to_string(),
+                problem: format!("is {}: give an object", shown(raw.get())),
+            }),
+        }
+    }
+
+    /// Whether fields are left that were not read.
+    pub fn any(&self) -> bool {
+        !self.raw.is_empty()
+    }
+
+    /// Fails when a field is left, which no reader knows.
+    pub fn finish(self) -> Result<(), DocumentError> {
+        match self.raw.first_key_value() {
+            None => Ok(()),
+            Some((name, _)) => Err(self.error(
+                &shown(name),
+                format!(
+                    "is not known: remove it or use one of {}",
+                    self.known.join(", ")
+                ),
+            )),
+        }
+    }
+
+    /// An error about a field that was read.
+    pub fn invalid(&self, name: &str, problem: impl Into<String>) -> DocumentError {
+        self.error(name, problem.into())
+    }
+}
+
+fn payload(raw: &RawValue) -> Payload {
+    Payload::new(raw.get().as_bytes())
+}
+
+/// The SHA-256 of template and tasks in a form that does not depend on white space or on the order
+/// of keys.
+pub fn digest(template: &str, tasks: &[Payload]) -> Digest {
+    let mut hash = Sha256::new();
+    let mut add = |text: &[u8]| {
+        hash.update((text.len() as u64).to_be_bytes());
+        hash.update(text);
+    };
+    add(template.as_bytes());
+    for task in tasks {
+        // `Value` keeps the keys of an object sorted.
+        match serde_json::from_slice::<Value>(task) {
+            Ok(value) => add(value.to_string().as_bytes()),
+            Err(_) => add(task),
+        }
+    }
+    Digest(hash.finalize().into())
+}
+
+/// A payload as JSON text; one that is not JSON, which no edge lets in, becomes a text.
+pub fn embed(payload: &Payload) -> Box<RawValue> {
+    let text = String::from_utf8_lossy(payload);
+    match serde_json::from_str::<Box<RawValue>>(&text) {
+        Ok(raw) => raw,
+        Err(_) => serde_json::value::to_raw_value(&*text).expect("a text is valid JSON"),
+    }
+}
+
+/// A number that spreads texts evenly, the same in every run.
+pub(crate) fn shard(text: &str) -> usize {
+    text.bytes().fold(0usize, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(byte.into())
+    })
+}
--- /dev/null
+++ b/crates/http/src/pool.rs
@@ -0,0 +1,176 @@
+//! A bounded pool of named threads that are created on demand and end when idle.
+//!
+//! A job is queued and, unless an idle thread will take it, a thread is added up to the limit.
+//! Jobs beyond the limit wait in the queue, so a caller that must not queue asks `busy` first.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+type Job = Box<dyn FnOnce() + Send>;
+
+/// How long a thread waits for a job before it ends.
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+
+struct State {
+    queue: VecDeque<Job>,
+    threads: usize,
+    idle: usize,
+    running: usize,
+    closed: bool,
+}
+
+struct Inner {
+    name: String,
+    limit: usize,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+/// The pool; a clone refers to the same threads.
+#[derive(Clone)]
+pub(crate) struct Pool(Arc<Inner>);
+
+impl Pool {
+    /// A pool of at most `limit` threads called `name`.
+    pub(crate) fn new(name: &str, limit: usize) -> Pool {
+        Pool(Arc::new(Inner {
+            name: name.to_string(),
+            limit: limit.max(1),
+            state: Mutex::new(State {
+                queue: VecDeque::new(),
+                threads: 0,
+                idle: 0,
+                running: 0,
+                closed: false,
+            }),
+            changed: Condvar::new(),
+        }))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Queues `job`; returns false, without running it, when the pool is closed or no thread can
+    /// be created.
+    pub(crate) fn run(&self, job: impl FnOnce() + Send + 'static) -> bool {
+        let mut state = self.lock();
+        if state.closed {
+            return false;
+        }
+        state.queue.push_back(Box::new(job));
+        if state.idle >= state.queue.len() {
+            self.0.changed.notify_one();
+            return true;
+        }
+        if state.threads >= self.0.limit {
+            return true;
+        }
+        let pool = self.clone();
+        let spawned = thread::Builder::new()
+            .name(self.0.name.clone())
+            .spawn(move || pool.work());
+        match spawned {
+            Ok(_) => state.threads += 1,
+            Err(e) => {
+                log::error!("pool {} can't create a thread: {e}", self.0.name);
+                if state.threads == 0 {
+                    state.queue.pop_back();
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    /// Jobs that run or wait.
+    pub(crate) fn busy(&self) -> usize {
+        let state = self.lock();
+        state.running + state.queue.len()
+    }
+
+    /// The limit of threads.
+    pub(crate) fn limit(&self) -> usize {
+        self.0.limit
+    }
+
+    /// Drops waiting jobs and ends each thread after its present job.
+    pub(crate) fn close(&self) {
+        let waiting = {
+            let mut state = self.lock();
+            state.closed = true;
+            std::mem::take(&mut state.queue)
+        };
+        self.0.changed.notify_all();
+        drop(waiting);
+    }
+
+    /// Waits until all threads have ended; false when `limit` passes first.
+    pub(crate) fn wait(&self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        let mut state = self.lock();
+        while state.threads > 0 {
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            state = match self.0.changed.wait_timeout(state, left) {
+                Ok((state, _)) => state,
+                Err(e) => e.into_inner().0,
+            };
+        }
+        true
+    }
+
+    fn work(self) {
+        // Corrects the count also when a job panics.
+        let _registered = Registered(&self);
+        while let Some(job) = self.next() {
+            // Counted down also when the job panics.
+            let _running = Running(&self);
+            job();
+        }
+    }
+
+    fn next(&self) -> Option<Job> {
+        let mut state = self.lock();
+        loop {
+            if let Some(job) = state.queue.pop_front() {
+                state.running += 1;
+                return Some(job);
+            }
+            if state.closed {
+                return None;
+            }
+            state.idle += 1;
+            let (next, timeout) = match self.0.changed.wait_timeout(state, IDLE_LIMIT) {
+                Ok(woken) => woken,
+                Err(e) => e.into_inner(),
+            };
+            state = next;
+            state.idle -= 1;
+            if timeout.timed_out() && state.queue.is_empty() {
+                return None;
+            }
+        }
+    }
+}
+
+struct Running<'a>(&'a Pool);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.lock().running -= 1;
+    }
+}
+
+struct Registered<'a>(&'a Pool);
+
+impl Drop for Registered<'_> {
+    fn drop(&mut self) {
+        self.0.lock().threads -= 1;
+        self.0 .0.changed.notify_all();
+    }
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,829 @@
+//! An HTTP/1.1 server whose requests can be answered later, and whose connections can be closed or
+//! reset at any point.
+//!
+//! The syntax of methods, headers and responses is that of `tiny_http`; connections, threads and
+//! limits are managed here. `tiny_http::Server` is not used, for four reasons: its accept thread
+//! ends when `accept` returns an error, which a receive time limit on the listening socket causes
+//! after the first idle period; dropping a request with `Content-Length: 900000000000000` aborts
+//! the process on the allocation of that size; it creates an unnamed thread for each connection
+//! without a bound; and a header line may grow without a bound.
+//!
+//! A thread of a bounded pool reads one request and passes it to the handler together with a
+//! [`Responder`], which owns the connection. A handler that answers at once keeps the thread, which
+//! then reads the next request. A handler that keeps the responder frees the thread; once the
+//! answer is given, a thread of the pool writes it and goes on reading. Every read and write has a
+//! time limit: a request must arrive in full within `Limits::read` after its first byte (after the
+//! accept for the first one), and a connection without a request is closed after `Limits::idle`.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use tiny_http::{HTTPVersion, Header, Method, Response, StatusCode};
+
+use crate::pool::Pool;
+
+/// Bounds of a server.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Largest body in bytes.
+    pub body_bytes: usize,
+    /// Largest request line with headers in bytes.
+    pub header_bytes: usize,
+    /// Most connections, waiting callers included.
+    pub connections: usize,
+    /// Most threads. A new connection is rejected while three quarters of them are busy, so that
+    /// answers to waiting callers always find a thread.
+    pub threads: usize,
+    /// How long a connection may stay without a request.
+    pub idle: Duration,
+    /// How long a request may take to arrive.
+    pub read: Duration,
+    /// How long a write may make no progress.
+    pub write: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            body_bytes: 8 << 20,
+            header_bytes: 16 << 10,
+            connections: 8192,
+            threads: 1024,
+            idle: Duration::from_secs(10),
+            read: Duration::from_secs(5),
+            write: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Why a server can't be started.
+#[derive(Debug)]
+pub enum HttpError {
+    /// The address can't be listened on.
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        cause: io::Error,
+    },
+    /// A thread can't be created.
+    Thread(io::Error),
+}
+
+impl fmt::Display for HttpError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            HttpError::Listen { address, cause } => write!(
+                f,
+                "can't listen on {address}: {cause}; choose an address of this machine whose port \
+                 is free"
+            ),
+            HttpError::Thread(cause) => {
+                write!(f, "can't create a thread: {cause}; raise the process limit")
+            }
+        }
+    }
+}
+
+impl std::error::Error for HttpError {}
+
+/// A request that has arrived in full.
+#[derive(Debug)]
+pub struct Request {
+    /// The method.
+    pub method: Method,
+    /// The path as sent, without the query.
+    pub path: String,
+    /// The query as sent, empty without one.
+    pub query: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    /// The decoded segments of the path, or `None` when one is not valid.
+    pub fn segments(&self) -> Option<Vec<String>> {
+        self.path
+            .trim_start_matches('/')
+            .split('/')
+            .map(decode)
+            .collect()
+    }
+
+    /// The decoded parameters of the query, or `None` when one is not valid.
+    pub fn params(&self) -> Option<Vec<(String, String)>> {
+        self.query
+            .split('&')
+            .filter(|p| !p.is_empty())
+            .map(|p| {
+                let (name, value) = p.split_once('=').unwrap_or((p, ""));
+                Some((decode(name)?, decode(value)?))
+            })
+            .collect()
+    }
+}
+
+/// Replaces each `%xx` by its byte.
+fn decode(text: &str) -> Option<String> {
+    if !text.contains('%') {
+        return Some(text.to_string());
+    }
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((first, tail)) = rest.split_first() {
+        rest = tail;
+        if *first != b'%' {
+            bytes.push(*first);
+            continue;
+        }
+        let (hex, tail) = rest.split_at_checked(2)?;
+        let hex = std::str::from_utf8(hex).ok()?;
+        bytes.push(u8::from_str_radix(hex, 16).ok()?);
+        rest = tail;
+    }
+    String::from_utf8(bytes).ok()
+}
+
+/// A response.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The media type of the body.
+    pub media: &'static str,
+    /// For `Retry-After`, in milliseconds; rounded up to whole seconds.
+    pub retry_ms: Option<u64>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// A JSON document.
+    pub fn json(status: u16, body: impl Into<Vec<u8>>) -> Answer {
+        Answer {
+            status,
+            media: "application/json",
+            retry_ms: None,
+            body: body.into(),
+        }
+    }
+
+    fn print(self, version: HTTPVersion, head: bool, close: bool) -> Vec<u8> {
+        let mut out = Vec::with_capacity(self.body.len() + 256);
+        let length = self.body.len();
+        let mut headers = vec![header("Content-Type", self.media)];
+        if close {
+            headers.push(header("Connection", "close"));
+        }
+        if let Some(ms) = self.retry_ms {
+            headers.push(header("Retry-After", &ms.div_ceil(1000).to_string()));
+        }
+        let body = io::Cursor::new(self.body);
+        // The library would send a large body in chunks; the length is known.
+        Response::new(StatusCode(self.status), headers, body, Some(length), None)
+            .with_chunked_threshold(usize::MAX)
+            .raw_print(&mut out, version, &[], head, None)
+            .expect("writing to memory can't fail");
+        out
+    }
+}
+
+fn header(name: &str, value: &str) -> Header {
+    Header::from_bytes(name, value).expect("header names and values are ASCII")
+}
+
+/// What a handler does with a request: answer at once, or keep the responder for later.
+pub type Handled = Option<(Responder, Answer)>;
+
+type Handler = dyn Fn(Request, Responder) -> Handled + Send + Sync;
+
+struct Shared {
+    limits: Limits,
+    pool: Pool,
+    stop: AtomicBool,
+    open: AtomicUsize,
+    next: AtomicU64,
+    // Kept to end blocked reads and writes when the server stops. A B-tree because numbers are
+    // removed in any order and there may be thousands.
+    streams: Mutex<BTreeMap<u64, Arc<TcpStream>>>,
+    handler: Box<Handler>,
+}
+
+impl Shared {
+    fn streams(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<TcpStream>>> {
+        self.streams.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A running server; it stops when dropped.
+pub struct Server {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    accept: Option<thread::JoinHandle<()>>,
+}
+
+impl Server {
+    /// Listens on `address` and passes each request to `handler`; threads are called `name`.
+    pub fn start(
+        name: &str,
+        address: SocketAddr,
+        limits: Limits,
+        handler: impl Fn(Request, Responder) -> Handled + Send + Sync + 'static,
+    ) -> Result<Server, HttpError> {
+        let failed = |cause| HttpError::Listen { address, cause };
+        let listener = listen(address).map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
+        let shared = Arc::new(Shared {
+            pool: Pool::new(name, limits.threads),
+            limits,
+            stop: AtomicBool::new(false),
+            open: AtomicUsize::new(0),
+            next: AtomicU64::new(0),
+            streams: Mutex::new(BTreeMap::new()),
+            handler: Box::new(handler),
+        });
+        let accepting = shared.clone();
+        let accept = thread::Builder::new()
+            .name(format!("{name}-accept"))
+            .spawn(move || accept(&accepting, &listener))
+            .map_err(HttpError::Thread)?;
+        Ok(Server {
+            address,
+            shared,
+            accept: Some(accept),
+        })
+    }
+
+    /// The address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The number of open connections.
+    pub fn connections(&self) -> usize {
+        self.shared.open.load(Ordering::Relaxed)
+    }
+
+    /// The number that the next connection gets.
+    pub fn next_connection(&self) -> u64 {
+        self.shared.next.load(Ordering::Relaxed)
+    }
+
+    /// Stops listening; open connections are closed after their next answer.
+    pub fn close(&mut self) {
+        self.shared.stop.store(true, Ordering::Relaxed);
+        if let Some(accept) = self.accept.take() {
+            // Wakes the thread, which is blocked in `accept`.
+            let woken = TcpStream::connect_timeout(&reachable(self.address), WAKE_LIMIT);
+            if woken.is_ok() {
+                let _ = accept.join();
+            }
+        }
+    }
+
+    /// Closes all connections without an answer and waits for all threads to end.
+    pub fn stop(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        self.close();
+        self.shared.pool.close();
+        for stream in self.shared.streams().values() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        if !self.shared.pool.wait(WAKE_LIMIT) {
+            log::warn!("threads of the server at {} still run", self.address);
+        }
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+const WAKE_LIMIT: Duration = Duration::from_secs(2);
+
+/// The backlog of the listening socket; the system's own limit is usually 4,096.
+const BACKLOG: i32 = 4096;
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let domain = socket2::Domain::for_address(address);
+    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+fn reachable(address: SocketAddr) -> SocketAddr {
+    let mut address = address;
+    if address.ip().is_unspecified() {
+        match address {
+            SocketAddr::V4(_) => address.set_ip(std::net::Ipv4Addr::LOCALHOST.into()),
+            SocketAddr::V6(_) => address.set_ip(std::net::Ipv6Addr::LOCALHOST.into()),
+        }
+    }
+    address
+}
+
+fn accept(shared: &Arc<Shared>, listener: &TcpListener) {
+    while !shared.stop.load(Ordering::Relaxed) {
+        match listener.accept() {
+            Ok((stream, _)) if !shared.stop.load(Ordering::Relaxed) => admit(shared, stream),
+            Ok(_) => return,
+            Err(e) => {
+                // Out of descriptors, or the peer was gone before it was accepted.
+                log::warn!("accept failed: {e}");
+                thread::sleep(Duration::from_millis(20));
+            }
+        }
+    }
+}
+
+fn admit(shared: &Arc<Shared>, stream: TcpStream) {
+    let limits = &shared.limits;
+    let prepared = stream
+        .set_nodelay(true)
+        .and_then(|()| stream.set_write_timeout(Some(limits.write)));
+    if prepared.is_err() {
+        return;
+    }
+    let full = shared.open.load(Ordering::Relaxed) >= limits.connections
+        || shared.pool.busy() >= (limits.threads * 3 / 4).max(1);
+    if full {
+        let answer = Answer {
+            retry_ms: Some(1000),
+            ..Answer::json(
+                503,
+                r#"{"error":"busy","message":"not run: too many connections; submit again","not_run":true,"retry_ms":1000}"#,
+            )
+        };
+        let _ = (&stream).write_all(&answer.print(HTTPVersion(1, 1), false, true));
+        let _ = stream.shutdown(Shutdown::Write);
+        return;
+    }
+    let connection = Connection::new(shared, stream);
+    let deadline = Instant::now() + limits.read;
+    shared.pool.run(move || serve(connection, Some(deadline)));
+}
+
+/// One connection; it is closed when dropped.
+struct Connection {
+    shared: Arc<Shared>,
+    number: u64,
+    stream: Arc<TcpStream>,
+    // Bytes that were read beyond the last request.
+    ahead: Vec<u8>,
+}
+
+impl Connection {
+    fn new(shared: &Arc<Shared>, stream: TcpStream) -> Connection {
+        let number = shared.next.fetch_add(1, Ordering::Relaxed);
+        let stream = Arc::new(stream);
+        shared.open.fetch_add(1, Ordering::Relaxed);
+        shared.streams().insert(number, stream.clone());
+        Connection {
+            shared: shared.clone(),
+            number,
+            stream,
+            ahead: Vec::new(),
+        }
+    }
+
+    /// Reads more bytes until `deadline`; an error at the end of the stream.
+    fn fill(&mut self, deadline: Instant) -> io::Result<()> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        self.stream.set_read_timeout(Some(left))?;
+        let mut chunk = [0; 16 << 10];
+        match (&*self.stream).read(&mut chunk) {
+            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(n) => {
+                self.ahead.extend_from_slice(&chunk[..n]);
+                Ok(())
+            }
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Err(io::ErrorKind::TimedOut.into()),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => Ok(()),
+            Err(e) => Err(e),
+        }
+    }
+
+    fn write(&self, bytes: &[u8]) -> io::Result<()> {
+        (&*self.stream).write_all(bytes)
+    }
+
+    /// Reads and drops what the peer still sends. A close with unread input would reset the
+    /// connection, and the peer would lose the answer.
+    fn drain(&mut self) {
+        let deadline = Instant::now() + self.shared.limits.read;
+        let most = 2 * self.shared.limits.body_bytes;
+        let mut dropped = 0;
+        let _ = self.stream.shutdown(Shutdown::Write);
+        while dropped < most && self.fill(deadline).is_ok() {
+            dropped += self.ahead.len();
+            self.ahead.clear();
+        }
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.shared.streams().remove(&self.number);
+        self.shared.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// The right to answer one request; dropped without an answer, it closes the connection.
+pub struct Responder {
+    connection: Connection,
+    version: HTTPVersion,
+    head: bool,
+    close: bool,
+}
+
+impl Responder {
+    /// Answers from a thread of the server, so that the calling thread never waits for the peer.
+    pub fn send(self, answer: Answer) {
+        let pool = self.connection.shared.pool.clone();
+        pool.run(move || {
+            if let Some(connection) = self.write(answer) {
+                serve(connection, None);
+            }
+        });
+    }
+
+    /// Answers, and after `gap` sends the same answer again, as a faulty peer may do.
+    pub fn send_twice(self, answer: Answer, gap: Duration) {
+        let pool = self.connection.shared.pool.clone();
+        pool.run(move || {
+            let again = answer.clone().print(self.version.clone(), self.head, false);
+            let Some(connection) = self.write(answer) else {
+                return;
+            };
+            thread::sleep(gap);
+            if connection.write(&again).is_ok() {
+                serve(connection, None);
+            }
+        });
+    }
+
+    /// The number of its connection; later connections have higher numbers.
+    pub fn connection(&self) -> u64 {
+        self.connection.number
+    }
+
+    /// Writes the answer and returns the connection if it stays open.
+    fn write(self, answer: Answer) -> Option<Connection> {
+        let shared = &self.connection.shared;
+        // Idle connections hold a thread each, so none are kept when threads are scarce.
+        let close = self.close
+            || shared.stop.load(Ordering::Relaxed)
+            || shared.pool.busy() > shared.pool.limit() / 2;
+        let bytes = answer.print(self.version, self.head, close);
+        match self.connection.write(&bytes) {
+            Ok(()) if !close => Some(self.connection),
+            Ok(()) => {
+                let _ = self.connection.stream.shutdown(Shutdown::Write);
+                None
+            }
+            Err(_) => None,
+        }
+    }
+
+    /// Resets the connection, as the system does for a process that dies.
+    pub fn reset(self) {
+        let _ = socket2::SockRef::from(&*self.connection.stream).set_linger(Some(Duration::ZERO));
+    }
+}
+
+/// Reads and handles requests until the connection ends or is kept by the handler.
+fn serve(mut connection: Connection, mut deadline: Option<Instant>) {
+    loop {
+        let (request, responder) = match receive(connection, deadline.take()) {
+            Ok(received) => received,
+            Err(Rejected { connection, reason }) => {
+                reject(connection, reason);
+                return;
+            }
+        };
+        let shared = responder.connection.shared.clone();
+        let Some((responder, answer)) = (shared.handler)(request, responder) else {
+            return;
+        };
+        match responder.write(answer) {
+            Some(next) => connection = next,
+            None => return,
+        }
+    }
+}
+
+/// Why a request was not taken.
+enum Reason {
+    /// The peer is gone, or sent nothing for too long.
+    Gone,
+    /// The request didn't arrive within its time.
+    Slow,
+    /// The request is malformed.
+    Malformed(&'static str),
+    /// The version isn't 1.0 or 1.1.
+    Version,
+    /// The request line and headers are too long.
+    Headers(usize),
+    /// The body is too long.
+    Body(usize),
+}
+
+struct Rejected {
+    connection: Connection,
+    reason: Reason,
+}
+
+fn reject(mut connection: Connection, reason: Reason) {
+    let (status, kind, message) = match reason {
+        Reason::Gone => return,
+        Reason::Slow => (
+            408,
+            "slow",
+            format!(
+                "not run: the request did not arrive within {} ms; send it again",
+                connection.shared.limits.read.as_millis()
+            ),
+        ),
+        Reason::Malformed(what) => (400, "malformed", format!("not run: {what}")),
+        Reason::Version => (
+            505,
+            "version",
+            "not run: use HTTP/1.0 or HTTP/1.1".to_string(),
+        ),
+        Reason::Headers(limit) => (
+            431,
+            "headers",
+            format!("not run: request line and headers exceed {limit} bytes; shorten them"),
+        ),
+        Reason::Body(limit) => (
+            413,
+            "body",
+            format!("not run: the body exceeds {limit} bytes; send fewer or smaller tasks"),
+        ),
+    };
+    let body = serde_json::json!({"error": kind, "message": message, "not_run": true});
+    let answer = Answer::json(status, body.to_string());
+    if connection
+        .write(&answer.print(HTTPVersion(1, 1), false, true))
+        .is_ok()
+    {
+        connection.drain();
+    }
+}
+
+fn receive(
+    mut connection: Connection,
+    deadline: Option<Instant>,
+) -> Result<(Request, Responder), Rejected> {
+    match read_request(&mut connection, deadline) {
+        Ok((request, version, close)) => {
+            let responder = Responder {
+                connection,
+                version,
+                head: request.method == Method::Head,
+                close,
+            };
+            Ok((request, responder))
+        }
+        Err(reason) => Err(Rejected { connection, reason }),
+    }
+}
+
+fn ended(e: &io::Error) -> Reason {
+    match e.kind() {
+        io::ErrorKind::TimedOut => Reason::Slow,
+        _ => Reason::Gone,
+    }
+}
+
+fn read_request(
+    connection: &mut Connection,
+    deadline: Option<Instant>,
+) -> Result<(Request, HTTPVersion, bool), Reason> {
+    let limits = connection.shared.limits.clone();
+    let deadline = match deadline {
+        Some(deadline) => deadline,
+        None => {
+            if connection.ahead.is_empty() {
+                let idle = Instant::now() + limits.idle;
+                connection.fill(idle).map_err(|_| Reason::Gone)?;
+            }
+            Instant::now() + limits.read
+        }
+    };
+    let end = read_head(connection, deadline, limits.header_bytes)?;
+    let body = connection.ahead.split_off(end);
+    let head = std::mem::replace(&mut connection.ahead, body);
+    let head = Head::parse(&head)?;
+    if let Framing::Length(length) = head.framing {
+        if length > limits.body_bytes as u64 {
+            return Err(Reason::Body(limits.body_bytes));
+        }
+    }
+    if head.expects && connection.ahead.is_empty() && head.framing != Framing::Length(0) {
+        connection
+            .write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            .map_err(|_| Reason::Gone)?;
+    }
+    let body = match head.framing {
+        Framing::Length(length) => take(connection, deadline, length as usize)?,
+        Framing::Chunked => read_chunks(connection, deadline, limits.body_bytes)?,
+    };
+    let (path, query) = match head.target.split_once('?') {
+        Some((path, query)) => (path.to_string(), query.to_string()),
+        None => (head.target, String::new()),
+    };
+    let request = Request {
+        method: head.method,
+        path,
+        query,
+        body,
+    };
+    Ok((request, head.version, head.close))
+}
+
+/// Reads until the empty line after the headers and returns the position behind it.
+fn read_head(
+    connection: &mut Connection,
+    deadline: Instant,
+    limit: usize,
+) -> Result<usize, Reason> {
+    let mut from = 0;
+    loop {
+        let found = connection.ahead[from..]
+            .windows(4)
+            .position(|w| w == b"\r\n\r\n");
+        match found {
+            Some(at) if from + at + 4 <= limit => return Ok(from + at + 4),
+            None if connection.ahead.len() <= limit => (),
+            Some(_) | None => return Err(Reason::Headers(limit)),
+        }
+        from = connection.ahead.len().saturating_sub(3);
+        connection.fill(deadline).map_err(|e| ended(&e))?;
+    }
+}
+
+fn take(connection: &mut Connection, deadline: Instant, length: usize) -> Result<Vec<u8>, Reason> {
+    while connection.ahead.len() < length {
+        connection.fill(deadline).map_err(|e| ended(&e))?;
+    }
+    let rest = connection.ahead.split_off(length);
+    Ok(std::mem::replace(&mut connection.ahead, rest))
+}
+
+/// Longest line that names the size of a chunk or is a trailer.
+const CHUNK_LINE_BYTES: usize = 256;
+
+fn take_line(connection: &mut Connection, deadline: Instant) -> Result<Vec<u8>, Reason> {
+    loop {
+        if let Some(at) = connection.ahead.windows(2).position(|w| w == b"\r\n") {
+            let mut line = take(connection, deadline, at + 2)?;
+            line.truncate(at);
+            return Ok(line);
+        }
+        if connection.ahead.len() > CHUNK_LINE_BYTES {
+            return Err(Reason::Malformed("a chunk has no valid size"));
+        }
+        connection.fill(deadline).map_err(|e| ended(&e))?;
+    }
+}
+
+fn read_chunks(
+    connection: &mut Connection,
+    deadline: Instant,
+    limit: usize,
+) -> Result<Vec<u8>, Reason> {
+    let mut body = Vec::new();
+    loop {
+        let line = take_line(connection, deadline)?;
+        let size = std::str::from_utf8(&line)
+            .ok()
+            .and_then(|l| l.split(';').next())
+            .filter(|s| s.trim().bytes().all(|b| b.is_ascii_hexdigit()))
+            .and_then(|s| usize::from_str_radix(s.trim(), 16).ok())
+            .ok_or(Reason::Malformed("a chunk has no valid size"))?;
+        if size > limit - body.len() {
+            return Err(Reason::Body(limit));
+        }
+        if size == 0 {
+            break;
+        }
+        let chunk = take(connection, deadline, size + 2)?;
+        let Some(chunk) = chunk.strip_suffix(b"\r\n") else {
+            return Err(Reason::Malformed("a chunk is longer than its size"));
+        };
+        body.extend_from_slice(chunk);
+    }
+    while !take_line(connection, deadline)?.is_empty() {}
+    Ok(body)
+}
+
+/// How the end of a body is found.
+#[derive(Clone, Copy, PartialEq)]
+enum Framing {
+    Length(u64),
+    Chunked,
+}
+
+/// Request line and headers.
+struct Head {
+    method: Method,
+    target: String,
+    version: HTTPVersion,
+    framing: Framing,
+    expects: bool,
+    close: bool,
+}
+
+impl Head {
+    fn parse(bytes: &[u8]) -> Result<Head, Reason> {
+        let text = std::str::from_utf8(bytes)
+            .ok()
+            .filter(|t| t.is_ascii())
+            .ok_or(Reason::Malformed("the headers are not ASCII"))?;
+        let mut lines = text.split("\r\n").filter(|l| !l.is_empty());
+        let mut words = lines.next().unwrap_or_default().split(' ');
+        let (Some(method), Some(target), Some(version), None) =
+            (words.next(), words.next(), words.next(), words.next())
+        else {
+            return Err(Reason::Malformed("the request line has not three parts"));
+        };
+        let version = match version {
+            "HTTP/1.1" => HTTPVersion(1, 1),
+            "HTTP/1.0" => HTTPVersion(1, 0),
+            _ => return Err(Reason::Version),
+        };
+        let method = method
+            .parse()
+            .map_err(|()| Reason::Malformed("the method is not valid"))?;
+        let mut head = Head {
+            method,
+            target: target.to_string(),
+            close: version == HTTPVersion(1, 0),
+            version,
+            framing: Framing::Length(0),
+            expects: false,
+        };
+        let mut length = None;
+        let mut chunked = false;
+        for line in lines {
+            let header: Header = line
+                .parse()
+                .map_err(|()| Reason::Malformed("a header is not valid"))?;
+            let value = header.value.as_str().trim();
+            if header.field.equiv("Content-Length") {
+                let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+                // A number that doesn't fit is over every limit.
+                let number = if digits {
+                    value.parse().unwrap_or(u64::MAX)
+                } else {
+                    return Err(Reason::Malformed("Content-Length is not a number"));
+                };
+                if length.is_some_and(|l| l != number) {
+                    return Err(Reason::Malformed("Content-Length is given twice"));
+                }
+                length = Some(number);
+            } else if header.field.equiv("Transfer-Encoding") {
+                if !value.eq_ignore_ascii_case("chunked") {
+                    return Err(Reason::Malformed("the only transfer encoding is chunked"));
+                }
+                chunked = true;
+            } else if header.field.equiv("Expect") {
+                head.expects = value.eq_ignore_ascii_case("100-continue");
+            } else if header.field.equiv("Connection") {
+                let value = value.to_ascii_lowercase();
+                head.close = match head.version == HTTPVersion(1, 0) {
+                    true => !value.contains("keep-alive"),
+                    false => value.contains("close"),
+                };
+            }
+        }
+        head.framing = match (length, chunked) {
+            // Two ways to find the end of a body let a request be read in two ways.
+            (Some(_), true) => {
+                return Err(Reason::Malformed(
+                    "a body has Content-Length or Transfer-Encoding, not both",
+                ))
+            }
+            (None, true) => Framing::Chunked,
+            (length, false) => Framing::Length(length.unwrap_or(0)),
+        };
+        Ok(head)
+    }
+}
--- /dev/null
+++ b/crates/http/src/status.rs
@@ -0,0 +1,117 @@
+//! The status and the kind of each error, in one place.
+
+use greengage_control::api::ApiError;
+use greengage_core::Refusal;
+use greengage_policy::EditError;
+use serde_json::json;
+
+use crate::json::DocumentError;
+use crate::server::Answer;
+
+/// How an error is reported.
+pub struct Report {
+    /// The HTTP status.
+    pub status: u16,
+    /// The kind, for programs.
+    pub kind: &'static str,
+    /// Whether it is certain that this request ran nothing.
+    pub not_run: bool,
+    /// When to try again, in milliseconds.
+    pub retry_ms: Option<u64>,
+}
+
+/// When to try again after an error that names no time, in milliseconds.
+const RETRY_MS: u64 = 500;
+
+/// How `error` is reported.
+pub fn report(error: &ApiError) -> Report {
+    let (status, kind, not_run, retry_ms) = match error {
+        ApiError::Refused(refusal) => {
+            let (status, kind) = match refusal {
+                Refusal::Late { .. } => (503, "late"),
+                Refusal::Quota { .. } => (429, "quota"),
+                Refusal::Full { .. } => (503, "full"),
+                Refusal::Impossible { .. } => (422, "impossible"),
+                Refusal::Draining => (503, "draining"),
+            };
+            (status, kind, true, refusal.retry_ms())
+        }
+        ApiError::OtherContent(_) => (409, "other_content", true, None),
+        ApiError::UnknownKey(_) => (404, "unknown_key", false, None),
+        ApiError::UnknownZone { .. } => (404, "unknown_zone", true, None),
+        ApiError::Policy(error) => {
+            let (status, kind) = match error {
+                EditError::Conflict { .. } => (409, "conflict"),
+                EditError::UnknownTemplate(_) => (404, "unknown_template"),
+                EditError::UnknownAccount { .. } => (404, "unknown_account"),
+                EditError::Range { .. } => (422, "range"),
+                EditError::Missing(_) => (422, "missing"),
+                EditError::Undeclared(_) => (422, "undeclared"),
+                EditError::Mistyped { .. } => (422, "mistyped"),
+                EditError::OtherEdit(_) => (409, "other_edit"),
+                EditError::InUse { .. } => (409, "in_use"),
+            };
+            (status, kind, true, None)
+        }
+        ApiError::Tasks { .. } => (422, "tasks", true, None),
+        ApiError::MissingId { .. } => (422, "missing_id", true, None),
+        ApiError::UnknownOutcome { .. } => (504, "unknown_outcome", false, None),
+        ApiError::Unavailable { .. } => (503, "unavailable", true, Some(RETRY_MS)),
+        // An edit may have been sent before the leader was lost, so nothing is said of it.
+        ApiError::NoLeader(_) => (503, "no_leader", false, Some(RETRY_MS)),
+        ApiError::NotMember(_) => (404, "not_member", true, None),
+        ApiError::Change(_) => (409, "change", true, None),
+        ApiError::UnknownTarget(_) => (404, "unknown_target", true, None),
+        ApiError::OtherZone { .. } => (409, "other_zone", true, None),
+        ApiError::Busy { .. } => (503, "busy", true, Some(RETRY_MS)),
+    };
+    Report {
+        status,
+        kind,
+        not_run,
+        retry_ms,
+    }
+}
+
+/// The answer that reports `error`.
+pub fn answer(error: &ApiError) -> Answer {
+    let report = report(error);
+    let mut body = json!({
+        "error": report.kind,
+        "message": error.to_string(),
+        "not_run": report.not_run,
+    });
+    if let Some(ms) = report.retry_ms {
+        body["retry_ms"] = ms.into();
+    }
+    let key = match error {
+        ApiError::OtherContent(key) | ApiError::UnknownKey(key) => Some(key),
+        ApiError::UnknownOutcome { key } => key.as_ref(),
+        _ => None,
+    };
+    if let Some(key) = key {
+        body["key"] = key.to_string().into();
+    }
+    if let ApiError::Policy(EditError::Conflict { current, .. }) = error {
+        body["current"] = current.0.into();
+    }
+    Answer {
+        retry_ms: report.retry_ms,
+        ..Answer::json(report.status, body.to_string())
+    }
+}
+
+/// The answer to a request that is refused before it is passed on.
+pub(crate) type Refused = Box<Answer>;
+
+/// Refuses a request that can't be understood.
+pub(crate) fn refuse(status: u16, kind: &str, message: &str) -> Refused {
+    let body = json!({"error": kind, "message": format!("not run: {message}"), "not_run": true});
+    Box::new(Answer::json(status, body.to_string()))
+}
+
+impl From<DocumentError> for Refused {
+    fn from(error: DocumentError) -> Refused {
+        refuse(400, "document", &error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/http/src/target.rs
@@ -0,0 +1,478 @@
+//! The client to targets.
+//!
+//! Each call is made by a thread of a bounded pool and ends within `Settings::call`. What may be
+//! said of a start depends on whether a byte of the request was given to the connection: the
+//! transport records that before each write, so `Seen::NotRun` without an answer of the target is
+//! reported only when no byte was. Anything later is `Seen::Broken`, also when a pooled connection
+//! turns out to be closed by the target; the pool drops connections that were idle for longer than
+//! `Settings::idle`, well before a target may close them.
+//!
+//! Starts and polls share a bounded number of pooled connections to each target. Revokes, stops,
+//! fences and fresh polls use a new connection each and have a small bound of their own, so that
+//! silent connections of the first kind don't hold them up.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::Receiver;
+use greengage_control::call::{Action, Call, Seen, Start, State};
+use greengage_core::{
+    AccountName, Address, AttemptId, GuardAction, Incarnation, JobKey, Name, Payload, Term,
+    ZoneName,
+};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use serde_json::Value;
+use ureq::http::Response;
+use ureq::{Agent, Body};
+
+use crate::client;
+use crate::document;
+use crate::json::embed;
+use crate::pool::Pool;
+use crate::server::HttpError;
+
+/// Bounds of the client.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Longest time to connect.
+    pub connect: Duration,
+    /// Longest time of a call in total. The system rounds receive time limits up, by as much as a
+    /// quarter of a second at this length.
+    pub call: Duration,
+    /// How long a poll asks the target to hold its answer.
+    pub hold: Duration,
+    /// How long a connection is kept for another call.
+    pub idle: Duration,
+    /// Most threads, and so most calls at once.
+    pub threads: usize,
+    /// Most connections to one target for starts and polls.
+    pub per_target: usize,
+    /// Most further connections to one target for revokes, stops, fences and fresh polls.
+    pub fresh_per_target: usize,
+    /// Largest answer in bytes.
+    pub answer_bytes: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            connect: Duration::from_millis(500),
+            call: Duration::from_millis(2500),
+            hold: Duration::from_secs(2),
+            idle: Duration::from_secs(2),
+            threads: 512,
+            per_target: 16,
+            fresh_per_target: 4,
+            answer_bytes: 8 << 20,
+        }
+    }
+}
+
+/// Calls that wait for a connection to one target; further ones are refused.
+const LANE_CALLS: usize = 1024;
+
+/// Agents that share the pooled connections, chosen by address. The library searches its pool in
+/// the order of use, so one pool for all targets would cost more with each target.
+const AGENTS: usize = 16;
+
+type Output = dyn Fn(u64, Seen) + Send + Sync;
+
+struct Job {
+    token: u64,
+    call: Call,
+    since: Instant,
+}
+
+#[derive(Default)]
+struct Lane {
+    running: usize,
+    waiting: VecDeque<Job>,
+}
+
+/// Address and whether the lane is for new connections.
+type LaneKey = (Address, bool);
+
+struct Shared {
+    settings: Settings,
+    per_target: AtomicUsize,
+    pooled: Vec<Agent>,
+    fresh: Agent,
+    pool: Pool,
+    // A B-tree because lanes come and go with each call and there may be thousands of targets.
+    lanes: Mutex<BTreeMap<LaneKey, Lane>>,
+    output: Box<Output>,
+}
+
+/// The running client; it ends when the channel of calls is dropped.
+pub struct Client(Arc<Shared>);
+
+impl Client {
+    /// Makes the calls that arrive on `calls` and reports each with its token to `output`, from
+    /// any of the client's threads.
+    pub fn start(
+        settings: Settings,
+        calls: Receiver<(u64, Call)>,
+        output: impl Fn(u64, Seen) + Send + Sync + 'static,
+    ) -> Result<Client, HttpError> {
+        let shared = Arc::new(Shared {
+            per_target: AtomicUsize::new(settings.per_target.max(1)),
+            pooled: (0..AGENTS).map(|_| agent(&settings, true)).collect(),
+            fresh: agent(&settings, false),
+            pool: Pool::new("target-call", settings.threads),
+            lanes: Mutex::new(BTreeMap::new()),
+            output: Box::new(output),
+            settings,
+        });
+        let client = Client(shared.clone());
+        thread::Builder::new()
+            .name("target-calls".to_string())
+            .spawn(move || {
+                for (token, call) in &calls {
+                    shared.admit(Job {
+                        token,
+                        call,
+                        since: Instant::now(),
+                    });
+                }
+                shared.pool.close();
+            })
+            .map_err(HttpError::Thread)?;
+        Ok(client)
+    }
+
+    /// Changes the bound of connections to one target for starts and polls.
+    pub fn set_per_target(&self, connections: usize) {
+        self.0
+            .per_target
+            .store(connections.max(1), Ordering::Relaxed);
+    }
+}
+
+fn agent(settings: &Settings, pooled: bool) -> Agent {
+    let idle = if pooled { 4096 } else { 0 };
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .proxy(None)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .no_delay(true)
+        .user_agent("greengageproxy")
+        .max_idle_connections(idle)
+        .max_idle_connections_per_host(if pooled { settings.per_target } else { 0 })
+        .max_idle_age(settings.idle)
+        .timeout_global(Some(settings.call))
+        .timeout_per_call(Some(settings.call))
+        .timeout_resolve(Some(settings.connect))
+        .timeout_connect(Some(settings.connect))
+        .timeout_send_request(Some(settings.call))
+        .timeout_send_body(Some(settings.call))
+        .timeout_recv_response(Some(settings.call))
+        .timeout_recv_body(Some(settings.call))
+        .build();
+    client::direct(config)
+}
+
+fn is_fresh(action: &Action) -> bool {
+    match action {
+        Action::Start(_) => false,
+        Action::Poll { fresh, .. } => *fresh,
+        Action::Revoke { .. } | Action::Stop { .. } | Action::Fence { .. } => true,
+    }
+}
+
+/// What is said of a call that was never made.
+fn unsent(action: &Action, reason: &str) -> Seen {
+    let reason = reason.to_string();
+    match action {
+        Action::Start(_) => Seen::NotRun { reason },
+        Action::Poll { .. }
+        | Action::Revoke { .. }
+        | Action::Stop { .. }
+        | Action::Fence { .. } => Seen::Broken { reason },
+    }
+}
+
+impl Shared {
+    fn lanes(&self) -> MutexGuard<'_, BTreeMap<LaneKey, Lane>> {
+        self.lanes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn admit(self: &Arc<Shared>, job: Job) {
+        let fresh = is_fresh(&job.call.action);
+        let key = (job.call.address.clone(), fresh);
+        let limit = match fresh {
+            true => self.settings.fresh_per_target.max(1),
+            false => self.per_target.load(Ordering::Relaxed),
+        };
+        let full = {
+            let mut lanes = self.lanes();
+            let lane = lanes.entry(key.clone()).or_default();
+            if lane.running < limit {
+                lane.running += 1;
+                None
+            } else if lane.waiting.len() < LANE_CALLS {
+                lane.waiting.push_back(job);
+                return;
+            } else {
+                Some(())
+            }
+        };
+        if full.is_some() {
+            let reason = "too many calls wait for a connection to the target";
+            (self.output)(job.token, unsent(&job.call.action, reason));
+            return;
+        }
+        let shared = self.clone();
+        let (token, action) = (job.token, job.call.action.clone());
+        let lane = key.clone();
+        if !self.pool.run(move || shared.work(&lane, job)) {
+            self.lanes().remove(&key);
+            (self.output)(token, unsent(&action, "no thread can be created"));
+        }
+    }
+
+    /// Makes `job`'s call and then those that waited for its connection.
+    fn work(&self, key: &LaneKey, mut job: Job) {
+        loop {
+            let seen = match job.since.elapsed() > self.settings.call {
+                true => unsent(&job.call.action, "no connection to the target became free"),
+                false => self.call(&job.call),
+            };
+            (self.output)(job.token, seen);
+            let mut lanes = self.lanes();
+            let Some(lane) = lanes.get_mut(key) else {
+                return;
+            };
+            match lane.waiting.pop_front() {
+                Some(next) => job = next,
+                None => {
+                    lane.running -= 1;
+                    if lane.running == 0 {
+                        lanes.remove(key);
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    fn agent(&self, address: &Address, fresh: bool) -> &Agent {
+        if fresh {
+            return &self.fresh;
+        }
+        let sum = crate::json::shard(address.as_str());
+        &self.pooled[sum % self.pooled.len()]
+    }
+
+    fn call(&self, call: &Call) -> Seen {
+        let agent = self.agent(&call.address, is_fresh(&call.action));
+        client::begin();
+        let base = format!("http://{}/v1", call.address);
+        let incarnation = call.incarnation.0;
+        let result = match &call.action {
+            Action::Start(start) => {
+                post(agent, format!("{base}/attempts"), start_body(start, call))
+            }
+            Action::Poll { attempt, .. } => agent
+                .get(format!(
+                    "{base}/attempts/{attempt}?wait_ms={}&incarnation={incarnation}",
+                    self.settings.hold.as_millis()
+                ))
+                .call(),
+            Action::Revoke { attempt } => post(
+                agent,
+                format!("{base}/attempts/{attempt}/revoke?incarnation={incarnation}"),
+                Vec::new(),
+            ),
+            Action::Stop { attempt } => post(
+                agent,
+                format!("{base}/attempts/{attempt}/stop?incarnation={incarnation}"),
+                Vec::new(),
+            ),
+            Action::Fence { zone, term } => {
+                let body = serde_json::json!({"zone": zone.as_str(), "term": term.0});
+                post(
+                    agent,
+                    format!("{base}/fence"),
+                    body.to_string().into_bytes(),
+                )
+            }
+        };
+        let read = result.and_then(|response| self.read(response));
+        match read {
+            Ok((status, body)) => interpret(&call.action, status, &body),
+            Err(error) if !client::sent() => unsent(&call.action, &error.to_string()),
+            Err(error) => Seen::Broken {
+                reason: error.to_string(),
+            },
+        }
+    }
+
+    fn read(&self, mut response: Response<Body>) -> Result<(u16, Vec<u8>), ureq::Error> {
+        let body = response
+            .body_mut()
+            .with_config()
+            .limit(self.settings.answer_bytes)
+            .read_to_vec()?;
+        Ok((response.status().as_u16(), body))
+    }
+}
+
+fn post(agent: &Agent, url: String, body: Vec<u8>) -> Result<Response<Body>, ureq::Error> {
+    agent
+        .post(url)
+        .header("Content-Type", "application/json")
+        .send(body.as_slice())
+}
+
+#[derive(Serialize)]
+struct StartBody<'a> {
+    attempt: String,
+    incarnation: u64,
+    zone: &'a str,
+    term: u64,
+    template: &'a str,
+    values: BTreeMap<&'a str, Value>,
+    left_ms: u64,
+    task: Box<RawValue>,
+}
+
+fn start_body(start: &Start, call: &Call) -> Vec<u8> {
+    let body = StartBody {
+        attempt: start.attempt.to_string(),
+        incarnation: call.incarnation.0,
+        zone: start.zone.as_str(),
+        term: start.term.0,
+        template: start.template.as_str(),
+        values: start
+            .values
+            .iter()
+            .map(|(name, value)| (name.as_str(), document::value(value)))
+            .collect(),
+        left_ms: start.left.as_millis() as u64,
+        task: embed(&start.payload),
+    };
+    serde_json::to_vec(&body).expect("texts and numbers serialize")
+}
+
+/// What a target answers; fields that are not used are ignored.
+#[derive(Deserialize)]
+struct StateBody<'a> {
+    state: String,
+    #[serde(borrow)]
+    result: Option<&'a RawValue>,
+    #[serde(default)]
+    service_us: u64,
+    #[serde(default)]
+    message: String,
+    action: Option<String>,
+    reason: Option<String>,
+    attempt: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct FenceBody<'a> {
+    incarnation: u64,
+    #[serde(borrow)]
+    attempts: Vec<StateBody<'a>>,
+    zone: String,
+    term: u64,
+}
+
+impl StateBody<'_> {
+    fn state(&self) -> Option<State> {
+        match self.state.as_str() {
+            "never" => Some(State::Never),
+            "running" => Some(State::Running),
+            "done" => Some(State::Done {
+                result: Payload::new(self.result.map_or("null", RawValue::get).as_bytes()),
+                service: Duration::from_micros(self.service_us),
+            }),
+            "failed" => Some(State::Failed {
+                message: self.message.clone(),
+            }),
+            "guard" => match self.action.as_deref() {
+                Some("throttled") => Some(State::Guard(GuardAction::Throttled)),
+                Some("checkpointed") => Some(State::Guard(GuardAction::Checkpointed)),
+                Some("stopped") => Some(State::Guard(GuardAction::Stopped)),
+                _ => None,
+            },
+            _ => None,
+        }
+    }
+}
+
+/// Reads an attempt's id in the form `zone/account/id/task/number`.
+pub fn parse_attempt(text: &str) -> Option<AttemptId> {
+    let mut parts = text.split('/');
+    let zone = ZoneName::new(parts.next()?).ok()?;
+    let account = AccountName::new(parts.next()?).ok()?;
+    let id = Name::new(parts.next()?).ok()?;
+    let task = parts.next()?.parse().ok()?;
+    let number = parts.next()?.parse().ok()?;
+    match parts.next() {
+        Some(_) => None,
+        None => Some(AttemptId {
+            key: JobKey { account, zone, id },
+            task,
+            number,
+        }),
+    }
+}
+
+fn interpret(action: &Action, status: u16, body: &[u8]) -> Seen {
+    let broken = |what: &str| Seen::Broken {
+        reason: format!("the target answered {status}: {what}"),
+    };
+    let attempt = match action {
+        Action::Start(Start { attempt, .. })
+        | Action::Poll { attempt, .. }
+        | Action::Revoke { attempt }
+        | Action::Stop { attempt } => attempt,
+        Action::Fence { zone, term } => {
+            return match (status, fenced(body, zone, *term)) {
+                (200, Some(seen)) => seen,
+                _ => broken("not the answer to this fence"),
+            };
+        }
+    };
+    let Ok(answer) = serde_json::from_slice::<StateBody<'_>>(body) else {
+        return broken("not the state of an attempt");
+    };
+    // A target that answers a call twice on one connection would otherwise give one attempt's
+    // result to another.
+    if answer.attempt.as_deref() != Some(&attempt.to_string()) {
+        return broken("not the state of this attempt");
+    }
+    let start = matches!(action, Action::Start(_));
+    if start && matches!(status, 409 | 429 | 503) && answer.state == "refused" {
+        let reason = answer.reason.unwrap_or_else(|| "refused".to_string());
+        return Seen::NotRun { reason };
+    }
+    match (status, answer.state()) {
+        // A target refuses a start that it will never run; it doesn't answer `never`.
+        (200, Some(State::Never)) if start => broken("never, to a start"),
+        (200, Some(state)) => Seen::State(state),
+        _ => broken(answer.reason.as_deref().unwrap_or(&answer.state)),
+    }
+}
+
+fn fenced(body: &[u8], zone: &ZoneName, term: Term) -> Option<Seen> {
+    let answer: FenceBody<'_> = serde_json::from_slice(body).ok()?;
+    if answer.zone != zone.as_str() || answer.term != term.0 {
+        return None;
+    }
+    let mut attempts = Vec::with_capacity(answer.attempts.len());
+    for attempt in &answer.attempts {
+        let id = parse_attempt(attempt.attempt.as_deref()?)?;
+        attempts.push((id, attempt.state()?));
+    }
+    Some(Seen::Fenced {
+        incarnation: Incarnation(answer.incarnation),
+        attempts,
+    })
+}
--- /dev/null
+++ b/crates/http/tests/front.rs
@@ -0,0 +1,473 @@
+//! The listener for callers and targets against real connections.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use greengage_control::api::{ApiError, Progress, Reply, Request};
+use greengage_core::{JobKey, Outcome, Payload, RequestId, VmName, ZoneName};
+use greengage_http::front::{self, Front, Limits, Replies, Settings};
+
+type Taken = Arc<Mutex<Vec<(RequestId, Duration, Request)>>>;
+
+fn settings() -> Settings {
+    Settings {
+        listen: "127.0.0.1:0".parse().unwrap(),
+        vm: VmName::new("vm1").unwrap(),
+        limits: Limits::default(),
+    }
+}
+
+/// A listener whose requests are only collected; the function under test answers them.
+fn collecting(settings: Settings) -> (Front, Taken) {
+    let taken: Taken = Arc::default();
+    let into = taken.clone();
+    let front = front::start(settings, move |id, wait, request| {
+        into.lock().unwrap().push((id, wait, request));
+        true
+    });
+    (front.unwrap(), taken)
+}
+
+/// A listener that answers each job at once with its tasks as results, and nothing else.
+fn echoing(settings: Settings) -> Front {
+    let replies: Arc<OnceLock<Replies>> = Arc::default();
+    let later = replies.clone();
+    let front = front::start(settings, move |id, _, request| {
+        if let Request::Submit(job) = request {
+            let key = JobKey {
+                account: job.account,
+                zone: job.zone.unwrap_or(ZoneName::new("a").unwrap()),
+                id: job.id,
+            };
+            let progress = Progress::Closed(Arc::new(Outcome::Complete(job.tasks)));
+            later.wait().reply(id, Reply::Job { key, progress });
+        }
+        true
+    })
+    .unwrap();
+    assert!(replies.set(front.replies()).is_ok());
+    front
+}
+
+fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .unwrap();
+    stream
+}
+
+/// Status, headers and body of the next response.
+fn response(stream: &mut TcpStream) -> (u16, String, String) {
+    let mut bytes = Vec::new();
+    let mut byte = [0];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        assert_eq!(stream.read(&mut byte).unwrap(), 1, "closed without answer");
+        bytes.push(byte[0]);
+    }
+    let head = String::from_utf8(bytes).unwrap();
+    let length = head
+        .lines()
+        .find_map(|l| l.strip_prefix("Content-Length: "))
+        .map_or(0, |l| l.parse().unwrap());
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).unwrap();
+    let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+    (status, head, String::from_utf8(body).unwrap())
+}
+
+fn send(stream: &mut TcpStream, method: &str, path: &str, body: &str) {
+    let text = format!(
+        "{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(text.as_bytes()).unwrap();
+}
+
+fn exchange(address: SocketAddr, method: &str, path: &str, body: &str) -> (u16, String) {
+    let mut stream = connect(address);
+    send(&mut stream, method, path, body);
+    let (status, _, body) = response(&mut stream);
+    (status, body)
+}
+
+const JOB: &str = r#"{"account":"acme","zone":"a","id":"j1","template":"tours","tasks":[1]}"#;
+
+/// A document that is not what it should be must be refused with the field and the remedy, and
+/// must not reach the control thread in part.
+#[test]
+fn malformed_documents() {
+    let (front, taken) = collecting(settings());
+    let many = format!(
+        r#"{{"account":"a","id":"i","template":"t","tasks":[{}]}}"#,
+        vec!["1"; 1201].join(",")
+    );
+    let target = |capacity: &str| {
+        format!(
+            r#"{{"target":"t","incarnation":1,"address":"127.0.0.1:1","zone":"a","capacity":{capacity}}}"#
+        )
+    };
+    let job = |fields: &str| format!(r#"{{"account":"a","id":"i","template":"t",{fields}}}"#);
+    let cases = [
+        (
+            "/v1/jobs",
+            "{".to_string(),
+            "the document is not a JSON object",
+        ),
+        (
+            "/v1/jobs",
+            "[]".to_string(),
+            "the document is not a JSON object",
+        ),
+        (
+            "/v1/jobs",
+            job(r#""tasks":[1],"tusk":2"#),
+            r#"\"tusk\" is not known: remove it"#,
+        ),
+        (
+            "/v1/jobs",
+            job(r#""tasks":7"#),
+            r#"\"tasks\" is 7: give an array"#,
+        ),
+        (
+            "/v1/jobs",
+            job(r#""tasks":[]"#),
+            r#"\"tasks\" has 0 values"#,
+        ),
+        (
+            "/v1/jobs",
+            many,
+            r#"\"tasks\" has 1201 values: give an array of 1 to 1200"#,
+        ),
+        (
+            "/v1/jobs",
+            job(r#""tusk":[1]"#),
+            r#"\"tasks\" is missing: add it"#,
+        ),
+        (
+            "/v1/jobs",
+            job(r#""tasks":[1],"zone":"a b""#),
+            r#"\"zone\" is \"a b\": a name has the"#,
+        ),
+        (
+            "/v1/requests",
+            r#"{"account":"a"}"#.to_string(),
+            r#"\"template\" is missing"#,
+        ),
+        ("/v1/targets", target("{}"), r#"\"worker\" must be given"#),
+        (
+            "/v1/targets",
+            target(r#"{"executor":{"slots":1}}"#),
+            r#"\"capacity.executor.connections\" is missing"#,
+        ),
+        (
+            "/v1/targets",
+            target(r#"{"worker":{"cores":1}}"#),
+            r#"\"capacity.worker.cores\" is not known"#,
+        ),
+        ("/v1/jobs?wait_ms=60001", JOB.to_string(), "from 0 to 60000"),
+        ("/v1/jobs?wait=1", JOB.to_string(), "use wait_ms"),
+    ];
+    for (path, body, expected) in cases {
+        let (status, answer) = exchange(front.address(), "POST", path, &body);
+        assert_eq!(status, 400, "{path} {answer}");
+        assert!(answer.contains(expected), "{answer} lacks {expected}");
+        assert!(answer.contains(r#""not_run":true"#), "{answer}");
+    }
+    for (method, path, expected) in [
+        ("GET", "/v1/jobs", 405),
+        ("POST", "/v1/nothing", 404),
+        ("GET", "/v1/jobs/a/b/%zz", 400),
+        ("GET", "/v1/jobs/a/b%20/c", 400),
+    ] {
+        let (status, answer) = exchange(front.address(), method, path, "");
+        assert_eq!(status, expected, "{method} {path} {answer}");
+    }
+    assert_eq!(taken.lock().unwrap().len(), 0);
+}
+
+/// Numbers beyond 64 bits must pass through unchanged, and the digest must depend on the content
+/// only, or a resubmission by another JSON library is taken for other content.
+#[test]
+fn tasks_and_digest() {
+    let (front, taken) = collecting(settings());
+    let first = r#"{"account":"a","id":"i","template":"t","tasks":[{"b":1,"a":[1, 2]},123456789012345678901234567890]}"#;
+    let other = r#"{"tasks": [ {"a":[1,2],"b":1}, 123456789012345678901234567890 ], "template":"t","id":"i","account":"a"}"#;
+    let third = r#"{"account":"a","id":"i","template":"t","tasks":[{"b":2,"a":[1,2]},1]}"#;
+    let mut streams = Vec::new();
+    for body in [first, other, third] {
+        let mut stream = connect(front.address());
+        send(&mut stream, "POST", "/v1/jobs?wait_ms=0", body);
+        streams.push(stream);
+        while taken.lock().unwrap().len() < streams.len() {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+    let taken = taken.lock().unwrap();
+    let jobs: Vec<_> = taken
+        .iter()
+        .map(|(_, wait, request)| match request {
+            Request::Submit(job) => (wait, job),
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    assert_eq!(*jobs[0].0, Duration::ZERO);
+    assert_eq!(jobs[0].1.digest, jobs[1].1.digest);
+    assert_ne!(jobs[0].1.digest, jobs[2].1.digest);
+    assert_eq!(&jobs[0].1.tasks[1][..], b"123456789012345678901234567890");
+}
+
+/// A body over the limit must be refused before it fills the memory, whether its length is
+/// declared, absurd or unknown.
+#[test]
+fn body_over_the_limit() {
+    let mut settings = settings();
+    settings.limits.server.body_bytes = 100_000;
+    let (front, taken) = collecting(settings);
+    for declared in ["100001", "900000000000000", "99999999999999999999999"] {
+        let mut stream = connect(front.address());
+        let head = format!("POST /v1/jobs HTTP/1.1\r\nContent-Length: {declared}\r\n\r\nx");
+        stream.write_all(head.as_bytes()).unwrap();
+        assert_eq!(response(&mut stream).0, 413, "{declared}");
+    }
+    let mut stream = connect(front.address());
+    let head = "POST /v1/jobs HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    for _ in 0..11 {
+        let chunk = format!("2710\r\n{}\r\n", "x".repeat(10_000));
+        // The answer may come, and the connection close, before the last chunk.
+        if stream.write_all(chunk.as_bytes()).is_err() {
+            break;
+        }
+    }
+    assert_eq!(response(&mut stream).0, 413);
+    assert_eq!(taken.lock().unwrap().len(), 0);
+}
+
+/// Bodies in chunks, requests sent one after the other without waiting, and a header that a body
+/// could be hidden in.
+#[test]
+fn framing() {
+    let front = echoing(settings());
+    let mut stream = connect(front.address());
+    let (one, two) = JOB.split_at(20);
+    let chunked = format!(
+        "POST /v1/jobs HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{one}\r\n{:x};a=b\r\n{two}\r\n0\r\nX: y\r\n\r\n",
+        one.len(),
+        two.len()
+    );
+    let plain = format!(
+        "POST /v1/jobs HTTP/1.1\r\nContent-Length: {}\r\n\r\n{JOB}",
+        JOB.len()
+    );
+    stream
+        .write_all(format!("{chunked}{plain}").as_bytes())
+        .unwrap();
+    for _ in 0..2 {
+        let (status, _, body) = response(&mut stream);
+        assert_eq!(status, 200);
+        assert_eq!(
+            body,
+            r#"{"key":"a/acme/j1","state":"complete","results":[1]}"#
+        );
+    }
+    let long = format!("GET /healthz HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(20_000));
+    for (head, expected) in [
+        ("GET /healthz HTTP/2.0\r\n\r\n", 505),
+        ("GET /healthz\r\n\r\n", 400),
+        (
+            "POST /v1/jobs HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            400,
+        ),
+        (
+            "POST /v1/jobs HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+            400,
+        ),
+        ("POST /v1/jobs HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+        (&long, 431),
+    ] {
+        let mut stream = connect(front.address());
+        stream.write_all(head.as_bytes()).unwrap();
+        assert_eq!(response(&mut stream).0, expected, "{head:.60}");
+    }
+}
+
+/// Each reply must reach the request it belongs to, in whatever order replies come; replies to
+/// unknown ids and second replies must be dropped.
+#[test]
+fn replies_out_of_order() {
+    let (front, taken) = collecting(settings());
+    let mut streams: Vec<TcpStream> = (0..20)
+        .map(|i| {
+            let mut stream = connect(front.address());
+            send(&mut stream, "GET", &format!("/v1/jobs/a/acme/{i}"), "");
+            stream
+        })
+        .collect();
+    while taken.lock().unwrap().len() < 20 {
+        thread::sleep(Duration::from_millis(1));
+    }
+    front.reply(RequestId(999_999), Reply::Noted);
+    for (id, _, request) in taken.lock().unwrap().iter().rev() {
+        assert!(front::is_caller(*id));
+        let Request::Outcome(key) = request else {
+            panic!("{request:?}");
+        };
+        let result = Payload::new(format!("\"{}\"", key.id).into_bytes());
+        let progress = Progress::Closed(Arc::new(Outcome::Complete(vec![result])));
+        let key = key.clone();
+        front.reply(*id, Reply::Job { key, progress });
+        front.reply(*id, Reply::Noted);
+    }
+    for (i, stream) in streams.iter_mut().enumerate() {
+        let (status, _, body) = response(stream);
+        assert_eq!(status, 200);
+        let expected = format!(r#"{{"key":"a/acme/{i}","state":"complete","results":["{i}"]}}"#);
+        assert_eq!(body, expected);
+    }
+}
+
+/// When the control queue is full, the caller must be told at once that nothing ran.
+#[test]
+fn full_queue() {
+    let front = front::start(settings(), |_, _, _| false).unwrap();
+    let mut stream = connect(front.address());
+    send(&mut stream, "POST", "/v1/jobs", JOB);
+    let (status, head, body) = response(&mut stream);
+    assert_eq!(status, 503);
+    assert!(head.contains("Retry-After: 1\r\n"), "{head}");
+    assert!(body.contains(r#""error":"busy""#), "{body}");
+    assert!(body.contains(r#""not_run":true"#), "{body}");
+}
+
+/// Callers that stop in the middle of a request must not keep others from being served, and must
+/// be gone after the time limit of a request.
+#[test]
+fn stopped_callers() {
+    let mut settings = settings();
+    settings.limits.server.read = Duration::from_secs(3);
+    let front = echoing(settings);
+    let began = Instant::now();
+    let mut stopped: Vec<TcpStream> = (0..500)
+        .map(|i| {
+            let mut stream = connect(front.address());
+            let text = match i % 3 {
+                0 => "",
+                1 => "POST /v1/jobs HTTP/1.1\r\nContent-Le",
+                _ => "POST /v1/jobs HTTP/1.1\r\nContent-Length: 5000\r\n\r\n{",
+            };
+            stream.write_all(text.as_bytes()).unwrap();
+            stream
+        })
+        .collect();
+    let mut slowest = Duration::ZERO;
+    while began.elapsed() < Duration::from_millis(2500) {
+        let sent = Instant::now();
+        let (status, _) = exchange(front.address(), "POST", "/v1/jobs", JOB);
+        assert_eq!(status, 200);
+        slowest = slowest.max(sent.elapsed());
+        thread::sleep(Duration::from_millis(10));
+    }
+    println!("slowest of the other callers: {slowest:?}");
+    assert!(slowest < Duration::from_secs(1), "{slowest:?}");
+    // Three seconds for the request, then at most as long for a peer that doesn't close.
+    for stream in &mut stopped {
+        assert_eq!(response(stream).0, 408);
+    }
+    drop(stopped);
+    let end = Instant::now() + Duration::from_secs(2);
+    while front.connections() > 0 {
+        assert!(Instant::now() < end, "{} remain", front.connections());
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// Waiting callers must hold no thread: a thousand of them on a pool of 16 threads must not keep
+/// others from being served, and each must get its answer.
+#[test]
+fn waiting_callers_beyond_the_pool() {
+    let mut settings = settings();
+    settings.limits.server.threads = 16;
+    let replies: Arc<OnceLock<Replies>> = Arc::default();
+    let later = replies.clone();
+    let held: Arc<Mutex<Vec<RequestId>>> = Arc::default();
+    let into = held.clone();
+    let front = front::start(settings, move |id, _, request| {
+        match request {
+            Request::Outcome(_) => into.lock().unwrap().push(id),
+            _ => later.wait().reply(id, Reply::Ready),
+        }
+        true
+    })
+    .unwrap();
+    assert!(replies.set(front.replies()).is_ok());
+    let mut waiting: Vec<TcpStream> = (0..1000)
+        .map(|i| {
+            let mut stream = connect(front.address());
+            send(&mut stream, "GET", &format!("/v1/jobs/a/acme/{i}"), "");
+            // The pool of 16 rejects new connections while three quarters of it are busy.
+            while held.lock().unwrap().len() <= i {
+                thread::sleep(Duration::from_micros(100));
+            }
+            stream
+        })
+        .collect();
+    for _ in 0..50 {
+        let sent = Instant::now();
+        assert_eq!(exchange(front.address(), "GET", "/readyz", "").0, 200);
+        assert!(sent.elapsed() < Duration::from_secs(1));
+    }
+    for id in held.lock().unwrap().iter() {
+        let error = ApiError::UnknownOutcome { key: None };
+        front.reply(*id, Reply::Error(error));
+    }
+    for stream in &mut waiting {
+        assert_eq!(response(stream).0, 504);
+    }
+    assert_eq!(front.held(), 0);
+}
+
+/// A caller that doesn't read its answer must not delay the answers to others.
+#[test]
+fn caller_that_does_not_read() {
+    let front = echoing(settings());
+    let task = format!("\"{}\"", "x".repeat(7_000_000));
+    let body = JOB.replace("[1]", &format!("[{task}]"));
+    let mut slow: Vec<TcpStream> = (0..8)
+        .map(|_| {
+            let mut stream = connect(front.address());
+            send(&mut stream, "POST", "/v1/jobs", &body);
+            stream
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    let sent = Instant::now();
+    assert_eq!(exchange(front.address(), "POST", "/v1/jobs", JOB).0, 200);
+    assert!(sent.elapsed() < Duration::from_secs(1));
+    let expected = format!(r#"{{"key":"a/acme/j1","state":"complete","results":[{task}]}}"#);
+    assert!(response(&mut slow[0]).2 == expected, "the answer is cut");
+}
+
+/// A request whose reply never comes must be answered in the end, with nothing said about whether
+/// it ran, and stopping must end all threads of the listener.
+#[test]
+fn lost_reply_and_stop() {
+    let (mut front, _) = collecting(settings());
+    let mut stream = connect(front.address());
+    send(&mut stream, "POST", "/v1/jobs?wait_ms=0", JOB);
+    let (status, _, body) = response(&mut stream);
+    assert_eq!(status, 504);
+    assert!(body.contains(r#""not_run":false"#), "{body}");
+    let mut held = connect(front.address());
+    send(&mut held, "POST", "/v1/jobs", JOB);
+    thread::sleep(Duration::from_millis(100));
+    let address = front.address();
+    front.close();
+    assert!(TcpStream::connect(address).is_err());
+    assert_eq!(front.held(), 1);
+    drop(front);
+    assert_eq!(held.read(&mut [0; 10]).unwrap_or(0), 0);
+}
--- /dev/null
+++ b/crates/standin/src/caller.rs
@@ -0,0 +1,353 @@
+//! A stand-in caller.
+//!
+//! It speaks to one entry VM and goes on to the next one when that VM can't be reached, breaks the
+//! connection or is too busy. A submission with an id may be sent again to any VM; the key makes it
+//! the same submission.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use greengage_core::{AccountName, JobKey, Name, TemplateName, ZoneName};
+use greengage_http::client;
+use serde_json::{json, Value};
+use ureq::Agent;
+
+/// What a caller is made with.
+#[derive(Clone, Debug)]
+pub struct CallerSettings {
+    /// Entry VMs in the order of preference.
+    pub entries: Vec<SocketAddr>,
+    /// The client account.
+    pub account: AccountName,
+    /// Longest time that a call takes beyond the time that its answer may be held.
+    pub margin: Duration,
+}
+
+/// A job to submit.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The caller's id.
+    pub id: Name,
+    /// The home zone.
+    pub zone: Option<ZoneName>,
+    /// The template.
+    pub template: TemplateName,
+    /// The tasks.
+    pub tasks: Vec<Value>,
+}
+
+/// A single request to submit.
+#[derive(Clone, Debug)]
+pub struct Single {
+    /// The caller's id; required unless the template is repeatable.
+    pub id: Option<Name>,
+    /// The home zone.
+    pub zone: Option<ZoneName>,
+    /// The template.
+    pub template: TemplateName,
+    /// The task.
+    pub task: Value,
+}
+
+/// What the system answered.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// All results, in the order of the tasks.
+    Complete {
+        /// The key, unless the request had none.
+        key: Option<String>,
+        /// The results.
+        results: Vec<Value>,
+    },
+    /// The submission failed.
+    Failed {
+        /// The key, unless the request had none.
+        key: Option<String>,
+        /// Whether it is certain that nothing ran.
+        not_run: bool,
+        /// The kind of failure.
+        reason: String,
+        /// The message.
+        message: String,
+    },
+    /// Accepted and not yet ended.
+    Pending {
+        /// The key.
+        key: String,
+        /// Whether tasks may have started.
+        begun: bool,
+    },
+    /// An error.
+    Error {
+        /// The HTTP status.
+        status: u16,
+        /// The kind of error.
+        kind: String,
+        /// Whether it is certain that this request ran nothing.
+        not_run: bool,
+        /// When to try again, in milliseconds.
+        retry_ms: Option<u64>,
+        /// The message.
+        message: String,
+    },
+}
+
+/// Why there is no answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallerError {
+    /// No entry VM answered; the work may have run.
+    NoAnswer {
+        /// Whether it is certain that no VM received the request.
+        unsent: bool,
+        /// What the last VM did.
+        last: String,
+    },
+    /// An answer is not what the protocol says.
+    Malformed(String),
+}
+
+impl std::fmt::Display for CallerError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            CallerError::NoAnswer { last, .. } => write!(f, "no entry VM answered: {last}"),
+            CallerError::Malformed(text) => write!(f, "malformed answer: {text}"),
+        }
+    }
+}
+
+impl std::error::Error for CallerError {}
+
+/// The client side of one account; threads may share it.
+pub struct Caller {
+    settings: CallerSettings,
+    agent: Agent,
+    entry: AtomicUsize,
+}
+
+/// An HTTP client whose calls take at most `limit`.
+pub(crate) fn agent(limit: Duration) -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .proxy(None)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .max_idle_connections(1024)
+        .max_idle_connections_per_host(1024)
+        // Entry VMs close idle connections after 10 s.
+        .max_idle_age(Duration::from_secs(5))
+        .timeout_connect(Some(limit.min(Duration::from_millis(500))))
+        .timeout_global(Some(limit))
+        .build();
+    client::direct(config)
+}
+
+/// The wait between two tries when the system names no time.
+const RETRY: Duration = Duration::from_millis(50);
+
+/// Longest wait between two tries.
+const RETRY_MOST: Duration = Duration::from_secs(1);
+
+impl Caller {
+    /// A caller.
+    pub fn new(settings: CallerSettings) -> Caller {
+        Caller {
+            // The limit of each call is set with the call.
+            agent: agent(Duration::from_secs(60)),
+            settings,
+            entry: AtomicUsize::new(0),
+        }
+    }
+
+    /// Submits a job, or submits it again, and waits up to `wait` for its end.
+    pub fn submit(&self, job: &Job, wait: Duration) -> Result<Answer, CallerError> {
+        let mut body = json!({
+            "account": self.settings.account.as_str(),
+            "id": job.id.as_str(),
+            "template": job.template.as_str(),
+            "tasks": job.tasks,
+        });
+        if let Some(zone) = &job.zone {
+            body["zone"] = zone.as_str().into();
+        }
+        self.call("POST", "/v1/jobs", Some(&body), wait)
+    }
+
+    /// Submits a single request and waits up to `wait` for its end.
+    pub fn request(&self, single: &Single, wait: Duration) -> Result<Answer, CallerError> {
+        let mut body = json!({
+            "account": self.settings.account.as_str(),
+            "template": single.template.as_str(),
+            "task": single.task,
+        });
+        if let Some(zone) = &single.zone {
+            body["zone"] = zone.as_str().into();
+        }
+        if let Some(id) = &single.id {
+            body["id"] = id.as_str().into();
+        }
+        self.call("POST", "/v1/requests", Some(&body), wait)
+    }
+
+    /// Asks for a submission's answer and waits up to `wait` for its end.
+    pub fn wait(&self, key: &JobKey, wait: Duration) -> Result<Answer, CallerError> {
+        self.call("GET", &path(key), None, wait)
+    }
+
+    /// Cancels a submission and waits up to `wait` for its end.
+    pub fn cancel(&self, key: &JobKey, wait: Duration) -> Result<Answer, CallerError> {
+        self.call("DELETE", &path(key), None, wait)
+    }
+
+    /// Submits a job, and submits it again with the same id, until it has ended, an error says
+    /// that sending again can't help, or `limit` has passed.
+    pub fn run(&self, job: &Job, limit: Duration) -> Result<Answer, CallerError> {
+        let end = Instant::now() + limit;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            let answer = self.submit(job, left.min(Duration::from_secs(30)));
+            let pause = match &answer {
+                Ok(Answer::Complete { .. } | Answer::Failed { .. }) => return answer,
+                Ok(Answer::Error {
+                    status, retry_ms, ..
+                }) => match status {
+                    429 | 503 | 504 => retry_ms.map_or(RETRY, Duration::from_millis),
+                    _ => return answer,
+                },
+                Ok(Answer::Pending { .. }) | Err(CallerError::NoAnswer { .. }) => RETRY,
+                Err(CallerError::Malformed(_)) => return answer,
+            };
+            let pause = pause.clamp(Duration::from_millis(1), RETRY_MOST);
+            if Instant::now() + pause >= end {
+                return answer;
+            }
+            std::thread::sleep(pause);
+        }
+    }
+
+    /// Sends a request to the entry VM that answered last, then to each other one.
+    fn call(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+        wait: Duration,
+    ) -> Result<Answer, CallerError> {
+        let mut unsent = true;
+        let mut last = Err(CallerError::NoAnswer {
+            unsent,
+            last: "no entry VM is configured".to_string(),
+        });
+        for _ in 0..self.settings.entries.len() {
+            let at = self.entry.load(Ordering::Relaxed);
+            let entry = self.settings.entries[at % self.settings.entries.len()];
+            client::begin();
+            match self.send(entry, method, path, body, wait) {
+                Ok((status, body)) => {
+                    let answer = parse(status, &body);
+                    match &answer {
+                        // Another VM may take it.
+                        Ok(Answer::Error {
+                            status: 503,
+                            not_run: true,
+                            ..
+                        }) => last = answer,
+                        _ => return answer,
+                    }
+                }
+                Err(e) => {
+                    unsent = unsent && !client::sent();
+                    last = Err(CallerError::NoAnswer {
+                        unsent,
+                        last: format!("{entry}: {e}"),
+                    });
+                }
+            }
+            // Another thread may have moved on already.
+            let _ = self.entry.compare_exchange(
+                at,
+                at.wrapping_add(1),
+                Ordering::Relaxed,
+                Ordering::Relaxed,
+            );
+        }
+        last
+    }
+
+    fn send(
+        &self,
+        entry: SocketAddr,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+        wait: Duration,
+    ) -> Result<(u16, Vec<u8>), ureq::Error> {
+        let url = format!("http://{entry}{path}?wait_ms={}", wait.as_millis());
+        let limit = Some(wait + self.settings.margin);
+        let mut response = match (method, body) {
+            ("GET", _) => {
+                let request = self.agent.get(url);
+                request.config().timeout_global(limit).build().call()?
+            }
+            ("DELETE", _) => {
+                let request = self.agent.delete(url);
+                request.config().timeout_global(limit).build().call()?
+            }
+            (_, body) => {
+                let request = self.agent.post(url).content_type("application/json");
+                let body = body.map(Value::to_string).unwrap_or_default();
+                let request = request.config().timeout_global(limit).build();
+                request.send(body.as_bytes())?
+            }
+        };
+        // 1,200 results of some kilobytes exceed the library's limit of 10 MB.
+        let body = response
+            .body_mut()
+            .with_config()
+            .limit(64 << 20)
+            .read_to_vec()?;
+        Ok((response.status().as_u16(), body))
+    }
+}
+
+fn path(key: &JobKey) -> String {
+    format!("/v1/jobs/{key}")
+}
+
+fn parse(status: u16, body: &[u8]) -> Result<Answer, CallerError> {
+    let malformed = || {
+        let text = String::from_utf8_lossy(&body[..body.len().min(200)]);
+        CallerError::Malformed(format!("{status} {text}"))
+    };
+    let value: Value = serde_json::from_slice(body).map_err(|_| malformed())?;
+    let text = |name: &str| value[name].as_str().map(ToString::to_string);
+    let key = text("key");
+    match (status, value["state"].as_str()) {
+        (200, Some("complete")) => {
+            let results = match (&value["results"], value.get("result")) {
+                (Value::Array(results), _) => results.clone(),
+                (_, Some(result)) => vec![result.clone()],
+                (_, None) => return Err(malformed()),
+            };
+            Ok(Answer::Complete { key, results })
+        }
+        (200, Some("failed")) => Ok(Answer::Failed {
+            key,
+            not_run: value["not_run"].as_bool().ok_or_else(malformed)?,
+            reason: text("reason").ok_or_else(malformed)?,
+            message: text("message").unwrap_or_default(),
+        }),
+        (202, Some(state)) => Ok(Answer::Pending {
+            key: key.ok_or_else(malformed)?,
+            begun: state == "begun",
+        }),
+        (400..=599, _) => Ok(Answer::Error {
+            status,
+            kind: text("error").ok_or_else(malformed)?,
+            not_run: value["not_run"].as_bool().ok_or_else(malformed)?,
+            retry_ms: value["retry_ms"].as_u64(),
+            message: text("message").unwrap_or_default(),
+        }),
+        _ => Err(malformed()),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/target.rs
@@ -0,0 +1,889 @@
+//! A stand-in target.
+//!
+//! One thread owns the attempts, their timers and the held requests; the server's threads pass it
+//! each request together with its responder. A task takes no thread: it ends when its timer does.
+//! A second thread announces the target each second.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crossbeam_channel::{unbounded, Receiver, RecvTimeoutError, Sender};
+use greengage_core::{
+    AttemptId, Capacity, Demand, GuardAction, Incarnation, RackName, TargetName, TemplateName,
+    Term, ZoneName,
+};
+use greengage_http::server::{Answer, HttpError, Limits, Request, Responder, Server};
+use greengage_http::target::parse_attempt;
+use rand::Rng;
+use serde_json::{json, Value};
+
+/// What is wrong with a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Behaviour {
+    /// Nothing.
+    Normal,
+    /// Each task fails at once.
+    Fail,
+    /// In the middle of the next task the target ends: connections are reset, the port is closed,
+    /// announcements stop and its memory is lost.
+    Die,
+    /// Each answer about an attempt leaves this much later.
+    Late(Duration),
+    /// Each answer is sent again on the same connection.
+    Twice,
+    /// Each start is refused.
+    Refuse,
+    /// Requests on connections that were open when this was set are never answered; later
+    /// connections work.
+    Silent,
+    /// This share of the tasks, in percent, takes this many times as long.
+    Straggle {
+        /// Tasks in a hundred.
+        percent: u32,
+        /// How many times as long.
+        factor: u32,
+    },
+}
+
+/// What a target is started with.
+#[derive(Clone, Debug)]
+pub struct TargetSettings {
+    /// Its name.
+    pub name: TargetName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its rack.
+    pub rack: Option<RackName>,
+    /// The kinds of work that it announces.
+    pub work: Vec<TemplateName>,
+    /// What it offers. An executor refuses starts beyond its slots.
+    pub capacity: Capacity,
+    /// Where it listens; port 0 for any.
+    pub listen: SocketAddr,
+    /// Where it announces itself, in the order of preference; empty for no announcements.
+    pub entries: Vec<SocketAddr>,
+    /// One life of the process; must grow with each restart.
+    pub incarnation: Incarnation,
+    /// How fast it is; tasks take their time divided by this.
+    pub speed: f64,
+    /// What is wrong with it.
+    pub behaviour: Behaviour,
+    /// Whether it announces that it answers fences.
+    pub fencing: bool,
+    /// Between two announcements.
+    pub interval: Duration,
+    /// How long a start is held before it is answered with `running`.
+    pub hold: Duration,
+    /// How long an ended attempt is kept.
+    pub retention: Duration,
+    /// Where to append a line for each start.
+    pub log: Option<PathBuf>,
+}
+
+impl TargetSettings {
+    /// An executor with 8 slots on any loopback port.
+    pub fn new(name: &str, zone: &str, work: &[&str], entries: &[SocketAddr]) -> TargetSettings {
+        let checked = "names of stand-ins are valid";
+        TargetSettings {
+            name: TargetName::new(name).expect(checked),
+            zone: ZoneName::new(zone).expect(checked),
+            rack: None,
+            work: work
+                .iter()
+                .map(|w| TemplateName::new(w).expect(checked))
+                .collect(),
+            capacity: Capacity::Executor {
+                slots: 8,
+                connections: 60,
+            },
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            entries: entries.to_vec(),
+            incarnation: Incarnation(wall_ms()),
+            speed: 1.0,
+            behaviour: Behaviour::Normal,
+            fencing: true,
+            interval: Duration::from_secs(1),
+            hold: Duration::from_secs(2),
+            retention: Duration::from_secs(600),
+            log: None,
+        }
+    }
+}
+
+fn wall_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |t| t.as_millis() as u64)
+}
+
+/// A start that arrived.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// When, in milliseconds since 1970-01-01 UTC.
+    pub at_ms: u64,
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The term that the start named.
+    pub term: Term,
+    /// Whether the task was run; else the start was refused.
+    pub run: bool,
+}
+
+/// What the threads of a target share: what its owner may read, and what it announces.
+struct Common {
+    starts: Mutex<Vec<Start>>,
+    announced: Mutex<Announced>,
+    dead: AtomicBool,
+}
+
+#[derive(Clone, Default)]
+struct Announced {
+    leaving: bool,
+    usage: Demand,
+    running: usize,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+enum Message {
+    Http(Request, Responder),
+    Set(Behaviour),
+    Stop,
+}
+
+/// A running target; it stops, without leaving, when dropped.
+pub struct Target {
+    settings: TargetSettings,
+    address: SocketAddr,
+    common: Arc<Common>,
+    messages: Sender<Message>,
+    announce: Sender<()>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl Target {
+    /// Starts a target.
+    pub fn start(settings: TargetSettings) -> Result<Target, HttpError> {
+        let (messages, receiver) = unbounded();
+        let to_state = messages.clone();
+        let connections = match settings.capacity {
+            Capacity::Executor { connections, .. } => connections as usize,
+            Capacity::Worker(_) => 256,
+        };
+        let limits = Limits {
+            connections: connections + CLOSING,
+            // The server closes idle connections once half of its threads are busy.
+            threads: connections * 4,
+            ..Limits::default()
+        };
+        let name = settings.name.to_string();
+        let server = Server::start(&name, settings.listen, limits, move |request, responder| {
+            let _ = to_state.send(Message::Http(request, responder));
+            None
+        })?;
+        let address = server.address();
+        let common = Arc::new(Common {
+            starts: Mutex::new(Vec::new()),
+            announced: Mutex::new(Announced::default()),
+            dead: AtomicBool::new(false),
+        });
+        let log = match &settings.log {
+            Some(path) => Some(
+                File::options()
+                    .create(true)
+                    .append(true)
+                    .open(path)
+                    .map_err(HttpError::Thread)?,
+            ),
+            None => None,
+        };
+        let state = State {
+            settings: settings.clone(),
+            common: common.clone(),
+            server: Some(server),
+            log,
+            behaviour: settings.behaviour,
+            silent_before: 0,
+            attempts: BTreeMap::new(),
+            running: 0,
+            fences: BTreeMap::new(),
+            timers: BTreeMap::new(),
+            next: 0,
+            silent: Vec::new(),
+        };
+        let mut threads = vec![thread::Builder::new()
+            .name(format!("{name}-state"))
+            .spawn(move || state.run(&receiver))
+            .map_err(HttpError::Thread)?];
+        let (announce, wake) = unbounded();
+        if !settings.entries.is_empty() {
+            let announcer = Announcer {
+                settings: settings.clone(),
+                address,
+                common: common.clone(),
+                agent: crate::caller::agent(Duration::from_secs(1)),
+                entry: 0,
+            };
+            threads.push(
+                thread::Builder::new()
+                    .name(format!("{name}-announce"))
+                    .spawn(move || announcer.run(&wake))
+                    .map_err(HttpError::Thread)?,
+            );
+        }
+        Ok(Target {
+            settings,
+            address,
+            common,
+            messages,
+            announce,
+            threads,
+        })
+    }
+
+    /// The address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its name.
+    pub fn name(&self) -> &TargetName {
+        &self.settings.name
+    }
+
+    /// Its incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.settings.incarnation
+    }
+
+    /// The starts that arrived so far, in order.
+    pub fn starts(&self) -> Vec<Start> {
+        lock(&self.common.starts).clone()
+    }
+
+    /// The number of tasks that run.
+    pub fn running(&self) -> usize {
+        lock(&self.common.announced).running
+    }
+
+    /// Whether it died, as [`Behaviour::Die`] makes it do.
+    pub fn is_dead(&self) -> bool {
+        self.common.dead.load(Ordering::Relaxed)
+    }
+
+    /// Changes what is wrong with it.
+    pub fn set(&self, behaviour: Behaviour) {
+        let _ = self.messages.send(Message::Set(behaviour));
+    }
+
+    /// Announces at once that it is leaving, and goes on with its tasks.
+    pub fn leave(&self) {
+        lock(&self.common.announced).leaving = true;
+        let _ = self.announce.send(());
+    }
+
+    /// Says that it has left for good; false when no entry took it. Stop it next, or its
+    /// announcements bring it back.
+    pub fn deregister(&self) -> bool {
+        let agent = crate::caller::agent(Duration::from_secs(1));
+        self.settings.entries.iter().any(|entry| {
+            let url = format!("http://{entry}/v1/targets/{}", self.settings.name);
+            agent.delete(url).call().is_ok_and(|r| r.status() == 200)
+        })
+    }
+
+    /// Stops it: connections are reset, memory is lost, all its threads have ended on return. It
+    /// doesn't leave first.
+    pub fn stop(mut self) {
+        self.end();
+    }
+
+    /// Stops it and starts it again at the same address with the next incarnation.
+    pub fn restart(mut self) -> Result<Target, HttpError> {
+        self.end();
+        let mut settings = self.settings.clone();
+        settings.incarnation = settings.incarnation.next();
+        settings.listen = self.address;
+        Target::start(settings)
+    }
+
+    fn end(&mut self) {
+        let _ = self.messages.send(Message::Stop);
+        // Ends the announcements.
+        self.announce = unbounded().0;
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Target {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+/// How an attempt stands.
+#[derive(Clone)]
+enum Stage {
+    Never,
+    Running,
+    Done { result: Value, service: Duration },
+    Failed { message: String },
+    Guard(GuardAction),
+}
+
+impl Stage {
+    fn json(&self, attempt: &AttemptId) -> Value {
+        let mut object = match self {
+            Stage::Never => json!({"state": "never"}),
+            Stage::Running => json!({"state": "running"}),
+            Stage::Done { result, service } => json!({
+                "state": "done",
+                "result": result,
+                "service_us": service.as_micros() as u64,
+            }),
+            Stage::Failed { message } => json!({"state": "failed", "message": message}),
+            Stage::Guard(action) => json!({"state": "guard", "action": guard(*action)}),
+        };
+        object["attempt"] = attempt.to_string().into();
+        object
+    }
+}
+
+fn guard(action: GuardAction) -> &'static str {
+    match action {
+        GuardAction::Throttled => "throttled",
+        GuardAction::Checkpointed => "checkpointed",
+        GuardAction::Stopped => "stopped",
+    }
+}
+
+struct Attempt {
+    stage: Stage,
+    zone: ZoneName,
+    began: Instant,
+    ended: Option<Instant>,
+    uses: Demand,
+    // What it will end as.
+    end: Stage,
+    // Held requests by number.
+    waiting: Vec<(u64, Responder)>,
+}
+
+enum Timer {
+    Finish(AttemptId),
+    HoldEnd(AttemptId, u64),
+    Deliver(Responder, Answer),
+    Die,
+}
+
+struct State {
+    settings: TargetSettings,
+    common: Arc<Common>,
+    server: Option<Server>,
+    log: Option<File>,
+    behaviour: Behaviour,
+    silent_before: u64,
+    attempts: BTreeMap<AttemptId, Attempt>,
+    running: usize,
+    fences: BTreeMap<ZoneName, Term>,
+    timers: BTreeMap<(Instant, u64), Timer>,
+    next: u64,
+    // Responders of silent connections, kept so that the connections stay open.
+    silent: Vec<Responder>,
+}
+
+/// Connections accepted beyond the announced number. One that the peer has closed counts until its
+/// end has been read, and meanwhile the peer may have opened the next one.
+const CLOSING: usize = 8;
+
+/// How long the state thread sleeps at most; ended attempts are forgotten at this pace.
+const SWEEP: Duration = Duration::from_secs(5);
+
+/// Between an answer and its repetition. Long enough that the client may have sent its next
+/// request on the connection.
+const TWICE_GAP: Duration = Duration::from_millis(2);
+
+fn refused(attempt: &AttemptId, status: u16, reason: &str) -> Answer {
+    let body = json!({"state": "refused", "reason": reason, "attempt": attempt.to_string()});
+    Answer::json(status, body.to_string())
+}
+
+fn problem(status: u16, state: &str, reason: &str) -> Answer {
+    Answer::json(
+        status,
+        json!({"state": state, "reason": reason}).to_string(),
+    )
+}
+
+impl State {
+    fn run(mut self, receiver: &Receiver<Message>) {
+        let mut sweep = Instant::now() + SWEEP;
+        loop {
+            let first = self.timers.keys().next().map(|(at, _)| *at);
+            match receiver.recv_deadline(first.map_or(sweep, |at| at.min(sweep))) {
+                Ok(Message::Http(request, responder)) => self.http(&request, responder),
+                Ok(Message::Set(behaviour)) => self.set(behaviour),
+                Ok(Message::Stop) | Err(RecvTimeoutError::Disconnected) => break,
+                Err(RecvTimeoutError::Timeout) => (),
+            }
+            let now = Instant::now();
+            while let Some(entry) = self.timers.first_entry() {
+                if entry.key().0 > now {
+                    break;
+                }
+                match entry.remove() {
+                    Timer::Finish(id) => self.finish(&id, now),
+                    Timer::HoldEnd(id, number) => self.hold_end(&id, number),
+                    Timer::Deliver(responder, answer) => responder.send(answer),
+                    Timer::Die => self.die(),
+                }
+            }
+            if now >= sweep {
+                sweep = now + SWEEP;
+                let keep = self.settings.retention;
+                self.attempts
+                    .retain(|_, a| a.ended.is_none_or(|at| now.duration_since(at) < keep));
+            }
+        }
+        self.die();
+    }
+
+    fn set(&mut self, behaviour: Behaviour) {
+        self.behaviour = behaviour;
+        self.silent_before = match (behaviour, &self.server) {
+            (Behaviour::Silent, Some(server)) => server.next_connection(),
+            _ => 0,
+        };
+    }
+
+    /// Loses memory and connections, as a process that ends.
+    fn die(&mut self) {
+        self.common.dead.store(true, Ordering::Relaxed);
+        let attempts = std::mem::take(&mut self.attempts);
+        for (_, responder) in attempts.into_values().flat_map(|a| a.waiting) {
+            responder.reset();
+        }
+        for timer in std::mem::take(&mut self.timers).into_values() {
+            if let Timer::Deliver(responder, _) = timer {
+                responder.reset();
+            }
+        }
+        self.silent.clear();
+        if let Some(server) = self.server.take() {
+            server.stop();
+        }
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    fn timer(&mut self, at: Instant, timer: Timer) {
+        let number = self.number();
+        self.timers.insert((at, number), timer);
+    }
+
+    fn answer(&mut self, responder: Responder, answer: Answer) {
+        if responder.connection() < self.silent_before {
+            self.silent.push(responder);
+            return;
+        }
+        match self.behaviour {
+            Behaviour::Late(by) => {
+                self.timer(Instant::now() + by, Timer::Deliver(responder, answer));
+            }
+            Behaviour::Twice => responder.send_twice(answer, TWICE_GAP),
+            Behaviour::Normal
+            | Behaviour::Fail
+            | Behaviour::Die
+            | Behaviour::Refuse
+            | Behaviour::Silent
+            | Behaviour::Straggle { .. } => responder.send(answer),
+        }
+    }
+
+    fn answer_stage(&mut self, responder: Responder, id: &AttemptId) {
+        let answer = match self.attempts.get(id) {
+            Some(attempt) => Answer::json(200, attempt.stage.json(id).to_string()),
+            None => {
+                let mut body = json!({"state": "unknown", "reason": "no such attempt"});
+                body["attempt"] = id.to_string().into();
+                Answer::json(404, body.to_string())
+            }
+        };
+        self.answer(responder, answer);
+    }
+
+    fn http(&mut self, request: &Request, responder: Responder) {
+        let segments = request.segments().unwrap_or_default();
+        let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
+        let params = request.params().unwrap_or_default();
+        let param = |name: &str| {
+            let found = params.iter().find(|(n, _)| n == name);
+            found.and_then(|(_, value)| value.parse::<u64>().ok())
+        };
+        let post = request.method.as_str() == "POST";
+        match segments.as_slice() {
+            ["v1", "attempts"] if post => return self.start(&request.body, responder),
+            ["v1", "fence"] if post => return self.fence(&request.body, responder),
+            _ => (),
+        }
+        let (id, verb) = match segments.as_slice() {
+            ["v1", "attempts", id @ .., "revoke"] if post => (id, "revoke"),
+            ["v1", "attempts", id @ .., "stop"] if post => (id, "stop"),
+            ["v1", "attempts", id @ ..] if !post => (id, "poll"),
+            _ => return self.answer(responder, problem(404, "unknown", "no such path")),
+        };
+        let Some(id) = parse_attempt(&id.join("/")) else {
+            return self.answer(responder, problem(400, "malformed", "not an attempt's id"));
+        };
+        if param("incarnation").is_some_and(|i| i != self.settings.incarnation.0) {
+            let mut body = json!({"state": "restarted", "reason": "this is another incarnation"});
+            body["attempt"] = id.to_string().into();
+            return self.answer(responder, Answer::json(409, body.to_string()));
+        }
+        match verb {
+            "poll" => {
+                let wait = Duration::from_millis(param("wait_ms").unwrap_or(0));
+                self.hold(&id, responder, wait.min(self.settings.hold));
+            }
+            "revoke" => {
+                self.attempts
+                    .entry(id.clone())
+                    .or_insert_with(|| never(&id));
+                self.answer_stage(responder, &id);
+            }
+            _ => {
+                let attempt = self
+                    .attempts
+                    .entry(id.clone())
+                    .or_insert_with(|| never(&id));
+                if let Stage::Running = attempt.stage {
+                    attempt.end = Stage::Failed {
+                        message: "stopped".to_string(),
+                    };
+                    self.finish(&id, Instant::now());
+                }
+                self.answer_stage(responder, &id);
+            }
+        }
+    }
+
+    /// Answers when the attempt ends, or after `wait` how it stands.
+    fn hold(&mut self, id: &AttemptId, responder: Responder, wait: Duration) {
+        let number = self.number();
+        match self.attempts.get_mut(id) {
+            Some(attempt) if matches!(attempt.stage, Stage::Running) => {
+                attempt.waiting.push((number, responder));
+                let timer = Timer::HoldEnd(id.clone(), number);
+                self.timers.insert((Instant::now() + wait, number), timer);
+            }
+            _ => self.answer_stage(responder, id),
+        }
+    }
+
+    fn hold_end(&mut self, id: &AttemptId, number: u64) {
+        let Some(attempt) = self.attempts.get_mut(id) else {
+            return;
+        };
+        if let Some(at) = attempt.waiting.iter().position(|(n, _)| *n == number) {
+            let (_, responder) = attempt.waiting.swap_remove(at);
+            self.answer_stage(responder, id);
+        }
+    }
+
+    fn start(&mut self, body: &[u8], responder: Responder) {
+        let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        let id = body["attempt"].as_str().and_then(parse_attempt);
+        let zone = body["zone"].as_str().and_then(|z| ZoneName::new(z).ok());
+        let (Some(id), Some(zone), Some(term)) = (id, zone, body["term"].as_u64()) else {
+            return self.answer(responder, problem(400, "malformed", "not a start"));
+        };
+        let term = Term(term);
+        let refusal = self.refusal(&body, &id, &zone, term);
+        let known = self
+            .attempts
+            .get(&id)
+            .is_some_and(|a| !matches!(a.stage, Stage::Never));
+        self.record(&id, term, refusal.is_none() && !known);
+        match refusal {
+            Some((status, reason)) => self.answer(responder, refused(&id, status, reason)),
+            None => {
+                if !known {
+                    self.begin(&id, zone, &body["task"]);
+                }
+                self.hold(&id, responder, self.settings.hold);
+            }
+        }
+    }
+
+    /// Why a start is refused.
+    fn refusal(
+        &self,
+        body: &Value,
+        id: &AttemptId,
+        zone: &ZoneName,
+        term: Term,
+    ) -> Option<(u16, &'static str)> {
+        if body["incarnation"].as_u64() != Some(self.settings.incarnation.0) {
+            return Some((409, "this is another incarnation"));
+        }
+        if self.fences.get(zone).is_some_and(|fence| term < *fence) {
+            return Some((409, "the term is fenced off"));
+        }
+        match self.attempts.get(id).map(|a| &a.stage) {
+            Some(Stage::Never) => return Some((409, "the attempt was revoked")),
+            Some(_) => return None,
+            None => (),
+        }
+        if self.behaviour == Behaviour::Refuse {
+            return Some((503, "refuses everything"));
+        }
+        match self.settings.capacity {
+            Capacity::Executor { slots, .. } if self.running >= slots as usize => {
+                Some((429, "no free slot"))
+            }
+            Capacity::Executor { .. } | Capacity::Worker(_) => None,
+        }
+    }
+
+    fn record(&mut self, attempt: &AttemptId, term: Term, run: bool) {
+        let start = Start {
+            at_ms: wall_ms(),
+            attempt: attempt.clone(),
+            term,
+            run,
+        };
+        if let Some(log) = &mut self.log {
+            let word = if run { "run" } else { "refused" };
+            let line = format!("{} {attempt} {term} {word}\n", start.at_ms);
+            if let Err(e) = log.write_all(line.as_bytes()) {
+                log::error!("the start log can't be written: {e}");
+            }
+        }
+        lock(&self.common.starts).push(start);
+    }
+
+    fn begin(&mut self, id: &AttemptId, zone: ZoneName, task: &Value) {
+        let millis = task["sleep_ms"].as_f64().unwrap_or(0.0).max(0.0);
+        let mut service = Duration::from_secs_f64(millis / 1000.0 / self.settings.speed);
+        let fails = task["fail"].as_bool().unwrap_or(false);
+        let mut end = match (fails, task["guard"].as_str()) {
+            (true, _) => Stage::Failed {
+                message: "the task asked to fail".to_string(),
+            },
+            (false, Some("throttled")) => Stage::Guard(GuardAction::Throttled),
+            (false, Some("checkpointed")) => Stage::Guard(GuardAction::Checkpointed),
+            (false, Some(_)) => Stage::Guard(GuardAction::Stopped),
+            (false, None) => Stage::Done {
+                result: json!({"echo": task["echo"], "target": self.settings.name.as_str()}),
+                service: Duration::ZERO,
+            },
+        };
+        let now = Instant::now();
+        match self.behaviour {
+            Behaviour::Fail => {
+                service = Duration::ZERO;
+                end = Stage::Failed {
+                    message: "this target fails everything".to_string(),
+                };
+            }
+            Behaviour::Straggle { percent, factor } => {
+                if rand::rng().random_range(0..100) < percent {
+                    service *= factor;
+                }
+            }
+            Behaviour::Die => self.timer(now + service / 2, Timer::Die),
+            Behaviour::Normal
+            | Behaviour::Late(_)
+            | Behaviour::Twice
+            | Behaviour::Refuse
+            | Behaviour::Silent => (),
+        }
+        let number = |name: &str| task["uses"][name].as_u64().unwrap_or(0) as u32;
+        let attempt = Attempt {
+            stage: Stage::Running,
+            zone,
+            began: now,
+            ended: None,
+            uses: Demand {
+                milli_cores: number("milli_cores"),
+                memory_mib: number("memory_mib"),
+                accelerators: number("accelerators"),
+            },
+            end,
+            waiting: Vec::new(),
+        };
+        self.running += 1;
+        {
+            let mut announced = lock(&self.common.announced);
+            announced.running = self.running;
+            announced.usage = announced.usage.plus(&attempt.uses);
+        }
+        self.attempts.insert(id.clone(), attempt);
+        self.timer(now + service, Timer::Finish(id.clone()));
+    }
+
+    fn finish(&mut self, id: &AttemptId, now: Instant) {
+        let Some(attempt) = self.attempts.get_mut(id) else {
+            return;
+        };
+        if !matches!(attempt.stage, Stage::Running) {
+            return;
+        }
+        attempt.stage = attempt.end.clone();
+        if let Stage::Done { service, .. } = &mut attempt.stage {
+            *service = now.duration_since(attempt.began);
+        }
+        attempt.ended = Some(now);
+        let waiting = std::mem::take(&mut attempt.waiting);
+        self.running -= 1;
+        {
+            let mut announced = lock(&self.common.announced);
+            announced.running = self.running;
+            announced.usage = announced.usage.minus(&attempt.uses);
+        }
+        for (_, responder) in waiting {
+            self.answer_stage(responder, id);
+        }
+    }
+
+    fn fence(&mut self, body: &[u8], responder: Responder) {
+        let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        let zone = body["zone"].as_str().and_then(|z| ZoneName::new(z).ok());
+        let (Some(zone), Some(term)) = (zone, body["term"].as_u64()) else {
+            return self.answer(responder, problem(400, "malformed", "not a fence"));
+        };
+        let fence = self.fences.entry(zone.clone()).or_default();
+        if Term(term) < *fence {
+            let answer = problem(409, "refused", "a higher term has fenced this one off");
+            return self.answer(responder, answer);
+        }
+        *fence = Term(term);
+        let attempts: Vec<Value> = self
+            .attempts
+            .iter()
+            .filter(|(_, attempt)| attempt.zone == zone)
+            .map(|(id, attempt)| attempt.stage.json(id))
+            .collect();
+        let body = json!({
+            "incarnation": self.settings.incarnation.0,
+            "zone": zone.as_str(),
+            "term": term,
+            "attempts": attempts,
+        });
+        self.answer(responder, Answer::json(200, body.to_string()));
+    }
+}
+
+/// An attempt that was revoked before it was started. Its zone is that of its key, so a fence
+/// lists it as well.
+fn never(id: &AttemptId) -> Attempt {
+    let now = Instant::now();
+    Attempt {
+        stage: Stage::Never,
+        zone: id.key.zone.clone(),
+        began: now,
+        ended: Some(now),
+        uses: Demand::default(),
+        end: Stage::Never,
+        waiting: Vec::new(),
+    }
+}
+
+struct Announcer {
+    settings: TargetSettings,
+    address: SocketAddr,
+    common: Arc<Common>,
+    agent: ureq::Agent,
+    entry: usize,
+}
+
+impl Announcer {
+    fn run(mut self, wake: &Receiver<()>) {
+        let mut usage = Demand::default();
+        while !self.common.dead.load(Ordering::Relaxed) {
+            let began = Instant::now();
+            let announced = lock(&self.common.announced).clone();
+            // The usage of the previous announcement, as real reports lag behind.
+            self.announce(&announced, &usage);
+            usage = announced.usage;
+            match wake.recv_deadline(began + self.settings.interval) {
+                Ok(()) | Err(RecvTimeoutError::Timeout) => (),
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    /// Announces to the entry that worked last, or else to the next one that does.
+    fn announce(&mut self, announced: &Announced, usage: &Demand) {
+        let body = self.body(announced, usage);
+        for _ in 0..self.settings.entries.len() {
+            let entry = self.settings.entries[self.entry % self.settings.entries.len()];
+            let url = format!("http://{entry}/v1/targets");
+            match self.agent.post(url).send(body.as_bytes()) {
+                Ok(mut response) => {
+                    // Read in full, so that the connection is used again.
+                    let text = response.body_mut().read_to_string().unwrap_or_default();
+                    let status = response.status().as_u16();
+                    if status < 500 {
+                        if status != 200 {
+                            log::warn!("{} was answered {status}: {text}", self.settings.name);
+                        }
+                        return;
+                    }
+                }
+                Err(e) => log::debug!("{} can't announce to {entry}: {e}", self.settings.name),
+            }
+            self.entry += 1;
+        }
+    }
+
+    fn body(&self, announced: &Announced, usage: &Demand) -> String {
+        let settings = &self.settings;
+        let work: Vec<&str> = settings.work.iter().map(|w| w.as_str()).collect();
+        let mut body = json!({
+            "target": settings.name.as_str(),
+            "incarnation": settings.incarnation.0,
+            "address": self.address.to_string(),
+            "zone": settings.zone.as_str(),
+            "work": work,
+            "fencing": settings.fencing,
+            "leaving": announced.leaving,
+        });
+        if let Some(rack) = &settings.rack {
+            body["rack"] = rack.as_str().into();
+        }
+        match &settings.capacity {
+            Capacity::Executor { slots, connections } => {
+                body["capacity"] =
+                    json!({"executor": {"slots": slots, "connections": connections}});
+            }
+            Capacity::Worker(offer) => {
+                body["capacity"] = json!({"worker": resources(offer)});
+                body["usage"] = resources(usage);
+            }
+        }
+        body.to_string()
+    }
+}
+
+fn resources(demand: &Demand) -> Value {
+    json!({
+        "milli_cores": demand.milli_cores,
+        "memory_mib": demand.memory_mib,
+        "accelerators": demand.accelerators,
+    })
+}
--- /dev/null
+++ b/crates/standin/tests/target.rs
@@ -0,0 +1,415 @@
+//! The client to targets against stand-in targets and against peers that misbehave.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{unbounded, Receiver, Sender};
+use greengage_control::call::{Action, Call, Seen, Start, State};
+use greengage_core::{
+    AccountName, Address, AttemptId, Capacity, GuardAction, Incarnation, JobKey, Name, Payload,
+    SortedMap, TargetName, TemplateName, Term, ZoneName,
+};
+use greengage_http::target::{Client, Settings};
+use greengage_standin::{Behaviour, Target, TargetSettings};
+
+struct Dispatcher {
+    calls: Sender<(u64, Call)>,
+    seen: Receiver<(u64, Seen)>,
+    target: TargetName,
+    incarnation: Incarnation,
+    address: SocketAddr,
+}
+
+impl Dispatcher {
+    fn new(address: SocketAddr, incarnation: Incarnation, settings: Settings) -> Dispatcher {
+        let (calls, receiver) = unbounded();
+        let (sender, seen) = unbounded();
+        Client::start(settings, receiver, move |token, result| {
+            let _ = sender.send((token, result));
+        })
+        .unwrap();
+        Dispatcher {
+            calls,
+            seen,
+            target: TargetName::new("t").unwrap(),
+            incarnation,
+            address,
+        }
+    }
+
+    fn of(target: &Target) -> Dispatcher {
+        Dispatcher::new(target.address(), target.incarnation(), Settings::default())
+    }
+
+    fn send(&self, token: u64, action: Action) {
+        let call = Call {
+            target: self.target.clone(),
+            incarnation: self.incarnation,
+            address: Address::new(&self.address.to_string()).unwrap(),
+            action,
+        };
+        self.calls.send((token, call)).unwrap();
+    }
+
+    fn next(&self) -> (u64, Seen) {
+        self.seen.recv_timeout(Duration::from_secs(8)).unwrap()
+    }
+
+    fn call(&self, action: Action) -> Seen {
+        self.send(0, action);
+        self.next().1
+    }
+
+    fn start(&self, task: u32, json: &str) -> Seen {
+        self.call(start(task, 1, json))
+    }
+}
+
+fn id(task: u32) -> AttemptId {
+    AttemptId {
+        key: JobKey {
+            account: AccountName::new("acme").unwrap(),
+            zone: ZoneName::new("a").unwrap(),
+            id: Name::new("job:1").unwrap(),
+        },
+        task,
+        number: 1,
+    }
+}
+
+fn start(task: u32, term: u64, json: &str) -> Action {
+    Action::Start(Start {
+        attempt: id(task),
+        term: Term(term),
+        zone: ZoneName::new("a").unwrap(),
+        template: TemplateName::new("tours").unwrap(),
+        values: SortedMap::new(),
+        payload: Payload::new(json.as_bytes()),
+        left: Duration::from_secs(5),
+    })
+}
+
+fn poll(task: u32, fresh: bool) -> Action {
+    let attempt = id(task);
+    Action::Poll { attempt, fresh }
+}
+
+fn revoke(task: u32) -> Action {
+    Action::Revoke { attempt: id(task) }
+}
+
+fn fence(term: u64) -> Action {
+    Action::Fence {
+        zone: ZoneName::new("a").unwrap(),
+        term: Term(term),
+    }
+}
+
+fn target(behaviour: Behaviour) -> Target {
+    let mut settings = TargetSettings::new("t1", "a", &["tours"], &[]);
+    settings.behaviour = behaviour;
+    settings.hold = Duration::from_millis(300);
+    Target::start(settings).unwrap()
+}
+
+#[track_caller]
+fn result(seen: Seen) -> String {
+    match seen {
+        Seen::State(State::Done { result, .. }) => String::from_utf8(result.to_vec()).unwrap(),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn is_not_run(seen: &Seen) -> bool {
+    matches!(seen, Seen::NotRun { .. })
+}
+
+fn is_broken(seen: &Seen) -> bool {
+    matches!(seen, Seen::Broken { .. })
+}
+
+fn is_failed(seen: &Seen) -> bool {
+    matches!(seen, Seen::State(State::Failed { .. }))
+}
+
+/// Each state of an attempt must reach the dispatcher as it is, and the same start sent twice must
+/// run once.
+#[test]
+fn states() {
+    let target = target(Behaviour::Normal);
+    let dispatcher = Dispatcher::of(&target);
+    let done = result(dispatcher.start(0, r#"{"sleep_ms":5,"echo":{"n":1}}"#));
+    assert_eq!(done, r#"{"echo":{"n":1},"target":"t1"}"#);
+    assert_eq!(result(dispatcher.start(0, r#"{"echo":2}"#)), done);
+    let failed = dispatcher.start(1, r#"{"fail":true}"#);
+    let message = "the task asked to fail".to_string();
+    assert_eq!(failed, Seen::State(State::Failed { message }));
+    let guard = Seen::State(State::Guard(GuardAction::Checkpointed));
+    assert_eq!(dispatcher.start(2, r#"{"guard":"checkpointed"}"#), guard);
+    let running = dispatcher.start(3, r#"{"sleep_ms":700}"#);
+    assert_eq!(running, Seen::State(State::Running));
+    let done = r#"{"echo":null,"target":"t1"}"#;
+    assert_eq!(dispatcher.call(poll(3, true)), Seen::State(State::Running));
+    assert_eq!(result(dispatcher.call(poll(3, false))), done);
+    assert!(is_broken(&dispatcher.call(poll(9, false))));
+    dispatcher.send(4, start(4, 1, r#"{"sleep_ms":5000}"#));
+    assert_eq!(dispatcher.next().1, Seen::State(State::Running));
+    assert!(is_failed(&dispatcher.call(Action::Stop { attempt: id(4) })));
+    assert_eq!(target.running(), 0);
+    let run = target.starts().iter().filter(|s| s.run).count();
+    assert_eq!((run, target.starts().len()), (5, 6));
+}
+
+/// A revoked attempt must never start, and one that started must not be reported as `never`.
+#[test]
+fn revoke_and_restart() {
+    let target = target(Behaviour::Normal);
+    let mut dispatcher = Dispatcher::of(&target);
+    assert_eq!(dispatcher.call(revoke(0)), Seen::State(State::Never));
+    assert!(is_not_run(&dispatcher.start(0, "{}")));
+    dispatcher.send(1, start(1, 1, r#"{"sleep_ms":200}"#));
+    while target.running() == 0 {
+        thread::sleep(Duration::from_millis(1));
+    }
+    assert_eq!(dispatcher.call(revoke(1)), Seen::State(State::Running));
+    result(dispatcher.next().1);
+    result(dispatcher.call(revoke(1)));
+    // Another life of the process knows nothing, and must not say that the attempt never ran.
+    let target = target.restart().unwrap();
+    assert!(is_broken(&dispatcher.call(revoke(1))));
+    assert!(is_broken(&dispatcher.call(poll(1, true))));
+    assert!(is_not_run(&dispatcher.start(2, "{}")));
+    dispatcher.incarnation = target.incarnation();
+    result(dispatcher.start(2, "{}"));
+    assert_eq!(target.starts().iter().filter(|s| s.run).count(), 1);
+}
+
+/// After a fence, starts of lower terms must be refused, and the fence must list every attempt of
+/// its zone, or a new leader starts a task a second time.
+#[test]
+fn fences() {
+    let target = target(Behaviour::Normal);
+    let dispatcher = Dispatcher::of(&target);
+    result(dispatcher.start(0, r#"{"echo":0}"#));
+    assert_eq!(dispatcher.call(revoke(1)), Seen::State(State::Never));
+    dispatcher.send(2, start(2, 1, r#"{"sleep_ms":600}"#));
+    assert_eq!(dispatcher.next().1, Seen::State(State::Running));
+    let Seen::Fenced {
+        incarnation,
+        attempts,
+    } = dispatcher.call(fence(5))
+    else {
+        panic!("no fence");
+    };
+    assert_eq!(incarnation, target.incarnation());
+    let listed: Vec<u32> = attempts.iter().map(|(id, _)| id.task).collect();
+    assert_eq!(listed, [0, 1, 2]);
+    assert!(matches!(attempts[0].1, State::Done { .. }));
+    assert_eq!(attempts[1].1, State::Never);
+    assert_eq!(attempts[2].1, State::Running);
+    assert!(is_not_run(&dispatcher.call(start(3, 4, "{}"))));
+    assert!(is_broken(&dispatcher.call(fence(4))));
+    result(dispatcher.call(start(3, 5, "{}")));
+    let log = target.starts();
+    let terms: Vec<(u64, bool)> = log.iter().map(|s| (s.term.0, s.run)).collect();
+    assert_eq!(terms, [(1, true), (1, true), (4, false), (5, true)]);
+}
+
+/// Refusals must be reported as not run; slots must be counted.
+#[test]
+fn refusals() {
+    let target = target(Behaviour::Normal);
+    let dispatcher = Dispatcher::of(&target);
+    for task in 0..9 {
+        dispatcher.send(task, start(task as u32, 1, r#"{"sleep_ms":200}"#));
+    }
+    let seen: Vec<Seen> = (0..9).map(|_| dispatcher.next().1).collect();
+    assert_eq!(seen.iter().filter(|s| is_not_run(s)).count(), 1);
+    target.set(Behaviour::Refuse);
+    assert!(is_not_run(&dispatcher.start(20, "{}")));
+    target.set(Behaviour::Fail);
+    assert!(is_failed(&dispatcher.start(21, "{}")));
+}
+
+/// A target that answers twice must not give a result to another attempt.
+#[test]
+fn twice() {
+    let target = target(Behaviour::Twice);
+    let dispatcher = Dispatcher::of(&target);
+    let mut broken = 0;
+    for round in 0..40u32 {
+        for lane in 0..4 {
+            let task = round * 4 + lane;
+            let json = format!(r#"{{"echo":{task}}}"#);
+            dispatcher.send(task.into(), start(task, 1, &json));
+        }
+        for _ in 0..4 {
+            let (token, seen) = dispatcher.next();
+            if is_broken(&seen) {
+                broken += 1;
+                continue;
+            }
+            let expected = format!(r#"{{"echo":{token},"target":"t1"}}"#);
+            assert_eq!(result(seen), expected);
+        }
+    }
+    println!("calls broken by a second answer: {broken} of 160");
+}
+
+/// An answer that comes later than the time limit of a call must not hold the call for longer.
+#[test]
+fn late() {
+    let target = target(Behaviour::Late(Duration::from_millis(3500)));
+    let dispatcher = Dispatcher::of(&target);
+    let sent = Instant::now();
+    let seen = dispatcher.start(0, "{}");
+    assert!(is_broken(&seen), "{seen:?}");
+    let took = sent.elapsed();
+    // The system rounds receive time limits of seconds up by as much as a quarter of a second.
+    assert!(took < Duration::from_millis(3000), "{took:?}");
+}
+
+/// A target that ends in the middle of a task must be reported as broken, then, once its port is
+/// closed, as not run.
+#[test]
+fn dies() {
+    let target = target(Behaviour::Die);
+    let dispatcher = Dispatcher::of(&target);
+    assert!(is_broken(&dispatcher.start(0, r#"{"sleep_ms":100}"#)));
+    while TcpStream::connect(target.address()).is_ok() {
+        thread::sleep(Duration::from_millis(1));
+    }
+    assert!(target.is_dead());
+    assert!(is_not_run(&dispatcher.start(1, "{}")));
+    assert!(is_broken(&dispatcher.call(revoke(0))));
+}
+
+/// Connections that go silent must break the calls on them in time, and new connections, as of a
+/// revoke, must work meanwhile.
+#[test]
+fn silent_connections() {
+    let target = target(Behaviour::Normal);
+    let dispatcher = Dispatcher::of(&target);
+    result(dispatcher.start(0, "{}"));
+    target.set(Behaviour::Silent);
+    thread::sleep(Duration::from_millis(50));
+    let sent = Instant::now();
+    dispatcher.send(1, start(1, 1, r#"{"echo":1}"#));
+    thread::sleep(Duration::from_millis(200));
+    dispatcher.send(2, poll(1, true));
+    let (token, seen) = dispatcher.next();
+    assert_eq!(token, 2);
+    result(seen);
+    let (token, seen) = dispatcher.next();
+    assert_eq!(token, 1);
+    assert!(is_broken(&seen));
+    assert!(sent.elapsed() < Duration::from_millis(3000));
+    result(dispatcher.start(2, "{}"));
+}
+
+/// A peer that reads up to `read` bytes of each request and then ends the connection, with a reset
+/// where bytes were left unread.
+fn closing_peer(read: usize) -> (SocketAddr, Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, receiver) = unbounded();
+    thread::spawn(move || {
+        for stream in listener.incoming().take(64) {
+            let mut stream = stream.unwrap();
+            let mut buffer = vec![0; read];
+            let got = match read {
+                0 => 0,
+                _ => stream.read(&mut buffer).unwrap_or(0),
+            };
+            let _ = sender.send(got);
+        }
+    });
+    (address, receiver)
+}
+
+/// `NotRun` must never be said once a byte was sent: not when the peer closes or resets before,
+/// while or after the request arrives, and not when it answers with something else.
+#[test]
+fn not_run_only_before_the_first_byte() {
+    for read in [0, 1, 40, 100_000] {
+        let (address, _) = closing_peer(read);
+        let dispatcher = Dispatcher::new(address, Incarnation(1), Settings::default());
+        for task in 0..10 {
+            let seen = dispatcher.start(task, "{}");
+            assert!(is_broken(&seen), "{read}: {seen:?}");
+        }
+    }
+    for answer in [
+        "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Busy\r\nContent-Length: 19\r\n\r\n{\"state\":\"refused\"}",
+        "HTTP/1.1 307 Moved\r\nLocation: /v1/attempts\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n{\"state\":\"never\"}",
+        "garbage\r\n\r\n",
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let peer = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let _ = stream.read(&mut [0; 4096]);
+            stream.write_all(answer.as_bytes()).unwrap();
+        });
+        let dispatcher = Dispatcher::new(address, Incarnation(1), Settings::default());
+        let seen = dispatcher.start(0, "{}");
+        assert!(is_broken(&seen), "{answer}: {seen:?}");
+        peer.join().unwrap();
+    }
+    // Nothing listens here, so nothing can have been sent.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let dispatcher = Dispatcher::new(address, Incarnation(1), Settings::default());
+    assert!(is_not_run(&dispatcher.start(0, "{}")));
+    assert!(is_broken(&dispatcher.call(revoke(0))));
+}
+
+/// A connection that the target closed while it was idle must not be used again, and must not be
+/// taken for a refused one.
+#[test]
+fn idle_connection_closed_by_the_target() {
+    let first = target(Behaviour::Normal);
+    let dispatcher = Dispatcher::of(&first);
+    result(dispatcher.start(0, "{}"));
+    let second = first.restart().unwrap();
+    let dispatcher = Dispatcher {
+        incarnation: second.incarnation(),
+        ..dispatcher
+    };
+    result(dispatcher.start(1, "{}"));
+}
+
+/// Connections to one target must stay within the bound, and calls beyond it must wait, not fail.
+#[test]
+fn bounded_connections() {
+    let mut settings = TargetSettings::new("t1", "a", &[], &[]);
+    settings.capacity = Capacity::Executor {
+        slots: 1000,
+        connections: 6,
+    };
+    let target = Target::start(settings).unwrap();
+    let settings = Settings {
+        per_target: 4,
+        fresh_per_target: 2,
+        ..Settings::default()
+    };
+    let dispatcher = Dispatcher::new(target.address(), target.incarnation(), settings);
+    let sent = Instant::now();
+    for task in 0..60 {
+        dispatcher.send(task, start(task as u32, 1, r#"{"sleep_ms":20}"#));
+        dispatcher.send(1000 + task, revoke(5000 + task as u32));
+    }
+    for _ in 0..120 {
+        match dispatcher.next() {
+            (0..=999, seen) => drop(result(seen)),
+            (_, seen) => assert_eq!(seen, Seen::State(State::Never)),
+        }
+    }
+    // Sixty tasks of 20 ms, four at once.
+    assert!(sent.elapsed() >= Duration::from_millis(300));
+}
