Run the whole path: submission, dispatch, target, answer

Cause: the parts exist but no process runs them.

Change: add the node crate (control thread, disk, peers, client and front ends with the channels between them), the daemon with its checked settings, and greengagectl with keys, submit, status, cancel, templates, parameters, groups, revision, timeline, target and try. A target of another incarnation is an observation of its own.

Before: no running VM.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -363,7 +363,11 @@
                  of zone {zone}"
             ),
             ApiError::Busy { vm } => {
-                write!(f, "not run: VM {vm} is overloaded; submit again")
+                write!(
+                    f,
+                    "VM {vm} is overloaded and did not take the request: send it again with the \
+                     same id"
+                )
             }
         }
     }
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -132,7 +132,7 @@
         let roles = self.site.roles().clone();
         if roles.control {
             self.control = Some(ControlGroup {
-                replica: self.replica(self.site.first_control(), control, 0),
+                replica: self.replica(control, 0),
                 edits: SortedMap::new(),
                 changes: SortedMap::new(),
                 reads: SortedMap::new(),
@@ -145,9 +145,8 @@
             if let Some(snapshot) = &restored.snapshot {
                 ledger.restore(snapshot.state.clone());
             }
-            let config = self.site.first_ledger(&zone);
             let group = LedgerGroup {
-                replica: self.replica(config, restored, i as u64 + 1),
+                replica: self.replica(restored, i as u64 + 1),
                 ledger,
                 changes: SortedMap::new(),
             };
@@ -155,15 +154,9 @@
         }
     }
 
-    fn replica<C: Clone, S: Clone>(
-        &self,
-        config: agreement::Config,
-        restored: Restored<C, S>,
-        salt: u64,
-    ) -> Replica<C, S> {
+    fn replica<C: Clone, S: Clone>(&self, restored: Restored<C, S>, salt: u64) -> Replica<C, S> {
         Replica::new(replica::Start {
             node: self.site.node(),
-            config,
             timing: self.site.limits.timing.clone(),
             restored,
             seed: self.site.seed.wrapping_add(salt),
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use greengage_agreement as agreement;
-use greengage_agreement::{Entry, HardState, Save, SaveSeq, Snapshot};
+use greengage_agreement::{Config, Entry, HardState, Save, SaveSeq, Snapshot};
 use greengage_core::{value, Hlc, NodeId, RequestId, Revision, Time, VmName, Wall, ZoneName};
 use greengage_ledger as ledger;
 use greengage_membership::{Announcement, VmStatus};
@@ -143,6 +143,8 @@
 /// What a group's files held at start.
 #[value]
 pub struct Restored<C, S> {
+    /// The members that the group began with; none for a data folder made later.
+    pub config: Config,
     /// The hard state.
     pub hard: HardState,
     /// The snapshot.
@@ -154,6 +156,7 @@
 impl<C, S> Default for Restored<C, S> {
     fn default() -> Self {
         Restored {
+            config: Config::default(),
             hard: HardState::default(),
             snapshot: None,
             entries: Vec::new(),
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -1,7 +1,7 @@
 //! One group's agreement state as this VM runs it.
 
 use greengage_agreement::{
-    Change, Config, Effect, Event, Raft, Refused, Role, Setup, Status, Ticket, Timing,
+    Change, Effect, Event, Raft, Refused, Role, Setup, Status, Ticket, Timing,
 };
 use greengage_core::{Index, NodeId, Term, Time};
 
@@ -22,7 +22,6 @@
 /// What a replica starts from.
 pub(crate) struct Start<C, S> {
     pub(crate) node: NodeId,
-    pub(crate) config: Config,
     pub(crate) timing: Timing,
     pub(crate) restored: Restored<C, S>,
     pub(crate) seed: u64,
@@ -36,7 +35,7 @@
         let node = start.node.clone();
         let raft = Raft::new(Setup {
             node: start.node,
-            config: start.config,
+            config: start.restored.config,
             hard: start.restored.hard,
             snapshot: start.restored.snapshot,
             entries: start.restored.entries,
--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -120,31 +120,33 @@
         }
     }
 
-    /// A request that isn't repeatable becomes a job of one task.
+    /// A request that isn't repeatable becomes a job of one task. So does one with an id whose
+    /// template isn't known here: only the home zone can tell whether its key has run.
     fn prepare_single(&self, mut request: NewRequest) -> Result<Request, Reply> {
         let resolved = self.policy.resolve(&request.template, &request.account);
-        let resolved = resolved.map_err(|error| Reply::Error(ApiError::Policy(error)))?;
-        if resolved.template.repeatable {
-            let zone = match request.zone {
-                Some(zone) => zone,
-                None => self.site.zone().clone(),
-            };
-            self.check_zone(&zone)?;
-            request.zone = Some(zone);
-            return Ok(Request::Single(request));
+        let repeatable = resolved.map(|resolved| resolved.template.repeatable);
+        match (repeatable, request.id) {
+            (Ok(true), id) => {
+                let zone = request.zone.unwrap_or_else(|| self.site.zone().clone());
+                self.check_zone(&zone)?;
+                request.zone = Some(zone);
+                request.id = id;
+                Ok(Request::Single(request))
+            }
+            (_, Some(id)) => self.prepare(Request::Submit(NewJob {
+                account: request.account,
+                zone: request.zone,
+                id,
+                template: request.template,
+                digest: request.digest,
+                tasks: vec![request.task],
+            })),
+            (Ok(false), None) => {
+                let template = request.template;
+                Err(Reply::Error(ApiError::MissingId { template }))
+            }
+            (Err(error), None) => Err(Reply::Error(ApiError::Policy(error))),
         }
-        let Some(id) = request.id else {
-            let template = request.template;
-            return Err(Reply::Error(ApiError::MissingId { template }));
-        };
-        self.prepare(Request::Submit(NewJob {
-            account: request.account,
-            zone: request.zone,
-            id,
-            template: request.template,
-            digest: request.digest,
-            tasks: vec![request.task],
-        }))
     }
 
     fn check_zone(&self, zone: &ZoneName) -> Result<(), Reply> {
--- a/crates/control/src/zone.rs
+++ b/crates/control/src/zone.rs
@@ -777,7 +777,11 @@
             payload: live.submission.tasks[attempt.task as usize].clone(),
             left: live.spec.deadline.since(cx.now.time),
         };
-        cx.record(Some(&id.key), Some(&target), &format!("start of {id}"));
+        cx.record(
+            Some(&id.key),
+            Some(&target),
+            &format!("start of {}", task(&id)),
+        );
         let token = self.next_token();
         self.track(token, attempt, id, &target, Phase::Starting);
         self.call(cx, token, &target, Action::Start(start));
@@ -786,7 +790,11 @@
     /// Follows an attempt that an earlier leader started.
     pub(crate) fn adopt(&mut self, cx: &mut Cx<'_>, attempt: Attempt, target: &TargetName) {
         let id = attempt_id(&self.live[&attempt.job], attempt);
-        cx.record(Some(&id.key), Some(target), &format!("adopted {id}"));
+        cx.record(
+            Some(&id.key),
+            Some(target),
+            &format!("adopted {}", task(&id)),
+        );
         let token = self.next_token();
         self.track(token, attempt, id, target, Phase::Running);
         self.poll(cx, token);
@@ -954,7 +962,7 @@
             Settled::Lost => "lost",
             Settled::Guard(_) => "ended by the guard",
         };
-        let what = format!("{} {what}", flight.id);
+        let what = format!("{} {what}", task(&flight.id));
         cx.record(Some(&flight.id.key), Some(&flight.target), &what);
         let attempt = flight.attempt;
         self.dispatch_step(cx, dispatch::Event::Settled { attempt, settled });
@@ -1172,6 +1180,11 @@
     }
 }
 
+/// An attempt as the time line names it beside its key.
+fn task(id: &AttemptId) -> String {
+    format!("task {} attempt {}", id.task, id.number)
+}
+
 pub(crate) fn progress(stage: &Stage) -> Progress {
     match stage {
         Stage::Accepted => Progress::Queued,
--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -76,6 +76,14 @@
     }
 }
 
+impl std::str::FromStr for Name {
+    type Err = NameError;
+
+    fn from_str(text: &str) -> Result<Name, NameError> {
+        Name::new(text)
+    }
+}
+
 impl fmt::Debug for Name {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:?}", &self.0)
--- /dev/null
+++ b/crates/ctl/src/client.rs
@@ -0,0 +1,120 @@
+//! HTTP requests to VMs.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::{eyre, Report, WrapErr};
+use serde_json::Value;
+use ureq::Agent;
+
+/// How long connecting to a VM may take.
+const CONNECT: Duration = Duration::from_secs(2);
+/// How long one request may take; longer than the longest wait that a VM accepts.
+const REQUEST: Duration = Duration::from_secs(75);
+
+/// A client of several VMs that takes the first one that answers.
+pub(crate) struct Client {
+    agent: Agent,
+    addresses: Vec<SocketAddr>,
+}
+
+/// An answer of a VM.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    /// The HTTP status.
+    pub(crate) status: u16,
+    /// The body.
+    pub(crate) body: Value,
+}
+
+impl Answer {
+    /// The body of a success, or the VM's message as an error.
+    pub(crate) fn success(self) -> Result<Value, Report> {
+        if self.status < 300 {
+            return Ok(self.body);
+        }
+        match self.body["message"].as_str() {
+            Some(message) => Err(eyre!("{message}")),
+            None => Err(eyre!("the VM answered with HTTP status {}", self.status)),
+        }
+    }
+}
+
+impl Client {
+    /// Reads addresses separated by commas; `flag` is named in errors.
+    pub(crate) fn new(addresses: &str, flag: &str) -> Result<Client, Report> {
+        let parse = |text: &str| -> Result<SocketAddr, Report> {
+            text.parse()
+                .wrap_err_with(|| format!("{flag}: {text:?} is no IP:PORT; correct it"))
+        };
+        let addresses: Result<Vec<SocketAddr>, Report> =
+            addresses.split(',').map(str::trim).map(parse).collect();
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .proxy(None)
+            .timeout_connect(Some(CONNECT))
+            .timeout_global(Some(REQUEST))
+            .build();
+        Ok(Client {
+            agent: config.into(),
+            addresses: addresses?,
+        })
+    }
+
+    /// The VMs' addresses.
+    pub(crate) fn addresses(&self) -> &[SocketAddr] {
+        &self.addresses
+    }
+
+    /// Sends a request to one VM.
+    pub(crate) fn ask(
+        &self,
+        address: SocketAddr,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<Answer, Report> {
+        let text = body.map_or_else(String::new, Value::to_string);
+        let request = ureq::http::Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header("Content-Type", "application/json")
+            .body(text)
+            .wrap_err("the request can't be made")?;
+        let mut response = self
+            .agent
+            .run(request)
+            .wrap_err_with(|| format!("VM at {address} doesn't answer"))?;
+        let status = response.status().as_u16();
+        let text = response
+            .body_mut()
+            .with_config()
+            .limit(64 << 20)
+            .read_to_string()
+            .wrap_err_with(|| format!("the answer of the VM at {address} broke off"))?;
+        let body = serde_json::from_str(&text).unwrap_or(Value::String(text));
+        Ok(Answer { status, body })
+    }
+
+    /// Sends a request that may safely reach several VMs to the first one that answers.
+    pub(crate) fn first(
+        &self,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+    ) -> Result<Answer, Report> {
+        let mut last = eyre!("no address is given");
+        for address in &self.addresses {
+            match self.ask(*address, method, path, body) {
+                Ok(answer) => return Ok(answer),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    /// Reads from the first VM that answers.
+    pub(crate) fn get(&self, path: &str) -> Result<Value, Report> {
+        self.first("GET", path, None)?.success()
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/keys.rs
@@ -0,0 +1,59 @@
+//! `greengagectl keys`.
+
+use std::path::{Path, PathBuf};
+
+use clap::Subcommand;
+use eyre::{Report, WrapErr};
+use greengage_core::VmName;
+use greengage_transport::keys::{issue, make_authority, Authority, Keys};
+
+#[derive(Debug, Subcommand)]
+pub(crate) enum Command {
+    /// Make the authority of a new deployment.
+    Authority {
+        /// Folder for the authority's certificate and key; keep it off the VMs.
+        #[arg(long)]
+        out: PathBuf,
+    },
+    /// Issue the keys of one VM.
+    Vm {
+        /// Folder of the authority.
+        #[arg(long)]
+        authority: PathBuf,
+        /// The VM.
+        #[arg(long)]
+        vm: VmName,
+        /// Folder for the VM's keys.
+        #[arg(long)]
+        out: PathBuf,
+    },
+}
+
+impl Command {
+    pub(crate) fn run(&self) -> Result<(), Report> {
+        match self {
+            Command::Authority { out } => {
+                make_folder(out)?;
+                make_authority()?
+                    .save(out)
+                    .wrap_err("the authority can't be saved")?;
+                println!("authority written to {}", out.display());
+            }
+            Command::Vm { authority, vm, out } => {
+                let authority = Authority::load(authority)?;
+                let pair = issue(&authority, vm)?;
+                make_folder(out)?;
+                Keys::new(&authority, pair)
+                    .save(out)
+                    .wrap_err("the keys can't be saved")?;
+                println!("keys of VM {vm} written to {}", out.display());
+            }
+        }
+        Ok(())
+    }
+}
+
+fn make_folder(folder: &Path) -> Result<(), Report> {
+    std::fs::create_dir_all(folder)
+        .wrap_err_with(|| format!("--out {} can't be made", folder.display()))
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,2 +1,112 @@
-//! Entry point.
-fn main() {}
+//! `greengagectl`: the tool of operators and callers.
+//!
+//! Each command asks one VM, except those that ask all of them: `timeline` merges the events of
+//! all processes, `revision` compares the revisions in force. Answers are printed as JSON.
+
+mod client;
+mod keys;
+mod operate;
+mod submit;
+mod target;
+mod timeline;
+mod trial;
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use eyre::Report;
+
+/// Operate greengageproxy and submit work to it.
+#[derive(Debug, Parser)]
+#[command(name = "greengagectl", version)]
+struct Args {
+    /// Addresses for operators of the VMs, separated by commas; the first that answers is used.
+    #[arg(
+        long,
+        env = "GREENGAGE_ADMINS",
+        default_value = "127.0.0.1:8081",
+        global = true
+    )]
+    admins: String,
+
+    /// Addresses for callers of the VMs, separated by commas; the first that answers is used.
+    #[arg(
+        long,
+        env = "GREENGAGE_ENTRIES",
+        default_value = "127.0.0.1:8080",
+        global = true
+    )]
+    entries: String,
+
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Make the keys of a deployment.
+    #[command(subcommand)]
+    Keys(keys::Command),
+    /// Submit a job and print its answer.
+    Submit(submit::Submit),
+    /// Print how far a job has come.
+    Status(submit::Job),
+    /// Cancel a job and print how it ended.
+    Cancel(submit::Job),
+    /// Read and edit templates.
+    #[command(subcommand)]
+    Template(operate::Template),
+    /// Read and edit the parameters of client accounts.
+    #[command(subcommand)]
+    Params(operate::Params),
+    /// List the targets of a zone.
+    Targets,
+    /// List the VMs.
+    Vms,
+    /// Show whether a revision is in force on every VM.
+    Revision(operate::Revision),
+    /// Show and change the members of a log group.
+    #[command(subcommand)]
+    Group(operate::Group),
+    /// Print the time line of all VMs, in causal order.
+    Timeline(timeline::Timeline),
+    /// Run a stand-in target.
+    Target(target::Target),
+    /// Run a small deployment in this process and show one job from end to end.
+    Try,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let level = env_logger::Env::new()
+        .filter_or("GREENGAGE_LOG", "warn")
+        .write_style("GREENGAGE_LOG_STYLE");
+    env_logger::Builder::from_env(level).init();
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("greengagectl: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: &Args) -> Result<(), Report> {
+    let admins = || client::Client::new(&args.admins, "--admins");
+    let entries = || client::Client::new(&args.entries, "--entries");
+    match &args.command {
+        Command::Keys(command) => command.run(),
+        Command::Submit(submit) => submit.run(&entries()?),
+        Command::Status(job) => job.status(&entries()?),
+        Command::Cancel(job) => job.cancel(&entries()?),
+        Command::Template(command) => command.run(&admins()?),
+        Command::Params(command) => command.run(&admins()?),
+        Command::Targets => operate::print(&admins()?.get("/v1/targets")?),
+        Command::Vms => operate::print(&admins()?.get("/v1/vms")?),
+        Command::Revision(command) => command.run(&admins()?),
+        Command::Group(command) => command.run(&admins()?),
+        Command::Timeline(command) => command.run(&admins()?),
+        Command::Target(target) => target.run(&args.entries),
+        Command::Try => trial::run(),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/target.rs
@@ -0,0 +1,67 @@
+//! `greengagectl target`: a stand-in target as a process of its own.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
+
+use clap::Args;
+use eyre::{eyre, Report, WrapErr};
+use greengage_core::{Capacity, TargetName, TemplateName, ZoneName};
+use greengage_standin::{Target as Standin, TargetSettings};
+
+#[derive(Debug, Args)]
+pub(crate) struct Target {
+    /// Its name.
+    #[arg(long)]
+    name: TargetName,
+    /// Its availability zone.
+    #[arg(long)]
+    zone: ZoneName,
+    /// A kind of work that it runs; may be given several times.
+    #[arg(long = "work", required = true)]
+    work: Vec<TemplateName>,
+    /// Tasks at once.
+    #[arg(long, default_value_t = 8)]
+    slots: u32,
+    /// How fast it is; tasks take their time divided by this.
+    #[arg(long, default_value_t = 1.0)]
+    speed: f64,
+    /// Where it listens.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// File for a line about each start.
+    #[arg(long)]
+    log: Option<PathBuf>,
+    /// How long it runs, in seconds, up to an hour.
+    #[arg(long, default_value_t = 3600,
+          value_parser = clap::value_parser!(u64).range(1..=3600))]
+    seconds: u64,
+}
+
+impl Target {
+    pub(crate) fn run(&self, entries: &str) -> Result<(), Report> {
+        let parse = |text: &str| {
+            SocketAddr::from_str(text.trim())
+                .wrap_err_with(|| format!("--entries: {text:?} is no IP:PORT; correct it"))
+        };
+        let entries: Result<Vec<SocketAddr>, Report> = entries.split(',').map(parse).collect();
+        let work: Vec<&str> = self.work.iter().map(TemplateName::as_str).collect();
+        let mut settings =
+            TargetSettings::new(self.name.as_str(), self.zone.as_str(), &work, &entries?);
+        if !(0.01..=100.0).contains(&self.speed) {
+            return Err(eyre!("--speed is {}: give 0.01 to 100", self.speed));
+        }
+        settings.speed = self.speed;
+        settings.listen = self.listen;
+        settings.log = self.log.clone();
+        settings.capacity = Capacity::Executor {
+            slots: self.slots,
+            connections: 60,
+        };
+        let target = Standin::start(settings)?;
+        println!("target {} listens at {}", self.name, target.address());
+        std::thread::sleep(Duration::from_secs(self.seconds));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/trial.rs
@@ -0,0 +1,256 @@
+//! `greengagectl try`: a small deployment in one process, with real sockets on loopback.
+//!
+//! Three VMs in two availability zones and two stand-in targets in each zone. Submits a job, edits
+//! a parameter, waits until the edit is in force on every VM, and shows the answer and its time
+//! line.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use eyre::{eyre, Report, WrapErr};
+use greengage_core::VmName;
+use greengage_node::{init, parse_vms, Limits, Node, Settings};
+use greengage_standin::{Target, TargetSettings};
+use greengage_transport::keys::{issue, make_authority, Keys};
+use serde_json::{json, Value};
+
+use crate::client::Client;
+use crate::timeline::Timeline;
+
+/// How long each step may take.
+const STEP: Duration = Duration::from_secs(8);
+/// Between two looks at something that is awaited.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+/// VM, zone and roles.
+const VMS: [(&str, &str, &str); 3] = [
+    ("north-1", "north", "control+ledger"),
+    ("north-2", "north", "control+ledger"),
+    ("south-1", "south", "control+ledger+witness:north"),
+];
+const TEMPLATE: &str = "seat-check";
+const ACCOUNT: &str = "town-hall";
+
+/// A running deployment.
+struct Trial {
+    nodes: Vec<Node>,
+    entries: Client,
+    admins: Client,
+    _targets: Vec<Target>,
+}
+
+pub(crate) fn run() -> Result<(), Report> {
+    let started = Instant::now();
+    let folder = tempfile::tempdir().wrap_err("no temporary folder can be made")?;
+    let trial = start(folder.path())?;
+    println!("3 VMs in 2 availability zones and 4 stand-in targets are up");
+    let result = trial.steps();
+    trial.stop();
+    result?;
+    println!("done in {:.1} s", started.elapsed().as_secs_f64());
+    Ok(())
+}
+
+fn start(folder: &Path) -> Result<Trial, Report> {
+    let mut list = Vec::new();
+    for (vm, zone, roles) in VMS {
+        list.push(format!("{vm}={zone}={}={roles}", free_address()?));
+    }
+    let vms = parse_vms(&list.join(","))?;
+    let authority = make_authority()?;
+    let mut nodes = Vec::new();
+    for (vm, _, _) in VMS {
+        let vm = VmName::new(vm)?;
+        let keys = folder.join(format!("keys-{vm}"));
+        std::fs::create_dir(&keys).wrap_err("the folder for keys can't be made")?;
+        Keys::new(&authority, issue(&authority, &vm)?).save(&keys)?;
+        let settings = Settings {
+            data: Some(folder.join(format!("data-{vm}"))),
+            vm,
+            vms: vms.clone(),
+            http: any_port(),
+            admin: any_port(),
+            keys,
+            weight: 100,
+            drain_limit: STEP,
+            sync_delay: Duration::ZERO,
+            calls: 64,
+            limits: Limits::default(),
+        };
+        init(&settings)?;
+        nodes.push(Node::start(settings)?);
+    }
+    let join = |addresses: Vec<SocketAddr>| {
+        let texts: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
+        texts.join(",")
+    };
+    let http: Vec<SocketAddr> = nodes.iter().map(Node::http_address).collect();
+    let admin: Vec<SocketAddr> = nodes.iter().map(Node::admin_address).collect();
+    let mut targets = Vec::new();
+    for (i, (zone, entries)) in [("north", &http[..2]), ("south", &http[2..])]
+        .into_iter()
+        .flat_map(|pair| [pair, pair])
+        .enumerate()
+    {
+        let name = format!("desk-{}", i + 1);
+        let settings = TargetSettings::new(&name, zone, &[TEMPLATE], entries);
+        targets.push(Target::start(settings)?);
+    }
+    Ok(Trial {
+        nodes,
+        entries: Client::new(&join(http), "entries")?,
+        admins: Client::new(&join(admin), "admins")?,
+        _targets: targets,
+    })
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// An address whose port is free at present; another process may take it before it is used, and
+/// then the VM reports the address in use.
+fn free_address() -> Result<SocketAddr, Report> {
+    let socket = UdpSocket::bind(any_port()).wrap_err("no loopback port is free")?;
+    Ok(socket.local_addr()?)
+}
+
+impl Trial {
+    fn steps(&self) -> Result<(), Report> {
+        self.wait_ready()?;
+        self.configure()?;
+        self.wait_targets()?;
+        let key = self.submit()?;
+        self.edit()?;
+        println!("\ntime line of {key}:");
+        for line in Timeline::of_key(&key).lines(&self.admins)? {
+            println!("  {line}");
+        }
+        Ok(())
+    }
+
+    /// Waits until `done` gives a value.
+    fn wait<T>(
+        &self,
+        what: &str,
+        mut done: impl FnMut() -> Result<Option<T>, Report>,
+    ) -> Result<T, Report> {
+        let until = Instant::now() + STEP;
+        loop {
+            if let Some(value) = done()? {
+                return Ok(value);
+            }
+            if Instant::now() > until {
+                return Err(eyre!("{what}: not within {STEP:?}"));
+            }
+            std::thread::sleep(LOOK_AGAIN);
+        }
+    }
+
+    fn wait_ready(&self) -> Result<(), Report> {
+        self.wait("all VMs ready", || {
+            for address in self.admins.addresses() {
+                if self.admins.ask(*address, "GET", "/readyz", None)?.status != 200 {
+                    return Ok(None);
+                }
+            }
+            Ok(Some(()))
+        })
+    }
+
+    fn wait_targets(&self) -> Result<(), Report> {
+        self.wait("targets announced", || {
+            for address in self.admins.addresses() {
+                let answer = self.admins.ask(*address, "GET", "/v1/targets", None)?;
+                let targets = answer.body["targets"].as_array().map_or(0, Vec::len);
+                if targets < 2 {
+                    return Ok(None);
+                }
+            }
+            Ok(Some(()))
+        })
+    }
+
+    fn put(&self, path: &str, op: &str, from: u64, content: Value) -> Result<u64, Report> {
+        let body = json!({"op": op, "from": from, "content": content});
+        let answer = self.admins.first("PUT", path, Some(&body))?.success()?;
+        answer["revision"]
+            .as_u64()
+            .ok_or_else(|| eyre!("the answer to an edit has no revision"))
+    }
+
+    fn configure(&self) -> Result<(), Report> {
+        let template = json!({"target": "executor", "deadline_ms": 5000, "expected_ms": 50});
+        self.put(&format!("/v1/templates/{TEMPLATE}"), "op-1", 0, template)?;
+        let path = format!("/v1/templates/{TEMPLATE}/params/{ACCOUNT}");
+        let revision = self.put(&path, "op-2", 0, json!({"weight": 1}))?;
+        self.wait_revision(revision)
+    }
+
+    fn wait_revision(&self, revision: u64) -> Result<(), Report> {
+        let since = Instant::now();
+        self.wait("revision in force on every VM", || {
+            for address in self.admins.addresses() {
+                let answer = self.admins.ask(*address, "GET", "/v1/templates", None)?;
+                if answer.body["revision"].as_u64() < Some(revision) {
+                    return Ok(None);
+                }
+            }
+            Ok(Some(()))
+        })?;
+        let millis = since.elapsed().as_millis();
+        println!("revision {revision} is in force on all VMs after {millis} ms");
+        Ok(())
+    }
+
+    fn submit(&self) -> Result<String, Report> {
+        let tasks: Vec<Value> = (0..6)
+            .map(|i| json!({"sleep_ms": 50, "echo": format!("seat {i}")}))
+            .collect();
+        let body = json!({
+            "account": ACCOUNT,
+            "template": TEMPLATE,
+            "id": "visit-1",
+            "tasks": tasks,
+        });
+        let since = Instant::now();
+        let answer = self.entries.first("POST", "/v1/jobs", Some(&body))?;
+        let answer = answer.success()?;
+        println!("\njob answered after {} ms:", since.elapsed().as_millis());
+        println!("{}", serde_json::to_string_pretty(&answer)?);
+        let again = self.entries.first("POST", "/v1/jobs", Some(&body))?;
+        if again.success()? != answer {
+            return Err(eyre!("the resubmitted job has another answer"));
+        }
+        println!("resubmitted with the same id: same answer, nothing ran again\n");
+        match (answer["state"].as_str(), answer["key"].as_str()) {
+            (Some("complete"), Some(key)) => Ok(key.to_string()),
+            _ => Err(eyre!("the job is not complete")),
+        }
+    }
+
+    fn edit(&self) -> Result<(), Report> {
+        let path = format!("/v1/templates/{TEMPLATE}/params/{ACCOUNT}");
+        let revision = self.put(&path, "op-3", 1, json!({"weight": 2}))?;
+        println!("parameter weight edited");
+        self.wait_revision(revision)?;
+        let body = json!({"op": "op-4", "from": 1, "content": {"weight": 3}});
+        let conflict = self.admins.first("PUT", &path, Some(&body))?;
+        println!(
+            "edit from an old version: HTTP {}, {}",
+            conflict.status,
+            conflict.body["message"].as_str().unwrap_or("no message")
+        );
+        Ok(())
+    }
+
+    fn stop(self) {
+        let stoppers: Vec<_> = self.nodes.iter().map(Node::stopper).collect();
+        for stopper in stoppers {
+            stopper.abort();
+        }
+        for node in self.nodes {
+            node.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/args.rs
@@ -0,0 +1,117 @@
+//! Flags and environment variables.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::Parser;
+use eyre::{eyre, Report, WrapErr};
+use greengage_core::VmName;
+use greengage_node::{parse_vms, Limits, Settings};
+
+/// The dispatcher daemon of one VM.
+#[derive(Debug, Parser)]
+#[command(name = "greengageproxy", version)]
+pub(crate) struct Args {
+    /// Name of this VM, as in --vms.
+    #[arg(long, env = "GREENGAGE_VM")]
+    vm: VmName,
+
+    /// All VMs of the deployment, the same list on each: NAME=ZONE=IP:PORT=ROLES, separated by
+    /// commas. ROLES is one or more of entry, control, ledger and witness:ZONE, joined by +.
+    #[arg(long, env = "GREENGAGE_VMS")]
+    vms: String,
+
+    /// Address for callers and targets.
+    #[arg(long, env = "GREENGAGE_HTTP", default_value = "127.0.0.1:8080")]
+    http: SocketAddr,
+
+    /// Address for operators, metrics and health checks.
+    #[arg(long, env = "GREENGAGE_ADMIN", default_value = "127.0.0.1:8081")]
+    admin: SocketAddr,
+
+    /// Data folder; needed for the roles control, ledger and witness.
+    #[arg(long, env = "GREENGAGE_DATA")]
+    data: Option<PathBuf>,
+
+    /// Folder with authority.pem, vm.pem and vm.key, made by `greengagectl keys`.
+    #[arg(long, env = "GREENGAGE_KEYS")]
+    keys: PathBuf,
+
+    /// Traffic that this VM can take, relative to others, from 1 to 1000.
+    #[arg(long, env = "GREENGAGE_WEIGHT", default_value_t = 100,
+          value_parser = clap::value_parser!(u32).range(1..=1000))]
+    weight: u32,
+
+    /// Longest time of a shutdown, in seconds, from 1 to 3600.
+    #[arg(long, env = "GREENGAGE_DRAIN_LIMIT", default_value_t = 60,
+          value_parser = clap::value_parser!(u64).range(1..=3600))]
+    drain_limit: u64,
+
+    /// How long a closed submission is kept, in seconds, from 1 to 604800.
+    #[arg(long, env = "GREENGAGE_RETENTION", default_value_t = 3600,
+          value_parser = clap::value_parser!(u64).range(1..=604_800))]
+    retention: u64,
+
+    /// Most calls to targets at once, from 1 to 20000.
+    #[arg(long, env = "GREENGAGE_CALLS", default_value_t = 512,
+          value_parser = clap::value_parser!(u32).range(1..=20_000))]
+    calls: u32,
+
+    /// Milliseconds added to each synced write, to measure with a slower disk, up to 1000.
+    #[arg(long, env = "GREENGAGE_SYNC_DELAY", default_value_t = 0,
+          value_parser = clap::value_parser!(u64).range(0..=1000))]
+    sync_delay: u64,
+
+    /// Applied log entries after which a log is compacted, from 100 to 10000000.
+    #[arg(long, env = "GREENGAGE_COMPACT", default_value_t = 10_000,
+          value_parser = clap::value_parser!(u64).range(100..=10_000_000))]
+    compact: u64,
+
+    /// Start elections without asking first, to measure what pre-vote prevents.
+    #[arg(long, env = "GREENGAGE_NO_PRE_VOTE")]
+    no_pre_vote: bool,
+
+    /// Prepare the data folder of a new deployment's VM, then exit. A folder that replaces a lost
+    /// one must not be prepared: the VM makes one that has to be added as a member.
+    #[arg(long)]
+    pub(crate) init: bool,
+
+    /// Check all settings and files, then exit.
+    #[arg(long)]
+    pub(crate) check: bool,
+}
+
+impl Args {
+    /// The checked settings.
+    pub(crate) fn settings(&self) -> Result<Settings, Report> {
+        let vms = parse_vms(&self.vms)?;
+        if self.http == self.admin && self.http.port() != 0 {
+            return Err(eyre!(
+                "--http and --admin are both {}: give each its own address",
+                self.http
+            ));
+        }
+        let mut limits = Limits {
+            retention: Duration::from_secs(self.retention),
+            compact: self.compact,
+            ..Limits::default()
+        };
+        limits.timing.pre_vote = !self.no_pre_vote;
+        let settings = Settings {
+            vm: self.vm.clone(),
+            vms,
+            http: self.http,
+            admin: self.admin,
+            data: self.data.clone(),
+            keys: self.keys.clone(),
+            weight: self.weight,
+            drain_limit: Duration::from_secs(self.drain_limit),
+            sync_delay: Duration::from_millis(self.sync_delay),
+            calls: self.calls as usize,
+            limits,
+        };
+        settings.own().wrap_err("wrong settings")?;
+        Ok(settings)
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,89 @@
-//! Entry point.
-fn main() {}
+//! `greengageproxy`: the daemon that runs on every entry VM.
+//!
+//! Reads its settings from flags and environment variables, checks every one, starts the VM and
+//! waits for a signal. The first SIGTERM or SIGINT drains; a second one, or the drain limit, ends
+//! the process at once.
+
+mod args;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use eyre::{Report, WrapErr};
+use greengage_node::{check, init, Node, Settings};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use args::Args;
+
+/// Exit code for settings or files that can't be used.
+const EXIT_SETTINGS: u8 = 2;
+/// Exit code for a shutdown that cut off requests.
+const EXIT_CUT_OFF: u8 = 3;
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let level = env_logger::Env::new()
+        .filter_or("GREENGAGE_LOG", "info")
+        .write_style("GREENGAGE_LOG_STYLE");
+    env_logger::Builder::from_env(level).init();
+    match run(&args) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(cut) => {
+            log::error!("shutdown cut off {cut} requests");
+            ExitCode::from(EXIT_CUT_OFF)
+        }
+        Err(error) => {
+            eprintln!("greengageproxy: {error:#}");
+            ExitCode::from(EXIT_SETTINGS)
+        }
+    }
+}
+
+/// Runs until the process is asked to end; returns the number of requests that were cut off.
+fn run(args: &Args) -> Result<usize, Report> {
+    let settings = args.settings()?;
+    if args.init {
+        init(&settings).wrap_err("cannot prepare the data folder")?;
+        println!("data folder prepared for VM {}", settings.vm);
+        return Ok(0);
+    }
+    if args.check {
+        check(&settings).wrap_err("the settings can't be used")?;
+        println!("settings of VM {} are valid", settings.vm);
+        return Ok(0);
+    }
+    serve(settings)
+}
+
+fn serve(settings: Settings) -> Result<usize, Report> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).wrap_err("cannot watch for signals")?;
+    let vm = settings.vm.clone();
+    let node = Node::start(settings).wrap_err("cannot start")?;
+    log::info!(
+        "VM {vm} serves callers at {} and operators at {}",
+        node.http_address(),
+        node.admin_address()
+    );
+    let stopper = node.stopper();
+    std::thread::Builder::new()
+        .name("signals".to_string())
+        .spawn(move || {
+            for (count, signal) in signals.forever().enumerate() {
+                match count {
+                    0 => {
+                        log::info!("signal {signal}: draining");
+                        stopper.drain();
+                    }
+                    _ => {
+                        log::warn!("signal {signal} again: ending at once");
+                        stopper.abort();
+                    }
+                }
+            }
+        })
+        .wrap_err("cannot start a thread")?;
+    let cut = node.wait();
+    log::info!("VM {vm} has ended");
+    Ok(cut)
+}
--- a/crates/http/src/status.rs
+++ b/crates/http/src/status.rs
@@ -49,6 +49,7 @@
                 EditError::Undeclared(_) => (422, "undeclared"),
                 EditError::Mistyped { .. } => (422, "mistyped"),
                 EditError::OtherEdit(_) => (409, "other_edit"),
+                EditError::Unfit { .. } => (409, "unfit"),
                 EditError::InUse { .. } => (409, "in_use"),
             };
             (status, kind, true, None)
@@ -63,7 +64,8 @@
         ApiError::Change(_) => (409, "change", true, None),
         ApiError::UnknownTarget(_) => (404, "unknown_target", true, None),
         ApiError::OtherZone { .. } => (409, "other_zone", true, None),
-        ApiError::Busy { .. } => (503, "busy", true, Some(RETRY_MS)),
+        // The same key may have been accepted before, so nothing is said of it.
+        ApiError::Busy { .. } => (503, "busy", false, Some(RETRY_MS)),
     };
     Report {
         status,
--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -448,6 +448,9 @@
     if answer.attempt.as_deref() != Some(&attempt.to_string()) {
         return broken("not the state of this attempt");
     }
+    if status == 409 && answer.state == "restarted" {
+        return Seen::Restarted;
+    }
     let start = matches!(action, Action::Start(_));
     if start && matches!(status, 409 | 429 | 503) && answer.state == "refused" {
         let reason = answer.reason.unwrap_or_else(|| "refused".to_string());
--- /dev/null
+++ b/crates/node/src/control.rs
@@ -0,0 +1,91 @@
+//! The control thread: waits for an event or a deadline, steps, hands effects to traffic threads.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+
+use crossbeam_channel::{select, Receiver, Sender};
+use greengage_control::call::Call;
+use greengage_control::{Control, Effect, Envelope, Event, GroupSave};
+use greengage_core::{RequestId, VmName};
+
+use crate::clock::Clock;
+
+/// Where effects go.
+pub(crate) struct Outlets {
+    pub(crate) replies: Sender<(RequestId, greengage_control::api::Reply)>,
+    pub(crate) peers: Sender<(VmName, Envelope)>,
+    pub(crate) saves: Option<Sender<GroupSave>>,
+    pub(crate) calls: Sender<(u64, Call)>,
+    pub(crate) drained: Sender<()>,
+    /// Requests without a reply, for the shutdown's report.
+    pub(crate) waiting: Arc<AtomicUsize>,
+}
+
+/// Starts the control thread; it ends when the channel `running` is closed. The channel of events
+/// can't serve for that, because threads that the control thread feeds hold its other end.
+pub(crate) fn start(
+    mut control: Control,
+    clock: Clock,
+    events: Receiver<Event>,
+    running: Receiver<()>,
+    outlets: Outlets,
+) -> std::io::Result<JoinHandle<()>> {
+    thread::Builder::new()
+        .name("control".to_string())
+        .spawn(move || loop {
+            let left = clock.until(control.wake());
+            let event = select! {
+                recv(events) -> event => match event {
+                    Ok(event) => event,
+                    Err(_) => return,
+                },
+                recv(running) -> _ => return,
+                default(left) => Event::Tick,
+            };
+            if matches!(event, Event::DiskFailed) {
+                log::error!("the disk failed: this VM votes and leads no more; replace the disk");
+            }
+            metrics::counter!("greengage_events_total").increment(1);
+            for effect in control.step(clock.now(), event) {
+                outlets.carry_out(effect);
+            }
+            metrics::gauge!("greengage_revision").set(control.revision().0 as f64);
+            outlets.waiting.store(control.waiting(), Ordering::Relaxed);
+            metrics::gauge!("greengage_requests_waiting").set(control.waiting() as f64);
+        })
+}
+
+impl Outlets {
+    /// Hands an effect to its traffic thread. A thread that has ended takes nothing any more; then
+    /// this VM is shutting down.
+    fn carry_out(&self, effect: Effect) {
+        match effect {
+            Effect::Reply { id, reply } => {
+                metrics::counter!("greengage_replies_total").increment(1);
+                let _ = self.replies.send((id, reply));
+            }
+            Effect::Send { to, envelope } => {
+                metrics::counter!("greengage_peer_messages_total").increment(1);
+                let _ = self.peers.send((to, envelope));
+            }
+            Effect::Save(save) => match &self.saves {
+                Some(saves) => drop(saves.send(save)),
+                None => log::error!("a save without a data folder is dropped"),
+            },
+            Effect::Call { token, call } => {
+                metrics::counter!("greengage_target_calls_total").increment(1);
+                let _ = self.calls.send((token, call));
+            }
+            Effect::Drained => drop(self.drained.send(())),
+        }
+    }
+}
+
+/// Turns a peer's message into an event.
+pub(crate) fn peer_event(from: VmName, envelope: Envelope) -> Event {
+    Event::Peer {
+        from,
+        envelope: Arc::new(envelope),
+    }
+}
--- /dev/null
+++ b/crates/node/src/error.rs
@@ -0,0 +1,87 @@
+//! Why a VM can't start.
+
+use std::fmt;
+use std::io;
+
+use greengage_control::SiteError;
+use greengage_http::HttpError;
+use greengage_journal::JournalError;
+use greengage_transport::keys::KeysError;
+use greengage_transport::TransportError;
+use greengage_wire::WireError;
+
+use crate::settings::SettingsError;
+
+/// Why a VM can't start.
+#[derive(Debug)]
+pub enum NodeError {
+    /// A setting is wrong.
+    Settings(SettingsError),
+    /// The settings describe no working deployment.
+    Site(SiteError),
+    /// The keys can't be used.
+    Keys(KeysError),
+    /// The data folder can't be used.
+    Journal(JournalError),
+    /// A record in the data folder can't be decoded.
+    Record {
+        /// The group.
+        group: String,
+        /// Why.
+        error: WireError,
+    },
+    /// The transport can't start.
+    Transport(TransportError),
+    /// An HTTP listener can't start.
+    Http(HttpError),
+    /// A thread can't be started.
+    Thread(io::Error),
+    /// A role needs a data folder and none is set.
+    NoData,
+}
+
+impl fmt::Display for NodeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            NodeError::Settings(error) => error.fmt(f),
+            NodeError::Site(error) => error.fmt(f),
+            NodeError::Keys(error) => error.fmt(f),
+            NodeError::Journal(error) => error.fmt(f),
+            NodeError::Record { group, error } => write!(
+                f,
+                "a record of group {group} in the data folder can't be decoded: {error}"
+            ),
+            NodeError::Transport(error) => error.fmt(f),
+            NodeError::Http(error) => error.fmt(f),
+            NodeError::Thread(error) => {
+                write!(
+                    f,
+                    "cannot start a thread: {error}; raise the limit of threads"
+                )
+            }
+            NodeError::NoData => write!(f, "--init needs a data folder: set --data"),
+        }
+    }
+}
+
+impl std::error::Error for NodeError {}
+
+macro_rules! from {
+    ($($error:ty => $kind:ident;)*) => {$(
+        impl From<$error> for NodeError {
+            fn from(error: $error) -> NodeError {
+                NodeError::$kind(error)
+            }
+        }
+    )*};
+}
+
+from! {
+    SettingsError => Settings;
+    SiteError => Site;
+    KeysError => Keys;
+    JournalError => Journal;
+    TransportError => Transport;
+    HttpError => Http;
+    io::Error => Thread;
+}
--- /dev/null
+++ b/crates/node/src/peers.rs
@@ -0,0 +1,67 @@
+//! The thread that encodes messages to other VMs, and the delivery of theirs.
+
+use std::thread::{self, JoinHandle};
+
+use crossbeam_channel::{Receiver, Sender};
+use greengage_control::{Body, Envelope, Event, PolicyMessage};
+use greengage_core::VmName;
+use greengage_transport as transport;
+use greengage_transport::Class;
+
+use crate::control::peer_event;
+
+/// Messages larger than this go by the stream for bulk, so that they delay no heartbeat.
+const BULK_BYTES: usize = 64 << 10;
+
+/// Starts the thread; it ends when all senders of `messages` are gone.
+pub(crate) fn start(
+    messages: Receiver<(VmName, Envelope)>,
+    sender: transport::Sender,
+) -> std::io::Result<JoinHandle<()>> {
+    thread::Builder::new()
+        .name("peers".to_string())
+        .spawn(move || {
+            for (to, envelope) in messages {
+                let bytes = greengage_wire::encode_envelope(&envelope);
+                let class = match bytes.len() > BULK_BYTES {
+                    true => Class::Bulk,
+                    false => class(&envelope.body),
+                };
+                if !sender.send(&to, class, bytes) {
+                    metrics::counter!("greengage_peer_drops_total").increment(1);
+                    log::debug!("the queue to VM {to} is full: a message is dropped");
+                }
+            }
+        })
+}
+
+fn class(body: &Body) -> Class {
+    match body {
+        Body::Control { message, .. } => match message {
+            PolicyMessage::Install { .. } => Class::Bulk,
+            _ => Class::Control,
+        },
+        Body::Ledger { message, .. } => match message {
+            greengage_control::LedgerMessage::Install { .. } => Class::Bulk,
+            _ => Class::Control,
+        },
+        Body::Status { .. } | Body::Edits { .. } | Body::Policy { .. } => Class::Control,
+        Body::Forward { .. }
+        | Body::Reply { .. }
+        | Body::Redirect { .. }
+        | Body::Announce(_)
+        | Body::Leave(_) => Class::Traffic,
+    }
+}
+
+/// What the transport does with a message: decodes it and hands it to the control thread.
+pub(crate) fn deliver(events: Sender<Event>) -> impl FnMut(VmName, Vec<u8>) + Send + 'static {
+    move |from, bytes| match greengage_wire::decode_envelope(&bytes) {
+        Ok(envelope) => {
+            if events.try_send(peer_event(from, envelope)).is_err() {
+                metrics::counter!("greengage_peer_drops_total").increment(1);
+            }
+        }
+        Err(error) => log::warn!("message from VM {from} dropped: {error}"),
+    }
+}
