--- a/crates/agreement/tests/group/election.rs
+++ b/crates/agreement/tests/group/election.rs
@@ -2,7 +2,7 @@
 
 use greengage_agreement::{Refused, Role};
 
-use crate::support::{Group, THREE};
+use crate::support::{id, Group, THREE};
 
 /// Guards against a leader without a majority that goes on leading and answering reads, and
 /// against a returning voter that deposes the leader of the others.
@@ -26,3 +26,38 @@
     assert_eq!(group.leader(), Some(new));
     assert_eq!(group.leaders.len(), 2);
 }
+
+/// Guards against a returning voter that deposes the leader; prints the figures with and without
+/// pre-vote.
+#[test]
+fn returning_voter_changes_no_leader() {
+    let changes = |pre_vote: bool| {
+        let mut changes = 0;
+        let mut terms = 0;
+        for seed in 0..20 {
+            let mut group = Group::new(&THREE, seed);
+            group.timing.pre_vote = pre_vote;
+            for node in ["a", "b", "c"] {
+                group.restart(&id(node));
+            }
+            let leader = group.elect();
+            let cut = group.follower();
+            let before = group.nodes[&leader].raft.status().term;
+            group.isolate(&cut, true);
+            group.run(10_000);
+            assert_eq!(group.leader(), Some(leader.clone()));
+            let leaders = group.leaders.len();
+            group.isolate(&cut, false);
+            group.run(5_000);
+            changes += group.leaders.len() - leaders;
+            terms += group.nodes[&leader].raft.status().term.0 - before.0;
+        }
+        println!("pre-vote {pre_vote}: {changes} leader changes, {terms} terms in 20 returns");
+        changes
+    };
+    assert_eq!(changes(true), 0);
+    assert!(
+        changes(false) > 0,
+        "without pre-vote the case must be a disturbance"
+    );
+}
--- /dev/null
+++ b/crates/agreement/tests/group/node.rs
@@ -0,0 +1,205 @@
+//! One node, fed by hand: what must be durable before what, and what it takes no notice of.
+
+use greengage_agreement::{
+    Append, AppendReply, Change, ChangeError, Effect, Entry, EntryKind, Event, HardState, Message,
+    Raft, Refused, Role, SaveSeq, Setup, Ticket, Timing, Vote, VoteReply,
+};
+use greengage_core::{Index, Term, Time};
+
+use crate::support::{config, id, Command, Msg, State, THREE};
+
+type Out = Vec<Effect<Command, State>>;
+
+/// Node a of three, in term 2, with an entry of term 1 and one of term 2.
+fn node() -> Raft<Command, State> {
+    let entry = |n| Entry {
+        term: Term(n),
+        index: Index(n),
+        kind: EntryKind::Command(n),
+    };
+    Raft::new(Setup {
+        node: id("a"),
+        config: config(&THREE),
+        hard: HardState {
+            term: Term(2),
+            vote: None,
+        },
+        snapshot: None,
+        entries: vec![entry(1), entry(2)],
+        timing: Timing {
+            pre_vote: false,
+            ..Timing::default()
+        },
+        seed: 1,
+        now: Time(0),
+    })
+}
+
+fn receive(raft: &mut Raft<Command, State>, from: &str, message: Msg) -> Out {
+    let from = id(from);
+    raft.step(Time(1000), Event::Receive { from, message })
+}
+
+fn sends(out: &Out) -> Vec<&Msg> {
+    let sends = out.iter().filter_map(|e| match e {
+        Effect::Send { message, .. } => Some(message),
+        _ => None,
+    });
+    sends.collect()
+}
+
+fn vote(term: u64, transfer: bool) -> Msg {
+    Message::Vote(Vote {
+        term: Term(term),
+        last_index: Index(9),
+        last_term: Term(2),
+        pre: false,
+        transfer,
+    })
+}
+
+fn append(term: u64, entries: Vec<Entry<Command>>) -> Msg {
+    Message::Append(Append {
+        term: Term(term),
+        prev_index: Index(2),
+        prev_term: Term(2),
+        entries,
+        commit: Index(0),
+        round: 1,
+    })
+}
+
+fn stored(index: u64) -> Msg {
+    Message::AppendReply(AppendReply {
+        term: Term(3),
+        success: true,
+        index: Index(index),
+        round: 0,
+    })
+}
+
+/// Node a as leader of term 3, its first entry at index 3 not durable yet.
+fn leader() -> Raft<Command, State> {
+    let mut raft = node();
+    let wake = raft.wake();
+    assert!(sends(&raft.step(wake, Event::Tick)).is_empty());
+    let out = raft.step(wake, Event::Saved(SaveSeq(1)));
+    assert_eq!(
+        sends(&out).len(),
+        2,
+        "requests leave once the vote is durable"
+    );
+    let reply = VoteReply {
+        term: Term(3),
+        granted: true,
+        pre: false,
+    };
+    receive(&mut raft, "b", Message::VoteReply(reply));
+    assert_eq!(raft.status().role, Role::Leader);
+    raft
+}
+
+/// Guards against two votes in a term by a node that crashes after the first one.
+#[test]
+fn vote_leaves_once_durable() {
+    let mut raft = node();
+    let out = receive(&mut raft, "b", vote(3, false));
+    assert!(matches!(&out[0], Effect::Save(s) if s.hard.as_ref().unwrap().vote == Some(id("b"))));
+    assert!(sends(&out).is_empty());
+    let out = raft.step(Time(1000), Event::Saved(SaveSeq(1)));
+    assert!(matches!(sends(&out)[..], [Message::VoteReply(r)] if r.granted));
+    let out = receive(&mut raft, "c", vote(3, false));
+    assert!(matches!(sends(&out)[..], [Message::VoteReply(r)] if !r.granted));
+}
+
+/// Guards against an answer for an entry that a crash still takes away.
+#[test]
+fn follower_answers_once_durable() {
+    let mut raft = node();
+    receive(&mut raft, "b", append(2, Vec::new()));
+    let entry = Entry {
+        term: Term(2),
+        index: Index(3),
+        kind: EntryKind::Command(3),
+    };
+    let out = receive(&mut raft, "b", append(2, vec![entry]));
+    assert!(sends(&out).is_empty());
+    let out = receive(&mut raft, "b", append(2, Vec::new()));
+    assert!(matches!(sends(&out)[..], [Message::AppendReply(r)] if r.index == Index(2)));
+    let out = raft.step(Time(1000), Event::Saved(SaveSeq(1)));
+    assert!(matches!(sends(&out)[..], [Message::AppendReply(r)] if r.index == Index(3)));
+}
+
+/// Guards against the commit of an earlier term's entry by counting (figure 8 of the Raft paper),
+/// and against a leader that counts itself before its disk has the entry.
+#[test]
+fn leader_commits_only_durable_entries_of_its_term() {
+    let mut raft = leader();
+    receive(&mut raft, "b", stored(2));
+    receive(&mut raft, "c", stored(2));
+    assert_eq!(raft.status().commit, Index(0));
+    receive(&mut raft, "b", stored(3));
+    assert_eq!(
+        raft.status().commit,
+        Index(0),
+        "its own disk lacks the entry"
+    );
+    raft.step(Time(1000), Event::Saved(SaveSeq(2)));
+    assert_eq!(raft.status().commit, Index(3));
+}
+
+/// Guards against reads and membership changes by a leader that doesn't know yet what is committed.
+#[test]
+fn reads_and_changes_wait_for_an_entry_of_the_term() {
+    let mut raft = leader();
+    let ticket = Ticket(1);
+    let change = Change::AddLearner(id("d"));
+    let out = raft.step(Time(1000), Event::Change { ticket, change });
+    let reason = Refused::Change(ChangeError::Pending);
+    assert_eq!(out, [Effect::Refused { ticket, reason }]);
+    raft.step(Time(1000), Event::Read(ticket));
+    let ready = |out: &Out| out.iter().any(|e| matches!(e, Effect::ReadReady { .. }));
+    for index in [2, 3] {
+        let reply = Message::AppendReply(AppendReply {
+            term: Term(3),
+            success: true,
+            index: Index(index),
+            round: 1,
+        });
+        let out = receive(&mut raft, "b", reply);
+        assert!(!ready(&out));
+    }
+    let out = raft.step(Time(1000), Event::Saved(SaveSeq(2)));
+    assert!(ready(&out));
+}
+
+/// Guards against candidates that raise the term under a leader that works, and against a removed
+/// node that does so at any time.
+#[test]
+fn votes_that_would_disturb_are_ignored() {
+    let mut raft = node();
+    let removed = Message::Vote(Vote {
+        term: Term(99),
+        last_index: Index(2),
+        last_term: Term(2),
+        pre: false,
+        transfer: true,
+    });
+    assert!(receive(&mut raft, "z", removed).is_empty());
+    receive(&mut raft, "b", append(2, Vec::new()));
+    assert!(receive(&mut raft, "c", vote(3, false)).is_empty());
+    assert_eq!(raft.status().term, Term(2));
+    receive(&mut raft, "c", vote(3, true));
+    assert_eq!(raft.status().term, Term(3), "a transfer is no disturbance");
+}
+
+/// Guards against a deposed leader that is followed, or never learns of its successor.
+#[test]
+fn old_leader_is_answered_with_the_present_term() {
+    let mut raft = node();
+    let out = receive(&mut raft, "b", append(1, Vec::new()));
+    assert!(
+        matches!(sends(&out)[..], [Message::AppendReply(r)] if !r.success && r.term == Term(2))
+    );
+    assert_eq!(raft.status().leader, None);
+}
--- a/crates/agreement/tests/group/support.rs
+++ b/crates/agreement/tests/group/support.rs
@@ -102,6 +102,8 @@
     queue: BTreeMap<(Time, u64), (NodeId, NodeId, Msg)>,
     count: u64,
     pub(crate) sent: u64,
+    pub(crate) sent_to: BTreeMap<NodeId, u64>,
+    pub(crate) installs: u64,
     /// Each term's leader.
     pub(crate) leaders: BTreeMap<Term, NodeId>,
     /// The command or other entry applied at each index.
@@ -132,6 +134,8 @@
             queue: BTreeMap::new(),
             count: 0,
             sent: 0,
+            sent_to: BTreeMap::new(),
+            installs: 0,
             leaders: BTreeMap::new(),
             applied: BTreeMap::new(),
             proposed: BTreeMap::new(),
@@ -295,6 +299,8 @@
 
     fn post(&mut self, from: NodeId, to: NodeId, message: Msg) {
         self.sent += 1;
+        *self.sent_to.entry(to.clone()).or_default() += 1;
+        self.installs += u64::from(matches!(message, Message::Install { .. }));
         let copies = 1 + u64::from(self.rng.below(100) < self.twice);
         for _ in 0..copies {
             if self.rng.below(100) >= self.loss {
--- /dev/null
+++ b/crates/agreement/tests/group/transfer.rs
@@ -0,0 +1,69 @@
+//! Leadership transfer.
+
+use greengage_agreement::{Change, ChangeError, Event, Refused};
+
+use crate::support::{id, Group, THREE};
+
+/// Guards against a transfer that waits for an election timeout or loses proposals.
+#[test]
+fn transfer_takes_a_few_round_trips() {
+    let mut group = Group::new(&THREE, 8);
+    let old = group.elect();
+    let target = group.follower();
+    let last = group.propose(&old, 1);
+    group.step(&old, Event::Transfer(Some(target.clone())));
+    let refused = group.propose(&old, 2);
+    assert_eq!(group.refused[&refused], Refused::Transferring);
+    let taken = group.run_until(50, |g| g.leader() == Some(target.clone()));
+    assert!(taken.is_some());
+    group.run(100);
+    assert!(group.committed(last));
+    assert_eq!(group.leaders.len(), 2);
+}
+
+/// Guards against a leader that refuses proposals for ever when the target is dead.
+#[test]
+fn transfer_to_a_dead_node_is_given_up() {
+    let mut group = Group::new(&THREE, 9);
+    let leader = group.elect();
+    let target = group.follower();
+    group.crash(&target);
+    group.step(&leader, Event::Transfer(Some(target)));
+    group.run(301);
+    group.commit(1, 100);
+    assert_eq!(group.leader(), Some(leader));
+}
+
+/// Guards against a removed leader that goes on leading, and a removal that leaves no voter.
+#[test]
+fn removed_leader_steps_down_once_that_is_committed() {
+    let mut group = Group::new(&THREE, 10);
+    let mut removed = Vec::new();
+    for _ in 0..2 {
+        let leader = group.elect();
+        let ticket = group.change(&leader, Change::Remove(leader.clone()));
+        group
+            .run_until(100, |g| g.committed(ticket))
+            .expect("a commit");
+        assert_ne!(group.leader(), Some(leader.clone()));
+        removed.push(leader);
+    }
+    let last = group.elect();
+    assert!(!removed.contains(&last));
+    let ticket = group.change(&last, Change::Remove(last.clone()));
+    assert_eq!(
+        group.refused[&ticket],
+        Refused::Change(ChangeError::LastVoter)
+    );
+    let ticket = group.change(&last, Change::Remove(id("z")));
+    let reason = Refused::Change(ChangeError::Unknown(id("z")));
+    assert_eq!(group.refused[&ticket], reason);
+    group.commit(1, 100);
+    for node in &removed {
+        group.crash(node);
+        group.restart(node);
+    }
+    group.run(5000);
+    assert_eq!(group.leader(), Some(last));
+    assert_eq!(group.leaders.len(), 3);
+}
