--- a/crates/agreement/src/progress.rs
+++ b/crates/agreement/src/progress.rs
@@ -1,24 +1,18 @@
 //! What a leader knows of one other member.
 
 use std::collections::VecDeque;
-use std::time::Duration;
 
 use greengage_core::{Index, Time};
 
-use crate::Timing;
-
 /// Batches sent to a member without an answer; further entries collect into larger batches.
 pub(crate) const WINDOW_BATCHES: usize = 16;
 
 /// Entries in one message.
 pub(crate) const BATCH_ENTRIES: usize = 256;
 
-/// A snapshot without an answer is sent again after this many election timeouts, then after twice
-/// as many each time, since a large one may take long to arrive.
-const SNAPSHOT_TIMEOUTS: u32 = 4;
-
-/// Longest wait before a snapshot is sent again, in election timeouts.
-pub(crate) const SNAPSHOT_TIMEOUTS_MAX: u32 = 64;
+/// A snapshot without an answer is sent again after this many election timeouts. Doubling the wait
+/// each time left a group of three without a commit for over 2 s after a repair.
+pub(crate) const SNAPSHOT_TIMEOUTS: u32 = 4;
 
 /// How the leader sends to a member.
 #[derive(PartialEq, Eq)]
@@ -31,21 +25,9 @@
     Snapshot {
         /// When it was sent; `None` when it is to be sent as soon as the member answers.
         sent: Option<Time>,
-        /// How long to wait before it is sent again.
-        wait: Duration,
     },
 }
 
-impl Mode {
-    /// A snapshot is needed and not sent yet.
-    pub(crate) fn need_snapshot(timing: &Timing) -> Mode {
-        Mode::Snapshot {
-            sent: None,
-            wait: timing.election * SNAPSHOT_TIMEOUTS,
-        }
-    }
-}
-
 pub(crate) struct Progress {
     /// The last index known to be durable at the member.
     pub(crate) matched: Index,
--- a/crates/agreement/src/replication.rs
+++ b/crates/agreement/src/replication.rs
@@ -4,9 +4,7 @@
 
 use crate::election::Transfer;
 use crate::outbox::{before, Gate};
-use crate::progress::{
-    quorum, Mode, Progress, BATCH_ENTRIES, SNAPSHOT_TIMEOUTS_MAX, WINDOW_BATCHES,
-};
+use crate::progress::{quorum, Mode, Progress, BATCH_ENTRIES, SNAPSHOT_TIMEOUTS, WINDOW_BATCHES};
 use crate::raft::{Raft, State};
 use crate::read::PendingRead;
 use crate::{Append, AppendReply, InstallReply, Message, Snapshot};
@@ -66,7 +64,7 @@
         {
             let prev_index = before(progress.next);
             let Some(prev_term) = self.log.term(prev_index) else {
-                progress.mode = Mode::need_snapshot(&self.timing);
+                progress.mode = Mode::Snapshot { sent: None };
                 break;
             };
             let entries = self.log.slice(progress.next, BATCH_ENTRIES);
@@ -85,12 +83,10 @@
                 .send(Gate::Open, to.clone(), Message::Append(append));
         }
         // A snapshot goes only to a member that answers: a dead one would get it in vain.
-        if let Mode::Snapshot { sent, wait } = &mut progress.mode {
-            let due = sent.is_none_or(|s| self.now.since(s) >= *wait);
+        if let Mode::Snapshot { sent } = &mut progress.mode {
+            let wait = self.timing.election * SNAPSHOT_TIMEOUTS;
+            let due = sent.is_none_or(|s| self.now.since(s) >= wait);
             if due && self.now.since(progress.active) < self.timing.election {
-                if sent.is_some() {
-                    *wait = (*wait * 2).min(self.timing.election * SNAPSHOT_TIMEOUTS_MAX);
-                }
                 *sent = Some(self.now);
                 let snapshot = self.log.snapshot().cloned();
                 let snapshot = snapshot.expect("entries are dropped only below a snapshot");
@@ -127,7 +123,7 @@
         };
         let snapshot = matches!(progress.mode, Mode::Snapshot { .. });
         if !snapshot && self.log.term(before(progress.next)).is_none() {
-            progress.mode = Mode::need_snapshot(&self.timing);
+            progress.mode = Mode::Snapshot { sent: None };
         }
         let prev_index = match progress.mode {
             Mode::Snapshot { .. } => self.log.snapshot_index(),
@@ -226,7 +222,7 @@
         }
         if self.now.since(progress.active) >= self.timing.election {
             // The member was away, so a snapshot that was on its way is likely lost.
-            if let Mode::Snapshot { sent, .. } = &mut progress.mode {
+            if let Mode::Snapshot { sent } = &mut progress.mode {
                 *sent = None;
             }
         }
--- a/crates/agreement/tests/group/faults.rs
+++ b/crates/agreement/tests/group/faults.rs
@@ -84,7 +84,7 @@
         let any = |_: &Group, _: &NodeId| true;
         let up = |g: &Group, n: &NodeId| g.nodes[n].up;
         let leads = |g: &Group, n: &NodeId| g.nodes[n].raft.status().role == Role::Leader;
-        match self.rng.below(16) {
+        match self.rng.below(18) {
             0..=4 => {
                 if let Some(node) = self.pick(leads) {
                     for _ in 0..1 + self.rng.below(30) {
@@ -113,6 +113,7 @@
                     self.group.crash(&node);
                 }
             }
+            16..=17 => self.crash_in_a_row(),
             12 => {
                 let down = self.pick(|g, n| !g.nodes[n].up);
                 if let Some(node) = down.filter(|n| !self.is_lost(n)) {
@@ -133,7 +134,8 @@
                     self.group.step(&node, Event::Transfer(None));
                 }
             }
-            _ => self.lose_disk(),
+            15 => self.lose_disk(),
+            _ => unreachable!(),
         }
         // Reads at all nodes that believe to lead, among them one whose successor is at work.
         let nodes: Vec<NodeId> = self.group.nodes.keys().cloned().collect();
@@ -145,6 +147,25 @@
         self.repair();
     }
 
+    /// Restarts nodes in the middle of an election or of writes, so that unsaved votes and entries
+    /// are lost while others count on them.
+    fn crash_in_a_row(&mut self) {
+        for _ in 0..8 {
+            let some = self.pick(|g, n| g.nodes[n].up);
+            if let Some(node) = some {
+                self.group.crash(&node);
+                self.group.restart(&node);
+            }
+            let leader = self.pick(|g, n| g.nodes[n].raft.status().role == Role::Leader);
+            if let Some(node) = leader {
+                self.command += 1;
+                self.group.propose(&node, self.command);
+            }
+            let pause = self.rng.below(80);
+            self.group.run(pause);
+        }
+    }
+
     /// Loses one disk, unless an earlier one isn't replaced yet: more would exceed what a group
     /// of three can stand.
     fn lose_disk(&mut self) {
@@ -166,9 +187,11 @@
         self.repair = Some(Repair { lost, spare, seat });
     }
 
-    /// Takes the next step of a replacement, as an operator would from what the leader reports.
+    /// Takes the next step of a replacement, as an operator would from what a leader reports, even
+    /// if that leader has a successor.
     fn repair(&mut self) {
-        let (Some(repair), Some(leader)) = (&self.repair, self.group.leader()) else {
+        let leader = self.pick(|g, n| g.nodes[n].raft.status().role == Role::Leader);
+        let (Some(repair), Some(leader)) = (&self.repair, leader) else {
             return;
         };
         let members = self.group.nodes[&leader].raft.status().config.members;
@@ -219,7 +242,9 @@
         });
         let commands: Vec<u64> = commands.collect();
         for node in status.config.members.keys().filter(|n| !self.is_lost(n)) {
-            assert_eq!(self.group.nodes[node].state, commands, "state of {node}");
+            let node = &self.group.nodes[node];
+            assert_eq!(node.state, commands);
+            assert_eq!(node.raft.status().config, status.config);
         }
     }
 }
--- a/crates/agreement/tests/group/node.rs
+++ b/crates/agreement/tests/group/node.rs
@@ -2,7 +2,7 @@
 
 use greengage_agreement::{
     Append, AppendReply, Change, ChangeError, Effect, Entry, EntryKind, Event, HardState, Message,
-    Raft, Refused, Role, SaveSeq, Setup, Ticket, Timing, Vote, VoteReply,
+    Raft, Refused, Role, SaveSeq, Seat, Setup, Snapshot, Ticket, Timing, Vote, VoteReply,
 };
 use greengage_core::{Index, Term, Time};
 
@@ -12,12 +12,16 @@
 
 /// Node a of three, in term 2, with an entry of term 1 and one of term 2.
 fn node() -> Raft<Command, State> {
+    Raft::new(setup())
+}
+
+fn setup() -> Setup<Command, State> {
     let entry = |n| Entry {
         term: Term(n),
         index: Index(n),
         kind: EntryKind::Command(n),
     };
-    Raft::new(Setup {
+    Setup {
         node: id("a"),
         config: config(&THREE),
         hard: HardState {
@@ -32,7 +36,7 @@
         },
         seed: 1,
         now: Time(0),
-    })
+    }
 }
 
 fn receive(raft: &mut Raft<Command, State>, from: &str, message: Msg) -> Out {
@@ -78,6 +82,15 @@
     })
 }
 
+/// An entry at index 3.
+fn noop(term: u64) -> Entry<Command> {
+    Entry {
+        term: Term(term),
+        index: Index(3),
+        kind: EntryKind::Noop,
+    }
+}
+
 /// Node a as leader of term 3, its first entry at index 3 not durable yet.
 fn leader() -> Raft<Command, State> {
     let mut raft = node();
@@ -117,12 +130,7 @@
 fn follower_answers_once_durable() {
     let mut raft = node();
     receive(&mut raft, "b", append(2, Vec::new()));
-    let entry = Entry {
-        term: Term(2),
-        index: Index(3),
-        kind: EntryKind::Command(3),
-    };
-    let out = receive(&mut raft, "b", append(2, vec![entry]));
+    let out = receive(&mut raft, "b", append(2, vec![noop(2)]));
     assert!(sends(&out).is_empty());
     let out = receive(&mut raft, "b", append(2, Vec::new()));
     assert!(matches!(sends(&out)[..], [Message::AppendReply(r)] if r.index == Index(2)));
@@ -130,6 +138,73 @@
     assert!(matches!(sends(&out)[..], [Message::AppendReply(r)] if r.index == Index(3)));
 }
 
+/// Guards against a save of an entry that counts for the entry that has replaced it.
+#[test]
+fn replaced_entry_is_durable_once_saved_itself() {
+    for saved_first in [true, false] {
+        let mut raft = node();
+        receive(&mut raft, "b", append(2, vec![noop(2)]));
+        receive(&mut raft, "c", append(3, Vec::new()));
+        if saved_first {
+            raft.step(Time(1000), Event::Saved(SaveSeq(2)));
+        }
+        receive(&mut raft, "c", append(3, vec![noop(3)]));
+        raft.step(Time(1000), Event::Saved(SaveSeq(2)));
+        let Message::Append(mut beat) = append(3, Vec::new()) else {
+            unreachable!();
+        };
+        (beat.prev_index, beat.prev_term) = (Index(3), Term(3));
+        let out = receive(&mut raft, "c", Message::Append(beat));
+        assert!(matches!(sends(&out)[..], [Message::AppendReply(r)] if r.index == Index(2)));
+    }
+}
+
+/// Guards against an answer for a snapshot that a crash still takes away, and against a snapshot
+/// that takes back what is committed.
+#[test]
+fn snapshot_is_answered_once_durable() {
+    let mut raft = node();
+    let install = |index| Message::Install {
+        term: Term(2),
+        snapshot: Snapshot {
+            term: Term(2),
+            index: Index(index),
+            config: config(&THREE),
+            state: vec![index],
+        },
+    };
+    let out = receive(&mut raft, "b", install(7));
+    assert!(sends(&out).is_empty());
+    assert!(out
+        .iter()
+        .any(|e| matches!(e, Effect::Restore(s) if s.state == [7])));
+    let out = receive(&mut raft, "b", install(6));
+    assert!(!out.iter().any(|e| matches!(e, Effect::Restore(_))));
+    let out = raft.step(Time(1000), Event::Saved(SaveSeq(1)));
+    assert!(matches!(sends(&out)[..], [Message::InstallReply(_)]));
+    assert_eq!((raft.applied(), raft.since_snapshot()), (Index(7), 0));
+}
+
+/// Guards against a witness that is elected although the voter asked has the same log.
+#[test]
+fn voter_refuses_a_witness_with_the_same_log() {
+    for (last, expected) in [(2, false), (3, true)] {
+        let mut raft = Raft::new(Setup {
+            config: config(&[("a", Seat::Voter), ("b", Seat::Voter), ("c", Seat::Witness)]),
+            ..setup()
+        });
+        let request = Message::Vote(Vote {
+            term: Term(3),
+            last_index: Index(last),
+            last_term: Term(2),
+            pre: true,
+            transfer: false,
+        });
+        let out = receive(&mut raft, "c", request);
+        assert!(matches!(sends(&out)[..], [Message::VoteReply(r)] if r.granted == expected));
+    }
+}
+
 /// Guards against the commit of an earlier term's entry by counting (figure 8 of the Raft paper),
 /// and against a leader that counts itself before its disk has the entry.
 #[test]
