--- a/crates/agreement/tests/group/support.rs
+++ b/crates/agreement/tests/group/support.rs
@@ -77,6 +77,8 @@
     pub(crate) disk: Disk,
     pub(crate) state: State,
     pub(crate) up: bool,
+    /// Not up for now, but neither its memory nor its saves are lost.
+    pub(crate) frozen: bool,
     saves: VecDeque<(Time, Save<Command, State>)>,
 }
 
@@ -100,6 +102,8 @@
     queue: BTreeMap<(Time, u64), (NodeId, NodeId, Msg)>,
     count: u64,
     pub(crate) sent: u64,
+    pub(crate) sent_to: BTreeMap<NodeId, u64>,
+    pub(crate) installs: u64,
     /// Each term's leader.
     pub(crate) leaders: BTreeMap<Term, NodeId>,
     /// The command or other entry applied at each index.
@@ -130,6 +134,8 @@
             queue: BTreeMap::new(),
             count: 0,
             sent: 0,
+            sent_to: BTreeMap::new(),
+            installs: 0,
             leaders: BTreeMap::new(),
             applied: BTreeMap::new(),
             proposed: BTreeMap::new(),
@@ -171,6 +177,7 @@
                 disk,
                 state,
                 up: true,
+                frozen: false,
                 saves: VecDeque::new(),
             },
         );
@@ -182,6 +189,7 @@
     pub(crate) fn crash(&mut self, node: &NodeId) {
         let node = self.nodes.get_mut(node).expect("a known node");
         node.up = false;
+        node.frozen = false;
         let kept = self.rng.below(node.saves.len() as u64 + 1) as usize;
         for (_, save) in node.saves.drain(..).take(kept) {
             node.disk.write(save);
@@ -291,6 +299,8 @@
 
     fn post(&mut self, from: NodeId, to: NodeId, message: Msg) {
         self.sent += 1;
+        *self.sent_to.entry(to.clone()).or_default() += 1;
+        self.installs += u64::from(matches!(message, Message::Install { .. }));
         let copies = 1 + u64::from(self.rng.below(100) < self.twice);
         for _ in 0..copies {
             if self.rng.below(100) >= self.loss {
@@ -431,7 +441,9 @@
         while self.now < until {
             if let Some(leader) = self.leader() {
                 let ticket = self.propose(&leader, command);
-                if self.run_until(200, |g| g.committed(ticket)).is_some() {
+                let refused = self.refused.contains_key(&ticket);
+                let wait = if refused { 10 } else { 200 };
+                if self.run_until(wait, |g| g.committed(ticket)).is_some() {
                     return self.now.since(start).as_millis() as u64;
                 }
             } else {
