--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -92,6 +92,8 @@
     file: Box<dyn DiskFile>,
     number: u64,
     len: u64,
+    /// How much of the last segment is synced; the mark behind it is not.
+    synced: u64,
     /// The length of the last segment's head.
     head: u64,
     /// The error of an earlier write.
@@ -157,6 +159,7 @@
             file,
             number: last.number,
             len: last.len,
+            synced: last.len,
             head: last.head,
             failed: None,
             _lock: lock,
@@ -319,7 +322,7 @@
                 self.write_snapshot(&batch.group, *index, payload)?;
             }
         }
-        let mut records = self.encoder(self.len);
+        let mut records = self.encoder();
         for batch in batches {
             let group = &batch.group;
             // The hard state comes first, since a torn write may keep only the first records and
@@ -387,8 +390,8 @@
         }
     }
 
-    fn encoder(&self, start: u64) -> Encoder {
-        Encoder::new(self.seed(), start)
+    fn encoder(&self) -> Encoder {
+        Encoder::new(self.seed(), self.len, self.synced)
     }
 
     /// Encodes a record of a group and follows it.
@@ -425,19 +428,21 @@
 
     fn sync(&mut self) -> Result<(), JournalError> {
         let path = self.path();
-        sync(&mut *self.file, &path, self.settings.sync_delay)
+        sync(&mut *self.file, &path, self.settings.sync_delay)?;
+        self.synced = self.len;
+        Ok(())
     }
 
     /// Records that everything so far is synced.
     fn mark(&mut self) -> Result<(), JournalError> {
-        let mut records = self.encoder(self.len);
+        let mut records = self.encoder();
         records.push(Kind::Mark, NO_GROUP, Index(0), &[]);
         self.append(&records.bytes)
     }
 
     /// Starts a new segment.
     fn rotate(&mut self) -> Result<(), JournalError> {
-        let mut records = self.encoder(self.len);
+        let mut records = self.encoder();
         records.push(Kind::End, NO_GROUP, Index(0), &[]);
         self.append(&records.bytes)?;
         self.sync()?;
@@ -450,7 +455,8 @@
         }
         self.number += 1;
         self.len = 0;
-        let mut records = self.encoder(0);
+        self.synced = 0;
+        let mut records = self.encoder();
         records.push(Kind::Segment, NO_GROUP, Index(0), &FORMAT.to_le_bytes());
         for (name, group) in self.log.groups.clone().iter() {
             if let Some(hard) = &group.hard {
@@ -570,10 +576,11 @@
         folder: node.folder,
         segment: 1,
     };
-    let mut head = Encoder::new(seed, 0);
+    let mut head = Encoder::new(seed, 0, 0);
     head.push(Kind::Segment, NO_GROUP, Index(0), &FORMAT.to_le_bytes());
     head.push(Kind::Mark, NO_GROUP, Index(0), &[]);
-    let mut mark = Encoder::new(seed, head.bytes.len() as u64);
+    let len = head.bytes.len() as u64;
+    let mut mark = Encoder::new(seed, len, len);
     mark.push(Kind::Mark, NO_GROUP, Index(0), &[]);
     let path = folder.join(segment_name(1));
     let mut file = create(disk, &path)?;
@@ -582,6 +589,7 @@
         written.map_err(|e| JournalError::io("write", &path, &e))?;
         sync(&mut *file, &path, delay)?;
     }
+    sync_folder(disk, folder, delay)?;
     let text = encode_identity(node);
     write_file(disk, folder, IDENTITY, &[text.as_bytes()], delay)
 }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -13,15 +13,14 @@
 //!
 //! # A torn tail and a damaged record
 //!
-//! Each record names the offset at which the records written with it start. They were written
-//! only after everything before that offset had been synced. After each sync a mark with the new
-//! offset is written; the next sync covers it. A record whose checksum does not match is handled
-//! as follows:
+//! Each record names the length of the segment that was synced before the record was written.
+//! After each sync a mark with the new length is written; the next sync covers it. A record whose
+//! checksum does not match is handled as follows:
 //!
 //! - In a segment other than the last it was synced, so it is damage, and opening fails.
-//! - When a valid record behind it names a start behind it, it was synced, so it is damage, and
-//!   opening fails. This covers every record that was reported as durable, as soon as the mark
-//!   written after it has reached the disk.
+//! - When a valid record behind it names a length that includes it, it was synced, so it is
+//!   damage, and opening fails. This covers every record that was reported as durable, as soon as
+//!   the mark written after it has reached the disk.
 //! - Otherwise its sync may not have returned. It and everything behind it is cut off, even when
 //!   other records of the same write are valid: a disk may store the pages of one write in any
 //!   order, and none of these records was reported as durable.
--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -1,8 +1,8 @@
 //! The encoding of log records and the scan of a segment.
 //!
 //! A record is its length (4 bytes, of what follows the checksum), a CRC-32, the kind (1 byte),
-//! the start of the write it belongs to (8), the length of the group's name (1), that name, an
-//! index (8) and a payload. Numbers are little-endian. The checksum also covers the folder id,
+//! the length of the segment that was synced before it was written (8), the length of the group's
+//! name (1), that name, an index (8) and a payload. Numbers are little-endian. The checksum also covers the folder id,
 //! the segment's number and the record's offset, so that bytes of a record inside a payload, or
 //! copied from another file, never pass for a record.
 
@@ -19,7 +19,7 @@
 pub(crate) enum Kind {
     /// The first record of a segment; the payload is the format version.
     Segment,
-    /// Everything before `start` is synced. The first one ends the head of a segment, which
+    /// Only says how much is synced. The first one ends the head of a segment, which
     /// repeats what is in force from older segments.
     Mark,
     /// The group's hard state.
@@ -85,15 +85,22 @@
 /// Records of one write, being encoded.
 pub(crate) struct Encoder {
     seed: Seed,
-    start: u64,
+    /// Where the records will be written.
+    offset: u64,
+    /// The length of the segment that is synced.
+    synced: u64,
     pub(crate) bytes: Vec<u8>,
 }
 
 impl Encoder {
-    /// An encoder of records that will be written at offset `start`.
-    pub(crate) fn new(seed: Seed, start: u64) -> Encoder {
-        let bytes = Vec::new();
-        Encoder { seed, start, bytes }
+    /// An encoder of records that will be written at `offset`.
+    pub(crate) fn new(seed: Seed, offset: u64, synced: u64) -> Encoder {
+        Encoder {
+            seed,
+            offset,
+            synced,
+            bytes: Vec::new(),
+        }
     }
 
     /// Encodes a record and returns its offset and length.
@@ -107,13 +114,13 @@
         payload: &[u8],
     ) -> (u64, u64) {
         let from = self.bytes.len();
-        let offset = self.start + from as u64;
+        let offset = self.offset + from as u64;
         let len = FIXED + group.len() + payload.len();
         let len = u32::try_from(len).expect("the caller checked the length");
         self.bytes.extend(len.to_le_bytes());
         self.bytes.extend([0; 4]);
         self.bytes.push(kind.code());
-        self.bytes.extend(self.start.to_le_bytes());
+        self.bytes.extend(self.synced.to_le_bytes());
         self.bytes.push(group.len() as u8);
         self.bytes.extend(group.as_bytes());
         self.bytes.extend(index.0.to_le_bytes());
@@ -198,7 +205,7 @@
 fn proves(seed: Seed, bytes: &[u8], offset: usize, bad: u64) -> bool {
     // Checked before the checksum, since it excludes almost every offset without reading on.
     match u64_at(bytes, offset + HEAD + 1) {
-        Some(start) if start > bad && start <= offset as u64 => {
+        Some(synced) if synced > bad && synced <= offset as u64 => {
             decode(seed, bytes, offset).is_some()
         }
         Some(_) | None => false,
--- /dev/null
+++ b/crates/journal/tests/crash.rs
@@ -0,0 +1,230 @@
+//! Crashes at any point: everything reported as durable is there, nothing is invented.
+
+mod common;
+
+use std::env;
+
+use common::{batch, entries, folder, hard, name, open, open_with, snapshot, FakeDisk, Random};
+use greengage_core::{Index, Name, SortedMap};
+use greengage_journal::{Batch, Journal, JournalError, Recovered};
+
+type Groups = SortedMap<Name, Recovered>;
+
+/// One record of a batch, in the order in which a torn write keeps them.
+enum Step<'a> {
+    Hard(&'a Vec<u8>),
+    Install(&'a (Index, Vec<u8>)),
+    Entry(&'a (Index, Vec<u8>)),
+    Snapshot(&'a (Index, Vec<u8>)),
+}
+
+fn steps(batch: &Batch) -> Vec<Step<'_>> {
+    let mut steps = Vec::new();
+    steps.extend(batch.hard.iter().map(Step::Hard));
+    let (install, compact) = match batch.clear {
+        true => (batch.snapshot.as_ref(), None),
+        false => (None, batch.snapshot.as_ref()),
+    };
+    steps.extend(install.map(Step::Install));
+    steps.extend(batch.entries.iter().map(Step::Entry));
+    steps.extend(compact.map(Step::Snapshot));
+    steps
+}
+
+fn apply(group: &mut Recovered, step: &Step<'_>) {
+    match step {
+        Step::Hard(hard) => group.hard = Some((*hard).clone()),
+        Step::Install(snapshot) => {
+            group.entries.clear();
+            group.snapshot = Some((*snapshot).clone());
+        }
+        Step::Entry(entry) => {
+            group.entries.retain(|(index, _)| *index < entry.0);
+            group.entries.push((*entry).clone());
+        }
+        Step::Snapshot(snapshot) => group.snapshot = Some((*snapshot).clone()),
+    }
+    let covered = group.snapshot.as_ref().map_or(Index(0), |s| s.0);
+    group.entries.retain(|(index, _)| *index > covered);
+}
+
+/// All states that a torn write of `batches` may leave, from none of it to all of it.
+fn prefixes(durable: &Groups, batches: &[Batch]) -> Vec<Groups> {
+    let mut states = vec![durable.clone()];
+    for batch in batches {
+        for step in steps(batch) {
+            let mut state = states.last().unwrap().clone();
+            apply(state.entry(batch.group.clone(), Recovered::default), &step);
+            states.push(state);
+        }
+    }
+    states
+}
+
+/// Batches that follow from `state`: a busy group, and one that seldom writes.
+fn random_write(state: &Groups, random: &mut Random) -> Vec<Batch> {
+    let mut state = state.clone();
+    let mut batches = Vec::new();
+    for _ in 0..=random.below(3) {
+        let group = if random.below(8) == 0 { "slow" } else { "busy" };
+        let found = state.entry(name(group), Recovered::default);
+        let covered = found.snapshot.as_ref().map_or(0, |s| s.0 .0);
+        let last = found.entries.last().map_or(covered, |e| e.0 .0);
+        let text = "x".repeat(random.below(40));
+        let some = covered + 1 + random.below((last - covered) as usize) as u64;
+        let batch = match random.below(10) {
+            0 => hard(group, &text),
+            1 => entries(group, some, &[&text, "replaced"]),
+            2 if group == "busy" && last > covered => snapshot(group, some, &text, false),
+            3 if group == "busy" => Batch {
+                entries: entries(group, last + 4, &[&text]).entries,
+                ..snapshot(group, last + 3, &text, true)
+            },
+            4 => Batch {
+                hard: Some(b"both".to_vec()),
+                ..entries(group, last + 1, &[&text])
+            },
+            _ => entries(group, last + 1, &[&text, "more"]),
+        };
+        for step in steps(&batch) {
+            apply(found, &step);
+        }
+        batches.push(batch);
+    }
+    batches
+}
+
+/// Writes until an error; returns what is durable and the write that failed.
+fn run(
+    journal: &mut Journal,
+    state: Groups,
+    writes: usize,
+    random: &mut Random,
+) -> (Groups, Vec<Batch>) {
+    let mut state = state;
+    for _ in 0..writes {
+        let batches = random_write(&state, random);
+        if journal.write(&batches).is_err() {
+            return (state, batches);
+        }
+        state = prefixes(&state, &batches).pop().unwrap();
+    }
+    (state, Vec::new())
+}
+
+const WRITES: usize = 40;
+const SEGMENT: u64 = 300;
+
+fn open_small(disk: &FakeDisk) -> (Journal, Groups) {
+    open_with(disk, SEGMENT).unwrap_or_else(|error| panic!("{error}"))
+}
+
+fn seeds() -> impl Iterator<Item = u64> {
+    let number = |name| env::var(name).ok().map(|text| text.parse().expect(name));
+    let seed: u64 = number("GREENGAGE_SEED").unwrap_or(1);
+    let cases: u64 = number("GREENGAGE_CASES").unwrap_or(400);
+    seed..seed + cases
+}
+
+/// Guards against lost, torn and invented records after a crash at any operation, and against a
+/// folder that can't be opened or written afterwards.
+#[test]
+fn durable_records_survive_a_crash_at_any_operation() {
+    for seed in seeds() {
+        println!("GREENGAGE_SEED={seed} GREENGAGE_CASES=1");
+        let disk = FakeDisk::with_folder(&folder());
+        let (mut journal, _) = open_small(&disk);
+        run(&mut journal, Groups::new(), WRITES, &mut Random(seed));
+        let total = disk.ops() as usize;
+
+        let mut random = Random(!seed);
+        let disk = FakeDisk::with_folder(&folder());
+        disk.die_at(Some(random.below(total) as u64));
+        let (durable, failed) = match open_with(&disk, SEGMENT) {
+            Ok((mut journal, _)) => run(&mut journal, Groups::new(), WRITES, &mut Random(seed)),
+            Err(_) => (Groups::new(), Vec::new()),
+        };
+        let allowed = prefixes(&durable, &failed);
+        for disk in [
+            disk.copy(),
+            disk.crash(&mut random),
+            disk.crash(&mut random),
+        ] {
+            let (mut journal, found) = open_small(&disk);
+            assert!(allowed.contains(&found), "{found:?}\nnone of {allowed:?}");
+            // A second crash during the next writes or during the next opening.
+            disk.die_at(Some(disk.ops() + random.below(60) as u64));
+            let (durable, failed) = run(&mut journal, found, WRITES, &mut random);
+            let allowed = prefixes(&durable, &failed);
+            let disk = disk.crash(&mut random);
+            disk.die_at(Some(random.below(8) as u64));
+            let _ = open_with(&disk, SEGMENT);
+            let (mut journal, found) = open_small(&disk.crash(&mut random));
+            assert!(allowed.contains(&found), "{found:?}\nnone of {allowed:?}");
+            run(&mut journal, found, 5, &mut random);
+        }
+    }
+}
+
+/// Guards against a log that grows without bound because a group seldom takes a snapshot, and
+/// against its entries being lost when they are moved.
+#[test]
+fn seldom_written_group_does_not_hold_the_log() {
+    let disk = FakeDisk::with_folder(&folder());
+    let (mut journal, _) = open_small(&disk);
+    let slow = entries("slow", 1, &["a", "b", "c"]);
+    journal.write(std::slice::from_ref(&slow)).unwrap();
+    let mut longest = 0;
+    for i in 1..2_000 {
+        journal.write(&[entries("busy", i, &["payload"])]).unwrap();
+        if i % 5 == 0 {
+            journal
+                .write(&[snapshot("busy", i, "state", false)])
+                .unwrap();
+        }
+        longest = longest.max(journal.log_bytes());
+    }
+    assert!(longest < 10 * SEGMENT, "{longest} bytes");
+    drop(journal);
+    let (_, found) = open_small(&disk);
+    assert_eq!(found.get(&name("slow")).unwrap().entries, slow.entries);
+    assert_eq!(disk.files().len(), found_files(&disk));
+}
+
+/// The number of files that a folder with one snapshot has: identity, snapshot and segments.
+fn found_files(disk: &FakeDisk) -> usize {
+    let files = disk.files();
+    let named = |text| {
+        files
+            .keys()
+            .filter(|p| p.to_str().unwrap().contains(text))
+            .count()
+    };
+    assert_eq!((named("snapshot"), named("temporary")), (1, 0));
+    named("segment") + 2
+}
+
+/// Guards against a full disk that is reported as success, that damages what is there, or after
+/// which a later write is reported as success.
+#[test]
+fn full_disk_stops_the_journal() {
+    let disk = FakeDisk::with_folder(&folder());
+    let (mut journal, _) = open(&disk).unwrap();
+    journal.write(&[entries("g", 1, &["a"])]).unwrap();
+    let used: usize = disk.files().values().map(Vec::len).sum();
+    let long = "x".repeat(100);
+    // The record has 127 bytes.
+    for free in 0..127 {
+        let disk = disk.copy();
+        let (mut journal, before) = open(&disk).unwrap();
+        disk.set_capacity(Some(used + free));
+        let full = journal.write(&[entries("g", 2, &[&long])]).unwrap_err();
+        assert!(matches!(full, JournalError::Full { .. }), "{full}");
+        disk.set_capacity(None);
+        let cause = Box::new(full);
+        let stopped = Err(JournalError::Stopped { cause });
+        assert_eq!(journal.write(&[batch("g")]), stopped);
+        drop(journal);
+        assert_eq!(open(&disk).unwrap().1, before);
+    }
+}
--- /dev/null
+++ b/crates/journal/tests/tear.rs
@@ -0,0 +1,177 @@
+//! Torn and damaged files, byte by byte.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+use common::{entries, folder, hard, name, open, open_with, snapshot, FakeDisk};
+use greengage_core::{Index, Name, SortedMap};
+use greengage_journal::{JournalError, Recovered};
+
+fn segment(number: u64) -> PathBuf {
+    folder().join(format!("segment-{number:020}"))
+}
+
+/// The files after each of three writes, the last of which has two batches.
+fn written() -> Vec<FakeDisk> {
+    let disk = FakeDisk::with_folder(&folder());
+    let (mut journal, _) = open(&disk).unwrap();
+    let writes = [
+        vec![hard("g", "term 1"), entries("g", 1, &["first", "second"])],
+        vec![entries("h", 1, &["other group"])],
+        vec![hard("g", "term 2"), entries("g", 3, &["third"])],
+    ];
+    let run = writes.iter().map(|batches| {
+        journal.write(batches).unwrap();
+        disk.copy()
+    });
+    run.collect()
+}
+
+fn recovered(disk: &FakeDisk) -> SortedMap<Name, Recovered> {
+    open(disk).unwrap().1
+}
+
+fn log(disk: &FakeDisk) -> Vec<u8> {
+    disk.files()[&segment(1)].clone()
+}
+
+/// Guards against a torn write that keeps a VM from starting, that takes an earlier write with it,
+/// or after which new records are lost.
+#[test]
+fn torn_tail_is_cut_at_every_offset() {
+    let disks = written();
+    let (before, full) = (log(&disks[1]), log(&disks[2]));
+    let earlier = recovered(&disks[1]);
+    for len in before.len()..full.len() {
+        let disk = disks[2].copy();
+        disk.set_file(&segment(1), &full[..len]);
+        let (mut journal, found) = open(&disk).unwrap();
+        let g = found.get(&name("g")).unwrap();
+        let old = earlier.get(&name("g")).unwrap();
+        assert_eq!(g.entries[..2], old.entries, "cut at {len}");
+        assert_eq!(found.get(&name("h")), earlier.get(&name("h")));
+        journal.write(&[entries("h", 2, &["later"])]).unwrap();
+        drop(journal);
+        let again = recovered(&disk);
+        assert_eq!(again.get(&name("g")), Some(g), "cut at {len}");
+        assert_eq!(again.get(&name("h")).unwrap().entries.len(), 2);
+    }
+}
+
+/// Guards against a part of a write on the disk, in any order of its pages, that passes for damage.
+#[test]
+fn unsynced_write_with_a_hole_is_cut() {
+    let disks = written();
+    let (before, full) = (log(&disks[1]), log(&disks[2]));
+    // Without the mark that follows the sync, the write may not have been synced.
+    let unsynced = full.len() - 26;
+    for offset in before.len()..unsynced {
+        let disk = disks[2].copy();
+        let mut bytes = full[..unsynced].to_vec();
+        bytes[offset] ^= 0xff;
+        disk.set_file(&segment(1), &bytes);
+        let g = recovered(&disk).get(&name("g")).unwrap().clone();
+        assert!(g.entries.len() < 3, "hole at {offset}");
+    }
+}
+
+fn expect_damage(disk: &FakeDisk, path: &Path, flipped: usize) {
+    match open_with(disk, 200).err() {
+        Some(JournalError::Damaged {
+            path: at, offset, ..
+        }) => {
+            assert_eq!(at, path, "flipped at {flipped}");
+            assert!(offset <= flipped as u64, "{offset} after {flipped}");
+        }
+        other => panic!("flipped at {flipped} in {}: {other:?}", path.display()),
+    }
+}
+
+/// Guards against a damaged record in the middle that is cut off together with durable ones, also
+/// when it is the last record and only the mark follows.
+#[test]
+fn flipped_byte_is_refused_at_every_offset() {
+    let disk = written().pop().unwrap();
+    let full = log(&disk);
+    for offset in 0..full.len() - 26 {
+        let disk = disk.copy();
+        let mut bytes = full.clone();
+        bytes[offset] ^= 1 << (offset % 8);
+        disk.set_file(&segment(1), &bytes);
+        expect_damage(&disk, &segment(1), offset);
+    }
+    let mut bytes = full.clone();
+    *bytes.last_mut().unwrap() ^= 1;
+    let damaged = disk.copy();
+    damaged.set_file(&segment(1), &bytes);
+    assert_eq!(recovered(&damaged), recovered(&disk));
+}
+
+/// The files of a log of several segments with a snapshot.
+fn rotated() -> FakeDisk {
+    let disk = FakeDisk::with_folder(&folder());
+    let (mut journal, _) = open_with(&disk, 200).unwrap();
+    journal.write(&[snapshot("g", 5, "state", true)]).unwrap();
+    for i in 6..20 {
+        let batches = [hard("g", &i.to_string()), entries("g", i, &["payload"])];
+        journal.write(&batches).unwrap();
+    }
+    disk.copy()
+}
+
+/// Guards against damage in older segments and snapshots, including a file that is cut short at
+/// the end of a record or missing, and against an error that doesn't name the file.
+#[test]
+fn older_files_have_to_be_whole() {
+    let disk = rotated();
+    let files: BTreeMap<PathBuf, Vec<u8>> = disk.files();
+    let (last, _) = files
+        .range(segment(0)..segment(u64::MAX))
+        .next_back()
+        .unwrap();
+    for (path, bytes) in &files {
+        let file = path.file_name().unwrap().to_str().unwrap();
+        if path == last || file == "identity" || file == "lock" {
+            continue;
+        }
+        for offset in 0..bytes.len() {
+            let flipped = disk.copy();
+            let mut damaged = bytes.clone();
+            damaged[offset] ^= 1 << (offset % 8);
+            flipped.set_file(path, &damaged);
+            expect_damage(&flipped, path, offset);
+            let cut = disk.copy();
+            cut.set_file(path, &bytes[..offset]);
+            expect_damage(&cut, path, offset);
+        }
+        let without = disk.copy();
+        greengage_journal::Disk::remove(&without, path).unwrap();
+        match open_with(&without, 200).err() {
+            Some(JournalError::Lost { path: lost }) => assert_eq!(&lost, path),
+            Some(JournalError::Gap { missing, .. }) => {
+                assert!((Index(6)..Index(20)).contains(&missing), "{missing}");
+            }
+            other => panic!("without {}: {other:?}", path.display()),
+        }
+    }
+}
+
+/// Guards against bytes of records inside a payload that pass for records behind a torn one.
+#[test]
+fn log_inside_a_payload_is_no_record() {
+    let disk = rotated();
+    let (mut journal, before) = open_with(&disk, 1 << 20).unwrap();
+    let mut batch = entries("g", 20, &[""]);
+    batch.entries[0].1 = disk.files().into_values().flatten().collect();
+    journal.write(&[batch]).unwrap();
+    drop(journal);
+    let files = disk.files();
+    let (path, bytes) = files
+        .range(segment(0)..segment(u64::MAX))
+        .next_back()
+        .unwrap();
+    disk.set_file(path, &bytes[..bytes.len() - 30]);
+    assert_eq!(open_with(&disk, 1 << 20).unwrap().1, before);
+}
