Drop a sync of each new segment

The write that follows in the same call already proves that the head was synced, so the sync had no use once old segments go after that write.

Change: rotation syncs the new segment once; old segments are removed after the write.

Syncs for a new segment went from 3 and one of the folder to 2 and one of the folder.

--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -33,8 +33,8 @@
 /// Dead segments that the log may hold in addition to half of its bytes.
 const SPARE_SEGMENTS: u64 = 4;
 
-/// The length of a first segment without records of groups: its head and a mark.
-const EMPTY_SEGMENT: usize = 86;
+/// The length of a first segment without records of groups.
+const EMPTY_SEGMENT: usize = 60;
 
 /// The group name of records that belong to no group.
 const NO_GROUP: &str = "";
@@ -475,11 +475,8 @@
         self.append(&records.bytes)?;
         self.head = self.len;
         self.sync()?;
-        sync_folder(&*self.disk, &self.settings.folder, self.settings.sync_delay)?;
-        // Older segments go only when it is proved that the head was synced.
-        self.mark()?;
-        self.sync()?;
-        self.drop_segments()
+        // The write that follows proves that the head was synced; older segments go after it.
+        sync_folder(&*self.disk, &self.settings.folder, self.settings.sync_delay)
     }
 
     /// Removes the oldest segments as long as they have no live entry.
@@ -579,16 +576,11 @@
     let mut head = Encoder::new(seed, 0, 0);
     head.push(Kind::Segment, NO_GROUP, Index(0), &FORMAT.to_le_bytes());
     head.push(Kind::Mark, NO_GROUP, Index(0), &[]);
-    let len = head.bytes.len() as u64;
-    let mut mark = Encoder::new(seed, len, len);
-    mark.push(Kind::Mark, NO_GROUP, Index(0), &[]);
     let path = folder.join(segment_name(1));
     let mut file = create(disk, &path)?;
-    for bytes in [&head.bytes, &mark.bytes] {
-        let written = file.write(bytes);
-        written.map_err(|e| JournalError::io("write", &path, &e))?;
-        sync(&mut *file, &path, delay)?;
-    }
+    let written = file.write(&head.bytes);
+    written.map_err(|e| JournalError::io("write", &path, &e))?;
+    sync(&mut *file, &path, delay)?;
     sync_folder(disk, folder, delay)?;
     let text = encode_identity(node);
     write_file(disk, folder, IDENTITY, &[text.as_bytes()], delay)
--- a/crates/journal/tests/crash.rs
+++ b/crates/journal/tests/crash.rs
@@ -185,10 +185,10 @@
         longest = longest.max(journal.log_bytes());
     }
     assert!(longest < 10 * SEGMENT, "{longest} bytes");
+    assert_eq!(disk.files().len(), found_files(&disk));
     drop(journal);
     let (_, found) = open_small(&disk);
     assert_eq!(found.get(&name("slow")).unwrap().entries, slow.entries);
-    assert_eq!(disk.files().len(), found_files(&disk));
 }
 
 /// The number of files that a folder with one snapshot has: identity, snapshot and segments.
--- a/crates/journal/tests/tear.rs
+++ b/crates/journal/tests/tear.rs
@@ -146,6 +146,9 @@
             cut.set_file(path, &bytes[..offset]);
             expect_damage(&cut, path, offset);
         }
+        let longer = disk.copy();
+        longer.set_file(path, &[bytes.as_slice(), &[0]].concat());
+        expect_damage(&longer, path, bytes.len());
         let without = disk.copy();
         greengage_journal::Disk::remove(&without, path).unwrap();
         match open_with(&without, 200).err() {
@@ -161,17 +164,18 @@
 /// Guards against bytes of records inside a payload that pass for records behind a torn one.
 #[test]
 fn log_inside_a_payload_is_no_record() {
-    let disk = rotated();
-    let (mut journal, before) = open_with(&disk, 1 << 20).unwrap();
-    let mut batch = entries("g", 20, &[""]);
-    batch.entries[0].1 = disk.files().into_values().flatten().collect();
+    let other = FakeDisk::with_folder(&folder());
+    let (mut journal, _) = open(&other).unwrap();
+    for i in 1..100 {
+        journal.write(&[entries("g", i, &["payload"])]).unwrap();
+    }
+    let disk = FakeDisk::with_folder(&folder());
+    let (mut journal, _) = open(&disk).unwrap();
+    let mut batch = entries("g", 1, &[""]);
+    batch.entries[0].1 = log(&other);
     journal.write(&[batch]).unwrap();
     drop(journal);
-    let files = disk.files();
-    let (path, bytes) = files
-        .range(segment(0)..segment(u64::MAX))
-        .next_back()
-        .unwrap();
-    disk.set_file(path, &bytes[..bytes.len() - 30]);
-    assert_eq!(open_with(&disk, 1 << 20).unwrap().1, before);
+    let bytes = log(&disk);
+    disk.set_file(&segment(1), &bytes[..bytes.len() - 30]);
+    assert!(recovered(&disk).is_empty());
 }
