--- /dev/null
+++ b/crates/ledger/tests/sequence.rs
@@ -0,0 +1,195 @@
+//! Random sequences of commands against a simple model.
+
+use std::collections::BTreeMap;
+use std::env;
+use std::sync::Arc;
+
+use greengage_core::{
+    AccountName, Digest, Failure, Incarnation, Index, JobKey, Name, Outcome, Payload, TargetName,
+    TemplateName, Version, Wall, ZoneName,
+};
+use greengage_ledger::{Applied, Command, Ledger, Refused, Stage, State, Submission};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+fn runner(cases: u32) -> TestRunner {
+    let number = |name| env::var(name).ok().map(|text| text.parse().expect(name));
+    let seed: u64 = number("GREENGAGE_SEED").unwrap_or(1);
+    let cases = number("GREENGAGE_CASES").map_or(cases, |cases| cases as u32);
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &bytes))
+}
+
+fn keys() -> impl Strategy<Value = JobKey> {
+    ("[ab]", "[xy]", 0..40u32).prop_map(|(account, zone, id)| JobKey {
+        account: AccountName::new(&account).unwrap(),
+        zone: ZoneName::new(&zone).unwrap(),
+        id: Name::new(&id.to_string()).unwrap(),
+    })
+}
+
+fn submission(tasks: usize) -> Arc<Submission> {
+    Arc::new(Submission {
+        template: TemplateName::new("tours").unwrap(),
+        account: AccountName::new("a").unwrap(),
+        version: Version(1),
+        tasks: vec![Payload::new(*b"task"); tasks],
+        deadline: Wall(100),
+    })
+}
+
+fn commands() -> impl Strategy<Value = Command> {
+    let accept = (keys(), 0..2u8, 0..4usize, any::<bool>(), 0..50u64);
+    let accept = accept.prop_map(|(key, digest, tasks, begun, at)| Command::Accept {
+        key,
+        digest: Digest([digest; 32]),
+        submission: submission(tasks),
+        begun,
+        at: Wall(at),
+    });
+    let begin = prop::collection::vec(keys(), 0..5).prop_map(|keys| Command::Begin { keys });
+    let close = (keys(), 0..3usize).prop_map(|(key, results)| Command::Close {
+        key,
+        outcome: Arc::new(match results {
+            0 => Outcome::Failed(Failure::NoTarget),
+            n => Outcome::Complete(vec![Payload::new(*b"result"); n]),
+        }),
+    });
+    let target = |name: String| TargetName::new(&name).unwrap();
+    let register = ("[tu]", 0..3u64).prop_map(move |(name, n)| Command::Register {
+        target: target(name),
+        incarnation: Incarnation(n),
+    });
+    let deregister = ("[tu]", 0..3u64).prop_map(move |(name, n)| Command::Deregister {
+        target: target(name),
+        incarnation: Incarnation(n),
+    });
+    let expire = (0..50u64).prop_map(|at| Command::Expire { before: Wall(at) });
+    prop_oneof![
+        8 => accept,
+        2 => begin,
+        6 => close,
+        1 => register,
+        1 => deregister,
+        1 => expire,
+    ]
+}
+
+/// What the ledger has to know of an entry: its place in the order of acceptance and its content.
+type Model = BTreeMap<JobKey, (usize, Digest, Stage, Wall)>;
+
+fn expected(model: &mut Model, order: usize, command: &Command) -> Applied {
+    match command {
+        Command::Accept {
+            key,
+            digest,
+            begun,
+            at,
+            ..
+        } => match model.get(key) {
+            Some((_, same, stage, _)) if same == digest => Applied::Duplicate(stage.clone()),
+            Some(_) => Applied::Refused(Refused::OtherContent { key: key.clone() }),
+            None => {
+                let stage = if *begun {
+                    Stage::Begun
+                } else {
+                    Stage::Accepted
+                };
+                model.insert(key.clone(), (order, *digest, stage, *at));
+                Applied::Accepted
+            }
+        },
+        Command::Begin { keys } => {
+            let mut begun = Vec::new();
+            for key in keys {
+                if let Some((_, _, stage @ Stage::Accepted, _)) = model.get_mut(key) {
+                    *stage = Stage::Begun;
+                    begun.push(key.clone());
+                }
+            }
+            Applied::Begun(begun)
+        }
+        Command::Close { key, outcome } => match model.get_mut(key) {
+            None => Applied::Refused(Refused::Unknown { key: key.clone() }),
+            Some((_, _, Stage::Closed(first), _)) => Applied::AlreadyClosed(first.clone()),
+            Some((_, _, stage, _)) => {
+                *stage = Stage::Closed(outcome.clone());
+                Applied::Closed
+            }
+        },
+        Command::Register { .. } | Command::Deregister { .. } => Applied::Done,
+        Command::Expire { before } => {
+            model.retain(|_, (_, _, stage, at)| {
+                !matches!(stage, Stage::Closed(_)) || *at >= *before
+            });
+            Applied::Done
+        }
+    }
+}
+
+fn check(ledger: &Ledger, model: &Model) {
+    ledger.verify();
+    assert_eq!(ledger.counts().entries, model.len() as u64);
+    for (key, (_, digest, stage, at)) in model {
+        let entry = ledger.get(key).expect("the model has the key");
+        assert_eq!(
+            (entry.digest, &entry.stage, entry.accepted),
+            (*digest, stage, *at)
+        );
+    }
+    let mut open: Vec<_> = model
+        .iter()
+        .filter(|(_, e)| !matches!(e.2, Stage::Closed(_)))
+        .collect();
+    open.sort_by_key(|(_, entry)| entry.0);
+    let keys = open.into_iter().map(|(key, _)| key);
+    assert!(ledger.open().map(|(key, _)| key).eq(keys));
+}
+
+/// Guards against any difference from the model, against voters that differ after the same
+/// commands (one of them from a snapshot that was encoded and sent), and against a snapshot that
+/// changes after it was taken.
+#[test]
+fn machines_agree_with_the_model_and_each_other() {
+    let sequence = prop::collection::vec(commands(), 1..400);
+    let strategy = (sequence, any::<prop::sample::Index>());
+    let test = |(commands, at): (Vec<Command>, prop::sample::Index)| {
+        let at = at.index(commands.len());
+        let mut ledger = Ledger::new();
+        let mut other = Ledger::new();
+        let mut model = Model::new();
+        let mut taken = None;
+        for (i, command) in commands.iter().enumerate() {
+            if i == at {
+                let state = ledger.snapshot();
+                let bytes = postcard::to_stdvec(&state).unwrap();
+                let sent: State = postcard::from_bytes(&bytes).unwrap();
+                assert_eq!(sent, state);
+                other = Ledger::new();
+                other.restore(sent);
+                taken = Some((state, bytes));
+            }
+            // Indexes skip the entries of a log that are no commands.
+            let index = Index(2 * i as u64 + 1);
+            let applied = ledger.apply(index, command);
+            assert_eq!(applied, expected(&mut model, i, command));
+            assert_eq!(applied, other.apply(index, command));
+            assert_eq!(ledger.applied(), index);
+        }
+        check(&ledger, &model);
+        other.verify();
+        assert_eq!(ledger.snapshot(), other.snapshot());
+        assert_eq!(ledger.counts(), other.counts());
+        assert!(ledger.registered().eq(other.registered()));
+        let (state, bytes) = taken.expect("the index is in the sequence");
+        assert_eq!(postcard::to_stdvec(&state).unwrap(), bytes);
+        Ok(())
+    };
+    runner(150).run(&strategy, test).unwrap();
+}
