Test the operators' listener, the caller and stopping

Cause: the operators' listener, the caller and the announcements had no tests, a parked request kept the reply thread of a stopped listener alive through the server's handler, and large bodies on all connections together had no bound.

Change: tests for these; a stop message for the reply thread; a bound on the bytes of requests that are still arriving (512 MiB by default); counters of answers and target calls; an example that measures the edges.

--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -86,6 +86,7 @@
         id: RequestId,
         reply: Reply,
     },
+    Stop,
 }
 
 /// Answers held requests from any thread without blocking.
@@ -138,6 +139,15 @@
     }
 }
 
+impl Drop for Front {
+    fn drop(&mut self) {
+        self.server.close();
+        // Parked connections keep the server's handler alive, and with it a sender of the channel,
+        // so the channel alone would not end the thread.
+        let _ = self.replies.0.send(Parked::Stop);
+    }
+}
+
 /// Starts the listener. `submit` takes a request and how long its reply may be held; it returns
 /// false when the request was not taken.
 pub fn start(
@@ -159,7 +169,10 @@
         let taken = match route(&request, &limits) {
             Ok(Routed::Submit(taken)) => taken,
             Ok(Routed::Answer(answer)) => return Some((responder, answer)),
-            Err(answer) => return Some((responder, *answer)),
+            Err(answer) => {
+                count(&answer);
+                return Some((responder, *answer));
+            }
         };
         let id = RequestId(ids.fetch_add(1, Ordering::Relaxed) * ID_STEP);
         let wait = Parked::Wait {
@@ -183,6 +196,11 @@
     })
 }
 
+fn count(answer: &Answer) {
+    let status = answer.status.to_string();
+    metrics::counter!("greengage_http_answers_total", "status" => status).increment(1);
+}
+
 fn answer_parked(receiver: &Receiver<Parked>, held: &AtomicUsize) {
     // A B-tree because ids are removed in any order and thousands may be parked.
     let mut parked: BTreeMap<RequestId, (Responder, reply::Form, Instant)> = BTreeMap::new();
@@ -199,7 +217,9 @@
             }
             Ok(Parked::Reply { id, reply }) => {
                 if let Some((responder, form, _)) = parked.remove(&id) {
-                    responder.send(reply::answer(&reply, form));
+                    let answer = reply::answer(&reply, form);
+                    count(&answer);
+                    responder.send(answer);
                 }
             }
             Err(RecvTimeoutError::Timeout) => {
@@ -212,11 +232,13 @@
                     .collect();
                 for id in late {
                     if let Some((responder, ..)) = parked.remove(&id) {
-                        responder.send(status::answer(&ApiError::UnknownOutcome { key: None }));
+                        let answer = status::answer(&ApiError::UnknownOutcome { key: None });
+                        count(&answer);
+                        responder.send(answer);
                     }
                 }
             }
-            Err(RecvTimeoutError::Disconnected) => return,
+            Ok(Parked::Stop) | Err(RecvTimeoutError::Disconnected) => return,
         }
         held.store(parked.len(), Ordering::Relaxed);
     }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -33,6 +33,8 @@
 pub struct Limits {
     /// Largest body in bytes.
     pub body_bytes: usize,
+    /// Most bytes of all requests that are still arriving.
+    pub arriving_bytes: usize,
     /// Largest request line with headers in bytes.
     pub header_bytes: usize,
     /// Most connections, waiting callers included.
@@ -52,6 +54,8 @@
     fn default() -> Self {
         Limits {
             body_bytes: 8 << 20,
+            // 64 bodies of the largest size.
+            arriving_bytes: 512 << 20,
             header_bytes: 16 << 10,
             connections: 8192,
             threads: 1024,
@@ -208,6 +212,7 @@
     pool: Pool,
     stop: AtomicBool,
     open: AtomicUsize,
+    arriving: AtomicUsize,
     next: AtomicU64,
     // Kept to end blocked reads and writes when the server stops. A B-tree because numbers are
     // removed in any order and there may be thousands.
@@ -244,6 +249,7 @@
             limits,
             stop: AtomicBool::new(false),
             open: AtomicUsize::new(0),
+            arriving: AtomicUsize::new(0),
             next: AtomicU64::new(0),
             streams: Mutex::new(BTreeMap::new()),
             handler: Box::new(handler),
@@ -310,8 +316,12 @@
     }
 }
 
+/// How long stopping waits for threads.
 const WAKE_LIMIT: Duration = Duration::from_secs(2);
 
+/// How long input is read and dropped after an answer that ends the connection.
+const DRAIN_LIMIT: Duration = Duration::from_secs(1);
+
 /// The backlog of the listening socket; the system's own limit is usually 4,096.
 const BACKLOG: i32 = 4096;
 
@@ -383,6 +393,8 @@
     stream: Arc<TcpStream>,
     // Bytes that were read beyond the last request.
     ahead: Vec<u8>,
+    // Bytes of the present request that are counted in `Shared::arriving`.
+    arrived: usize,
 }
 
 impl Connection {
@@ -396,9 +408,24 @@
             number,
             stream,
             ahead: Vec::new(),
+            arrived: 0,
+        }
+    }
+
+    fn count(&mut self, bytes: usize) -> io::Result<()> {
+        self.arrived += bytes;
+        let before = self.shared.arriving.fetch_add(bytes, Ordering::Relaxed);
+        match before + bytes > self.shared.limits.arriving_bytes {
+            true => Err(io::ErrorKind::OutOfMemory.into()),
+            false => Ok(()),
         }
     }
 
+    fn uncount(&mut self) {
+        let bytes = std::mem::take(&mut self.arrived);
+        self.shared.arriving.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
     /// Reads more bytes until `deadline`; an error at the end of the stream.
     fn fill(&mut self, deadline: Instant) -> io::Result<()> {
         let left = deadline.saturating_duration_since(Instant::now());
@@ -411,7 +438,7 @@
             Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
             Ok(n) => {
                 self.ahead.extend_from_slice(&chunk[..n]);
-                Ok(())
+                self.count(n)
             }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => Err(io::ErrorKind::TimedOut.into()),
             Err(e) if e.kind() == io::ErrorKind::Interrupted => Ok(()),
@@ -426,19 +453,22 @@
     /// Reads and drops what the peer still sends. A close with unread input would reset the
     /// connection, and the peer would lose the answer.
     fn drain(&mut self) {
-        let deadline = Instant::now() + self.shared.limits.read;
+        let deadline = Instant::now() + DRAIN_LIMIT;
         let most = 2 * self.shared.limits.body_bytes;
         let mut dropped = 0;
         let _ = self.stream.shutdown(Shutdown::Write);
+        self.uncount();
         while dropped < most && self.fill(deadline).is_ok() {
             dropped += self.ahead.len();
             self.ahead.clear();
+            self.uncount();
         }
     }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        self.uncount();
         self.shared.streams().remove(&self.number);
         self.shared.open.fetch_sub(1, Ordering::Relaxed);
     }
@@ -542,6 +572,8 @@
     Headers(usize),
     /// The body is too long.
     Body(usize),
+    /// Too many bytes are arriving on all connections together.
+    Memory,
 }
 
 struct Rejected {
@@ -576,9 +608,21 @@
             "body",
             format!("not run: the body exceeds {limit} bytes; send fewer or smaller tasks"),
         ),
+        Reason::Memory => (
+            503,
+            "busy",
+            "not run: too many large requests; submit again".to_string(),
+        ),
+    };
+    let retry_ms = (status == 503).then_some(1000);
+    let mut body = serde_json::json!({"error": kind, "message": message, "not_run": true});
+    if let Some(ms) = retry_ms {
+        body["retry_ms"] = ms.into();
+    }
+    let answer = Answer {
+        retry_ms,
+        ..Answer::json(status, body.to_string())
     };
-    let body = serde_json::json!({"error": kind, "message": message, "not_run": true});
-    let answer = Answer::json(status, body.to_string());
     if connection
         .write(&answer.print(HTTPVersion(1, 1), false, true))
         .is_ok()
@@ -591,7 +635,9 @@
     mut connection: Connection,
     deadline: Option<Instant>,
 ) -> Result<(Request, Responder), Rejected> {
-    match read_request(&mut connection, deadline) {
+    let read = read_request(&mut connection, deadline);
+    connection.uncount();
+    match read {
         Ok((request, version, close)) => {
             let responder = Responder {
                 connection,
@@ -608,6 +654,7 @@
 fn ended(e: &io::Error) -> Reason {
     match e.kind() {
         io::ErrorKind::TimedOut => Reason::Slow,
+        io::ErrorKind::OutOfMemory => Reason::Memory,
         _ => Reason::Gone,
     }
 }
--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -196,6 +196,16 @@
     }
 }
 
+fn count(seen: &Seen) {
+    let what = match seen {
+        Seen::State(_) => "state",
+        Seen::NotRun { .. } => "not_run",
+        Seen::Broken { .. } => "broken",
+        Seen::Fenced { .. } => "fenced",
+    };
+    metrics::counter!("greengage_target_calls_total", "seen" => what).increment(1);
+}
+
 impl Shared {
     fn lanes(&self) -> MutexGuard<'_, BTreeMap<LaneKey, Lane>> {
         self.lanes.lock().unwrap_or_else(PoisonError::into_inner)
@@ -242,6 +252,7 @@
                 true => unsent(&job.call.action, "no connection to the target became free"),
                 false => self.call(&job.call),
             };
+            count(&seen);
             (self.output)(job.token, seen);
             let mut lanes = self.lanes();
             let Some(lane) = lanes.get_mut(key) else {
--- /dev/null
+++ b/crates/http/tests/admin.rs
@@ -0,0 +1,647 @@
+//! The listener for operators.
+
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{Duration, Instant};
+
+use greengage_agreement::{Change, ChangeError, Config, Role, Seat, Status};
+use greengage_control::api::{
+    ApiError, Documents, Filter, Group, NotReady, Reply, Request, Versioned,
+};
+use greengage_core::{
+    AccountName, Demand, Index, JobKey, Name, NodeId, OpId, Refusal, RequestId, Revision,
+    SortedMap, Spread, TargetKind, TargetName, TemplateName, Term, Version, VmName, ZoneName,
+};
+use greengage_http::admin::{self, Admin, Settings};
+use greengage_http::{client, document, front, status};
+use greengage_policy::{
+    Command, Document, EditError, Outcome, Param, ParamKind, ParamValue, Params, Template,
+};
+use serde_json::{json, Value};
+
+type Answering = Box<dyn Fn(&Request) -> Option<Reply> + Send + Sync>;
+
+struct Operator {
+    admin: Admin,
+    taken: Arc<Mutex<Vec<Request>>>,
+}
+
+fn operator(wait: Duration, answer: Answering) -> Operator {
+    let taken: Arc<Mutex<Vec<Request>>> = Arc::default();
+    let into = taken.clone();
+    let replies: Arc<OnceLock<admin::Replies>> = Arc::default();
+    let later = replies.clone();
+    let settings = Settings {
+        wait,
+        ..Settings::new("127.0.0.1:0".parse().unwrap(), VmName::new("vm1").unwrap())
+    };
+    let submit = move |id: RequestId, _: Duration, request: Request| {
+        assert!(!front::is_caller(id));
+        if let Some(reply) = answer(&request) {
+            later.wait().reply(id, reply);
+        }
+        into.lock().unwrap().push(request);
+        true
+    };
+    let admin = admin::start(settings, submit, || "up 1\n".to_string()).unwrap();
+    assert!(replies.set(admin.replies()).is_ok());
+    Operator { admin, taken }
+}
+
+fn noting() -> Operator {
+    operator(Duration::from_secs(5), Box::new(|_| Some(Reply::Noted)))
+}
+
+impl Operator {
+    fn call(&self, method: &str, path: &str, body: &str) -> (u16, String) {
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .proxy(None)
+            .timeout_global(Some(Duration::from_secs(10)))
+            .build();
+        let agent = client::direct(config);
+        let request = ureq::http::Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.admin.address()))
+            .body(body.as_bytes().to_vec())
+            .unwrap();
+        let mut response = agent.run(request).unwrap();
+        let text = response.body_mut().read_to_string().unwrap();
+        (response.status().as_u16(), text)
+    }
+
+    fn last(&self) -> Request {
+        self.taken.lock().unwrap().pop().unwrap()
+    }
+}
+
+fn zone(text: &str) -> ZoneName {
+    ZoneName::new(text).unwrap()
+}
+
+fn node(vm: &str, folder: u64) -> NodeId {
+    let vm = VmName::new(vm).unwrap();
+    NodeId { vm, folder }
+}
+
+fn template() -> Template {
+    let param = Param {
+        kind: ParamKind::Integer,
+        default: Some(ParamValue::Integer(-3)),
+    };
+    Template {
+        target: TargetKind::Worker,
+        demand: Demand {
+            milli_cores: 500,
+            memory_mib: 64,
+            accelerators: 1,
+        },
+        spread: Spread::Racks,
+        deadline_ms: 1,
+        repeatable: true,
+        retries: 5,
+        max_tasks: 7,
+        expected_ms: 9,
+        params: [(Name::new("size").unwrap(), param)].into_iter().collect(),
+    }
+}
+
+fn params() -> Params {
+    Params {
+        weight: 2,
+        quota: 3,
+        concurrency: 4,
+        burst: 5,
+        deadline_ms: Some(6),
+        values: [(Name::new("size").unwrap(), ParamValue::Integer(1))]
+            .into_iter()
+            .collect(),
+    }
+}
+
+fn edit(op: &str, from: u64, document: Document) -> Request {
+    Request::Edit(Command::Edit {
+        op: OpId(Name::new(op).unwrap()),
+        from: Version(from),
+        document,
+    })
+}
+
+/// Each path must become the request that it names, with nothing lost on the way.
+#[test]
+fn paths() {
+    let operator = noting();
+    let tours = TemplateName::new("tours").unwrap();
+    let acme = AccountName::new("acme").unwrap();
+    let put = json!({"op": "o1", "from": 3, "content": document::template(&template())});
+    let put_params = json!({"op": "o2", "from": 0, "content": document::params(&params())});
+    let ledger = Group::Ledger(zone("b"));
+    let key = JobKey {
+        account: acme.clone(),
+        zone: zone("a"),
+        id: Name::new("7").unwrap(),
+    };
+    let cases = [
+        ("GET", "/readyz", String::new(), Request::Ready),
+        ("GET", "/v1/templates", String::new(), Request::Documents),
+        (
+            "GET",
+            "/v1/templates/tours?current=true",
+            String::new(),
+            Request::Template {
+                name: tours.clone(),
+                current: true,
+            },
+        ),
+        (
+            "PUT",
+            "/v1/templates/tours",
+            put.to_string(),
+            edit(
+                "o1",
+                3,
+                Document::Template {
+                    name: tours.clone(),
+                    content: Some(template()),
+                },
+            ),
+        ),
+        (
+            "DELETE",
+            "/v1/templates/tours",
+            r#"{"op":"o","from":1}"#.to_string(),
+            edit(
+                "o",
+                1,
+                Document::Template {
+                    name: tours.clone(),
+                    content: None,
+                },
+            ),
+        ),
+        (
+            "GET",
+            "/v1/templates/tours/params/acme",
+            String::new(),
+            Request::Params {
+                template: tours.clone(),
+                account: acme.clone(),
+                current: false,
+            },
+        ),
+        (
+            "PUT",
+            "/v1/templates/tours/params/acme",
+            put_params.to_string(),
+            edit(
+                "o2",
+                0,
+                Document::Params {
+                    template: tours.clone(),
+                    account: acme.clone(),
+                    content: Some(params()),
+                },
+            ),
+        ),
+        (
+            "DELETE",
+            "/v1/templates/tours/params/acme",
+            r#"{"op":"o","from":1}"#.to_string(),
+            edit(
+                "o",
+                1,
+                Document::Params {
+                    template: tours,
+                    account: acme,
+                    content: None,
+                },
+            ),
+        ),
+        ("GET", "/v1/targets", String::new(), Request::Targets),
+        ("GET", "/v1/vms", String::new(), Request::Vms),
+        (
+            "GET",
+            "/v1/groups/control",
+            String::new(),
+            Request::Group(Group::Control),
+        ),
+        (
+            "POST",
+            "/v1/groups/ledger-b/change",
+            r#"{"promote":"vm2#ff","seat":"witness"}"#.to_string(),
+            Request::Change {
+                group: ledger.clone(),
+                change: Change::Promote {
+                    node: node("vm2", 255),
+                    seat: Seat::Witness,
+                },
+            },
+        ),
+        (
+            "POST",
+            "/v1/groups/ledger-b/change",
+            r#"{"remove":"vm2#0"}"#.to_string(),
+            Request::Change {
+                group: ledger.clone(),
+                change: Change::Remove(node("vm2", 0)),
+            },
+        ),
+        (
+            "POST",
+            "/v1/groups/ledger-b/transfer",
+            String::new(),
+            Request::Transfer {
+                group: ledger,
+                to: None,
+            },
+        ),
+        (
+            "POST",
+            "/v1/groups/control/transfer",
+            r#"{"to":"vm1#0"}"#.to_string(),
+            Request::Transfer {
+                group: Group::Control,
+                to: Some(node("vm1", 0)),
+            },
+        ),
+        (
+            "GET",
+            "/v1/timeline?zone=a&account=acme&id=7&target=t%31",
+            String::new(),
+            Request::Timeline(Filter {
+                key: Some(key),
+                target: Some(TargetName::new("t1").unwrap()),
+            }),
+        ),
+    ];
+    for (method, path, body, expected) in cases {
+        let (status, answer) = operator.call(method, path, &body);
+        assert_eq!(status, 200, "{method} {path} {answer}");
+        assert_eq!(operator.last(), expected, "{method} {path}");
+    }
+    assert_eq!(
+        operator.call("GET", "/metrics", ""),
+        (200, "up 1\n".to_string())
+    );
+    assert_eq!(operator.call("GET", "/healthz", "").0, 200);
+}
+
+/// A wrong document or query must be refused with the field and the remedy before it becomes an
+/// edit.
+#[test]
+fn refused() {
+    let operator = noting();
+    let put = |content: &str| format!(r#"{{"op":"o","from":0,"content":{content}}}"#);
+    let cases = [
+        (
+            "PUT",
+            "/v1/templates/t",
+            "{}".to_string(),
+            400,
+            r#"\"op\" is missing"#,
+        ),
+        (
+            "PUT",
+            "/v1/templates/t",
+            put("{}"),
+            400,
+            r#"\"content.target\" is missing: give"#,
+        ),
+        (
+            "PUT",
+            "/v1/templates/t",
+            put(r#"{"target":"executer"}"#),
+            400,
+            r#"give \"executor\" or \"worker\""#,
+        ),
+        (
+            "PUT",
+            "/v1/templates/t",
+            put(r#"{"target":"worker"}"#),
+            400,
+            r#"\"content.demand\" is missing"#,
+        ),
+        (
+            "PUT",
+            "/v1/templates/t",
+            put(r#"{"target":"executor","dead_line":1}"#),
+            400,
+            r#"\"content.dead_line\" is not known"#,
+        ),
+        (
+            "PUT",
+            "/v1/templates/t",
+            put(r#"{"target":"executor","deadline_ms":-1}"#),
+            400,
+            r#"\"content.deadline_ms\" is -1: give a whole"#,
+        ),
+        (
+            "PUT",
+            "/v1/templates/t",
+            put(r#"{"target":"executor","params":{"a":{"kind":"date"}}}"#),
+            400,
+            r#"\"content.params.a.kind\" is"#,
+        ),
+        (
+            "PUT",
+            "/v1/templates/t/params/a",
+            put(r#"{"values":{"a":1.5}}"#),
+            400,
+            r#"\"content.values.a\" must be"#,
+        ),
+        (
+            "DELETE",
+            "/v1/templates/t",
+            r#"{"op":"o","from":1,"content":{}}"#.to_string(),
+            400,
+            r#"\"content\" is not known"#,
+        ),
+        (
+            "POST",
+            "/v1/groups/control/change",
+            "{}".to_string(),
+            400,
+            "only one",
+        ),
+        (
+            "POST",
+            "/v1/groups/control/change",
+            r#"{"remove":"vm1"}"#.to_string(),
+            400,
+            "give VM#FOLDER",
+        ),
+        (
+            "GET",
+            "/v1/groups/other",
+            String::new(),
+            404,
+            "use control or ledger-ZONE",
+        ),
+        (
+            "GET",
+            "/v1/templates/t?current=1",
+            String::new(),
+            400,
+            "give true or false",
+        ),
+        (
+            "GET",
+            "/v1/vms?x=1",
+            String::new(),
+            400,
+            r#"parameter \"x\" is not known"#,
+        ),
+        (
+            "GET",
+            "/v1/timeline?zone=a",
+            String::new(),
+            400,
+            "give all three or none",
+        ),
+        ("POST", "/v1/vms", String::new(), 405, "this path takes GET"),
+        ("GET", "/v2", String::new(), 404, "no such path"),
+        (
+            "PUT",
+            "/v1/templates/t",
+            "x".repeat(2 << 20),
+            413,
+            "the body exceeds",
+        ),
+    ];
+    for (method, path, body, expected, text) in cases {
+        let (status, answer) = operator.call(method, path, &body);
+        assert_eq!(status, expected, "{method} {path} {answer}");
+        assert!(answer.contains(text), "{answer} lacks {text}");
+    }
+    assert_eq!(operator.taken.lock().unwrap().len(), 0);
+}
+
+/// An operator who leaves out optional fields must get defaults that run.
+#[test]
+fn defaults() {
+    let operator = noting();
+    let body = r#"{"op":"o","from":0,"content":{"target":"executor"}}"#;
+    assert_eq!(operator.call("PUT", "/v1/templates/t", body).0, 200);
+    let Request::Edit(Command::Edit { document, .. }) = operator.last() else {
+        panic!("no edit");
+    };
+    let Document::Template {
+        content: Some(content),
+        ..
+    } = document
+    else {
+        panic!("no template");
+    };
+    assert_eq!(
+        (content.deadline_ms, content.retries, content.max_tasks),
+        (30_000, 0, 1200)
+    );
+    let body = r#"{"op":"o","from":0,"content":{}}"#;
+    assert_eq!(
+        operator.call("PUT", "/v1/templates/t/params/a", body).0,
+        200
+    );
+    let Request::Edit(Command::Edit { document, .. }) = operator.last() else {
+        panic!("no edit");
+    };
+    let Document::Params {
+        content: Some(content),
+        ..
+    } = document
+    else {
+        panic!("no parameters");
+    };
+    assert_eq!(
+        (content.weight, content.quota, content.concurrency),
+        (1, 10_000, 1000)
+    );
+}
+
+/// What is read must be what can be written back, or an edit of one field changes others.
+#[test]
+fn documents_read_as_written() {
+    let found = Documents {
+        revision: Revision(9),
+        templates: vec![(
+            TemplateName::new("tours").unwrap(),
+            Versioned {
+                version: Version(2),
+                revision: Revision(9),
+                content: template(),
+            },
+        )],
+        params: Vec::new(),
+    };
+    let answer = operator(
+        Duration::from_secs(5),
+        Box::new(move |_| Some(Reply::Documents(found.clone()))),
+    );
+    let (status, text) = answer.call("GET", "/v1/templates", "");
+    assert_eq!(status, 200);
+    let read: Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(read["templates"][0]["version"], 2);
+    let put = json!({"op": "o", "from": 2, "content": read["templates"][0]["content"]});
+    assert_eq!(
+        answer
+            .call("PUT", "/v1/templates/tours", &put.to_string())
+            .0,
+        200
+    );
+    let content = Some(template());
+    let name = TemplateName::new("tours").unwrap();
+    assert_eq!(
+        answer.last(),
+        edit("o", 2, Document::Template { name, content })
+    );
+}
+
+/// Replies must keep their meaning: a conflict names the current version, a VM that takes no work
+/// isn't ready, a group's state is shown in full.
+#[test]
+fn replies() {
+    let operator = operator(
+        Duration::from_secs(5),
+        Box::new(|request| {
+            Some(match request {
+                Request::Edit(_) => Reply::Edit(Outcome::Refused(EditError::Conflict {
+                    what: "template \"t\"".to_string(),
+                    current: Version(7),
+                    named: Version(6),
+                })),
+                Request::Ready => Reply::NotReady(NotReady::Draining),
+                _ => Reply::Group(Status {
+                    role: Role::Leader,
+                    term: Term(3),
+                    leader: Some(node("vm1", 0)),
+                    commit: Index(5),
+                    last: Index(6),
+                    config: Config {
+                        members: [(node("vm1", 0), Seat::Voter)].into_iter().collect(),
+                    },
+                    matched: SortedMap::new(),
+                }),
+            })
+        }),
+    );
+    let (status, text) = operator.call("DELETE", "/v1/templates/t", r#"{"op":"o","from":6}"#);
+    assert_eq!(status, 409);
+    assert!(
+        text.contains(r#""current":7"#) && text.contains("read it again"),
+        "{text}"
+    );
+    let (status, text) = operator.call("GET", "/readyz", "");
+    assert_eq!((status, text.contains("shutting down")), (503, true));
+    let (_, text) = operator.call("GET", "/v1/groups/control", "");
+    let expected = json!({
+        "role": "leader", "term": 3, "leader": "vm1#0", "commit": 5, "last": 6, "matched": {},
+        "members": [{"node": "vm1#0", "seat": "voter"}],
+    });
+    assert_eq!(serde_json::from_str::<Value>(&text).unwrap(), expected);
+}
+
+/// A reply that never comes must not hold an operator for ever, and must not be called a failure.
+#[test]
+fn no_reply() {
+    let operator = operator(Duration::from_millis(200), Box::new(|_| None));
+    let sent = Instant::now();
+    let (status, text) = operator.call("GET", "/v1/vms", "");
+    assert_eq!(status, 504);
+    assert!(text.contains(r#""not_run":false"#), "{text}");
+    assert!(sent.elapsed() < Duration::from_secs(2));
+}
+
+/// An error must never be reported as "not run" when that isn't certain, and refusals that can be
+/// tried again must say when.
+#[test]
+fn statuses() {
+    let key = JobKey {
+        account: AccountName::new("a").unwrap(),
+        zone: zone("z"),
+        id: Name::new("i").unwrap(),
+    };
+    let retry_ms = 1500;
+    let demand = Demand::default();
+    let name = TemplateName::new("t").unwrap();
+    let target = TargetName::new("t").unwrap();
+    let unknown_zone = ApiError::UnknownZone {
+        zone: zone("z"),
+        known: vec![zone("y")],
+    };
+    let other_zone = ApiError::OtherZone {
+        target: target.clone(),
+        zone: zone("z"),
+        own: zone("y"),
+    };
+    let cases = [
+        (
+            ApiError::Refused(Refusal::Late { retry_ms }),
+            503,
+            true,
+            Some(1500),
+        ),
+        (
+            ApiError::Refused(Refusal::Quota { limit: 1, retry_ms }),
+            429,
+            true,
+            Some(1500),
+        ),
+        (
+            ApiError::Refused(Refusal::Full { retry_ms }),
+            503,
+            true,
+            Some(1500),
+        ),
+        (
+            ApiError::Refused(Refusal::Impossible { demand }),
+            422,
+            true,
+            None,
+        ),
+        (ApiError::Refused(Refusal::Draining), 503, true, Some(0)),
+        (ApiError::OtherContent(key.clone()), 409, true, None),
+        (ApiError::UnknownKey(key.clone()), 404, false, None),
+        (unknown_zone, 404, true, None),
+        (
+            ApiError::Policy(EditError::UnknownTemplate(name.clone())),
+            404,
+            true,
+            None,
+        ),
+        (ApiError::Tasks { count: 0, limit: 1 }, 422, true, None),
+        (ApiError::MissingId { template: name }, 422, true, None),
+        (
+            ApiError::UnknownOutcome { key: Some(key) },
+            504,
+            false,
+            None,
+        ),
+        (
+            ApiError::Unavailable {
+                what: "x".to_string(),
+            },
+            503,
+            true,
+            Some(500),
+        ),
+        (ApiError::NoLeader(Group::Control), 503, false, Some(500)),
+        (ApiError::NotMember(Group::Control), 404, true, None),
+        (ApiError::Change(ChangeError::Pending), 409, true, None),
+        (ApiError::UnknownTarget(target), 404, true, None),
+        (other_zone, 409, true, None),
+        (
+            ApiError::Busy {
+                vm: VmName::new("v").unwrap(),
+            },
+            503,
+            true,
+            Some(500),
+        ),
+    ];
+    for (error, code, not_run, retry_ms) in cases {
+        let report = status::report(&error);
+        let got = (report.status, report.not_run, report.retry_ms);
+        assert_eq!(got, (code, not_run, retry_ms), "{error}");
+        let body: Value = serde_json::from_slice(&status::answer(&error).body).unwrap();
+        assert_eq!(body["not_run"], not_run);
+        assert_eq!(body["retry_ms"].as_u64(), retry_ms);
+    }
+}
--- a/crates/http/tests/front.rs
+++ b/crates/http/tests/front.rs
@@ -247,6 +247,37 @@
     assert_eq!(taken.lock().unwrap().len(), 0);
 }
 
+/// Large bodies that arrive at once must not take more memory than the bound, while small requests
+/// are still served.
+#[test]
+fn arriving_bytes() {
+    let mut settings = settings();
+    settings.limits.server.arriving_bytes = 1_000_000;
+    let front = echoing(settings);
+    let mut large: Vec<TcpStream> = (0..2)
+        .map(|_| {
+            let mut stream = connect(front.address());
+            let head = "POST /v1/jobs HTTP/1.1\r\nContent-Length: 700000\r\n\r\n";
+            stream.write_all(head.as_bytes()).unwrap();
+            stream.write_all(&[b' '; 690_000]).unwrap();
+            stream
+        })
+        .collect();
+    let mut seen = None;
+    for stream in &mut large {
+        stream
+            .set_read_timeout(Some(Duration::from_millis(500)))
+            .unwrap();
+        if stream.peek(&mut [0]).is_ok() {
+            seen = Some(response(stream));
+        }
+    }
+    let (status, _, body) = seen.expect("no large request was refused");
+    assert_eq!(status, 503);
+    assert!(body.contains(r#""not_run":true,"retry_ms":1000"#), "{body}");
+    assert_eq!(exchange(front.address(), "POST", "/v1/jobs", JOB).0, 200);
+}
+
 /// Bodies in chunks, requests sent one after the other without waiting, and a header that a body
 /// could be hidden in.
 #[test]
--- /dev/null
+++ b/crates/http/tests/stop.rs
@@ -0,0 +1,53 @@
+//! Alone in its process, because it looks at the threads of the process.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use greengage_core::VmName;
+use greengage_http::front::{self, Limits, Settings};
+
+fn threads() -> usize {
+    std::fs::read_dir("/proc/self/task").unwrap().count()
+}
+
+/// Stopping the listener must end its threads, also with callers that wait or stopped in the
+/// middle of a request, and must not leave them without an end of the connection.
+#[test]
+fn stop_ends_all_threads() {
+    let before = threads();
+    let settings = Settings {
+        listen: "127.0.0.1:0".parse().unwrap(),
+        vm: VmName::new("vm1").unwrap(),
+        limits: Limits::default(),
+    };
+    let front = front::start(settings, |_, _, _| true).unwrap();
+    let mut callers: Vec<TcpStream> = ["GET /readyz HTTP/1.1\r\n\r\n", "GET /rea", ""]
+        .iter()
+        .map(|text| {
+            let mut stream = TcpStream::connect(front.address()).unwrap();
+            stream.write_all(text.as_bytes()).unwrap();
+            stream
+        })
+        .collect();
+    let end = Instant::now() + Duration::from_secs(2);
+    while front.held() == 0 || front.connections() < 3 {
+        assert!(Instant::now() < end);
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    assert!(threads() > before);
+    let replies = front.replies();
+    drop(front);
+    for stream in &mut callers {
+        assert_eq!(stream.read(&mut [0; 10]).unwrap_or(0), 0);
+    }
+    while threads() > before {
+        assert!(
+            Instant::now() < end,
+            "{} threads remain",
+            threads() - before
+        );
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    drop(replies);
+}
--- /dev/null
+++ b/crates/standin/examples/measure.rs
@@ -0,0 +1,168 @@
+//! Measures the HTTP edges on loopback: `cargo run --release -p greengage-standin --example
+//! measure`.
+//!
+//! First the front end with an immediate reply to each request, then start calls to a stand-in
+//! target with tasks of no length.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, OnceLock};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::unbounded;
+use greengage_control::api::{Progress, Reply, Request};
+use greengage_control::call::{Action, Call, Seen, Start, State};
+use greengage_core::{
+    AccountName, Address, AttemptId, JobKey, Name, Outcome, Payload, SortedMap, TemplateName, Term,
+    VmName, ZoneName,
+};
+use greengage_http::front::{self, Front, Limits, Replies, Settings};
+use greengage_http::target::{self, Client};
+use greengage_standin::{Target, TargetSettings};
+
+const TIME: Duration = Duration::from_secs(3);
+const CALLS: u32 = 20_000;
+
+fn key(id: &str) -> JobKey {
+    let checked = "the names are valid";
+    JobKey {
+        account: AccountName::new("acme").expect(checked),
+        zone: ZoneName::new("a").expect(checked),
+        id: Name::new(id).expect(checked),
+    }
+}
+
+/// A front end whose replies are given by another thread, as the control thread does.
+fn echoing() -> Front {
+    let replies: Arc<OnceLock<Replies>> = Arc::default();
+    let later = replies.clone();
+    let (sender, receiver) = unbounded();
+    thread::spawn(move || {
+        for (id, request) in receiver {
+            if let Request::Submit(job) = request {
+                let outcome = Arc::new(Outcome::Complete(job.tasks));
+                let progress = Progress::Closed(outcome);
+                let key = key("j");
+                later.wait().reply(id, Reply::Job { key, progress });
+            }
+        }
+    });
+    let settings = Settings {
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        vm: VmName::new("vm1").expect("the name is valid"),
+        limits: Limits::default(),
+    };
+    let front = front::start(settings, move |id, _, request| {
+        sender.send((id, request)).is_ok()
+    });
+    let front = front.expect("the listener starts");
+    let _ = replies.set(front.replies());
+    front
+}
+
+fn requests(connections: usize) {
+    let front = echoing();
+    let address = front.address();
+    let body =
+        r#"{"account":"acme","zone":"a","id":"j","template":"tours","tasks":[{"sleep_ms":50}]}"#;
+    let request = format!(
+        "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let began = Instant::now();
+    let threads: Vec<_> = (0..connections)
+        .map(|_| {
+            let request = request.clone();
+            thread::spawn(move || {
+                let mut stream = TcpStream::connect(address).expect("it listens");
+                stream.set_nodelay(true).expect("the option exists");
+                let mut count = 0u64;
+                let mut buffer = [0; 4096];
+                while began.elapsed() < TIME {
+                    stream.write_all(request.as_bytes()).expect("it reads");
+                    let mut got = 0;
+                    // The answer ends with the only closing brace that follows a bracket.
+                    while !buffer[..got].ends_with(b"]}") {
+                        let n = stream.read(&mut buffer[got..]).expect("it answers");
+                        assert!(n > 0, "closed");
+                        got += n;
+                    }
+                    count += 1;
+                }
+                count
+            })
+        })
+        .collect();
+    let count: u64 = threads
+        .into_iter()
+        .map(|t| t.join().expect("no panic"))
+        .sum();
+    let rate = count as f64 / began.elapsed().as_secs_f64();
+    println!("front, {connections} connections: {rate:.0} requests a second");
+}
+
+fn starts(at_once: usize) {
+    let target = Target::start(TargetSettings::new("t1", "a", &[], &[])).expect("it starts");
+    let (calls, receiver) = unbounded();
+    let (sender, seen) = unbounded();
+    let _client = Client::start(target::Settings::default(), receiver, move |token, seen| {
+        let _ = sender.send((token, seen));
+    })
+    .expect("it starts");
+    let address = Address::new(&target.address().to_string()).expect("the address is valid");
+    let mut sent = vec![Instant::now(); CALLS as usize];
+    let mut took = Vec::with_capacity(CALLS as usize);
+    let send = |task: u32, sent: &mut Vec<Instant>| {
+        sent[task as usize] = Instant::now();
+        let start = Start {
+            attempt: AttemptId {
+                key: key("j"),
+                task,
+                number: 1,
+            },
+            term: Term(1),
+            zone: key("j").zone,
+            template: TemplateName::new("tours").expect("the name is valid"),
+            values: SortedMap::new(),
+            payload: Payload::new(&b"{\"echo\":1}"[..]),
+            left: Duration::from_secs(1),
+        };
+        let call = Call {
+            target: target.name().clone(),
+            incarnation: target.incarnation(),
+            address: address.clone(),
+            action: Action::Start(start),
+        };
+        let _ = calls.send((task.into(), call));
+    };
+    let began = Instant::now();
+    for task in 0..at_once as u32 {
+        send(task, &mut sent);
+    }
+    let mut next = at_once as u32;
+    while took.len() < CALLS as usize {
+        let limit = Duration::from_secs(10);
+        let (token, seen) = seen.recv_timeout(limit).expect("each call ends");
+        assert!(matches!(seen, Seen::State(State::Done { .. })), "{seen:?}");
+        took.push(sent[token as usize].elapsed());
+        if next < CALLS {
+            send(next, &mut sent);
+            next += 1;
+        }
+    }
+    let rate = f64::from(CALLS) / began.elapsed().as_secs_f64();
+    took.sort();
+    println!(
+        "start call, {at_once} at once: median {:?}, p99 {:?}, {rate:.0} a second",
+        took[took.len() / 2],
+        took[took.len() * 99 / 100]
+    );
+}
+
+fn main() {
+    requests(8);
+    requests(64);
+    starts(1);
+    starts(8);
+}
--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -413,3 +413,47 @@
     // Sixty tasks of 20 ms, four at once.
     assert!(sent.elapsed() >= Duration::from_millis(300));
 }
+
+/// Stopping a stand-in must end its threads and connections, and its start log must hold a line
+/// for each start, over restarts.
+#[test]
+fn stop_and_log() {
+    let names = || -> Vec<String> {
+        std::fs::read_dir("/proc/self/task")
+            .unwrap()
+            .filter_map(|task| std::fs::read_to_string(task.unwrap().path().join("comm")).ok())
+            .filter(|name| name.starts_with("stopped"))
+            .collect()
+    };
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("starts");
+    let mut settings = TargetSettings::new("stopped", "a", &[], &[]);
+    settings.log = Some(file.clone());
+    let target = Target::start(settings).unwrap();
+    let mut dispatcher = Dispatcher::of(&target);
+    result(dispatcher.start(0, "{}"));
+    result(dispatcher.start(1, "{}"));
+    let target = target.restart().unwrap();
+    assert!(is_not_run(&dispatcher.start(2, "{}")));
+    dispatcher.incarnation = target.incarnation();
+    dispatcher.send(3, start(3, 7, r#"{"sleep_ms":5000}"#));
+    while target.running() == 0 {
+        thread::sleep(Duration::from_millis(1));
+    }
+    assert!(names().len() >= 3);
+    target.stop();
+    assert!(is_broken(&dispatcher.next().1));
+    assert_eq!(names(), Vec::<String>::new());
+    let log = std::fs::read_to_string(&file).unwrap();
+    let lines: Vec<&str> = log
+        .lines()
+        .map(|line| line.split_once(' ').unwrap().1)
+        .collect();
+    let expected = [
+        "a/acme/job:1/0/1 1 run",
+        "a/acme/job:1/1/1 1 run",
+        "a/acme/job:1/2/1 1 refused",
+        "a/acme/job:1/3/1 7 run",
+    ];
+    assert_eq!(lines, expected);
+}
