--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -201,6 +201,7 @@
         Seen::State(_) => "state",
         Seen::NotRun { .. } => "not_run",
         Seen::Broken { .. } => "broken",
+        Seen::Restarted => "restarted",
         Seen::Fenced { .. } => "fenced",
     };
     metrics::counter!("greengage_target_calls_total", "seen" => what).increment(1);
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -74,7 +74,6 @@
                 None => log::error!("a save without a data folder is dropped"),
             },
             Effect::Call { token, call } => {
-                metrics::counter!("greengage_target_calls_total").increment(1);
                 let _ = self.calls.send((token, call));
             }
             Effect::Drained => drop(self.drained.send(())),
