Split the control crate's state by job

Cause: zone.rs had 1,230 lines and control.rs 770, each with several jobs.

Change: one file each for requests, ledger commands, attempts, targets and recovery of a zone's leader, and for ledger groups and shutdown.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -8,13 +8,13 @@
 use std::collections::VecDeque;
 
 use greengage_agreement as agreement;
-use greengage_agreement::{EntryKind, Ticket};
+use greengage_agreement::{EntryKind, Role, Ticket};
 use greengage_core::{Index, Revision, VmName};
 use greengage_membership::VmStatus;
 use greengage_policy as policy;
 
 use crate::api::{ApiError, Group, Reply, Request};
-use crate::control::Control;
+use crate::control::{Control, PolicyEffects};
 use crate::message::{Body, Effect, GroupSave};
 use crate::replica::refused;
 use crate::zone::Origin;
@@ -317,6 +317,38 @@
     }
 }
 
+impl Control {
+    pub(crate) fn drive_control(&mut self, effects: PolicyEffects) {
+        for effect in effects {
+            match effect {
+                agreement::Effect::Save(save) => {
+                    self.out.push(Effect::Save(GroupSave::Control(save)));
+                }
+                agreement::Effect::Send { to, message } => {
+                    let body = Body::Control {
+                        from: self.site.node(),
+                        to: to.clone(),
+                        message,
+                    };
+                    self.send(&to.vm, body);
+                }
+                agreement::Effect::Apply(entries) => self.apply_control(entries),
+                agreement::Effect::Restore(snapshot) => self.restore_policy(snapshot.state),
+                agreement::Effect::ReadReady { ticket, .. } => self.read_ready(ticket),
+                agreement::Effect::Role { role, term, .. } => {
+                    self.record(&format!("control group: {role:?} in term {term}"));
+                    if !matches!(role, Role::Leader) {
+                        self.drop_edits();
+                    }
+                    self.reroute();
+                }
+                // The proposer looks at these itself.
+                agreement::Effect::Appended { .. } | agreement::Effect::Refused { .. } => {}
+            }
+        }
+    }
+}
+
 /// Where a proposal was appended in the same step.
 pub(crate) fn appended<C, S>(
     ticket: Ticket,
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use greengage_agreement as agreement;
-use greengage_agreement::{EntryKind, Role, Seat, Ticket};
+use greengage_agreement::Ticket;
 use greengage_core::{Index, NodeId, RequestId, Revision, SortedMap, Term, Time, VmName, ZoneName};
 use greengage_ledger as ledger;
 use greengage_ledger::Ledger;
@@ -14,20 +14,19 @@
 use greengage_policy::Policy;
 use greengage_timeline::Timeline;
 
-use crate::api::{ApiError, Group, NotReady, Reply, Request};
-use crate::call::Seen;
+use crate::api::{Group, NotReady, Reply, Request};
 use crate::configuration::EditLog;
-use crate::message::{Body, Effect, Envelope, Event, GroupSave, Now, Restored, Saved};
-use crate::replica::{self, refused, Replica};
+use crate::message::{Body, Effect, Envelope, Event, Now, Restored, Saved};
+use crate::replica::{self, Replica};
 use crate::routing::{Caller, RouteTimer};
 use crate::site::Site;
 use crate::timers::Timers;
-use crate::zone::{Cx, Origin, Output, Zone, ZoneLimits};
+use crate::zone::{Origin, Zone};
 
 /// The effects of one step of a ledger group.
-type LedgerEffects = Vec<agreement::Effect<ledger::Command, ledger::State>>;
+pub(crate) type LedgerEffects = Vec<agreement::Effect<ledger::Command, ledger::State>>;
 /// The effects of one step of the control group.
-type PolicyEffects = Vec<agreement::Effect<policy::Command, policy::State>>;
+pub(crate) type PolicyEffects = Vec<agreement::Effect<policy::Command, policy::State>>;
 
 /// What the data folder held at start.
 #[derive(Default)]
@@ -82,7 +81,7 @@
     pub(crate) edit_log: EditLog,
     pub(crate) next_status: Time,
     pub(crate) draining: Option<Time>,
-    drained: bool,
+    pub(crate) drained: bool,
     pub(crate) disk_failed: bool,
     pub(crate) out: Vec<Effect>,
 }
@@ -249,7 +248,7 @@
         }
     }
 
-    fn ledger_zones(&self) -> Vec<ZoneName> {
+    pub(crate) fn ledger_zones(&self) -> Vec<ZoneName> {
         self.ledgers.keys().cloned().collect()
     }
 
@@ -368,218 +367,6 @@
         self.timeline.record(wall, None, None, what.to_string());
     }
 
-    // The ledger groups.
-
-    pub(crate) fn drive_ledger(&mut self, name: &ZoneName, effects: LedgerEffects) {
-        for effect in effects {
-            match effect {
-                agreement::Effect::Save(save) => {
-                    let zone = name.clone();
-                    self.out
-                        .push(Effect::Save(GroupSave::Ledger { zone, save }));
-                }
-                agreement::Effect::Send { to, message } => {
-                    let body = Body::Ledger {
-                        zone: name.clone(),
-                        from: self.site.node(),
-                        to: to.clone(),
-                        message,
-                    };
-                    self.send(&to.vm, body);
-                }
-                agreement::Effect::Apply(entries) => {
-                    for entry in entries {
-                        self.apply_ledger(name, entry);
-                    }
-                    self.compact_ledger(name);
-                }
-                agreement::Effect::Restore(snapshot) => {
-                    if let Some(group) = self.ledgers.get_mut(name) {
-                        group.ledger.restore(snapshot.state);
-                    }
-                }
-                agreement::Effect::ReadReady { ticket, .. } => {
-                    if name == self.site.zone() {
-                        self.with_zone(|zone, cx| zone.confirmed(cx, ticket));
-                    }
-                }
-                agreement::Effect::Role { role, term, .. } => self.ledger_role(name, role, term),
-                // The proposer looks at these itself.
-                agreement::Effect::Appended { .. } | agreement::Effect::Refused { .. } => {}
-            }
-        }
-    }
-
-    fn apply_ledger(&mut self, name: &ZoneName, entry: agreement::Entry<ledger::Command>) {
-        let Some(group) = self.ledgers.get_mut(name) else {
-            return;
-        };
-        match entry.kind {
-            EntryKind::Command(command) => {
-                let applied = group.ledger.apply(entry.index, &command);
-                if name == self.site.zone() {
-                    self.with_zone(|zone, cx| zone.applied(cx, &command, applied));
-                }
-            }
-            EntryKind::Noop => {}
-            EntryKind::Config(config) => {
-                let change = group.changes.remove(&entry.index);
-                self.changed(change, entry.term, config);
-            }
-        }
-        self.begin_zone(name, entry.term);
-    }
-
-    /// Answers the caller of a membership change that is committed.
-    pub(crate) fn changed(
-        &mut self,
-        change: Option<(Term, Origin)>,
-        term: Term,
-        config: agreement::Config,
-    ) {
-        if let Some((proposed, origin)) = change {
-            let reply = match proposed == term {
-                true => Reply::Changed(config),
-                false => Reply::Error(ApiError::UnknownOutcome { key: None }),
-            };
-            self.answer(origin, reply);
-        }
-    }
-
-    fn compact_ledger(&mut self, name: &ZoneName) {
-        let now = self.now.time;
-        let every = self.site.limits.compact;
-        if let Some(group) = self.ledgers.get_mut(name) {
-            let ledger = &group.ledger;
-            let effects = group.replica.compact(now, every, || ledger.snapshot());
-            self.drive_ledger(name, effects);
-        }
-    }
-
-    fn ledger_role(&mut self, name: &ZoneName, role: Role, term: Term) {
-        self.record(&format!("ledger group of {name}: {role:?} in term {term}"));
-        if name == self.site.zone() && !matches!(role, Role::Leader) {
-            self.end_zone();
-        }
-    }
-
-    /// Becomes the zone's dispatcher once an entry of the own term is applied. From then on every
-    /// entry of earlier terms is applied too.
-    fn begin_zone(&mut self, name: &ZoneName, term: Term) {
-        if name != self.site.zone() || self.zone.is_some() {
-            return;
-        }
-        let Some(group) = self.ledgers.get(name) else {
-            return;
-        };
-        if !group.replica.leads() || group.replica.term() != term {
-            return;
-        }
-        let limits = ZoneLimits {
-            retention: self.site.limits.retention,
-            fence: self.site.limits.fence,
-            repoll: self.site.limits.repoll,
-        };
-        let targets = self.membership.targets();
-        let seed = self.site.seed ^ term.0;
-        let mut cx = Cx {
-            now: self.now,
-            ledger: &group.ledger,
-            policy: &self.policy,
-            timeline: &mut self.timeline,
-            out: Vec::new(),
-        };
-        let zone = Zone::new(name.clone(), term, seed, limits, targets, &mut cx);
-        let out = cx.out;
-        self.zone = Some(zone);
-        self.leaders
-            .insert(name.clone(), (term, self.site.vm.clone()));
-        self.record(&format!("dispatching for zone {name} in term {term}"));
-        self.report();
-        self.zone_outputs(out);
-        self.reroute();
-    }
-
-    fn end_zone(&mut self) {
-        let Some(zone) = self.zone.take() else { return };
-        let name = zone.name.clone();
-        self.record(&format!("no longer dispatching for zone {name}"));
-        let own = |leader: &(Term, VmName)| leader.1 == self.site.vm;
-        if self.leaders.get(&name).is_some_and(own) {
-            self.leaders.remove(&name);
-        }
-        self.report();
-        self.reroute();
-    }
-
-    /// Runs `act` on the zone's leader state, if this VM has it, and carries out its outputs.
-    pub(crate) fn with_zone(&mut self, act: impl FnOnce(&mut Zone, &mut Cx<'_>)) {
-        let Some(zone) = &mut self.zone else { return };
-        let group = self.ledgers.get(&zone.name).expect("a leader is a member");
-        let mut cx = Cx {
-            now: self.now,
-            ledger: &group.ledger,
-            policy: &self.policy,
-            timeline: &mut self.timeline,
-            out: Vec::new(),
-        };
-        act(zone, &mut cx);
-        let out = cx.out;
-        self.zone_outputs(out);
-    }
-
-    fn zone_outputs(&mut self, outputs: Vec<Output>) {
-        for output in outputs {
-            match output {
-                Output::Propose(command) => self.propose_ledger(command),
-                Output::Read => self.read_ledger(),
-                Output::Call { token, call } => self.out.push(Effect::Call { token, call }),
-                Output::Answer { origin, reply } => self.answer(origin, reply),
-            }
-        }
-    }
-
-    fn propose_ledger(&mut self, command: ledger::Command) {
-        let now = self.now.time;
-        let name = self.site.zone().clone();
-        let Some(group) = self.ledgers.get_mut(&name) else {
-            return;
-        };
-        let (ticket, effects) = group.replica.propose(now, command.clone());
-        if refused(ticket, &effects).is_some() {
-            if let Some(zone) = &mut self.zone {
-                zone.delay(now, command);
-            }
-        }
-        self.drive_ledger(&name, effects);
-    }
-
-    fn read_ledger(&mut self) {
-        let now = self.now.time;
-        let name = self.site.zone().clone();
-        let Some(group) = self.ledgers.get_mut(&name) else {
-            return;
-        };
-        let (ticket, effects) = group.replica.read(now);
-        if let Some(zone) = &mut self.zone {
-            zone.reading(ticket);
-        }
-        self.drive_ledger(&name, effects);
-    }
-
-    fn seen(&mut self, token: u64, seen: Seen) {
-        let target = self
-            .zone
-            .as_ref()
-            .and_then(|zone| zone.target_of(token))
-            .cloned();
-        let health = Zone::health(&seen);
-        self.with_zone(|zone, cx| zone.seen(cx, token, seen));
-        if let (Some(target), Some(result)) = (target, health) {
-            self.member(membership::Event::Attempt { target, result });
-        }
-    }
-
     // Membership.
 
     pub(crate) fn member(&mut self, event: membership::Event) {
@@ -678,96 +465,4 @@
         }
         Reply::Ready
     }
-
-    // Shutdown.
-
-    fn drain(&mut self) {
-        if self.draining.is_some() {
-            return;
-        }
-        self.draining = Some(self.now.time + self.site.limits.drain_grace);
-        self.record("draining");
-        self.report();
-    }
-
-    /// Hands leadership over and reports when nothing is in flight any more.
-    fn check_drained(&mut self) {
-        let Some(since) = self.draining else { return };
-        if self.drained {
-            return;
-        }
-        let leads = self.hand_over();
-        let busy = self.zone.as_ref().is_some_and(|zone| !zone.idle());
-        if !leads && !busy && self.callers.is_empty() && self.now.time >= since {
-            self.drained = true;
-            self.out.push(Effect::Drained);
-        }
-    }
-
-    /// Transfers what can be transferred; returns whether a transfer is still under way.
-    fn hand_over(&mut self) -> bool {
-        let now = self.now.time;
-        let mut leads = false;
-        if let Some(group) = &mut self.control {
-            if group.replica.leads() && voters(&group.replica.status()) > 1 {
-                leads = true;
-                let effects = group.replica.step(now, agreement::Event::Transfer(None));
-                self.drive_control(effects);
-            }
-        }
-        for name in self.ledger_zones() {
-            let Some(group) = self.ledgers.get_mut(&name) else {
-                continue;
-            };
-            if !group.replica.leads() {
-                continue;
-            }
-            if voters(&group.replica.status()) > 1 {
-                leads = true;
-                let effects = group.replica.step(now, agreement::Event::Transfer(None));
-                self.drive_ledger(&name, effects);
-            } else if let Some(zone) = &mut self.zone {
-                zone.drain();
-            }
-        }
-        leads
-    }
-}
-
-/// Members that can lead and vote.
-fn voters(status: &agreement::Status) -> usize {
-    let votes = |seat: &&Seat| matches!(seat, Seat::Voter);
-    status.config.members.values().filter(votes).count()
-}
-
-impl Control {
-    pub(crate) fn drive_control(&mut self, effects: PolicyEffects) {
-        for effect in effects {
-            match effect {
-                agreement::Effect::Save(save) => {
-                    self.out.push(Effect::Save(GroupSave::Control(save)));
-                }
-                agreement::Effect::Send { to, message } => {
-                    let body = Body::Control {
-                        from: self.site.node(),
-                        to: to.clone(),
-                        message,
-                    };
-                    self.send(&to.vm, body);
-                }
-                agreement::Effect::Apply(entries) => self.apply_control(entries),
-                agreement::Effect::Restore(snapshot) => self.restore_policy(snapshot.state),
-                agreement::Effect::ReadReady { ticket, .. } => self.read_ready(ticket),
-                agreement::Effect::Role { role, term, .. } => {
-                    self.record(&format!("control group: {role:?} in term {term}"));
-                    if !matches!(role, Role::Leader) {
-                        self.drop_edits();
-                    }
-                    self.reroute();
-                }
-                // The proposer looks at these itself.
-                agreement::Effect::Appended { .. } | agreement::Effect::Refused { .. } => {}
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/control/src/ledgers.rs
@@ -0,0 +1,231 @@
+//! The ledger groups: carrying out the effects of agreement, and the beginning and end of this
+//! VM's time as its zone's leader.
+
+use greengage_agreement as agreement;
+use greengage_agreement::{EntryKind, Role};
+use greengage_core::{Term, VmName, ZoneName};
+use greengage_ledger as ledger;
+use greengage_membership as membership;
+
+use crate::api::{ApiError, Reply};
+use crate::call::Seen;
+use crate::control::{Control, LedgerEffects};
+use crate::message::{Body, Effect, GroupSave};
+use crate::replica::refused;
+use crate::zone::{Cx, Origin, Output, Zone, ZoneLimits};
+
+impl Control {
+    pub(crate) fn drive_ledger(&mut self, name: &ZoneName, effects: LedgerEffects) {
+        for effect in effects {
+            match effect {
+                agreement::Effect::Save(save) => {
+                    let zone = name.clone();
+                    self.out
+                        .push(Effect::Save(GroupSave::Ledger { zone, save }));
+                }
+                agreement::Effect::Send { to, message } => {
+                    let body = Body::Ledger {
+                        zone: name.clone(),
+                        from: self.site.node(),
+                        to: to.clone(),
+                        message,
+                    };
+                    self.send(&to.vm, body);
+                }
+                agreement::Effect::Apply(entries) => {
+                    for entry in entries {
+                        self.apply_ledger(name, entry);
+                    }
+                    self.compact_ledger(name);
+                }
+                agreement::Effect::Restore(snapshot) => {
+                    if let Some(group) = self.ledgers.get_mut(name) {
+                        group.ledger.restore(snapshot.state);
+                    }
+                }
+                agreement::Effect::ReadReady { ticket, .. } => {
+                    if name == self.site.zone() {
+                        self.with_zone(|zone, cx| zone.confirmed(cx, ticket));
+                    }
+                }
+                agreement::Effect::Role { role, term, .. } => self.ledger_role(name, role, term),
+                // The proposer looks at these itself.
+                agreement::Effect::Appended { .. } | agreement::Effect::Refused { .. } => {}
+            }
+        }
+    }
+
+    pub(crate) fn apply_ledger(
+        &mut self,
+        name: &ZoneName,
+        entry: agreement::Entry<ledger::Command>,
+    ) {
+        let Some(group) = self.ledgers.get_mut(name) else {
+            return;
+        };
+        match entry.kind {
+            EntryKind::Command(command) => {
+                let applied = group.ledger.apply(entry.index, &command);
+                if name == self.site.zone() {
+                    self.with_zone(|zone, cx| zone.applied(cx, &command, applied));
+                }
+            }
+            EntryKind::Noop => {}
+            EntryKind::Config(config) => {
+                let change = group.changes.remove(&entry.index);
+                self.changed(change, entry.term, config);
+            }
+        }
+        self.begin_zone(name, entry.term);
+    }
+
+    /// Answers the caller of a membership change that is committed.
+    pub(crate) fn changed(
+        &mut self,
+        change: Option<(Term, Origin)>,
+        term: Term,
+        config: agreement::Config,
+    ) {
+        if let Some((proposed, origin)) = change {
+            let reply = match proposed == term {
+                true => Reply::Changed(config),
+                false => Reply::Error(ApiError::UnknownOutcome { key: None }),
+            };
+            self.answer(origin, reply);
+        }
+    }
+
+    pub(crate) fn compact_ledger(&mut self, name: &ZoneName) {
+        let now = self.now.time;
+        let every = self.site.limits.compact;
+        if let Some(group) = self.ledgers.get_mut(name) {
+            let ledger = &group.ledger;
+            let effects = group.replica.compact(now, every, || ledger.snapshot());
+            self.drive_ledger(name, effects);
+        }
+    }
+
+    pub(crate) fn ledger_role(&mut self, name: &ZoneName, role: Role, term: Term) {
+        self.record(&format!("ledger group of {name}: {role:?} in term {term}"));
+        if name == self.site.zone() && !matches!(role, Role::Leader) {
+            self.end_zone();
+        }
+    }
+
+    /// Becomes the zone's dispatcher once an entry of the own term is applied. From then on every
+    /// entry of earlier terms is applied too.
+    pub(crate) fn begin_zone(&mut self, name: &ZoneName, term: Term) {
+        if name != self.site.zone() || self.zone.is_some() {
+            return;
+        }
+        let Some(group) = self.ledgers.get(name) else {
+            return;
+        };
+        if !group.replica.leads() || group.replica.term() != term {
+            return;
+        }
+        let limits = ZoneLimits {
+            retention: self.site.limits.retention,
+            fence: self.site.limits.fence,
+            repoll: self.site.limits.repoll,
+        };
+        let targets = self.membership.targets();
+        let seed = self.site.seed ^ term.0;
+        let mut cx = Cx {
+            now: self.now,
+            ledger: &group.ledger,
+            policy: &self.policy,
+            timeline: &mut self.timeline,
+            out: Vec::new(),
+        };
+        let zone = Zone::new(name.clone(), term, seed, limits, targets, &mut cx);
+        let out = cx.out;
+        self.zone = Some(zone);
+        self.leaders
+            .insert(name.clone(), (term, self.site.vm.clone()));
+        self.record(&format!("dispatching for zone {name} in term {term}"));
+        self.report();
+        self.zone_outputs(out);
+        self.reroute();
+    }
+
+    pub(crate) fn end_zone(&mut self) {
+        let Some(zone) = self.zone.take() else { return };
+        let name = zone.name.clone();
+        self.record(&format!("no longer dispatching for zone {name}"));
+        let own = |leader: &(Term, VmName)| leader.1 == self.site.vm;
+        if self.leaders.get(&name).is_some_and(own) {
+            self.leaders.remove(&name);
+        }
+        self.report();
+        self.reroute();
+    }
+
+    /// Runs `act` on the zone's leader state, if this VM has it, and carries out its outputs.
+    pub(crate) fn with_zone(&mut self, act: impl FnOnce(&mut Zone, &mut Cx<'_>)) {
+        let Some(zone) = &mut self.zone else { return };
+        let group = self.ledgers.get(&zone.name).expect("a leader is a member");
+        let mut cx = Cx {
+            now: self.now,
+            ledger: &group.ledger,
+            policy: &self.policy,
+            timeline: &mut self.timeline,
+            out: Vec::new(),
+        };
+        act(zone, &mut cx);
+        let out = cx.out;
+        self.zone_outputs(out);
+    }
+
+    pub(crate) fn zone_outputs(&mut self, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Propose(command) => self.propose_ledger(command),
+                Output::Read => self.read_ledger(),
+                Output::Call { token, call } => self.out.push(Effect::Call { token, call }),
+                Output::Answer { origin, reply } => self.answer(origin, reply),
+            }
+        }
+    }
+
+    pub(crate) fn propose_ledger(&mut self, command: ledger::Command) {
+        let now = self.now.time;
+        let name = self.site.zone().clone();
+        let Some(group) = self.ledgers.get_mut(&name) else {
+            return;
+        };
+        let (ticket, effects) = group.replica.propose(now, command.clone());
+        if refused(ticket, &effects).is_some() {
+            if let Some(zone) = &mut self.zone {
+                zone.delay(now, command);
+            }
+        }
+        self.drive_ledger(&name, effects);
+    }
+
+    pub(crate) fn read_ledger(&mut self) {
+        let now = self.now.time;
+        let name = self.site.zone().clone();
+        let Some(group) = self.ledgers.get_mut(&name) else {
+            return;
+        };
+        let (ticket, effects) = group.replica.read(now);
+        if let Some(zone) = &mut self.zone {
+            zone.reading(ticket);
+        }
+        self.drive_ledger(&name, effects);
+    }
+
+    pub(crate) fn seen(&mut self, token: u64, seen: Seen) {
+        let target = self
+            .zone
+            .as_ref()
+            .and_then(|zone| zone.target_of(token))
+            .cloned();
+        let health = Zone::health(&seen);
+        self.with_zone(|zone, cx| zone.seen(cx, token, seen));
+        if let (Some(target), Some(result)) = (target, health) {
+            self.member(membership::Event::Attempt { target, result });
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,11 +12,12 @@
 
 mod configuration;
 mod control;
+mod ledgers;
 mod message;
 mod operators;
-mod recovery;
 mod replica;
 mod routing;
+mod shutdown;
 mod site;
 mod timers;
 mod zone;
--- /dev/null
+++ b/crates/control/src/shutdown.rs
@@ -0,0 +1,67 @@
+//! Graceful shutdown: leadership is handed over, and the VM ends when nothing is in flight.
+
+use greengage_agreement as agreement;
+use greengage_agreement::Seat;
+
+use crate::control::Control;
+use crate::message::Effect;
+
+impl Control {
+    pub(crate) fn drain(&mut self) {
+        if self.draining.is_some() {
+            return;
+        }
+        self.draining = Some(self.now.time + self.site.limits.drain_grace);
+        self.record("draining");
+        self.report();
+    }
+
+    /// Hands leadership over and reports when nothing is in flight any more.
+    pub(crate) fn check_drained(&mut self) {
+        let Some(since) = self.draining else { return };
+        if self.drained {
+            return;
+        }
+        let leads = self.hand_over();
+        let busy = self.zone.as_ref().is_some_and(|zone| !zone.idle());
+        if !leads && !busy && self.callers.is_empty() && self.now.time >= since {
+            self.drained = true;
+            self.out.push(Effect::Drained);
+        }
+    }
+
+    /// Transfers what can be transferred; returns whether a transfer is still under way.
+    pub(crate) fn hand_over(&mut self) -> bool {
+        let now = self.now.time;
+        let mut leads = false;
+        if let Some(group) = &mut self.control {
+            if group.replica.leads() && voters(&group.replica.status()) > 1 {
+                leads = true;
+                let effects = group.replica.step(now, agreement::Event::Transfer(None));
+                self.drive_control(effects);
+            }
+        }
+        for name in self.ledger_zones() {
+            let Some(group) = self.ledgers.get_mut(&name) else {
+                continue;
+            };
+            if !group.replica.leads() {
+                continue;
+            }
+            if voters(&group.replica.status()) > 1 {
+                leads = true;
+                let effects = group.replica.step(now, agreement::Event::Transfer(None));
+                self.drive_ledger(&name, effects);
+            } else if let Some(zone) = &mut self.zone {
+                zone.drain();
+            }
+        }
+        leads
+    }
+}
+
+/// Members that can lead and vote.
+fn voters(status: &agreement::Status) -> usize {
+    let votes = |seat: &&Seat| matches!(seat, Seat::Voter);
+    status.config.members.values().filter(votes).count()
+}
--- /dev/null
+++ b/crates/control/src/zone/mod.rs
@@ -0,0 +1,312 @@
+//! The state of the leader of a zone's ledger group.
+//!
+//! A `Zone` exists from the moment an entry of the leader's own term is applied until leadership
+//! ends. It turns requests into ledger commands, applied commands into inputs of the dispatcher,
+//! and the dispatcher's effects into calls to targets. Invariants:
+//!
+//! - A start is sent only for a job whose begin is applied, or for a repeatable request, which the
+//!   ledger doesn't hold.
+//! - An outcome is given to a caller only after its close is applied.
+//! - A refusal is given only after a read of the ledger is confirmed by a quorum, since a leader
+//!   that was replaced unknowingly can't know what its successor ran.
+//! - Commands are proposed in order: once one is refused, later ones wait behind it. A target's
+//!   deregistration therefore never overtakes the closes that its loss caused.
+
+mod attempts;
+mod commands;
+mod recovery;
+mod requests;
+mod targets;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use greengage_agreement::Ticket;
+use greengage_core::{
+    AttemptId, Failure, Incarnation, JobKey, JobNumber, Name, Outcome, Payload, Refusal, RequestId,
+    Revision, SortedMap, TargetName, Term, Time, VmName, Wall, ZoneName,
+};
+use greengage_dispatch as dispatch;
+use greengage_dispatch::{Admission, Attempt, Dispatch, Job, Mode, Settled};
+use greengage_ledger::{Applied, Command, Ledger, Stage, Submission};
+use greengage_membership as membership;
+use greengage_membership::{Announcement, Standing};
+use greengage_policy::{ParamValue, Policy, Resolved};
+use greengage_timeline::Timeline;
+
+use crate::api::{ApiError, NewJob, NewRequest, Progress, Reply};
+use crate::call::{Action, Call, Seen, Start, State};
+use crate::message::Now;
+use crate::timers::Timers;
+
+use recovery::Recovery;
+
+/// Least time between two looks for submissions whose retention has ended.
+const EXPIRE_EVERY: Duration = Duration::from_secs(10);
+/// How long a proposal waits that was refused while leadership was being transferred.
+const REPROPOSE_AFTER: Duration = Duration::from_millis(50);
+/// Bits of a call's number that count calls within one term.
+const TOKEN_BITS: u32 = 32;
+
+/// A caller: the VM that holds its connection, and that VM's number of it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Origin {
+    pub(crate) vm: VmName,
+    pub(crate) id: RequestId,
+}
+
+/// What the zone's leader wants done.
+pub(crate) enum Output {
+    /// Propose a command to the zone's ledger group.
+    Propose(Command),
+    /// Confirm by a quorum that this VM still leads, then call `Zone::confirmed`.
+    Read,
+    /// Call a target.
+    Call { token: u64, call: Call },
+    /// Reply to a caller.
+    Answer { origin: Origin, reply: Reply },
+}
+
+/// What the zone may look at while it handles an input, and where its outputs go.
+pub(crate) struct Cx<'a> {
+    pub(crate) now: Now,
+    pub(crate) ledger: &'a Ledger,
+    pub(crate) policy: &'a Policy,
+    pub(crate) timeline: &'a mut Timeline,
+    pub(crate) out: Vec<Output>,
+}
+
+impl Cx<'_> {
+    pub(crate) fn propose(&mut self, command: Command) {
+        self.out.push(Output::Propose(command));
+    }
+
+    pub(crate) fn answer(&mut self, origin: Origin, reply: Reply) {
+        self.out.push(Output::Answer { origin, reply });
+    }
+
+    pub(crate) fn record(&mut self, key: Option<&JobKey>, target: Option<&TargetName>, what: &str) {
+        let wall = self.now.wall;
+        self.timeline
+            .record(wall, key.cloned(), target.cloned(), what.to_string());
+    }
+}
+
+/// How far a job has come at this leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LiveStage {
+    /// Its accept is proposed.
+    Proposed,
+    /// Accepted; nothing started.
+    Queued,
+    /// Begun under an earlier leader; what runs isn't known yet.
+    Recovering,
+    /// Tasks may have started.
+    Begun,
+    /// Its close is proposed.
+    Closing,
+}
+
+/// A job or request that isn't closed.
+pub(crate) struct Live {
+    /// The key in the ledger, or one made up for a repeatable request.
+    pub(crate) key: JobKey,
+    /// The caller of a repeatable request; `None` for submissions.
+    pub(crate) single: Option<Origin>,
+    pub(crate) digest: greengage_core::Digest,
+    pub(crate) submission: Arc<Submission>,
+    pub(crate) values: SortedMap<Name, ParamValue>,
+    pub(crate) results: Vec<Option<Payload>>,
+    pub(crate) stage: LiveStage,
+    pub(crate) spec: Job,
+    pub(crate) cancel: bool,
+}
+
+/// What is known of a sent attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// The start call is under way.
+    Starting,
+    /// The target said that the task runs.
+    Running,
+    /// The start call broke off; the target is asked to revoke the attempt.
+    Revoking,
+}
+
+/// An attempt that isn't settled.
+struct Flight {
+    attempt: Attempt,
+    id: AttemptId,
+    target: TargetName,
+    phase: Phase,
+    fresh: bool,
+}
+
+/// A target as the leader uses it.
+pub(crate) struct Member {
+    pub(crate) announcement: Announcement,
+    pub(crate) standing: Standing,
+    /// The ledger holds its registration.
+    pub(crate) registered: bool,
+    /// The dispatcher knows it.
+    pub(crate) joined: bool,
+    /// Calls whose attempts aren't settled.
+    flights: BTreeSet<u64>,
+}
+
+/// A caller that waits for the end of a submission.
+struct Waiter {
+    origin: Origin,
+    until: Time,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Waiter(JobKey, Origin),
+    Poll(u64),
+    Fence(TargetName),
+    Recovery,
+    Expire,
+    Repropose,
+}
+
+/// Settings of a zone's leader.
+#[derive(Clone)]
+pub(crate) struct ZoneLimits {
+    pub(crate) retention: Duration,
+    pub(crate) fence: Duration,
+    pub(crate) repoll: Duration,
+}
+
+/// The leader's state.
+pub(crate) struct Zone {
+    pub(crate) name: ZoneName,
+    pub(crate) term: Term,
+    pub(crate) limits: ZoneLimits,
+    pub(crate) dispatch: Dispatch,
+    pub(crate) live: BTreeMap<JobNumber, Live>,
+    pub(crate) keys: BTreeMap<JobKey, JobNumber>,
+    pub(crate) targets: SortedMap<TargetName, Member>,
+    pub(crate) recovery: Option<Recovery>,
+    flights: BTreeMap<u64, Flight>,
+    attempts: BTreeMap<Attempt, u64>,
+    fences: BTreeMap<u64, TargetName>,
+    waiters: BTreeMap<JobKey, Vec<Waiter>>,
+    timers: Timers<Timer>,
+    unconfirmed: Vec<(Origin, Reply)>,
+    reading: Vec<(Ticket, Vec<(Origin, Reply)>)>,
+    delayed: Vec<Command>,
+    jobs: u64,
+    tokens: u64,
+    shares: Revision,
+    draining: bool,
+}
+
+impl Zone {
+    /// Takes over the zone: queues what was accepted, and asks the targets about what was begun.
+    pub(crate) fn new(
+        name: ZoneName,
+        term: Term,
+        seed: u64,
+        limits: ZoneLimits,
+        targets: Vec<membership::TargetView>,
+        cx: &mut Cx<'_>,
+    ) -> Zone {
+        let mut zone = Zone {
+            name,
+            term,
+            limits,
+            dispatch: Dispatch::new(dispatch::Tuning::default(), seed),
+            live: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            targets: SortedMap::new(),
+            recovery: None,
+            flights: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            fences: BTreeMap::new(),
+            waiters: BTreeMap::new(),
+            timers: Timers::new(),
+            unconfirmed: Vec::new(),
+            reading: Vec::new(),
+            delayed: Vec::new(),
+            jobs: 0,
+            tokens: 0,
+            shares: Revision(0),
+            draining: false,
+        };
+        zone.share(cx);
+        zone.take_over(cx);
+        for view in targets {
+            zone.target_up(cx, view.announcement, view.standing);
+        }
+        zone.check_recovery(cx);
+        let now = cx.now.time;
+        zone.timers.set(now + EXPIRE_EVERY, Timer::Expire);
+        zone
+    }
+
+    /// The next time at which `tick` has something to do.
+    pub(crate) fn wake(&self) -> Option<Time> {
+        let own = self.timers.next();
+        let dispatch = self.dispatch.wake();
+        own.into_iter().chain(dispatch).min()
+    }
+
+    /// Whether nothing is in flight.
+    pub(crate) fn idle(&self) -> bool {
+        self.live.is_empty() && self.flights.is_empty() && self.reading.is_empty()
+    }
+
+    /// Jobs and requests that aren't closed.
+    pub(crate) fn load(&self) -> u32 {
+        self.live.len() as u32
+    }
+
+    /// Refuses new work from here on.
+    pub(crate) fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Tells the dispatcher the accounts' limits when the configuration has changed.
+    pub(crate) fn share(&mut self, cx: &mut Cx<'_>) {
+        if self.shares == cx.policy.revision() && self.shares != Revision(0) {
+            return;
+        }
+        self.shares = cx.policy.revision();
+        let shares: Vec<dispatch::Event> = cx
+            .policy
+            .all_params()
+            .map(|(template, account, _, params)| dispatch::Event::Share {
+                work: template.clone(),
+                account: account.clone(),
+                share: dispatch::Share {
+                    weight: params.weight,
+                    quota: params.quota,
+                    concurrency: params.concurrency,
+                    burst: params.burst,
+                },
+            })
+            .collect();
+        for share in shares {
+            self.dispatch_step(cx, share);
+        }
+    }
+
+    /// Does what is due.
+    pub(crate) fn tick(&mut self, cx: &mut Cx<'_>) {
+        while let Some(timer) = self.timers.pop(cx.now.time) {
+            match timer {
+                Timer::Waiter(key, origin) => self.waiter_due(cx, &key, &origin),
+                Timer::Poll(token) => self.poll(cx, token),
+                Timer::Fence(target) => self.fence(cx, &target),
+                Timer::Recovery => self.recovery_due(cx),
+                Timer::Expire => self.expire(cx),
+                Timer::Repropose => self.repropose(cx),
+            }
+        }
+        if self.dispatch.wake().is_some_and(|at| at <= cx.now.time) {
+            self.dispatch_step(cx, dispatch::Event::Tick);
+        }
+    }
+}
--- a/crates/control/src/recovery.rs
+++ b/crates/control/src/zone/recovery.rs
@@ -15,8 +15,9 @@
 use greengage_dispatch::{Attempt, Mode, Running};
 use greengage_ledger::{Command, Stage};
 
+use super::requests::job_spec;
+use super::{Cx, Live, LiveStage, Zone};
 use crate::call::State;
-use crate::zone::{job_spec, Cx, Live, LiveStage, Zone};
 
 /// The state of a recovery, from the start of a leader's term until all is resolved.
 pub(crate) struct Recovery {
--- /dev/null
+++ b/crates/control/src/zone/targets.rs
@@ -0,0 +1,212 @@
+//! Targets: registration, fences, standing and loss.
+
+use super::*;
+
+impl Zone {
+    /// Takes a membership effect.
+    pub(crate) fn member(&mut self, cx: &mut Cx<'_>, effect: &membership::Effect) {
+        match effect {
+            membership::Effect::Up(announcement) => {
+                let standing = match announcement.leaving {
+                    true => Standing::Leaving,
+                    false => Standing::Live,
+                };
+                self.target_up(cx, announcement.clone(), standing);
+            }
+            membership::Effect::Standing { target, standing } => {
+                self.standing(cx, target, *standing);
+            }
+            membership::Effect::Gone {
+                target,
+                incarnation,
+            } => self.target_gone(cx, target, *incarnation),
+            membership::Effect::VmUp(_) | membership::Effect::VmDown(_) => {}
+        }
+    }
+
+    /// How an attempt on a target ended, for the target's health.
+    pub(crate) fn health(settled: &Seen) -> Option<membership::Result> {
+        match settled {
+            Seen::State(State::Done { .. }) => Some(membership::Result::Success),
+            Seen::State(State::Failed { .. }) => Some(membership::Result::Failure),
+            Seen::Broken { .. } => Some(membership::Result::Unreachable),
+            Seen::State(_) | Seen::NotRun { .. } | Seen::Fenced { .. } | Seen::Restarted => None,
+        }
+    }
+
+    /// The target that a call went to.
+    pub(crate) fn target_of(&self, token: u64) -> Option<&TargetName> {
+        self.flights.get(&token).map(|flight| &flight.target)
+    }
+
+    pub(super) fn target_up(
+        &mut self,
+        cx: &mut Cx<'_>,
+        announcement: Announcement,
+        standing: Standing,
+    ) {
+        let target = announcement.target.clone();
+        let incarnation = announcement.incarnation;
+        if let Some(member) = self.targets.get_mut(&target) {
+            if member.announcement.incarnation == incarnation {
+                member.announcement = announcement;
+                if member.joined {
+                    self.join(cx, &target);
+                }
+                return;
+            }
+        }
+        let mut all = cx.ledger.registered();
+        let registered = all.any(|known| known == (&target, incarnation));
+        drop(all);
+        let member = Member {
+            announcement,
+            standing,
+            registered,
+            joined: false,
+            flights: BTreeSet::new(),
+        };
+        self.targets.insert(target.clone(), member);
+        cx.record(None, Some(&target), "target up");
+        self.supersede(cx, &target, incarnation);
+        if registered {
+            return self.fence(cx, &target);
+        }
+        self.propose(
+            cx,
+            Command::Register {
+                target,
+                incarnation,
+            },
+        );
+    }
+
+    pub(super) fn registered(
+        &mut self,
+        cx: &mut Cx<'_>,
+        target: &TargetName,
+        incarnation: Incarnation,
+    ) {
+        let Some(member) = self.targets.get_mut(target) else {
+            return;
+        };
+        if member.announcement.incarnation == incarnation && !member.registered {
+            member.registered = true;
+            self.fence(cx, target);
+        }
+    }
+
+    /// Forbids a target the starts of earlier leaders; it joins the dispatcher when it answers.
+    pub(super) fn fence(&mut self, cx: &mut Cx<'_>, target: &TargetName) {
+        let Some(member) = self.targets.get(target) else {
+            return;
+        };
+        if member.joined || !member.registered {
+            return;
+        }
+        if !member.announcement.fencing {
+            let incarnation = member.announcement.incarnation;
+            self.not_fenced(target, incarnation);
+            self.join(cx, target);
+            return self.check_recovery(cx);
+        }
+        let token = self.next_token();
+        self.fences.insert(token, target.clone());
+        let action = Action::Fence {
+            zone: self.name.clone(),
+            term: self.term,
+        };
+        self.call(cx, token, target, action);
+    }
+
+    pub(super) fn fence_seen(&mut self, cx: &mut Cx<'_>, target: &TargetName, seen: Seen) {
+        let Some(member) = self.targets.get(target) else {
+            return;
+        };
+        let expected = member.announcement.incarnation;
+        match seen {
+            Seen::Fenced {
+                incarnation,
+                attempts,
+            } if incarnation == expected => {
+                self.join(cx, target);
+                self.fenced(cx, target, incarnation, attempts);
+                self.check_recovery(cx);
+            }
+            _ => {
+                let again = cx.now.time + self.limits.repoll;
+                self.timers.set(again, Timer::Fence(target.clone()));
+            }
+        }
+    }
+
+    pub(super) fn join(&mut self, cx: &mut Cx<'_>, target: &TargetName) {
+        let member = self
+            .targets
+            .get_mut(target)
+            .expect("looked up by the caller");
+        member.joined = true;
+        let announcement = &member.announcement;
+        let spec = dispatch::TargetSpec {
+            target: target.clone(),
+            rack: announcement.rack.clone(),
+            work: announcement.work.clone(),
+            capacity: announcement.capacity,
+        };
+        let standing = member.standing;
+        let usage = announcement.usage;
+        self.dispatch_step(cx, dispatch::Event::Target(spec));
+        self.standing(cx, target, standing);
+        if let Some(used) = usage {
+            let target = target.clone();
+            self.dispatch_step(cx, dispatch::Event::Usage { target, used });
+        }
+    }
+
+    pub(super) fn standing(&mut self, cx: &mut Cx<'_>, target: &TargetName, standing: Standing) {
+        let Some(member) = self.targets.get_mut(target) else {
+            return;
+        };
+        if member.standing != standing {
+            cx.record(None, Some(target), &format!("target is {standing:?}"));
+        }
+        member.standing = standing;
+        if member.joined {
+            let target = target.clone();
+            self.dispatch_step(cx, dispatch::Event::Standing { target, standing });
+        }
+    }
+
+    pub(super) fn target_gone(
+        &mut self,
+        cx: &mut Cx<'_>,
+        target: &TargetName,
+        incarnation: Incarnation,
+    ) {
+        let same = |member: &Member| member.announcement.incarnation == incarnation;
+        if self.targets.get(target).is_some_and(same) {
+            let member = self.targets.remove(target).expect("just looked up");
+            cx.record(None, Some(target), "target gone");
+            if member.joined {
+                self.dispatch_step(cx, dispatch::Event::Gone(target.clone()));
+            }
+            for token in member.flights {
+                // In every phase a start may have arrived.
+                self.settle(cx, token, Settled::Lost);
+            }
+        }
+        self.not_fenced(target, incarnation);
+        self.check_recovery(cx);
+        self.deregister(cx, target.clone(), incarnation);
+    }
+
+    /// Stops an attempt that belongs to no job of this leader, so that its slot becomes free.
+    pub(crate) fn stop_unknown(&mut self, cx: &mut Cx<'_>, target: &TargetName, id: AttemptId) {
+        let token = self.next_token();
+        self.call(cx, token, target, Action::Stop { attempt: id });
+    }
+
+    pub(crate) fn set_recovery_timer(&mut self, at: Time) {
+        self.timers.set(at, Timer::Recovery);
+    }
+}
