Add an HTTP listener that answers requests later

Cause: the front end for callers has to hold thousands of waiting callers, and callers that stop in the middle of a request must not use up threads. rouille and tiny_http give a thread to each connection and set no read time limit; tiny_http 0.12 aborts the process on a declared body of 900 TB. Ruled out: the front end's own reading of HTTP over tiny_http's types, which is a protocol implementation that a library provides.

Change: the listener crate wraps hyper on one thread with a single-threaded runtime; no async type leaves it. Connections, sizes and times are bounded.

Before: 500 stopped callers hold threads. After (cargo test -p greengage-listener): 500 stopped callers, 50 others answered within 1 s each, all 500 gone after the time limit; 1,000 held callers answered in reverse order; 7 tests pass in 2.7 s.

--- /dev/null
+++ b/crates/listener/src/connection.rs
@@ -0,0 +1,181 @@
+//! The thread that accepts connections and speaks HTTP on all of them.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam_channel::TrySendError;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Bytes, Incoming};
+use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request as HttpRequest, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, watch};
+use tokio::task::LocalSet;
+
+use crate::{Answer, Request, Responder, Shared};
+
+/// How long the thread waits after an accept that failed, as it does without free descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Runs until the other end of `closing` is dropped.
+pub(crate) fn run(
+    socket: std::net::TcpListener,
+    shared: Arc<Shared>,
+    closing: watch::Receiver<bool>,
+) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return log::error!("no runtime for the HTTP listener: {error}"),
+    };
+    let tasks = LocalSet::new();
+    tasks.block_on(&runtime, async {
+        match TcpListener::from_std(socket) {
+            Ok(listener) => accept(listener, shared, closing).await,
+            Err(error) => log::error!("the HTTP listener can't be used: {error}"),
+        }
+    });
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>, mut closing: watch::Receiver<bool>) {
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => admit(stream, &shared, &closing),
+                Err(error) => {
+                    log::warn!("a connection can't be accepted: {error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            changed = closing.changed() => match changed {
+                Ok(()) => break,
+                Err(_) => return,
+            },
+        }
+    }
+    drop(listener);
+    // Connections go on until the listener is dropped.
+    while closing.changed().await.is_ok() {}
+}
+
+fn admit(stream: TcpStream, shared: &Arc<Shared>, closing: &watch::Receiver<bool>) {
+    let open = shared.open.fetch_add(1, Ordering::Relaxed);
+    let count = Open(shared.clone());
+    if open >= shared.limits.connections {
+        return;
+    }
+    tokio::task::spawn_local(serve(stream, count, closing.clone()));
+}
+
+/// Counts an open connection until it is dropped.
+struct Open(Arc<Shared>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve(stream: TcpStream, open: Open, mut closing: watch::Receiver<bool>) {
+    let shared = open.0.clone();
+    let service = service_fn(|request| handle(request, shared.clone()));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(shared.limits.head)
+        .max_buf_size(shared.limits.head_bytes.max(8192))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    if !*closing.borrow_and_update() {
+        tokio::select! {
+            ended = connection.as_mut() => return note(ended),
+            _ = closing.changed() => {}
+        }
+    }
+    connection.as_mut().graceful_shutdown();
+    note(connection.await);
+}
+
+fn note(ended: Result<(), hyper::Error>) {
+    if let Err(error) = ended {
+        log::debug!("a connection ended: {error}");
+    }
+}
+
+/// Why a connection is closed without an answer.
+#[derive(Debug)]
+struct NoAnswer;
+
+impl std::fmt::Display for NoAnswer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "the request was dropped without an answer")
+    }
+}
+
+impl std::error::Error for NoAnswer {}
+
+async fn handle(
+    request: HttpRequest<Incoming>,
+    shared: Arc<Shared>,
+) -> Result<Response<Full<Bytes>>, NoAnswer> {
+    let limit = shared.limits.body_bytes;
+    let (head, body) = request.into_parts();
+    let too_long = || {
+        let message = format!("the body exceeds {limit} bytes: shorten it");
+        last_response((shared.refuse)(413, &message))
+    };
+    if body.size_hint().lower() > limit as u64 {
+        return Ok(too_long());
+    }
+    let body = tokio::time::timeout(shared.limits.body, Limited::new(body, limit).collect());
+    let body = match body.await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => return Ok(too_long()),
+        Ok(Err(_)) => return Err(NoAnswer),
+        Err(_) => {
+            let message = "the body took too long: send it again at once";
+            return Ok(last_response((shared.refuse)(408, message)));
+        }
+    };
+    let request = Request {
+        method: head.method.as_str().to_string(),
+        path: head.uri.path().to_string(),
+        query: head.uri.query().unwrap_or_default().to_string(),
+        body: body.to_vec(),
+    };
+    let (responder, answer) = oneshot::channel();
+    match shared.arrived.try_send((request, Responder(responder))) {
+        Ok(()) => {}
+        Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+            let message = "the VM is overloaded: send the request again with the same id";
+            return Ok(response((shared.refuse)(503, message)));
+        }
+    }
+    answer.await.map(response).map_err(|_| NoAnswer)
+}
+
+/// A response after which the connection is closed, because the rest of the request is not read.
+fn last_response(answer: Answer) -> Response<Full<Bytes>> {
+    let mut response = response(answer);
+    let close = hyper::header::HeaderValue::from_static("close");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONNECTION, close);
+    response
+}
+
+fn response(answer: Answer) -> Response<Full<Bytes>> {
+    let mut builder = Response::builder()
+        .status(StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR))
+        .header(CONTENT_TYPE, answer.media);
+    if let Some(ms) = answer.retry_ms {
+        builder = builder.header(RETRY_AFTER, ms.div_ceil(1000));
+    }
+    let body = Full::new(Bytes::from(answer.body));
+    builder.body(body).expect("statuses and headers are valid")
+}
--- /dev/null
+++ b/crates/listener/src/lib.rs
@@ -0,0 +1,255 @@
+//! An HTTP/1.1 listener whose requests are answered later, from any thread.
+//!
+//! `hyper` speaks HTTP, on one thread with a single-threaded runtime, so that a caller that waits
+//! for its answer, or stops in the middle of a request, holds no thread. No async type leaves this
+//! crate. A request that has arrived in full goes to a small pool of handler threads together with
+//! a [`Responder`]; whoever holds the responder answers.
+//!
+//! Every connection is bounded: their number, the size of head and body, the time in which a head
+//! and a body must arrive, and the time that sent bytes may stay unacknowledged. A connection
+//! beyond the bound is closed at once.
+//!
+//! rouille and tiny_http don't fit here: both give a thread to each connection without a bound and
+//! set no read time limit, and dropping a request that declares a body of 900 TB aborts the
+//! process on the allocation (tiny_http 0.12).
+
+mod connection;
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use crossbeam_channel::{bounded, Receiver, Sender};
+use socket2::{Domain, Socket, Type};
+use tokio::sync::{oneshot, watch};
+
+/// Bounds of a listener.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Largest body in bytes.
+    pub body_bytes: usize,
+    /// Largest head in bytes, at least 8,192.
+    pub head_bytes: usize,
+    /// Most connections, waiting callers included.
+    pub connections: usize,
+    /// Threads that handle requests.
+    pub handlers: usize,
+    /// Requests that wait for a handler; further ones are answered with 503.
+    pub waiting: usize,
+    /// How long a head may take to arrive, from the accept or the previous answer on.
+    pub head: Duration,
+    /// How long a body may take to arrive.
+    pub body: Duration,
+    /// How long sent bytes may stay unacknowledged.
+    pub unacknowledged: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            body_bytes: 8 << 20,
+            head_bytes: 16 << 10,
+            connections: 8192,
+            handlers: 4,
+            waiting: 4096,
+            head: Duration::from_secs(10),
+            body: Duration::from_secs(5),
+            unacknowledged: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Why a listener can't be started.
+#[derive(Debug)]
+pub enum ListenError {
+    /// The address can't be listened on.
+    Address {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        cause: io::Error,
+    },
+    /// A thread can't be created.
+    Thread(io::Error),
+}
+
+impl fmt::Display for ListenError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ListenError::Address { address, cause } => write!(
+                f,
+                "can't listen on {address}: {cause}; choose an address of this machine whose port \
+                 is free"
+            ),
+            ListenError::Thread(cause) => {
+                write!(f, "can't create a thread: {cause}; raise the process limit")
+            }
+        }
+    }
+}
+
+impl std::error::Error for ListenError {}
+
+/// A request that has arrived in full.
+#[derive(Debug)]
+pub struct Request {
+    /// The method.
+    pub method: String,
+    /// The path as sent, without the query.
+    pub path: String,
+    /// The query as sent, empty without one.
+    pub query: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// A response.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The media type of the body.
+    pub media: &'static str,
+    /// For `Retry-After`, in milliseconds; rounded up to whole seconds.
+    pub retry_ms: Option<u64>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// A JSON document.
+    pub fn json(status: u16, body: impl Into<Vec<u8>>) -> Answer {
+        Answer {
+            status,
+            media: "application/json",
+            retry_ms: None,
+            body: body.into(),
+        }
+    }
+}
+
+/// Answers one request. Dropped without an answer, it closes the connection.
+#[derive(Debug)]
+pub struct Responder(oneshot::Sender<Answer>);
+
+impl Responder {
+    /// Answers; a caller that is gone gets nothing.
+    pub fn send(self, answer: Answer) {
+        let _ = self.0.send(answer);
+    }
+}
+
+/// A request with its responder, on its way to a handler.
+type Arrived = (Request, Responder);
+
+/// A running listener; it ends when dropped, without an answer to requests that are still held.
+pub struct Listener {
+    address: SocketAddr,
+    open: Arc<AtomicUsize>,
+    /// `true` asks to stop accepting; closing it ends the thread.
+    closing: Option<watch::Sender<bool>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// Listens on `address` and passes each request to `handler`; threads are called `name`.
+/// `refuse` makes the answer to a request that can't be taken, from a status and a message.
+pub fn start(
+    name: &str,
+    address: SocketAddr,
+    limits: Limits,
+    refuse: fn(u16, &str) -> Answer,
+    handler: impl Fn(Request, Responder) + Send + Sync + 'static,
+) -> Result<Listener, ListenError> {
+    let failed = |cause| ListenError::Address { address, cause };
+    let socket = listen(address, &limits).map_err(failed)?;
+    let address = socket.local_addr().map_err(failed)?;
+    let (arrived, requests) = bounded(limits.waiting);
+    let handler = Arc::new(handler);
+    for _ in 0..limits.handlers.max(1) {
+        let handler = handler.clone();
+        let requests: Receiver<Arrived> = requests.clone();
+        thread::Builder::new()
+            .name(format!("{name}-handler"))
+            .spawn(move || {
+                for (request, responder) in requests {
+                    handler(request, responder);
+                }
+            })
+            .map_err(ListenError::Thread)?;
+    }
+    let open = Arc::new(AtomicUsize::new(0));
+    let (closing, closed) = watch::channel(false);
+    let shared = Arc::new(Shared {
+        limits,
+        refuse,
+        arrived,
+        open: open.clone(),
+    });
+    let thread = thread::Builder::new()
+        .name(name.to_string())
+        .spawn(move || connection::run(socket, shared, closed))
+        .map_err(ListenError::Thread)?;
+    Ok(Listener {
+        address,
+        open,
+        closing: Some(closing),
+        thread: Some(thread),
+    })
+}
+
+impl Listener {
+    /// The address that it listens on, with the port that was chosen for port 0.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The number of open connections.
+    pub fn connections(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Stops listening; open connections are closed after their next answer.
+    pub fn close(&mut self) {
+        if let Some(closing) = &self.closing {
+            closing.send_replace(true);
+        }
+    }
+}
+
+impl Drop for Listener {
+    fn drop(&mut self) {
+        self.closing = None;
+        if let Some(thread) = self.thread.take() {
+            if thread.join().is_err() {
+                log::error!("the thread of the listener at {} panicked", self.address);
+            }
+        }
+    }
+}
+
+/// What all connections of a listener share.
+struct Shared {
+    limits: Limits,
+    refuse: fn(u16, &str) -> Answer,
+    arrived: Sender<Arrived>,
+    open: Arc<AtomicUsize>,
+}
+
+/// Connections that the system holds until they are accepted.
+const BACKLOG: i32 = 1024;
+
+fn listen(address: SocketAddr, limits: &Limits) -> io::Result<std::net::TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    // Accepted sockets inherit these on Linux.
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_user_timeout(Some(limits.unacknowledged))?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket.into())
+}
--- /dev/null
+++ b/crates/listener/tests/listener.rs
@@ -0,0 +1,204 @@
+//! The listener over real loopback sockets.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use greengage_listener::{start, Answer, Limits, Listener, Request, Responder};
+
+fn refuse(status: u16, message: &str) -> Answer {
+    Answer::json(status, message)
+}
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Answers each request with its path.
+fn echo(limits: Limits) -> Listener {
+    start("test", any(), limits, refuse, |request, responder| {
+        responder.send(Answer::json(200, request.path));
+    })
+    .unwrap()
+}
+
+fn connect(listener: &Listener) -> TcpStream {
+    let stream = TcpStream::connect(listener.address()).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .unwrap();
+    stream
+}
+
+fn get(stream: &mut TcpStream, path: &str) {
+    write!(stream, "GET {path} HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+}
+
+/// Reads one response with a declared length; empty when the connection was closed.
+fn read(stream: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    let mut byte = [0];
+    while !text.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => text.push(byte[0]),
+            _ => return String::from_utf8(text).unwrap(),
+        }
+    }
+    let head = String::from_utf8(text).unwrap();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "))
+        .map_or(0, |length| length.parse().unwrap());
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).unwrap();
+    head + &String::from_utf8(body).unwrap()
+}
+
+/// Callers that stop in the middle of a request must not keep others from being served, and must
+/// be gone after the time limits.
+#[test]
+fn stopped_callers() {
+    let limits = Limits {
+        head: Duration::from_millis(1500),
+        body: Duration::from_millis(1500),
+        ..Limits::default()
+    };
+    let listener = echo(limits);
+    let stopped: Vec<TcpStream> = (0..500)
+        .map(|i| {
+            let mut stream = connect(&listener);
+            let part = match i % 2 {
+                0 => "GET /never HT",
+                _ => "POST /never HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc",
+            };
+            stream.write_all(part.as_bytes()).unwrap();
+            stream
+        })
+        .collect();
+    for i in 0..50 {
+        let since = Instant::now();
+        let mut stream = connect(&listener);
+        get(&mut stream, &format!("/{i}"));
+        assert!(read(&mut stream).ends_with(&format!("/{i}")));
+        assert!(since.elapsed() < Duration::from_secs(1));
+    }
+    std::thread::sleep(Duration::from_millis(2500));
+    assert_eq!(listener.connections(), 0, "of {}", stopped.len());
+}
+
+/// A connection without a request must be closed after the time limit of a head, also between two
+/// requests.
+#[test]
+fn idle_connections() {
+    let limits = Limits {
+        head: Duration::from_millis(500),
+        ..Limits::default()
+    };
+    let listener = echo(limits);
+    let mut used = connect(&listener);
+    get(&mut used, "/a");
+    assert!(read(&mut used).ends_with("/a"));
+    let _unused = connect(&listener);
+    std::thread::sleep(Duration::from_millis(1500));
+    assert_eq!(listener.connections(), 0);
+}
+
+/// A declared length beyond the limit must be refused before anything of that size is allocated.
+#[test]
+fn huge_body() {
+    let listener = echo(Limits::default());
+    let mut stream = connect(&listener);
+    let head = "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 900000000000000\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    assert!(read(&mut stream).starts_with("HTTP/1.1 413"));
+    let mut stream = connect(&listener);
+    get(&mut stream, "/alive");
+    assert!(read(&mut stream).ends_with("/alive"));
+}
+
+/// A chunked body has no declared length, so the limit must be checked while it is read.
+#[test]
+fn long_chunked_body() {
+    let limits = Limits {
+        body_bytes: 100,
+        ..Limits::default()
+    };
+    let listener = echo(limits);
+    let mut stream = connect(&listener);
+    let head = "POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(b"c8\r\n").unwrap();
+    stream.write_all(&[b'a'; 200]).unwrap();
+    assert!(read(&mut stream).starts_with("HTTP/1.1 413"));
+}
+
+fn held() -> (Listener, Receiver<(Request, Responder)>) {
+    let (sender, receiver): (Sender<(Request, Responder)>, _) = channel();
+    let sender = Mutex::new(sender);
+    let listener = start(
+        "test",
+        any(),
+        Limits::default(),
+        refuse,
+        move |request, responder| {
+            sender.lock().unwrap().send((request, responder)).unwrap();
+        },
+    )
+    .unwrap();
+    (listener, receiver)
+}
+
+/// Waiting callers must hold no thread that others need, and each must get its own answer when
+/// the answers come in another order.
+#[test]
+fn many_waiting_callers() {
+    let (listener, receiver) = held();
+    let mut streams: Vec<TcpStream> = (0..1000).map(|_| connect(&listener)).collect();
+    for (i, stream) in streams.iter_mut().enumerate() {
+        get(stream, &format!("/{i}"));
+    }
+    let mut waiting: Vec<(Request, Responder)> = receiver.iter().take(1000).collect();
+    let mut other = connect(&listener);
+    get(&mut other, "/other");
+    let (_, responder) = receiver.recv_timeout(Duration::from_secs(1)).unwrap();
+    responder.send(Answer::json(200, "other"));
+    assert!(read(&mut other).ends_with("other"));
+    waiting.reverse();
+    for (request, responder) in waiting {
+        responder.send(Answer::json(200, request.path));
+    }
+    for (i, stream) in streams.iter_mut().enumerate() {
+        assert!(read(stream).ends_with(&format!("/{i}")));
+    }
+}
+
+/// A listener that closes must still give the answers of requests that it took.
+#[test]
+fn close_answers_what_is_held() {
+    let (mut listener, receiver) = held();
+    let address = listener.address();
+    let mut stream = connect(&listener);
+    get(&mut stream, "/held");
+    let (_, responder) = receiver.recv_timeout(Duration::from_secs(1)).unwrap();
+    listener.close();
+    std::thread::sleep(Duration::from_millis(100));
+    assert!(TcpStream::connect(address).is_err());
+    responder.send(Answer::json(200, "done"));
+    let answer = read(&mut stream);
+    assert!(answer.ends_with("done"), "{answer}");
+    let mut rest = Vec::new();
+    stream.read_to_end(&mut rest).unwrap();
+    assert!(rest.is_empty());
+}
+
+/// A request that nobody answers must close its connection instead of leaving the caller waiting.
+#[test]
+fn dropped_request() {
+    let (listener, receiver) = held();
+    let mut stream = connect(&listener);
+    get(&mut stream, "/dropped");
+    drop(receiver.recv_timeout(Duration::from_secs(1)).unwrap());
+    assert_eq!(read(&mut stream), "");
+}
