--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -285,7 +285,11 @@
         (Method::Get, ["readyz"]) => Request::Ready,
         (_, segments) => return Err(unknown_path(segments)),
     };
-    let wait = wait(request, limits)?;
+    let wait = match taken {
+        // A probe is answered at once or counts as failed.
+        Request::Ready => Duration::ZERO,
+        _ => wait(request, limits)?,
+    };
     Ok(Routed::Submit(Taken {
         request: taken,
         wait,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod front;
 pub mod json;
 mod pool;
+mod receive;
 pub mod reply;
 pub mod server;
 pub mod status;
--- a/crates/http/tests/front.rs
+++ b/crates/http/tests/front.rs
@@ -461,10 +461,15 @@
     assert_eq!(front.held(), 0);
 }
 
-/// A caller that doesn't read its answer must not delay the answers to others.
+/// A caller that doesn't read its answer, or reads it slowly, must not delay the answers to others
+/// nor hold its connection for longer than the limit.
 #[test]
 fn caller_that_does_not_read() {
-    let front = echoing(settings());
+    let mut settings = settings();
+    settings.limits.server.write = Duration::from_millis(500);
+    settings.limits.server.idle = Duration::from_secs(1);
+    let front = echoing(settings);
+    // Larger than the buffers of the system.
     let task = format!("\"{}\"", "x".repeat(7_000_000));
     let body = JOB.replace("[1]", &format!("[{task}]"));
     let mut slow: Vec<TcpStream> = (0..8)
@@ -480,6 +485,15 @@
     assert!(sent.elapsed() < Duration::from_secs(1));
     let expected = format!(r#"{{"key":"a/acme/j1","state":"complete","results":[{task}]}}"#);
     assert!(response(&mut slow[0]).2 == expected, "the answer is cut");
+    // The others read a byte now and then, which must not keep their connections for ever.
+    let end = Instant::now() + Duration::from_secs(5);
+    while front.connections() > 0 {
+        assert!(Instant::now() < end, "{} remain", front.connections());
+        for stream in &mut slow {
+            let _ = stream.read(&mut [0]);
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
 }
 
 /// A request whose reply never comes must be answered in the end, with nothing said about whether
