Measure durable batches a second

Change: add the example throughput, in which each writer waits until its batch of one entry of 1 KiB is durable.

--- /dev/null
+++ b/crates/journal/examples/throughput.rs
@@ -0,0 +1,90 @@
+//! Measures durable batches a second on the real disk: `throughput FOLDER [SYNC_DELAY_MS]`.
+//!
+//! Each writer sends one batch with one entry of 1 KiB and waits until it is durable. Each run
+//! uses a new folder below FOLDER and removes it.
+
+use std::env;
+use std::num::NonZeroU64;
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::bounded;
+use greengage_core::{Index, Name, VmName};
+use greengage_journal::{start, Batch, Journal, RealDisk, Settings, SEGMENT_BYTES};
+
+const RUN: Duration = Duration::from_secs(4);
+
+fn main() {
+    let mut arguments = env::args().skip(1);
+    let folder = arguments.next().expect("usage: throughput FOLDER [MS]");
+    let delay = arguments
+        .next()
+        .map_or(0, |ms| ms.parse().expect("MS is a number"));
+    for writers in [1, 8, 64] {
+        measure(Path::new(&folder), writers, Duration::from_millis(delay));
+    }
+}
+
+fn measure(parent: &Path, writers: usize, sync_delay: Duration) {
+    let folder = parent.join(format!("throughput-{writers}"));
+    std::fs::create_dir(&folder).expect("the folder is new");
+    let settings = Settings {
+        folder: folder.clone(),
+        vm: VmName::new("a").expect("the name is valid"),
+        fresh: NonZeroU64::MIN,
+        segment_bytes: SEGMENT_BYTES,
+        sync_delay,
+    };
+    let (journal, _, _) = Journal::open(Box::new(RealDisk), settings).expect("the folder opens");
+    let (commands, inbox) = bounded(writers);
+    let (answers, waiting): (Vec<_>, Vec<_>) = (0..writers).map(|_| bounded(1)).unzip();
+    let done = move |result: Result<usize, _>| {
+        let writer = result.expect("the disk works");
+        answers[writer].send(()).expect("the writer waits");
+    };
+    let disk = start(journal, inbox, done).expect("the thread starts");
+    let begun = Instant::now();
+    let threads: Vec<_> = waiting
+        .into_iter()
+        .enumerate()
+        .map(|(writer, answer)| {
+            let commands = commands.clone();
+            thread::spawn(move || {
+                let mut waits = Vec::new();
+                let group = Name::new(&format!("g{writer}")).expect("the name is valid");
+                for i in 1.. {
+                    let batch = Batch {
+                        group: group.clone(),
+                        hard: None,
+                        entries: vec![(Index(i), vec![7; 1024])],
+                        snapshot: None,
+                        clear: false,
+                    };
+                    let sent = Instant::now();
+                    commands
+                        .send((batch, writer))
+                        .expect("the disk thread runs");
+                    answer.recv().expect("the disk thread runs");
+                    waits.push(sent.elapsed());
+                    if begun.elapsed() > RUN {
+                        break;
+                    }
+                }
+                waits
+            })
+        })
+        .collect();
+    drop(commands);
+    let joined = threads
+        .into_iter()
+        .map(|t| t.join().expect("a writer ends"));
+    let mut waits: Vec<_> = joined.flatten().collect();
+    let rate = waits.len() as f64 / begun.elapsed().as_secs_f64();
+    disk.join().expect("the disk thread ends");
+    waits.sort_unstable();
+    let median = waits[waits.len() / 2];
+    let p99 = waits[waits.len() * 99 / 100];
+    println!("{writers} writers, {sync_delay:?} added: {rate:.0} batches/s, wait {median:?} median, {p99:?} p99");
+    std::fs::remove_dir_all(&folder).expect("the folder can be removed");
+}
