Index accounts by id and refresh only changed ranks

Cause: a start with 4,400 targets and 100,000 queued tasks took over 10 us. A profile showed most time in binary searches over wide entries of lanes and limits, in refreshing every lane of an account at each event, and in logarithms for the speed scale. The size of the queue was ruled out: the cost with 1,000 queued tasks was high, too.

Change: accounts, limits, flows and lanes sit in dense vectors by id; ranks are computed for all lanes only when a tag or limit changed; the speed step of a target is kept. The example measure drives the figures of this crate.

--- /dev/null
+++ b/crates/dispatch/examples/measure/crest.rs
@@ -0,0 +1,131 @@
+//! Offered load that rises within seconds to twice the capacity.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use greengage_core::{AccountName, TargetName, TemplateName, Time};
+use greengage_dispatch::{Event, Share};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::model::{self, Arrival, Fate};
+
+const DEADLINE: Duration = Duration::from_secs(2);
+const WORKS: [(&str, u64); 4] = [("w50", 50), ("w150", 150), ("w400", 400), ("w1000", 1000)];
+const ACCOUNTS: [(&str, u32); 3] = [("one", 1), ("two", 2), ("four", 4)];
+
+/// Start and end of the crest in seconds, and the end of arrivals.
+const CREST: (f64, f64) = (6.0, 21.0);
+const END: f64 = 25.0;
+
+fn load(at: f64) -> f64 {
+    match at {
+        ..3.0 => 0.5,
+        3.0..6.0 => 0.5 + (at - 3.0) / 2.0,
+        6.0..21.0 => 2.0,
+        _ => 0.5,
+    }
+}
+
+fn arrivals(rng: &mut StdRng, capacity: f64) -> Vec<Arrival> {
+    let mut arrivals = Vec::new();
+    let mut at = 0.0;
+    while at < END {
+        let (work, millis) = WORKS[rng.random_range(0..WORKS.len())];
+        // Jobs of longer tasks have fewer of them, as with work cut into parallel pieces.
+        let most = if millis > 200 { 8 } else { 24 };
+        let tasks = rng.random_range(1..=most);
+        let service: Vec<Duration> = (0..tasks)
+            .map(|_| {
+                let straggles = rng.random_bool(0.01);
+                let factor = rng.random_range(0.7..1.3) * if straggles { 10.0 } else { 1.0 };
+                Duration::from_millis(millis).mul_f64(factor)
+            })
+            .collect();
+        let seconds: f64 = service.iter().map(Duration::as_secs_f64).sum();
+        arrivals.push(Arrival {
+            at: Time((at * 1e6) as u64),
+            account: ACCOUNTS[rng.random_range(0..ACCOUNTS.len())].0,
+            work,
+            declared: Duration::from_millis(millis),
+            service,
+            deadline: DEADLINE,
+        });
+        at += model::exponential(rng, seconds / (capacity * load(at)));
+    }
+    arrivals
+}
+
+/// Share of crest jobs answered, and Jain's index of answered work over weights.
+fn figures(arrivals: &[Arrival], fates: &[Fate]) -> (f64, f64) {
+    let (mut all, mut answered) = (0.0, 0.0);
+    let mut work: BTreeMap<&str, f64> = BTreeMap::new();
+    for (arrival, fate) in arrivals.iter().zip(fates) {
+        let at = arrival.at.0 as f64 / 1e6;
+        if at < CREST.0 || at >= CREST.1 {
+            continue;
+        }
+        all += 1.0;
+        if fate.complete.is_some_and(|t| t <= arrival.at + DEADLINE) {
+            answered += 1.0;
+            let seconds = arrival.service.iter().map(Duration::as_secs_f64);
+            *work.entry(arrival.account).or_default() += seconds.sum::<f64>();
+        }
+    }
+    let shares = ACCOUNTS.map(|(a, w)| work.get(a).copied().unwrap_or(0.0) / f64::from(w));
+    let sum: f64 = shares.iter().sum();
+    let squares: f64 = shares.iter().map(|s| s * s).sum();
+    (answered / all, sum * sum / (shares.len() as f64 * squares))
+}
+
+pub(crate) fn run() {
+    println!("crest: answered within 2 s | over baseline | fairness | refused");
+    let mut baseline = Vec::new();
+    for (name, tuning) in crate::tunings() {
+        let (mut shares, mut fair, mut ratios, mut refused) = (vec![], vec![], vec![], vec![]);
+        for (n, seed) in crate::seeds().into_iter().enumerate() {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let works = WORKS.map(|w| w.0);
+            let mut setup = Vec::new();
+            let mut speeds = BTreeMap::new();
+            let mut capacity = 0.0;
+            for t in 0..50 {
+                let target = format!("t{t}");
+                let speed: f64 = rng.random_range(-1.0f64..1.0).exp2();
+                capacity += 8.0 / speed;
+                speeds.insert(TargetName::new(&target).unwrap(), speed);
+                setup.push(Event::Target(model::executor(&target, &works)));
+            }
+            for (account, weight) in ACCOUNTS {
+                setup.extend(works.map(|work| Event::Share {
+                    work: TemplateName::new(work).unwrap(),
+                    account: AccountName::new(account).unwrap(),
+                    share: Share {
+                        weight,
+                        quota: u32::MAX,
+                        concurrency: u32::MAX,
+                        burst: 0,
+                    },
+                }));
+            }
+            let arrivals = arrivals(&mut rng, capacity);
+            let fates = model::run(tuning.clone(), seed, setup, &speeds, &arrivals);
+            let (share, jain) = figures(&arrivals, &fates);
+            if name == "baseline" {
+                baseline.push(share);
+            }
+            ratios.push(share / baseline[n]);
+            shares.push(share);
+            fair.push(jain);
+            let count = fates.iter().filter(|f| f.refused).count();
+            refused.push(count as f64 / fates.len() as f64);
+        }
+        println!(
+            "{name:20} {} | {} | {} | {}",
+            crate::spread(&shares),
+            crate::spread(&ratios),
+            crate::spread(&fair),
+            crate::spread(&refused)
+        );
+    }
+}
--- /dev/null
+++ b/crates/dispatch/examples/measure/model.rs
@@ -0,0 +1,161 @@
+//! Arrivals and service on a virtual clock.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use greengage_core::{
+    AccountName, Capacity, Demand, JobNumber, Spread, TargetKind, TargetName, TemplateName, Time,
+};
+use greengage_dispatch::{
+    Admission, Attempt, Dispatch, Effect, Event, Job, Mode, Settled, TargetSpec, Tuning,
+};
+use rand::rngs::StdRng;
+use rand::Rng;
+
+/// A synced write of the ledger.
+const WRITE: Duration = Duration::from_millis(5);
+
+/// A round trip to a target.
+const TRIP: Duration = Duration::from_millis(1);
+
+/// A job that arrives, with the service time of each task on a target of mean speed.
+pub(crate) struct Arrival {
+    pub(crate) at: Time,
+    pub(crate) account: &'static str,
+    pub(crate) work: &'static str,
+    pub(crate) declared: Duration,
+    pub(crate) service: Vec<Duration>,
+    pub(crate) deadline: Duration,
+}
+
+/// What became of a job.
+#[derive(Clone, Default)]
+pub(crate) struct Fate {
+    /// When it was answered complete.
+    pub(crate) complete: Option<Time>,
+    /// When each task first started.
+    pub(crate) starts: Vec<Time>,
+    pub(crate) refused: bool,
+}
+
+/// An executor with 8 slots.
+pub(crate) fn executor(name: &str, work: &[&str]) -> TargetSpec {
+    TargetSpec {
+        target: TargetName::new(name).unwrap(),
+        rack: None,
+        work: work.iter().map(|w| TemplateName::new(w).unwrap()).collect(),
+        capacity: Capacity::Executor {
+            slots: 8,
+            connections: 60,
+        },
+    }
+}
+
+pub(crate) fn job(number: u64, arrival: &Arrival, now: Time) -> Job {
+    Job {
+        number: JobNumber(number),
+        account: AccountName::new(arrival.account).unwrap(),
+        work: TemplateName::new(arrival.work).unwrap(),
+        tasks: arrival.service.len() as u32,
+        target: TargetKind::Executor,
+        demand: Demand::default(),
+        spread: Spread::Any,
+        deadline: now + arrival.deadline,
+        expected: arrival.declared,
+        mode: Mode::Recorded { begun: false },
+        bytes: 100 * arrival.service.len(),
+    }
+}
+
+enum Next {
+    Arrive(usize),
+    Event(Event),
+}
+
+/// Runs all arrivals; `setup` are events at time zero.
+pub(crate) fn run(
+    tuning: Tuning,
+    seed: u64,
+    setup: Vec<Event>,
+    speeds: &BTreeMap<TargetName, f64>,
+    arrivals: &[Arrival],
+) -> Vec<Fate> {
+    let mut dispatch = Dispatch::new(tuning, seed);
+    for event in setup {
+        dispatch.step(Time(0), event);
+    }
+    let mut fates = vec![Fate::default(); arrivals.len()];
+    let mut items: Vec<Option<Next>> = Vec::new();
+    let mut queue = BinaryHeap::new();
+    let push = |queue: &mut BinaryHeap<_>, items: &mut Vec<_>, at: Time, next: Next| {
+        items.push(Some(next));
+        queue.push(Reverse((at, items.len() - 1)));
+    };
+    for (i, arrival) in arrivals.iter().enumerate() {
+        push(&mut queue, &mut items, arrival.at, Next::Arrive(i));
+    }
+    loop {
+        let next = queue.peek().map(|Reverse((at, _))| *at);
+        let (now, event) = match (next, dispatch.wake()) {
+            (Some(at), Some(wake)) if wake < at => (wake, Event::Tick),
+            (None, Some(wake)) => (wake, Event::Tick),
+            (None, None) => break,
+            (Some(_), _) => {
+                let Reverse((at, i)) = queue.pop().unwrap();
+                match items[i].take().unwrap() {
+                    Next::Event(event) => (at, event),
+                    Next::Arrive(i) => {
+                        let mut job = job(i as u64, &arrivals[i], at);
+                        let begun = match dispatch.admit(at, &job) {
+                            Admission::Refuse(_) => {
+                                fates[i].refused = true;
+                                continue;
+                            }
+                            Admission::Start => true,
+                            Admission::Queue => false,
+                        };
+                        job.mode = Mode::Recorded { begun };
+                        let event = Next::Event(Event::Submit(job));
+                        push(&mut queue, &mut items, at + WRITE, event);
+                        continue;
+                    }
+                }
+            }
+        };
+        for effect in dispatch.step(now, event) {
+            let mut later = |after, event| {
+                push(&mut queue, &mut items, now + after, Next::Event(event));
+            };
+            match effect {
+                Effect::Begin(jobs) => {
+                    jobs.into_iter()
+                        .for_each(|job| later(WRITE, Event::Begun(job)));
+                }
+                Effect::Start { attempt, target } => {
+                    let i = attempt.job.0 as usize;
+                    fates[i].starts.push(now);
+                    let service = arrivals[i].service[attempt.task as usize];
+                    let service = service.mul_f64(speeds[&target]);
+                    later(TRIP + service, settled(attempt, Settled::Done { service }));
+                }
+                Effect::Stop { attempt, .. } => {
+                    let message = "stopped".to_string();
+                    later(TRIP, settled(attempt, Settled::Failed { message }));
+                }
+                Effect::Complete(job) => fates[job.0 as usize].complete = Some(now),
+                Effect::Failed { .. } => {}
+            }
+        }
+    }
+    fates
+}
+
+fn settled(attempt: Attempt, settled: Settled) -> Event {
+    Event::Settled { attempt, settled }
+}
+
+/// A time span of an exponential distribution.
+pub(crate) fn exponential(rng: &mut StdRng, mean: f64) -> f64 {
+    -mean * (1.0 - rng.random::<f64>()).ln()
+}
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -67,7 +67,7 @@
             let retry_ms = self.drained_ms(asked, excess.max(tasks), 100);
             return Some(Refusal::Full { retry_ms });
         }
-        if let Some(limit) = self.fair.limits.get(&(asked.account, asked.work)) {
+        if let Some(limit) = self.fair.limit_of(asked.account, asked.work) {
             let quota = u64::from(limit.share.quota);
             let queued = u64::from(limit.queued) + tasks;
             let rested = limit.over.is_none_or(|over| now.since(over) < BURST_TIME);
@@ -97,7 +97,7 @@
         let others = self.fair.flows.get(asked.pool.at()).map_or(0, |flows| {
             flows
                 .iter()
-                .filter(|(a, f)| **a != asked.account && f.backlog > 0)
+                .filter(|(a, f)| *a != asked.account.at() && f.backlog > 0)
                 .map(|(_, f)| f.weight)
                 .sum()
         });
@@ -127,7 +127,7 @@
         let work = own.saturating_add(self.others_ahead(asked, own));
         let room = shape.room.max(1);
         let mut wait = span(work, unit, room, shape.rate);
-        if let Some(limit) = self.fair.limits.get(&(asked.account, asked.work)) {
+        if let Some(limit) = self.fair.limit_of(asked.account, asked.work) {
             let most = u64::from(limit.share.concurrency).max(1);
             let room = most.saturating_sub(u64::from(limit.running)).max(1);
             wait = wait.max(span(own, unit, room, most.saturating_mul(1000)));
@@ -137,12 +137,7 @@
 
     /// Work of the same account that goes first.
     fn own_ahead(&self, asked: &Asked<'_>, size: u64) -> u64 {
-        let Some(flow) = self
-            .fair
-            .flows
-            .get(asked.pool.at())
-            .and_then(|f| f.get(&asked.account))
-        else {
+        let Some(flow) = self.fair.flow_of(asked.account, asked.pool) else {
             return 0;
         };
         if !self.tuning.shortest {
@@ -150,7 +145,7 @@
         }
         let lanes = flow.lanes.iter();
         lanes
-            .filter_map(|s| self.fair.shape(*s).lanes.get(&asked.account))
+            .filter_map(|s| self.fair.lane_of(*s, asked.account))
             .map(|lane| lane.backlog[..=class(size)].iter().sum::<u64>())
             .sum()
     }
@@ -161,7 +156,7 @@
             return 0;
         };
         let current = self.fair.current(asked.pool);
-        let tag = match flows.get(&asked.account) {
+        let tag = match flows.get(asked.account.at()) {
             Some(flow) if !flow.lanes.is_empty() => flow.tag,
             Some(flow) => flow.tag.max(current),
             None => current,
@@ -170,7 +165,7 @@
         let end = tag.saturating_add(own / weight);
         flows
             .iter()
-            .filter(|(account, flow)| **account != asked.account && flow.backlog > 0)
+            .filter(|(a, flow)| *a != asked.account.at() && flow.backlog > 0)
             .map(|(_, flow)| match self.tuning.fair {
                 true => {
                     let entitled = end.saturating_sub(flow.tag).saturating_mul(flow.weight);
@@ -186,7 +181,7 @@
         if !self.open(asked.shape) {
             return false;
         }
-        if let Some(limit) = self.fair.limits.get(&(asked.account, asked.work)) {
+        if let Some(limit) = self.fair.limit_of(asked.account, asked.work) {
             if limit.running + limit.primed >= limit.share.concurrency {
                 return false;
             }
@@ -211,17 +206,14 @@
 
     /// Primed tasks that their accounts' limits allow to start.
     fn startable(&self, queue: &crate::fair::ShapeQueue) -> u64 {
-        let lanes = queue.lanes.iter().filter(|(_, lane)| lane.primed > 0);
+        let lanes = queue.lanes.iter();
         lanes
-            .map(
-                |(account, lane)| match self.fair.limits.get(&(*account, queue.work)) {
-                    Some(limit) => {
-                        let free = limit.share.concurrency.saturating_sub(limit.running);
-                        u64::from(lane.primed.min(free))
-                    }
-                    None => u64::from(lane.primed),
-                },
-            )
+            .filter_map(|(account, lane)| {
+                let primed = lane.as_deref()?.primed;
+                let limit = self.fair.limit_of(AccountId::new(account), queue.work)?;
+                let free = limit.share.concurrency.saturating_sub(limit.running);
+                Some(u64::from(primed.min(free)))
+            })
             .sum()
     }
 }
--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -360,8 +360,14 @@
             Settled::Failed { .. } | Settled::Lost | Settled::Guard(_) => {}
         }
         self.targets.settle(attempt, run.grant);
-        self.fair.limit(run.account, run.work).running -= 1;
-        self.fair.refresh(run.account, self.pools.of(run.work));
+        let pool = self.pools.of(run.work);
+        let limit = self.fair.limit(run.account, run.work);
+        limit.running -= 1;
+        let counted = u64::from(limit.running) + u64::from(limit.primed) + 1;
+        if counted >= u64::from(limit.share.concurrency) {
+            self.fair.stale(run.account, pool);
+        }
+        self.fair.refresh(run.account, pool, None);
         let Some(id) = self.jobs.find(attempt.job) else {
             return;
         };
@@ -690,6 +696,7 @@
         };
         self.targets.grant(attempt, grant, tie);
         self.fair.limit(account, work).running += 1;
+        self.fair.stale(account, self.pools.of(work));
         self.attempts.entry(attempt).or_insert(Run {
             grant,
             account,
@@ -715,6 +722,7 @@
             self.add_primed(id);
             self.line_up(id);
         }
+        self.touched = touched;
         if !batch.is_empty() {
             effects.push(Effect::Begin(batch));
         }
@@ -805,23 +813,29 @@
         entry.line = new;
         entry.size = size;
         let shortest = self.fair.shortest;
-        let lane = self.fair.lane(shape, account);
         match (old, new) {
-            (Some(line), Some(to)) if line == to => lane.line(line).resize(place, size),
+            (None, None) => {}
+            (Some(line), Some(to)) if line == to => {
+                self.fair
+                    .lane(shape, account)
+                    .line(line)
+                    .resize(place, size);
+            }
             (_, _) => {
+                let to = self.jobs.get(id).place(id);
+                let lane = self.fair.lane(shape, account);
                 if let Some(line) = old {
                     lane.line(line).remove(place);
                 }
                 if let Some(line) = new {
-                    let place = self.jobs.get(id).place(id);
-                    lane.line(line).insert(place, shortest);
+                    lane.line(line).insert(to, shortest);
                 }
             }
         }
-        let empty = lane.queued == 0;
         let pool = self.pools.of(work);
-        self.fair.refresh(account, pool);
-        if empty {
+        let lane = self.fair.lane_of(shape, account).map(|l| l.queued);
+        self.fair.refresh(account, pool, lane.map(|_| shape));
+        if lane == Some(0) {
             self.fair.leave(account, pool, shape);
         }
         self.touch(shape);
--- a/crates/dispatch/src/fair.rs
+++ b/crates/dispatch/src/fair.rs
@@ -11,10 +11,10 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use greengage_core::{SortedMap, Time};
+use greengage_core::Time;
 
 use crate::event::Share;
-use crate::ids::{AccountId, JobId, PoolId, ShapeId, WorkId};
+use crate::ids::{AccountId, Dense, JobId, PoolId, ShapeId, WorkId};
 use crate::jobs::Line;
 use crate::queue::{Place, Queue};
 
@@ -75,6 +75,8 @@
     pub(crate) backlog: u64,
     /// The weight at the last change of the backlog.
     pub(crate) weight: u64,
+    /// Whether ranks have to be computed anew.
+    stale: bool,
 }
 
 /// The queued jobs of an account and a shape.
@@ -136,7 +138,8 @@
 pub(crate) struct ShapeQueue {
     /// By `Wait`. BTreeSets, because an account moves in them with each of its starts.
     waiting: [BTreeSet<(u64, AccountId)>; 3],
-    pub(crate) lanes: SortedMap<AccountId, Lane>,
+    /// By account id; an account without queued tasks has none.
+    pub(crate) lanes: Dense<Option<Box<Lane>>>,
     /// Primed tasks of all accounts.
     pub(crate) primed: u32,
     pub(crate) work: WorkId,
@@ -157,9 +160,10 @@
     pub(crate) shortest: bool,
     /// How long a job may be overtaken.
     pub(crate) overtake: Duration,
-    pub(crate) limits: SortedMap<(AccountId, WorkId), Limit>,
-    /// By pool id.
-    pub(crate) flows: Vec<SortedMap<AccountId, Flow>>,
+    /// By work id, then account id.
+    pub(crate) limits: Dense<Dense<Limit>>,
+    /// By pool id, then account id.
+    pub(crate) flows: Dense<Dense<Flow>>,
     /// By shape id.
     pub(crate) shapes: Vec<ShapeQueue>,
     /// The tag of the last start, by pool id.
@@ -172,22 +176,22 @@
             by_weight,
             shortest,
             overtake,
-            limits: SortedMap::new(),
-            flows: Vec::new(),
+            limits: Dense::default(),
+            flows: Dense::default(),
             shapes: Vec::new(),
             virtuals: Vec::new(),
         }
     }
 
     pub(crate) fn limit(&mut self, account: AccountId, work: WorkId) -> &mut Limit {
-        self.limits.entry((account, work), Limit::default)
+        self.limits.make(work.at()).make(account.at())
     }
 
     /// Sets up the queue of a new shape, whose id may have been used by one without jobs.
     pub(crate) fn add_shape(&mut self, shape: ShapeId, work: WorkId) {
         let queue = ShapeQueue {
             waiting: Default::default(),
-            lanes: SortedMap::new(),
+            lanes: Dense::default(),
             primed: 0,
             work,
         };
@@ -197,6 +201,22 @@
         }
     }
 
+    pub(crate) fn limit_of(&self, account: AccountId, work: WorkId) -> Option<&Limit> {
+        self.limits.get(work.at())?.get(account.at())
+    }
+
+    pub(crate) fn flow_of(&self, account: AccountId, pool: PoolId) -> Option<&Flow> {
+        self.flows.get(pool.at())?.get(account.at())
+    }
+
+    pub(crate) fn lane_of(&self, shape: ShapeId, account: AccountId) -> Option<&Lane> {
+        self.shapes
+            .get(shape.at())?
+            .lanes
+            .get(account.at())?
+            .as_deref()
+    }
+
     pub(crate) fn shape(&self, shape: ShapeId) -> &ShapeQueue {
         &self.shapes[shape.at()]
     }
@@ -206,14 +226,12 @@
     }
 
     pub(crate) fn lane(&mut self, shape: ShapeId, account: AccountId) -> &mut Lane {
-        self.shape_mut(shape).lanes.entry(account, Lane::default)
+        let lane = self.shape_mut(shape).lanes.make(account.at());
+        lane.get_or_insert_default()
     }
 
     fn flow(&mut self, account: AccountId, pool: PoolId) -> &mut Flow {
-        if self.flows.len() <= pool.at() {
-            self.flows.resize_with(pool.at() + 1, SortedMap::new);
-        }
-        self.flows[pool.at()].entry(account, Flow::default)
+        self.flows.make(pool.at()).make(account.at())
     }
 
     /// The tag of the last start in a pool.
@@ -223,7 +241,7 @@
 
     /// The weight of an account for a kind of work.
     pub(crate) fn weight(&self, account: AccountId, work: WorkId) -> u64 {
-        let limit = self.limits.get(&(account, work));
+        let limit = self.limit_of(account, work);
         limit.map_or(1, |l| u64::from(l.share.weight.max(1)))
     }
 
@@ -231,6 +249,7 @@
     pub(crate) fn prime(&mut self, account: AccountId, pool: PoolId, cost: i64) {
         let flow = self.flow(account, pool);
         flow.primed = flow.primed.saturating_add_signed(cost);
+        flow.stale = true;
     }
 
     /// Counts a change of a job's queued tasks of `unit` microseconds each.
@@ -286,15 +305,11 @@
 
     /// Notes that an account has no queued task of a shape any more.
     pub(crate) fn leave(&mut self, account: AccountId, pool: PoolId, shape: ShapeId) {
-        if let Some(flow) = self
-            .flows
-            .get_mut(pool.at())
-            .and_then(|f| f.get_mut(&account))
-        {
-            if let Ok(i) = flow.lanes.binary_search(&shape) {
-                flow.lanes.remove(i);
-            }
+        let flow = self.flow(account, pool);
+        if let Ok(i) = flow.lanes.binary_search(&shape) {
+            flow.lanes.remove(i);
         }
+        *self.shape_mut(shape).lanes.make(account.at()) = None;
     }
 
     /// Charges a flow for a start.
@@ -305,6 +320,7 @@
         let flow = self.flow(account, pool);
         let tag = flow.tag;
         flow.tag = tag.saturating_add(cost);
+        flow.stale = true;
         let current = &mut self.virtuals[pool.at()];
         *current = tag.max(*current);
     }
@@ -313,32 +329,37 @@
     pub(crate) fn refund(&mut self, account: AccountId, pool: PoolId, cost: u64) {
         let flow = self.flow(account, pool);
         flow.tag = flow.tag.saturating_sub(cost);
+        flow.stale = true;
     }
 
     /// Changes an account's limits; what it lagged behind under the old ones is no credit.
     pub(crate) fn share(&mut self, account: AccountId, work: WorkId, pool: PoolId, share: Share) {
         self.limit(account, work).share = share;
         let current = self.current(pool);
-        if let Some(flow) = self
-            .flows
-            .get_mut(pool.at())
-            .and_then(|f| f.get_mut(&account))
-        {
-            flow.tag = flow.tag.max(current);
-        }
-        self.refresh(account, pool);
+        let flow = self.flow(account, pool);
+        flow.tag = flow.tag.max(current);
+        flow.stale = true;
+        self.refresh(account, pool, None);
+    }
+
+    /// Notes that an account's limits may allow more or less than before.
+    pub(crate) fn stale(&mut self, account: AccountId, pool: PoolId) {
+        self.flow(account, pool).stale = true;
     }
 
     /// Starts all flows anew after the pools changed.
     pub(crate) fn regroup(&mut self, pool_of: impl Fn(WorkId) -> PoolId) {
-        self.flows.clear();
+        self.flows = Dense::default();
         self.virtuals.clear();
         let mut used = Vec::new();
         for (s, queue) in self.shapes.iter().enumerate() {
             let shape = ShapeId::new(s);
-            for (account, lane) in queue.lanes.iter().filter(|(_, l)| l.queued > 0) {
-                used.push((*account, shape, queue.work, lane.primed_cost, lane.total()));
-            }
+            let lanes = queue.lanes.iter();
+            used.extend(lanes.filter_map(|(account, lane)| {
+                let lane = lane.as_deref()?;
+                let account = AccountId::new(account);
+                Some((account, shape, queue.work, lane.primed_cost, lane.total()))
+            }));
         }
         for (account, shape, work, primed, backlog) in &used {
             let weight = self.weight(*account, *work);
@@ -346,27 +367,30 @@
             flow.primed += primed;
             flow.backlog += backlog;
             flow.weight = weight;
+            flow.stale = true;
             flow.lanes.push(*shape);
         }
         for (account, _, work, _, _) in used {
-            self.refresh(account, pool_of(work));
+            self.refresh(account, pool_of(work), None);
         }
     }
 
-    /// Brings an account's ranks in a pool up to date.
-    pub(crate) fn refresh(&mut self, account: AccountId, pool: PoolId) {
-        let Some(flow) = self.flows.get(pool.at()).and_then(|f| f.get(&account)) else {
-            return;
-        };
+    /// Brings an account's ranks in a pool up to date: those of one lane, and all where the tag
+    /// or a limit changed.
+    pub(crate) fn refresh(&mut self, account: AccountId, pool: PoolId, shape: Option<ShapeId>) {
+        let flow = self.flows.make(pool.at()).make(account.at());
         let (tag, primed) = (flow.tag, flow.primed);
-        for shape in &flow.lanes {
+        let shapes = match (std::mem::take(&mut flow.stale), &shape) {
+            (true, _) => flow.lanes.as_slice(),
+            (false, Some(shape)) => std::slice::from_ref(shape),
+            (false, None) => &[],
+        };
+        for shape in shapes {
             let queue = &mut self.shapes[shape.at()];
-            let Some(lane) = queue.lanes.get_mut(&account) else {
-                continue;
-            };
-            let Some(limit) = self.limits.get(&(account, queue.work)) else {
+            let Some(lane) = queue.lanes.make(account.at()) else {
                 continue;
             };
+            let limit = self.limits.make(queue.work.at()).make(account.at());
             let free = limit.share.concurrency.saturating_sub(limit.running);
             let start = match self.by_weight {
                 true => tag,
@@ -399,7 +423,7 @@
         let first = |s: &ShapeId| self.shapes.get(s.at())?.first(wait(*s)?);
         let (_, account) = shapes.iter().filter_map(first).min()?;
         let head = |s: &ShapeId| {
-            let lane = self.shapes.get(s.at())?.lanes.get(&account)?;
+            let lane = self.lane_of(*s, account)?;
             let wait = wait(*s)?;
             lane.ranks[wait as usize]?;
             match wait {
--- a/crates/dispatch/src/ids.rs
+++ b/crates/dispatch/src/ids.rs
@@ -68,3 +68,32 @@
         &self.names[id]
     }
 }
+
+/// Values by id. Ids are dense, so a plain vector serves where a lookup is on the hot path.
+pub(crate) struct Dense<T> {
+    items: Vec<T>,
+}
+
+impl<T> Default for Dense<T> {
+    fn default() -> Self {
+        Dense { items: Vec::new() }
+    }
+}
+
+impl<T: Default> Dense<T> {
+    pub(crate) fn get(&self, index: usize) -> Option<&T> {
+        self.items.get(index)
+    }
+
+    /// The value of an id, made where there is none.
+    pub(crate) fn make(&mut self, index: usize) -> &mut T {
+        if self.items.len() <= index {
+            self.items.resize_with(index + 1, T::default);
+        }
+        &mut self.items[index]
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (usize, &T)> {
+        self.items.iter().enumerate()
+    }
+}
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -3,7 +3,6 @@
 use greengage_core::{AccountName, TemplateName};
 
 use crate::dispatch::Dispatch;
-use crate::ids::AccountId;
 
 /// Tasks of one account and kind of work.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,19 +45,16 @@
 
     /// The load of each account that has any.
     pub fn accounts(&self) -> Vec<AccountLoad> {
-        let busy = |l: &crate::fair::Limit| l.queued > 0 || l.running > 0;
-        let limits = self.fair.limits.iter().filter(|(_, l)| busy(l));
-        limits
-            .map(|((account, work), limit)| AccountLoad {
-                account: self.name(*account),
-                work: self.kinds.name(work.at()).0.clone(),
+        let mut loads = Vec::new();
+        for (work, limits) in self.fair.limits.iter() {
+            let busy = limits.iter().filter(|(_, l)| l.queued > 0 || l.running > 0);
+            loads.extend(busy.map(|(account, limit)| AccountLoad {
+                account: self.accounts.name(account).clone(),
+                work: self.kinds.name(work).0.clone(),
                 queued: limit.queued,
                 running: limit.running,
-            })
-            .collect()
-    }
-
-    fn name(&self, account: AccountId) -> AccountName {
-        self.accounts.name(account.at()).clone()
+            }));
+        }
+        loads
     }
 }
--- a/crates/dispatch/src/targets.rs
+++ b/crates/dispatch/src/targets.rs
@@ -120,6 +120,8 @@
     counted: u64,
     /// Run time here relative to the estimate.
     factor: f64,
+    /// The step of `factor` on the speed scale, and the rate of a slot in thousandths.
+    speed: (u32, u64),
     tie: u32,
     refusals: u32,
     pub(crate) resting: Option<Time>,
@@ -246,6 +248,7 @@
             long: 0,
             counted: 0,
             factor: 1.0,
+            speed: speed(1.0),
             tie,
             refusals: 0,
             resting: None,
@@ -385,6 +388,7 @@
         let seen = service.as_secs_f64() / expected.as_secs_f64().max(1e-6);
         let seen = seen.min(target.factor * SPEED_CLIP);
         target.factor = (target.factor + (seen - target.factor) * SPEED_WEIGHT).clamp(0.01, 100.0);
+        target.speed = speed(target.factor);
         target.refusals = 0;
     }
 
@@ -584,23 +588,29 @@
             Standing::Probation => empty.min(1),
             Standing::Ejected | Standing::Suspect | Standing::Leaving => 0,
         };
-        let step = (SPEED_MEAN + self.factor.log2() * SPEED_STEPS).round();
         let rack = match key.spread {
             Spread::Any => RackId(0),
             Spread::Racks => self.rack,
         };
-        let rank = if by_speed { step as u32 } else { 0 };
-        let factor = ((step - SPEED_MEAN) / SPEED_STEPS).exp2();
+        let (step, rate) = self.speed;
+        let rank = if by_speed { step } else { 0 };
         Entry {
             order: (room > 0).then_some((rack, (rank, self.tie, id))),
             could: u32::from(empty > 0),
             room,
             slots,
-            rate: (slots as f64 * 1000.0 / factor) as u64,
+            rate: slots * rate,
         }
     }
 }
 
+/// The step of a factor on the speed scale and the rate of one slot there, in thousandths.
+fn speed(factor: f64) -> (u32, u64) {
+    let step = (SPEED_MEAN + factor.log2() * SPEED_STEPS).round();
+    let factor = ((step - SPEED_MEAN) / SPEED_STEPS).exp2();
+    (step as u32, (1000.0 / factor) as u64)
+}
+
 /// How often `demand` fits into `free`.
 fn times(free: &Demand, demand: &Demand) -> u64 {
     [
--- a/crates/dispatch/src/verify.rs
+++ b/crates/dispatch/src/verify.rs
@@ -5,7 +5,8 @@
 use greengage_core::Demand;
 
 use crate::dispatch::Dispatch;
-use crate::ids::TargetId;
+use crate::fair::Lane;
+use crate::ids::{AccountId, ShapeId, TargetId, WorkId};
 
 impl Dispatch {
     /// Checks all invariants; looks at every job, attempt and target.
@@ -44,7 +45,7 @@
             )
         })?;
         for (s, shape) in &self.targets.shapes {
-            let found = self.targets.recount(crate::ids::ShapeId::new(s));
+            let found = self.targets.recount(ShapeId::new(s));
             let counted = (shape.room, shape.slots, shape.rate, shape.could);
             let ready: usize = shape.ready.values().map(|set| set.len()).sum();
             check(found == (counted, ready), || {
@@ -92,7 +93,7 @@
             }
             if let Some(line) = job.line {
                 lane.3 += 1;
-                let queue = self.fair.shape(job.shape).lanes.get(&job.account);
+                let queue = self.fair.lane_of(job.shape, job.account);
                 let found = queue.is_some_and(|l| l.holds(line, job.place(id)));
                 check(found, || format!("job {n} is not in its queue: {job:?}"))?;
             }
@@ -102,9 +103,17 @@
             || format!("{tasks} tasks and {bytes} bytes queued, counters differ"),
         )?;
         for (s, _) in &self.targets.shapes {
-            let shape = crate::ids::ShapeId::new(s);
+            let shape = ShapeId::new(s);
             for (account, lane) in self.fair.shape(shape).lanes.iter() {
-                let found = lanes.remove(&(shape, *account)).unwrap_or_default();
+                let found = lanes
+                    .remove(&(shape, AccountId::new(account)))
+                    .unwrap_or_default();
+                let Some(lane) = lane.as_deref() else {
+                    check(found.0 == 0, || {
+                        format!("lane {shape:?} {account}: {found:?}, none")
+                    })?;
+                    continue;
+                };
                 let jobs = lane.starts.len() + lane.begins.len();
                 let counted = (lane.queued, lane.primed, lane.total(), jobs);
                 check(found == counted, || {
@@ -116,19 +125,20 @@
     }
 
     fn verify_limits(&self) -> Result<(), String> {
-        for ((account, work), limit) in self.fair.limits.iter() {
-            let held = self.attempts.values();
-            let held = held
-                .filter(|r| r.account == *account && r.work == *work)
-                .count();
-            let shapes = self.targets.works[work.at()].shapes.iter();
-            let lanes = shapes.filter_map(|s| self.fair.shape(*s).lanes.get(account));
-            let (queued, primed) =
-                lanes.fold((0, 0), |sum, l| (sum.0 + l.queued, sum.1 + l.primed));
-            let counted = (limit.running as usize, limit.queued, limit.primed);
-            check((held, queued, primed) == counted, || {
-                format!("{account:?} {work:?}: {held}, {queued}, {primed}, counted {counted:?}")
-            })?;
+        for (work, limits) in self.fair.limits.iter() {
+            for (account, limit) in limits.iter() {
+                let (work, account) = (WorkId::new(work), AccountId::new(account));
+                let held = self.attempts.values();
+                let held = held.filter(|r| r.account == account && r.work == work);
+                let shapes = self.targets.works[work.at()].shapes.iter();
+                let lanes = shapes.filter_map(|s| self.fair.lane_of(*s, account));
+                let sum = |sum: (u32, u32), l: &Lane| (sum.0 + l.queued, sum.1 + l.primed);
+                let found = (held.count() as u32, lanes.fold((0, 0), sum));
+                let counted = (limit.running, (limit.queued, limit.primed));
+                check(found == counted, || {
+                    format!("{account:?} {work:?}: {found:?}, counted {counted:?}")
+                })?;
+            }
         }
         Ok(())
     }
