Mix the node id into the seed of election timeouts

Cause: nodes started with one seed would time out together and split their votes.

Change: mix the node id into the seed; ignore such replies, so the member counts as silent.

Conclusion: callers may pass any seed.

--- a/crates/agreement/src/raft.rs
+++ b/crates/agreement/src/raft.rs
@@ -47,9 +47,9 @@
     /// committed.
     pub fn new(setup: Setup<C, S>) -> Raft<C, S> {
         let mut raft = Raft {
+            random: Random::new(setup.seed, &setup.node),
             node: setup.node,
             timing: setup.timing,
-            random: Random::new(setup.seed),
             now: setup.now,
             out: Outbox::new(setup.hard.term),
             hard: setup.hard,
--- a/crates/agreement/src/random.rs
+++ b/crates/agreement/src/random.rs
@@ -2,11 +2,19 @@
 
 use std::time::Duration;
 
+use greengage_core::NodeId;
+
 pub(crate) struct Random(u64);
 
 impl Random {
-    pub(crate) fn new(seed: u64) -> Random {
-        Random(seed)
+    /// Mixes `node` into `seed`, so that nodes with equal seeds don't time out together.
+    pub(crate) fn new(seed: u64, node: &NodeId) -> Random {
+        let mut random = Random(seed ^ node.folder);
+        for byte in node.vm.as_str().as_bytes() {
+            random.0 ^= u64::from(*byte);
+            random.0 = random.next();
+        }
+        random
     }
 
     fn next(&mut self) -> u64 {
--- a/crates/agreement/src/replication.rs
+++ b/crates/agreement/src/replication.rs
@@ -206,7 +206,7 @@
     }
 
     /// Takes a reply's term and sender into account; `false` when the reply is of no use.
-    fn answered(&mut self, from: &NodeId, term: Term) -> bool {
+    fn answered(&mut self, from: &NodeId, term: Term, index: Index) -> bool {
         let State::Leader(lead) = &mut self.state else {
             return false;
         };
@@ -217,7 +217,9 @@
             self.become_follower(term, None);
             return false;
         }
-        if term < self.hard.term {
+        if term < self.hard.term || index > self.log.last() {
+            // A member can't have more than its leader unless a data folder was replaced; such a
+            // member counts as silent rather than stopping each leader in turn.
             return false;
         }
         if self.now.since(progress.active) >= self.timing.election {
@@ -231,7 +233,7 @@
     }
 
     pub(crate) fn on_append_reply(&mut self, from: NodeId, reply: AppendReply) {
-        if !self.answered(&from, reply.term) {
+        if !self.answered(&from, reply.term, reply.index) {
             return;
         }
         let State::Leader(lead) = &mut self.state else {
@@ -255,7 +257,7 @@
     }
 
     pub(crate) fn on_install_reply(&mut self, from: NodeId, reply: InstallReply) {
-        if !self.answered(&from, reply.term) {
+        if !self.answered(&from, reply.term, reply.index) {
             return;
         }
         if let State::Leader(lead) = &mut self.state {
--- a/crates/agreement/tests/group/node.rs
+++ b/crates/agreement/tests/group/node.rs
@@ -52,33 +52,35 @@
     sends.collect()
 }
 
-fn vote(term: u64, transfer: bool) -> Msg {
+/// A request by a node whose last entry is `last` of term 2.
+fn vote(term: u64, last: u64, pre: bool, transfer: bool) -> Msg {
     Message::Vote(Vote {
         term: Term(term),
-        last_index: Index(9),
+        last_index: Index(last),
         last_term: Term(2),
-        pre: false,
+        pre,
         transfer,
     })
 }
 
-fn append(term: u64, entries: Vec<Entry<Command>>) -> Msg {
+/// Entries after the one at index `prev.0` and of term `prev.1`.
+fn append(term: u64, prev: (u64, u64), entries: Vec<Entry<Command>>) -> Msg {
     Message::Append(Append {
         term: Term(term),
-        prev_index: Index(2),
-        prev_term: Term(2),
+        prev_index: Index(prev.0),
+        prev_term: Term(prev.1),
         entries,
         commit: Index(0),
         round: 1,
     })
 }
 
-fn stored(index: u64) -> Msg {
+fn stored(index: u64, round: u64) -> Msg {
     Message::AppendReply(AppendReply {
         term: Term(3),
         success: true,
         index: Index(index),
-        round: 0,
+        round,
     })
 }
 
@@ -116,12 +118,12 @@
 #[test]
 fn vote_leaves_once_durable() {
     let mut raft = node();
-    let out = receive(&mut raft, "b", vote(3, false));
+    let out = receive(&mut raft, "b", vote(3, 9, false, false));
     assert!(matches!(&out[0], Effect::Save(s) if s.hard.as_ref().unwrap().vote == Some(id("b"))));
     assert!(sends(&out).is_empty());
     let out = raft.step(Time(1000), Event::Saved(SaveSeq(1)));
     assert!(matches!(sends(&out)[..], [Message::VoteReply(r)] if r.granted));
-    let out = receive(&mut raft, "c", vote(3, false));
+    let out = receive(&mut raft, "c", vote(3, 9, false, false));
     assert!(matches!(sends(&out)[..], [Message::VoteReply(r)] if !r.granted));
 }
 
@@ -129,10 +131,10 @@
 #[test]
 fn follower_answers_once_durable() {
     let mut raft = node();
-    receive(&mut raft, "b", append(2, Vec::new()));
-    let out = receive(&mut raft, "b", append(2, vec![noop(2)]));
+    receive(&mut raft, "b", append(2, (2, 2), Vec::new()));
+    let out = receive(&mut raft, "b", append(2, (2, 2), vec![noop(2)]));
     assert!(sends(&out).is_empty());
-    let out = receive(&mut raft, "b", append(2, Vec::new()));
+    let out = receive(&mut raft, "b", append(2, (2, 2), Vec::new()));
     assert!(matches!(sends(&out)[..], [Message::AppendReply(r)] if r.index == Index(2)));
     let out = raft.step(Time(1000), Event::Saved(SaveSeq(1)));
     assert!(matches!(sends(&out)[..], [Message::AppendReply(r)] if r.index == Index(3)));
@@ -143,18 +145,14 @@
 fn replaced_entry_is_durable_once_saved_itself() {
     for saved_first in [true, false] {
         let mut raft = node();
-        receive(&mut raft, "b", append(2, vec![noop(2)]));
-        receive(&mut raft, "c", append(3, Vec::new()));
+        receive(&mut raft, "b", append(2, (2, 2), vec![noop(2)]));
+        receive(&mut raft, "c", append(3, (2, 2), Vec::new()));
         if saved_first {
             raft.step(Time(1000), Event::Saved(SaveSeq(2)));
         }
-        receive(&mut raft, "c", append(3, vec![noop(3)]));
+        receive(&mut raft, "c", append(3, (2, 2), vec![noop(3)]));
         raft.step(Time(1000), Event::Saved(SaveSeq(2)));
-        let Message::Append(mut beat) = append(3, Vec::new()) else {
-            unreachable!();
-        };
-        (beat.prev_index, beat.prev_term) = (Index(3), Term(3));
-        let out = receive(&mut raft, "c", Message::Append(beat));
+        let out = receive(&mut raft, "c", append(3, (3, 3), Vec::new()));
         assert!(matches!(sends(&out)[..], [Message::AppendReply(r)] if r.index == Index(2)));
     }
 }
@@ -193,14 +191,7 @@
             config: config(&[("a", Seat::Voter), ("b", Seat::Voter), ("c", Seat::Witness)]),
             ..setup()
         });
-        let request = Message::Vote(Vote {
-            term: Term(3),
-            last_index: Index(last),
-            last_term: Term(2),
-            pre: true,
-            transfer: false,
-        });
-        let out = receive(&mut raft, "c", request);
+        let out = receive(&mut raft, "c", vote(3, last, true, false));
         assert!(matches!(sends(&out)[..], [Message::VoteReply(r)] if r.granted == expected));
     }
 }
@@ -210,10 +201,10 @@
 #[test]
 fn leader_commits_only_durable_entries_of_its_term() {
     let mut raft = leader();
-    receive(&mut raft, "b", stored(2));
-    receive(&mut raft, "c", stored(2));
+    receive(&mut raft, "b", stored(2, 0));
+    receive(&mut raft, "c", stored(2, 0));
     assert_eq!(raft.status().commit, Index(0));
-    receive(&mut raft, "b", stored(3));
+    receive(&mut raft, "b", stored(3, 0));
     assert_eq!(
         raft.status().commit,
         Index(0),
@@ -235,13 +226,7 @@
     raft.step(Time(1000), Event::Read(ticket));
     let ready = |out: &Out| out.iter().any(|e| matches!(e, Effect::ReadReady { .. }));
     for index in [2, 3] {
-        let reply = Message::AppendReply(AppendReply {
-            term: Term(3),
-            success: true,
-            index: Index(index),
-            round: 1,
-        });
-        let out = receive(&mut raft, "b", reply);
+        let out = receive(&mut raft, "b", stored(index, 1));
         assert!(!ready(&out));
     }
     let out = raft.step(Time(1000), Event::Saved(SaveSeq(2)));
@@ -253,7 +238,7 @@
 fn truncated_change_is_taken_back() {
     let mut raft = leader();
     raft.step(Time(1000), Event::Saved(SaveSeq(2)));
-    receive(&mut raft, "b", stored(3));
+    receive(&mut raft, "b", stored(3, 0));
     let change = Change::AddLearner(id("d"));
     let ticket = Ticket(1);
     raft.step(Time(1000), Event::Change { ticket, change });
@@ -262,15 +247,7 @@
         index: Index(4),
         ..noop(4)
     };
-    let Message::Append(later) = append(4, vec![replaced]) else {
-        unreachable!();
-    };
-    let later = Append {
-        prev_index: Index(3),
-        prev_term: Term(3),
-        ..later
-    };
-    receive(&mut raft, "b", Message::Append(later));
+    receive(&mut raft, "b", append(4, (3, 3), vec![replaced]));
     assert_eq!(raft.status().config, config(&THREE));
 }
 
@@ -279,18 +256,11 @@
 #[test]
 fn votes_that_would_disturb_are_ignored() {
     let mut raft = node();
-    let removed = Message::Vote(Vote {
-        term: Term(99),
-        last_index: Index(2),
-        last_term: Term(2),
-        pre: false,
-        transfer: true,
-    });
-    assert!(receive(&mut raft, "z", removed).is_empty());
-    receive(&mut raft, "b", append(2, Vec::new()));
-    assert!(receive(&mut raft, "c", vote(3, false)).is_empty());
+    assert!(receive(&mut raft, "z", vote(99, 2, false, true)).is_empty());
+    receive(&mut raft, "b", append(2, (2, 2), Vec::new()));
+    assert!(receive(&mut raft, "c", vote(3, 9, false, false)).is_empty());
     assert_eq!(raft.status().term, Term(2));
-    receive(&mut raft, "c", vote(3, true));
+    receive(&mut raft, "c", vote(3, 9, false, true));
     assert_eq!(raft.status().term, Term(3), "a transfer is no disturbance");
 }
 
@@ -298,7 +268,7 @@
 #[test]
 fn old_leader_is_answered_with_the_present_term() {
     let mut raft = node();
-    let out = receive(&mut raft, "b", append(1, Vec::new()));
+    let out = receive(&mut raft, "b", append(1, (2, 2), Vec::new()));
     assert!(
         matches!(sends(&out)[..], [Message::AppendReply(r)] if !r.success && r.term == Term(2))
     );
