--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -20,6 +20,7 @@
 //! - `log`: entries, snapshot and configurations in memory, and how much of them is durable.
 //! - `outbox`: collects a step's effects and holds messages back until a save is durable.
 //! - `raft`: the node, the dispatch of events and the timers.
+//! - `random`: the generator of election timeouts.
 //!
 //! # Invariants
 //!
--- a/crates/agreement/src/log.rs
+++ b/crates/agreement/src/log.rs
@@ -13,6 +13,11 @@
 /// fewer than this at 25,000 entries per second.
 const TAIL_ENTRIES: u64 = 256;
 
+/// The index before `index`.
+pub(crate) fn before(index: Index) -> Index {
+    Index(index.0 - 1)
+}
+
 pub(crate) struct Log<C, S> {
     snapshot: Option<Snapshot<S>>,
     floor: Index,
--- a/crates/agreement/src/outbox.rs
+++ b/crates/agreement/src/outbox.rs
@@ -1,6 +1,6 @@
 //! Collects the effects of a step and holds messages back until a save is durable.
 
-use greengage_core::{Index, NodeId, Term};
+use greengage_core::{NodeId, Term};
 
 use crate::log::Log;
 use crate::{Effect, HardState, Message, Role, Save, SaveSeq, Snapshot};
@@ -160,8 +160,3 @@
         self.held.push((need, to, message));
     }
 }
-
-/// The index before `index`.
-pub(crate) fn before(index: Index) -> Index {
-    Index(index.0 - 1)
-}
--- a/crates/agreement/src/replication.rs
+++ b/crates/agreement/src/replication.rs
@@ -3,7 +3,8 @@
 use greengage_core::{Index, NodeId, SortedMap, Term, Time};
 
 use crate::election::Transfer;
-use crate::outbox::{before, Gate};
+use crate::log::before;
+use crate::outbox::Gate;
 use crate::progress::{quorum, Mode, Progress, BATCH_ENTRIES, SNAPSHOT_TIMEOUTS, WINDOW_BATCHES};
 use crate::raft::{Raft, State};
 use crate::read::PendingRead;
