Gather batches before a sync

Cause: with writers that wait for their answers, the first batch that arrived after a sync was synced alone, and the others waited for that sync and the next one. Ruled out: a fixed pause, which a fast disk does not need.

Change: the disk thread waits until as many batches as last time have arrived, for at most 1/16 of the last write's duration.

--- a/crates/journal/src/thread.rs
+++ b/crates/journal/src/thread.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::thread::{Builder, JoinHandle};
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::Receiver;
 
@@ -15,6 +16,11 @@
 /// first batch waits for the others to be written.
 pub const DRAIN_BYTES: usize = 8 << 20;
 
+/// The share of the last write's duration for which a sync waits until as many batches as last time
+/// have arrived. Without it, writers that wait for their answers fall into two groups, each of
+/// which waits for the other's sync.
+const GATHER_FRACTION: u32 = 16;
+
 /// Starts the disk thread. It ends when the channel is closed.
 ///
 /// `done` is called for each batch, in order, with its token once the batch is durable, or with
@@ -28,19 +34,27 @@
     let run = move || {
         let mut batches = Vec::new();
         let mut tokens = Vec::new();
+        let (mut last, mut took) = (0, Duration::ZERO);
         while let Ok((batch, token)) = commands.recv() {
             let mut bytes = batch_bytes(&batch);
             batches.push(batch);
             tokens.push(token);
+            let until = Instant::now() + took / GATHER_FRACTION;
             while batches.len() < DRAIN_BATCHES && bytes < DRAIN_BYTES {
-                let Ok((batch, token)) = commands.try_recv() else {
+                let next = match batches.len() < last {
+                    true => commands.recv_deadline(until).ok(),
+                    false => commands.try_recv().ok(),
+                };
+                let Some((batch, token)) = next else {
                     break;
                 };
                 bytes += batch_bytes(&batch);
                 batches.push(batch);
                 tokens.push(token);
             }
+            let before = Instant::now();
             let result = journal.write(&batches);
+            (last, took) = (batches.len(), before.elapsed());
             batches.clear();
             for token in tokens.drain(..) {
                 done(result.clone().map(|()| token));
