Size the reserve for short work by its recent use

Fair shares were ruled out: short work had the lower tag, but no slot became free for it. A fixed share of 25% is too small for bursts at 20% short load. A worker that ran many short tasks also looked full after each usage report, because the report still showed tasks that had ended.

Change: long work leaves free what short work used at most within the last 5 to 10 s, at least the fixed share and at most half. A usage report is reduced by the tasks that ended within its lag.

--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -359,7 +359,7 @@
             }
             Settled::Failed { .. } | Settled::Lost | Settled::Guard(_) => {}
         }
-        self.targets.settle(attempt, run.grant);
+        self.targets.settle(attempt, run.grant, now);
         let pool = self.pools.of(run.work);
         let limit = self.fair.limit(run.account, run.work);
         limit.running -= 1;
@@ -582,26 +582,26 @@
         if s.room == 0 {
             return false;
         }
-        let units = self.long_units(shape);
-        if units == 0 {
-            return true;
-        }
         let work = &self.targets.works[s.key.work.at()];
-        let percent = 100u64.saturating_sub(u64::from(self.tuning.short_percent));
-        work.long == 0 || (work.long + units) * 100 <= work.capacity * percent
+        let percent = self.tuning.short_percent;
+        !self.is_long(shape) || work.used.allows(self.now, self.units(shape), percent)
     }
 
-    /// Slots or millicores that a task takes of those for long work; 0 for short work.
-    fn long_units(&self, shape: ShapeId) -> u64 {
+    /// Whether a shape's work counts as long.
+    fn is_long(&self, shape: ShapeId) -> bool {
         let key = &self.targets.shape(shape).key;
-        let long = match self.estimates.observed(key.work) {
+        match self.estimates.observed(key.work) {
             Some(observed) => observed >= self.tuning.long,
             None => key.long,
-        };
-        match (long, self.kinds.name(key.work.at()).1) {
-            (false, _) => 0,
-            (true, TargetKind::Executor) => 1,
-            (true, TargetKind::Worker) => u64::from(key.demand.milli_cores).max(1),
+        }
+    }
+
+    /// Slots or millicores that a task takes.
+    fn units(&self, shape: ShapeId) -> u64 {
+        let key = &self.targets.shape(shape).key;
+        match self.kinds.name(key.work.at()).1 {
+            TargetKind::Executor => 1,
+            TargetKind::Worker => u64::from(key.demand.milli_cores).max(1),
         }
     }
 
@@ -687,7 +687,8 @@
         let grant = Grant {
             target,
             demand: self.targets.shape(shape).key.demand,
-            long: self.long_units(shape),
+            units: self.units(shape),
+            long: self.is_long(shape),
             since: now,
         };
         let tie = match self.tuning.placement {
@@ -738,7 +739,8 @@
         }
         let expected = self.expected(s.key.work, Duration::from_millis(100));
         let ahead = s.slots * BEGIN_AHEAD.as_micros() as u64 / expected;
-        let budget = s.room + ahead.clamp(1, s.slots);
+        let room = if self.open(shape) { s.room } else { 0 };
+        let budget = room + ahead.clamp(1, s.slots);
         match u64::from(self.fair.shape(shape).primed) < budget {
             true => Some(Wait::Begin),
             false => Some(Wait::First),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,7 +8,8 @@
 //! - `dispatch`: the state machine, which composes the others.
 //! - `jobs`: jobs and which of their tasks were started; `queue`: their order in one lane.
 //! - `fair`: accounts, their limits and shares; `pools`: which kinds of work compete.
-//! - `targets`: capacities, grants and the index of free targets; `placement`: the choice.
+//! - `targets`: capacities, grants and the index of free targets; `placement`: the choice;
+//!   `reserve`: slots kept for short work.
 //! - `estimate`: run times; `admission`: expected ends; `budget`: retries; `timers`: deadlines.
 //! - `load`: figures for metrics; `verify`: checks of all counters.
 
@@ -24,6 +25,7 @@
 mod placement;
 mod pools;
 mod queue;
+mod reserve;
 mod targets;
 mod timers;
 mod verify;
--- a/crates/dispatch/src/targets.rs
+++ b/crates/dispatch/src/targets.rs
@@ -6,7 +6,9 @@
 //! own work, so that finding a target costs the logarithm of the number of targets.
 //!
 //! Free is the capacity minus the larger of what was granted and what is reported plus grants
-//! that the report can't show yet. A reported task that ended since is taken off the report.
+//! that the report can't show yet. A task that ended is taken off the report, since and also
+//! shortly before it came; else a worker that runs many short tasks would look full until the
+//! next report.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -16,6 +18,7 @@
 
 use crate::event::Attempt;
 use crate::ids::{RackId, ShapeId, TargetId, WorkId};
+use crate::reserve::Use;
 
 /// How long a worker's report may lag behind its grants; workers announce each second.
 const USAGE_LAG: Duration = Duration::from_secs(1);
@@ -90,10 +93,7 @@
 pub(crate) struct Work {
     pub(crate) shapes: Vec<ShapeId>,
     pub(crate) targets: Vec<TargetId>,
-    /// Slots or millicores of live targets.
-    pub(crate) capacity: u64,
-    /// Slots or millicores that long work holds on live targets.
-    pub(crate) long: u64,
+    pub(crate) used: Use,
 }
 
 /// A target.
@@ -111,12 +111,14 @@
     /// The part of `granted` that the last report could show.
     seen: Demand,
     reported: Demand,
-    seen_until: Option<Time>,
     /// Grants that the last report couldn't show, oldest first.
     fresh: VecDeque<(Time, Attempt, Demand)>,
-    /// Slots or millicores that long work holds here.
+    /// Tasks that ended so lately that the next report may still show them.
+    ended: VecDeque<(Time, Demand)>,
+    /// Slots or millicores in use, and those of long work among them.
+    pub(crate) busy: u64,
     pub(crate) long: u64,
-    /// Whether its slots count in `Work::capacity`.
+    /// What it counts in the capacity of its kinds of work.
     counted: u64,
     /// Run time here relative to the estimate.
     factor: f64,
@@ -136,8 +138,10 @@
 pub(crate) struct Grant {
     pub(crate) target: TargetId,
     pub(crate) demand: Demand,
-    /// Slots or millicores where the work is long, else 0.
-    pub(crate) long: u64,
+    /// Slots or millicores.
+    pub(crate) units: u64,
+    /// Whether the work is long.
+    pub(crate) long: bool,
     pub(crate) since: Time,
 }
 
@@ -243,8 +247,9 @@
             granted: Demand::default(),
             seen: Demand::default(),
             reported: Demand::default(),
-            seen_until: None,
             fresh: VecDeque::new(),
+            ended: VecDeque::new(),
+            busy: 0,
             long: 0,
             counted: 0,
             factor: 1.0,
@@ -340,8 +345,9 @@
                 target.seen = target.seen.plus(&demand);
             }
         }
-        target.reported = used;
-        target.seen_until = Some(until);
+        target.forget_ended(now);
+        let ended = target.ended.iter();
+        target.reported = ended.fold(used, |left, (_, demand)| left.minus(demand));
         self.refresh(id);
     }
 
@@ -350,18 +356,18 @@
         let target = &mut self.all[grant.target.at()];
         target.running += 1;
         target.granted = target.granted.plus(&grant.demand);
-        if matches!(target.capacity, Some(Capacity::Worker(_))) {
+        if grant.demand != Demand::default() {
             target.fresh.push_back((grant.since, attempt, grant.demand));
         }
         if let Some(tie) = tie {
             target.tie = tie;
         }
-        self.add_long(grant.target, grant.long as i64);
+        self.use_units(&grant, grant.since, 1);
         self.refresh(grant.target);
     }
 
     /// Counts the end of an attempt.
-    pub(crate) fn settle(&mut self, attempt: Attempt, grant: Grant) {
+    pub(crate) fn settle(&mut self, attempt: Attempt, grant: Grant, now: Time) {
         let target = &mut self.all[grant.target.at()];
         target.running -= 1;
         target.granted = target.granted.minus(&grant.demand);
@@ -377,7 +383,11 @@
                 target.reported = target.reported.minus(&grant.demand);
             }
         }
-        self.add_long(grant.target, -(grant.long as i64));
+        if grant.demand != Demand::default() {
+            target.forget_ended(now);
+            target.ended.push_back((now, grant.demand));
+        }
+        self.use_units(&grant, now, -1);
         self.refresh(grant.target);
         self.reclaim(grant.target);
     }
@@ -417,13 +427,18 @@
         }
     }
 
-    fn add_long(&mut self, id: TargetId, units: i64) {
-        let target = &mut self.all[id.at()];
-        target.long = target.long.saturating_add_signed(units);
+    fn use_units(&mut self, grant: &Grant, now: Time, sign: i64) {
+        let target = &mut self.all[grant.target.at()];
+        let units = grant.units as i64 * sign;
+        let long = if grant.long { units } else { 0 };
+        target.busy = target.busy.saturating_add_signed(units);
+        target.long = target.long.saturating_add_signed(long);
         if target.counted > 0 {
             for work in &target.works {
-                let long = &mut self.works[work.at()].long;
-                *long = long.saturating_add_signed(units);
+                let used = &mut self.works[work.at()].used;
+                used.busy = used.busy.saturating_add_signed(units);
+                used.long = used.long.saturating_add_signed(long);
+                used.note(now);
             }
         }
     }
@@ -435,11 +450,17 @@
         let counted = target.units();
         if counted != target.counted {
             for work in &target.works {
-                let w = &mut self.works[work.at()];
-                w.capacity = w.capacity + counted - target.counted;
+                let used = &mut self.works[work.at()].used;
+                used.capacity = used.capacity + counted - target.counted;
                 match (target.counted > 0, counted > 0) {
-                    (false, true) => w.long += target.long,
-                    (true, false) => w.long -= target.long,
+                    (false, true) => {
+                        used.busy += target.busy;
+                        used.long += target.long;
+                    }
+                    (true, false) => {
+                        used.busy -= target.busy;
+                        used.long -= target.long;
+                    }
                     (true, true) | (false, false) => {}
                 }
             }
@@ -538,6 +559,12 @@
         }
     }
 
+    fn forget_ended(&mut self, now: Time) {
+        while self.ended.front().is_some_and(|e| e.0 + USAGE_LAG <= now) {
+            self.ended.pop_front();
+        }
+    }
+
     /// Resources that a worker can still grant.
     fn free(&self, all: &Demand) -> Demand {
         let unseen = self.granted.minus(&self.seen);
--- a/crates/dispatch/src/verify.rs
+++ b/crates/dispatch/src/verify.rs
@@ -16,18 +16,20 @@
     }
 
     fn verify_targets(&self) -> Result<(), String> {
-        let mut sums: BTreeMap<TargetId, (u32, Demand, u64)> = BTreeMap::new();
+        let mut sums: BTreeMap<TargetId, (u32, Demand, u64, u64)> = BTreeMap::new();
         for run in self.attempts.values() {
             let sum = sums.entry(run.grant.target).or_default();
             sum.0 += 1;
             sum.1 = sum.1.plus(&run.grant.demand);
-            sum.2 += run.grant.long;
+            sum.2 += run.grant.units;
+            sum.3 += if run.grant.long { run.grant.units } else { 0 };
         }
         let mut free_slots = 0;
         for (id, target) in &self.targets.all {
             let name = &target.name;
             let sum = sums.remove(&TargetId::new(id)).unwrap_or_default();
-            check(sum == (target.running, target.granted, target.long), || {
+            let held = (target.running, target.granted, target.busy, target.long);
+            check(sum == held, || {
                 format!("target {name}: attempts hold {sum:?}, counted are {target:?}")
             })?;
             check(!target.exceeded() || target.excused, || {
