Send what is queued when a transport is dropped

Cause: dropping a transport closed its connections at once, so the last messages of a shutdown, such as the transfer of leadership, were lost. Ruled out: a separate flush call, which callers would forget.

Change: dropping closes the queues; the links of connected peers send the rest and wait for the acknowledgment, for at most 200 ms. The same holds for a peer that set_peers removes. A new connection is logged.

Before: nothing waited for the queues.

Conclusion: a graceful shutdown delivers its last messages to connected peers.

--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -35,7 +35,8 @@
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::watch;
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::{spawn_local, JoinSet, LocalSet};
+use tokio::time::timeout;
 
 use accept::Receiver;
 use counter::Counters;
@@ -56,7 +57,8 @@
 /// the packets were lost beside a large message.
 const RECEIVE_BUFFER_BYTES: usize = 4 << 20;
 
-/// Longest time that a dropped transport takes to tell its peers.
+/// Longest time that a dropped transport takes to send what is queued, and then to tell its peers
+/// that it ends.
 const CLOSE_TIME: Duration = Duration::from_millis(200);
 
 /// Settings of one VM's transport.
@@ -168,7 +170,8 @@
     }
 }
 
-/// One VM's connections to the others.
+/// One VM's connections to the others. Dropping it sends what is queued for connected peers, for
+/// at most 200 ms, and ends the thread.
 pub struct Transport {
     sender: Sender,
     peers: watch::Sender<Peers>,
@@ -257,8 +260,8 @@
         self.sender.counts()
     }
 
-    /// Replaces the peers. A peer whose address stays the same keeps its connection and queue;
-    /// messages for other peers that were not sent yet are lost.
+    /// Replaces the peers. A peer whose address stays the same keeps its connection and queue.
+    /// Messages to other peers that are queued are sent if the peer is connected, and lost if not.
     pub fn set_peers(&self, peers: &SortedMap<VmName, SocketAddr>) {
         let mut added = Vec::new();
         self.peers.send_modify(|current| {
@@ -300,6 +303,8 @@
 
 impl Drop for Transport {
     fn drop(&mut self) {
+        // Closes the queues; their links send what is left and end.
+        self.peers.send_modify(Peers::clear);
         self.new_peers = None;
         // `deliver` may own the transport; then this is the transport thread.
         if let Some(thread) = self.thread.take() {
@@ -332,12 +337,19 @@
         tasks.block_on(&runtime, async {
             let receiver = Receiver::new(deliver, self.counters.clone(), self.silent);
             spawn_local(Rc::new(receiver).run(endpoint.clone()));
+            let mut links = JoinSet::new();
             while let Some(peer) = inbox.recv().await {
-                spawn_local(self.link(peer.vm, peer.address).run(peer.queues));
+                links.spawn_local(self.link(peer.vm, peer.address).run(peer.queues));
+                while links.try_join_next().is_some() {}
             }
+            // Best effort: what is lost here is lost as on a bad network, and a peer that isn't
+            // told notices the silence.
+            let _ = timeout(CLOSE_TIME, async {
+                while links.join_next().await.is_some() {}
+            })
+            .await;
             endpoint.close(CLOSED, b"shutdown");
-            // Best effort: a peer that isn't told notices the silence.
-            let _ = tokio::time::timeout(CLOSE_TIME, endpoint.wait_idle()).await;
+            let _ = timeout(CLOSE_TIME, endpoint.wait_idle()).await;
         });
     }
 
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -44,7 +44,8 @@
 }
 
 impl Link {
-    /// Sends what the queues hold until they are closed.
+    /// Sends what the queues hold until they are closed; what they hold then is still sent if
+    /// the peer is connected.
     pub(crate) async fn run(self, mut queues: [Queue; CLASSES]) {
         let mut backoff = Duration::ZERO;
         let mut connected_before = false;
@@ -52,6 +53,7 @@
         while !queues[0].is_closed() {
             let error = match self.dial(&mut queues).await {
                 Ok(connection) => {
+                    log::info!("connected to VM {} at {}", self.peer, self.address);
                     self.counters.connected(connected_before);
                     connected_before = true;
                     let since = Instant::now();
@@ -164,6 +166,10 @@
                 return;
             }
         }
+        // The queue is closed and empty. Closing the connection would discard what the peer has
+        // not acknowledged yet.
+        let _ = stream.finish();
+        let _ = stream.stopped().await;
     }
 
     /// Returns when the peer has not acknowledged a probe within `silent`. A probe is an empty
--- a/crates/transport/tests/transport/messages.rs
+++ b/crates/transport/tests/transport/messages.rs
@@ -143,6 +143,21 @@
     flows(&a, &c, "c", Duration::from_secs(1));
 }
 
+/// Guards against a shutdown that loses its last messages, such as the transfer of leadership.
+#[test]
+fn messages_queued_before_the_drop_arrive() {
+    let (a, b) = pair();
+    flows(&a, &b, "b", LIMIT);
+    for i in 0..200 {
+        assert!(a.transport.send(&vm("b"), Class::Control, vec![i; 1000]));
+    }
+    drop(a);
+    let messages = std::iter::repeat_with(|| b.receive().1).filter(|m| m != BEAT);
+    for (i, message) in messages.take(200).enumerate() {
+        assert_eq!(message, vec![i as u8; 1000]);
+    }
+}
+
 /// Guards against an error that doesn't say which address is in use, and against a dropped
 /// transport that keeps its port or its thread.
 #[test]
