Tell callers when their connection ends

Cause: tiny_http's response leaves out a Connection header that it is given, so a caller whose connection was closed after the answer was not told and sent its next request into a closed connection. A new test of callers beyond the thread limit showed it.

Change: the header is added to the printed response. Tests also cover callers beyond three quarters of the threads, and revokes and fresh polls while an idle pooled connection is silent.

Conclusion: the limits of the listener are tested and visible to callers.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -183,9 +183,6 @@
         let mut out = Vec::with_capacity(self.body.len() + 256);
         let length = self.body.len();
         let mut headers = vec![header("Content-Type", self.media)];
-        if close {
-            headers.push(header("Connection", "close"));
-        }
         if let Some(ms) = self.retry_ms {
             headers.push(header("Retry-After", &ms.div_ceil(1000).to_string()));
         }
@@ -195,6 +192,11 @@
             .with_chunked_threshold(usize::MAX)
             .raw_print(&mut out, version, &[], head, None)
             .expect("writing to memory can't fail");
+        if close {
+            // The library leaves out a `Connection` header that it is given.
+            let first = out.windows(2).position(|w| w == b"\r\n").unwrap_or(0) + 2;
+            out.splice(first..first, *b"Connection: close\r\n");
+        }
         out
     }
 }
--- a/crates/http/tests/front.rs
+++ b/crates/http/tests/front.rs
@@ -305,6 +305,14 @@
             r#"{"key":"a/acme/j1","state":"complete","results":[1]}"#
         );
     }
+    // A caller that asks for the end of the connection must be told that it ends.
+    stream
+        .write_all(b"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n")
+        .unwrap();
+    let (status, head, _) = response(&mut stream);
+    assert_eq!(status, 200);
+    assert!(head.contains("\r\nConnection: close\r\n"), "{head}");
+    assert_eq!(stream.read(&mut [0]).unwrap(), 0);
     let long = format!("GET /healthz HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(20_000));
     for (head, expected) in [
         ("GET /healthz HTTP/2.0\r\n\r\n", 505),
@@ -370,6 +378,7 @@
     let (status, head, body) = response(&mut stream);
     assert_eq!(status, 503);
     assert!(head.contains("Retry-After: 1\r\n"), "{head}");
+    assert!(!head.contains("Connection: close\r\n"), "{head}");
     assert!(body.contains(r#""error":"busy""#), "{body}");
     assert!(body.contains(r#""not_run":true"#), "{body}");
 }
@@ -416,6 +425,36 @@
     }
 }
 
+/// Beyond three quarters of the threads, new callers must be told that nothing ran, and those that
+/// wait must still be answered.
+#[test]
+fn more_callers_than_threads() {
+    let mut settings = settings();
+    settings.limits.server.threads = 8;
+    let (front, taken) = collecting(settings);
+    let mut waiting = connect(front.address());
+    send(&mut waiting, "GET", "/v1/jobs/a/acme/1", "");
+    while taken.lock().unwrap().is_empty() {
+        thread::sleep(Duration::from_millis(1));
+    }
+    let _stopped: Vec<TcpStream> = (0..6).map(|_| connect(front.address())).collect();
+    let end = Instant::now() + Duration::from_secs(2);
+    while front.connections() < 7 {
+        assert!(Instant::now() < end);
+        thread::sleep(Duration::from_millis(1));
+    }
+    for _ in 0..20 {
+        let mut rejected = connect(front.address());
+        let (status, head, body) = response(&mut rejected);
+        assert_eq!(status, 503);
+        assert!(head.contains("Connection: close"), "{head}");
+        assert!(body.contains(r#""not_run":true"#), "{body}");
+    }
+    let (id, ..) = taken.lock().unwrap()[0];
+    front.reply(id, Reply::Noted);
+    assert_eq!(response(&mut waiting).0, 200);
+}
+
 /// Waiting callers must hold no thread: a thousand of them on a pool of 16 threads must not keep
 /// others from being served, and each must get its answer.
 #[test]
--- a/crates/standin/tests/target.rs
+++ b/crates/standin/tests/target.rs
@@ -295,6 +295,9 @@
     result(dispatcher.start(0, "{}"));
     target.set(Behaviour::Silent);
     thread::sleep(Duration::from_millis(50));
+    // The idle connection of the first start is silent; these must not use it.
+    result(dispatcher.call(revoke(0)));
+    result(dispatcher.call(poll(0, true)));
     let sent = Instant::now();
     dispatcher.send(1, start(1, 1, r#"{"echo":1}"#));
     thread::sleep(Duration::from_millis(200));
