Describe the HTTP protocol

Cause: paths, fields, statuses, limits and the duties of targets were written down only in code.

Change: docs/protocol.md. A test sends the requests that the page shows to the listener as they stand there.

Before: no page.

Conclusion: callers and targets can be written from the page.

--- a/crates/http/tests/front.rs
+++ b/crates/http/tests/front.rs
@@ -189,6 +189,26 @@
     assert_eq!(taken.lock().unwrap().len(), 0);
 }
 
+/// The requests that the protocol page shows must be accepted as they stand there.
+#[test]
+fn documented_requests() {
+    let page = include_str!("../../../docs/protocol.md");
+    let (front, taken) = collecting(settings());
+    for path in ["/v1/jobs", "/v1/requests", "/v1/targets"] {
+        let section = page.split(&format!("### `POST {path}`")).nth(1).unwrap();
+        let block = section.split("```json").nth(1).unwrap();
+        let body = block.split("```").next().unwrap();
+        let mut stream = connect(front.address());
+        send(&mut stream, "POST", &format!("{path}?wait_ms=0"), body);
+        let end = Instant::now() + Duration::from_secs(2);
+        while taken.lock().unwrap().is_empty() {
+            assert!(Instant::now() < end, "{path} was not accepted");
+            thread::sleep(Duration::from_millis(1));
+        }
+        taken.lock().unwrap().clear();
+    }
+}
+
 /// Numbers beyond 64 bits must pass through unchanged, and the digest must depend on the content
 /// only, or a resubmission by another JSON library is taken for other content.
 #[test]
