Serve operators without rouille

Eight connections that stopped in the middle of a body held the pool of eight threads, and /healthz was not answered within 15 s. rouille has no setting for either; its server can't be given other connections.

Change: the listener uses the server that callers use, with 64 threads and connections and a body limit of 1 MiB. Paths, documents and replies are unchanged.

Conclusion: every wait on the operators' address has a limit.

--- a/crates/http/src/admin.rs
+++ b/crates/http/src/admin.rs
@@ -1,14 +1,16 @@
 //! The listener for operators.
 //!
-//! `rouille` serves it with a fixed pool of threads. A handler translates the request, passes it
-//! on and waits for the reply on a channel of its own, for a bounded time. One thread owns the map
-//! from request to channel, so that giving a reply takes no lock.
+//! A handler translates the request, passes it on and waits for the reply on a channel of its own,
+//! for a bounded time; operators are few, so each may hold a thread. One thread owns the map from
+//! request to channel, so that giving a reply takes no lock.
+//!
+//! `rouille` is not used, for two reasons found in trials: a request with `Content-Length:
+//! 900000000000000` aborts the process, and eight connections that stop in the middle of a body
+//! keep a pool of eight threads from ever serving `/healthz`, as it has no time limit for reading.
 
 use std::collections::BTreeMap;
-use std::io::{self, Read};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -25,7 +27,9 @@
 use crate::front::ID_STEP;
 use crate::json::{DocumentError, Fields};
 use crate::reply::{self, Form};
-use crate::server::{Answer, HttpError, Request as HttpRequest};
+use crate::server::{
+    Answer, Handled, HttpError, Limits, Request as HttpRequest, Responder, Server,
+};
 use crate::status::{self, refuse, Refused};
 
 /// What the listener is started with.
@@ -35,12 +39,10 @@
     pub listen: SocketAddr,
     /// The VM, named in errors.
     pub vm: VmName,
-    /// Threads, and so requests at once.
-    pub threads: usize,
+    /// Connections, threads, sizes and times.
+    pub limits: Limits,
     /// Longest time that a reply is awaited.
     pub wait: Duration,
-    /// Largest body in bytes.
-    pub body_bytes: usize,
 }
 
 impl Settings {
@@ -49,9 +51,14 @@
         Settings {
             listen,
             vm,
-            threads: 8,
+            limits: Limits {
+                body_bytes: 1 << 20,
+                arriving_bytes: 16 << 20,
+                connections: 64,
+                threads: 64,
+                ..Limits::default()
+            },
             wait: Duration::from_secs(10),
-            body_bytes: 1 << 20,
         }
     }
 }
@@ -60,6 +67,7 @@
     Wait { id: RequestId, to: Sender<Reply> },
     Reply { id: RequestId, reply: Reply },
     Forget { id: RequestId },
+    Stop,
 }
 
 /// Answers held requests from any thread without blocking.
@@ -75,16 +83,14 @@
 
 /// The running listener; it stops when dropped.
 pub struct Admin {
-    address: SocketAddr,
+    server: Server,
     replies: Replies,
-    stop: Arc<AtomicBool>,
-    thread: Option<thread::JoinHandle<()>>,
 }
 
 impl Admin {
     /// The address that it listens on.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.server.address()
     }
 
     /// Answers a held request; a reply to an unknown id is dropped.
@@ -100,16 +106,13 @@
 
 impl Drop for Admin {
     fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
+        self.server.close();
+        // A handler that waits keeps a sender of the channel, so the channel alone would end the
+        // thread only after that wait.
+        let _ = self.replies.0.send(Message::Stop);
     }
 }
 
-/// How often the accepting thread checks whether it must stop.
-const STOP_CHECK: Duration = Duration::from_millis(200);
-
 /// Starts the listener. `submit` takes a request and how long its reply may be held; it returns
 /// false when the request was not taken. `metrics` renders the text of `/metrics`.
 pub fn start(
@@ -127,9 +130,8 @@
     let Settings {
         listen,
         vm,
-        threads,
+        limits,
         wait,
-        body_bytes,
     } = settings;
     let ask = move |request: Request| -> Answer {
         let id = RequestId(ids.fetch_add(1, Ordering::Relaxed) * ID_STEP + 1);
@@ -148,34 +150,12 @@
             }
         }
     };
-    let handler = move |request: &rouille::Request| -> rouille::Response {
-        let answer = match read(request, body_bytes) {
-            Ok(request) => handle(&request, &ask, &metrics),
-            Err(answer) => *answer,
-        };
-        respond(answer)
+    let handler = move |request: HttpRequest, responder: Responder| -> Handled {
+        Some((responder, handle(&request, &ask, &metrics)))
     };
-    let server = rouille::Server::new(listen, handler).map_err(|cause| HttpError::Listen {
-        address: listen,
-        cause: io::Error::other(cause.to_string()),
-    })?;
-    let server = server.pool_size(threads);
-    let address = server.server_addr();
-    let stop = Arc::new(AtomicBool::new(false));
-    let stopping = stop.clone();
-    let thread = thread::Builder::new()
-        .name("operators".to_string())
-        .spawn(move || {
-            while !stopping.load(Ordering::Relaxed) {
-                server.poll_timeout(STOP_CHECK);
-            }
-        })
-        .map_err(HttpError::Thread)?;
     Ok(Admin {
-        address,
+        server: Server::start("operators", listen, limits, handler)?,
         replies,
-        stop,
-        thread: Some(thread),
     })
 }
 
@@ -195,46 +175,11 @@
             Message::Forget { id } => {
                 waiting.remove(&id);
             }
+            Message::Stop => return,
         }
     }
 }
 
-fn read(request: &rouille::Request, limit: usize) -> Result<HttpRequest, Refused> {
-    let too_long = || refuse(413, "body", &format!("the body exceeds {limit} bytes"));
-    let declared = request
-        .header("Content-Length")
-        .and_then(|l| l.parse::<u64>().ok())
-        .unwrap_or(0);
-    if declared > limit as u64 {
-        return Err(too_long());
-    }
-    let mut body = Vec::new();
-    if let Some(data) = request.data() {
-        data.take(limit as u64 + 1)
-            .read_to_end(&mut body)
-            .map_err(|e| refuse(400, "body", &format!("the body can't be read: {e}")))?;
-    }
-    if body.len() > limit {
-        return Err(too_long());
-    }
-    let path = request.raw_url().split('?').next().unwrap_or_default();
-    Ok(HttpRequest {
-        method: request.method().parse().unwrap_or(Method::Get),
-        path: path.to_string(),
-        query: request.raw_query_string().to_string(),
-        body,
-    })
-}
-
-fn respond(answer: Answer) -> rouille::Response {
-    let response =
-        rouille::Response::from_data(answer.media, answer.body).with_status_code(answer.status);
-    match answer.retry_ms {
-        Some(ms) => response.with_additional_header("Retry-After", ms.div_ceil(1000).to_string()),
-        None => response,
-    }
-}
-
 fn handle(
     request: &HttpRequest,
     ask: &impl Fn(Request) -> Answer,
--- a/crates/http/tests/admin.rs
+++ b/crates/http/tests/admin.rs
@@ -1,5 +1,7 @@
 //! The listener for operators.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -645,3 +647,27 @@
         assert_eq!(body["retry_ms"].as_u64(), retry_ms);
     }
 }
+
+/// Operators that stop in the middle of a request, or declare an absurd length, must neither end
+/// the process nor keep others from being served.
+#[test]
+fn hostile_requests() {
+    let operator = noting();
+    let send = |text: &str| {
+        let mut stream = TcpStream::connect(operator.admin.address()).unwrap();
+        stream.write_all(text.as_bytes()).unwrap();
+        stream
+    };
+    let stopped: Vec<TcpStream> = (0..20)
+        .map(|_| send("PUT /v1/templates/t HTTP/1.1\r\nContent-Length: 5000\r\n\r\n{"))
+        .collect();
+    let mut absurd = send("GET /v1/vms HTTP/1.1\r\nContent-Length: 900000000000000\r\n\r\nx");
+    let mut start = [0; 12];
+    absurd.read_exact(&mut start).unwrap();
+    assert_eq!(&start, b"HTTP/1.1 413");
+    let sent = Instant::now();
+    assert_eq!(operator.call("GET", "/healthz", "").0, 200);
+    assert_eq!(operator.call("GET", "/v1/vms", "").0, 200);
+    assert!(sent.elapsed() < Duration::from_secs(1));
+    drop(stopped);
+}
