Count work that will arrive meanwhile in the admission

The estimate counted only what was queued; under shortest first, smaller jobs that arrive later go ahead, and other accounts keep submitting.

Change: each account's arriving work is counted by size class over 1 to 2 s; the expected wait is computed anew with what arrives during it until it grows no more. The measurement shows jobs accepted in vain and the response time at half load.

--- a/crates/dispatch/examples/measure/crest.rs
+++ b/crates/dispatch/examples/measure/crest.rs
@@ -18,6 +18,9 @@
 const CREST: (f64, f64) = (6.0, 21.0);
 const END: f64 = 25.0;
 
+/// Until when half of the capacity is offered.
+const HALF_LOAD: Time = Time(3_000_000);
+
 fn load(at: f64) -> f64 {
     match at {
         ..3.0 => 0.5,
@@ -56,9 +59,10 @@
     arrivals
 }
 
-/// Share of crest jobs answered, and Jain's index of answered work over weights.
-fn figures(arrivals: &[Arrival], fates: &[Fate]) -> (f64, f64) {
-    let (mut all, mut answered) = (0.0, 0.0);
+/// Of the crest's jobs: the share answered in time, Jain's index of answered work over weights,
+/// the share refused, and the share accepted in vain.
+fn figures(arrivals: &[Arrival], fates: &[Fate]) -> [f64; 4] {
+    let (mut all, mut answered, mut refused) = (0.0, 0.0, 0.0);
     let mut work: BTreeMap<&str, f64> = BTreeMap::new();
     for (arrival, fate) in arrivals.iter().zip(fates) {
         let at = arrival.at.0 as f64 / 1e6;
@@ -66,6 +70,7 @@
             continue;
         }
         all += 1.0;
+        refused += f64::from(u8::from(fate.refused));
         if fate.complete.is_some_and(|t| t <= arrival.at + DEADLINE) {
             answered += 1.0;
             let seconds = arrival.service.iter().map(Duration::as_secs_f64);
@@ -75,14 +80,31 @@
     let shares = ACCOUNTS.map(|(a, w)| work.get(a).copied().unwrap_or(0.0) / f64::from(w));
     let sum: f64 = shares.iter().sum();
     let squares: f64 = shares.iter().map(|s| s * s).sum();
-    (answered / all, sum * sum / (shares.len() as f64 * squares))
+    let jain = sum * sum / (shares.len() as f64 * squares);
+    let vain = all - answered - refused;
+    [answered / all, jain, refused / all, vain / all]
+}
+
+/// Median of the response time over the ideal one, of jobs that arrive at half load.
+fn response(arrivals: &[Arrival], fates: &[Fate]) -> f64 {
+    let jobs = arrivals.iter().zip(fates).filter(|(a, _)| a.at < HALF_LOAD);
+    let mut ratios: Vec<f64> = jobs
+        .filter_map(|(arrival, fate)| {
+            let ideal = *arrival.service.iter().max()? + model::TRIP;
+            let took = fate.complete?.since(arrival.at);
+            Some(took.as_secs_f64() / ideal.as_secs_f64())
+        })
+        .collect();
+    ratios.sort_unstable_by(f64::total_cmp);
+    ratios[ratios.len() / 2]
 }
 
 pub(crate) fn run() {
-    println!("crest: answered within 2 s | over baseline | fairness | refused");
+    println!("crest: answered within 2 s | over baseline | fairness | refused | in vain | response at half load over ideal");
     let mut baseline = Vec::new();
     for (name, tuning) in crate::tunings() {
-        let (mut shares, mut fair, mut ratios, mut refused) = (vec![], vec![], vec![], vec![]);
+        let (mut shares, mut fair, mut ratios) = (vec![], vec![], vec![]);
+        let (mut refused, mut vain, mut responses) = (vec![], vec![], vec![]);
         for (n, seed) in crate::seeds().into_iter().enumerate() {
             let mut rng = StdRng::seed_from_u64(seed);
             let works = WORKS.map(|w| w.0);
@@ -110,22 +132,25 @@
             }
             let arrivals = arrivals(&mut rng, capacity);
             let fates = model::run(tuning.clone(), seed, setup, &speeds, &arrivals);
-            let (share, jain) = figures(&arrivals, &fates);
+            let [share, jain, no, lost] = figures(&arrivals, &fates);
             if name == "baseline" {
                 baseline.push(share);
             }
             ratios.push(share / baseline[n]);
             shares.push(share);
             fair.push(jain);
-            let count = fates.iter().filter(|f| f.refused).count();
-            refused.push(count as f64 / fates.len() as f64);
+            refused.push(no);
+            vain.push(lost);
+            responses.push(response(&arrivals, &fates));
         }
         println!(
-            "{name:20} {} | {} | {} | {}",
+            "{name:20} {} | {} | {} | {} | {} | {}",
             crate::spread(&shares),
             crate::spread(&ratios),
             crate::spread(&fair),
-            crate::spread(&refused)
+            crate::spread(&refused),
+            crate::spread(&vain),
+            crate::spread(&responses)
         );
     }
 }
--- a/crates/dispatch/examples/measure/model.rs
+++ b/crates/dispatch/examples/measure/model.rs
@@ -17,7 +17,7 @@
 const WRITE: Duration = Duration::from_millis(5);
 
 /// A round trip to a target.
-const TRIP: Duration = Duration::from_millis(1);
+pub(crate) const TRIP: Duration = Duration::from_millis(1);
 
 /// A job that arrives, with the service time of each task on a target of mean speed.
 pub(crate) struct Arrival {
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -2,8 +2,9 @@
 //!
 //! The expected end follows the fair order. Until the job's last task starts, the account's own
 //! queue ahead of it runs, and of each other account's queue as much as that account's weight
-//! entitles it to in the same span of tags, at most all of it. This work is done at the summed
-//! speed of the live targets that take the job's tasks.
+//! entitles it to in the same span of tags, at most all of it. Work that will arrive meanwhile
+//! and go first counts at the rate of the last seconds. All this is done at the summed speed of
+//! the live targets that take the job's tasks.
 
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 
 use crate::dispatch::Dispatch;
 use crate::event::{Admission, Job};
-use crate::fair::{class, Wait};
+use crate::fair::{class, Wait, CLASSES};
 use crate::ids::{AccountId, PoolId, ShapeId, WorkId};
 
 /// How long an account may use its burst before it has to go below its quota.
@@ -23,6 +24,12 @@
 /// Retry time where no capacity is known.
 const RETRY_UNKNOWN_MS: u64 = 1000;
 
+/// Rounds of the estimate; each costs one look at the accounts of the pool.
+const ROUNDS: usize = 12;
+
+/// Wait in microseconds beyond which it isn't computed further.
+const LONGEST_WAIT: u64 = 60_000_000;
+
 /// A job and where it would queue.
 struct Asked<'a> {
     job: &'a Job,
@@ -85,7 +92,7 @@
         if !self.tuning.admission {
             return None;
         }
-        let end = now + self.time_to_end(asked)?;
+        let end = now + self.time_to_end(now, asked)?;
         (end > job.deadline).then(|| Refusal::Late {
             retry_ms: retry(end.since(job.deadline)),
         })
@@ -116,42 +123,55 @@
     }
 
     /// How long until the job's last task ends; `None` while no capacity is known.
-    fn time_to_end(&self, asked: &Asked<'_>) -> Option<Duration> {
+    ///
+    /// What arrives meanwhile and goes first lengthens the wait, which lets more of it arrive;
+    /// the wait is computed again until it grows no more.
+    fn time_to_end(&self, now: Time, asked: &Asked<'_>) -> Option<Duration> {
         let shape = self.targets.shape(asked.shape);
         if shape.rate == 0 {
             return None;
         }
         let unit = asked.unit;
-        let own = unit.saturating_mul(u64::from(asked.job.tasks));
-        let own = own.saturating_add(self.own_ahead(asked, own));
-        let work = own.saturating_add(self.others_ahead(asked, own));
-        let room = shape.room.max(1);
-        let mut wait = span(work, unit, room, shape.rate);
-        if let Some(limit) = self.fair.limit_of(asked.account, asked.work) {
-            let most = u64::from(limit.share.concurrency).max(1);
-            let room = most.saturating_sub(u64::from(limit.running)).max(1);
-            wait = wait.max(span(own, unit, room, most.saturating_mul(1000)));
+        let mut wait = 0;
+        for _ in 0..ROUNDS {
+            let own = self.own_work(now, asked, wait);
+            let work = own.saturating_add(self.others_work(now, asked, own, wait));
+            let mut next = span(work, unit, shape.room.max(1), shape.rate);
+            if let Some(limit) = self.fair.limit_of(asked.account, asked.work) {
+                let most = u64::from(limit.share.concurrency).max(1);
+                let room = most.saturating_sub(u64::from(limit.running)).max(1);
+                next = next.max(span(own, unit, room, most.saturating_mul(1000)));
+            }
+            if next <= wait || next > LONGEST_WAIT {
+                wait = next;
+                break;
+            }
+            wait = next;
         }
         Some(Duration::from_micros(wait.saturating_add(unit)))
     }
 
-    /// Work of the same account that goes first.
-    fn own_ahead(&self, asked: &Asked<'_>, size: u64) -> u64 {
+    /// Work of the account up to the end of the job, if it starts after `wait`.
+    fn own_work(&self, now: Time, asked: &Asked<'_>, wait: u64) -> u64 {
+        let size = asked.unit.saturating_mul(u64::from(asked.job.tasks));
         let Some(flow) = self.fair.flow_of(asked.account, asked.pool) else {
-            return 0;
+            return size;
         };
         if !self.tuning.shortest {
-            return flow.backlog;
+            return size.saturating_add(flow.backlog);
         }
+        let class = class(size);
         let lanes = flow.lanes.iter();
-        lanes
+        let ahead: u64 = lanes
             .filter_map(|s| self.fair.lane_of(*s, asked.account))
-            .map(|lane| lane.backlog[..=class(size)].iter().sum::<u64>())
-            .sum()
+            .map(|lane| lane.backlog[..=class].iter().sum::<u64>())
+            .sum();
+        let smaller = flow.arrivals.within(now, wait, class);
+        size.saturating_add(ahead).saturating_add(smaller)
     }
 
     /// Work of other accounts that goes first when the own flow has to grow by `own`.
-    fn others_ahead(&self, asked: &Asked<'_>, own: u64) -> u64 {
+    fn others_work(&self, now: Time, asked: &Asked<'_>, own: u64, wait: u64) -> u64 {
         let Some(flows) = self.fair.flows.get(asked.pool.at()) else {
             return 0;
         };
@@ -169,7 +189,8 @@
             .map(|(_, flow)| match self.tuning.fair {
                 true => {
                     let entitled = end.saturating_sub(flow.tag).saturating_mul(flow.weight);
-                    flow.backlog.min(entitled)
+                    let arrives = flow.arrivals.within(now, wait, CLASSES);
+                    flow.backlog.saturating_add(arrives).min(entitled)
                 }
                 false => flow.backlog,
             })
--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -213,6 +213,10 @@
         };
         let id = self.insert(now, job, phase);
         self.set_queued(now, id, job.tasks);
+        let entry = self.jobs.get(id);
+        let pool = self.pools.of(entry.work);
+        let size = entry.unit * u64::from(job.tasks);
+        self.fair.arrived(entry.account, pool, now, size);
         if phase == Phase::Begun {
             self.add_primed(id);
         }
--- a/crates/dispatch/src/fair.rs
+++ b/crates/dispatch/src/fair.rs
@@ -62,6 +62,41 @@
     }
 }
 
+/// Span over which arriving work is counted.
+const ARRIVAL_SPAN: Duration = Duration::from_secs(1);
+
+/// Work that arrived in the present and in the last span, in microseconds by size class.
+#[derive(Default)]
+pub(crate) struct Arrivals {
+    since: Time,
+    work: [[u64; CLASSES]; 2],
+}
+
+impl Arrivals {
+    fn add(&mut self, now: Time, micros: u64) {
+        let age = now.since(self.since);
+        if age >= ARRIVAL_SPAN {
+            let keep = age < ARRIVAL_SPAN * 2;
+            let last = if keep { self.work[0] } else { [0; CLASSES] };
+            self.work = [[0; CLASSES], last];
+            self.since = now;
+        }
+        self.work[0][class(micros)] += micros;
+    }
+
+    /// Work below a size class that is likely to arrive within `micros`.
+    pub(crate) fn within(&self, now: Time, micros: u64, class: usize) -> u64 {
+        let age = now.since(self.since);
+        if micros == 0 || age >= ARRIVAL_SPAN * 2 {
+            return 0;
+        }
+        let sum = |work: &[u64; CLASSES]| work[..class].iter().sum::<u64>();
+        let work = sum(&self.work[0]) + sum(&self.work[1]);
+        let span = (ARRIVAL_SPAN + age).as_micros();
+        (u128::from(work) * u128::from(micros) / span) as u64
+    }
+}
+
 /// An account in a pool.
 #[derive(Default)]
 pub(crate) struct Flow {
@@ -75,6 +110,8 @@
     pub(crate) backlog: u64,
     /// The weight at the last change of the backlog.
     pub(crate) weight: u64,
+    /// Work that arrived lately.
+    pub(crate) arrivals: Arrivals,
     /// Whether ranks have to be computed anew.
     stale: bool,
 }
@@ -245,6 +282,11 @@
         limit.map_or(1, |l| u64::from(l.share.weight.max(1)))
     }
 
+    /// Counts a job that arrived.
+    pub(crate) fn arrived(&mut self, account: AccountId, pool: PoolId, now: Time, micros: u64) {
+        self.flow(account, pool).arrivals.add(now, micros);
+    }
+
     /// Counts a change of what the account's begun tasks will cost.
     pub(crate) fn prime(&mut self, account: AccountId, pool: PoolId, cost: i64) {
         let flow = self.flow(account, pool);
