Test each rule of the dispatcher

Cause: only the randomised run covered the crate; it finds wrong counters, not wrong decisions.

Change: tests of the life of jobs, of fairness, placement and admission, as input events and shown effects; each names the failure it guards against.

Conclusion: rules can now be changed one at a time.

--- /dev/null
+++ b/crates/dispatch/tests/common/mod.rs
@@ -0,0 +1,197 @@
+//! Short ways to write events and to show effects.
+// Each test file uses a part of this.
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use greengage_core::{
+    AccountName, Capacity, Demand, JobNumber, RackName, Spread, TargetKind, TargetName,
+    TemplateName, Time,
+};
+use greengage_dispatch::{
+    Admission, Attempt, Dispatch, Effect, Event, Job, Mode, Settled, Share, TargetSpec, Tuning,
+};
+
+pub(crate) const RECORDED: Mode = Mode::Recorded { begun: true };
+pub(crate) const UNBEGUN: Mode = Mode::Recorded { begun: false };
+
+pub(crate) fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A dispatcher, its clock in milliseconds, and the number of the last job.
+pub(crate) struct Bench {
+    pub(crate) dispatch: Dispatch,
+    pub(crate) now: u64,
+    last: u64,
+}
+
+impl Bench {
+    pub(crate) fn new(tuning: Tuning) -> Bench {
+        Bench {
+            dispatch: Dispatch::new(tuning, 1),
+            now: 0,
+            last: 0,
+        }
+    }
+
+    /// Handles an event and shows its effects.
+    pub(crate) fn step(&mut self, event: Event) -> Vec<String> {
+        let effects = self.dispatch.step(Time::from_millis(self.now), event);
+        assert_eq!(self.dispatch.verify(), Ok(()));
+        effects.iter().map(show).collect()
+    }
+
+    pub(crate) fn executor(&mut self, name: &str, slots: u32, work: &[&str]) -> Vec<String> {
+        self.target(
+            name,
+            None,
+            work,
+            Capacity::Executor {
+                slots,
+                connections: 60,
+            },
+        )
+    }
+
+    pub(crate) fn worker(&mut self, name: &str, rack: &str, cores: u32) -> Vec<String> {
+        let capacity = Capacity::Worker(demand(cores * 1000));
+        self.target(name, Some(rack), &["w"], capacity)
+    }
+
+    pub(crate) fn target(
+        &mut self,
+        name: &str,
+        rack: Option<&str>,
+        work: &[&str],
+        capacity: Capacity,
+    ) -> Vec<String> {
+        self.step(Event::Target(TargetSpec {
+            target: target(name),
+            rack: rack.map(|r| RackName::new(r).unwrap()),
+            work: work.iter().map(|w| TemplateName::new(w).unwrap()).collect(),
+            capacity,
+        }))
+    }
+
+    /// A job of `tasks` tasks of 100 ms, due in 10 s, with the next number.
+    pub(crate) fn job(&mut self, account: &str, work: &str, tasks: u32, mode: Mode) -> Job {
+        self.last += 1;
+        Job {
+            number: JobNumber(self.last),
+            account: AccountName::new(account).unwrap(),
+            work: TemplateName::new(work).unwrap(),
+            tasks,
+            target: TargetKind::Executor,
+            demand: demand(1000),
+            spread: Spread::Any,
+            deadline: Time::from_millis(self.now + 10_000),
+            expected: ms(100),
+            mode,
+            bytes: 10,
+        }
+    }
+
+    pub(crate) fn submit(
+        &mut self,
+        account: &str,
+        work: &str,
+        tasks: u32,
+        mode: Mode,
+    ) -> Vec<String> {
+        let job = self.job(account, work, tasks, mode);
+        self.step(Event::Submit(job))
+    }
+
+    pub(crate) fn admit(&mut self, job: &Job) -> Admission {
+        let queued = self.dispatch.queued_tasks();
+        let answer = self.dispatch.admit(Time::from_millis(self.now), job);
+        assert_eq!(
+            self.dispatch.queued_tasks(),
+            queued,
+            "admit changed the queue"
+        );
+        answer
+    }
+
+    /// Settles an attempt written as `job/task#number`.
+    pub(crate) fn settle(&mut self, attempt: &str, settled: Settled) -> Vec<String> {
+        let attempt = parse(attempt);
+        self.step(Event::Settled { attempt, settled })
+    }
+
+    pub(crate) fn done(&mut self, attempt: &str, millis: u64) -> Vec<String> {
+        let service = ms(millis);
+        self.settle(attempt, Settled::Done { service })
+    }
+
+    pub(crate) fn share(
+        &mut self,
+        account: &str,
+        weight: u32,
+        quota: u32,
+        concurrency: u32,
+        burst: u32,
+    ) {
+        self.step(Event::Share {
+            work: TemplateName::new("w").unwrap(),
+            account: AccountName::new(account).unwrap(),
+            share: Share {
+                weight,
+                quota,
+                concurrency,
+                burst,
+            },
+        });
+    }
+
+    /// Ticks at each time that `wake` names up to `until`.
+    pub(crate) fn run_to(&mut self, until: u64) -> Vec<String> {
+        let mut shown = Vec::new();
+        while let Some(at) = self.dispatch.wake().filter(|at| at.0 <= until * 1000) {
+            self.now = self.now.max(at.0.div_ceil(1000));
+            let effects = self.step(Event::Tick);
+            shown.extend(effects.into_iter().map(|e| format!("{} ms: {e}", self.now)));
+        }
+        self.now = until;
+        shown
+    }
+}
+
+pub(crate) fn target(name: &str) -> TargetName {
+    TargetName::new(name).unwrap()
+}
+
+pub(crate) fn demand(milli_cores: u32) -> Demand {
+    Demand {
+        milli_cores,
+        memory_mib: 0,
+        accelerators: 0,
+    }
+}
+
+pub(crate) fn parse(attempt: &str) -> Attempt {
+    let numbers: Vec<u64> = attempt
+        .split(['/', '#'])
+        .map(|n| n.parse().unwrap())
+        .collect();
+    Attempt {
+        job: JobNumber(numbers[0]),
+        task: numbers[1] as u32,
+        number: numbers[2] as u32,
+    }
+}
+
+fn show(effect: &Effect) -> String {
+    let name = |a: &Attempt| format!("{}/{}#{}", a.job, a.task, a.number);
+    match effect {
+        Effect::Begin(jobs) => {
+            let jobs: Vec<String> = jobs.iter().map(|j| j.to_string()).collect();
+            format!("begin {}", jobs.join(" "))
+        }
+        Effect::Start { attempt, target } => format!("start {} on {target}", name(attempt)),
+        Effect::Stop { attempt, target } => format!("stop {} on {target}", name(attempt)),
+        Effect::Complete(job) => format!("complete {job}"),
+        Effect::Failed { job, failure } => format!("failed {job}: {failure}"),
+    }
+}
