Let operators hear that no leader can be reached

Cause: the operators' listener asked for a reply to be held as long as it waits itself, 10 s, and the control thread adds 5 s before it says that there is no leader. The listener always gave up first, so an edit in a zone that is cut off got "outcome unknown" after 10 s and never "no leader". Ruled out: a lost reply, since the VM's own control thread still kept the request.

Change: the listener asks for no further time, because an operator waits for the decision alone. The test's listener checks that.

Conclusion: a rejected edit names its reason.

--- a/crates/http/src/admin.rs
+++ b/crates/http/src/admin.rs
@@ -136,7 +136,9 @@
         let (to, from) = bounded(1);
         // Registered before it is submitted, so that the reply finds it.
         let _ = sender.send(Message::Wait { id, to });
-        if !submit(id, wait, request) {
+        // An operator waits for the decision alone. No further time is asked for, so that the
+        // reply that no leader can be reached comes before `wait` is over.
+        if !submit(id, Duration::ZERO, request) {
             let _ = sender.send(Message::Forget { id });
             return status::answer(&ApiError::Busy { vm: vm.clone() });
         }
--- a/crates/http/tests/admin.rs
+++ b/crates/http/tests/admin.rs
@@ -34,8 +34,10 @@
         wait,
         ..Settings::new("127.0.0.1:0".parse().unwrap(), VmName::new("vm1").unwrap())
     };
-    let submit = move |id: RequestId, _: Duration, request: Request| {
+    let submit = move |id: RequestId, held: Duration, request: Request| {
         assert!(!front::is_caller(id));
+        // Guards against a listener that gives up before it hears that there is no leader.
+        assert!(held.is_zero());
         if let Some(reply) = answer(&request) {
             later.wait().reply(id, reply);
         }
