Serve callers and operators through the listener

Cause: the front end read HTTP itself over tiny_http's types, because tiny_http's server and rouille fail under stopped callers and absurd lengths. That is a protocol implementation of our own, which a library provides.

Change: front ends for callers and operators use the listener crate (hyper). The raw server moves to the stand-ins, whose faults are faults of connections. The total of arriving bodies, the time to write an answer and the rest of a refused body are bounded in the listener. Tests that named the old server's threads now bound connections; a head that doesn't arrive closes the connection instead of answering 408; HTTP/2.0 gives 400; a busy or slow request no longer claims 'not run', since its key may have run before.

--- a/crates/http/src/admin.rs
+++ b/crates/http/src/admin.rs
@@ -3,10 +3,6 @@
 //! A handler translates the request, passes it on and waits for the reply on a channel of its own,
 //! for a bounded time; operators are few, so each may hold a thread. One thread owns the map from
 //! request to channel, so that giving a reply takes no lock.
-//!
-//! `rouille` is not used, for two reasons found in trials: a request with `Content-Length:
-//! 900000000000000` aborts the process, and eight connections that stop in the middle of a body
-//! keep a pool of eight threads from ever serving `/healthz`, as it has no time limit for reading.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -20,17 +16,17 @@
     AccountName, JobKey, Name, NameError, OpId, RequestId, TargetName, TemplateName, Version,
     VmName, ZoneName,
 };
+use greengage_listener::{
+    self as listener, Answer, Limits, Listener, Request as HttpRequest, Responder,
+};
 use greengage_policy as policy;
-use tiny_http::Method;
 
 use crate::document;
 use crate::front::ID_STEP;
 use crate::json::{DocumentError, Fields};
 use crate::reply::{self, Form};
-use crate::server::{
-    Answer, Handled, HttpError, Limits, Request as HttpRequest, Responder, Server,
-};
 use crate::status::{self, refuse, Refused};
+use crate::HttpError;
 
 /// What the listener is started with.
 #[derive(Clone, Debug)]
@@ -55,7 +51,7 @@
                 body_bytes: 1 << 20,
                 arriving_bytes: 16 << 20,
                 connections: 64,
-                threads: 64,
+                handlers: 64,
                 ..Limits::default()
             },
             wait: Duration::from_secs(10),
@@ -83,7 +79,7 @@
 
 /// The running listener; it stops when dropped.
 pub struct Admin {
-    server: Server,
+    server: Listener,
     replies: Replies,
 }
 
@@ -152,11 +148,11 @@
             }
         }
     };
-    let handler = move |request: HttpRequest, responder: Responder| -> Handled {
-        Some((responder, handle(&request, &ask, &metrics)))
+    let handler = move |request: HttpRequest, responder: Responder| {
+        responder.send(handle(&request, &ask, &metrics));
     };
     Ok(Admin {
-        server: Server::start("operators", listen, limits, handler)?,
+        server: listener::start("operators", listen, limits, status::early, handler)?,
         replies,
     })
 }
@@ -187,9 +183,9 @@
     ask: &impl Fn(Request) -> Answer,
     metrics: &impl Fn() -> String,
 ) -> Answer {
-    match (&request.method, request.path.as_str()) {
-        (Method::Get, "/healthz") => Answer::json(200, r#"{"state":"alive"}"#),
-        (Method::Get, "/metrics") => Answer {
+    match (request.method.as_str(), request.path.as_str()) {
+        ("GET", "/healthz") => Answer::json(200, r#"{"state":"alive"}"#),
+        ("GET", "/metrics") => Answer {
             media: "text/plain; version=0.0.4",
             ..Answer::json(200, metrics())
         },
@@ -207,21 +203,21 @@
     let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
     let mut query = Query::parse(request)?;
     let body = &request.body;
-    let routed = match (&request.method, segments.as_slice()) {
-        (Method::Get, ["readyz"]) => Request::Ready,
-        (Method::Get, ["v1", "templates"]) => Request::Documents,
-        (Method::Get, ["v1", "templates", name]) => Request::Template {
+    let routed = match (request.method.as_str(), segments.as_slice()) {
+        ("GET", ["readyz"]) => Request::Ready,
+        ("GET", ["v1", "templates"]) => Request::Documents,
+        ("GET", ["v1", "templates", name]) => Request::Template {
             name: named("template", name, TemplateName::new)?,
             current: query.current()?,
         },
-        (Method::Put, ["v1", "templates", name]) => {
+        ("PUT", ["v1", "templates", name]) => {
             let name = named("template", name, TemplateName::new)?;
             edit(body, true, |content| {
                 let content = content.map(document::read_template).transpose()?;
                 Ok(policy::Document::Template { name, content })
             })?
         }
-        (Method::Delete, ["v1", "templates", name]) => {
+        ("DELETE", ["v1", "templates", name]) => {
             let name = named("template", name, TemplateName::new)?;
             edit(body, false, |_| {
                 Ok(policy::Document::Template {
@@ -230,12 +226,12 @@
                 })
             })?
         }
-        (Method::Get, ["v1", "templates", template, "params", account]) => Request::Params {
+        ("GET", ["v1", "templates", template, "params", account]) => Request::Params {
             template: named("template", template, TemplateName::new)?,
             account: named("account", account, AccountName::new)?,
             current: query.current()?,
         },
-        (Method::Put, ["v1", "templates", template, "params", account]) => {
+        ("PUT", ["v1", "templates", template, "params", account]) => {
             let template = named("template", template, TemplateName::new)?;
             let account = named("account", account, AccountName::new)?;
             edit(body, true, |content| {
@@ -247,7 +243,7 @@
                 })
             })?
         }
-        (Method::Delete, ["v1", "templates", template, "params", account]) => {
+        ("DELETE", ["v1", "templates", template, "params", account]) => {
             let template = named("template", template, TemplateName::new)?;
             let account = named("account", account, AccountName::new)?;
             edit(body, false, |_| {
@@ -258,18 +254,18 @@
                 })
             })?
         }
-        (Method::Get, ["v1", "targets"]) => Request::Targets,
-        (Method::Get, ["v1", "vms"]) => Request::Vms,
-        (Method::Get, ["v1", "groups", name]) => Request::Group(group(name)?),
-        (Method::Post, ["v1", "groups", name, "change"]) => Request::Change {
+        ("GET", ["v1", "targets"]) => Request::Targets,
+        ("GET", ["v1", "vms"]) => Request::Vms,
+        ("GET", ["v1", "groups", name]) => Request::Group(group(name)?),
+        ("POST", ["v1", "groups", name, "change"]) => Request::Change {
             group: group(name)?,
             change: document::read_change(body)?,
         },
-        (Method::Post, ["v1", "groups", name, "transfer"]) => Request::Transfer {
+        ("POST", ["v1", "groups", name, "transfer"]) => Request::Transfer {
             group: group(name)?,
             to: transfer(body)?,
         },
-        (Method::Get, ["v1", "timeline"]) => Request::Timeline(filter(&mut query)?),
+        ("GET", ["v1", "timeline"]) => Request::Timeline(filter(&mut query)?),
         (_, segments) => return Err(unknown_path(segments)),
     };
     query.finish()?;
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -16,20 +16,20 @@
 use greengage_core::{
     AccountName, Address, JobKey, Name, RequestId, TargetName, TemplateName, VmName, ZoneName,
 };
+use greengage_listener::{self as listener, Answer, Listener, Request as HttpRequest, Responder};
 use greengage_membership::Announcement;
-use tiny_http::Method;
 
 use crate::document;
 use crate::json::{digest, DocumentError, Fields};
 use crate::reply;
-use crate::server::{self, Answer, Handled, HttpError, Responder, Server};
 use crate::status::{self, refuse, Refused};
+use crate::HttpError;
 
 /// Bounds of the listener.
 #[derive(Clone, Debug)]
 pub struct Limits {
     /// Connections, threads, sizes and times.
-    pub server: server::Limits,
+    pub server: greengage_listener::Limits,
     /// Most tasks of one job.
     pub tasks: usize,
     /// How long an answer is held when the caller names no time.
@@ -41,7 +41,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Limits {
-            server: server::Limits::default(),
+            server: greengage_listener::Limits::default(),
             tasks: 1200,
             wait: Duration::from_secs(30),
             wait_most: Duration::from_secs(60),
@@ -102,7 +102,7 @@
 
 /// The running listener; it stops when dropped.
 pub struct Front {
-    server: Server,
+    server: Listener,
     replies: Replies,
     held: Arc<AtomicUsize>,
 }
@@ -165,13 +165,13 @@
     let replies = Replies(sender.clone());
     let Settings { listen, vm, limits } = settings;
     let server_limits = limits.server.clone();
-    let handler = move |request: server::Request, responder: Responder| -> Handled {
+    let handler = move |request: HttpRequest, responder: Responder| {
         let taken = match route(&request, &limits) {
             Ok(Routed::Submit(taken)) => taken,
-            Ok(Routed::Answer(answer)) => return Some((responder, answer)),
+            Ok(Routed::Answer(answer)) => return responder.send(answer),
             Err(answer) => {
                 count(&answer);
-                return Some((responder, *answer));
+                return responder.send(*answer);
             }
         };
         let id = RequestId(ids.fetch_add(1, Ordering::Relaxed) * ID_STEP);
@@ -187,10 +187,9 @@
             let reply = Reply::Error(ApiError::Busy { vm: vm.clone() });
             let _ = sender.send(Parked::Reply { id, reply });
         }
-        None
     };
     Ok(Front {
-        server: Server::start("callers", listen, server_limits, handler)?,
+        server: listener::start("callers", listen, server_limits, status::early, handler)?,
         replies,
         held,
     })
@@ -256,33 +255,29 @@
     Answer(Answer),
 }
 
-fn route(request: &server::Request, limits: &Limits) -> Result<Routed, Refused> {
+fn route(request: &HttpRequest, limits: &Limits) -> Result<Routed, Refused> {
     let segments = request
         .segments()
         .ok_or_else(|| refuse(400, "path", "the path has an invalid escape: correct it"))?;
     let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
     let body = &request.body;
     let mut form = reply::Form::Job;
-    let taken = match (&request.method, segments.as_slice()) {
-        (Method::Post, ["v1", "jobs"]) => Request::Submit(job(body, limits.tasks)?),
-        (Method::Get, ["v1", "jobs", zone, account, id]) => {
-            Request::Outcome(key(zone, account, id)?)
-        }
-        (Method::Delete, ["v1", "jobs", zone, account, id]) => {
-            Request::Cancel(key(zone, account, id)?)
-        }
-        (Method::Post, ["v1", "requests"]) => {
+    let taken = match (request.method.as_str(), segments.as_slice()) {
+        ("POST", ["v1", "jobs"]) => Request::Submit(job(body, limits.tasks)?),
+        ("GET", ["v1", "jobs", zone, account, id]) => Request::Outcome(key(zone, account, id)?),
+        ("DELETE", ["v1", "jobs", zone, account, id]) => Request::Cancel(key(zone, account, id)?),
+        ("POST", ["v1", "requests"]) => {
             form = reply::Form::Single;
             Request::Single(single(body)?)
         }
-        (Method::Post, ["v1", "targets"]) => Request::Announce(announcement(body)?),
-        (Method::Delete, ["v1", "targets", name]) => {
+        ("POST", ["v1", "targets"]) => Request::Announce(announcement(body)?),
+        ("DELETE", ["v1", "targets", name]) => {
             Request::Leave(TargetName::new(name).map_err(|e| segment("target", name, e))?)
         }
-        (Method::Get, ["healthz"]) => {
+        ("GET", ["healthz"]) => {
             return Ok(Routed::Answer(Answer::json(200, r#"{"state":"alive"}"#)))
         }
-        (Method::Get, ["readyz"]) => Request::Ready,
+        ("GET", ["readyz"]) => Request::Ready,
         (_, segments) => return Err(unknown_path(segments)),
     };
     let wait = match taken {
@@ -326,7 +321,7 @@
     })
 }
 
-fn wait(request: &server::Request, limits: &Limits) -> Result<Duration, Refused> {
+fn wait(request: &HttpRequest, limits: &Limits) -> Result<Duration, Refused> {
     let params = request
         .params()
         .ok_or_else(|| refuse(400, "query", "the query has an invalid escape: correct it"))?;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,12 +10,10 @@
 pub mod document;
 pub mod front;
 pub mod json;
-mod pool;
-mod receive;
+pub mod pool;
 pub mod reply;
-pub mod server;
 pub mod status;
 pub mod target;
 
 pub use front::{Front, Replies};
-pub use server::HttpError;
+pub use greengage_listener::ListenError as HttpError;
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -30,11 +30,11 @@
 
 /// The pool; a clone refers to the same threads.
 #[derive(Clone)]
-pub(crate) struct Pool(Arc<Inner>);
+pub struct Pool(Arc<Inner>);
 
 impl Pool {
     /// A pool of at most `limit` threads called `name`.
-    pub(crate) fn new(name: &str, limit: usize) -> Pool {
+    pub fn new(name: &str, limit: usize) -> Pool {
         Pool(Arc::new(Inner {
             name: name.to_string(),
             limit: limit.max(1),
@@ -55,7 +55,7 @@
 
     /// Queues `job`; returns false, without running it, when the pool is closed or no thread can
     /// be created.
-    pub(crate) fn run(&self, job: impl FnOnce() + Send + 'static) -> bool {
+    pub fn run(&self, job: impl FnOnce() + Send + 'static) -> bool {
         let mut state = self.lock();
         if state.closed {
             return false;
@@ -86,18 +86,18 @@
     }
 
     /// Jobs that run or wait.
-    pub(crate) fn busy(&self) -> usize {
+    pub fn busy(&self) -> usize {
         let state = self.lock();
         state.running + state.queue.len()
     }
 
     /// The limit of threads.
-    pub(crate) fn limit(&self) -> usize {
+    pub fn limit(&self) -> usize {
         self.0.limit
     }
 
     /// Drops waiting jobs and ends each thread after its present job.
-    pub(crate) fn close(&self) {
+    pub fn close(&self) {
         let waiting = {
             let mut state = self.lock();
             state.closed = true;
@@ -108,7 +108,7 @@
     }
 
     /// Waits until all threads have ended; false when `limit` passes first.
-    pub(crate) fn wait(&self, limit: Duration) -> bool {
+    pub fn wait(&self, limit: Duration) -> bool {
         let end = Instant::now() + limit;
         let mut state = self.lock();
         while state.threads > 0 {
--- a/crates/http/src/reply.rs
+++ b/crates/http/src/reply.rs
@@ -2,6 +2,7 @@
 
 use greengage_control::api::{Documents, Progress, Reply, Versioned, VmInfo};
 use greengage_core::{Failure, GuardAction, JobKey, Outcome, Payload};
+use greengage_listener::Answer;
 use greengage_membership::{Standing, TargetView};
 use greengage_policy as policy;
 use greengage_timeline as timeline;
@@ -11,7 +12,6 @@
 
 use crate::document;
 use crate::json::embed;
-use crate::server::Answer;
 use crate::status;
 
 /// Which form an outcome is given in.
--- a/crates/http/src/status.rs
+++ b/crates/http/src/status.rs
@@ -2,11 +2,11 @@
 
 use greengage_control::api::ApiError;
 use greengage_core::Refusal;
+use greengage_listener::Answer;
 use greengage_policy::EditError;
 use serde_json::json;
 
 use crate::json::DocumentError;
-use crate::server::Answer;
 
 /// How an error is reported.
 pub struct Report {
@@ -112,6 +112,25 @@
     Box::new(Answer::json(status, body.to_string()))
 }
 
+/// Refuses a request that didn't arrive. Its key may have been accepted before, so nothing is said
+/// of whether it ran, unless its body can't be one that is ever accepted.
+pub(crate) fn early(status: u16, message: &str) -> Answer {
+    let (kind, not_run) = match status {
+        413 => ("body", true),
+        408 => ("slow", false),
+        _ => ("busy", false),
+    };
+    let retry_ms = (!not_run).then_some(RETRY_MS);
+    let mut body = json!({"error": kind, "message": message, "not_run": not_run});
+    if let Some(ms) = retry_ms {
+        body["retry_ms"] = ms.into();
+    }
+    Answer {
+        retry_ms,
+        ..Answer::json(status, body.to_string())
+    }
+}
+
 impl From<DocumentError> for Refused {
     fn from(error: DocumentError) -> Refused {
         refuse(400, "document", &error.to_string())
--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -33,7 +33,7 @@
 use crate::document;
 use crate::json::embed;
 use crate::pool::Pool;
-use crate::server::HttpError;
+use crate::HttpError;
 
 /// Bounds of the client.
 #[derive(Clone, Debug)]
--- a/crates/listener/src/connection.rs
+++ b/crates/listener/src/connection.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crossbeam_channel::TrySendError;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use crossbeam_channel::{Sender, TrySendError};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
 use hyper::server::conn::http1;
@@ -16,16 +16,23 @@
 use tokio::sync::{oneshot, watch};
 use tokio::task::LocalSet;
 
-use crate::{Answer, Request, Responder, Shared};
+use crate::stream::Stream;
+use crate::{Answer, Request, Responder, Shared, ARRIVING_UNIT};
 
 /// How long the thread waits after an accept that failed, as it does without free descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Most bytes of a refused body that are read so that its caller gets the answer.
+const DISCARD_BYTES: usize = 64 << 20;
+/// How long the rest of a refused body is awaited.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
 /// Runs until the other end of `closing` is dropped.
 pub(crate) fn run(
     socket: std::net::TcpListener,
     shared: Arc<Shared>,
     closing: watch::Receiver<bool>,
+    stopped: Sender<()>,
 ) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -37,13 +44,18 @@
     let tasks = LocalSet::new();
     tasks.block_on(&runtime, async {
         match TcpListener::from_std(socket) {
-            Ok(listener) => accept(listener, shared, closing).await,
+            Ok(listener) => accept(listener, shared, closing, stopped).await,
             Err(error) => log::error!("the HTTP listener can't be used: {error}"),
         }
     });
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>, mut closing: watch::Receiver<bool>) {
+async fn accept(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    mut closing: watch::Receiver<bool>,
+    stopped: Sender<()>,
+) {
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
@@ -60,6 +72,7 @@
         }
     }
     drop(listener);
+    drop(stopped);
     // Connections go on until the listener is dropped.
     while closing.changed().await.is_ok() {}
 }
@@ -84,6 +97,7 @@
 
 async fn serve(stream: TcpStream, open: Open, mut closing: watch::Receiver<bool>) {
     let shared = open.0.clone();
+    let stream = Stream::new(stream, shared.limits.write);
     let service = service_fn(|request| handle(request, shared.clone()));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -123,20 +137,16 @@
     request: HttpRequest<Incoming>,
     shared: Arc<Shared>,
 ) -> Result<Response<Full<Bytes>>, NoAnswer> {
-    let limit = shared.limits.body_bytes;
-    let (head, body) = request.into_parts();
-    let too_long = || {
-        let message = format!("the body exceeds {limit} bytes: shorten it");
-        last_response((shared.refuse)(413, &message))
-    };
-    if body.size_hint().lower() > limit as u64 {
-        return Ok(too_long());
-    }
-    let body = tokio::time::timeout(shared.limits.body, Limited::new(body, limit).collect());
-    let body = match body.await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Ok(too_long()),
-        Ok(Err(_)) => return Err(NoAnswer),
+    let (head, mut body) = request.into_parts();
+    let read = tokio::time::timeout(shared.limits.body, read_body(&mut body, &shared));
+    let body = match read.await {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(Unread::Broken)) => return Err(NoAnswer),
+        Ok(Err(Unread::Refused(status, message))) => {
+            // A caller that is still sending would see a reset instead of the answer.
+            let _ = tokio::time::timeout(DISCARD_TIME, discard(&mut body)).await;
+            return Ok(last_response((shared.refuse)(status, &message)));
+        }
         Err(_) => {
             let message = "the body took too long: send it again at once";
             return Ok(last_response((shared.refuse)(408, message)));
@@ -146,7 +156,7 @@
         method: head.method.as_str().to_string(),
         path: head.uri.path().to_string(),
         query: head.uri.query().unwrap_or_default().to_string(),
-        body: body.to_vec(),
+        body,
     };
     let (responder, answer) = oneshot::channel();
     match shared.arrived.try_send((request, Responder(responder))) {
@@ -159,6 +169,55 @@
     answer.await.map(response).map_err(|_| NoAnswer)
 }
 
+/// Why a body wasn't read.
+enum Unread {
+    /// The connection broke off.
+    Broken,
+    /// It is refused with this status and message.
+    Refused(u16, String),
+}
+
+async fn read_body(body: &mut Incoming, shared: &Shared) -> Result<Vec<u8>, Unread> {
+    let limit = shared.limits.body_bytes;
+    let too_long = || Unread::Refused(413, format!("the body exceeds {limit} bytes: shorten it"));
+    let size = body.size_hint();
+    if size.lower() > limit as u64 {
+        return Err(too_long());
+    }
+    let most = size.upper().map_or(limit, |upper| upper as usize);
+    let units = most.div_ceil(ARRIVING_UNIT) as u32;
+    let Ok(_room) = shared.arriving.try_acquire_many(units) else {
+        let message = "too many bodies are arriving: send the request again with the same id";
+        return Err(Unread::Refused(503, message.to_string()));
+    };
+    let mut bytes = Vec::with_capacity(size.lower() as usize);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Unread::Broken)?.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > limit {
+            return Err(too_long());
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes)
+}
+
+/// Reads and drops the rest of a body, unless it is very long.
+async fn discard(body: &mut Incoming) {
+    let mut left = DISCARD_BYTES;
+    if body.size_hint().lower() > left as u64 {
+        return;
+    }
+    while let Some(Ok(frame)) = body.frame().await {
+        let read = frame.data_ref().map_or(0, Bytes::len);
+        match left.checked_sub(read) {
+            Some(rest) => left = rest,
+            None => return,
+        }
+    }
+}
+
 /// A response after which the connection is closed, because the rest of the request is not read.
 fn last_response(answer: Answer) -> Response<Full<Bytes>> {
     let mut response = response(answer);
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -9,11 +9,13 @@
 //! and a body must arrive, and the time that sent bytes may stay unacknowledged. A connection
 //! beyond the bound is closed at once.
 //!
-//! rouille and tiny_http don't fit here: both give a thread to each connection without a bound and
-//! set no read time limit, and dropping a request that declares a body of 900 TB aborts the
-//! process on the allocation (tiny_http 0.12).
+//! rouille and tiny_http, on which it is built, don't fit. Both give a thread to each connection
+//! without a bound and set no read time limit: in trials eight bodies that stopped arriving kept a
+//! pool of eight threads from serving `/healthz`. A request that declares a body of 900 TB aborts
+//! the process on the allocation when it is dropped (tiny_http 0.12).
 
 mod connection;
+mod stream;
 
 use std::fmt;
 use std::io;
@@ -24,14 +26,17 @@
 use std::time::Duration;
 
 use crossbeam_channel::{bounded, Receiver, Sender};
+use percent_encoding::percent_decode_str;
 use socket2::{Domain, Socket, Type};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{oneshot, watch, Semaphore};
 
 /// Bounds of a listener.
 #[derive(Clone, Debug)]
 pub struct Limits {
     /// Largest body in bytes.
     pub body_bytes: usize,
+    /// Most bytes of all bodies that are arriving; further ones are answered with 503.
+    pub arriving_bytes: usize,
     /// Largest head in bytes, at least 8,192.
     pub head_bytes: usize,
     /// Most connections, waiting callers included.
@@ -46,12 +51,15 @@
     pub body: Duration,
     /// How long sent bytes may stay unacknowledged.
     pub unacknowledged: Duration,
+    /// How long an answer may take to be written.
+    pub write: Duration,
 }
 
 impl Default for Limits {
     fn default() -> Self {
         Limits {
             body_bytes: 8 << 20,
+            arriving_bytes: 256 << 20,
             head_bytes: 16 << 10,
             connections: 8192,
             handlers: 4,
@@ -59,6 +67,7 @@
             head: Duration::from_secs(10),
             body: Duration::from_secs(5),
             unacknowledged: Duration::from_secs(5),
+            write: Duration::from_secs(10),
         }
     }
 }
@@ -107,6 +116,30 @@
     pub body: Vec<u8>,
 }
 
+impl Request {
+    /// The decoded segments of the path, or `None` when one is not valid.
+    pub fn segments(&self) -> Option<Vec<String>> {
+        let path = self.path.trim_start_matches('/');
+        path.split('/').map(decode).collect()
+    }
+
+    /// The decoded parameters of the query, or `None` when one is not valid.
+    pub fn params(&self) -> Option<Vec<(String, String)>> {
+        let pairs = self.query.split('&').filter(|pair| !pair.is_empty());
+        pairs
+            .map(|pair| {
+                let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
+                Some((decode(name)?, decode(value)?))
+            })
+            .collect()
+    }
+}
+
+fn decode(text: &str) -> Option<String> {
+    let decoded = percent_decode_str(text).decode_utf8().ok()?;
+    Some(decoded.into_owned())
+}
+
 /// A response.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -152,6 +185,8 @@
     open: Arc<AtomicUsize>,
     /// `true` asks to stop accepting; closing it ends the thread.
     closing: Option<watch::Sender<bool>>,
+    /// Closed once the address is free.
+    stopped: Receiver<()>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -183,7 +218,9 @@
     }
     let open = Arc::new(AtomicUsize::new(0));
     let (closing, closed) = watch::channel(false);
+    let (stop, stopped) = bounded(0);
     let shared = Arc::new(Shared {
+        arriving: Semaphore::new(limits.arriving_bytes / ARRIVING_UNIT),
         limits,
         refuse,
         arrived,
@@ -191,12 +228,13 @@
     });
     let thread = thread::Builder::new()
         .name(name.to_string())
-        .spawn(move || connection::run(socket, shared, closed))
+        .spawn(move || connection::run(socket, shared, closed, stop))
         .map_err(ListenError::Thread)?;
     Ok(Listener {
         address,
         open,
         closing: Some(closing),
+        stopped,
         thread: Some(thread),
     })
 }
@@ -216,6 +254,7 @@
     pub fn close(&mut self) {
         if let Some(closing) = &self.closing {
             closing.send_replace(true);
+            let _ = self.stopped.recv_timeout(CLOSE_TIME);
         }
     }
 }
@@ -237,8 +276,16 @@
     refuse: fn(u16, &str) -> Answer,
     arrived: Sender<Arrived>,
     open: Arc<AtomicUsize>,
+    /// What is left of `Limits::arriving_bytes`, in units of `ARRIVING_UNIT`.
+    arriving: Semaphore,
 }
 
+/// How long the thread may take to stop listening.
+const CLOSE_TIME: Duration = Duration::from_secs(1);
+
+/// Bytes of arriving bodies are counted in units of this, since permits are limited to 32 bits.
+const ARRIVING_UNIT: usize = 1 << 10;
+
 /// Connections that the system holds until they are accepted.
 const BACKLOG: i32 = 1024;
 
--- /dev/null
+++ b/crates/listener/src/stream.rs
@@ -0,0 +1,82 @@
+//! A TCP stream that limits how long one answer may take to be written.
+//!
+//! The system ends a connection whose peer acknowledges nothing. A peer that reads a byte now and
+//! then makes progress, so the whole answer has a limit here.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{ready, Context, Poll};
+use std::time::{Duration, Instant};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+pub(crate) struct Stream {
+    tcp: TcpStream,
+    limit: Duration,
+    /// When the answer that is being written was begun.
+    began: Option<Instant>,
+}
+
+impl Stream {
+    pub(crate) fn new(tcp: TcpStream, limit: Duration) -> Stream {
+        Stream {
+            tcp,
+            limit,
+            began: None,
+        }
+    }
+
+    fn check(&mut self) -> io::Result<()> {
+        let began = *self.began.get_or_insert_with(Instant::now);
+        match began.elapsed() > self.limit {
+            true => Err(io::ErrorKind::TimedOut.into()),
+            false => Ok(()),
+        }
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.check()?;
+        Pin::new(&mut self.tcp).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.check()?;
+        Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.tcp.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper flushes once all its bytes are written.
+        ready!(Pin::new(&mut self.tcp).poll_flush(cx))?;
+        self.began = None;
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_shutdown(cx)
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,8 @@
 //! waiting; its faults are a closed set. A [`Caller`] submits and waits as a client account does.
 
 mod caller;
+mod receive;
+mod server;
 mod target;
 
 pub use caller::{Answer, Caller, CallerError, CallerSettings, Job, Single};
--- a/crates/http/src/receive.rs
+++ b/crates/standin/src/receive.rs
@@ -5,7 +5,9 @@
 
 use tiny_http::{HTTPVersion, Header, Method};
 
-use crate::server::{Connection, Request};
+use greengage_listener::Request;
+
+use crate::server::Connection;
 
 /// Why a request was not taken.
 pub(crate) enum Reason {
@@ -73,7 +75,7 @@
         None => (head.target, String::new()),
     };
     let request = Request {
-        method: head.method,
+        method: head.method.to_string(),
         path,
         query,
         body,
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -19,11 +19,14 @@
     AttemptId, Capacity, Demand, GuardAction, Incarnation, RackName, TargetName, TemplateName,
     Term, ZoneName,
 };
-use greengage_http::server::{Answer, HttpError, Limits, Request, Responder, Server};
 use greengage_http::target::parse_attempt;
+use greengage_http::HttpError;
+use greengage_listener::{Answer, Request};
 use rand::Rng;
 use serde_json::{json, Value};
 
+use crate::server::{Limits, Responder, Server};
+
 /// What is wrong with a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Behaviour {
