--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -72,7 +72,8 @@
     pub peers: SortedMap<VmName, SocketAddr>,
     /// This VM's keys.
     pub keys: Keys,
-    /// How long a connection may be silent before it is replaced.
+    /// How long a connection may be silent before it is replaced. Probes are a third of this
+    /// apart, so the replacement starts after 1 to 1.33 times this span.
     pub silent: Duration,
     /// Most bytes that wait, per peer and class; at least one message always fits.
     pub queue: usize,
