Ask for votes again at once in a term learnt from a refusal

Cause: a soak of the random test failed in: no commit within 2 s of the repair. The witness alone had all entries, but its term was lower than the voter's; after the refusal it waited for another of its long timeouts.

Change: a node whose pre-vote is refused because of its term asks again in the new term at once. Its term rises with each such answer, so this ends.

--- a/crates/agreement/src/election.rs
+++ b/crates/agreement/src/election.rs
@@ -170,7 +170,14 @@
             return;
         }
         if !reply.granted && reply.term > self.hard.term {
-            return self.become_follower(reply.term, None);
+            let asked = matches!(&self.state, State::Candidate(c) if c.pre);
+            self.become_follower(reply.term, None);
+            if asked {
+                // Only the term was too low. Waiting for another timeout here cost a witness that
+                // alone had all entries over 1 s.
+                self.campaign(true, false);
+            }
+            return;
         }
         let State::Candidate(candidacy) = &mut self.state else {
             return;
--- a/crates/agreement/tests/group/node.rs
+++ b/crates/agreement/tests/group/node.rs
@@ -127,6 +127,25 @@
     assert!(matches!(sends(&out)[..], [Message::VoteReply(r)] if !r.granted));
 }
 
+/// Guards against a candidate that waits for another timeout when only its term was too low.
+#[test]
+fn candidate_asks_again_in_the_term_it_learns() {
+    let mut raft = Raft::new(Setup {
+        timing: Timing::default(),
+        ..setup()
+    });
+    let wake = raft.wake();
+    raft.step(wake, Event::Tick);
+    let reply = VoteReply {
+        term: Term(7),
+        granted: false,
+        pre: true,
+    };
+    assert!(sends(&receive(&mut raft, "b", Message::VoteReply(reply))).is_empty());
+    let out = raft.step(wake, Event::Saved(SaveSeq(1)));
+    assert!(matches!(sends(&out)[..], [Message::Vote(v), _] if v.pre && v.term == Term(8)));
+}
+
 /// Guards against an answer for an entry that a crash still takes away.
 #[test]
 fn follower_answers_once_durable() {
