Let a needed witness campaign before the voter's next timeout

Cause: a soak of the random test failed in, without pre-vote: a voter that lacked entries and the witness that had them split their votes until 2 s after the repair had passed. Message loss was ruled out by a trace.

Change: a witness that refuses a voter for its older log campaigns after 1 to 2 heartbeats instead of its doubled timeout.

--- a/crates/agreement/src/election.rs
+++ b/crates/agreement/src/election.rs
@@ -10,7 +10,9 @@
 //! others.
 //!
 //! A voter refuses a witness whose log isn't newer than its own, since the voter can lead with
-//! that log itself. So a witness leads only when no voter at hand has all that the witness has.
+//! that log itself. So a witness leads only when no voter at hand has all that the witness has. It
+//! waits twice as long as a voter before it campaigns, unless a voter with an older log asks for
+//! its vote.
 
 use greengage_core::{NodeId, SortedMap, Term, Time};
 
@@ -157,6 +159,13 @@
             }
             granted
         };
+        let needed = theirs < ours && self.is_witness(&self.node) && self.is_voter(&from);
+        if needed && matches!(self.state, State::Follower) {
+            // The voter can't lead without the witness's entries, so the witness campaigns before
+            // that voter's next timeout. Otherwise their votes can split again and again.
+            let soon = self.now + self.random.timeout(self.timing.heartbeat);
+            self.deadline = self.deadline.min(soon);
+        }
         let reply = VoteReply {
             term: if granted { vote.term } else { self.hard.term },
             granted,
--- a/crates/agreement/tests/group/node.rs
+++ b/crates/agreement/tests/group/node.rs
@@ -202,6 +202,20 @@
     assert_eq!((raft.applied(), raft.since_snapshot()), (Index(7), 0));
 }
 
+/// Guards against a witness that waits in vain for a voter that lacks entries.
+#[test]
+fn witness_campaigns_soon_after_it_refused_an_older_log() {
+    for (last, soon) in [(1, true), (2, false)] {
+        let mut raft = Raft::new(Setup {
+            config: config(&[("a", Seat::Witness), ("b", Seat::Voter), ("c", Seat::Voter)]),
+            ..setup()
+        });
+        assert!(raft.wake() >= Time::from_millis(600));
+        receive(&mut raft, "b", vote(3, last, true, false));
+        assert_eq!(raft.wake() <= Time::from_millis(151), soon);
+    }
+}
+
 /// Guards against a witness that is elected although the voter asked has the same log.
 #[test]
 fn voter_refuses_a_witness_with_the_same_log() {
