--- a/crates/journal/tests/thread.rs
+++ b/crates/journal/tests/thread.rs
@@ -73,6 +73,28 @@
     assert_eq!(g.entries.len() as u64, last - 1);
 }
 
+/// Guards against a snapshot that replaces the log and is reported before it is in force: the old
+/// entries would come back after a crash.
+#[test]
+fn replacing_snapshot_is_in_force_when_reported() {
+    let disk = FakeDisk::with_folder(&folder());
+    let (mut journal, _) = open(&disk).unwrap();
+    journal.write(&[entries("g", 1, &["a", "b", "c"])]).unwrap();
+    let (commands, inbox) = unbounded();
+    let replacing = snapshot("g", 2, "state", true);
+    commands.send((replacing, ())).unwrap();
+    drop(commands);
+    let reported = disk.clone();
+    let done = move |result: Result<(), JournalError>| {
+        result.unwrap();
+        let (_, found) = open(&reported.copy()).unwrap();
+        let g = found.get(&name("g")).unwrap();
+        assert_eq!(g.snapshot, Some((Index(2), b"state".to_vec())));
+        assert_eq!(g.entries, []);
+    };
+    start(journal, inbox, done).unwrap().join().unwrap();
+}
+
 /// Guards against a sender that blocks for good, or gets no answer, after the disk has failed.
 #[test]
 fn failed_disk_answers_every_batch() {
