Let the reserve for short work shrink without events

Cause: the reserve is computed when something happens on a target. With a few long tasks running and no short work any more, long tasks waited for the next end of a task although slots were free. The admission also counted slots for long work that it can't have.

Change: a timer looks again when less of the use by short work is remembered; the expected end of long work counts only the slots that long work may take. The speed measurement uses the time on a processor, because the machine is shared.

--- a/crates/dispatch/examples/measure/speed.rs
+++ b/crates/dispatch/examples/measure/speed.rs
@@ -77,6 +77,13 @@
     jobs
 }
 
+/// Time that this process ran on a processor; other processes of the machine don't count.
+fn processor() -> Duration {
+    let text = std::fs::read_to_string("/proc/self/schedstat").unwrap_or_default();
+    let nanos = text.split(' ').next().and_then(|n| n.parse().ok());
+    Duration::from_nanos(nanos.expect("/proc/self/schedstat has the time on a processor"))
+}
+
 /// Resident memory of this process in bytes.
 fn resident() -> usize {
     let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
@@ -113,7 +120,7 @@
         bench.step(Event::Submit(job));
     }
     let bytes = resident().saturating_sub(before) / queue;
-    let begin = Instant::now();
+    let begin = processor();
     for _ in 0..STARTS {
         bench.now = bench.now + Duration::from_micros(2);
         bench.settle();
@@ -122,7 +129,7 @@
             bench.step(Event::Submit(job));
         }
     }
-    let rate = STARTS as f64 / begin.elapsed().as_secs_f64();
+    let rate = STARTS as f64 / (processor() - begin).as_secs_f64();
     let admitted = Instant::now();
     for _ in 0..10_000 {
         let job = bench.job();
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -132,11 +132,12 @@
             return None;
         }
         let unit = asked.unit;
+        let rate = self.rate(now, asked);
         let mut wait = 0;
         for _ in 0..ROUNDS {
             let own = self.own_work(now, asked, wait);
             let work = own.saturating_add(self.others_work(now, asked, own, wait));
-            let mut next = span(work, unit, shape.room.max(1), shape.rate);
+            let mut next = span(work, unit, shape.room.max(1), rate);
             if let Some(limit) = self.fair.limit_of(asked.account, asked.work) {
                 let most = u64::from(limit.share.concurrency).max(1);
                 let room = most.saturating_sub(u64::from(limit.running)).max(1);
@@ -151,6 +152,18 @@
         Some(Duration::from_micros(wait.saturating_add(unit)))
     }
 
+    /// The rate at which the job's work is done, in thousandths of tasks at once; for long work
+    /// without the reserve.
+    fn rate(&self, now: Time, asked: &Asked<'_>) -> u64 {
+        let rate = self.targets.shape(asked.shape).rate;
+        let used = &self.targets.works[asked.work.at()].used;
+        if !self.is_long(asked.shape) || used.capacity == 0 {
+            return rate;
+        }
+        let most = used.most(now, self.tuning.short_percent);
+        (u128::from(rate) * u128::from(most) / u128::from(used.capacity)) as u64
+    }
+
     /// Work of the account up to the end of the job, if it starts after `wait`.
     fn own_work(&self, now: Time, asked: &Asked<'_>, wait: u64) -> u64 {
         let size = asked.unit.saturating_mul(u64::from(asked.job.tasks));
--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -570,6 +570,12 @@
                         self.touch_target(id);
                     }
                 }
+                Some((_, Alarm::Reserve(work))) => {
+                    let used = &mut self.targets.works[work.at()].used;
+                    used.armed = false;
+                    used.note(now);
+                    self.touch_work(work);
+                }
                 None => break,
             }
         }
@@ -592,7 +598,7 @@
     }
 
     /// Whether a shape's work counts as long.
-    fn is_long(&self, shape: ShapeId) -> bool {
+    pub(crate) fn is_long(&self, shape: ShapeId) -> bool {
         let key = &self.targets.shape(shape).key;
         match self.estimates.observed(key.work) {
             Some(observed) => observed >= self.tuning.long,
@@ -626,6 +632,26 @@
         }
         // Jobs that expired here touched their shapes, all of which were looked at.
         self.touched = touched;
+        self.watch_reserve(now);
+    }
+
+    /// Sets a timer where only the reserve for short work keeps a task from its start, since the
+    /// reserve shrinks with time alone.
+    fn watch_reserve(&mut self, now: Time) {
+        for shape in &self.touched {
+            let s = self.targets.shape(*shape);
+            let work = s.key.work;
+            let queue = self.fair.shape(*shape);
+            let waits = queue.first(Wait::Start).or(queue.first(Wait::Begin));
+            if s.room == 0 || waits.is_none() || self.open(*shape) {
+                continue;
+            }
+            let used = &mut self.targets.works[work.at()].used;
+            if !used.armed {
+                used.armed = true;
+                self.timers.insert(used.fades(now), Alarm::Reserve(work));
+            }
+        }
     }
 
     fn start(&mut self, now: Time, id: JobId, effects: &mut Vec<Effect>) -> bool {
--- a/crates/dispatch/src/reserve.rs
+++ b/crates/dispatch/src/reserve.rs
@@ -20,6 +20,8 @@
     since: Time,
     /// Most use by short work in the present and in the last half span.
     peaks: [u64; 2],
+    /// Whether a timer is set for the end of the remembered use.
+    pub(crate) armed: bool,
 }
 
 impl Use {
@@ -33,17 +35,26 @@
         self.peaks[0] = self.peaks[0].max(self.busy - self.long);
     }
 
-    /// Whether long work may take `units` more.
-    pub(crate) fn allows(&self, now: Time, units: u64, short_percent: u32) -> bool {
-        if short_percent == 0 || self.long == 0 {
-            return true;
+    /// What long work may hold at most.
+    pub(crate) fn most(&self, now: Time, short_percent: u32) -> u64 {
+        if short_percent == 0 {
+            return self.capacity;
         }
         let fixed = (self.capacity * u64::from(short_percent.min(100))).div_ceil(100);
         let peak = match now.since(self.since) < HALF * 2 {
             true => self.peaks[0].max(self.peaks[1]),
             false => 0,
         };
-        let reserve = fixed.max(peak.min(self.capacity / 2));
-        self.long + units + reserve <= self.capacity
+        self.capacity - fixed.max(peak.min(self.capacity / 2))
+    }
+
+    /// Whether long work may take `units` more; one task always may.
+    pub(crate) fn allows(&self, now: Time, units: u64, short_percent: u32) -> bool {
+        short_percent == 0 || self.long == 0 || self.long + units <= self.most(now, short_percent)
+    }
+
+    /// When less of the use is remembered than at `now`.
+    pub(crate) fn fades(&self, now: Time) -> Time {
+        (self.since + HALF * 2).max(now + HALF)
     }
 }
--- a/crates/dispatch/src/timers.rs
+++ b/crates/dispatch/src/timers.rs
@@ -4,7 +4,7 @@
 
 use greengage_core::Time;
 
-use crate::ids::{JobId, TargetId};
+use crate::ids::{JobId, TargetId, WorkId};
 
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -15,6 +15,8 @@
     Resume(JobId),
     /// The end of a target's rest.
     Rested(TargetId),
+    /// Less is reserved for short work.
+    Reserve(WorkId),
 }
 
 /// All timers.
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -214,6 +214,22 @@
     }
 }
 
+/// Guards against slots that stay empty although short work doesn't use them any more.
+#[test]
+fn the_reserve_shrinks_with_time_alone() {
+    let mut bench = bench();
+    bench.executor("t1", 8, &["w", "long"]);
+    bench.submit("a", "w", 4, RECORDED);
+    for task in 0..4 {
+        bench.done(&format!("1/{task}#1"), 20);
+    }
+    bench.now = 10;
+    assert_eq!(long_starts(&mut bench, 6), 4);
+    let starts = ["10000 ms: start 2/4#1 on t1", "10000 ms: start 2/5#1 on t1"];
+    let shown = bench.run_to(10_009);
+    assert_eq!(shown, starts);
+}
+
 /// Guards against a placement by connections or demand of executors, which count slots only.
 #[test]
 fn executors_ignore_the_demand() {
