Test the daemon as separate processes under failures

Cause: nothing ran several greengageproxy processes together, so loss of a process, of a zone's network or of a connection was tested only inside single crates.

Change: a harness in crates/daemon/tests/system starts real processes on loopback addresses of their own, ends them by id also when a test panics, and prints the end of each log then. Relays for UDP and TCP lose, hold or forget what passes. Tests: 1,000 jobs through four VMs in two zones; kills of a zone's leader, also while it recovers; SIGTERM with requests in flight; zones cut off in both directions and in one; connections that go silent between VMs and to a target. A stand-in target can announce another address than its own, which a relay needs. rustix, already built for tempfile, sends signals without unsafe code.

--- /dev/null
+++ b/crates/daemon/tests/system/leader.rs
@@ -0,0 +1,119 @@
+//! Loss of the leader of a zone's ledger group.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::AtomicBool;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use greengage_standin::{Answer, Caller, Job};
+
+use crate::harness::{System, THREE};
+use crate::work::{assert_agreed, job, load, SetOnDrop, LIMIT};
+
+const NORTH: &str = "ledger-north";
+/// Waits until a VM that was restarted has all that is committed.
+fn wait_caught_up(system: &System, name: &str) {
+    system.wait_ready(name);
+    system.wait("the restarted VM has caught up", LIMIT, || {
+        let (Some((leader, _)), Some(own)) = (
+            system.leader(NORTH),
+            system.get(name, &format!("/v1/groups/{NORTH}")),
+        ) else {
+            return false;
+        };
+        let leads = system.get(&leader, &format!("/v1/groups/{NORTH}"));
+        leads.is_some_and(|leads| own["commit"].as_u64() >= leads["commit"].as_u64())
+    });
+}
+
+/// Kills the leader of north several times in a row with submissions going on; each third time
+/// also its successor while that recovers. Returns the times without service after single kills.
+fn kill_leaders(kills: usize) -> Vec<Duration> {
+    let mut system = System::start(&THREE, false);
+    let targets = system.targets();
+    let stop = AtomicBool::new(false);
+    let ended = Mutex::default();
+    let mut gaps = Vec::new();
+    let callers = [
+        system.caller(&["north-1", "north-2", "south-1"]),
+        system.caller(&["north-2", "south-1", "north-1"]),
+        system.caller(&["south-1", "north-1", "north-2"]),
+    ];
+    let mut probes = Vec::new();
+    std::thread::scope(|scope| {
+        let stopper = SetOnDrop(&stop);
+        for (i, caller) in callers.iter().enumerate() {
+            let (stop, ended) = (&stop, &ended);
+            scope.spawn(move || load(&format!("load-{i}"), caller, stop, ended));
+        }
+        for n in 0..kills {
+            let leader = system.serving("north");
+            let other = if leader == "north-1" {
+                "north-2"
+            } else {
+                "north-1"
+            };
+            system.kill(&leader);
+            let killed = Instant::now();
+            if n % 3 == 2 {
+                system.spawn(&leader);
+                let next = system.serving("north");
+                system.kill(&next);
+                system.spawn(&next);
+                system.wait_ready(&next);
+            }
+            let caller = system.caller(&[other]);
+            let (job, answer) = probe(&caller, n, killed);
+            if n % 3 != 2 {
+                gaps.push(killed.elapsed());
+                system.spawn(&leader);
+            }
+            probes.push((job, answer));
+            for name in ["north-1", "north-2"] {
+                wait_caught_up(&system, name);
+            }
+        }
+        drop(stopper);
+    });
+    let mut ended: Vec<(Job, Answer)> = ended.into_inner().expect("no panic");
+    println!("{} jobs during {kills} kills", ended.len());
+    ended.extend(probes);
+    let keys: BTreeSet<_> = ended.iter().map(|(job, _)| job.id.clone()).collect();
+    assert_eq!(keys.len(), ended.len());
+    assert_agreed(&system, &targets, &ended);
+    gaps
+}
+
+/// Submits new jobs, each with its own key, until one is answered.
+fn probe(caller: &Caller, n: usize, since: Instant) -> (Job, Answer) {
+    let job = job(&format!("probe-{n}"), Some("north"), 1, 1);
+    let answer = caller.run(&job, LIMIT).expect("an answer");
+    assert!(since.elapsed() < LIMIT);
+    (job, answer)
+}
+
+fn report(gaps: &mut [Duration]) -> Duration {
+    gaps.sort();
+    let median = gaps[gaps.len() / 2];
+    let worst = gaps[gaps.len() - 1];
+    println!("time without service: median {median:?}, worst {worst:?}, all {gaps:?}");
+    median
+}
+
+/// Guards against starts that run twice, keys that are lost and answers that differ when leaders
+/// end without warning, also one that is still recovering. The bound is the design's target.
+#[test]
+fn killed_leaders_lose_nothing() {
+    let mut gaps = kill_leaders(4);
+    assert!(report(&mut gaps) < Duration::from_secs(2));
+}
+
+/// Measures the time without service for new submissions over 20 single kills. Run with
+/// `cargo test -p greengageproxy --test system -- --ignored --nocapture measure_leader_loss`.
+#[test]
+#[ignore = "a measurement of about two minutes"]
+fn measure_leader_loss() {
+    let mut gaps = kill_leaders(30);
+    assert_eq!(gaps.len(), 20);
+    assert!(report(&mut gaps) < Duration::from_secs(2));
+}
--- /dev/null
+++ b/crates/daemon/tests/system/main.rs
@@ -0,0 +1,8 @@
+//! The daemon as separate processes, with failures.
+
+mod harness;
+mod leader;
+mod network;
+mod relay;
+mod serve;
+mod work;
--- /dev/null
+++ b/crates/daemon/tests/system/work.rs
@@ -0,0 +1,92 @@
+//! Jobs, callers that go on submitting, and checks of answers and of starts.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Mutex;
+use std::time::Duration;
+
+use greengage_core::{Name, TemplateName, ZoneName};
+use greengage_standin::{Answer, Caller, Job, Target};
+use serde_json::{json, Value};
+
+use crate::harness::{System, TEMPLATE};
+
+/// How long a submission and its resubmissions may take.
+pub(crate) const LIMIT: Duration = Duration::from_secs(20);
+
+/// A job whose tasks each take `millis` and echo the id and their place.
+pub(crate) fn job(id: &str, zone: Option<&str>, tasks: usize, millis: u64) -> Job {
+    let task = |i| json!({"sleep_ms": millis, "echo": format!("{id}/{i}")});
+    Job {
+        id: Name::new(id).expect("a valid name"),
+        zone: zone.map(|zone| ZoneName::new(zone).expect("a valid name")),
+        template: TemplateName::new(TEMPLATE).expect("a valid name"),
+        tasks: (0..tasks).map(task).collect(),
+    }
+}
+
+/// Checks that an answer has the results of all tasks of a job, in order.
+pub(crate) fn assert_whole(job: &Job, answer: &Answer) {
+    let Answer::Complete { results, .. } = answer else {
+        panic!("job {} is not complete: {answer:?}", job.id);
+    };
+    let echoes = |values: &[Value]| values.iter().map(|v| v["echo"].clone()).collect::<Vec<_>>();
+    assert_eq!(echoes(results), echoes(&job.tasks), "job {}", job.id);
+}
+
+/// Counts the tasks that the targets started, and checks that none started twice.
+pub(crate) fn assert_starts(targets: &[Target]) -> usize {
+    let mut seen = BTreeMap::new();
+    for target in targets {
+        for start in target.starts().into_iter().filter(|start| start.run) {
+            let task = (start.attempt.key.clone(), start.attempt.task);
+            let before = seen.insert(task, (target.name().clone(), start.clone()));
+            assert!(before.is_none(), "started twice: {before:?} and {start:?}");
+        }
+    }
+    seen.len()
+}
+
+/// Sets a flag when it goes out of scope, so that a panic ends the threads that look at it.
+pub(crate) struct SetOnDrop<'a>(pub(crate) &'a AtomicBool);
+
+impl Drop for SetOnDrop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Submits jobs of the zone north one after the other until `stop`; resubmits until each has ended.
+pub(crate) fn load(
+    name: &str,
+    caller: &Caller,
+    stop: &AtomicBool,
+    ended: &Mutex<Vec<(Job, Answer)>>,
+) {
+    for n in 0.. {
+        if stop.load(Ordering::Relaxed) {
+            return;
+        }
+        let job = job(&format!("{name}-{n}"), Some("north"), 2, 20);
+        let answer = caller.run(&job, LIMIT).expect("an answer");
+        ended.lock().expect("no panic").push((job, answer));
+    }
+}
+
+/// Checks that each job was answered whole and that every running VM gives the same answer again,
+/// and that each task started once.
+pub(crate) fn assert_agreed(system: &System, targets: &[Target], ended: &[(Job, Answer)]) {
+    for name in system.vms.iter().map(|vm| vm.name.as_str()) {
+        if !system.is_running(name) {
+            continue;
+        }
+        let caller = system.caller(&[name]);
+        for (job, answer) in ended {
+            assert_whole(job, answer);
+            let again = caller.run(job, LIMIT).expect("an answer");
+            assert_eq!(again, *answer, "job {} asked at {name}", job.id);
+        }
+    }
+    let tasks: usize = ended.iter().map(|(job, _)| job.tasks.len()).sum();
+    assert_eq!(assert_starts(targets), tasks);
+}
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -67,6 +67,8 @@
     pub capacity: Capacity,
     /// Where it listens; port 0 for any.
     pub listen: SocketAddr,
+    /// The address that it announces, if that is not its own, as behind a relay.
+    pub public: Option<SocketAddr>,
     /// Where it announces itself, in the order of preference; empty for no announcements.
     pub entries: Vec<SocketAddr>,
     /// One life of the process; must grow with each restart.
@@ -104,6 +106,7 @@
                 connections: 60,
             },
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            public: None,
             entries: entries.to_vec(),
             incarnation: Incarnation(wall_ms()),
             speed: 1.0,
@@ -857,7 +860,7 @@
         let mut body = json!({
             "target": settings.name.as_str(),
             "incarnation": settings.incarnation.0,
-            "address": self.address.to_string(),
+            "address": settings.public.unwrap_or(self.address).to_string(),
             "zone": settings.zone.as_str(),
             "work": work,
             "fencing": settings.fencing,
