--- a/crates/control/src/ledgers.rs
+++ b/crates/control/src/ledgers.rs
@@ -128,6 +128,7 @@
             retention: self.site.limits.retention,
             fence: self.site.limits.fence,
             repoll: self.site.limits.repoll,
+            tuning: self.site.limits.tuning.clone(),
         };
         let targets = self.membership.targets();
         let seed = self.site.seed ^ term.0;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -23,6 +23,7 @@
 mod zone;
 
 pub use control::{Control, Durable};
+pub use greengage_dispatch::Tuning;
 pub use message::{
     Body, Effect, Envelope, Event, GroupSave, LedgerMessage, LedgerSave, Now, PolicyMessage,
     PolicySave, Restored, Saved,
--- a/crates/control/src/site.rs
+++ b/crates/control/src/site.rs
@@ -5,6 +5,7 @@
 
 use greengage_agreement::{Config, Seat, Timing};
 use greengage_core::{value, AccountName, Incarnation, Name, NodeId, SortedMap, VmName, ZoneName};
+use greengage_dispatch::Tuning;
 
 /// What a VM does besides taking callers.
 #[value]
@@ -55,6 +56,8 @@
     pub events: usize,
     /// Edits kept for VMs that are a little behind; others get the whole state.
     pub edits: usize,
+    /// Rules by which a zone's leader dispatches.
+    pub tuning: Tuning,
     /// How long a draining VM takes callers, so that the balancer sees that it isn't ready.
     pub drain_grace: Duration,
 }
@@ -71,6 +74,7 @@
             compact: 10_000,
             events: 50_000,
             edits: 1_000,
+            tuning: Tuning::default(),
             drain_grace: Duration::from_secs(1),
         }
     }
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -177,6 +177,7 @@
     pub(crate) retention: Duration,
     pub(crate) fence: Duration,
     pub(crate) repoll: Duration,
+    pub(crate) tuning: dispatch::Tuning,
 }
 
 /// The leader's state.
@@ -216,8 +217,8 @@
         let mut zone = Zone {
             name,
             term,
+            dispatch: Dispatch::new(limits.tuning.clone(), seed),
             limits,
-            dispatch: Dispatch::new(dispatch::Tuning::default(), seed),
             live: BTreeMap::new(),
             keys: BTreeMap::new(),
             targets: SortedMap::new(),
--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -4,10 +4,28 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use clap::Parser;
+use clap::{Parser, ValueEnum};
 use eyre::{eyre, Report, WrapErr};
 use greengage_core::VmName;
-use greengage_node::{parse_vms, Limits, Settings};
+use greengage_node::{parse_vms, Limits, Settings, Tuning};
+
+/// Rules by which a zone's leader dispatches.
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Policy {
+    /// Fair shares, shortest work first, fastest target, refusal of work that would be late.
+    Fair,
+    /// First come, first served on random targets, to measure what the rules gain.
+    Baseline,
+}
+
+impl Policy {
+    fn tuning(self) -> Tuning {
+        match self {
+            Policy::Fair => Tuning::default(),
+            Policy::Baseline => Tuning::baseline(),
+        }
+    }
+}
 
 /// The dispatcher daemon of one VM.
 #[derive(Debug, Parser)]
@@ -72,6 +90,10 @@
     #[arg(long, env = "GREENGAGE_NO_PRE_VOTE")]
     no_pre_vote: bool,
 
+    /// Rules of dispatch, the same on all VMs of a zone; baseline is for comparisons only.
+    #[arg(long, env = "GREENGAGE_POLICY", default_value = "fair")]
+    policy: Policy,
+
     /// Prepare the data folder of a new deployment's VM, then exit. A folder that replaces a lost
     /// one must not be prepared: the VM makes one that has to be added as a member.
     #[arg(long)]
@@ -95,6 +117,7 @@
         let mut limits = Limits {
             retention: Duration::from_secs(self.retention),
             compact: self.compact,
+            tuning: self.policy.tuning(),
             ..Limits::default()
         };
         limits.timing.pre_vote = !self.no_pre_vote;
--- a/crates/dispatch/examples/measure/main.rs
+++ b/crates/dispatch/examples/measure/main.rs
@@ -33,15 +33,8 @@
         change(&mut tuning);
         tuning
     };
-    let baseline = with(|t| {
-        t.placement = Placement::Random;
-        t.fair = false;
-        t.shortest = false;
-        t.short_percent = 0;
-        t.admission = false;
-    });
     vec![
-        ("baseline", baseline),
+        ("baseline", Tuning::baseline()),
         ("chosen", chosen.clone()),
         (
             "random placement",
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -253,6 +253,21 @@
     pub overtake: Duration,
 }
 
+impl Tuning {
+    /// First come, first served on a random target with room, without refusals of late work and
+    /// without a reserve: what the rules are measured against.
+    pub fn baseline() -> Tuning {
+        Tuning {
+            placement: Placement::Random,
+            fair: false,
+            shortest: false,
+            short_percent: 0,
+            admission: false,
+            ..Tuning::default()
+        }
+    }
+}
+
 impl Default for Tuning {
     fn default() -> Self {
         Tuning {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,6 @@
 
 pub use clock::Clock;
 pub use error::NodeError;
-pub use greengage_control::Limits;
+pub use greengage_control::{Limits, Tuning};
 pub use node::{check, init, Node, Stopper};
 pub use settings::{parse_vms, Settings, SettingsError, VmEntry};
