Tell the callers of a restarted VM apart from earlier ones

Cause: front ends count requests from 1 again after a restart, and messages between VMs named a caller by VM and number only. A late reply to the earlier process answered another caller, and two repeatable requests got the same attempt id, for which a target returns the first one's result. Ruled out: the transport mixing up replies; the checks saw the number reused.

Change: Forward, Reply and Redirect carry the sender's life (its incarnation); replies to another life are dropped, and the attempt id of a repeatable request includes it.

Conclusion: a reply reaches the caller that it was made for.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -284,15 +284,29 @@
                     self.receive_ledger(zone, node.clone(), message.clone());
                 }
             }
-            Body::Forward { id, wait, request } => {
+            Body::Forward {
+                life,
+                id,
+                wait,
+                request,
+            } => {
                 let origin = Origin {
                     vm: from.clone(),
+                    life: *life,
                     id: *id,
                 };
                 self.forwarded(origin, *wait, request.clone());
             }
-            Body::Reply { id, reply } => self.replied(*id, reply.clone()),
-            Body::Redirect { id } => self.redirected(*id),
+            Body::Reply { life, id, reply } => {
+                if *life == self.site.incarnation {
+                    self.replied(*id, reply.clone());
+                }
+            }
+            Body::Redirect { life, id } => {
+                if *life == self.site.incarnation {
+                    self.redirected(*id);
+                }
+            }
             Body::Announce(announcement) => {
                 self.member(membership::Event::Announce(announcement.clone()));
             }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -5,7 +5,9 @@
 
 use greengage_agreement as agreement;
 use greengage_agreement::{Config, Entry, HardState, Save, SaveSeq, Snapshot};
-use greengage_core::{value, Hlc, NodeId, RequestId, Revision, Time, VmName, Wall, ZoneName};
+use greengage_core::{
+    value, Hlc, Incarnation, NodeId, RequestId, Revision, Time, VmName, Wall, ZoneName,
+};
 use greengage_ledger as ledger;
 use greengage_membership::{Announcement, VmStatus};
 use greengage_policy as policy;
@@ -66,6 +68,9 @@
     },
     /// A caller's request, sent to the VM that decides it.
     Forward {
+        /// The sender's life. Front ends count callers from 1 again in each, so a reply to an
+        /// earlier life would reach another caller.
+        life: Incarnation,
         /// The sender's number of the caller.
         id: RequestId,
         /// How long the caller still waits.
@@ -75,6 +80,8 @@
     },
     /// The reply to a forwarded request.
     Reply {
+        /// The life in the forward.
+        life: Incarnation,
         /// The number in the forward.
         id: RequestId,
         /// The reply.
@@ -82,6 +89,8 @@
     },
     /// The receiver of a forward doesn't decide it, or no longer; another VM must be asked.
     Redirect {
+        /// The life in the forward.
+        life: Incarnation,
         /// The number in the forward.
         id: RequestId,
     },
--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -194,11 +194,21 @@
         }
         let origin = Origin {
             vm: self.site.vm.clone(),
+            life: self.site.incarnation,
             id,
         };
         match place {
             Place::Here => self.decide(origin, wait, request),
-            Place::Sent(vm, _) => self.send(&vm, Body::Forward { id, wait, request }),
+            Place::Sent(vm, _) => {
+                let life = self.site.incarnation;
+                let body = Body::Forward {
+                    life,
+                    id,
+                    wait,
+                    request,
+                };
+                self.send(&vm, body);
+            }
             Place::Nowhere => {}
         }
     }
@@ -331,8 +341,8 @@
         if origin.vm == self.site.vm {
             return self.replied(origin.id, reply);
         }
-        let id = origin.id;
-        self.send(&origin.vm, Body::Reply { id, reply });
+        let Origin { vm, life, id } = origin;
+        self.send(&vm, Body::Reply { life, id, reply });
     }
 
     /// Gives a caller of this VM its reply; later ones are dropped.
@@ -354,7 +364,8 @@
         if origin.vm == self.site.vm {
             return self.redirected(origin.id);
         }
-        self.send(&origin.vm, Body::Redirect { id: origin.id });
+        let Origin { vm, life, id } = origin;
+        self.send(&vm, Body::Redirect { life, id });
     }
 
     /// Looks again for the VM that decides, after a pause.
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -49,10 +49,11 @@
 /// Bits of a call's number that count calls within one term.
 const TOKEN_BITS: u32 = 32;
 
-/// A caller: the VM that holds its connection, and that VM's number of it.
+/// A caller: the VM that holds its connection, and that VM's number of it in its present life.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Origin {
     pub(crate) vm: VmName,
+    pub(crate) life: Incarnation,
     pub(crate) id: RequestId,
 }
 
--- a/crates/control/src/zone/requests.rs
+++ b/crates/control/src/zone/requests.rs
@@ -339,7 +339,9 @@
 
 /// A repeatable request as a job of one task, with an id that is unique among the VMs' callers.
 fn single_job(zone: &ZoneName, origin: &Origin, request: NewRequest) -> NewJob {
-    let id = Name::new(&format!("single:{}:{}", origin.vm, origin.id));
+    // The life keeps a target's result of an earlier process's request from answering this one.
+    let Origin { vm, life, id } = origin;
+    let id = Name::new(&format!("single:{vm}:{life}:{id}"));
     NewJob {
         account: request.account,
         zone: Some(zone.clone()),
--- /dev/null
+++ b/crates/control/tests/faults.rs
@@ -0,0 +1,379 @@
+//! One test for each fault that the randomised run (`cluster`) or a review found.
+//!
+//! A `Rig` is the control state of one VM, whose saves are durable at once; the test plays the
+//! other VMs and the targets by hand.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use greengage_control::api::{Group, NewRequest, Progress, Reply, Request};
+use greengage_control::call::{Action, Call, Seen, State};
+use greengage_control::{
+    Body, Control, Durable, Effect, Envelope, Event, GroupSave, Limits, Now, Restored, Roles,
+    Saved, Site, VmSpec,
+};
+use greengage_core::{
+    AccountName, Address, Capacity, Demand, Digest, Hlc, Incarnation, JobKey, Name, OpId, Payload,
+    RequestId, Revision, SortedMap, Spread, TargetKind, TargetName, TemplateName, Term, Time,
+    Version, VmName, Wall, ZoneName,
+};
+use greengage_membership::{Announcement, VmStatus};
+use greengage_policy as policy;
+use greengage_policy::{Document, Params, Template};
+
+struct Rig {
+    control: Control,
+    now: Now,
+    out: Vec<Effect>,
+    requests: u64,
+}
+
+fn vm(text: &str) -> VmName {
+    VmName::new(text).unwrap()
+}
+
+fn zone() -> ZoneName {
+    ZoneName::new("a").unwrap()
+}
+
+fn t1() -> TargetName {
+    TargetName::new("t1").unwrap()
+}
+
+/// VM a1 votes alone in both groups; a2 has no disk.
+fn site(own: &str, life: u64) -> Site {
+    let spec = |text: &str| {
+        let voter = text == "a1";
+        let roles = Roles {
+            control: voter,
+            ledger: voter,
+            witness: Vec::new(),
+        };
+        (
+            vm(text),
+            VmSpec {
+                zone: zone(),
+                roles,
+            },
+        )
+    };
+    Site {
+        vm: vm(own),
+        vms: ["a1", "a2"].map(spec).into_iter().collect(),
+        folder: (own == "a1").then_some(0),
+        incarnation: Incarnation(life),
+        weight: 1,
+        seed: 1,
+        limits: Limits::default(),
+    }
+}
+
+impl Rig {
+    fn new(own: &str, life: u64) -> Rig {
+        let site = site(own, life);
+        let mut durable = Durable::default();
+        if site.folder.is_some() {
+            durable.control.config = site.first_control();
+            let config = site.first_ledger(&zone());
+            let group = Restored {
+                config,
+                ..Restored::default()
+            };
+            durable.ledgers.insert(zone(), group);
+        }
+        let now = Now {
+            time: Time(0),
+            wall: Wall(1_800_000_000_000),
+        };
+        let control = Control::new(site, durable, now);
+        Rig {
+            control,
+            now,
+            out: Vec::new(),
+            requests: 0,
+        }
+    }
+
+    /// VM a1 leads both groups, has a configuration, and target t1 takes starts.
+    fn leader() -> Rig {
+        let mut rig = Rig::new("a1", 1);
+        rig.pass(2000);
+        for (repeatable, text) in [(false, "job"), (true, "ping")] {
+            let template = TemplateName::new(text).unwrap();
+            rig.edit(Document::Template {
+                name: template.clone(),
+                content: Some(plain(repeatable)),
+            });
+            rig.edit(Document::Params {
+                template,
+                account: account(),
+                content: Some(Params {
+                    weight: 1,
+                    quota: 10,
+                    concurrency: 10,
+                    burst: 0,
+                    deadline_ms: None,
+                    values: SortedMap::new(),
+                }),
+            });
+        }
+        rig.announce();
+        let token = rig.call(|action| matches!(action, Action::Fence { .. }));
+        rig.fenced(token);
+        rig
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            for effect in self.control.step(self.now, event) {
+                match effect {
+                    Effect::Save(GroupSave::Control(save)) => events.push(Event::Saved(Saved {
+                        group: Group::Control,
+                        seq: save.seq,
+                    })),
+                    Effect::Save(GroupSave::Ledger { zone, save }) => {
+                        events.push(Event::Saved(Saved {
+                            group: Group::Ledger(zone),
+                            seq: save.seq,
+                        }));
+                    }
+                    other => self.out.push(other),
+                }
+            }
+        }
+    }
+
+    /// Lets time pass.
+    fn pass(&mut self, millis: u64) {
+        let end = Time(self.now.time.0 + millis * 1000);
+        while self.control.wake() <= end {
+            self.at(self.control.wake().max(self.now.time));
+            self.step(Event::Tick);
+        }
+        self.at(end);
+    }
+
+    fn at(&mut self, time: Time) {
+        self.now.wall.0 += (time.0 - self.now.time.0) / 1000;
+        self.now.time = time;
+    }
+
+    fn request(&mut self, wait: u64, request: Request) -> RequestId {
+        self.requests += 1;
+        let id = RequestId(self.requests);
+        let wait = Duration::from_millis(wait);
+        self.step(Event::Request { id, wait, request });
+        id
+    }
+
+    fn receive(&mut self, from: &str, body: Body) {
+        let envelope = Arc::new(Envelope {
+            stamp: Hlc::default(),
+            body,
+        });
+        self.step(Event::Peer {
+            from: vm(from),
+            envelope,
+        });
+    }
+
+    /// VM a1 says that it leads the zone, or doesn't.
+    fn hear_leader(&mut self, leading: Option<Term>) {
+        let status = VmStatus {
+            vm: vm("a1"),
+            zone: zone(),
+            incarnation: Incarnation(1),
+            revision: Revision(0),
+            control: true,
+            leading,
+            weight: 1,
+            load: 0,
+            draining: false,
+            disk_failed: false,
+        };
+        self.receive(
+            "a1",
+            Body::Status {
+                status,
+                folder: Some(0),
+            },
+        );
+    }
+
+    fn edit(&mut self, document: Document) {
+        let op = OpId(Name::new(&format!("op{}", self.requests)).unwrap());
+        let from = Version(0);
+        let id = self.request(
+            0,
+            Request::Edit(policy::Command::Edit { op, from, document }),
+        );
+        let reply = self.reply(id);
+        assert!(
+            matches!(reply, Some(Reply::Edit(policy::Outcome::Applied { .. }))),
+            "{reply:?}"
+        );
+    }
+
+    fn announce(&mut self) {
+        let target = TemplateName::new;
+        self.request(
+            0,
+            Request::Announce(Announcement {
+                target: t1(),
+                incarnation: Incarnation(1),
+                address: Address::new("127.0.0.1:1").unwrap(),
+                zone: zone(),
+                rack: None,
+                work: vec![target("job").unwrap(), target("ping").unwrap()],
+                capacity: Capacity::Executor {
+                    slots: 4,
+                    connections: 60,
+                },
+                usage: None,
+                fencing: true,
+                leaving: false,
+            }),
+        );
+    }
+
+    fn seen(&mut self, token: u64, seen: Seen) {
+        self.step(Event::Seen { token, seen });
+    }
+
+    fn fenced(&mut self, token: u64) {
+        let seen = Seen::Fenced {
+            incarnation: Incarnation(1),
+            attempts: Vec::new(),
+        };
+        self.seen(token, seen);
+    }
+
+    fn done(&mut self, token: u64, result: &[u8]) {
+        let state = State::Done {
+            result: Payload::new(result),
+            service: Duration::from_millis(1),
+        };
+        self.seen(token, Seen::State(state));
+    }
+
+    /// Takes the reply to a request, if it came.
+    fn reply(&mut self, of: RequestId) -> Option<Reply> {
+        let place = self
+            .out
+            .iter()
+            .position(|effect| matches!(effect, Effect::Reply { id, .. } if *id == of))?;
+        match self.out.remove(place) {
+            Effect::Reply { reply, .. } => Some(reply),
+            _ => unreachable!("just matched"),
+        }
+    }
+
+    /// Takes the first call that fits and returns its number.
+    fn call(&mut self, fits: impl Fn(&Action) -> bool) -> u64 {
+        self.find_call(fits).expect("the call is made")
+    }
+
+    fn find_call(&mut self, fits: impl Fn(&Action) -> bool) -> Option<u64> {
+        let place = self.out.iter().position(
+            |effect| matches!(effect, Effect::Call { call: Call { action, .. }, .. } if fits(action)),
+        )?;
+        match self.out.remove(place) {
+            Effect::Call { token, .. } => Some(token),
+            _ => unreachable!("just matched"),
+        }
+    }
+}
+
+fn account() -> AccountName {
+    AccountName::new("acme").unwrap()
+}
+
+fn plain(repeatable: bool) -> Template {
+    Template {
+        target: TargetKind::Executor,
+        demand: Demand::default(),
+        spread: Spread::Any,
+        deadline_ms: 60_000,
+        repeatable,
+        retries: 2,
+        max_tasks: 10,
+        expected_ms: 100,
+        params: SortedMap::new(),
+    }
+}
+
+fn single(task: u8) -> Request {
+    Request::Single(NewRequest {
+        account: account(),
+        zone: Some(zone()),
+        id: None,
+        template: TemplateName::new("ping").unwrap(),
+        digest: Digest([task; 32]),
+        task: Payload::new([task]),
+    })
+}
+
+fn key(id: &str) -> JobKey {
+    JobKey {
+        account: account(),
+        zone: zone(),
+        id: Name::new(id).unwrap(),
+    }
+}
+
+fn is_start(action: &Action) -> bool {
+    matches!(action, Action::Start(_))
+}
+
+/// Front ends count requests from 1 again after a restart. Guards against the delivery of a late
+/// reply, meant for the earlier process, to another caller.
+#[test]
+fn reply_to_an_earlier_life_is_dropped() {
+    let mut rig = Rig::new("a2", 2);
+    rig.hear_leader(Some(Term(1)));
+    let id = rig.request(1000, Request::Outcome(key("j1")));
+    let reply = |life: u64, id: &str| Body::Reply {
+        life: Incarnation(life),
+        id: RequestId(1),
+        reply: Reply::Job {
+            key: key(id),
+            progress: Progress::Queued,
+        },
+    };
+    rig.receive("a1", reply(1, "j0"));
+    assert_eq!(rig.reply(id), None);
+    rig.receive("a1", reply(2, "j1"));
+    assert!(rig.reply(id).is_some());
+}
+
+/// Guards against the same attempt id for requests of two lives of a VM, for which a target that
+/// keeps results by attempt id would give the first result twice.
+#[test]
+fn repeatable_requests_of_two_lives_have_different_attempts() {
+    let mut rig = Rig::leader();
+    let mut attempts = Vec::new();
+    for life in [1, 2] {
+        rig.receive(
+            "a2",
+            Body::Forward {
+                life: Incarnation(life),
+                id: RequestId(1),
+                wait: Duration::from_secs(1),
+                request: single(life as u8),
+            },
+        );
+        let starts = rig.out.iter().filter_map(|effect| match effect {
+            Effect::Call { call, .. } => match &call.action {
+                Action::Start(start) => Some(start.attempt.clone()),
+                _ => None,
+            },
+            _ => None,
+        });
+        attempts.extend(starts);
+        let token = rig.call(is_start);
+        rig.done(token, b"r");
+    }
+    assert_eq!(attempts.len(), 2);
+    assert_ne!(attempts[0], attempts[1]);
+}
