Add checks of the control state as a whole

Cause: a test that runs several VMs needs to see whether the leader's maps agree and whether anything is left over once nothing is in flight.

Change: `Control::verify` and `Control::leftover`.

Before: no check.

Conclusion: no change of behaviour.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,6 +20,7 @@
 mod shutdown;
 mod site;
 mod timers;
+mod verify;
 mod zone;
 
 pub use control::{Control, Durable};
--- /dev/null
+++ b/crates/control/src/verify.rs
@@ -0,0 +1,30 @@
+//! Checks of the state as a whole, for tests.
+
+use crate::control::Control;
+
+impl Control {
+    /// Checks that the parts of the state agree with one another.
+    pub fn verify(&self) -> Result<(), String> {
+        match &self.zone {
+            Some(zone) => zone.verify(),
+            None => Ok(()),
+        }
+    }
+
+    /// What is kept for work that hasn't ended, by kind; empty when nothing is in flight.
+    pub fn leftover(&self) -> Vec<(&'static str, usize)> {
+        let mut left = vec![("callers", self.callers.len())];
+        if let Some(control) = &self.control {
+            left.push(("edits", control.edits.len()));
+            left.push(("control changes", control.changes.len()));
+            left.push(("reads", control.reads.len()));
+        }
+        for group in self.ledgers.values() {
+            left.push(("ledger changes", group.changes.len()));
+            left.push(("open submissions", group.ledger.counts().open as usize));
+        }
+        left.extend(self.zone.iter().flat_map(|zone| zone.leftover()));
+        left.retain(|(_, count)| *count > 0);
+        left
+    }
+}
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -17,6 +17,7 @@
 mod recovery;
 mod requests;
 mod targets;
+mod verify;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -24,8 +25,8 @@
 
 use greengage_agreement::Ticket;
 use greengage_core::{
-    AttemptId, Failure, Incarnation, JobKey, JobNumber, Name, Outcome, Payload, Refusal, RequestId,
-    Revision, SortedMap, TargetName, Term, Time, VmName, Wall, ZoneName,
+    AttemptId, Digest, Failure, Incarnation, JobKey, JobNumber, Name, Outcome, Payload, Refusal,
+    RequestId, Revision, SortedMap, TargetName, Term, Time, VmName, Wall, ZoneName,
 };
 use greengage_dispatch as dispatch;
 use greengage_dispatch::{Admission, Attempt, Dispatch, Job, Mode, Settled};
@@ -115,7 +116,7 @@
     pub(crate) key: JobKey,
     /// The caller of a repeatable request; `None` for submissions.
     pub(crate) single: Option<Origin>,
-    pub(crate) digest: greengage_core::Digest,
+    pub(crate) digest: Digest,
     pub(crate) submission: Arc<Submission>,
     pub(crate) values: SortedMap<Name, ParamValue>,
     pub(crate) results: Vec<Option<Payload>>,
