Compare the content of a submission that a draining VM looks up

Cause: a VM that shuts down turned a submission into a question for the key's outcome, which carries no digest: other content under a known key got the first content's results instead of an error.

Change: the request `Recall` carries key and digest. The leader answers a known key with the same digest, reports other content, and refuses an unknown key after a confirmed read; the conversion of `UnknownKey` at the VM is gone.

Conclusion: a resubmission with changed content is an error at each VM.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -87,6 +87,13 @@
     Single(NewRequest),
     /// Asks for a job's answer.
     Outcome(JobKey),
+    /// A submission to a VM that shuts down: answered if the key is known, else refused.
+    Recall {
+        /// The key.
+        key: JobKey,
+        /// The digest of the submission's content.
+        digest: Digest,
+    },
     /// Cancels a job.
     Cancel(JobKey),
     /// A target announces itself or renews.
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -31,6 +31,7 @@
             Request::Submit(_)
             | Request::Single(_)
             | Request::Outcome(_)
+            | Request::Recall { .. }
             | Request::Cancel(_)
             | Request::Announce(_)
             | Request::Leave(_)
--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -34,8 +34,6 @@
     at: Place,
     /// Whether it was ever sent to a VM that could have acted on it.
     sent: bool,
-    /// A submission that arrived while this VM shuts down and is only looked up.
-    lookup: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -73,11 +71,10 @@
             Ok(request) => request,
             Err(reply) => return self.out.push(Effect::Reply { id, reply }),
         };
-        let (request, lookup) = self.while_draining(request);
-        if lookup && matches!(request, Request::Single(_)) {
-            let reply = Reply::Error(ApiError::Refused(Refusal::Draining));
-            return self.out.push(Effect::Reply { id, reply });
-        }
+        let request = match self.while_draining(request) {
+            Ok(request) => request,
+            Err(reply) => return self.out.push(Effect::Reply { id, reply }),
+        };
         let until = self.now.time + wait;
         let limit = until + PATIENCE;
         self.routes.set(limit, RouteTimer::Limit(id));
@@ -89,7 +86,6 @@
                 limit,
                 at: Place::Nowhere,
                 sent: false,
-                lookup,
             },
         );
         self.route(id);
@@ -160,14 +156,16 @@
 
     /// While this VM shuts down, a submission is only looked up: the key may be known from an
     /// earlier submission, so that "not run" can't be said without asking.
-    fn while_draining(&self, request: Request) -> (Request, bool) {
-        if self.draining.is_none() {
-            return (request, false);
-        }
+    fn while_draining(&self, request: Request) -> Result<Request, Reply> {
         match request {
-            Request::Submit(job) => (Request::Outcome(job_key(&job)), true),
-            Request::Single(request) => (Request::Single(request), true),
-            other => (other, false),
+            Request::Submit(job) if self.draining.is_some() => Ok(Request::Recall {
+                key: job_key(&job),
+                digest: job.digest,
+            }),
+            Request::Single(_) if self.draining.is_some() => {
+                Err(Reply::Error(ApiError::Refused(Refusal::Draining)))
+            }
+            other => Ok(other),
         }
     }
 
@@ -229,7 +227,9 @@
                 Some(zone) => Decider::Zone(zone.clone()),
                 None => Decider::Here,
             },
-            Request::Outcome(key) | Request::Cancel(key) => Decider::Zone(key.zone.clone()),
+            Request::Outcome(key) | Request::Recall { key, .. } | Request::Cancel(key) => {
+                Decider::Zone(key.zone.clone())
+            }
             Request::Edit(_) => Decider::Control,
             Request::Template { current, .. } | Request::Params { current, .. } => match current {
                 true => Decider::Control,
@@ -280,6 +280,11 @@
                     zone.outcome(cx, origin, wait, key)
                 });
             }
+            Request::Recall { key, digest } => {
+                self.at_zone(origin, |origin, zone, cx| {
+                    zone.recall(cx, origin, wait, key, digest)
+                });
+            }
             Request::Cancel(key) => {
                 self.at_zone(origin, |origin, zone, cx| {
                     zone.cancel(cx, origin, wait, key)
@@ -347,16 +352,9 @@
 
     /// Gives a caller of this VM its reply; later ones are dropped.
     pub(crate) fn replied(&mut self, id: RequestId, reply: Reply) {
-        let Some(caller) = self.callers.remove(&id) else {
-            return;
-        };
-        let reply = match reply {
-            Reply::Error(ApiError::UnknownKey(_)) if caller.lookup => {
-                Reply::Error(ApiError::Refused(Refusal::Draining))
-            }
-            other => other,
-        };
-        self.out.push(Effect::Reply { id, reply });
+        if self.callers.remove(&id).is_some() {
+            self.out.push(Effect::Reply { id, reply });
+        }
     }
 
     /// Tells the VM that holds a caller to look for another VM that decides.
@@ -432,9 +430,11 @@
             Request::Submit(job) => ApiError::UnknownOutcome {
                 key: Some(job_key(job)),
             },
-            Request::Outcome(key) | Request::Cancel(key) => ApiError::UnknownOutcome {
-                key: Some(key.clone()),
-            },
+            Request::Outcome(key) | Request::Recall { key, .. } | Request::Cancel(key) => {
+                ApiError::UnknownOutcome {
+                    key: Some(key.clone()),
+                }
+            }
             Request::Single(_) if !caller.sent => ApiError::Unavailable {
                 what: "the zone's ledger group has no leader that can be reached".to_string(),
             },
--- a/crates/control/src/zone/requests.rs
+++ b/crates/control/src/zone/requests.rs
@@ -123,6 +123,27 @@
         }
     }
 
+    /// Answers a submission that a VM took while it shuts down, without accepting it.
+    pub(crate) fn recall(
+        &mut self,
+        cx: &mut Cx<'_>,
+        origin: Origin,
+        wait: Duration,
+        key: JobKey,
+        digest: Digest,
+    ) {
+        match self.known(cx, &key) {
+            Some((known, _)) if known != digest => {
+                cx.answer(origin, Reply::Error(ApiError::OtherContent(key)));
+            }
+            Some((_, known)) => self.answer_or_wait(cx, origin, wait, key, known),
+            None => {
+                let reply = Reply::Error(ApiError::Refused(Refusal::Draining));
+                self.confirm(cx, origin, reply);
+            }
+        }
+    }
+
     /// Cancels a submission and answers how it ended.
     pub(crate) fn cancel(&mut self, cx: &mut Cx<'_>, origin: Origin, wait: Duration, key: JobKey) {
         let known = match self.known(cx, &key) {
@@ -159,11 +180,7 @@
     }
 
     /// What this leader knows of a key: applied, or proposed by itself.
-    pub(super) fn known(
-        &self,
-        cx: &Cx<'_>,
-        key: &JobKey,
-    ) -> Option<(greengage_core::Digest, Progress)> {
+    pub(super) fn known(&self, cx: &Cx<'_>, key: &JobKey) -> Option<(Digest, Progress)> {
         if let Some(entry) = cx.ledger.get(key) {
             return Some((entry.digest, progress(&entry.stage)));
         }
--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use greengage_control::api::{Group, NewRequest, Progress, Reply, Request};
+use greengage_control::api::{ApiError, Group, NewJob, NewRequest, Progress, Reply, Request};
 use greengage_control::call::{Action, Call, Seen, State};
 use greengage_control::{
     Body, Control, Durable, Effect, Envelope, Event, GroupSave, Limits, Now, Restored, Roles,
@@ -14,8 +14,8 @@
 };
 use greengage_core::{
     AccountName, Address, Capacity, Demand, Digest, Hlc, Incarnation, JobKey, Name, OpId, Payload,
-    RequestId, Revision, SortedMap, Spread, TargetKind, TargetName, TemplateName, Term, Time,
-    Version, VmName, Wall, ZoneName,
+    Refusal, RequestId, Revision, SortedMap, Spread, TargetKind, TargetName, TemplateName, Term,
+    Time, Version, VmName, Wall, ZoneName,
 };
 use greengage_membership::{Announcement, VmStatus};
 use greengage_policy as policy;
@@ -303,6 +303,17 @@
     }
 }
 
+fn job(id: &str, content: u8) -> NewJob {
+    NewJob {
+        account: account(),
+        zone: Some(zone()),
+        id: Name::new(id).unwrap(),
+        template: TemplateName::new("job").unwrap(),
+        digest: Digest([content; 32]),
+        tasks: vec![Payload::new([content])],
+    }
+}
+
 fn single(task: u8) -> Request {
     Request::Single(NewRequest {
         account: account(),
@@ -377,3 +388,23 @@
     assert_eq!(attempts.len(), 2);
     assert_ne!(attempts[0], attempts[1]);
 }
+
+/// Guards against the answer of other content under the same key from a VM that shuts down.
+#[test]
+fn draining_vm_compares_the_content() {
+    let mut rig = Rig::leader();
+    let id = rig.request(1000, Request::Submit(job("j1", 1)));
+    let token = rig.call(is_start);
+    rig.done(token, b"r");
+    let complete = |reply| matches!(reply, Some(Reply::Job { .. }));
+    assert!(complete(rig.reply(id)));
+    rig.step(Event::Drain);
+    let id = rig.request(1000, Request::Submit(job("j1", 2)));
+    let reply = rig.reply(id);
+    assert_eq!(reply, Some(Reply::Error(ApiError::OtherContent(key("j1")))));
+    let id = rig.request(1000, Request::Submit(job("j1", 1)));
+    assert!(complete(rig.reply(id)));
+    let id = rig.request(1000, Request::Submit(job("j2", 1)));
+    let refused = Reply::Error(ApiError::Refused(Refusal::Draining));
+    assert_eq!(rig.reply(id), Some(refused));
+}
