Keep a lost incarnation registered while a job needs it

Cause: a target's results are held by the leader alone until the job closes. An incarnation was deregistered when its attempts were settled, so the next leader did not learn that a task had ended on it, found no target that knew the task, and started it a second time. Ruled out: a late start of the old leader; the second start had the new leader's term.

Change: the leader counts, for each incarnation, the jobs without a proposed close whose tasks ended there, and proposes the deregistration behind the last of their closes. The next leader then fails such a job as "may have run".

--- a/crates/control/src/zone/attempts.rs
+++ b/crates/control/src/zone/attempts.rs
@@ -87,6 +87,7 @@
             .get_mut(target)
             .expect("a start names a known target");
         member.flights.insert(token);
+        let incarnation = member.announcement.incarnation;
         self.attempts.insert(attempt, token);
         self.flights.insert(
             token,
@@ -94,6 +95,7 @@
                 attempt,
                 id,
                 target: target.clone(),
+                incarnation,
                 phase,
                 fresh: false,
             },
@@ -235,6 +237,10 @@
         if let Some(member) = self.targets.get_mut(&flight.target) {
             member.flights.remove(&token);
         }
+        match settled {
+            Settled::NotRun => {}
+            _ => self.ended_on(flight.attempt.job, &flight.target, flight.incarnation),
+        }
         let what = match &settled {
             Settled::Done { .. } => "done",
             Settled::Failed { .. } => "failed",
--- a/crates/control/src/zone/commands.rs
+++ b/crates/control/src/zone/commands.rs
@@ -140,6 +140,8 @@
         }
         live.stage = LiveStage::Closing;
         let key = live.key.clone();
+        let ran = std::mem::take(&mut live.ran);
         self.propose(cx, Command::Close { key, outcome });
+        self.release(cx, ran);
     }
 }
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -123,6 +123,8 @@
     pub(crate) stage: LiveStage,
     pub(crate) spec: Job,
     pub(crate) cancel: bool,
+    /// Incarnations on which tasks of it ended. Their results are kept only here until the close.
+    pub(crate) ran: Vec<(TargetName, Incarnation)>,
 }
 
 /// What is known of a sent attempt.
@@ -141,6 +143,7 @@
     attempt: Attempt,
     id: AttemptId,
     target: TargetName,
+    incarnation: Incarnation,
     phase: Phase,
     fresh: bool,
 }
@@ -191,6 +194,10 @@
     pub(crate) keys: BTreeMap<JobKey, JobNumber>,
     pub(crate) targets: SortedMap<TargetName, Member>,
     pub(crate) recovery: Option<Recovery>,
+    /// Jobs without a proposed close by incarnation on which tasks of theirs ended.
+    users: BTreeMap<(TargetName, Incarnation), usize>,
+    /// Lost incarnations whose deregistration waits for such jobs.
+    lost: BTreeSet<(TargetName, Incarnation)>,
     flights: BTreeMap<u64, Flight>,
     attempts: BTreeMap<Attempt, u64>,
     fences: BTreeMap<u64, TargetName>,
@@ -224,6 +231,8 @@
             keys: BTreeMap::new(),
             targets: SortedMap::new(),
             recovery: None,
+            users: BTreeMap::new(),
+            lost: BTreeSet::new(),
             flights: BTreeMap::new(),
             attempts: BTreeMap::new(),
             fences: BTreeMap::new(),
--- a/crates/control/src/zone/recovery.rs
+++ b/crates/control/src/zone/recovery.rs
@@ -37,6 +37,7 @@
 struct Found {
     id: AttemptId,
     target: TargetName,
+    incarnation: Incarnation,
     state: State,
 }
 
@@ -84,6 +85,7 @@
                 },
                 spec: spec.clone(),
                 cancel: false,
+                ran: Vec::new(),
             });
             if !begun {
                 self.dispatch_step(cx, dispatch::Event::Submit(spec));
@@ -122,6 +124,7 @@
                     recovery.found.entry(number).or_default().push(Found {
                         id,
                         target: target.clone(),
+                        incarnation,
                         state,
                     });
                 }
@@ -169,7 +172,8 @@
         }
     }
 
-    /// Deregisters a lost incarnation, after the jobs that it may have run are closed.
+    /// Deregisters a lost incarnation, after the jobs that it may have run are closed: until then
+    /// a next leader has to know that it can't ask the incarnation any more.
     pub(crate) fn deregister(
         &mut self,
         cx: &mut Cx<'_>,
@@ -178,6 +182,9 @@
     ) {
         match &mut self.recovery {
             Some(recovery) => recovery.gone.push((target, incarnation)),
+            None if self.users.contains_key(&(target.clone(), incarnation)) => {
+                self.lost.insert((target, incarnation));
+            }
             None => self.propose(
                 cx,
                 Command::Deregister {
@@ -188,6 +195,32 @@
         }
     }
 
+    /// Notes that a task of a recorded job ended on an incarnation.
+    pub(super) fn ended_on(&mut self, job: JobNumber, target: &TargetName, on: Incarnation) {
+        let place = (target.clone(), on);
+        let recorded = |live: &&mut Live| live.single.is_none() && live.stage != LiveStage::Closing;
+        if let Some(live) = self.live.get_mut(&job).filter(recorded) {
+            if !live.ran.contains(&place) {
+                live.ran.push(place.clone());
+                *self.users.entry(place).or_default() += 1;
+            }
+        }
+    }
+
+    /// Deregisters lost incarnations for which only this job, whose close is proposed, kept them.
+    pub(super) fn release(&mut self, cx: &mut Cx<'_>, ran: Vec<(TargetName, Incarnation)>) {
+        for place in ran {
+            let users = self.users.get_mut(&place).expect("counted by `ended_on`");
+            *users -= 1;
+            if *users == 0 {
+                self.users.remove(&place);
+                if self.lost.remove(&place) {
+                    self.deregister(cx, place.0, place.1);
+                }
+            }
+        }
+    }
+
     /// Ends the wait for targets that haven't answered.
     pub(crate) fn recovery_due(&mut self, cx: &mut Cx<'_>) {
         let Some(recovery) = &mut self.recovery else {
@@ -242,6 +275,7 @@
             }
         }
         let mut done = Vec::new();
+        let mut ended = Vec::new();
         let mut running = Vec::new();
         let mut failure = None;
         for (task, item) in best.into_iter().enumerate() {
@@ -256,6 +290,7 @@
                 State::Done { result, .. } => {
                     live.results[task as usize] = Some(result);
                     done.push(task);
+                    ended.push((item.target, item.incarnation));
                 }
                 State::Running | State::Guard(greengage_core::GuardAction::Throttled) => {
                     let attempt = Attempt {
@@ -283,6 +318,9 @@
         }
         live.stage = LiveStage::Begun;
         let spec = live.spec.clone();
+        for (target, incarnation) in ended {
+            self.ended_on(number, &target, incarnation);
+        }
         if let Some(failure) = failure {
             for item in running {
                 let id = AttemptId {
--- a/crates/control/src/zone/requests.rs
+++ b/crates/control/src/zone/requests.rs
@@ -53,6 +53,7 @@
             stage: LiveStage::Proposed,
             spec,
             cancel: false,
+            ran: Vec::new(),
         });
         self.wait(cx, origin, wait, &key);
         self.propose(
@@ -111,6 +112,7 @@
             stage: LiveStage::Begun,
             spec: spec.clone(),
             cancel: false,
+            ran: Vec::new(),
         });
         self.dispatch_step(cx, dispatch::Event::Submit(spec));
     }
--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -3,9 +3,11 @@
 //! A `Rig` is the control state of one VM, whose saves are durable at once; the test plays the
 //! other VMs and the targets by hand.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use greengage_agreement::{Entry, EntryKind, HardState};
 use greengage_control::api::{ApiError, Group, NewJob, NewRequest, Progress, Reply, Request};
 use greengage_control::call::{Action, Call, Seen, State};
 use greengage_control::{
@@ -13,10 +15,11 @@
     Saved, Site, VmSpec,
 };
 use greengage_core::{
-    AccountName, Address, Capacity, Demand, Digest, Hlc, Incarnation, JobKey, Name, OpId, Payload,
-    Refusal, RequestId, Revision, SortedMap, Spread, TargetKind, TargetName, TemplateName, Term,
-    Time, Version, VmName, Wall, ZoneName,
+    AccountName, Address, Capacity, Demand, Digest, Hlc, Incarnation, Index, JobKey, Name, OpId,
+    Payload, Refusal, RequestId, Revision, SortedMap, Spread, TargetKind, TargetName, TemplateName,
+    Term, Time, Version, VmName, Wall, ZoneName,
 };
+use greengage_ledger as ledger;
 use greengage_membership::{Announcement, VmStatus};
 use greengage_policy as policy;
 use greengage_policy::{Document, Params, Template};
@@ -26,6 +29,11 @@
     now: Now,
     out: Vec<Effect>,
     requests: u64,
+    /// Commands of the ledger in the order in which they were saved.
+    commands: Vec<ledger::Command>,
+    /// Saves that become durable once `hold` ends.
+    held: Vec<Event>,
+    hold: bool,
 }
 
 fn vm(text: &str) -> VmName {
@@ -36,10 +44,6 @@
     ZoneName::new("a").unwrap()
 }
 
-fn t1() -> TargetName {
-    TargetName::new("t1").unwrap()
-}
-
 /// VM a1 votes alone in both groups; a2 has no disk.
 fn site(own: &str, life: u64) -> Site {
     let spec = |text: &str| {
@@ -70,13 +74,28 @@
 
 impl Rig {
     fn new(own: &str, life: u64) -> Rig {
+        Rig::restored(own, life, Vec::new())
+    }
+
+    /// A VM whose ledger holds commands of term 1.
+    fn restored(own: &str, life: u64, commands: Vec<ledger::Command>) -> Rig {
         let site = site(own, life);
         let mut durable = Durable::default();
         if site.folder.is_some() {
             durable.control.config = site.first_control();
             let config = site.first_ledger(&zone());
+            let entry = |(i, command)| Entry {
+                term: Term(1),
+                index: Index(i),
+                kind: EntryKind::Command(command),
+            };
             let group = Restored {
                 config,
+                hard: HardState {
+                    term: Term(1),
+                    vote: None,
+                },
+                entries: (1..).zip(commands).map(entry).collect(),
                 ..Restored::default()
             };
             durable.ledgers.insert(zone(), group);
@@ -91,12 +110,24 @@
             now,
             out: Vec::new(),
             requests: 0,
+            commands: Vec::new(),
+            held: Vec::new(),
+            hold: false,
         }
     }
 
     /// VM a1 leads both groups, has a configuration, and target t1 takes starts.
     fn leader() -> Rig {
         let mut rig = Rig::new("a1", 1);
+        rig.configure();
+        rig.announce("t1", 1);
+        let token = rig.call(is_fence);
+        rig.fenced(token);
+        rig
+    }
+
+    fn configure(&mut self) {
+        let rig = self;
         rig.pass(2000);
         for (repeatable, text) in [(false, "job"), (true, "ping")] {
             let template = TemplateName::new(text).unwrap();
@@ -117,10 +148,6 @@
                 }),
             });
         }
-        rig.announce();
-        let token = rig.call(|action| matches!(action, Action::Fence { .. }));
-        rig.fenced(token);
-        rig
     }
 
     fn step(&mut self, event: Event) {
@@ -133,10 +160,22 @@
                         seq: save.seq,
                     })),
                     Effect::Save(GroupSave::Ledger { zone, save }) => {
-                        events.push(Event::Saved(Saved {
+                        let commands =
+                            save.entries
+                                .into_iter()
+                                .filter_map(|entry| match entry.kind {
+                                    EntryKind::Command(command) => Some(command),
+                                    EntryKind::Noop | EntryKind::Config(_) => None,
+                                });
+                        self.commands.extend(commands);
+                        let saved = Event::Saved(Saved {
                             group: Group::Ledger(zone),
                             seq: save.seq,
-                        }));
+                        });
+                        match self.hold {
+                            true => self.held.push(saved),
+                            false => events.push(saved),
+                        }
                     }
                     other => self.out.push(other),
                 }
@@ -215,26 +254,38 @@
         );
     }
 
-    fn announce(&mut self) {
-        let target = TemplateName::new;
-        self.request(
-            0,
-            Request::Announce(Announcement {
-                target: t1(),
-                incarnation: Incarnation(1),
-                address: Address::new("127.0.0.1:1").unwrap(),
-                zone: zone(),
-                rack: None,
-                work: vec![target("job").unwrap(), target("ping").unwrap()],
-                capacity: Capacity::Executor {
-                    slots: 4,
-                    connections: 60,
-                },
-                usage: None,
-                fencing: true,
-                leaving: false,
-            }),
-        );
+    fn announce(&mut self, target: &str, incarnation: u64) {
+        let work = ["job", "ping"].map(|text| TemplateName::new(text).unwrap());
+        let announcement = Announcement {
+            target: TargetName::new(target).unwrap(),
+            incarnation: Incarnation(incarnation),
+            address: Address::new("127.0.0.1:1").unwrap(),
+            zone: zone(),
+            rack: None,
+            work: work.to_vec(),
+            capacity: Capacity::Executor {
+                slots: 1,
+                connections: 60,
+            },
+            usage: None,
+            fencing: true,
+            leaving: false,
+        };
+        self.request(0, Request::Announce(announcement));
+    }
+
+    /// Where a deregistration, or else a registration, of a target was saved.
+    fn registrations(&self, of: &str, leaves: bool) -> Vec<usize> {
+        let fits = |command: &ledger::Command| match command {
+            ledger::Command::Register { target, .. } => !leaves && target.as_str() == of,
+            ledger::Command::Deregister { target, .. } => leaves && target.as_str() == of,
+            _ => false,
+        };
+        let commands = self.commands.iter().enumerate();
+        commands
+            .filter(|(_, command)| fits(command))
+            .map(|(i, _)| i)
+            .collect()
     }
 
     fn seen(&mut self, token: u64, seen: Seen) {
@@ -333,6 +384,10 @@
     }
 }
 
+fn is_fence(action: &Action) -> bool {
+    matches!(action, Action::Fence { .. })
+}
+
 fn is_start(action: &Action) -> bool {
     matches!(action, Action::Start(_))
 }
@@ -408,3 +463,35 @@
     let refused = Reply::Error(ApiError::Refused(Refusal::Draining));
     assert_eq!(rig.reply(id), Some(refused));
 }
+
+/// A result is kept by the leader alone until the close. Guards against a next leader that isn't
+/// told of the incarnation that gave it, and starts the task again.
+#[test]
+fn incarnation_stays_registered_while_a_job_needs_it() {
+    let mut rig = Rig::leader();
+    rig.announce("t2", 1);
+    let token = rig.call(is_fence);
+    rig.fenced(token);
+    let mut two = job("j1", 1);
+    two.tasks.push(Payload::new([2]));
+    rig.request(1000, Request::Submit(two));
+    let mut tokens = BTreeMap::new();
+    rig.out.retain(|effect| match effect {
+        Effect::Call { token, call } if is_start(&call.action) => {
+            tokens.insert(call.target.as_str().to_string(), *token);
+            false
+        }
+        _ => true,
+    });
+    rig.done(tokens["t1"], b"first");
+    rig.announce("t1", 2);
+    assert_eq!(rig.registrations("t1", true), [0; 0]);
+    rig.done(tokens["t2"], b"second");
+    let close = |command: &ledger::Command| matches!(command, ledger::Command::Close { .. });
+    let close = rig.commands.iter().position(close).unwrap();
+    let left = rig.registrations("t1", true);
+    assert!(
+        left.len() == 1 && left[0] > close,
+        "{left:?}, close {close}"
+    );
+}
