Start nothing on a target whose deregistration is under way

Cause: after the fence limit, or after a lease's grace, an incarnation was deregistered although it might still announce itself or answer. It then joined and took starts, and once the deregistration was applied the next leader did not fence it. Found in review; ruled out that membership holds such a target back: the same incarnation may come up again.

Change: a target that announces itself is not deregistered by the fence limit; a deregistration that isn't proposed yet is taken back when its incarnation returns; after a proposed one the target registers anew, behind it. An answer to a fence counts only for a registered target that hasn't joined. `assert!`: no registered member is deregistered.

Conclusion: each target that takes starts is known to the next leader.

--- a/crates/control/src/zone/commands.rs
+++ b/crates/control/src/zone/commands.rs
@@ -61,6 +61,13 @@
             ) => {
                 self.registered(cx, target, *incarnation);
             }
+            (
+                Command::Deregister {
+                    target,
+                    incarnation,
+                },
+                Applied::Done,
+            ) => self.deregistered(target, *incarnation),
             (_, Applied::Refused(refused)) => {
                 log::error!("the ledger refused a command of its leader: {refused}");
             }
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -198,6 +198,8 @@
     users: BTreeMap<(TargetName, Incarnation), usize>,
     /// Lost incarnations whose deregistration waits for such jobs.
     lost: BTreeSet<(TargetName, Incarnation)>,
+    /// Deregistrations that are proposed and not applied.
+    leaving: BTreeMap<(TargetName, Incarnation), usize>,
     flights: BTreeMap<u64, Flight>,
     attempts: BTreeMap<Attempt, u64>,
     fences: BTreeMap<u64, TargetName>,
@@ -233,6 +235,7 @@
             recovery: None,
             users: BTreeMap::new(),
             lost: BTreeSet::new(),
+            leaving: BTreeMap::new(),
             flights: BTreeMap::new(),
             attempts: BTreeMap::new(),
             fences: BTreeMap::new(),
--- a/crates/control/src/zone/recovery.rs
+++ b/crates/control/src/zone/recovery.rs
@@ -185,14 +185,49 @@
             None if self.users.contains_key(&(target.clone(), incarnation)) => {
                 self.lost.insert((target, incarnation));
             }
-            None => self.propose(
-                cx,
-                Command::Deregister {
+            None => {
+                let place = (target.clone(), incarnation);
+                *self.leaving.entry(place).or_default() += 1;
+                let command = Command::Deregister {
                     target,
                     incarnation,
-                },
-            ),
+                };
+                self.propose(cx, command);
+            }
+        }
+    }
+
+    /// Whether the ledger registers an incarnation and will go on to; takes back a deregistration
+    /// that isn't proposed yet.
+    pub(super) fn keeps(
+        &mut self,
+        cx: &Cx<'_>,
+        target: &TargetName,
+        incarnation: Incarnation,
+    ) -> bool {
+        let place = (target.clone(), incarnation);
+        self.lost.remove(&place);
+        if let Some(recovery) = &mut self.recovery {
+            recovery.gone.retain(|gone| *gone != place);
+        }
+        let mut all = cx.ledger.registered();
+        !self.leaving.contains_key(&place) && all.any(|known| known == (target, incarnation))
+    }
+
+    /// Takes the application of a deregistration.
+    pub(super) fn deregistered(&mut self, target: &TargetName, incarnation: Incarnation) {
+        let place = (target.clone(), incarnation);
+        if let Some(count) = self.leaving.get_mut(&place) {
+            *count -= 1;
+            if *count == 0 {
+                self.leaving.remove(&place);
+            }
         }
+        let same = |member: &super::Member| {
+            member.registered && member.announcement.incarnation == incarnation
+        };
+        let used = self.targets.get(target).is_some_and(same);
+        assert!(!used, "a target that takes starts stays registered");
     }
 
     /// Notes that a task of a recorded job ended on an incarnation.
@@ -231,7 +266,11 @@
         }
         for (key, ()) in std::mem::take(&mut recovery.waiting) {
             recovery.incomplete = true;
-            recovery.gone.push(key);
+            // A target that still announces itself may answer later and take starts.
+            let same = |member: &super::Member| member.announcement.incarnation == key.1;
+            if !self.targets.get(&key.0).is_some_and(same) {
+                recovery.gone.push(key);
+            }
         }
         self.check_recovery(cx);
     }
--- a/crates/control/src/zone/targets.rs
+++ b/crates/control/src/zone/targets.rs
@@ -56,9 +56,7 @@
                 return;
             }
         }
-        let mut all = cx.ledger.registered();
-        let registered = all.any(|known| known == (&target, incarnation));
-        drop(all);
+        let registered = self.keeps(cx, &target, incarnation);
         let member = Member {
             announcement,
             standing,
@@ -90,7 +88,8 @@
         let Some(member) = self.targets.get_mut(target) else {
             return;
         };
-        if member.announcement.incarnation == incarnation && !member.registered {
+        let leaving = self.leaving.contains_key(&(target.clone(), incarnation));
+        if member.announcement.incarnation == incarnation && !member.registered && !leaving {
             member.registered = true;
             self.fence(cx, target);
         }
@@ -123,6 +122,10 @@
         let Some(member) = self.targets.get(target) else {
             return;
         };
+        // The answer may belong to an earlier stay of the same incarnation.
+        if member.joined || !member.registered {
+            return;
+        }
         let expected = member.announcement.incarnation;
         match seen {
             Seen::Fenced {
--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -254,6 +254,13 @@
         );
     }
 
+    fn release(&mut self) {
+        self.hold = false;
+        for saved in std::mem::take(&mut self.held) {
+            self.step(saved);
+        }
+    }
+
     fn announce(&mut self, target: &str, incarnation: u64) {
         let work = ["job", "ping"].map(|text| TemplateName::new(text).unwrap());
         let announcement = Announcement {
@@ -495,3 +502,49 @@
         "{left:?}, close {close}"
     );
 }
+
+fn registered(incarnation: u64) -> ledger::Command {
+    ledger::Command::Register {
+        target: TargetName::new("t1").unwrap(),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+/// Guards against starts at a target that the ledger no longer registers: the next leader would
+/// not fence it.
+#[test]
+fn target_that_answers_its_fence_late_stays_registered() {
+    let mut rig = Rig::restored("a1", 2, vec![registered(1)]);
+    rig.configure();
+    rig.announce("t1", 1);
+    let token = rig.call(is_fence);
+    for _ in 0..5 {
+        rig.pass(1000);
+        rig.announce("t1", 1);
+    }
+    rig.fenced(token);
+    rig.request(0, Request::Submit(job("j1", 1)));
+    rig.call(is_start);
+    assert_eq!(rig.registrations("t1", true), [0; 0]);
+}
+
+/// As above, for a target that announces itself again after its grace, while its deregistration
+/// isn't applied yet.
+#[test]
+fn target_that_returns_is_registered_again_first() {
+    let mut rig = Rig::leader();
+    rig.pass(7900);
+    rig.hold = true;
+    rig.pass(1000);
+    rig.announce("t1", 1);
+    assert_eq!(rig.registrations("t1", true).len(), 1);
+    assert_eq!(rig.find_call(is_fence), None);
+    rig.release();
+    let token = rig.call(is_fence);
+    rig.fenced(token);
+    rig.request(0, Request::Submit(job("j1", 1)));
+    rig.call(is_start);
+    let left = rig.registrations("t1", true);
+    let came = rig.registrations("t1", false);
+    assert!(left[0] < came[1], "{left:?}, {came:?}");
+}
