Count retention by elapsed time instead of the time of day

Cause: the leader accepted and expired submissions by its time of day. After a jump forward, or a change to a leader whose clock is ahead, keys that had just ended were expired, and a resubmission ran their tasks a second time. Ruled out: the recovery; both starts had the same term.

Change: a leader counts from the latest acceptance in the ledger plus its own elapsed time, for `Accept` and for `Expire`. `Ledger::latest` gives the former. The time between the last acceptance and a leader's beginning isn't counted, so retention can be longer than set, never shorter.

Conclusion: a key keeps its answer for the retention whatever the clocks do.

--- a/crates/control/src/zone/commands.rs
+++ b/crates/control/src/zone/commands.rs
@@ -29,7 +29,7 @@
     pub(super) fn expire(&mut self, cx: &mut Cx<'_>) {
         self.timers.set(cx.now.time + EXPIRE_EVERY, Timer::Expire);
         let retention = self.limits.retention.as_millis() as u64;
-        let before = Wall(cx.now.wall.0.saturating_sub(retention));
+        let before = Wall(self.stamp(cx.now.time).0.saturating_sub(retention));
         let counts = cx.ledger.counts();
         if counts.entries > counts.open {
             self.propose(cx, Command::Expire { before });
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -212,6 +212,8 @@
     tokens: u64,
     shares: Revision,
     draining: bool,
+    /// When this leader began, and the time of acceptance that it counts from.
+    began: (Time, Wall),
 }
 
 impl Zone {
@@ -248,6 +250,7 @@
             tokens: 0,
             shares: Revision(0),
             draining: false,
+            began: (cx.now.time, cx.ledger.latest().unwrap_or(cx.now.wall)),
         };
         zone.share(cx);
         zone.take_over(cx);
@@ -277,6 +280,13 @@
         self.live.len() as u32
     }
 
+    /// The time of acceptance for the ledger: that of the latest entry at the beginning, plus the
+    /// time since then. The time of day may jump, and a jump must not end a key's retention.
+    pub(super) fn stamp(&self, now: Time) -> Wall {
+        let (time, wall) = self.began;
+        Wall(wall.0 + now.since(time).as_millis() as u64)
+    }
+
     /// Refuses new work from here on.
     pub(crate) fn drain(&mut self) {
         self.draining = true;
--- a/crates/control/src/zone/requests.rs
+++ b/crates/control/src/zone/requests.rs
@@ -63,7 +63,7 @@
                 digest: job.digest,
                 submission,
                 begun,
-                at: cx.now.wall,
+                at: self.stamp(cx.now.time),
             },
         );
     }
--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -548,3 +548,29 @@
     let came = rig.registrations("t1", false);
     assert!(left[0] < came[1], "{left:?}, {came:?}");
 }
+
+/// Guards against the end of a key's retention by a jump of the time of day, after which a
+/// resubmission would run again.
+#[test]
+fn jump_of_the_clock_ends_no_retention() {
+    let mut rig = Rig::leader();
+    rig.request(0, Request::Submit(job("j1", 1)));
+    let token = rig.call(is_start);
+    rig.done(token, b"r");
+    rig.now.wall.0 += 7_200_000;
+    rig.pass(7000);
+    rig.announce("t1", 1);
+    rig.pass(7000);
+    let id = rig.request(0, Request::Submit(job("j1", 1)));
+    let reply = rig.reply(id);
+    assert!(
+        matches!(
+            reply,
+            Some(Reply::Job {
+                progress: Progress::Closed(_),
+                ..
+            })
+        ),
+        "{reply:?}"
+    );
+}
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -244,6 +244,13 @@
         targets.flat_map(|(target, all)| all.iter().map(move |incarnation| (target, *incarnation)))
     }
 
+    /// The latest time of acceptance among the entries.
+    pub fn latest(&self) -> Option<Wall> {
+        let closed = self.closed.last().map(|(accepted, _)| *accepted);
+        let open = self.open().map(|(_, entry)| entry.accepted);
+        open.chain(closed).max()
+    }
+
     /// The index of the last command.
     pub fn applied(&self) -> Index {
         self.state.applied
