--- a/crates/control/src/zone/commands.rs
+++ b/crates/control/src/zone/commands.rs
@@ -29,7 +29,7 @@
     pub(super) fn expire(&mut self, cx: &mut Cx<'_>) {
         self.timers.set(cx.now.time + EXPIRE_EVERY, Timer::Expire);
         let retention = self.limits.retention.as_millis() as u64;
-        let before = Wall(cx.now.wall.0.saturating_sub(retention));
+        let before = Wall(self.stamp(cx.now.time).0.saturating_sub(retention));
         let counts = cx.ledger.counts();
         if counts.entries > counts.open {
             self.propose(cx, Command::Expire { before });
@@ -61,6 +61,13 @@
             ) => {
                 self.registered(cx, target, *incarnation);
             }
+            (
+                Command::Deregister {
+                    target,
+                    incarnation,
+                },
+                Applied::Done,
+            ) => self.deregistered(target, *incarnation),
             (_, Applied::Refused(refused)) => {
                 log::error!("the ledger refused a command of its leader: {refused}");
             }
@@ -140,6 +147,8 @@
         }
         live.stage = LiveStage::Closing;
         let key = live.key.clone();
+        let ran = std::mem::take(&mut live.ran);
         self.propose(cx, Command::Close { key, outcome });
+        self.release(cx, ran);
     }
 }
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -17,6 +17,7 @@
 mod recovery;
 mod requests;
 mod targets;
+mod verify;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -24,8 +25,8 @@
 
 use greengage_agreement::Ticket;
 use greengage_core::{
-    AttemptId, Failure, Incarnation, JobKey, JobNumber, Name, Outcome, Payload, Refusal, RequestId,
-    Revision, SortedMap, TargetName, Term, Time, VmName, Wall, ZoneName,
+    AttemptId, Digest, Failure, Incarnation, JobKey, JobNumber, Name, Outcome, Payload, Refusal,
+    RequestId, Revision, SortedMap, TargetName, Term, Time, VmName, Wall, ZoneName,
 };
 use greengage_dispatch as dispatch;
 use greengage_dispatch::{Admission, Attempt, Dispatch, Job, Mode, Settled};
@@ -49,10 +50,11 @@
 /// Bits of a call's number that count calls within one term.
 const TOKEN_BITS: u32 = 32;
 
-/// A caller: the VM that holds its connection, and that VM's number of it.
+/// A caller: the VM that holds its connection, and that VM's number of it in its present life.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Origin {
     pub(crate) vm: VmName,
+    pub(crate) life: Incarnation,
     pub(crate) id: RequestId,
 }
 
@@ -114,13 +116,15 @@
     pub(crate) key: JobKey,
     /// The caller of a repeatable request; `None` for submissions.
     pub(crate) single: Option<Origin>,
-    pub(crate) digest: greengage_core::Digest,
+    pub(crate) digest: Digest,
     pub(crate) submission: Arc<Submission>,
     pub(crate) values: SortedMap<Name, ParamValue>,
     pub(crate) results: Vec<Option<Payload>>,
     pub(crate) stage: LiveStage,
     pub(crate) spec: Job,
     pub(crate) cancel: bool,
+    /// Incarnations on which tasks of it ended. Their results are kept only here until the close.
+    pub(crate) ran: Vec<(TargetName, Incarnation)>,
 }
 
 /// What is known of a sent attempt.
@@ -139,6 +143,7 @@
     attempt: Attempt,
     id: AttemptId,
     target: TargetName,
+    incarnation: Incarnation,
     phase: Phase,
     fresh: bool,
 }
@@ -190,6 +195,12 @@
     pub(crate) keys: BTreeMap<JobKey, JobNumber>,
     pub(crate) targets: SortedMap<TargetName, Member>,
     pub(crate) recovery: Option<Recovery>,
+    /// Jobs without a proposed close by incarnation on which tasks of theirs ended.
+    users: BTreeMap<(TargetName, Incarnation), usize>,
+    /// Lost incarnations whose deregistration waits for such jobs.
+    lost: BTreeSet<(TargetName, Incarnation)>,
+    /// Deregistrations that are proposed and not applied.
+    leaving: BTreeMap<(TargetName, Incarnation), usize>,
     flights: BTreeMap<u64, Flight>,
     attempts: BTreeMap<Attempt, u64>,
     fences: BTreeMap<u64, TargetName>,
@@ -202,6 +213,8 @@
     tokens: u64,
     shares: Revision,
     draining: bool,
+    /// When this leader began, and the time of acceptance that it counts from.
+    began: (Time, Wall),
 }
 
 impl Zone {
@@ -223,6 +236,9 @@
             keys: BTreeMap::new(),
             targets: SortedMap::new(),
             recovery: None,
+            users: BTreeMap::new(),
+            lost: BTreeSet::new(),
+            leaving: BTreeMap::new(),
             flights: BTreeMap::new(),
             attempts: BTreeMap::new(),
             fences: BTreeMap::new(),
@@ -235,6 +251,7 @@
             tokens: 0,
             shares: Revision(0),
             draining: false,
+            began: (cx.now.time, cx.ledger.latest().unwrap_or(cx.now.wall)),
         };
         zone.share(cx);
         zone.take_over(cx);
@@ -264,6 +281,13 @@
         self.live.len() as u32
     }
 
+    /// The time of acceptance for the ledger: that of the latest entry at the beginning, plus the
+    /// time since then. The time of day may jump, and a jump must not end a key's retention.
+    pub(super) fn stamp(&self, now: Time) -> Wall {
+        let (time, wall) = self.began;
+        Wall(wall.0 + now.since(time).as_millis() as u64)
+    }
+
     /// Refuses new work from here on.
     pub(crate) fn drain(&mut self) {
         self.draining = true;
--- a/crates/control/src/zone/recovery.rs
+++ b/crates/control/src/zone/recovery.rs
@@ -37,6 +37,7 @@
 struct Found {
     id: AttemptId,
     target: TargetName,
+    incarnation: Incarnation,
     state: State,
 }
 
@@ -84,6 +85,7 @@
                 },
                 spec: spec.clone(),
                 cancel: false,
+                ran: Vec::new(),
             });
             if !begun {
                 self.dispatch_step(cx, dispatch::Event::Submit(spec));
@@ -122,6 +124,7 @@
                     recovery.found.entry(number).or_default().push(Found {
                         id,
                         target: target.clone(),
+                        incarnation,
                         state,
                     });
                 }
@@ -169,7 +172,8 @@
         }
     }
 
-    /// Deregisters a lost incarnation, after the jobs that it may have run are closed.
+    /// Deregisters a lost incarnation, after the jobs that it may have run are closed: until then
+    /// a next leader has to know that it can't ask the incarnation any more.
     pub(crate) fn deregister(
         &mut self,
         cx: &mut Cx<'_>,
@@ -178,13 +182,77 @@
     ) {
         match &mut self.recovery {
             Some(recovery) => recovery.gone.push((target, incarnation)),
-            None => self.propose(
-                cx,
-                Command::Deregister {
+            None if self.users.contains_key(&(target.clone(), incarnation)) => {
+                self.lost.insert((target, incarnation));
+            }
+            None => {
+                let place = (target.clone(), incarnation);
+                *self.leaving.entry(place).or_default() += 1;
+                let command = Command::Deregister {
                     target,
                     incarnation,
-                },
-            ),
+                };
+                self.propose(cx, command);
+            }
+        }
+    }
+
+    /// Whether the ledger registers an incarnation and will go on to; takes back a deregistration
+    /// that isn't proposed yet.
+    pub(super) fn keeps(
+        &mut self,
+        cx: &Cx<'_>,
+        target: &TargetName,
+        incarnation: Incarnation,
+    ) -> bool {
+        let place = (target.clone(), incarnation);
+        self.lost.remove(&place);
+        if let Some(recovery) = &mut self.recovery {
+            recovery.gone.retain(|gone| *gone != place);
+        }
+        let mut all = cx.ledger.registered();
+        !self.leaving.contains_key(&place) && all.any(|known| known == (target, incarnation))
+    }
+
+    /// Takes the application of a deregistration.
+    pub(super) fn deregistered(&mut self, target: &TargetName, incarnation: Incarnation) {
+        let place = (target.clone(), incarnation);
+        if let Some(count) = self.leaving.get_mut(&place) {
+            *count -= 1;
+            if *count == 0 {
+                self.leaving.remove(&place);
+            }
+        }
+        let same = |member: &super::Member| {
+            member.registered && member.announcement.incarnation == incarnation
+        };
+        let used = self.targets.get(target).is_some_and(same);
+        assert!(!used, "a target that takes starts stays registered");
+    }
+
+    /// Notes that a task of a recorded job ended on an incarnation.
+    pub(super) fn ended_on(&mut self, job: JobNumber, target: &TargetName, on: Incarnation) {
+        let place = (target.clone(), on);
+        let recorded = |live: &&mut Live| live.single.is_none() && live.stage != LiveStage::Closing;
+        if let Some(live) = self.live.get_mut(&job).filter(recorded) {
+            if !live.ran.contains(&place) {
+                live.ran.push(place.clone());
+                *self.users.entry(place).or_default() += 1;
+            }
+        }
+    }
+
+    /// Deregisters lost incarnations for which only this job, whose close is proposed, kept them.
+    pub(super) fn release(&mut self, cx: &mut Cx<'_>, ran: Vec<(TargetName, Incarnation)>) {
+        for place in ran {
+            let users = self.users.get_mut(&place).expect("counted by `ended_on`");
+            *users -= 1;
+            if *users == 0 {
+                self.users.remove(&place);
+                if self.lost.remove(&place) {
+                    self.deregister(cx, place.0, place.1);
+                }
+            }
         }
     }
 
@@ -198,7 +266,11 @@
         }
         for (key, ()) in std::mem::take(&mut recovery.waiting) {
             recovery.incomplete = true;
-            recovery.gone.push(key);
+            // A target that still announces itself may answer later and take starts.
+            let same = |member: &super::Member| member.announcement.incarnation == key.1;
+            if !self.targets.get(&key.0).is_some_and(same) {
+                recovery.gone.push(key);
+            }
         }
         self.check_recovery(cx);
     }
@@ -242,6 +314,7 @@
             }
         }
         let mut done = Vec::new();
+        let mut ended = Vec::new();
         let mut running = Vec::new();
         let mut failure = None;
         for (task, item) in best.into_iter().enumerate() {
@@ -256,6 +329,7 @@
                 State::Done { result, .. } => {
                     live.results[task as usize] = Some(result);
                     done.push(task);
+                    ended.push((item.target, item.incarnation));
                 }
                 State::Running | State::Guard(greengage_core::GuardAction::Throttled) => {
                     let attempt = Attempt {
@@ -283,6 +357,9 @@
         }
         live.stage = LiveStage::Begun;
         let spec = live.spec.clone();
+        for (target, incarnation) in ended {
+            self.ended_on(number, &target, incarnation);
+        }
         if let Some(failure) = failure {
             for item in running {
                 let id = AttemptId {
--- a/crates/control/src/zone/requests.rs
+++ b/crates/control/src/zone/requests.rs
@@ -53,6 +53,7 @@
             stage: LiveStage::Proposed,
             spec,
             cancel: false,
+            ran: Vec::new(),
         });
         self.wait(cx, origin, wait, &key);
         self.propose(
@@ -62,7 +63,7 @@
                 digest: job.digest,
                 submission,
                 begun,
-                at: cx.now.wall,
+                at: self.stamp(cx.now.time),
             },
         );
     }
@@ -111,6 +112,7 @@
             stage: LiveStage::Begun,
             spec: spec.clone(),
             cancel: false,
+            ran: Vec::new(),
         });
         self.dispatch_step(cx, dispatch::Event::Submit(spec));
     }
@@ -123,6 +125,27 @@
         }
     }
 
+    /// Answers a submission that a VM took while it shuts down, without accepting it.
+    pub(crate) fn recall(
+        &mut self,
+        cx: &mut Cx<'_>,
+        origin: Origin,
+        wait: Duration,
+        key: JobKey,
+        digest: Digest,
+    ) {
+        match self.known(cx, &key) {
+            Some((known, _)) if known != digest => {
+                cx.answer(origin, Reply::Error(ApiError::OtherContent(key)));
+            }
+            Some((_, known)) => self.answer_or_wait(cx, origin, wait, key, known),
+            None => {
+                let reply = Reply::Error(ApiError::Refused(Refusal::Draining));
+                self.confirm(cx, origin, reply);
+            }
+        }
+    }
+
     /// Cancels a submission and answers how it ended.
     pub(crate) fn cancel(&mut self, cx: &mut Cx<'_>, origin: Origin, wait: Duration, key: JobKey) {
         let known = match self.known(cx, &key) {
@@ -159,11 +182,7 @@
     }
 
     /// What this leader knows of a key: applied, or proposed by itself.
-    pub(super) fn known(
-        &self,
-        cx: &Cx<'_>,
-        key: &JobKey,
-    ) -> Option<(greengage_core::Digest, Progress)> {
+    pub(super) fn known(&self, cx: &Cx<'_>, key: &JobKey) -> Option<(Digest, Progress)> {
         if let Some(entry) = cx.ledger.get(key) {
             return Some((entry.digest, progress(&entry.stage)));
         }
@@ -339,7 +358,9 @@
 
 /// A repeatable request as a job of one task, with an id that is unique among the VMs' callers.
 fn single_job(zone: &ZoneName, origin: &Origin, request: NewRequest) -> NewJob {
-    let id = Name::new(&format!("single:{}:{}", origin.vm, origin.id));
+    // The life keeps a target's result of an earlier process's request from answering this one.
+    let Origin { vm, life, id } = origin;
+    let id = Name::new(&format!("single:{vm}:{life}:{id}"));
     NewJob {
         account: request.account,
         zone: Some(zone.clone()),
