Check the bounds of traces and records after a restore

Cause: of 13 trial faults put into ledger and policy, two passed all tests: traces of removed documents that are never dropped, and numbers of records that do not start again with a restore.

Change: Policy::verify checks the bound of traces; two tests go on to a state in which each fault shows.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -209,6 +209,9 @@
             let (_, template) = self.template(name).expect("parameters have a template");
             assert_eq!(params.check(template), Ok(()), "{name} of {account}");
         }
+        let documents = self.templates().count() + self.all_params().count();
+        let accounts = state.params.values().map(SortedMap::len).sum::<usize>();
+        assert!(state.templates.len() + accounts - documents <= MAX_TRACES);
         assert!(state.records.len() <= MAX_RECORDS);
         assert_eq!(state.records.len(), self.ops.len());
         for (i, record) in state.records.iter().enumerate() {
--- a/crates/policy/tests/apply.rs
+++ b/crates/policy/tests/apply.rs
@@ -332,6 +332,9 @@
     let other = edit("op0", 0, set(template()));
     let revision = revision.next();
     assert_eq!(policy.apply(revision, &other), applied(1, revision.0));
+    // Numbers of records start again with a restore.
+    policy.restore(policy.snapshot()).unwrap();
+    policy.verify();
 }
 
 /// Guards against removed documents that fill the memory, and against a version that is used
@@ -358,6 +361,9 @@
         panic!("a removed document can be created again");
     };
     assert_eq!(version, Version(3));
+    apply("t0", 3, None);
+    apply("t1", 3, None);
+    policy.verify();
 }
 
 /// Guards against an edit that is applied twice after a restart.
