Say "not run" only of requests that were given away once

Cause: a request is sent again after a silence or a change of leader. When a later copy was refused, the caller heard "not run", although an earlier copy had started or could still arrive. Ruled out: the confirmed read, which holds for the copy that is refused and says nothing of a copy under way; repeatable requests aren't in the ledger at all.

Change: the VM counts how often it gave a request to a VM that could act on it. With more than one, a refusal, and a repeatable request's failure that claims not to have run, become "outcome unknown". Redirected copies count too, since a duplicate of a redirect could hide a live copy.

--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use greengage_core::{JobKey, Refusal, RequestId, Time, VmName, ZoneName};
+use greengage_core::{JobKey, Outcome, Refusal, RequestId, Time, VmName, ZoneName};
 use greengage_membership as membership;
 use greengage_membership::Announcement;
 
@@ -32,8 +32,8 @@
     limit: Time,
     /// Where the request is now.
     at: Place,
-    /// Whether it was ever sent to a VM that could have acted on it.
-    sent: bool,
+    /// How often it was given to a VM that could have acted on it.
+    tries: u32,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -85,7 +85,7 @@
                 until,
                 limit,
                 at: Place::Nowhere,
-                sent: false,
+                tries: 0,
             },
         );
         self.route(id);
@@ -185,7 +185,7 @@
         let caller = self.callers.get_mut(&id).expect("looked up above");
         caller.at = place.clone();
         if place != Place::Nowhere {
-            caller.sent = true;
+            caller.tries += 1;
         }
         if let Some(retry) = retry {
             self.routes.set(now + retry, RouteTimer::Retry(id));
@@ -352,9 +352,14 @@
 
     /// Gives a caller of this VM its reply; later ones are dropped.
     pub(crate) fn replied(&mut self, id: RequestId, reply: Reply) {
-        if self.callers.remove(&id).is_some() {
-            self.out.push(Effect::Reply { id, reply });
-        }
+        let Some(caller) = self.callers.remove(&id) else {
+            return;
+        };
+        let reply = match caller.tries > 1 && not_run(&reply) {
+            true => Reply::Error(unknown(&caller.request)),
+            false => reply,
+        };
+        self.out.push(Effect::Reply { id, reply });
     }
 
     /// Tells the VM that holds a caller to look for another VM that decides.
@@ -427,15 +432,7 @@
             return;
         }
         let error = match &caller.request {
-            Request::Submit(job) => ApiError::UnknownOutcome {
-                key: Some(job_key(job)),
-            },
-            Request::Outcome(key) | Request::Recall { key, .. } | Request::Cancel(key) => {
-                ApiError::UnknownOutcome {
-                    key: Some(key.clone()),
-                }
-            }
-            Request::Single(_) if !caller.sent => ApiError::Unavailable {
+            Request::Single(_) if caller.tries == 0 => ApiError::Unavailable {
                 what: "the zone's ledger group has no leader that can be reached".to_string(),
             },
             Request::Change {
@@ -451,7 +448,11 @@
             | Request::Params { .. }
             | Request::Change { .. }
             | Request::Transfer { .. } => ApiError::NoLeader(Group::Control),
-            Request::Single(_)
+            Request::Submit(_)
+            | Request::Single(_)
+            | Request::Outcome(_)
+            | Request::Recall { .. }
+            | Request::Cancel(_)
             | Request::Announce(_)
             | Request::Leave(_)
             | Request::Documents
@@ -459,12 +460,38 @@
             | Request::Vms
             | Request::Group(_)
             | Request::Timeline(_)
-            | Request::Ready => ApiError::UnknownOutcome { key: None },
+            | Request::Ready => unknown(&caller.request),
         };
         self.replied(id, Reply::Error(error));
     }
 }
 
+/// Whether a reply claims for its own copy of a request that it didn't run. Of other copies, which
+/// may have run or may still arrive, the claim says nothing. A closed submission's outcome isn't
+/// such a claim: it comes from the ledger and holds for all copies.
+fn not_run(reply: &Reply) -> bool {
+    match reply {
+        Reply::Single(outcome) => match outcome.as_ref() {
+            Outcome::Failed(failure) => failure.not_run(),
+            Outcome::Complete(_) => false,
+        },
+        Reply::Error(error) => matches!(error, ApiError::Refused(_) | ApiError::Unavailable { .. }),
+        _ => false,
+    }
+}
+
+/// What is said of a request when its copies leave open whether it ran.
+fn unknown(request: &Request) -> ApiError {
+    let key = match request {
+        Request::Submit(job) => Some(job_key(job)),
+        Request::Outcome(key) | Request::Recall { key, .. } | Request::Cancel(key) => {
+            Some(key.clone())
+        }
+        _ => None,
+    };
+    ApiError::UnknownOutcome { key }
+}
+
 /// The key of a submission whose home zone is filled in.
 pub(crate) fn job_key(job: &NewJob) -> JobKey {
     JobKey {
--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -574,3 +574,27 @@
         "{reply:?}"
     );
 }
+
+/// Guards against "not run" for a request of which an earlier copy may run or has run.
+#[test]
+fn refusal_of_one_copy_says_nothing_of_another() {
+    let refused = Reply::Error(ApiError::Refused(Refusal::Draining));
+    let unknown = Reply::Error(ApiError::UnknownOutcome {
+        key: Some(key("j1")),
+    });
+    for (pause, expected) in [(0, refused.clone()), (2500, unknown)] {
+        let mut rig = Rig::new("a2", 1);
+        rig.hear_leader(Some(Term(1)));
+        let id = rig.request(5000, Request::Submit(job("j1", 1)));
+        rig.pass(pause / 2);
+        rig.hear_leader(Some(Term(1)));
+        rig.pass(pause / 2);
+        let body = Body::Reply {
+            life: Incarnation(1),
+            id,
+            reply: refused.clone(),
+        };
+        rig.receive("a1", body);
+        assert_eq!(rig.reply(id), Some(expected));
+    }
+}
