Judge a target by calls on new connections only

Cause: three calls that broke off on connections that went silent together made the target suspect, and nothing but its next announcement ends that. The target got no work for up to the announcements' interval although it answered on new connections.

Change: a call that breaks off on a connection that was used before says nothing of the target's health. The revoke or poll that follows on a new connection does: it counts as unreachable when it breaks off as well. A start that the target never heard of counts as a failure, so that a target that drops every start is still ejected.

Conclusion: silent connections alone make no target suspect.

--- a/crates/control/src/ledgers.rs
+++ b/crates/control/src/ledgers.rs
@@ -217,14 +217,10 @@
     }
 
     pub(crate) fn seen(&mut self, token: u64, seen: Seen) {
-        let target = self
-            .zone
-            .as_ref()
-            .and_then(|zone| zone.target_of(token))
-            .cloned();
-        let health = Zone::health(&seen);
+        let zone = self.zone.as_ref();
+        let health = zone.and_then(|zone| zone.health(token, &seen));
         self.with_zone(|zone, cx| zone.seen(cx, token, seen));
-        if let (Some(target), Some(result)) = (target, health) {
+        if let Some((target, result)) = health {
             self.member(membership::Event::Attempt { target, result });
         }
     }
--- a/crates/control/src/zone/targets.rs
+++ b/crates/control/src/zone/targets.rs
@@ -24,19 +24,30 @@
         }
     }
 
-    /// How an attempt on a target ended, for the target's health.
-    pub(crate) fn health(settled: &Seen) -> Option<membership::Result> {
-        match settled {
-            Seen::State(State::Done { .. }) => Some(membership::Result::Success),
-            Seen::State(State::Failed { .. }) => Some(membership::Result::Failure),
-            Seen::Broken { .. } => Some(membership::Result::Unreachable),
-            Seen::State(_) | Seen::NotRun { .. } | Seen::Fenced { .. } | Seen::Restarted => None,
-        }
-    }
-
-    /// The target that a call went to.
-    pub(crate) fn target_of(&self, token: u64) -> Option<&TargetName> {
-        self.flights.get(&token).map(|flight| &flight.target)
+    /// The target of an attempt's call, and what the call says of the target's health. A call that
+    /// breaks off on a connection that was used before says nothing: the connection may be silent
+    /// for good while new ones work, and the next call goes over a new one. A target that has not
+    /// heard of a start that was sent counts as failing, or one that drops every start would never
+    /// be ejected.
+    pub(crate) fn health(
+        &self,
+        token: u64,
+        seen: &Seen,
+    ) -> Option<(TargetName, membership::Result)> {
+        let flight = self.flights.get(&token)?;
+        let revoking = flight.phase == Phase::Revoking;
+        let result = match seen {
+            Seen::State(State::Done { .. }) => membership::Result::Success,
+            Seen::State(State::Failed { .. }) => membership::Result::Failure,
+            Seen::State(State::Never) if revoking => membership::Result::Failure,
+            Seen::Broken { .. } if revoking || flight.fresh => membership::Result::Unreachable,
+            Seen::State(_)
+            | Seen::Broken { .. }
+            | Seen::NotRun { .. }
+            | Seen::Fenced { .. }
+            | Seen::Restarted => return None,
+        };
+        Some((flight.target.clone(), result))
     }
 
     pub(super) fn target_up(
--- a/crates/daemon/tests/system/network.rs
+++ b/crates/daemon/tests/system/network.rs
@@ -178,6 +178,8 @@
     let mut settings = system.target_settings("desk-north", "north");
     settings.listen = listen;
     settings.public = Some(relay.address());
+    // Seldom, so that a target that gets no work until its next announcement misses the bound.
+    settings.interval = Duration::from_secs(2);
     let targets = [Target::start(settings).expect("a target starts")];
     let caller = system.caller(&["north-1", "north-2"]);
     let mut ended = Vec::new();
