Name group members as the VMs show and read them

Cause: greengagectl sent a member as an object with a decimal folder id, where VMs read VM#FOLDER in hexadecimal, and neither greengagectl vms nor the VMs' own list showed the folder id that the command asks for. A lost data folder could not be replaced with the tool. Ruled out: the change itself; the same steps over HTTP in the right form work.

Change: /v1/vms lists the folder id, greengagectl group takes it in the form shown and sends the member's name, and promote names member and seat side by side.

Before: cargo test -p greengagectl fails, no command has the form that VMs read. After: it passes, as does the system test of a lost folder, which takes the id from /v1/vms.

Conclusion: a lost folder can be replaced with greengagectl.

--- a/crates/ctl/src/operate.rs
+++ b/crates/ctl/src/operate.rs
@@ -248,16 +248,23 @@
     /// The VM.
     vm: VmName,
     /// The id of its data folder, as `greengagectl vms` shows it.
-    #[arg(long)]
+    #[arg(long, value_parser = folder)]
     folder: u64,
 }
 
 impl Member {
     fn node(&self) -> Value {
-        json!({"vm": self.vm.as_str(), "folder": self.folder})
+        json!(format!("{}#{:x}", self.vm, self.folder))
     }
 }
 
+/// Reads the id of a data folder, which is shown in hexadecimal.
+fn folder(text: &str) -> Result<u64, String> {
+    u64::from_str_radix(text, 16).map_err(|_| {
+        "give up to 16 hexadecimal digits, as `greengagectl vms` shows them".to_string()
+    })
+}
+
 #[derive(Debug, Subcommand)]
 pub(crate) enum Group {
     /// Print a group's members and leader.
@@ -294,7 +301,7 @@
                     true => "witness",
                     false => "voter",
                 };
-                let body = json!({"promote": {"node": member.node(), "seat": seat}});
+                let body = json!({"promote": member.node(), "seat": seat});
                 change(client, member, body)?
             }
             Group::Remove(member) => change(client, member, json!({"remove": member.node()}))?,
--- a/crates/http/src/reply.rs
+++ b/crates/http/src/reply.rs
@@ -211,6 +211,8 @@
         "draining": status.draining,
         "disk_failed": status.disk_failed,
         "alive": info.alive,
+        // As in the names of members, which /v1/groups shows.
+        "folder": info.folder.map(|folder| format!("{folder:x}")),
     })
 }
 
