Test a frozen leader and a lost data folder

Cause: neither was tested with processes of their own.

Change: the leader of a zone is stopped by SIGSTOP until another one serves, with jobs running, queued and submitted to it meanwhile, three times over; after SIGCONT no start of its term runs. A VM starts with an empty folder, is added and promoted while its old identity is removed, and a second VM is lost right after; the old folder returns for a while under its old identity.

--- a/crates/daemon/tests/system/leader.rs
+++ b/crates/daemon/tests/system/leader.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeSet;
 use std::sync::atomic::AtomicBool;
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use greengage_standin::{Answer, Caller, Job};
+use greengage_standin::{Answer, Caller, Job, Target};
+use rustix::process::Signal;
 
 use crate::harness::{System, THREE};
 use crate::work::{assert_agreed, job, load, SetOnDrop, LIMIT};
@@ -108,6 +109,60 @@
     assert!(report(&mut gaps) < Duration::from_secs(2));
 }
 
+/// Guards against a leader that was frozen past the election timeout and goes on as leader when it
+/// runs again: jobs that were submitted to it meanwhile are decided by its successor alone.
+#[test]
+fn a_frozen_leader_does_not_lead_on() {
+    let system = System::start(&THREE, false);
+    let targets = system.targets();
+    let mut ended: Vec<(Job, Answer)> = Vec::new();
+    for n in 0..3 {
+        let old = system.serving("north");
+        let other = if old == "north-1" {
+            "north-2"
+        } else {
+            "north-1"
+        };
+        let (_, term) = system.leader(NORTH).expect("a leader");
+        let [at_old, at_other] = [old.as_str(), other].map(|name| system.caller(&[name]));
+        let running = job(&format!("running-{n}"), Some("north"), 8, 1_000);
+        let queued = job(&format!("queued-{n}"), Some("north"), 24, 30);
+        let late: Vec<Job> = (0..8)
+            .map(|i| job(&format!("late-{n}-{i}"), Some("north"), 2, 10))
+            .collect();
+        let submit = |job: &Job| at_old.run(job, LIMIT).expect("an answer");
+        std::thread::scope(|scope| {
+            let mut held: Vec<_> = [&running, &queued]
+                .map(|job| scope.spawn(move || (job.clone(), submit(job))))
+                .into();
+            system.wait("the first job runs", LIMIT, || {
+                targets.iter().map(Target::running).sum::<usize>() >= 8
+            });
+            system.signal(&old, Signal::STOP);
+            // The sockets of the stopped process still accept connections.
+            held.extend(
+                late.iter()
+                    .map(|job| scope.spawn(move || (job.clone(), submit(job)))),
+            );
+            let (probe, answer) = probe(&at_other, n, Instant::now());
+            ended.push((probe, answer));
+            let resumed = wall_ms();
+            system.signal(&old, Signal::CONT);
+            ended.extend(held.into_iter().map(|held| held.join().expect("an answer")));
+            for start in targets.iter().flat_map(Target::starts) {
+                let stale = start.run && start.at_ms >= resumed && start.term.0 <= term;
+                assert!(!stale, "started by a leader of term {term}: {start:?}");
+            }
+        });
+    }
+    assert_agreed(&system, &targets, &ended);
+}
+
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |span| span.as_millis() as u64)
+}
+
 /// Measures the time without service for new submissions over 20 single kills. Run with
 /// `cargo test -p greengageproxy --test system -- --ignored --nocapture measure_leader_loss`.
 #[test]
--- a/crates/daemon/tests/system/main.rs
+++ b/crates/daemon/tests/system/main.rs
@@ -1,5 +1,6 @@
 //! The daemon as separate processes, with failures.
 
+mod folder;
 mod harness;
 mod leader;
 mod network;
