Add greengagectl load and scripts/deploy

Cause: the goals for response time, messages, service at the crest and waits of short tasks had no measurement on real processes.

Change: greengagectl load offers three scenarios on a seeded open-loop schedule against running VMs, with stand-in targets in its own process, and writes figures as JSON and plots as SVG. scripts/deploy starts VMs on loopback, waits until they are ready, runs a command and ends the VMs that it started.

Checked with cargo test -p greengagectl (8 tests, 1.4 s) and clippy of the workspace.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -13,23 +13,23 @@
 const REQUEST: Duration = Duration::from_secs(75);
 
 /// A client of several VMs that takes the first one that answers.
-pub(crate) struct Client {
+pub struct Client {
     agent: Agent,
     addresses: Vec<SocketAddr>,
 }
 
 /// An answer of a VM.
 #[derive(Debug)]
-pub(crate) struct Answer {
+pub struct Answer {
     /// The HTTP status.
-    pub(crate) status: u16,
+    pub status: u16,
     /// The body.
-    pub(crate) body: Value,
+    pub body: Value,
 }
 
 impl Answer {
     /// The body of a success, or the VM's message as an error.
-    pub(crate) fn success(self) -> Result<Value, Report> {
+    pub fn success(self) -> Result<Value, Report> {
         if self.status < 300 {
             return Ok(self.body);
         }
@@ -42,7 +42,7 @@
 
 impl Client {
     /// Reads addresses separated by commas; `flag` is named in errors.
-    pub(crate) fn new(addresses: &str, flag: &str) -> Result<Client, Report> {
+    pub fn new(addresses: &str, flag: &str) -> Result<Client, Report> {
         let parse = |text: &str| -> Result<SocketAddr, Report> {
             text.parse()
                 .wrap_err_with(|| format!("{flag}: {text:?} is no IP:PORT; correct it"))
@@ -56,18 +56,18 @@
             .timeout_global(Some(REQUEST))
             .build();
         Ok(Client {
-            agent: config.into(),
+            agent: greengage_http::client::direct(config),
             addresses: addresses?,
         })
     }
 
     /// The VMs' addresses.
-    pub(crate) fn addresses(&self) -> &[SocketAddr] {
+    pub fn addresses(&self) -> &[SocketAddr] {
         &self.addresses
     }
 
     /// Sends a request to one VM.
-    pub(crate) fn ask(
+    pub fn ask(
         &self,
         address: SocketAddr,
         method: &str,
@@ -97,12 +97,7 @@
     }
 
     /// Sends a request that may safely reach several VMs to the first one that answers.
-    pub(crate) fn first(
-        &self,
-        method: &str,
-        path: &str,
-        body: Option<&Value>,
-    ) -> Result<Answer, Report> {
+    pub fn first(&self, method: &str, path: &str, body: Option<&Value>) -> Result<Answer, Report> {
         let mut last = eyre!("no address is given");
         for address in &self.addresses {
             match self.ask(*address, method, path, body) {
@@ -114,7 +109,7 @@
     }
 
     /// Reads from the first VM that answers.
-    pub(crate) fn get(&self, path: &str) -> Result<Value, Report> {
+    pub fn get(&self, path: &str) -> Result<Value, Report> {
         self.first("GET", path, None)?.success()
     }
 }
--- /dev/null
+++ b/crates/ctl/src/load/report.rs
@@ -0,0 +1,246 @@
+//! The report: figures of all runs, what they were made with, and plots.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use eyre::{Report, WrapErr};
+use serde::Serialize;
+use serde_json::Value;
+
+use super::drive::{End, Seen};
+use super::figures::{in_time, Figures};
+use super::plot::{draw, Line, Panel};
+use super::scenario::Plan;
+use super::schedule::{Arrival, Schedule};
+
+/// What a report's runs were made with.
+#[derive(Clone, Debug, Serialize)]
+pub struct Made {
+    /// The command line.
+    pub command: Vec<String>,
+    /// The scenario.
+    pub scenario: String,
+    /// The rules of dispatch of the deployment: `fair` or `baseline`.
+    pub rules: String,
+    /// The seed of the first repetition.
+    pub seed: u64,
+    /// Seconds of a run.
+    pub seconds: u64,
+    /// Factor of all arrival rates.
+    pub rate_factor: f64,
+    /// Most connections of callers.
+    pub connections: usize,
+    /// VMs.
+    pub vms: usize,
+    /// Availability zones.
+    pub zones: usize,
+    /// Targets.
+    pub targets: usize,
+    /// Seconds of work at speed 1 that all targets do in a second.
+    pub capacity: f64,
+    /// Cores of the machine.
+    pub cores: usize,
+    /// The commit, if known.
+    pub commit: Option<String>,
+}
+
+/// One run.
+#[derive(Clone, Debug, Serialize)]
+pub struct RunReport {
+    /// The seed.
+    pub seed: u64,
+    /// Whether the long kinds were left out.
+    pub without_long: bool,
+    /// Median round trip between a caller and a VM before the run, in milliseconds.
+    pub round_trip_ms: f64,
+    /// The machine's load average over a minute, before and after the run.
+    pub machine_load: [f64; 2],
+    /// Whether the leaders of all ledger groups stayed.
+    pub leaders_stayed: bool,
+    /// Whether all tasks had ended when the figures were taken.
+    pub settled: bool,
+    /// The figures.
+    pub figures: Figures,
+}
+
+/// Figures with a goal, of all repetitions: the median and each value.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Goal {
+    /// The median.
+    pub median: f64,
+    /// Each repetition's value.
+    pub values: Vec<f64>,
+}
+
+/// The whole report.
+#[derive(Clone, Debug, Serialize)]
+pub struct Document {
+    /// What the runs were made with.
+    pub made: Made,
+    /// Figures with goals, by name.
+    pub goals: BTreeMap<String, Goal>,
+    /// The runs.
+    pub runs: Vec<RunReport>,
+}
+
+/// Collects the figures that have a goal. `baseline` is the report of the same schedule with the
+/// baseline rules.
+pub fn goals(runs: &[RunReport], baseline: Option<&Value>) -> BTreeMap<String, Goal> {
+    let mut goals: BTreeMap<String, Goal> = BTreeMap::new();
+    let mut add = |name: &str, value: f64| {
+        goals
+            .entry(name.to_string())
+            .or_default()
+            .values
+            .push(value);
+    };
+    for run in runs.iter().filter(|run| !run.without_long) {
+        let figures = &run.figures;
+        for row in figures.rows.iter().filter(|row| row.account.is_none()) {
+            if let Some(kind) = &row.kind {
+                add(&format!("over_ideal_p50 {kind}"), row.over_ideal.p50);
+                add(&format!("over_ideal_p99 {kind}"), row.over_ideal.p99);
+            }
+        }
+        add("excess_messages_percent", figures.messages.excess_percent);
+        add("extra_starts", figures.extra_starts as f64);
+        add("false_not_run", figures.false_not_run as f64);
+        add("wrong_results", figures.wrong_results as f64);
+        add(
+            "starts_after_leaving_2s",
+            figures.leaving.late_starts as f64,
+        );
+        if let Some(crest) = &figures.crest {
+            add("crest_share", crest.share);
+            add("crest_fairness", crest.fairness);
+            if let Some(other) = baseline.and_then(|b| baseline_share(b, run.seed)) {
+                if other > 0.0 {
+                    add("crest_share_over_baseline", crest.share / other);
+                }
+            }
+        }
+        let without = runs.iter().find(|r| r.without_long && r.seed == run.seed);
+        if let Some(without) = without {
+            let alone = without.figures.short_wait_ms.p99;
+            if alone > 0.0 {
+                add("short_wait_p99_ratio", figures.short_wait_ms.p99 / alone);
+            }
+        }
+    }
+    for goal in goals.values_mut() {
+        let mut sorted = goal.values.clone();
+        sorted.sort_by(f64::total_cmp);
+        goal.median = (sorted[(sorted.len() - 1) / 2] + sorted[sorted.len() / 2]) / 2.0;
+    }
+    goals
+}
+
+fn baseline_share(baseline: &Value, seed: u64) -> Option<f64> {
+    let runs = baseline["runs"].as_array()?;
+    let run = runs.iter().find(|run| run["seed"] == seed)?;
+    run["figures"]["crest"]["share"].as_f64()
+}
+
+/// Writes a file of the report.
+pub fn write(folder: &Path, name: &str, content: &str) -> Result<(), Report> {
+    std::fs::write(folder.join(name), content)
+        .wrap_err_with(|| format!("--report: {name} can't be written to {}", folder.display()))
+}
+
+/// Points of one second each, or more in long runs.
+fn buckets(seconds: f64) -> (usize, f64) {
+    let count = (seconds.ceil() as usize).clamp(1, 120);
+    (count, seconds / count as f64)
+}
+
+/// The plot of a run: response time by kind and by account, and answers.
+pub fn plot(title: &str, plan: &Plan, schedule: &Schedule, seen: &Seen) -> String {
+    let seconds = schedule.length.as_secs_f64();
+    let (count, width) = buckets(seconds);
+    let place = |arrival: &Arrival| ((arrival.at.as_secs_f64() / width) as usize).min(count - 1);
+    let middle = |bucket: usize| (bucket as f64 + 0.5) * width;
+    // The median and the 99th percentile of complete answers in each bucket.
+    let lines = |name: &str, colour: usize, wanted: &dyn Fn(&Arrival) -> bool| -> Vec<Line> {
+        let mut times: Vec<Vec<f64>> = vec![Vec::new(); count];
+        for outcome in seen.outcomes.iter().filter(|o| o.end == End::Complete) {
+            let arrival = &schedule.arrivals[outcome.arrival];
+            if wanted(arrival) {
+                times[place(arrival)].push(outcome.response.as_secs_f64() * 1000.0);
+            }
+        }
+        times.iter_mut().for_each(|t| t.sort_by(f64::total_cmp));
+        let line = |label: &str, quantile: f64, dashed: bool| Line {
+            name: format!("{name} {label}"),
+            colour,
+            dashed,
+            points: times
+                .iter()
+                .enumerate()
+                .filter(|(_, t)| !t.is_empty())
+                .map(|(bucket, t)| {
+                    let at = ((t.len() as f64 * quantile).ceil() as usize).max(1) - 1;
+                    (middle(bucket), t[at])
+                })
+                .collect(),
+        };
+        let lines = vec![line("median", 0.5, false), line("p99", 0.99, true)];
+        lines.into_iter().filter(|l| !l.points.is_empty()).collect()
+    };
+    let kinds = plan.kinds.iter().enumerate();
+    let kinds = kinds.flat_map(|(k, kind)| lines(kind.name, k, &|a| a.kind == k));
+    let accounts = plan.accounts.iter().enumerate();
+    let accounts = accounts.flat_map(|(k, account)| lines(account.name, k, &|a| a.account == k));
+    let panels = [
+        Panel {
+            title: "response time by kind of work, ms".to_string(),
+            log: true,
+            lines: kinds.collect(),
+        },
+        Panel {
+            title: "response time by client account, ms".to_string(),
+            log: true,
+            lines: accounts.collect(),
+        },
+        answers(plan, schedule, seen, count, &place, &middle, width),
+    ];
+    draw(title, seconds, &panels)
+}
+
+fn answers(
+    plan: &Plan,
+    schedule: &Schedule,
+    seen: &Seen,
+    count: usize,
+    place: &dyn Fn(&Arrival) -> usize,
+    middle: &dyn Fn(usize) -> f64,
+    width: f64,
+) -> Panel {
+    let names = ["offered", "in time", "late", "refused", "other"];
+    let mut counts = vec![[0.0; 5]; count];
+    for outcome in &seen.outcomes {
+        let arrival = &schedule.arrivals[outcome.arrival];
+        let which = match &outcome.end {
+            End::Complete if in_time(outcome, plan, arrival) => 1,
+            End::Complete => 2,
+            End::Refused { .. } => 3,
+            End::Wrong | End::Failed { .. } | End::Pending | End::NoAnswer => 4,
+        };
+        counts[place(arrival)][0] += 1.0;
+        counts[place(arrival)][which] += 1.0;
+    }
+    let line = |(number, name): (usize, &&str)| Line {
+        name: name.to_string(),
+        colour: number,
+        dashed: number == 0,
+        points: counts
+            .iter()
+            .enumerate()
+            .map(|(bucket, row)| (middle(bucket), row[number] / width))
+            .collect(),
+    };
+    Panel {
+        title: "submissions a second, by the time when they were due".to_string(),
+        log: false,
+        lines: names.iter().enumerate().map(line).collect(),
+    }
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -3,7 +3,6 @@
 //! Each command asks one VM, except those that ask all of them: `timeline` merges the events of
 //! all processes, `revision` compares the revisions in force. Answers are printed as JSON.
 
-mod client;
 mod keys;
 mod operate;
 mod submit;
@@ -15,6 +14,7 @@
 
 use clap::{Parser, Subcommand};
 use eyre::Report;
+use greengagectl::{client, load};
 
 /// Operate greengageproxy and submit work to it.
 #[derive(Debug, Parser)]
@@ -72,6 +72,8 @@
     Timeline(timeline::Timeline),
     /// Run a stand-in target.
     Target(target::Target),
+    /// Offer load on a seeded schedule and write a report.
+    Load(load::Load),
     /// Run a small deployment in this process and show one job from end to end.
     Try,
 }
@@ -107,6 +109,7 @@
         Command::Group(command) => command.run(&admins()?),
         Command::Timeline(command) => command.run(&admins()?),
         Command::Target(target) => target.run(&args.entries),
+        Command::Load(load) => load.run(&entries()?, &admins()?),
         Command::Try => trial::run(),
     }
 }
--- /dev/null
+++ b/crates/ctl/tests/load.rs
@@ -0,0 +1,352 @@
+//! The load tool without a deployment: schedules, the arithmetic of reports, plots.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use greengage_standin::Calls;
+use greengagectl::load::drive::{End, Outcome, Seen};
+use greengagectl::load::figures::{figures, Run, Traffic};
+use greengagectl::load::fleet::Started;
+use greengagectl::load::plot::{draw, Line, Panel};
+use greengagectl::load::report;
+use greengagectl::load::scenario::{Account, Form, Kind, Length, Machine, Plan, Scenario};
+use greengagectl::load::schedule::{Action, Arrival, Schedule};
+use greengagectl::load::site::add_metrics;
+
+const SCENARIOS: [Scenario; 3] = [Scenario::Lampang, Scenario::Bigorna, Scenario::Half];
+const MINUTE: Duration = Duration::from_secs(60);
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Guards against a schedule that depends on anything but its seed.
+#[test]
+fn schedule_is_reproducible() {
+    for scenario in SCENARIOS {
+        let plan = Plan::new(scenario);
+        let schedule = |seed| Schedule::new(&plan, seed, MINUTE, 1.0);
+        assert_eq!(schedule(7), schedule(7));
+        assert_ne!(schedule(7).arrivals, schedule(8).arrivals);
+    }
+}
+
+/// Guards against comparing waits beside long tasks with those of other short tasks.
+#[test]
+fn without_long_keeps_the_others() {
+    let plan = Plan::new(Scenario::Bigorna);
+    let with = Schedule::new(&plan, 3, MINUTE, 1.0);
+    let without = Schedule::new(&plan.without_long(), 3, MINUTE, 1.0);
+    let is_long = |a: &&Arrival| plan.kinds[a.kind].length == Length::Long;
+    let others: Vec<&Arrival> = with.arrivals.iter().filter(|a| !is_long(a)).collect();
+    assert!(with.arrivals.iter().any(|a| is_long(&a)));
+    assert_eq!(others, without.arrivals.iter().collect::<Vec<_>>());
+}
+
+/// Guards against rates that miss the planned load, of which every figure depends.
+#[test]
+fn offered_work_is_the_planned_load() {
+    for scenario in SCENARIOS {
+        let plan = Plan::new(scenario);
+        let length = Duration::from_secs(200);
+        let schedule = Schedule::new(&plan, 1, length, 1.0);
+        let tasks = schedule.arrivals.iter().flat_map(|a| &a.tasks);
+        let offered = f64::from(tasks.sum::<u32>()) / 1000.0;
+        let parts = 1000;
+        let loads = (0..parts).map(|i| plan.load((f64::from(i) + 0.5) / f64::from(parts)));
+        let mean = loads.sum::<f64>() / f64::from(parts);
+        let planned = plan.capacity() * length.as_secs_f64() * mean;
+        let share = offered / planned;
+        assert!((0.95..1.05).contains(&share), "{scenario:?}: {share}");
+    }
+}
+
+/// Guards against actions out of order, which threads would send late, and against a cancellation
+/// before its submission.
+#[test]
+fn actions_are_in_order() {
+    let schedule = Schedule::new(&Plan::new(Scenario::Lampang), 5, MINUTE, 1.0);
+    assert!(schedule.actions.windows(2).all(|w| w[0].0 <= w[1].0));
+    let place = |action| schedule.actions.iter().position(|(_, a)| *a == action);
+    let cancels = schedule.actions.iter().filter_map(|(_, a)| match a {
+        Action::Cancel(arrival) => Some(*arrival),
+        Action::Submit(_) | Action::Leave => None,
+    });
+    let cancels: Vec<usize> = cancels.collect();
+    assert!(cancels.len() > 10, "the wave is missing");
+    for arrival in cancels {
+        assert!(place(Action::Submit(arrival)) < place(Action::Cancel(arrival)));
+    }
+}
+
+/// A plan with one repeatable kind, one with keys, and two accounts of weights 1 and 3.
+fn small_plan() -> Plan {
+    let kind = |name, form, length| Kind {
+        name,
+        form,
+        length,
+        part: 0.5,
+        tasks: (1, 2),
+        service_ms: (100, 100),
+        deadline_ms: 1000,
+        expected_ms: 100,
+    };
+    let account = |name, weight| Account { name, weight };
+    let machine = |speed| Machine {
+        speed,
+        fails: false,
+    };
+    Plan {
+        kinds: vec![
+            kind("quick", Form::Repeatable, Length::Short),
+            kind("booked", Form::Job, Length::Other),
+        ],
+        accounts: vec![account("one", 1), account("three", 3)],
+        machines: vec![machine(1.0), machine(3.0)],
+        slots: 2,
+        shape: vec![(0.0, 1.0), (1.0, 1.0)],
+        crests: vec![(0.5, 1.0)],
+        wave: None,
+        stragglers: 0.0,
+        leave: 0.5,
+    }
+}
+
+fn arrival(at: u64, kind: usize, account: usize, tasks: &[u32]) -> Arrival {
+    Arrival {
+        at: millis(at),
+        kind,
+        account,
+        entry: 0,
+        zone: 0,
+        tasks: tasks.to_vec(),
+        cancelled: false,
+    }
+}
+
+fn outcome(arrival: usize, response: u64, end: End) -> Outcome {
+    Outcome {
+        arrival,
+        lag: millis(2),
+        response: millis(response),
+        end,
+    }
+}
+
+fn started(target: usize, at: u64, arrival: usize, task: usize, run: bool) -> Started {
+    Started {
+        target,
+        at: millis(at),
+        arrival,
+        task,
+        run,
+    }
+}
+
+/// Guards each figure against a wrong definition, on a run that was worked out by hand.
+#[test]
+fn figures_of_a_hand_made_run() {
+    let plan = small_plan();
+    let schedule = Schedule {
+        length: millis(10_000),
+        arrivals: vec![
+            arrival(1000, 0, 0, &[100]),
+            arrival(2000, 0, 0, &[100]),
+            // From here on at the crest.
+            arrival(6000, 1, 0, &[100, 100]),
+            arrival(6500, 1, 1, &[300, 300]),
+            arrival(7000, 1, 1, &[100]),
+            arrival(8000, 1, 1, &[100]),
+        ],
+        actions: Vec::new(),
+    };
+    let refused = End::Refused {
+        kind: "late".to_string(),
+        not_run: true,
+    };
+    let seen = Seen {
+        outcomes: vec![
+            outcome(0, 102, End::Complete),
+            outcome(1, 204, End::Complete),
+            outcome(2, 500, End::Complete),
+            outcome(3, 900, End::Complete),
+            outcome(4, 1500, End::Complete),
+            // Its task did run, see below.
+            outcome(5, 10, refused),
+        ],
+        calls: Vec::new(),
+        left: Some(millis(5000)),
+    };
+    let starts = [
+        started(0, 1010, 0, 0, true),
+        started(0, 2030, 1, 0, false),
+        started(0, 2040, 1, 0, true),
+        started(1, 4900, 2, 0, true),
+        started(1, 6100, 2, 1, true),
+        started(1, 7500, 3, 0, true),
+        // The second start of a task with a key.
+        started(0, 7600, 3, 0, true),
+        started(0, 7600, 3, 1, true),
+        started(0, 7700, 4, 0, true),
+        started(0, 8100, 5, 0, true),
+    ];
+    let peers = [("forward", 3), ("reply", 3), ("status", 100)];
+    let peers = peers.map(|(kind, n)| (kind.to_string(), n));
+    let traffic = Traffic {
+        peers: BTreeMap::from(peers),
+        target_calls: 12,
+    };
+    let figures = figures(&Run {
+        plan: &plan,
+        schedule: &schedule,
+        seen: &seen,
+        starts: &starts,
+        calls: Calls {
+            starts: 10,
+            polls: 1,
+            stops: 1,
+            ..Calls::default()
+        },
+        traffic: &traffic,
+        forwards: 3,
+        round_trip: millis(1),
+    });
+
+    let row = |kind: Option<&str>, account: Option<&str>| {
+        let found = figures
+            .rows
+            .iter()
+            .find(|row| row.kind.as_deref() == kind && row.account.as_deref() == account);
+        found.expect("there is a row").clone()
+    };
+    // The mean speed is 2, so the ideal of 100 ms is 51 ms.
+    let quick = row(Some("quick"), None);
+    assert_eq!((quick.offered, quick.in_time, quick.late), (2, 2, 0));
+    assert!((quick.over_ideal.p50 - 2.0).abs() < 0.01);
+    assert!((quick.over_ideal.p99 - 4.0).abs() < 0.01);
+    assert!((quick.response_ms.max - 204.0).abs() < 0.5);
+    let booked = row(Some("booked"), Some("three"));
+    assert_eq!((booked.offered, booked.in_time, booked.late), (3, 1, 1));
+    assert_eq!(
+        booked.others,
+        BTreeMap::from([("refused: late".to_string(), 1)])
+    );
+    assert_eq!(row(None, None).offered, 6);
+
+    let crest = figures.crest.as_ref().expect("the plan has a crest");
+    assert_eq!((crest.offered, crest.in_time), (4, 2));
+    assert!((crest.share - 0.5).abs() < 1e-9);
+    assert!((crest.work_share - 0.8).abs() < 1e-9);
+    // 0.2 s for weight 1 and 0.6 s for weight 3 are equal shares.
+    assert!((crest.fairness - 1.0).abs() < 1e-9);
+
+    assert_eq!(figures.short_wait_ms.count, 2);
+    assert!((figures.short_wait_ms.p50 - 10.0).abs() < 0.1);
+    assert!((figures.short_wait_ms.max - 40.0).abs() < 0.1);
+
+    let messages = &figures.messages;
+    assert_eq!(messages.tasks, 8);
+    assert_eq!((messages.least, messages.actual), (2 * 8 + 2 * 3, 24 + 6));
+    assert!((messages.excess_percent - 100.0 * 8.0 / 22.0).abs() < 1e-9);
+
+    let leaving = &figures.leaving;
+    assert_eq!((leaving.starts, leaving.late_starts), (2, 1));
+    assert!((leaving.last_ms - 2500.0).abs() < 1e-9);
+
+    assert_eq!((figures.extra_starts, figures.repeats), (1, 0));
+    assert_eq!((figures.false_not_run, figures.wrong_results), (1, 0));
+}
+
+/// Guards against labels that are read as values, and counters of VMs that overwrite each other.
+#[test]
+fn metrics_of_all_vms_are_added() {
+    let text = "# TYPE greengage_peer_messages_total counter\n\
+                greengage_peer_messages_total{kind=\"forward\"} 5\n\
+                greengage_peer_messages_total{kind=\"reply\"} 2\n\
+                greengage_target_calls_total{seen=\"state\"} 40\n\
+                greengage_target_calls_total{seen=\"broken\"} 1\n\
+                greengage_events_total 1000\n";
+    let mut traffic = Traffic::default();
+    add_metrics(&mut traffic, text);
+    add_metrics(&mut traffic, text);
+    assert_eq!(traffic.target_calls, 82);
+    let peers = [("forward", 10), ("reply", 4)];
+    let peers = BTreeMap::from(peers.map(|(kind, n)| (kind.to_string(), n)));
+    assert_eq!(traffic.peers, peers);
+    let since = traffic.since(&Traffic {
+        peers: BTreeMap::from([("forward".to_string(), 4)]),
+        target_calls: 80,
+    });
+    assert_eq!((since.peers["forward"], since.peers["reply"]), (6, 4));
+    assert_eq!(since.target_calls, 2);
+}
+
+/// Checks that tags are closed in order, that attributes are quoted and that text is escaped;
+/// returns the number of elements.
+fn check_xml(text: &str) -> usize {
+    let (mut open, mut count, mut rest) = (Vec::new(), 0, text);
+    while let Some(start) = rest.find('<') {
+        assert!(!rest[..start].contains('>'), "stray > before {start}");
+        for (at, _) in rest[..start].match_indices('&') {
+            let entity = rest[at..start].split_once(';').expect("an entity ends").0;
+            assert!(["&amp", "&lt", "&gt"].contains(&entity), "{entity}");
+        }
+        let end = start + rest[start..].find('>').expect("a tag ends");
+        let tag = &rest[start + 1..end];
+        assert!(!tag.contains('<'), "{tag}");
+        assert_eq!(tag.matches('"').count() % 2, 0, "{tag}");
+        assert!(!tag.contains("NaN") && !tag.contains("inf"), "{tag}");
+        if let Some(name) = tag.strip_prefix('/') {
+            assert_eq!(open.pop(), Some(name), "closed out of order");
+        } else {
+            count += 1;
+            let name = tag.split([' ', '/']).next().expect("a tag has a name");
+            if !tag.ends_with('/') {
+                open.push(name);
+            }
+        }
+        rest = &rest[end + 1..];
+        assert!(!open.is_empty() || rest.trim().is_empty(), "text after end");
+    }
+    assert!(open.is_empty(), "not closed: {open:?}");
+    count
+}
+
+/// Guards against plots that no viewer opens: unescaped names, infinite axes, empty lines.
+#[test]
+fn plots_are_well_formed() {
+    let line = |name: &str, points: &[(f64, f64)]| Line {
+        name: name.to_string(),
+        colour: 0,
+        dashed: false,
+        points: points.to_vec(),
+    };
+    let panel = |log, lines| Panel {
+        title: "a < b & c".to_string(),
+        log,
+        lines,
+    };
+    let points = [(0.0, 0.0), (1.0, 3.5), (2.0, 1e6)];
+    for log in [false, true] {
+        let lines = vec![line("x > y", &points), line("empty", &[])];
+        let svg = draw(
+            "title & more",
+            2.0,
+            &[panel(log, lines), panel(log, vec![])],
+        );
+        assert!(check_xml(&svg) > 20);
+    }
+    check_xml(&draw("nothing", 0.0, &[]));
+}
+
+/// Guards against a run without a single answer ending the tool without a report.
+#[test]
+fn plot_of_a_run_without_answers() {
+    let plan = small_plan();
+    let schedule = Schedule::new(&plan, 1, millis(3000), 1.0);
+    let none = |arrival| outcome(arrival, 0, End::NoAnswer);
+    let mut seen = Seen::default();
+    check_xml(&report::plot("empty", &plan, &schedule, &seen));
+    seen.outcomes = (0..schedule.arrivals.len()).map(none).collect();
+    check_xml(&report::plot("no answers", &plan, &schedule, &seen));
+}
