--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,4 +9,4 @@
 mod target;
 
 pub use caller::{Answer, Caller, CallerError, CallerSettings, Job, Single};
-pub use target::{Behaviour, Start, Target, TargetSettings};
+pub use target::{Behaviour, Calls, Start, Target, TargetSettings};
