Forget closed submissions as fast as they come

Cause: one Expire removes at most 2,000 submissions, so that it delays no other command, and the leader sent one each 10 s: 200 a second, while a zone closes thousands a second; the ledger would grow without bound.

Change: the leader sends the next one after 100 ms while some are due.

Before: 200 forgotten a second at most. After: 20,000, from the two constants; not measured in a run.

--- a/crates/control/src/zone/commands.rs
+++ b/crates/control/src/zone/commands.rs
@@ -27,11 +27,15 @@
     }
 
     pub(super) fn expire(&mut self, cx: &mut Cx<'_>) {
-        self.timers.set(cx.now.time + EXPIRE_EVERY, Timer::Expire);
         let retention = self.limits.retention.as_millis() as u64;
         let before = Wall(self.stamp(cx.now.time).0.saturating_sub(retention));
-        let counts = cx.ledger.counts();
-        if counts.entries > counts.open {
+        // One command removes a bounded number of submissions, so that it delays no other.
+        let next = match cx.ledger.due(before) {
+            true => EXPIRE_AGAIN,
+            false => EXPIRE_EVERY,
+        };
+        self.timers.set(cx.now.time + next, Timer::Expire);
+        if next == EXPIRE_AGAIN {
             self.propose(cx, Command::Expire { before });
         }
     }
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -43,8 +43,10 @@
 
 use recovery::Recovery;
 
-/// Least time between two looks for submissions whose retention has ended.
+/// Between two looks for submissions whose retention has ended.
 const EXPIRE_EVERY: Duration = Duration::from_secs(10);
+/// Between two commands that forget submissions, while there are some to forget.
+const EXPIRE_AGAIN: Duration = Duration::from_millis(100);
 /// How long a proposal waits that was refused while leadership was being transferred.
 const REPROPOSE_AFTER: Duration = Duration::from_millis(50);
 /// Bits of a call's number that count calls within one term.
