Estimate waits without fair shares by size, too

Starvation was ruled out: the admission counted the whole queue of other accounts as ahead, although the shortest job goes first there.

Change: where weights don't count, other accounts' work counts by size class, as the own work does.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -12,7 +12,7 @@
 
 use crate::dispatch::Dispatch;
 use crate::event::{Admission, Job};
-use crate::fair::{class, Wait};
+use crate::fair::{class, Flow, Wait};
 use crate::ids::{AccountId, PoolId, ShapeId, WorkId};
 
 /// How long an account may use its burst before it has to go below its quota.
@@ -172,16 +172,24 @@
         let Some(flow) = self.fair.flow_of(asked.account, asked.pool) else {
             return (size, 0.0);
         };
+        let ahead = size.saturating_add(self.ahead(asked, asked.account, flow));
+        match self.tuning.shortest {
+            true => (ahead, flow.arrivals.below(now, class(size))),
+            false => (ahead, 0.0),
+        }
+    }
+
+    /// Queued work of an account that goes first where weights don't count.
+    fn ahead(&self, asked: &Asked<'_>, account: AccountId, flow: &Flow) -> u64 {
         if !self.tuning.shortest {
-            return (size.saturating_add(flow.backlog), 0.0);
+            return flow.backlog;
         }
-        let class = class(size);
+        let class = class(asked.unit.saturating_mul(u64::from(asked.job.tasks)));
         let lanes = flow.lanes.iter();
-        let ahead: u64 = lanes
-            .filter_map(|s| self.fair.lane_of(*s, asked.account))
+        lanes
+            .filter_map(|s| self.fair.lane_of(*s, account))
             .map(|lane| lane.backlog[..=class].iter().sum::<u64>())
-            .sum();
-        (size.saturating_add(ahead), flow.arrivals.below(now, class))
+            .sum()
     }
 
     /// Work of other accounts that goes first when the own flow has to grow by `own`.
@@ -200,13 +208,13 @@
         flows
             .iter()
             .filter(|(a, flow)| *a != asked.account.at() && flow.backlog > 0)
-            .map(|(_, flow)| match self.tuning.fair {
+            .map(|(a, flow)| match self.tuning.fair {
                 true => {
                     let entitled = end.saturating_sub(flow.tag).saturating_mul(flow.weight);
                     let arrives = (flow.arrivals.total(now) * wait as f64) as u64;
                     flow.backlog.saturating_add(arrives).min(entitled)
                 }
-                false => flow.backlog,
+                false => self.ahead(asked, AccountId::new(a), flow),
             })
             .fold(0, u64::saturating_add)
     }
