Let a worker run more tasks than 16 at once

Cause: the target client bounds the calls to one target to 16, and a start call lasts as long as its task. A worker with 64 cores ran 16 tasks; the others, which the dispatcher counted as started, waited for a connection. Ruled out: the reserve for short work, which explains a second round only for work whose expected run time is a second or more.

Change: the dispatcher alone bounds starts at a target; an executor's slots are bounded by its connections less four.

--- a/crates/control/src/zone/targets.rs
+++ b/crates/control/src/zone/targets.rs
@@ -1,7 +1,12 @@
 //! Targets: registration, fences, standing and loss.
 
+use greengage_core::Capacity;
+
 use super::*;
 
+/// Connections of an executor that are left for stops, fences and calls on new connections.
+const SPARE_CONNECTIONS: u32 = 4;
+
 impl Zone {
     /// Takes a membership effect.
     pub(crate) fn member(&mut self, cx: &mut Cx<'_>, effect: &membership::Effect) {
@@ -165,7 +170,7 @@
             target: target.clone(),
             rack: announcement.rack.clone(),
             work: announcement.work.clone(),
-            capacity: announcement.capacity,
+            capacity: usable(announcement.capacity),
         };
         let standing = member.standing;
         let usage = announcement.usage;
@@ -224,3 +229,16 @@
         self.timers.set(at, Timer::Recovery);
     }
 }
+
+/// What starts may use of a target: each takes a connection for as long as the task runs, and
+/// calls on new connections need some more. Only a zone's leader calls its targets, so it may use
+/// all connections that an executor accepts.
+fn usable(capacity: Capacity) -> Capacity {
+    match capacity {
+        Capacity::Executor { slots, connections } => Capacity::Executor {
+            slots: slots.min(connections.saturating_sub(SPARE_CONNECTIONS).max(1)),
+            connections,
+        },
+        Capacity::Worker(_) => capacity,
+    }
+}
--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -72,7 +72,7 @@
     retention: u64,
 
     /// Most calls to targets at once, from 1 to 20000.
-    #[arg(long, env = "GREENGAGE_CALLS", default_value_t = 512,
+    #[arg(long, env = "GREENGAGE_CALLS", default_value_t = 2048,
           value_parser = clap::value_parser!(u32).range(1..=20_000))]
     calls: u32,
 
--- a/crates/daemon/tests/system/serve.rs
+++ b/crates/daemon/tests/system/serve.rs
@@ -3,12 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use greengage_core::{Capacity, Demand};
 use greengage_standin::{Answer, Caller, CallerError, Job, Target};
 use rustix::process::Signal;
+use serde_json::json;
 
-use crate::harness::{System, FOUR, STEP, THREE};
+use crate::harness::{System, FOUR, STEP, TEMPLATE, THREE};
 use crate::work::{assert_starts, assert_whole, job, SetOnDrop};
 
 const JOBS: usize = 1_000;
@@ -134,3 +136,42 @@
         std::thread::sleep(Duration::from_millis(20));
     }
 }
+
+/// Guards against started tasks that wait for a connection: a worker runs many more tasks at once
+/// than an executor has slots.
+#[test]
+fn a_large_worker_runs_all_that_fits() {
+    let system = System::start(&[("a1", "a", "control+ledger")], false);
+    let worker = json!({
+        "target": "worker",
+        "demand": {"milli_cores": 1000},
+        "deadline_ms": 20_000,
+        "expected_ms": 400,
+    });
+    system.edit(
+        &format!("/v1/templates/{TEMPLATE}"),
+        "op-worker",
+        1,
+        &worker,
+    );
+    let mut settings = system.target_settings("worker-1", "a");
+    settings.capacity = Capacity::Worker(Demand {
+        milli_cores: 64_000,
+        memory_mib: 128 << 10,
+        accelerators: 0,
+    });
+    let target = Target::start(settings).expect("a target starts");
+    system.wait("the target is known", STEP, || {
+        let known = system.get("a1", "/v1/targets");
+        known.is_some_and(|known| known["targets"].as_array().map(Vec::len) == Some(1))
+    });
+    // Longer work would leave some cores free for short work.
+    let job = job("parallel", None, 60, 400);
+    let since = Instant::now();
+    let answer = system.caller(&["a1"]).run(&job, Duration::from_secs(20));
+    let elapsed = since.elapsed();
+    assert_whole(&job, &answer.expect("an answer"));
+    assert_eq!(assert_starts(&[target]), 60);
+    // All tasks at once take 0.4 s; two rounds would take 0.8 s.
+    assert!(elapsed < Duration::from_millis(800), "{elapsed:?}");
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -145,6 +145,9 @@
         let seen = events.clone();
         let client_settings = target::Settings {
             threads: settings.calls,
+            // The dispatcher bounds the starts at each target; a lower bound here would let a
+            // started task wait for a connection.
+            per_target: settings.calls,
             ..target::Settings::default()
         };
         let client = Client::start(client_settings, call_inbox, move |token, what| {
