Put a configuration in force once it is durable

Cause: a VM decided by, and reported, an accepted configuration while its save was under way. A crash in between brought the earlier revision back after the restart, with the data folder intact. Ruled out: the control group's own log; it keeps what is committed, but a voter does not know at its start what is.

Change: VMs with a data folder keep accepted configurations aside and put each in force when its save is reported (`Saved::Policy`, sent by the disk thread). Current reads and edits still use the accepted configuration. VMs without a disk, or with a failed one, put it in force at once.

Conclusion: costs one synced write per edit and VM before it takes effect.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -16,6 +16,7 @@
 use crate::api::{ApiError, Group, Reply, Request};
 use crate::control::{Control, PolicyEffects};
 use crate::message::{Body, Effect, GroupSave};
+use crate::operators::read_document;
 use crate::replica::refused;
 use crate::zone::Origin;
 
@@ -140,13 +141,13 @@
             return;
         };
         if let Some((origin, request)) = group.reads.remove(&ticket) {
-            let reply = self.read_document(&request);
+            let reply = read_document(&self.accepted, &request);
             self.answer(origin, reply);
         }
     }
 
     pub(crate) fn apply_control(&mut self, entries: Vec<agreement::Entry<policy::Command>>) {
-        let before = self.policy.revision();
+        let before = self.accepted.revision();
         for entry in entries {
             let (index, term) = (entry.index, entry.term);
             match entry.kind {
@@ -188,10 +189,10 @@
         revision: Revision,
         command: policy::Command,
     ) -> Option<policy::Outcome> {
-        if revision <= self.policy.applied() {
+        if revision <= self.accepted.applied() {
             return None;
         }
-        let outcome = self.policy.apply(revision, &command);
+        let outcome = self.accepted.apply(revision, &command);
         self.edit_log.push(revision, command);
         Some(outcome)
     }
@@ -214,7 +215,7 @@
     fn compact_control(&mut self) {
         let now = self.now.time;
         let every = self.site.limits.compact;
-        let state = || self.policy.snapshot();
+        let state = || self.accepted.snapshot();
         if let Some(group) = &mut self.control {
             let effects = group.replica.compact(now, every, state);
             self.drive_control(effects);
@@ -223,28 +224,56 @@
 
     /// Takes over a whole state, unless it is older than what is in force here.
     pub(crate) fn restore_policy(&mut self, state: policy::State) {
-        let before = self.policy.revision();
-        if self.policy.restore(state).is_ok() {
-            self.edit_log.reset(self.policy.applied());
+        let before = self.accepted.revision();
+        if self.accepted.restore(state).is_ok() {
+            self.edit_log.reset(self.accepted.applied());
             self.revised(before);
         }
     }
 
-    /// Does what follows a change of the revision.
+    /// Does what follows a change of the accepted revision.
     fn revised(&mut self, before: Revision) {
-        let revision = self.policy.revision();
-        assert!(revision >= before, "the revision never goes back");
+        let revision = self.accepted.revision();
+        assert!(revision >= before, "the accepted revision never goes back");
         if revision == before {
             return;
         }
-        self.record(&format!("revision {revision} is in force"));
+        let state = self.accepted.snapshot();
         if self.site.folder.is_some() && !self.disk_failed {
-            let save = GroupSave::Policy(self.policy.snapshot());
-            self.out.push(Effect::Save(save));
+            self.unsaved.push_back(state.clone());
+            self.out.push(Effect::Save(GroupSave::Policy(state)));
+        } else {
+            self.put_in_force(state);
         }
-        self.with_zone(|zone, cx| zone.share(cx));
         self.push_all(before);
-        self.report();
+    }
+
+    /// Takes the report that an accepted configuration is durable.
+    pub(crate) fn policy_saved(&mut self, applied: Revision) {
+        while self
+            .unsaved
+            .front()
+            .is_some_and(|state| state.applied() <= applied)
+        {
+            if let Some(state) = self.unsaved.pop_front() {
+                self.put_in_force(state);
+            }
+        }
+    }
+
+    /// Decides by a configuration from here on, unless a later one is in force.
+    pub(crate) fn put_in_force(&mut self, state: policy::State) {
+        let before = self.policy.revision();
+        if self.policy.restore(state).is_err() {
+            return;
+        }
+        let revision = self.policy.revision();
+        assert!(revision >= before, "the revision never goes back");
+        if revision > before {
+            self.record(&format!("revision {revision} is in force"));
+            self.with_zone(|zone, cx| zone.share(cx));
+            self.report();
+        }
     }
 
     fn push_all(&mut self, before: Revision) {
@@ -269,7 +298,7 @@
 
     /// Pushes to a VM that reported, as its leader or as a helper.
     pub(crate) fn push_to(&mut self, status: &VmStatus) {
-        let behind = status.revision < self.policy.revision();
+        let behind = status.revision < self.accepted.revision();
         let leader = self.leads_control() && self.followers().contains(&status.vm);
         if leader || (behind && !status.control) {
             self.push(&status.vm, status.revision);
@@ -285,7 +314,7 @@
                 leading,
             },
             None => Body::Policy {
-                state: self.policy.snapshot(),
+                state: self.accepted.snapshot(),
                 leading,
             },
         };
@@ -300,8 +329,8 @@
     }
 
     pub(crate) fn pushed_edits(&mut self, after: Revision, edits: &[(Revision, policy::Command)]) {
-        let before = self.policy.revision();
-        if self.control_member() || after > self.policy.applied() {
+        let before = self.accepted.revision();
+        if self.control_member() || after > self.accepted.applied() {
             return;
         }
         for (revision, command) in edits {
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -1,6 +1,6 @@
 //! The control thread's state and its single entry point.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 use greengage_agreement as agreement;
@@ -62,7 +62,12 @@
 pub struct Control {
     pub(crate) site: Site,
     pub(crate) now: Now,
+    /// The configuration in force.
     pub(crate) policy: Policy,
+    /// The accepted configuration, which may not be durable here yet.
+    pub(crate) accepted: Policy,
+    /// Accepted configurations that aren't durable yet, oldest first.
+    pub(crate) unsaved: VecDeque<policy::State>,
     pub(crate) control: Option<ControlGroup>,
     pub(crate) ledgers: SortedMap<ZoneName, LedgerGroup>,
     pub(crate) zone: Option<Zone>,
@@ -96,11 +101,16 @@
         for state in snapshot.into_iter().chain(durable.policy) {
             let _ = policy.restore(state);
         }
+        let mut accepted = Policy::new();
+        let restored = accepted.restore(policy.snapshot());
+        restored.expect("nothing is older than an empty configuration");
         let mut edit_log = EditLog::new(site.limits.edits);
         edit_log.reset(policy.applied());
         let mut control = Control {
             now,
             policy,
+            accepted,
+            unsaved: VecDeque::new(),
             control: None,
             ledgers: SortedMap::new(),
             zone: None,
@@ -347,16 +357,20 @@
 
     fn saved(&mut self, saved: Saved) {
         let now = self.now.time;
-        match saved.group {
+        let (group, seq) = match saved {
+            Saved::Group { group, seq } => (group, seq),
+            Saved::Policy(applied) => return self.policy_saved(applied),
+        };
+        match group {
             Group::Control => {
                 if let Some(group) = &mut self.control {
-                    let effects = group.replica.step(now, agreement::Event::Saved(saved.seq));
+                    let effects = group.replica.step(now, agreement::Event::Saved(seq));
                     self.drive_control(effects);
                 }
             }
             Group::Ledger(zone) => {
                 if let Some(group) = self.ledgers.get_mut(&zone) {
-                    let effects = group.replica.step(now, agreement::Event::Saved(saved.seq));
+                    let effects = group.replica.step(now, agreement::Event::Saved(seq));
                     self.drive_ledger(&zone, effects);
                 }
             }
@@ -373,6 +387,7 @@
         self.control = None;
         self.ledgers.clear();
         self.end_zone();
+        self.put_in_force(self.accepted.snapshot());
         self.report();
     }
 
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -135,18 +135,23 @@
         /// The save.
         save: LedgerSave,
     },
-    /// The configuration in force, which a cut-off VM goes on with after a restart. Nothing waits
-    /// for this save.
+    /// An accepted configuration, which comes into force here once this is durable, so that a
+    /// restart never goes back to an earlier one.
     Policy(policy::State),
 }
 
 /// A save that is durable.
 #[value]
-pub struct Saved {
-    /// The group.
-    pub group: Group,
-    /// The number of the save.
-    pub seq: SaveSeq,
+pub enum Saved {
+    /// A save of a group.
+    Group {
+        /// The group.
+        group: Group,
+        /// The number of the save.
+        seq: SaveSeq,
+    },
+    /// The configuration with this last command.
+    Policy(Revision),
 }
 
 /// What a group's files held at start.
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -3,7 +3,7 @@
 use greengage_agreement as agreement;
 use greengage_agreement::{Change, Refused, Ticket};
 use greengage_core::{Index, NodeId, Term};
-use greengage_policy::EditError;
+use greengage_policy::{EditError, Policy};
 
 use crate::api::{ApiError, Documents, Group, Reply, Request, Versioned, VmInfo};
 use crate::configuration::appended;
@@ -16,7 +16,9 @@
         let reply = match request {
             Request::Change { group, change } => return self.change(origin, group, change),
             Request::Transfer { group, to } => return self.transfer(origin, group, to),
-            Request::Template { .. } | Request::Params { .. } => self.read_document(&request),
+            Request::Template { .. } | Request::Params { .. } => {
+                read_document(&self.policy, &request)
+            }
             Request::Documents => self.documents(),
             Request::Targets => Reply::Targets(self.membership.targets()),
             Request::Vms => self.vms(),
@@ -40,35 +42,6 @@
         self.answer(origin, reply);
     }
 
-    /// Reads a document from the configuration in force here.
-    pub(crate) fn read_document(&self, request: &Request) -> Reply {
-        let revision = self.policy.revision();
-        match request {
-            Request::Template { name, .. } => match self.policy.template(name) {
-                Some((version, template)) => Reply::Template(Versioned {
-                    version,
-                    revision,
-                    content: template.clone(),
-                }),
-                None => Reply::Error(ApiError::Policy(EditError::UnknownTemplate(name.clone()))),
-            },
-            Request::Params {
-                template, account, ..
-            } => match self.policy.params(template, account) {
-                Some((version, params)) => Reply::Params(Versioned {
-                    version,
-                    revision,
-                    content: params.clone(),
-                }),
-                None => Reply::Error(ApiError::Policy(EditError::UnknownAccount {
-                    template: template.clone(),
-                    account: account.clone(),
-                })),
-            },
-            _ => unreachable!("only documents are read"),
-        }
-    }
-
     fn documents(&self) -> Reply {
         let revision = self.policy.revision();
         let templates = self.policy.templates().map(|(name, version, template)| {
@@ -184,6 +157,35 @@
     }
 }
 
+/// Reads a document from a configuration.
+pub(crate) fn read_document(policy: &Policy, request: &Request) -> Reply {
+    let revision = policy.revision();
+    match request {
+        Request::Template { name, .. } => match policy.template(name) {
+            Some((version, template)) => Reply::Template(Versioned {
+                version,
+                revision,
+                content: template.clone(),
+            }),
+            None => Reply::Error(ApiError::Policy(EditError::UnknownTemplate(name.clone()))),
+        },
+        Request::Params {
+            template, account, ..
+        } => match policy.params(template, account) {
+            Some((version, params)) => Reply::Params(Versioned {
+                version,
+                revision,
+                content: params.clone(),
+            }),
+            None => Reply::Error(ApiError::Policy(EditError::UnknownAccount {
+                template: template.clone(),
+                account: account.clone(),
+            })),
+        },
+        _ => unreachable!("only documents are read"),
+    }
+}
+
 /// Whether a change was appended, and where, or why it was refused.
 fn decided<C, S>(
     ticket: Ticket,
--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -155,10 +155,12 @@
         while let Some(event) = events.pop() {
             for effect in self.control.step(self.now, event) {
                 match effect {
-                    Effect::Save(GroupSave::Control(save)) => events.push(Event::Saved(Saved {
-                        group: Group::Control,
-                        seq: save.seq,
-                    })),
+                    Effect::Save(GroupSave::Control(save)) => {
+                        events.push(Event::Saved(Saved::Group {
+                            group: Group::Control,
+                            seq: save.seq,
+                        }))
+                    }
                     Effect::Save(GroupSave::Ledger { zone, save }) => {
                         let commands =
                             save.entries
@@ -168,7 +170,7 @@
                                     EntryKind::Noop | EntryKind::Config(_) => None,
                                 });
                         self.commands.extend(commands);
-                        let saved = Event::Saved(Saved {
+                        let saved = Event::Saved(Saved::Group {
                             group: Group::Ledger(zone),
                             seq: save.seq,
                         });
@@ -177,6 +179,13 @@
                             false => events.push(saved),
                         }
                     }
+                    Effect::Save(GroupSave::Policy(state)) => {
+                        let saved = Event::Saved(Saved::Policy(state.applied()));
+                        match self.hold {
+                            true => self.held.push(saved),
+                            false => events.push(saved),
+                        }
+                    }
                     other => self.out.push(other),
                 }
             }
@@ -598,3 +607,18 @@
         assert_eq!(rig.reply(id), Some(expected));
     }
 }
+
+/// Guards against a revision that goes back with a restart: it was in force before it was durable.
+#[test]
+fn revision_is_in_force_once_durable() {
+    let mut rig = Rig::leader();
+    let before = rig.control.revision();
+    rig.hold = true;
+    rig.edit(Document::Template {
+        name: TemplateName::new("new").unwrap(),
+        content: Some(plain(true)),
+    });
+    assert_eq!(rig.control.revision(), before);
+    rig.release();
+    assert!(rig.control.revision() > before);
+}
--- a/crates/node/src/disk.rs
+++ b/crates/node/src/disk.rs
@@ -191,7 +191,7 @@
         GroupSave::Policy(state) => {
             let group = Name::new(POLICY_GROUP).expect("a valid name");
             let batch = only_snapshot(group, Index(state.applied().0), encode(&state));
-            (batch, None)
+            (batch, Some(Saved::Policy(state.applied())))
         }
     }
 }
@@ -211,7 +211,7 @@
             .as_ref()
             .map(|snapshot| (snapshot.index, encode(snapshot))),
     };
-    let saved = Saved {
+    let saved = Saved::Group {
         group,
         seq: save.seq,
     };
