Give a joining target room only once its standing is known

Cause: a target that joined the dispatcher counted as live until its standing followed in the next event, and the first event started what waited. A new leader so sent work to a target that had left. Ruled out: the relay of the leaving; the leader's membership had it.

Change: a target joins without room, then gets its standing, then its capacity.

--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -25,8 +25,9 @@
 
 use greengage_agreement::Ticket;
 use greengage_core::{
-    AttemptId, Digest, Failure, Incarnation, JobKey, JobNumber, Name, Outcome, Payload, Refusal,
-    RequestId, Revision, SortedMap, TargetName, Term, Time, VmName, Wall, ZoneName,
+    AttemptId, Capacity, Demand, Digest, Failure, Incarnation, JobKey, JobNumber, Name, Outcome,
+    Payload, Refusal, RequestId, Revision, SortedMap, TargetName, Term, Time, VmName, Wall,
+    ZoneName,
 };
 use greengage_dispatch as dispatch;
 use greengage_dispatch::{Admission, Attempt, Dispatch, Job, Mode, Settled};
--- a/crates/control/src/zone/targets.rs
+++ b/crates/control/src/zone/targets.rs
@@ -148,7 +148,7 @@
             .targets
             .get_mut(target)
             .expect("looked up by the caller");
-        member.joined = true;
+        let first = !std::mem::replace(&mut member.joined, true);
         let announcement = &member.announcement;
         let spec = dispatch::TargetSpec {
             target: target.clone(),
@@ -158,8 +158,23 @@
         };
         let standing = member.standing;
         let usage = announcement.usage;
-        self.dispatch_step(cx, dispatch::Event::Target(spec));
+        // The dispatcher takes a new target as live. It gets room only once the standing is known,
+        // so that a target that is leaving isn't sent what waits.
+        let none = dispatch::TargetSpec {
+            capacity: match spec.capacity {
+                Capacity::Executor { connections, .. } => Capacity::Executor {
+                    slots: 0,
+                    connections,
+                },
+                Capacity::Worker(_) => Capacity::Worker(Demand::default()),
+            },
+            ..spec.clone()
+        };
+        if first {
+            self.dispatch_step(cx, dispatch::Event::Target(none));
+        }
         self.standing(cx, target, standing);
+        self.dispatch_step(cx, dispatch::Event::Target(spec));
         if let Some(used) = usage {
             let target = target.clone();
             self.dispatch_step(cx, dispatch::Event::Usage { target, used });
--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -622,3 +622,18 @@
     rig.release();
     assert!(rig.control.revision() > before);
 }
+
+/// Guards against work that waits for its target's standing: a target that is leaving was sent the
+/// queue before the dispatcher heard of it.
+#[test]
+fn leaving_target_is_sent_nothing_by_a_new_leader() {
+    let mut rig = Rig::new("a1", 1);
+    rig.configure();
+    rig.announce("t1", 1);
+    let token = rig.call(is_fence);
+    rig.request(0, single(1));
+    rig.request(0, Request::Leave(TargetName::new("t1").unwrap()));
+    rig.fenced(token);
+    rig.pass(500);
+    assert_eq!(rig.find_call(is_start), None);
+}
