Check that a VM's keys fit together and name it

Cause: a VM read its key files without comparing them. With a certificate of another authority or of another VM it started, reported itself ready to take calls, and every connection to and from its peers was refused. Ruled out: the connections' own checks, which work; they speak only once peers connect.

Change: Keys::check verifies that key and certificate belong together, that the certificate is for this VM and that the authority of the folder issued it.

--- a/crates/transport/src/keys.rs
+++ b/crates/transport/src/keys.rs
@@ -225,6 +225,11 @@
         })
     }
 
+    /// Checks that the keys fit together and that the authority issued them for `vm`.
+    pub fn check(&self, vm: &VmName) -> Result<(), KeysError> {
+        crate::tls::check(self, vm)
+    }
+
     /// Writes a VM's files into `folder`; only the owner can read the key.
     pub fn save(&self, folder: &Path) -> Result<(), KeysError> {
         write(folder, AUTHORITY_FILE, &self.authority, CERTIFICATE_MODE)?;
--- a/crates/transport/src/tls.rs
+++ b/crates/transport/src/tls.rs
@@ -12,7 +12,7 @@
 use rustls::crypto::tls13::{Hkdf, OkmBlock};
 use rustls::crypto::CryptoProvider;
 use rustls::pki_types::pem::PemObject;
-use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName, UnixTime};
 use rustls::server::WebPkiClientVerifier;
 use rustls::RootCertStore;
 
@@ -42,6 +42,9 @@
     pub(crate) endpoint: EndpointConfig,
 }
 
+/// Stands for the time limit of connections where none are made.
+const CHECK_SILENT: Duration = Duration::from_secs(1);
+
 impl Tls {
     pub(crate) fn new(keys: &Keys, silent: Duration) -> Result<Tls, KeysError> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
@@ -194,6 +197,35 @@
     }
 }
 
+/// Checks that the keys fit together and that the authority issued them for `vm`.
+pub(crate) fn check(keys: &Keys, vm: &VmName) -> Result<(), KeysError> {
+    Tls::new(keys, CHECK_SILENT)?;
+    let own = certificate(&keys.certificate, CERTIFICATE_FILE)?;
+    if !names(&own, vm) {
+        return Err(KeysError::Invalid {
+            file: CERTIFICATE_FILE,
+            cause: format!("it was not issued for VM {vm}"),
+        });
+    }
+    let authority = certificate(&keys.authority, AUTHORITY_FILE)?;
+    let anchor = webpki::anchor_from_trusted_cert(&authority).map_err(invalid(AUTHORITY_FILE))?;
+    let own = webpki::EndEntityCert::try_from(&own).map_err(invalid(CERTIFICATE_FILE))?;
+    own.verify_for_usage(
+        webpki::ALL_VERIFICATION_ALGS,
+        &[anchor],
+        &[],
+        UnixTime::now(),
+        webpki::KeyUsage::client_auth(),
+        None,
+        None,
+    )
+    .map(drop)
+    .map_err(|error| KeysError::Invalid {
+        file: CERTIFICATE_FILE,
+        cause: format!("the authority in {AUTHORITY_FILE} did not issue it: {error}"),
+    })
+}
+
 /// Whether `certificate` was issued for `vm`.
 pub(crate) fn names(certificate: &CertificateDer<'_>, vm: &VmName) -> bool {
     let Ok(name) = ServerName::try_from(dns_name(vm)) else {
