Name the flag of each setting that can't be used

Ruled out: exit codes and the number of lines, which were right.

Before: cargo test -p greengageproxy bad_starts lists 12 wrong answers. After: it passes.

Conclusion: each bad start that the test tries ends with code 2 and one line that names flag or file, value and remedy.

--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -126,6 +126,19 @@
     Ok(Identity { node, fresh: true })
 }
 
+/// Checks that a data folder exists and belongs to `vm` or to no VM yet, and changes nothing.
+pub fn check(disk: &dyn Disk, folder: &Path, vm: &VmName) -> Result<(), JournalError> {
+    list(disk, folder)?;
+    match read_identity(disk, folder)? {
+        Some(node) if node.vm != *vm => Err(JournalError::OtherVm {
+            path: folder.to_path_buf(),
+            owner: node.vm,
+            vm: vm.clone(),
+        }),
+        Some(_) | None => Ok(()),
+    }
+}
+
 impl Journal {
     /// Opens a data folder and recovers its records.
     ///
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -47,5 +47,5 @@
 pub use disk::{Disk, DiskFile, RealDisk};
 pub use error::JournalError;
 pub use folder::Identity;
-pub use journal::{init, Batch, Journal, Recovered, Settings, SEGMENT_BYTES};
+pub use journal::{check, init, Batch, Journal, Recovered, Settings, SEGMENT_BYTES};
 pub use thread::{start, DRAIN_BATCHES, DRAIN_BYTES};
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::io;
+use std::path::PathBuf;
 
 use greengage_control::SiteError;
 use greengage_http::HttpError;
@@ -20,7 +21,12 @@
     /// The settings describe no working deployment.
     Site(SiteError),
     /// The keys can't be used.
-    Keys(KeysError),
+    Keys {
+        /// Their folder.
+        folder: PathBuf,
+        /// Why.
+        error: KeysError,
+    },
     /// The data folder can't be used.
     Journal(JournalError),
     /// A record in the data folder can't be decoded.
@@ -33,7 +39,14 @@
     /// The transport can't start.
     Transport(TransportError),
     /// An HTTP listener can't start.
-    Http(HttpError),
+    Http {
+        /// The flag with its address.
+        flag: &'static str,
+        /// Why.
+        error: HttpError,
+    },
+    /// The client to targets can't start.
+    Client(HttpError),
     /// A thread can't be started.
     Thread(io::Error),
     /// A role needs a data folder and none is set.
@@ -44,15 +57,20 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             NodeError::Settings(error) => error.fmt(f),
-            NodeError::Site(error) => error.fmt(f),
-            NodeError::Keys(error) => error.fmt(f),
+            NodeError::Site(error @ SiteError::NoFolder(_)) => write!(f, "--data: {error}"),
+            NodeError::Site(error) => write!(f, "--vms: {error}"),
+            NodeError::Keys { folder, error } => write!(f, "--keys {}: {error}", folder.display()),
             NodeError::Journal(error) => error.fmt(f),
             NodeError::Record { group, error } => write!(
                 f,
                 "a record of group {group} in the data folder can't be decoded: {error}"
             ),
+            NodeError::Transport(
+                error @ (TransportError::AddressInUse(_) | TransportError::Listen { .. }),
+            ) => write!(f, "--vms: {error}"),
             NodeError::Transport(error) => error.fmt(f),
-            NodeError::Http(error) => error.fmt(f),
+            NodeError::Http { flag, error } => write!(f, "{flag}: {error}"),
+            NodeError::Client(error) => error.fmt(f),
             NodeError::Thread(error) => {
                 write!(
                     f,
@@ -79,9 +97,8 @@
 from! {
     SettingsError => Settings;
     SiteError => Site;
-    KeysError => Keys;
     JournalError => Journal;
     TransportError => Transport;
-    HttpError => Http;
+    HttpError => Client;
     io::Error => Thread;
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -82,15 +82,30 @@
     Ok(())
 }
 
-/// Checks settings and keys without starting anything.
+/// Checks settings, keys and the data folder without starting or changing anything.
 pub fn check(settings: &Settings) -> Result<(), NodeError> {
     settings.own()?;
     let folder = settings.data.as_ref().map(|_| 0);
     settings.site(folder, Incarnation(0), 0).verify()?;
-    Keys::load(&settings.keys)?;
+    load_keys(settings)?;
+    if let Some(folder) = &settings.data {
+        greengage_journal::check(&RealDisk, folder, &settings.vm)?;
+    }
     Ok(())
 }
 
+fn load_keys(settings: &Settings) -> Result<Keys, NodeError> {
+    let load = || {
+        let keys = Keys::load(&settings.keys)?;
+        keys.check(&settings.vm)?;
+        Ok(keys)
+    };
+    load().map_err(|error| NodeError::Keys {
+        folder: settings.keys.clone(),
+        error,
+    })
+}
+
 impl Node {
     /// Starts a VM.
     pub fn start(settings: Settings) -> Result<Node, NodeError> {
@@ -125,7 +140,7 @@
                 vm: settings.vm.clone(),
                 listen: settings.own()?.peer,
                 peers: settings.peers(),
-                keys: Keys::load(&settings.keys)?,
+                keys: load_keys(&settings)?,
                 silent: transport::SILENT,
                 queue: transport::QUEUE_BYTES,
             },
@@ -159,12 +174,20 @@
                 limits: front::Limits::default(),
             },
             submit(events.clone()),
-        )?;
+        )
+        .map_err(|error| NodeError::Http {
+            flag: "--http",
+            error,
+        })?;
         let admin = admin::start(
             admin::Settings::new(settings.admin, settings.vm.clone()),
             submit(events.clone()),
             metrics_text(),
-        )?;
+        )
+        .map_err(|error| NodeError::Http {
+            flag: "--admin",
+            error,
+        })?;
         let answer = {
             let callers = front.replies();
             let operators = admin.replies();
