--- a/crates/ctl/src/load/figures.rs
+++ b/crates/ctl/src/load/figures.rs
@@ -172,6 +172,9 @@
     pub rows: Vec<Row>,
     /// The crest, for scenarios that have one.
     pub crest: Option<Crest>,
+    /// Part of the started work that belongs to submissions without an answer in time. A task that
+    /// was stopped counts with its whole run time.
+    pub unused_work: f64,
     /// From the time when a short task's request was due to its start at a target, in milliseconds.
     pub short_wait_ms: Spread,
     /// Messages.
@@ -221,6 +224,7 @@
     Figures {
         rows: rows(run),
         crest: crest(run),
+        unused_work: unused_work(run, &ran),
         short_wait_ms: short_wait(run),
         messages: messages(run, ran.len() as u64),
         leaving: leaving(run),
@@ -379,6 +383,22 @@
     }
 }
 
+fn unused_work(run: &Run<'_>, ran: &BTreeMap<(usize, usize), u64>) -> f64 {
+    let mut used = vec![false; run.schedule.arrivals.len()];
+    for (outcome, arrival) in all(run) {
+        used[outcome.arrival] = in_time(outcome, run.plan, arrival);
+    }
+    let (mut unused, mut started) = (0.0, 0.0);
+    for ((arrival, task), starts) in ran {
+        let work = f64::from(run.schedule.arrivals[*arrival].tasks[*task]) * *starts as f64;
+        started += work;
+        if !used[*arrival] {
+            unused += work;
+        }
+    }
+    ratio(unused, started)
+}
+
 fn short_wait(run: &Run<'_>) -> Spread {
     // First starts by arrival, in a map because starts are in the order of targets.
     let mut first: BTreeMap<usize, Duration> = BTreeMap::new();
--- a/crates/ctl/src/load/scenario.rs
+++ b/crates/ctl/src/load/scenario.rs
@@ -289,7 +289,8 @@
         ],
         machines,
         slots: 8,
-        shape: vec![(0.0, 0.9), (1.0, 0.9)],
+        // Beyond the capacity, so that long work always waits for slots.
+        shape: vec![(0.0, 1.1), (1.0, 1.1)],
         crests: Vec::new(),
         wave: None,
         stragglers: 0.0,
--- a/crates/ctl/tests/load.rs
+++ b/crates/ctl/tests/load.rs
@@ -240,6 +240,9 @@
     // 0.2 s for weight 1 and 0.6 s for weight 3 are equal shares.
     assert!((crest.fairness - 1.0).abs() < 1e-9);
 
+    // 100 ms of arrival 4, which was late, and of arrival 5, which was refused, of 1.5 s.
+    assert!((figures.unused_work - 0.2 / 1.5).abs() < 1e-9);
+
     assert_eq!(figures.short_wait_ms.count, 2);
     assert!((figures.short_wait_ms.p50 - 10.0).abs() < 0.1);
     assert!((figures.short_wait_ms.max - 40.0).abs() < 0.1);
