--- a/crates/ctl/src/load/figures.rs
+++ b/crates/ctl/src/load/figures.rs
@@ -110,6 +110,8 @@
     pub weight: u32,
     /// Seconds of work that it offered.
     pub offered_s: f64,
+    /// Seconds of work that were started.
+    pub started_s: f64,
     /// Seconds of work that were answered within the deadline.
     pub answered_s: f64,
 }
@@ -127,6 +129,8 @@
     pub work_share: f64,
     /// Jain's index of answered work over weight: 1 is fair.
     pub fairness: f64,
+    /// The same of started work.
+    pub started_fairness: f64,
     /// The accounts.
     pub accounts: Vec<Served>,
 }
@@ -223,7 +227,7 @@
     }
     Figures {
         rows: rows(run),
-        crest: crest(run),
+        crest: crest(run, &ran),
         unused_work: unused_work(run, &ran),
         short_wait_ms: short_wait(run),
         messages: messages(run, ran.len() as u64),
@@ -340,7 +344,7 @@
     }
 }
 
-fn crest(run: &Run<'_>) -> Option<Crest> {
+fn crest(run: &Run<'_>, ran: &BTreeMap<(usize, usize), u64>) -> Option<Crest> {
     if run.plan.crests.is_empty() {
         return None;
     }
@@ -361,6 +365,10 @@
         let account = &mut crest.accounts[arrival.account];
         crest.offered += 1;
         account.offered_s += work;
+        for (task, millis) in arrival.tasks.iter().enumerate() {
+            let starts = ran.get(&(outcome.arrival, task)).copied().unwrap_or(0);
+            account.started_s += f64::from(*millis) / 1000.0 * starts as f64;
+        }
         if in_time(outcome, run.plan, arrival) {
             crest.in_time += 1;
             account.answered_s += work;
@@ -370,12 +378,20 @@
     let sum = |of: fn(&Served) -> f64| accounts.iter().map(of).sum::<f64>();
     crest.share = ratio(crest.in_time as f64, crest.offered as f64);
     crest.work_share = ratio(sum(|a| a.answered_s), sum(|a| a.offered_s));
-    let weighted = sum(|a| a.answered_s / f64::from(a.weight));
-    let squares = sum(|a| (a.answered_s / f64::from(a.weight)).powi(2));
-    crest.fairness = ratio(weighted * weighted, accounts.len() as f64 * squares);
+    crest.fairness = jain(accounts, |a| a.answered_s);
+    crest.started_fairness = jain(accounts, |a| a.started_s);
     Some(crest)
 }
 
+/// Jain's index of a figure over the weights: 1 if each account has its share, and the part of the
+/// accounts that share equally if the others have nothing.
+fn jain(accounts: &[Served], of: fn(&Served) -> f64) -> f64 {
+    let shares = accounts.iter().map(|a| of(a) / f64::from(a.weight));
+    let sum: f64 = shares.clone().sum();
+    let squares: f64 = shares.map(|share| share * share).sum();
+    ratio(sum * sum, accounts.len() as f64 * squares)
+}
+
 fn ratio(part: f64, whole: f64) -> f64 {
     match whole == 0.0 {
         true => 0.0,
--- a/crates/ctl/src/load/mod.rs
+++ b/crates/ctl/src/load/mod.rs
@@ -62,7 +62,7 @@
     #[arg(long)]
     baseline: bool,
     /// Most connections of callers, each with a thread, up to 1000.
-    #[arg(long, default_value_t = 400, value_parser = clap::value_parser!(u64).range(1..=1000))]
+    #[arg(long, default_value_t = 640, value_parser = clap::value_parser!(u64).range(1..=1000))]
     connections: u64,
     /// Folder for the report.
     #[arg(long)]
--- a/crates/ctl/src/load/report.rs
+++ b/crates/ctl/src/load/report.rs
@@ -113,6 +113,8 @@
         if let Some(crest) = &figures.crest {
             add("crest_share", crest.share);
             add("crest_fairness", crest.fairness);
+            add("crest_started_fairness", crest.started_fairness);
+            add("unused_work", figures.unused_work);
             if let Some(other) = baseline.and_then(|b| baseline_share(b, run.seed)) {
                 if other > 0.0 {
                     add("crest_share_over_baseline", crest.share / other);
--- a/crates/ctl/tests/load.rs
+++ b/crates/ctl/tests/load.rs
@@ -239,6 +239,10 @@
     assert!((crest.work_share - 0.8).abs() < 1e-9);
     // 0.2 s for weight 1 and 0.6 s for weight 3 are equal shares.
     assert!((crest.fairness - 1.0).abs() < 1e-9);
+    // Started were 0.2 s and 1.1 s, one task of 0.3 s twice.
+    let (one, three) = (0.2, 1.1 / 3.0);
+    let jain = (one + three) * (one + three) / (2.0 * (one * one + three * three));
+    assert!((crest.started_fairness - jain).abs() < 1e-9);
 
     // 100 ms of arrival 4, which was late, and of arrival 5, which was refused, of 1.5 s.
     assert!((figures.unused_work - 0.2 / 1.5).abs() < 1e-9);
