--- a/crates/control/examples/speed.rs
+++ b/crates/control/examples/speed.rs
@@ -124,9 +124,7 @@
             }
             Effect::Save(save) => {
                 self.saves += 1;
-                if let Some(saved) = saved(&save) {
-                    self.events.push_back(Event::Saved(saved));
-                }
+                self.events.push_back(Event::Saved(saved(&save)));
             }
             Effect::Call { token, call } => {
                 let seen = match call.action {
@@ -252,17 +250,17 @@
     }
 }
 
-fn saved(save: &GroupSave) -> Option<Saved> {
+fn saved(save: &GroupSave) -> Saved {
     match save {
-        GroupSave::Control(save) => Some(Saved {
+        GroupSave::Control(save) => Saved::Group {
             group: Group::Control,
             seq: save.seq,
-        }),
-        GroupSave::Ledger { zone, save } => Some(Saved {
+        },
+        GroupSave::Ledger { zone, save } => Saved::Group {
             group: Group::Ledger(zone.clone()),
             seq: save.seq,
-        }),
-        GroupSave::Policy(_) => None,
+        },
+        GroupSave::Policy(state) => Saved::Policy(state.applied()),
     }
 }
 
--- a/crates/control/src/zone/targets.rs
+++ b/crates/control/src/zone/targets.rs
@@ -1,7 +1,5 @@
 //! Targets: registration, fences, standing and loss.
 
-use greengage_core::Capacity;
-
 use super::*;
 
 /// Connections of an executor that are left for stops, fences and calls on new connections.
