--- a/crates/control/src/timers.rs
+++ b/crates/control/src/timers.rs
@@ -30,6 +30,10 @@
         self.due.pop_first().map(|(_, what)| what)
     }
 
+    pub(crate) fn len(&self) -> usize {
+        self.due.len()
+    }
+
     pub(crate) fn next(&self) -> Option<Time> {
         self.due.first().map(|(at, _)| *at)
     }
--- a/crates/control/src/verify.rs
+++ b/crates/control/src/verify.rs
@@ -14,6 +14,7 @@
     /// What is kept for work that hasn't ended, by kind; empty when nothing is in flight.
     pub fn leftover(&self) -> Vec<(&'static str, usize)> {
         let mut left = vec![("callers", self.callers.len())];
+        left.push(("unsaved configurations", self.unsaved.len()));
         if let Some(control) = &self.control {
             left.push(("edits", control.edits.len()));
             left.push(("control changes", control.changes.len()));
--- a/crates/control/src/zone/verify.rs
+++ b/crates/control/src/zone/verify.rs
@@ -46,6 +46,11 @@
             ("unconfirmed", self.unconfirmed.len()),
             ("reading", self.reading.len()),
             ("delayed", self.delayed.len()),
+            ("users of incarnations", self.users.len()),
+            ("waiting deregistrations", self.lost.len()),
+            ("proposed deregistrations", self.leaving.len()),
+            // One is always set, for the next expiry.
+            ("timers", self.timers.len() - 1),
             ("recovery", usize::from(self.recovery.is_some())),
         ]
     }
