Test bad starts, missed edits and faulty targets

Cause: none of them was tested with processes.

Change: 24 starts and checks with wrong settings or files that must be refused, and one with a torn last record that must start; 1,000 edits while a control voter and a VM outside the control group are down, then 100 timed edits; 120 jobs on two good targets, one that fails everything, one that dies in a task and one that answers 0.8 s late. A first job fills every slot, since without it the good targets may take all tasks and the dying one none.

--- a/crates/daemon/tests/system/harness.rs
+++ b/crates/daemon/tests/system/harness.rs
@@ -60,6 +60,7 @@
 /// A deployment.
 pub(crate) struct System {
     pub(crate) vms: Vec<Vm>,
+    pub(crate) authority: Authority,
     /// The relay from the first VM to the second.
     pub(crate) relays: BTreeMap<(String, String), UdpRelay>,
     _folder: TempDir,
@@ -128,6 +129,7 @@
         }
         System {
             vms,
+            authority,
             relays,
             _folder: folder,
             started: Instant::now(),
@@ -170,14 +172,26 @@
 
     /// The command line of a VM, without its input and output.
     pub(crate) fn command(&self, name: &str) -> Command {
+        self.command_with(name, "", "")
+    }
+
+    /// The command line of a VM with another value of one flag.
+    pub(crate) fn command_with(&self, name: &str, other: &str, value: &str) -> Command {
         let vm = self.vm(name);
         let mut command = Command::new(env!("CARGO_BIN_EXE_greengageproxy"));
         command.env_clear().env("GREENGAGE_LOG", "info");
-        command.args(["--vm", name, "--vms", &vm.list]);
-        command.args(["--http", &vm.http.to_string()]);
-        command.args(["--admin", &vm.admin.to_string()]);
-        command.arg("--data").arg(&vm.data);
-        command.arg("--keys").arg(&vm.keys);
+        for (flag, usual) in [
+            ("--vm", name.to_string()),
+            ("--vms", vm.list.clone()),
+            ("--http", vm.http.to_string()),
+            ("--admin", vm.admin.to_string()),
+            ("--data", vm.data.display().to_string()),
+            ("--keys", vm.keys.display().to_string()),
+        ] {
+            command
+                .arg(flag)
+                .arg(if flag == other { value } else { &usual });
+        }
         command.stdin(Stdio::null());
         command
     }
@@ -267,8 +281,10 @@
         (status == 200).then_some(body)
     }
 
+    /// The revision in force at a VM.
     pub(crate) fn revision(&self, name: &str) -> Option<u64> {
-        self.get(name, "/v1/templates")?["revision"].as_u64()
+        let path = format!("/v1/templates/{TEMPLATE}");
+        self.get(name, &path)?["revision"].as_u64()
     }
 
     /// Writes a document through any running VM, sending it again until it is accepted.
