--- a/crates/http/src/admin.rs
+++ b/crates/http/src/admin.rs
@@ -51,7 +51,7 @@
                 body_bytes: 1 << 20,
                 arriving_bytes: 16 << 20,
                 connections: 64,
-                handlers: 64,
+                handlers: 16,
                 ..Limits::default()
             },
             wait: Duration::from_secs(10),
