--- a/crates/daemon/tests/system/edits.rs
+++ b/crates/daemon/tests/system/edits.rs
@@ -4,7 +4,8 @@
 
 use serde_json::json;
 
-use crate::harness::{System, ACCOUNT, FOUR, TEMPLATE};
+use crate::harness::{System, ACCOUNT, TEMPLATE};
+use crate::FOUR;
 
 const EDITS: usize = 1_000;
 const WRITERS: usize = 4;
--- a/crates/daemon/tests/system/folder.rs
+++ b/crates/daemon/tests/system/folder.rs
@@ -5,8 +5,9 @@
 use greengage_standin::{Answer, Job};
 use serde_json::json;
 
-use crate::harness::{System, ACCOUNT, STEP, TEMPLATE, THREE};
+use crate::harness::{System, ACCOUNT, STEP, TEMPLATE};
 use crate::work::{assert_agreed, job};
+use crate::THREE;
 
 /// A member of a group as `greengagectl group` names it.
 fn node(system: &System, name: &str) -> String {
--- a/crates/daemon/tests/system/harness.rs
+++ b/crates/daemon/tests/system/harness.rs
@@ -28,20 +28,6 @@
 /// Lines of each log that a failed test prints.
 const LOG_LINES: usize = 40;
 
-/// VM, zone and roles of a small deployment: `north` has two voters and a witness.
-pub(crate) const THREE: [(&str, &str, &str); 3] = [
-    ("north-1", "north", "control+ledger"),
-    ("north-2", "north", "control+ledger"),
-    ("south-1", "south", "control+ledger+witness:north"),
-];
-/// Two zones that both have two voters and a witness.
-pub(crate) const FOUR: [(&str, &str, &str); 4] = [
-    ("north-1", "north", "control+ledger+witness:south"),
-    ("north-2", "north", "control+ledger"),
-    ("south-1", "south", "control+ledger+witness:north"),
-    ("south-2", "south", "ledger"),
-];
-
 /// One VM and, while it runs, its process.
 pub(crate) struct Vm {
     pub(crate) name: String,
--- a/crates/daemon/tests/system/leader.rs
+++ b/crates/daemon/tests/system/leader.rs
@@ -8,8 +8,9 @@
 use greengage_standin::{Answer, Caller, Job, Target};
 use rustix::process::Signal;
 
-use crate::harness::{System, THREE};
+use crate::harness::System;
 use crate::work::{assert_agreed, job, load, SetOnDrop, LIMIT};
+use crate::THREE;
 
 const NORTH: &str = "ledger-north";
 /// Waits until a VM that was restarted has all that is committed.
@@ -166,7 +167,7 @@
 /// Measures the time without service for new submissions over 20 single kills. Run with
 /// `cargo test -p greengageproxy --test system -- --ignored --nocapture measure_leader_loss`.
 #[test]
-#[ignore = "a measurement of about two minutes"]
+#[ignore = "a measurement of about a minute"]
 fn measure_leader_loss() {
     let mut gaps = kill_leaders(30);
     assert_eq!(gaps.len(), 20);
--- a/crates/daemon/tests/system/network.rs
+++ b/crates/daemon/tests/system/network.rs
@@ -7,9 +7,10 @@
 use greengage_standin::{Answer, Caller, Job, Target};
 use serde_json::json;
 
-use crate::harness::{System, ACCOUNT, FOUR, STEP, TEMPLATE};
+use crate::harness::{System, ACCOUNT, STEP, TEMPLATE};
 use crate::relay::{TcpRelay, Way};
 use crate::work::{assert_agreed, assert_starts, assert_whole, job, load, SetOnDrop};
+use crate::FOUR;
 
 /// After a cut is healed, every VM has the same revision within this time.
 const HEALED: Duration = Duration::from_secs(6);
--- a/crates/daemon/tests/system/serve.rs
+++ b/crates/daemon/tests/system/serve.rs
@@ -8,8 +8,9 @@
 use greengage_standin::{Answer, Caller, CallerError, Job, Target};
 use rustix::process::Signal;
 
-use crate::harness::{System, FOUR, STEP, THREE};
+use crate::harness::{System, STEP};
 use crate::work::{assert_starts, assert_whole, job, SetOnDrop};
+use crate::{FOUR, THREE};
 
 const JOBS: usize = 1_000;
 const CALLERS: usize = 16;
--- a/crates/daemon/tests/system/settings.rs
+++ b/crates/daemon/tests/system/settings.rs
@@ -7,7 +7,8 @@
 
 use greengage_transport::keys::make_authority;
 
-use crate::harness::{save_keys, System, THREE};
+use crate::harness::{save_keys, System};
+use crate::THREE;
 
 /// A VM with wrong settings ends within this time.
 const STEP: Duration = Duration::from_secs(2);
--- a/crates/daemon/tests/system/targets.rs
+++ b/crates/daemon/tests/system/targets.rs
@@ -5,8 +5,9 @@
 
 use greengage_standin::{Answer, Behaviour, Job, Target};
 
-use crate::harness::{System, STEP, THREE};
+use crate::harness::{System, STEP};
 use crate::work::{assert_starts, assert_whole, job, LIMIT};
+use crate::THREE;
 
 const JOBS: usize = 120;
 
