--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -20,6 +20,8 @@
 /// How much longer than its caller waits a request is kept, so that a new leader can be elected
 /// before the outcome counts as unknown.
 const PATIENCE: Duration = Duration::from_secs(5);
+/// Most doublings of the time after which a silent request is sent again.
+const RESEND_DOUBLINGS: u32 = 3;
 /// Between two looks for a VM that decides, when none is known.
 const LOOK_AGAIN: Duration = Duration::from_millis(50);
 
@@ -172,14 +174,15 @@
     /// Sends a request to the VM that decides it.
     fn route(&mut self, id: RequestId) {
         let now = self.now.time;
-        let Some(caller) = self.callers.get_mut(&id) else {
+        let Some(caller) = self.callers.get(&id) else {
             return;
         };
         let wait = caller.until.since(now);
         let request = caller.request.clone();
+        let resend = self.resend_after(caller.tries + 1);
         let (place, retry) = match self.decider(&request) {
             Some(vm) if vm == self.site.vm => (Place::Here, None),
-            Some(vm) => (Place::Sent(vm, now), Some(self.site.limits.resend)),
+            Some(vm) => (Place::Sent(vm, now), Some(resend)),
             None => (Place::Nowhere, Some(LOOK_AGAIN)),
         };
         let caller = self.callers.get_mut(&id).expect("looked up above");
@@ -410,6 +413,13 @@
         }
     }
 
+    /// How long a request that was sent `tries` times may go unanswered: doubled each time, since
+    /// most requests that are silent for long wait for a long task.
+    fn resend_after(&self, tries: u32) -> Duration {
+        let doublings = tries.saturating_sub(1).min(RESEND_DOUBLINGS);
+        self.site.limits.resend * 2u32.pow(doublings)
+    }
+
     fn retry(&mut self, id: RequestId) {
         let Some(caller) = self.callers.get(&id) else {
             return;
@@ -417,7 +427,7 @@
         let silent = match &caller.at {
             Place::Nowhere => true,
             Place::Here => false,
-            Place::Sent(_, since) => self.now.time.since(*since) >= self.site.limits.resend,
+            Place::Sent(_, since) => self.now.time.since(*since) >= self.resend_after(caller.tries),
         };
         if silent {
             self.route(id);
--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -617,6 +617,16 @@
         }
     }
 
+    /// Whether a task of the job that starts now would end after the deadline.
+    fn is_hopeless(&self, now: Time, id: JobId) -> bool {
+        let entry = self.jobs.get(id);
+        let needed = match self.tuning.admission {
+            true => self.expected(entry.work, entry.declared),
+            false => 0,
+        };
+        entry.deadline <= now + Duration::from_micros(needed)
+    }
+
     /// Starts tasks of the touched shapes while there is room.
     fn schedule(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let touched = std::mem::take(&mut self.touched);
@@ -625,7 +635,7 @@
             let Some(id) = self.fair.next(now, &touched, open) else {
                 break;
             };
-            if self.jobs.get(id).deadline <= now {
+            if self.is_hopeless(now, id) {
                 self.expire(now, id, effects);
             } else if !self.start(now, id, effects) {
                 debug_assert!(false, "a shape has room but no target");
@@ -743,7 +753,7 @@
         let mut batch = Vec::new();
         let touched = std::mem::take(&mut self.touched);
         while let Some(id) = self.fair.next(now, &touched, |s| self.begin_wait(s)) {
-            if self.jobs.get(id).deadline <= now {
+            if self.is_hopeless(now, id) {
                 self.expire(now, id, effects);
                 continue;
             }
--- a/crates/dispatch/src/event.rs
+++ b/crates/dispatch/src/event.rs
@@ -280,7 +280,9 @@
             limits: Limits {
                 tasks: 1_000_000,
                 bytes: 512 << 20,
-                overtake: Duration::from_secs(2),
+                // Less than the usual deadlines would turn a crest into oldest first, which starts
+                // the jobs that are nearest to missing their deadline.
+                overtake: Duration::from_secs(10),
             },
         }
     }
--- a/crates/dispatch/tests/lifecycle.rs
+++ b/crates/dispatch/tests/lifecycle.rs
@@ -242,3 +242,18 @@
     assert_eq!(bench.dispatch.wake(), None);
     assert_eq!(bench.dispatch.jobs(), 0);
 }
+
+/// Guards against starts of tasks that can't end before the deadline: they take slots from work
+/// that still can.
+#[test]
+fn a_task_that_would_end_late_is_not_started() {
+    let mut bench = Bench::new(Tuning::default());
+    bench.executor("t1", 1, &["w"]);
+    bench.submit("a", "w", 1, RECORDED);
+    bench.due = 180;
+    bench.submit("a", "w", 1, RECORDED);
+    bench.now = 100;
+    let shown = bench.done("1/0#1", 100);
+    let expected = "failed 2: the deadline passed, not run: submit again with a new id";
+    assert_eq!(shown, ["complete 1", expected]);
+}
--- a/crates/dispatch/tests/placement.rs
+++ b/crates/dispatch/tests/placement.rs
@@ -224,6 +224,7 @@
         bench.done(&format!("1/{task}#1"), 20);
     }
     bench.now = 10;
+    bench.due = 20_000;
     assert_eq!(long_starts(&mut bench, 6), 4);
     let starts = ["10000 ms: start 2/4#1 on t1", "10000 ms: start 2/5#1 on t1"];
     let shown = bench.run_to(10_009);
