--- a/crates/control/tests/cluster/main.rs
+++ b/crates/control/tests/cluster/main.rs
@@ -1039,6 +1039,17 @@
         if self.vms[vm].frozen {
             self.note(|| format!("vm {vm} continues"));
             self.vms[vm].frozen = false;
+            // What was submitted elsewhere meanwhile is asked of a VM that may believe to lead.
+            let recent: Vec<JobKey> = self
+                .submitted
+                .iter()
+                .rev()
+                .take(20)
+                .map(|s| s.0.clone())
+                .collect();
+            for key in recent {
+                self.request(vm, Ask::Outcome(key.clone()), Request::Outcome(key));
+            }
             for item in std::mem::take(&mut self.vms[vm].held) {
                 self.at(0, item);
             }
