Repair what the review of the control state listed

A read that is refused while leadership is being transferred left its callers waiting until their limit, if the transfer then failed. A failed disk left callers of edits at this VM behind. Requests of VMs with very long names shared one id.

Change: a refused read is asked again; a failed disk sends callers of edits and of the zone on; names of VMs are limited to 64 bytes.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -384,11 +384,13 @@
         }
         self.disk_failed = true;
         self.record("the disk failed; this VM votes and leads no more");
+        self.drop_edits();
         self.control = None;
         self.ledgers.clear();
         self.end_zone();
         self.put_in_force(self.accepted.snapshot());
         self.report();
+        self.reroute();
     }
 
     pub(crate) fn record(&mut self, what: &str) {
--- a/crates/control/src/ledgers.rs
+++ b/crates/control/src/ledgers.rs
@@ -212,7 +212,11 @@
         };
         let (ticket, effects) = group.replica.read(now);
         if let Some(zone) = &mut self.zone {
-            zone.reading(ticket);
+            match refused(ticket, &effects) {
+                None => zone.reading(ticket),
+                // Leadership is being transferred; if that fails, this VM still has to answer.
+                Some(_) => zone.read_later(now),
+            }
         }
         self.drive_ledger(&name, effects);
     }
--- a/crates/control/src/site.rs
+++ b/crates/control/src/site.rs
@@ -7,6 +7,9 @@
 use greengage_core::{value, AccountName, Incarnation, Name, NodeId, SortedMap, VmName, ZoneName};
 use greengage_dispatch::Tuning;
 
+/// Longest name of a VM in bytes; ids of requests contain it and are names themselves.
+pub(crate) const VM_BYTES: usize = 64;
+
 /// What a VM does besides taking callers.
 #[value]
 #[derive(Default)]
@@ -104,6 +107,8 @@
 pub enum SiteError {
     /// This VM isn't in the list of VMs.
     Absent(VmName),
+    /// A VM's name is too long.
+    LongName(VmName),
     /// No VM votes in the control group.
     NoControl,
     /// No VM votes in the ledger group of a zone.
@@ -128,6 +133,9 @@
                     "VM {vm} is not in the list of VMs: add it or correct the name"
                 )
             }
+            SiteError::LongName(vm) => {
+                write!(f, "VM name {vm} has more than {VM_BYTES} bytes: shorten it")
+            }
             SiteError::NoControl => {
                 write!(
                     f,
@@ -159,6 +167,9 @@
             Some(own) => own,
             None => return Err(SiteError::Absent(self.vm.clone())),
         };
+        if let Some(vm) = self.vms.keys().find(|vm| vm.as_str().len() > VM_BYTES) {
+            return Err(SiteError::LongName(vm.clone()));
+        }
         if !self.vms.values().any(|spec| spec.roles.control) {
             return Err(SiteError::NoControl);
         }
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -177,6 +177,7 @@
     Recovery,
     Expire,
     Repropose,
+    Read,
 }
 
 /// Settings of a zone's leader.
@@ -331,6 +332,7 @@
                 Timer::Recovery => self.recovery_due(cx),
                 Timer::Expire => self.expire(cx),
                 Timer::Repropose => self.repropose(cx),
+                Timer::Read => cx.out.push(Output::Read),
             }
         }
         if self.dispatch.wake().is_some_and(|at| at <= cx.now.time) {
--- a/crates/control/src/zone/requests.rs
+++ b/crates/control/src/zone/requests.rs
@@ -314,6 +314,11 @@
         self.reading.push((ticket, replies));
     }
 
+    /// Asks for a read again after a pause.
+    pub(crate) fn read_later(&mut self, now: Time) {
+        self.timers.set(now + REPROPOSE_AFTER, Timer::Read);
+    }
+
     /// Gives the refusals that waited for a read.
     pub(crate) fn confirmed(&mut self, cx: &mut Cx<'_>, ticket: Ticket) {
         let Some(place) = self.reading.iter().position(|(t, _)| *t == ticket) else {
@@ -361,10 +366,11 @@
     // The life keeps a target's result of an earlier process's request from answering this one.
     let Origin { vm, life, id } = origin;
     let id = Name::new(&format!("single:{vm}:{life}:{id}"));
+    let id = id.expect("a verified site's VM names leave room");
     NewJob {
         account: request.account,
         zone: Some(zone.clone()),
-        id: id.unwrap_or_else(|_| Name::new("single").expect("a valid name")),
+        id,
         template: request.template,
         digest: request.digest,
         tasks: vec![request.task],
