--- a/crates/control/src/ledgers.rs
+++ b/crates/control/src/ledgers.rs
@@ -132,13 +132,7 @@
         };
         let targets = self.membership.targets();
         let seed = self.site.seed ^ term.0;
-        let mut cx = Cx {
-            now: self.now,
-            ledger: &group.ledger,
-            policy: &self.policy,
-            timeline: &mut self.timeline,
-            out: Vec::new(),
-        };
+        let mut cx = Cx::new(self.now, &group.ledger, &self.policy, &mut self.timeline);
         let zone = Zone::new(name.clone(), term, seed, limits, targets, &mut cx);
         let out = cx.out;
         self.zone = Some(zone);
@@ -166,13 +160,7 @@
     pub(crate) fn with_zone(&mut self, act: impl FnOnce(&mut Zone, &mut Cx<'_>)) {
         let Some(zone) = &mut self.zone else { return };
         let group = self.ledgers.get(&zone.name).expect("a leader is a member");
-        let mut cx = Cx {
-            now: self.now,
-            ledger: &group.ledger,
-            policy: &self.policy,
-            timeline: &mut self.timeline,
-            out: Vec::new(),
-        };
+        let mut cx = Cx::new(self.now, &group.ledger, &self.policy, &mut self.timeline);
         act(zone, &mut cx);
         let out = cx.out;
         self.zone_outputs(out);
--- a/crates/control/src/zone/attempts.rs
+++ b/crates/control/src/zone/attempts.rs
@@ -1,6 +1,12 @@
 //! The dispatcher's effects, calls to targets and what is concluded from their answers.
 
-use super::*;
+use greengage_core::{AttemptId, JobKey, JobNumber, Outcome, Payload, TargetName, Time};
+use greengage_dispatch as dispatch;
+use greengage_dispatch::{Attempt, Settled};
+use greengage_ledger::Command;
+
+use super::{Cx, Flight, Live, LiveStage, Output, Phase, Timer, Zone, TOKEN_BITS};
+use crate::call::{Action, Call, Seen, Start, State};
 
 impl Zone {
     pub(crate) fn dispatch_step(&mut self, cx: &mut Cx<'_>, event: dispatch::Event) {
--- a/crates/control/src/zone/commands.rs
+++ b/crates/control/src/zone/commands.rs
@@ -1,6 +1,14 @@
 //! Commands of the ledger: their proposal in order, and what follows when one is applied.
 
-use super::*;
+use std::sync::Arc;
+
+use greengage_core::{JobKey, JobNumber, Outcome, Time, Wall};
+use greengage_dispatch as dispatch;
+use greengage_dispatch::Mode;
+use greengage_ledger::{Applied, Command, Stage};
+
+use super::{Cx, LiveStage, Timer, Zone, EXPIRE_AGAIN, EXPIRE_EVERY, REPROPOSE_AFTER};
+use crate::api::Reply;
 
 impl Zone {
     /// Proposes a command behind all that were refused and wait.
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -25,20 +25,19 @@
 
 use greengage_agreement::Ticket;
 use greengage_core::{
-    AttemptId, Capacity, Demand, Digest, Failure, Incarnation, JobKey, JobNumber, Name, Outcome,
-    Payload, Refusal, RequestId, Revision, SortedMap, TargetName, Term, Time, VmName, Wall,
-    ZoneName,
+    AttemptId, Digest, Incarnation, JobKey, JobNumber, Name, Payload, RequestId, Revision,
+    SortedMap, TargetName, Term, Time, VmName, Wall, ZoneName,
 };
 use greengage_dispatch as dispatch;
-use greengage_dispatch::{Admission, Attempt, Dispatch, Job, Mode, Settled};
-use greengage_ledger::{Applied, Command, Ledger, Stage, Submission};
+use greengage_dispatch::{Attempt, Dispatch, Job};
+use greengage_ledger::{Command, Ledger, Submission};
 use greengage_membership as membership;
 use greengage_membership::{Announcement, Standing};
-use greengage_policy::{ParamValue, Policy, Resolved};
+use greengage_policy::{ParamValue, Policy};
 use greengage_timeline::Timeline;
 
-use crate::api::{ApiError, NewJob, NewRequest, Progress, Reply};
-use crate::call::{Action, Call, Seen, Start, State};
+use crate::api::Reply;
+use crate::call::Call;
 use crate::message::Now;
 use crate::timers::Timers;
 
@@ -82,7 +81,22 @@
     pub(crate) out: Vec<Output>,
 }
 
-impl Cx<'_> {
+impl<'a> Cx<'a> {
+    pub(crate) fn new(
+        now: Now,
+        ledger: &'a Ledger,
+        policy: &'a Policy,
+        timeline: &'a mut Timeline,
+    ) -> Cx<'a> {
+        Cx {
+            now,
+            ledger,
+            policy,
+            timeline,
+            out: Vec::new(),
+        }
+    }
+
     pub(crate) fn propose(&mut self, command: Command) {
         self.out.push(Output::Propose(command));
     }
--- a/crates/control/src/zone/requests.rs
+++ b/crates/control/src/zone/requests.rs
@@ -1,7 +1,21 @@
 //! Requests of callers: submissions, single requests, outcomes, cancellation; callers that wait;
 //! refusals, which are given only after a read of the ledger is confirmed.
 
-use super::*;
+use std::sync::Arc;
+use std::time::Duration;
+
+use greengage_agreement::Ticket;
+use greengage_core::{
+    Digest, Failure, JobKey, JobNumber, Name, Outcome, Refusal, Time, Wall, ZoneName,
+};
+use greengage_dispatch as dispatch;
+use greengage_dispatch::{Admission, Job, Mode};
+use greengage_ledger::{Command, Stage, Submission};
+use greengage_policy::Resolved;
+
+use super::{Cx, Live, LiveStage, Origin, Output, Timer, Waiter, Zone, REPROPOSE_AFTER};
+use crate::api::{ApiError, NewJob, NewRequest, Progress, Reply};
+use crate::message::Now;
 
 impl Zone {
     /// Accepts, refuses or recognises a submission.
--- a/crates/control/src/zone/targets.rs
+++ b/crates/control/src/zone/targets.rs
@@ -1,6 +1,16 @@
 //! Targets: registration, fences, standing and loss.
 
-use super::*;
+use std::collections::BTreeSet;
+
+use greengage_core::{AttemptId, Capacity, Demand, Incarnation, TargetName, Time};
+use greengage_dispatch as dispatch;
+use greengage_dispatch::Settled;
+use greengage_ledger::Command;
+use greengage_membership as membership;
+use greengage_membership::{Announcement, Standing};
+
+use super::{Cx, Member, Phase, Timer, Zone};
+use crate::call::{Action, Seen, State};
 
 /// Connections of an executor that are left for stops, fences and calls on new connections.
 const SPARE_CONNECTIONS: u32 = 4;
--- /dev/null
+++ b/crates/control/tests/cluster/faults.rs
@@ -0,0 +1,218 @@
+//! Faults: crashes, partitions, freezes, lost disks and their repair.
+
+use super::*;
+
+impl World {
+    pub(crate) fn fault(&mut self) {
+        let vm = self.rng.random_range(0..self.vms.len());
+        let target = self.rng.random_range(0..self.targets.len());
+        let soon = self.rng.random_range(20 * MS..4 * S);
+        match self.rng.random_range(0..24) {
+            0..=3 => self.kill(target),
+            4..=7 => self.restart(target),
+            8..=9 => self.leave_target(target),
+            10 => {
+                let zone = self.targets[target].zone.clone();
+                let n = self.targets.len();
+                if n < 12 {
+                    self.targets.push(Target::new(n, zone, true));
+                    self.announce(n);
+                }
+            }
+            11..=13 if self.vms[vm].control.is_some() => {
+                self.crash(vm);
+                self.at(soon, Item::Start { vm });
+            }
+            14..=15 if self.vms[vm].up() => {
+                self.note(|| format!("vm {vm} freezes"));
+                self.vms[vm].frozen = true;
+                self.at(soon, Item::Thaw { vm });
+            }
+            16..=18 if self.cut.is_empty() => self.partition(vm),
+            19 => {
+                self.loss = *[0.0, 0.02, 0.1, 0.3].choose(&mut self.rng).unwrap();
+            }
+            20 => {
+                let shift = *[-7_200_000, -500, 0, 500, 7_200_000]
+                    .choose(&mut self.rng)
+                    .unwrap();
+                self.note(|| format!("vm {vm} clock shifted by {shift} ms"));
+                self.vms[vm].shift = shift;
+            }
+            21 if self.vms[vm].up() => {
+                self.note(|| format!("vm {vm} drains"));
+                self.vms[vm].draining = Some(self.now);
+                self.step(vm, Event::Drain);
+                self.at(DRAIN, Item::Thaw { vm });
+            }
+            22..=23 => self.lose_disk(vm),
+            _ => {}
+        }
+    }
+
+    /// Cuts a VM off, or a zone, in both directions or one.
+    pub(crate) fn partition(&mut self, vm: usize) {
+        let zone = self.vms[vm].site.zone().clone();
+        let whole = self.luck(0.5);
+        let inside = |v: &Vm<Item>| {
+            if whole {
+                *v.site.zone() == zone
+            } else {
+                v.site.vm == self.vms[vm].site.vm
+            }
+        };
+        let (ins, outs): (Vec<usize>, Vec<usize>) =
+            (0..self.vms.len()).partition(|v| inside(&self.vms[*v]));
+        let (to, from) = *[(true, true), (true, true), (true, false), (false, true)]
+            .choose(&mut self.rng)
+            .unwrap();
+        for (i, o) in ins.iter().flat_map(|i| outs.iter().map(move |o| (*i, *o))) {
+            if to {
+                self.cut.insert((i, o));
+            }
+            if from {
+                self.cut.insert((o, i));
+            }
+        }
+        if ins.len() == 1 && to && from {
+            self.alone.insert(vm, self.now);
+        }
+        self.note(|| format!("partition {:?}", self.cut));
+        let after = self.rng.random_range(100 * MS..6 * S);
+        self.at(after, Item::Mend);
+    }
+
+    /// Ends a freeze; a VM that has drained is started again.
+    pub(crate) fn thaw(&mut self, vm: usize) {
+        let ends = |since: &u64| self.now >= since + DRAIN;
+        if let Some(since) = self.vms[vm].draining.filter(ends) {
+            let calm = self.disturbed < since;
+            assert!(
+                !calm || self.vms[vm].drained,
+                "(7) vm {vm} drains since {since}"
+            );
+            self.crash(vm);
+            return self.start(vm);
+        }
+        if self.vms[vm].frozen {
+            self.note(|| format!("vm {vm} continues"));
+            self.vms[vm].frozen = false;
+            // What was submitted elsewhere meanwhile is asked of a VM that may believe to lead.
+            let recent: Vec<JobKey> = self
+                .submitted
+                .iter()
+                .rev()
+                .take(20)
+                .map(|s| s.0.clone())
+                .collect();
+            for key in recent {
+                self.request(vm, Ask::Outcome(key.clone()), Request::Outcome(key));
+            }
+            for item in std::mem::take(&mut self.vms[vm].held) {
+                self.at(0, item);
+            }
+        }
+    }
+
+    /// Replaces a VM's disk by an empty one, at most one at a time and none that is the only copy.
+    pub(crate) fn lose_disk(&mut self, vm: usize) {
+        let site = &self.vms[vm].site;
+        let zone = site.zone().clone();
+        let voters = site
+            .vms
+            .values()
+            .filter(|spec| spec.roles.ledger && spec.zone == zone)
+            .count();
+        let controls = site.vms.values().filter(|spec| spec.roles.control).count();
+        let roles = site.roles().clone();
+        let only = roles.ledger && voters < 2 || roles.control && controls < 3;
+        if self.repair.is_some() || site.folder.is_none() || only || self.vms[vm].control.is_none()
+        {
+            return;
+        }
+        self.note(|| format!("vm {vm} loses its disk"));
+        if self.luck(0.3) && self.vms[vm].up() {
+            self.vms[vm].disk.failed = true;
+            self.step(vm, Event::DiskFailed);
+        }
+        self.counter += 1;
+        let folder = 1000 + self.counter;
+        let old = self.vms[vm].site.node();
+        let new = NodeId {
+            vm: old.vm.clone(),
+            folder,
+        };
+        let mut groups = Vec::new();
+        groups.extend(roles.control.then_some((Group::Control, Seat::Voter)));
+        groups.extend(roles.ledger.then_some((Group::Ledger(zone), Seat::Voter)));
+        groups.extend(
+            roles
+                .witness
+                .into_iter()
+                .map(|zone| (Group::Ledger(zone), Seat::Witness)),
+        );
+        let changes = groups.into_iter().flat_map(|(group, seat)| {
+            let promote = Change::Promote {
+                node: new.clone(),
+                seat,
+            };
+            let changes = [
+                Change::Remove(old.clone()),
+                Change::AddLearner(new.clone()),
+                promote,
+            ];
+            changes.map(|change| (group.clone(), change))
+        });
+        self.repair = Some(Repair {
+            changes: changes.collect(),
+            asked: None,
+        });
+        let delay = self.rng.random_range(MS..3 * S);
+        self.at(delay, Item::Repair);
+        self.crash(vm);
+        self.vms[vm].site.folder = Some(folder);
+        self.vms[vm].disk = Disk::new(&self.vms[vm].site);
+        self.revisions[vm] = Revision(0);
+        self.at(delay / 2, Item::Start { vm });
+    }
+
+    pub(crate) fn repair_step(&mut self) {
+        let Some(repair) = &self.repair else { return };
+        let (asked, next) = (repair.asked, repair.changes.first().cloned());
+        self.at(300 * MS, Item::Repair);
+        if asked.is_some_and(|key| self.open.contains_key(&key)) {
+            return;
+        }
+        let Some((group, change)) = next else {
+            self.repair = None;
+            return;
+        };
+        if let Some(vm) = self.any_vm(None) {
+            let asked = self.request(vm, Ask::Change, Request::Change { group, change });
+            if let Some(repair) = &mut self.repair {
+                repair.asked = asked.filter(|key| self.open.contains_key(key));
+            }
+        }
+    }
+
+    pub(crate) fn changed(&mut self, reply: &Reply) {
+        let Some(repair) = &mut self.repair else {
+            return;
+        };
+        let Some((_, change)) = repair.changes.first() else {
+            return;
+        };
+        let error = match reply {
+            Reply::Error(ApiError::Change(error)) => Some(error),
+            _ => None,
+        };
+        let done = match change {
+            Change::Remove(_) => matches!(error, Some(ChangeError::Unknown(_))),
+            _ => matches!(error, Some(ChangeError::Present(_))),
+        };
+        let done = done || matches!(reply, Reply::Changed(_));
+        if done {
+            repair.changes.remove(0);
+        }
+    }
+}
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -1,7 +1,7 @@
 //! HTTP requests to VMs.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eyre::{eyre, Report, WrapErr};
 use serde_json::Value;
@@ -113,3 +113,24 @@
         self.first("GET", path, None)?.success()
     }
 }
+
+/// Between two looks at something that is awaited.
+const LOOK_AGAIN: Duration = Duration::from_millis(20);
+
+/// Waits until `done` gives a value, for at most `limit`; `what` is named in the error.
+pub fn wait<T>(
+    what: &str,
+    limit: Duration,
+    mut done: impl FnMut() -> Result<Option<T>, Report>,
+) -> Result<T, Report> {
+    let until = Instant::now() + limit;
+    loop {
+        if let Some(value) = done()? {
+            return Ok(value);
+        }
+        if Instant::now() > until {
+            return Err(eyre!("{what}: not within {limit:?}"));
+        }
+        std::thread::sleep(LOOK_AGAIN);
+    }
+}
--- a/crates/ctl/src/load/site.rs
+++ b/crates/ctl/src/load/site.rs
@@ -10,29 +10,13 @@
 use super::drive::Site;
 use super::figures::Traffic;
 use super::scenario::{Form, Plan};
-use crate::client::Client;
+use crate::client::{wait, Client};
 
 /// How long the deployment may take for each step of the preparation.
 const STEP: Duration = Duration::from_secs(15);
-/// Between two looks at something that is awaited.
-const LOOK_AGAIN: Duration = Duration::from_millis(50);
 /// Round trips that are measured.
 const ROUND_TRIPS: usize = 200;
 
-/// Waits until `done` gives a value.
-fn wait<T>(what: &str, mut done: impl FnMut() -> Result<Option<T>, Report>) -> Result<T, Report> {
-    let until = Instant::now() + STEP;
-    loop {
-        if let Some(value) = done()? {
-            return Ok(value);
-        }
-        if Instant::now() > until {
-            return Err(eyre!("{what}: not within {STEP:?}"));
-        }
-        std::thread::sleep(LOOK_AGAIN);
-    }
-}
-
 /// The VMs in the order of `--entries`, their zones, and which of them lead.
 pub fn look(entries: &Client, admins: &Client, run: &str) -> Result<Site, Report> {
     let vms = admins.get("/v1/vms")?;
@@ -72,7 +56,7 @@
 pub fn leaders(admins: &Client, site: &Site) -> Result<Vec<usize>, Report> {
     let leader = |zone: &ZoneName| {
         let path = format!("/v1/groups/ledger-{zone}");
-        wait("a leader of each ledger group", || {
+        wait("a leader of each ledger group", STEP, || {
             for (number, address) in admins.addresses().iter().enumerate() {
                 let answer = admins.ask(*address, "GET", &path, None)?;
                 let leads = answer.body["role"] == "leader";
@@ -127,7 +111,7 @@
             put(path, from, content)?;
         }
     }
-    wait("the configuration in force on every VM", || {
+    wait("the configuration in force on every VM", STEP, || {
         for address in admins.addresses() {
             let answer = admins.ask(*address, "GET", "/v1/templates", None)?;
             if answer.body["revision"].as_u64() < Some(revision) {
@@ -140,7 +124,7 @@
 
 /// Waits until the VMs know all targets.
 pub fn wait_targets(admins: &Client, names: &[&str]) -> Result<(), Report> {
-    wait("all targets announced", || {
+    wait("all targets announced", STEP, || {
         let mut live = Vec::new();
         for address in admins.addresses() {
             let answer = admins.ask(*address, "GET", "/v1/targets", None)?;
--- a/crates/ctl/src/trial.rs
+++ b/crates/ctl/src/trial.rs
@@ -15,13 +15,11 @@
 use greengage_transport::keys::{issue, make_authority, Keys};
 use serde_json::{json, Value};
 
-use crate::client::Client;
+use crate::client::{wait, Client};
 use crate::timeline::Timeline;
 
 /// How long each step may take.
 const STEP: Duration = Duration::from_secs(8);
-/// Between two looks at something that is awaited.
-const LOOK_AGAIN: Duration = Duration::from_millis(20);
 /// VM, zone and roles.
 const VMS: [(&str, &str, &str); 3] = [
     ("north-1", "north", "control+ledger"),
@@ -129,26 +127,8 @@
         Ok(())
     }
 
-    /// Waits until `done` gives a value.
-    fn wait<T>(
-        &self,
-        what: &str,
-        mut done: impl FnMut() -> Result<Option<T>, Report>,
-    ) -> Result<T, Report> {
-        let until = Instant::now() + STEP;
-        loop {
-            if let Some(value) = done()? {
-                return Ok(value);
-            }
-            if Instant::now() > until {
-                return Err(eyre!("{what}: not within {STEP:?}"));
-            }
-            std::thread::sleep(LOOK_AGAIN);
-        }
-    }
-
     fn wait_ready(&self) -> Result<(), Report> {
-        self.wait("all VMs ready", || {
+        wait("all VMs ready", STEP, || {
             for address in self.admins.addresses() {
                 if self.admins.ask(*address, "GET", "/readyz", None)?.status != 200 {
                     return Ok(None);
@@ -159,7 +139,7 @@
     }
 
     fn wait_targets(&self) -> Result<(), Report> {
-        self.wait("targets announced", || {
+        wait("targets announced", STEP, || {
             for address in self.admins.addresses() {
                 let answer = self.admins.ask(*address, "GET", "/v1/targets", None)?;
                 let targets = answer.body["targets"].as_array().map_or(0, Vec::len);
@@ -189,7 +169,7 @@
 
     fn wait_revision(&self, revision: u64) -> Result<(), Report> {
         let since = Instant::now();
-        self.wait("revision in force on every VM", || {
+        wait("revision in force on every VM", STEP, || {
             for address in self.admins.addresses() {
                 let answer = self.admins.ask(*address, "GET", "/v1/templates", None)?;
                 if answer.body["revision"].as_u64() < Some(revision) {
