End a job whose target has forgotten its attempt

Cause: a target that answers a poll with 'unknown', without a new incarnation, was asked again each 200 ms for ever, and its slot stayed taken.

Change: 'unknown' is an observation of its own, and the attempt is lost.

--- a/crates/control/src/call.rs
+++ b/crates/control/src/call.rs
@@ -114,6 +114,8 @@
     },
     /// The target runs under another incarnation than the call names; it did nothing.
     Restarted,
+    /// The target doesn't know the attempt that it was asked about.
+    Forgotten,
     /// The answer to a fence.
     Fenced {
         /// The target's incarnation.
--- a/crates/control/src/zone/attempts.rs
+++ b/crates/control/src/zone/attempts.rs
@@ -196,6 +196,8 @@
                 self.poll_later(cx.now.time, token);
             }
             Seen::Restarted => self.settle(cx, token, lost_or_not_run(phase)),
+            // Only an attempt that was started is asked about, so the target has lost its memory.
+            Seen::Forgotten => self.settle(cx, token, Settled::Lost),
             Seen::Fenced { .. } => log::error!("call {token} was no fence but got its answer"),
         }
     }
--- a/crates/control/src/zone/targets.rs
+++ b/crates/control/src/zone/targets.rs
@@ -58,7 +58,8 @@
             | Seen::Broken { .. }
             | Seen::NotRun { .. }
             | Seen::Fenced { .. }
-            | Seen::Restarted => return None,
+            | Seen::Restarted
+            | Seen::Forgotten => return None,
         };
         Some((flight.target.clone(), result))
     }
--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -204,6 +204,7 @@
         Seen::NotRun { .. } => "not_run",
         Seen::Broken { .. } => "broken",
         Seen::Restarted => "restarted",
+        Seen::Forgotten => "forgotten",
         Seen::Fenced { .. } => "fenced",
     };
     metrics::counter!("greengage_target_calls_total", "seen" => what).increment(1);
@@ -465,6 +466,10 @@
     if status == 409 && answer.state == "restarted" {
         return Seen::Restarted;
     }
+    let poll = matches!(action, Action::Poll { .. });
+    if poll && status == 404 && answer.state == "unknown" {
+        return Seen::Forgotten;
+    }
     let start = matches!(action, Action::Start(_));
     if start && matches!(status, 409 | 429 | 503) && answer.state == "refused" {
         let reason = answer.reason.unwrap_or_else(|| "refused".to_string());
