Tidy the hot path of a zone's leader after a read of the change

Change: the time line takes the text by value; the target without room is built where it is used; the stop uses task(), so its line in the time line no longer repeats the key; one impl block. No other behaviour changes.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -344,9 +344,8 @@
             self.restore_policy(state.clone());
         }
     }
-}
 
-impl Control {
+    /// Carries out the effects of a step of the control group.
     pub(crate) fn drive_control(&mut self, effects: PolicyEffects) {
         for effect in effects {
             match effect {
--- a/crates/control/src/zone/attempts.rs
+++ b/crates/control/src/zone/attempts.rs
@@ -60,7 +60,7 @@
         cx.record(
             Some(&id.key),
             Some(&target),
-            &format!("start of {}", task(&id)),
+            format!("start of {}", task(&id)),
         );
         let token = self.next_token();
         self.track(token, attempt, id, &target, Phase::Starting);
@@ -73,7 +73,7 @@
         cx.record(
             Some(&id.key),
             Some(target),
-            &format!("adopted {}", task(&id)),
+            format!("adopted {}", task(&id)),
         );
         let token = self.next_token();
         self.track(token, attempt, id, target, Phase::Running);
@@ -116,7 +116,7 @@
         cx.record(
             Some(&attempt.key),
             Some(target),
-            &format!("stop of {attempt}"),
+            format!("stop of {}", task(&attempt)),
         );
         let token = self.next_token();
         self.call(cx, token, target, Action::Stop { attempt });
@@ -257,7 +257,7 @@
             Settled::Guard(_) => "ended by the guard",
         };
         let what = format!("{} {what}", task(&flight.id));
-        cx.record(Some(&flight.id.key), Some(&flight.target), &what);
+        cx.record(Some(&flight.id.key), Some(&flight.target), what);
         let attempt = flight.attempt;
         self.dispatch_step(cx, dispatch::Event::Settled { attempt, settled });
     }
@@ -271,6 +271,7 @@
         Phase::Running | Phase::Revoking => Settled::Lost,
     }
 }
+
 fn attempt_id(live: &Live, attempt: Attempt) -> AttemptId {
     AttemptId {
         key: live.key.clone(),
@@ -278,6 +279,7 @@
         number: attempt.number,
     }
 }
+
 /// An attempt as the time line names it beside its key.
 fn task(id: &AttemptId) -> String {
     format!("task {} attempt {}", id.task, id.number)
--- a/crates/control/src/zone/commands.rs
+++ b/crates/control/src/zone/commands.rs
@@ -137,7 +137,7 @@
             Outcome::Complete(_) => "closed: complete".to_string(),
             Outcome::Failed(failure) => format!("closed: {failure}"),
         };
-        cx.record(Some(key), None, &what);
+        cx.record(Some(key), None, what);
         if let Some(number) = self.keys.get(key).copied() {
             self.leave(number);
         }
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -105,10 +105,15 @@
         self.out.push(Output::Answer { origin, reply });
     }
 
-    pub(crate) fn record(&mut self, key: Option<&JobKey>, target: Option<&TargetName>, what: &str) {
+    pub(crate) fn record(
+        &mut self,
+        key: Option<&JobKey>,
+        target: Option<&TargetName>,
+        what: impl Into<String>,
+    ) {
         let wall = self.now.wall;
         self.timeline
-            .record(wall, key.cloned(), target.cloned(), what.to_string());
+            .record(wall, key.cloned(), target.cloned(), what);
     }
 }
 
--- a/crates/control/src/zone/targets.rs
+++ b/crates/control/src/zone/targets.rs
@@ -183,19 +183,13 @@
         };
         let standing = member.standing;
         let usage = announcement.usage;
-        // The dispatcher takes a new target as live. It gets room only once the standing is known,
-        // so that a target that is leaving isn't sent what waits.
-        let none = dispatch::TargetSpec {
-            capacity: match spec.capacity {
-                Capacity::Executor { connections, .. } => Capacity::Executor {
-                    slots: 0,
-                    connections,
-                },
-                Capacity::Worker(_) => Capacity::Worker(Demand::default()),
-            },
-            ..spec.clone()
-        };
         if first {
+            // The dispatcher takes a new target as live. It gets room only once the standing is
+            // known, so that a target that is leaving isn't sent what waits.
+            let none = dispatch::TargetSpec {
+                capacity: without_room(spec.capacity),
+                ..spec.clone()
+            };
             self.dispatch_step(cx, dispatch::Event::Target(none));
         }
         self.standing(cx, target, standing);
@@ -211,7 +205,7 @@
             return;
         };
         if member.standing != standing {
-            cx.record(None, Some(target), &format!("target is {standing:?}"));
+            cx.record(None, Some(target), format!("target is {standing:?}"));
         }
         member.standing = standing;
         if member.joined {
@@ -266,3 +260,14 @@
         Capacity::Worker(_) => capacity,
     }
 }
+
+/// The same kind of target, with room for nothing.
+fn without_room(capacity: Capacity) -> Capacity {
+    match capacity {
+        Capacity::Executor { connections, .. } => Capacity::Executor {
+            slots: 0,
+            connections,
+        },
+        Capacity::Worker(_) => Capacity::Worker(Demand::default()),
+    }
+}
