--- /dev/null
+++ b/crates/cluster/src/cluster.rs
@@ -0,0 +1,435 @@
+//! The composition.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use greengage_config as config;
+use greengage_config::{Document, Edited, Group};
+use greengage_core::{Address, NodeId, RequestId, SortedMap, Time, Version, VmName, Wall};
+use greengage_gossip::{Introduction, Member, Roster, Timing};
+use greengage_scheduler as scheduler;
+use greengage_scheduler::{Candidate, Peer, Reply, Scheduler, TargetReport};
+
+use crate::event::{Effect, Event, Outcome};
+use crate::message::Message;
+use crate::reports::Reports;
+use crate::shutdown::{Shutdown, Stage};
+
+/// Time between two looks at which VMs are live.
+const LIVE_EVERY: Duration = Duration::from_millis(100);
+/// Time between two copies of the configuration to a VM that lacks it.
+const COPY_EVERY: Duration = Duration::from_millis(300);
+/// The weight of a VM without one of its own.
+const WEIGHT: u32 = 100;
+/// When a caller may come back that a VM refuses because it shuts down: at once, at another VM.
+const ELSEWHERE_AFTER: Duration = Duration::from_secs(1);
+
+/// What a VM starts from.
+pub struct Setup {
+    /// This VM.
+    pub member: Member,
+    /// Its seeds.
+    pub seeds: Vec<Address>,
+    /// Time limits of the roster.
+    pub timing: Timing,
+    /// Its part in the control group, for control VMs.
+    pub group: Option<config::Setup>,
+    /// Its scheduler, for entry VMs.
+    pub scheduler: Option<scheduler::Setup>,
+    /// How long a shutdown may take.
+    pub grace: Duration,
+}
+
+/// What others ask about a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// Whether it takes new connections.
+    pub ready: bool,
+    /// How far its shutdown is.
+    pub stage: Stage,
+    /// The version of its configuration.
+    pub version: Option<Version>,
+    /// Targets that it owns.
+    pub owned: usize,
+    /// Targets that it knows.
+    pub targets: usize,
+    /// Other VMs that are live.
+    pub vms: usize,
+    /// Callers that wait.
+    pub callers: usize,
+    /// Whether it leads the control group.
+    pub leads: bool,
+}
+
+/// One VM.
+pub struct Cluster {
+    roster: Roster,
+    group: Option<Group>,
+    scheduler: Option<Scheduler>,
+    reports: Reports,
+    document: Option<Arc<Document>>,
+    shutdown: Shutdown,
+    grace: Duration,
+    live: Vec<VmName>,
+    review: Time,
+    /// When each VM was last sent the configuration.
+    copied: SortedMap<VmName, Time>,
+}
+
+impl Cluster {
+    /// A VM that knows only its seeds and what it had on disk.
+    pub fn new(now: Time, setup: Setup) -> Cluster {
+        let scheduler = setup.scheduler.map(|s| Scheduler::new(now, s));
+        let group = setup.group.map(Group::new);
+        let document = group.as_ref().and_then(|g| g.document().cloned());
+        Cluster {
+            roster: Roster::new(now, setup.member, setup.seeds, setup.timing),
+            group,
+            scheduler,
+            reports: Reports::new(now),
+            document,
+            shutdown: Shutdown::default(),
+            grace: setup.grace,
+            live: Vec::new(),
+            review: now,
+            copied: SortedMap::new(),
+        }
+    }
+
+    /// When `Event::Tick` is due.
+    pub fn wake(&self) -> Time {
+        let group = self.group.as_ref().map(Group::wake);
+        let scheduler = self.scheduler.as_ref().map(Scheduler::wake);
+        let wakes = [group, scheduler, self.reports.wake()];
+        let own = self.review.min(self.roster.wake());
+        wakes.into_iter().flatten().fold(own, Time::min)
+    }
+
+    /// What others ask about this VM.
+    pub fn standing(&mut self, now: Time) -> Standing {
+        let scheduler = self.scheduler.as_ref();
+        let callers = scheduler.map_or(0, Scheduler::callers);
+        let owned = scheduler.map_or(0, Scheduler::owned);
+        let targets = scheduler.map_or(0, Scheduler::known);
+        let leads = self.group.as_ref().is_some_and(Group::leads);
+        let stage = self.shutdown.stage(now, callers, owned > 0 || leads);
+        Standing {
+            ready: stage == Stage::Serving && self.document.is_some() && targets > 0,
+            stage,
+            version: self.document.as_ref().map(|d| d.version),
+            owned,
+            targets,
+            vms: self.live.len(),
+            callers,
+            leads,
+        }
+    }
+
+    /// Takes one event.
+    pub fn step(&mut self, now: Time, wall: Wall, event: Event) -> Vec<Effect> {
+        let mut out = Vec::new();
+        match event {
+            Event::Tick => self.tick(now, wall, &mut out),
+            Event::Receive { from, message } => self.receive(now, wall, from, message, &mut out),
+            Event::Saved(seq) => self.group(now, wall, config::Event::Saved(seq), &mut out),
+            Event::Work(event) => self.work(now, wall, event, &mut out),
+            Event::Report(report) => self.report(now, wall, report, &mut out),
+            Event::Left(target) => {
+                self.reports.remove(&target);
+                for to in self.entries(now) {
+                    let message = Message::Left(target.clone());
+                    out.push(Effect::Send { to, message });
+                }
+            }
+            Event::Put { request, document } => {
+                let event = config::Event::Edit { request, document };
+                self.ask_group(now, wall, request, event, &mut out);
+            }
+            Event::Get(request) => {
+                self.ask_group(now, wall, request, config::Event::Read(request), &mut out);
+            }
+            Event::Seeds(seeds) => self.roster.set_seeds(seeds),
+            Event::Leave => {
+                self.shutdown.begin(now, self.grace);
+                self.roster.leave(now);
+                self.group(now, wall, config::Event::Leave, &mut out);
+                self.work(now, wall, scheduler::Event::Leave, &mut out);
+            }
+        }
+        out
+    }
+
+    fn tick(&mut self, now: Time, wall: Wall, out: &mut Vec<Effect>) {
+        let version = self.document.as_ref().map(|d| d.version);
+        if now >= self.roster.wake() {
+            for send in self.roster.tick(now) {
+                let message = Message::Roster(send.message, version);
+                out.push(Effect::Send {
+                    to: send.to,
+                    message,
+                });
+            }
+        }
+        if now >= self.review {
+            self.review = now + LIVE_EVERY;
+            self.review_live(now, wall, out);
+        }
+        self.group(now, wall, config::Event::Tick, out);
+        self.work(now, wall, scheduler::Event::Tick, out);
+        self.pass_reports(now, out);
+    }
+
+    fn pass_reports(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let batch = self.reports.batch(now);
+        if batch.is_empty() {
+            return;
+        }
+        for to in self.entries(now) {
+            let message = Message::Reports(batch.clone());
+            out.push(Effect::Send { to, message });
+        }
+    }
+
+    /// The addresses of the other entry VMs that are live.
+    fn entries(&self, now: Time) -> Vec<Address> {
+        let live = self.roster.live(now).filter(|vm| vm.roles.entry);
+        live.map(|vm| vm.address.clone()).collect()
+    }
+
+    fn review_live(&mut self, now: Time, wall: Wall, out: &mut Vec<Effect>) {
+        let live: Vec<Member> = self.roster.live(now).cloned().collect();
+        let fresh = live.iter().filter(|vm| !self.live.contains(&vm.vm));
+        for vm in fresh.filter(|vm| vm.roles.entry) {
+            let recent = self.reports.recent(now);
+            if !recent.is_empty() {
+                out.push(Effect::Send {
+                    to: vm.address.clone(),
+                    message: Message::Reports(recent),
+                });
+            }
+        }
+        self.live = live.iter().map(|vm| vm.vm.clone()).collect();
+        let peers = live
+            .iter()
+            .filter(|vm| vm.roles.entry)
+            .map(|vm| Peer {
+                own: Candidate {
+                    vm: vm.vm.clone(),
+                    zone: vm.zone.clone(),
+                    weight: WEIGHT,
+                },
+                leaving: vm.leaving,
+            })
+            .collect();
+        self.work(now, wall, scheduler::Event::Peers(peers), out);
+    }
+
+    fn receive(
+        &mut self,
+        now: Time,
+        wall: Wall,
+        from: VmName,
+        message: Message,
+        out: &mut Vec<Effect>,
+    ) {
+        match message {
+            Message::Roster(introduction, version) => {
+                if let Introduction::Hello { member, .. } = &introduction {
+                    self.copy_configuration(now, member, version, out);
+                }
+                let own = self.document.as_ref().map(|d| d.version);
+                for send in self.roster.receive(now, introduction) {
+                    out.push(Effect::Send {
+                        to: send.to,
+                        message: Message::Roster(send.message, own),
+                    });
+                }
+            }
+            Message::Group { from, to, message } => {
+                if self.roster.own().node() == Some(to) {
+                    let message = *message;
+                    let event = config::Event::Receive { from, message };
+                    self.group(now, wall, event, out);
+                }
+            }
+            Message::Configuration(document) => self.adopt(now, wall, document, out),
+            Message::Reports(reports) => {
+                for report in reports {
+                    self.work(now, wall, scheduler::Event::Report(report), out);
+                }
+            }
+            Message::Left(target) => self.work(now, wall, scheduler::Event::Left(target), out),
+            Message::Work(message) => {
+                let event = scheduler::Event::Peer { from, message };
+                self.work(now, wall, event, out);
+            }
+        }
+    }
+
+    /// Sends the configuration to an entry VM that has an older one. One control VM of its zone
+    /// and the leader do so, so that a large document isn't sent by all at once.
+    fn copy_configuration(
+        &mut self,
+        now: Time,
+        member: &Member,
+        version: Option<Version>,
+        out: &mut Vec<Effect>,
+    ) {
+        let (Some(group), Some(document)) = (&self.group, &self.document) else {
+            return;
+        };
+        let near = member.zone == self.roster.own().zone || group.leads();
+        let older = version < Some(document.version) && member.roles.entry;
+        let last = self.copied.get(&member.vm);
+        if near && older && last.is_none_or(|at| now.since(*at) >= COPY_EVERY) {
+            self.copied.insert(member.vm.clone(), now);
+            out.push(Effect::Send {
+                to: member.address.clone(),
+                message: Message::Configuration(document.clone()),
+            });
+        }
+    }
+
+    /// Puts a committed configuration in force here, unless a newer one is.
+    fn adopt(&mut self, now: Time, wall: Wall, document: Arc<Document>, out: &mut Vec<Effect>) {
+        let version = self.document.as_ref().map(|d| d.version);
+        if Some(document.version) > version {
+            self.document = Some(document.clone());
+            self.work(now, wall, scheduler::Event::Configuration(document), out);
+        }
+    }
+
+    fn report(&mut self, now: Time, wall: Wall, report: TargetReport, out: &mut Vec<Effect>) {
+        self.work(now, wall, scheduler::Event::Report(report.clone()), out);
+        self.reports.add(now, report);
+        self.pass_reports(now, out);
+    }
+
+    /// Passes an operator's request to the group.
+    fn ask_group(
+        &mut self,
+        now: Time,
+        wall: Wall,
+        request: RequestId,
+        event: config::Event,
+        out: &mut Vec<Effect>,
+    ) {
+        if self.group.is_some() {
+            self.group(now, wall, event, out);
+        } else {
+            let outcome = Outcome::Unknown;
+            out.push(Effect::Answer { request, outcome });
+        }
+    }
+
+    fn group(&mut self, now: Time, wall: Wall, event: config::Event, out: &mut Vec<Effect>) {
+        let Some(group) = &mut self.group else {
+            return;
+        };
+        let peers: Vec<config::Peer> = self
+            .roster
+            .heard()
+            .filter_map(|(member, heard)| member.node().map(|node| config::Peer { node, heard }))
+            .collect();
+        for effect in group.step(now, event, &peers) {
+            match effect {
+                config::Effect::Save(save) => out.push(Effect::Save(save)),
+                config::Effect::Send { to, message } => self.send_group(to, message, out),
+                config::Effect::Edited { request, outcome } => {
+                    let outcome = match outcome {
+                        Edited::Accepted => Outcome::Accepted,
+                        Edited::Unknown => Outcome::Unknown,
+                    };
+                    out.push(Effect::Answer { request, outcome });
+                }
+                config::Effect::Read { request, document } => {
+                    let outcome = match document {
+                        Some(document) => Outcome::Configuration(document),
+                        None => Outcome::Unknown,
+                    };
+                    out.push(Effect::Answer { request, outcome });
+                }
+                config::Effect::Elsewhere { request, leader } => {
+                    let api = leader.and_then(|node| self.roster.member(&node.vm)?.api.clone());
+                    let outcome = api.map_or(Outcome::Unknown, Outcome::Elsewhere);
+                    out.push(Effect::Answer { request, outcome });
+                }
+                config::Effect::Changed(document) => self.changed(now, wall, document, out),
+            }
+            if self.group.is_none() {
+                return;
+            }
+        }
+    }
+
+    fn send_group(&self, to: NodeId, message: config::GroupMessage, out: &mut Vec<Effect>) {
+        let from = self.roster.own().node();
+        if let (Some(from), Some(member)) = (from, self.roster.member(&to.vm)) {
+            let address = member.address.clone();
+            let message = Message::Group {
+                from,
+                to,
+                message: Box::new(message),
+            };
+            out.push(Effect::Send {
+                to: address,
+                message,
+            });
+        }
+    }
+
+    /// Puts a newly applied configuration in force; the leader sends it to all entry VMs.
+    fn changed(&mut self, now: Time, wall: Wall, document: Arc<Document>, out: &mut Vec<Effect>) {
+        log::info!(event = "configuration-applied", version = document.version.0;
+            "a configuration is committed");
+        self.adopt(now, wall, document.clone(), out);
+        if self.group.as_ref().is_some_and(Group::leads) {
+            for to in self.entries(now) {
+                let message = Message::Configuration(document.clone());
+                out.push(Effect::Send { to, message });
+            }
+        }
+    }
+
+    fn work(&mut self, now: Time, wall: Wall, event: scheduler::Event, out: &mut Vec<Effect>) {
+        if let scheduler::Event::Submit(job) = &event {
+            if self.standing(now).stage == Stage::Closing {
+                let outcome = Outcome::Work(Reply::Refused {
+                    after: ELSEWHERE_AFTER,
+                });
+                let request = job.request;
+                return out.push(Effect::Answer { request, outcome });
+            }
+        }
+        let Some(scheduler) = &mut self.scheduler else {
+            return;
+        };
+        for effect in scheduler.step(now, wall, event) {
+            match effect {
+                scheduler::Effect::Answer { request, reply } => {
+                    let outcome = Outcome::Work(reply);
+                    out.push(Effect::Answer { request, outcome });
+                }
+                scheduler::Effect::Call {
+                    target,
+                    address,
+                    generation,
+                    call,
+                } => out.push(Effect::Call {
+                    target,
+                    address,
+                    generation,
+                    call,
+                }),
+                scheduler::Effect::Send { to, message } => {
+                    if let Some(member) = self.roster.member(&to) {
+                        out.push(Effect::Send {
+                            to: member.address.clone(),
+                            message: Message::Work(message),
+                        });
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/group.rs
@@ -0,0 +1,418 @@
+//! The agreement group that stores the configuration.
+//!
+//! An edit is answered once it is applied, which means that a majority has it on disk. A read is
+//! answered once a majority has confirmed that this node still leads. Edits and reads that arrive
+//! at a node that doesn't lead are sent on by the caller's means; this module only names the
+//! leader.
+
+use std::time::Duration;
+
+use greengage_agreement as agreement;
+use greengage_agreement::{
+    Config, Entry, EntryKind, HardState, Message, Raft, Role, Save, SaveSeq, Snapshot, Ticket,
+    Timing,
+};
+use greengage_core::{value, Index, NodeId, RequestId, SortedMap, Time};
+use std::sync::Arc;
+
+use crate::autopilot::{next_change, Peer};
+use crate::document::Document;
+use crate::state::{Edit, State};
+
+/// A message between members.
+pub type GroupMessage = Message<Edit, State>;
+/// What a member must make durable.
+pub type GroupSave = Save<Edit, State>;
+
+/// Applied entries after which the log is compacted. Each entry holds a whole document, up to some
+/// hundred kilobytes, and a data folder may have as little as 128 MB.
+pub const COMPACT_EVERY: u64 = 24;
+
+/// Time between two looks at the members.
+const REVIEW_EVERY: Duration = Duration::from_millis(200);
+
+/// How long an edit or a read may wait for the group.
+const ANSWER_WITHIN: Duration = Duration::from_millis(2500);
+
+/// What was found on disk.
+#[value]
+#[derive(Default)]
+pub struct Restored {
+    /// The hard state.
+    pub hard: HardState,
+    /// The snapshot.
+    pub snapshot: Option<Snapshot<State>>,
+    /// Entries after the snapshot.
+    pub entries: Vec<Entry<Edit>>,
+    /// The first members.
+    pub config: Config,
+}
+
+/// What a member starts from.
+pub struct Setup {
+    /// This VM and its data folder.
+    pub node: NodeId,
+    /// The durable state.
+    pub restored: Restored,
+    /// Time limits of the group.
+    pub timing: Timing,
+    /// Voters that the group is to have.
+    pub voters: usize,
+    /// Seed of the election timeouts.
+    pub seed: u64,
+    /// The present time.
+    pub now: Time,
+}
+
+/// How an edit ended.
+#[value(copy)]
+pub enum Edited {
+    /// The group has it, or a version at least as high.
+    Accepted,
+    /// Its outcome is unknown; it may be sent again.
+    Unknown,
+}
+
+/// An input.
+#[value]
+pub enum Event {
+    /// The time that `wake` named has come.
+    Tick,
+    /// A message of another member.
+    Receive {
+        /// The sender.
+        from: NodeId,
+        /// The message.
+        message: GroupMessage,
+    },
+    /// All saves up to this one are durable.
+    Saved(SaveSeq),
+    /// An operator's edit.
+    Edit {
+        /// The caller.
+        request: RequestId,
+        /// The document.
+        document: Arc<Document>,
+    },
+    /// An operator's read.
+    Read(RequestId),
+    /// Hand leadership to another member.
+    Leave,
+}
+
+/// An output.
+#[value]
+pub enum Effect {
+    /// Make this durable, then report `Event::Saved`.
+    Save(GroupSave),
+    /// Send a message.
+    Send {
+        /// The receiver.
+        to: NodeId,
+        /// The message.
+        message: GroupMessage,
+    },
+    /// An edit has ended.
+    Edited {
+        /// The caller.
+        request: RequestId,
+        /// The outcome.
+        outcome: Edited,
+    },
+    /// A read has ended: the document in force, `None` when the newest one isn't known for sure.
+    Read {
+        /// The caller.
+        request: RequestId,
+        /// The document.
+        document: Option<Arc<Document>>,
+    },
+    /// The caller of this request has to be sent to another member, if one is known.
+    Elsewhere {
+        /// The caller.
+        request: RequestId,
+        /// The leader.
+        leader: Option<NodeId>,
+    },
+    /// A newer document is in force.
+    Changed(Arc<Document>),
+}
+
+/// A caller that waits for the group.
+struct Waiting {
+    request: RequestId,
+    until: Time,
+    /// The index at which the answer is known; `None` until the group names it.
+    index: Option<Index>,
+    kind: WaitKind,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum WaitKind {
+    Edit,
+    Read,
+}
+
+/// One member.
+pub struct Group {
+    raft: Raft<Edit, State>,
+    node: NodeId,
+    state: State,
+    applied: Index,
+    compacted: Index,
+    voters: usize,
+    tickets: u64,
+    waiting: SortedMap<Ticket, Waiting>,
+    review: Time,
+}
+
+impl Group {
+    /// A member that starts from its durable state.
+    pub fn new(setup: Setup) -> Group {
+        let restored = setup.restored;
+        let (applied, state) = match &restored.snapshot {
+            Some(snapshot) => (snapshot.index, snapshot.state.clone()),
+            None => (Index(0), State::default()),
+        };
+        let raft = Raft::new(agreement::Setup {
+            node: setup.node.clone(),
+            config: restored.config,
+            hard: restored.hard,
+            snapshot: restored.snapshot,
+            entries: restored.entries,
+            timing: setup.timing,
+            seed: setup.seed,
+            now: setup.now,
+        });
+        Group {
+            raft,
+            node: setup.node,
+            state,
+            applied,
+            compacted: applied,
+            voters: setup.voters,
+            tickets: 0,
+            waiting: SortedMap::new(),
+            review: setup.now,
+        }
+    }
+
+    /// The document that this member has applied.
+    pub fn document(&self) -> Option<&Arc<Document>> {
+        self.state.0.as_ref()
+    }
+
+    /// Whether this member leads.
+    pub fn leads(&self) -> bool {
+        matches!(self.raft.status().role, Role::Leader)
+    }
+
+    /// The member's view of the group.
+    pub fn status(&self) -> agreement::Status {
+        self.raft.status()
+    }
+
+    /// When the next `Event::Tick` is due.
+    pub fn wake(&self) -> Time {
+        let waiting = self.waiting.values().map(|w| w.until).min();
+        let review = if self.leads() {
+            Some(self.review)
+        } else {
+            None
+        };
+        let wakes = [Some(self.raft.wake()), waiting, review];
+        wakes.into_iter().flatten().min().unwrap_or(Time(u64::MAX))
+    }
+
+    /// Takes one event; `peers` are the control VMs that are known.
+    pub fn step(&mut self, now: Time, event: Event, peers: &[Peer]) -> Vec<Effect> {
+        let mut out = Vec::new();
+        match event {
+            Event::Tick => self.tick(now, peers, &mut out),
+            Event::Receive { from, message } => {
+                self.raft(now, agreement::Event::Receive { from, message }, &mut out);
+            }
+            Event::Saved(seq) => self.raft(now, agreement::Event::Saved(seq), &mut out),
+            Event::Edit { request, document } => self.edit(now, request, document, &mut out),
+            Event::Read(request) => {
+                let ticket = self.wait(now, request, WaitKind::Read);
+                self.raft(now, agreement::Event::Read(ticket), &mut out);
+            }
+            Event::Leave => self.raft(now, agreement::Event::Transfer(None), &mut out),
+        }
+        self.compact(now, &mut out);
+        out
+    }
+
+    fn tick(&mut self, now: Time, peers: &[Peer], out: &mut Vec<Effect>) {
+        if now >= self.raft.wake() {
+            self.raft(now, agreement::Event::Tick, out);
+        }
+        let late: Vec<Ticket> = self
+            .waiting
+            .iter()
+            .filter(|(_, waiting)| now >= waiting.until)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in late {
+            self.give_up(ticket, out);
+        }
+        if now >= self.review && self.leads() {
+            self.review = now + REVIEW_EVERY;
+            let status = self.raft.status();
+            if let Some(change) = next_change(now, &status, &self.node, peers, self.voters) {
+                log::info!(event = "member-change", change:? = change; "membership change proposed");
+                self.tickets += 1;
+                let ticket = Ticket(self.tickets);
+                self.raft(now, agreement::Event::Change { ticket, change }, out);
+            }
+        }
+    }
+
+    fn wait(&mut self, now: Time, request: RequestId, kind: WaitKind) -> Ticket {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        let waiting = Waiting {
+            request,
+            until: now + ANSWER_WITHIN,
+            index: None,
+            kind,
+        };
+        self.waiting.insert(ticket, waiting);
+        ticket
+    }
+
+    fn edit(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        document: Arc<Document>,
+        out: &mut Vec<Effect>,
+    ) {
+        // What is applied is committed, so a version that is not higher has no effect for sure.
+        if Some(document.version) <= self.state.version() {
+            let outcome = Edited::Accepted;
+            out.push(Effect::Edited { request, outcome });
+            return;
+        }
+        let ticket = self.wait(now, request, WaitKind::Edit);
+        let command = Edit(document);
+        self.raft(now, agreement::Event::Propose { ticket, command }, out);
+    }
+
+    fn give_up(&mut self, ticket: Ticket, out: &mut Vec<Effect>) {
+        let Some(waiting) = self.waiting.remove(&ticket) else {
+            return;
+        };
+        let request = waiting.request;
+        out.push(match waiting.kind {
+            WaitKind::Edit => Effect::Edited {
+                request,
+                outcome: Edited::Unknown,
+            },
+            WaitKind::Read => Effect::Read {
+                request,
+                document: None,
+            },
+        });
+    }
+
+    /// Runs one event of the agreement and translates its effects.
+    fn raft(&mut self, now: Time, event: agreement::Event<Edit, State>, out: &mut Vec<Effect>) {
+        for effect in self.raft.step(now, event) {
+            match effect {
+                agreement::Effect::Save(save) => out.push(Effect::Save(save)),
+                agreement::Effect::Send { to, message } => out.push(Effect::Send { to, message }),
+                agreement::Effect::Apply(entries) => self.apply(entries, out),
+                agreement::Effect::Restore(snapshot) => {
+                    self.applied = snapshot.index;
+                    self.compacted = snapshot.index;
+                    self.state = snapshot.state;
+                    out.extend(self.state.0.clone().map(Effect::Changed));
+                }
+                agreement::Effect::Appended { ticket, index, .. }
+                | agreement::Effect::ReadReady { ticket, index } => {
+                    if let Some(waiting) = self.waiting.get_mut(&ticket) {
+                        waiting.index = Some(index);
+                    }
+                    self.answer(out);
+                }
+                agreement::Effect::Refused { ticket, reason } => self.refused(ticket, reason, out),
+                agreement::Effect::Role { role, term, leader } => {
+                    log::info!(event = "role", role:? = role, term = term.0, leader:? = leader;
+                        "the control group's role changed");
+                    if role != Role::Leader {
+                        self.step_down(out);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Ends edits whose entries may be replaced by another leader's.
+    fn step_down(&mut self, out: &mut Vec<Effect>) {
+        let tickets: Vec<Ticket> = self.waiting.keys().copied().collect();
+        for ticket in tickets {
+            self.give_up(ticket, out);
+        }
+    }
+
+    fn refused(&mut self, ticket: Ticket, reason: agreement::Refused, out: &mut Vec<Effect>) {
+        let Some(waiting) = self.waiting.remove(&ticket) else {
+            log::debug!(reason:? = reason; "a membership change was refused");
+            return;
+        };
+        let leader = match reason {
+            agreement::Refused::NotLeader { leader } => leader,
+            agreement::Refused::Transferring | agreement::Refused::Change(_) => None,
+        };
+        let request = waiting.request;
+        out.push(Effect::Elsewhere { request, leader });
+    }
+
+    fn apply(&mut self, entries: Vec<Entry<Edit>>, out: &mut Vec<Effect>) {
+        for entry in entries {
+            self.applied = entry.index;
+            if let EntryKind::Command(edit) = entry.kind {
+                let document = edit.0.clone();
+                if self.state.apply(edit) {
+                    out.push(Effect::Changed(document));
+                }
+            }
+        }
+        self.answer(out);
+    }
+
+    /// Answers the edits and reads whose index is applied.
+    fn answer(&mut self, out: &mut Vec<Effect>) {
+        let (applied, document) = (self.applied, self.state.0.clone());
+        self.waiting.retain(|_, waiting| {
+            let done = waiting.index.is_some_and(|index| index <= applied);
+            let request = waiting.request;
+            if done {
+                out.push(match waiting.kind {
+                    WaitKind::Edit => Effect::Edited {
+                        request,
+                        outcome: Edited::Accepted,
+                    },
+                    WaitKind::Read => Effect::Read {
+                        request,
+                        document: document.clone(),
+                    },
+                });
+            }
+            !done
+        });
+    }
+
+    fn compact(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if self.applied.0 < self.compacted.0 + COMPACT_EVERY {
+            return;
+        }
+        self.compacted = self.applied;
+        let event = agreement::Event::Compact {
+            index: self.applied,
+            state: self.state.clone(),
+        };
+        self.raft(now, event, out);
+    }
+}
--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -4,7 +4,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use clap::{Parser, ValueEnum};
+use clap::error::ErrorKind;
+use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
 use eyre::{eyre, Report, WrapErr};
 use greengage_core::VmName;
 use greengage_node::{parse_vms, Limits, Settings, Tuning};
@@ -27,9 +28,41 @@
     }
 }
 
+/// What the daemon does instead of serving the VM that the flags describe.
+#[derive(Clone, Copy, Debug, Subcommand)]
+pub(crate) enum Command {
+    /// Runs a VM of the users' platform, from the settings file that the platform names.
+    Platform,
+}
+
 /// The dispatcher daemon of one VM.
 #[derive(Debug, Parser)]
 #[command(name = "greengageproxy", version)]
+#[command(args_conflicts_with_subcommands = true, subcommand_negates_reqs = true)]
+pub(crate) struct CommandLine {
+    /// What to do instead.
+    #[command(subcommand)]
+    pub(crate) command: Option<Command>,
+
+    /// The flags of a VM.
+    #[command(flatten)]
+    pub(crate) args: Option<Args>,
+}
+
+impl CommandLine {
+    /// The flags of a VM; the process ends with a message where they are missing.
+    pub(crate) fn vm_args(self) -> Args {
+        let missing = "--vm, --vms and --keys are required, or the command `platform`";
+        self.args.unwrap_or_else(|| {
+            CommandLine::command()
+                .error(ErrorKind::MissingRequiredArgument, missing)
+                .exit()
+        })
+    }
+}
+
+/// The flags of a VM.
+#[derive(Debug, clap::Args)]
 pub(crate) struct Args {
     /// Name of this VM, as in --vms.
     #[arg(long, env = "GREENGAGE_VM")]
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -14,7 +14,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-use args::Args;
+use args::{Args, Command, CommandLine};
 
 /// Exit code for settings or files that can't be used.
 const EXIT_SETTINGS: u8 = 2;
@@ -22,7 +22,11 @@
 const EXIT_CUT_OFF: u8 = 3;
 
 fn main() -> ExitCode {
-    let args = Args::parse();
+    let line = CommandLine::parse();
+    if let Some(command) = line.command {
+        return run_command(command);
+    }
+    let args = line.vm_args();
     let level = env_logger::Env::new()
         .filter_or("GREENGAGE_LOG", "info")
         .write_style("GREENGAGE_LOG_STYLE");
@@ -40,6 +44,20 @@
     }
 }
 
+fn run_command(command: Command) -> ExitCode {
+    let result = match command {
+        Command::Platform => greengage_platform::run(),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("the process ends: {error:#}");
+            eprintln!("greengageproxy: {error:#}");
+            ExitCode::from(EXIT_SETTINGS)
+        }
+    }
+}
+
 /// Runs until the process is asked to end; returns the number of requests that were cut off.
 fn run(args: &Args) -> Result<usize, Report> {
     let settings = args.settings()?;
--- a/crates/listener/src/connection.rs
+++ b/crates/listener/src/connection.rs
@@ -7,7 +7,7 @@
 use crossbeam_channel::{Sender, TrySendError};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
-use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, LOCATION, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request as HttpRequest, Response, StatusCode};
@@ -17,7 +17,7 @@
 use tokio::task::LocalSet;
 
 use crate::stream::Stream;
-use crate::{Answer, Request, Responder, Shared, ARRIVING_UNIT};
+use crate::{Answer, Handler, Headers, Request, Responder, Shared, ARRIVING_UNIT};
 
 /// How long the thread waits after an accept that failed, as it does without free descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -156,17 +156,50 @@
         method: head.method.as_str().to_string(),
         path: head.uri.path().to_string(),
         query: head.uri.query().unwrap_or_default().to_string(),
+        headers: Headers(head.headers),
         body,
     };
     let (responder, answer) = oneshot::channel();
-    match shared.arrived.try_send((request, Responder(responder))) {
-        Ok(()) => {}
-        Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-            let message = "the VM is overloaded: send the request again with the same id";
-            return Ok(response((shared.refuse)(503, message)));
+    let responder = Responder(responder);
+    let mut watch = None;
+    match &shared.handler {
+        Handler::Pool(arrived) => match arrived.try_send((request, responder)) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                let message = "the VM is overloaded: send the request again with the same id";
+                return Ok(response((shared.refuse)(503, message)));
+            }
+        },
+        Handler::Direct(service) => {
+            let number = shared.numbers.fetch_add(1, Ordering::Relaxed);
+            service.call(number, request, responder);
+            watch = Some(Watch {
+                shared: shared.clone(),
+                number,
+                answered: false,
+            });
+        }
+    }
+    let answered = answer.await;
+    if let Some(watch) = &mut watch {
+        watch.answered = true;
+    }
+    answered.map(response).map_err(|_| NoAnswer)
+}
+
+/// Tells a service that the caller is gone, when dropped before the answer.
+struct Watch {
+    shared: Arc<Shared>,
+    number: u64,
+    answered: bool,
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if let (Handler::Direct(service), false) = (&self.shared.handler, self.answered) {
+            service.gone(self.number);
         }
     }
-    answer.await.map(response).map_err(|_| NoAnswer)
 }
 
 /// Why a body wasn't read.
@@ -219,13 +252,9 @@
 }
 
 /// A response after which the connection is closed, because the rest of the request is not read.
-fn last_response(answer: Answer) -> Response<Full<Bytes>> {
-    let mut response = response(answer);
-    let close = hyper::header::HeaderValue::from_static("close");
-    response
-        .headers_mut()
-        .insert(hyper::header::CONNECTION, close);
-    response
+fn last_response(mut answer: Answer) -> Response<Full<Bytes>> {
+    answer.last = true;
+    response(answer)
 }
 
 fn response(answer: Answer) -> Response<Full<Bytes>> {
@@ -235,6 +264,12 @@
     if let Some(ms) = answer.retry_ms {
         builder = builder.header(RETRY_AFTER, ms.div_ceil(1000));
     }
+    if let Some(location) = answer.location {
+        builder = builder.header(LOCATION, location);
+    }
+    if answer.last {
+        builder = builder.header(CONNECTION, "close");
+    }
     let body = Full::new(Bytes::from(answer.body));
     builder.body(body).expect("statuses and headers are valid")
 }
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -20,7 +20,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -112,6 +112,8 @@
     pub path: String,
     /// The query as sent, empty without one.
     pub query: String,
+    /// The headers.
+    pub headers: Headers,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -140,6 +142,17 @@
     Some(decoded.into_owned())
 }
 
+/// The headers of a request.
+#[derive(Clone, Debug, Default)]
+pub struct Headers(hyper::HeaderMap);
+
+impl Headers {
+    /// The value of a header, unless it is missing or not text.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.0.get(name)?.to_str().ok()
+    }
+}
+
 /// A response.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -149,6 +162,10 @@
     pub media: &'static str,
     /// For `Retry-After`, in milliseconds; rounded up to whole seconds.
     pub retry_ms: Option<u64>,
+    /// For `Location`.
+    pub location: Option<String>,
+    /// Whether the connection is closed after the answer.
+    pub last: bool,
     /// The body.
     pub body: Vec<u8>,
 }
@@ -160,6 +177,8 @@
             status,
             media: "application/json",
             retry_ms: None,
+            location: None,
+            last: false,
             body: body.into(),
         }
     }
@@ -179,6 +198,22 @@
 /// A request with its responder, on its way to a handler.
 type Arrived = (Request, Responder);
 
+/// Takes requests on the listener's own thread, so it must not block.
+pub trait Service: Send + Sync {
+    /// Takes a request; `number` is its number at this listener.
+    fn call(&self, number: u64, request: Request, responder: Responder);
+    /// The caller of a request that has no answer yet is gone.
+    fn gone(&self, number: u64);
+}
+
+/// Who takes the requests of a listener.
+enum Handler {
+    /// A pool of threads.
+    Pool(Sender<Arrived>),
+    /// The listener's own thread.
+    Direct(Box<dyn Service>),
+}
+
 /// A running listener; it ends when dropped, without an answer to requests that are still held.
 pub struct Listener {
     address: SocketAddr,
@@ -199,12 +234,11 @@
     refuse: fn(u16, &str) -> Answer,
     handler: impl Fn(Request, Responder) + Send + Sync + 'static,
 ) -> Result<Listener, ListenError> {
-    let failed = |cause| ListenError::Address { address, cause };
-    let socket = listen(address, &limits).map_err(failed)?;
-    let address = socket.local_addr().map_err(failed)?;
     let (arrived, requests) = bounded(limits.waiting);
+    let handlers = limits.handlers.max(1);
+    let listener = start_with(name, address, limits, refuse, Handler::Pool(arrived))?;
     let handler = Arc::new(handler);
-    for _ in 0..limits.handlers.max(1) {
+    for _ in 0..handlers {
         let handler = handler.clone();
         let requests: Receiver<Arrived> = requests.clone();
         thread::Builder::new()
@@ -216,6 +250,31 @@
             })
             .map_err(ListenError::Thread)?;
     }
+    Ok(listener)
+}
+
+/// Listens on `address` and passes each request to `service` on the listener's own thread, which
+/// spares a hand-over for services that only pass requests on.
+pub fn start_direct(
+    name: &str,
+    address: SocketAddr,
+    limits: Limits,
+    refuse: fn(u16, &str) -> Answer,
+    service: Box<dyn Service>,
+) -> Result<Listener, ListenError> {
+    start_with(name, address, limits, refuse, Handler::Direct(service))
+}
+
+fn start_with(
+    name: &str,
+    address: SocketAddr,
+    limits: Limits,
+    refuse: fn(u16, &str) -> Answer,
+    handler: Handler,
+) -> Result<Listener, ListenError> {
+    let failed = |cause| ListenError::Address { address, cause };
+    let socket = listen(address, &limits).map_err(failed)?;
+    let address = socket.local_addr().map_err(failed)?;
     let open = Arc::new(AtomicUsize::new(0));
     let (closing, closed) = watch::channel(false);
     let (stop, stopped) = bounded(0);
@@ -223,7 +282,8 @@
         arriving: Semaphore::new(limits.arriving_bytes / ARRIVING_UNIT),
         limits,
         refuse,
-        arrived,
+        handler,
+        numbers: AtomicU64::new(0),
         open: open.clone(),
     });
     let thread = thread::Builder::new()
@@ -274,7 +334,9 @@
 struct Shared {
     limits: Limits,
     refuse: fn(u16, &str) -> Answer,
-    arrived: Sender<Arrived>,
+    handler: Handler,
+    /// The number of the last request.
+    numbers: AtomicU64,
     open: Arc<AtomicUsize>,
     /// What is left of `Limits::arriving_bytes`, in units of `ARRIVING_UNIT`.
     arriving: Semaphore,
--- /dev/null
+++ b/crates/logs/src/line.rs
@@ -0,0 +1,37 @@
+//! The text of a line.
+
+use std::fmt::Write;
+use std::time::SystemTime;
+
+use log::kv::{Error, Key, Value, VisitSource};
+use log::Record;
+
+struct Pairs<'a>(&'a mut String);
+
+impl<'kvs> VisitSource<'kvs> for Pairs<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let text = value.to_string();
+        let plain = !text.is_empty() && !text.contains([' ', '"', '=', '\n']);
+        match plain {
+            true => write!(self.0, " {key}={text}")?,
+            false => write!(self.0, " {key}={text:?}")?,
+        }
+        Ok(())
+    }
+}
+
+/// One line, without the line feed.
+pub fn format_line(time: SystemTime, record: &Record<'_>) -> String {
+    let mut line = format!(
+        "{} {} {}",
+        humantime::format_rfc3339_millis(time),
+        record.level(),
+        record.target()
+    );
+    if let Err(error) = record.key_values().visit(&mut Pairs(&mut line)) {
+        // A value whose own formatting fails still leaves the line's message.
+        let _ = write!(line, " unformatted={error:?}");
+    }
+    let _ = write!(line, " {:?}", record.args().to_string());
+    line
+}
--- /dev/null
+++ b/crates/logs/src/sink.rs
@@ -0,0 +1,167 @@
+//! The queue, its limits and its writer.
+
+use std::fmt;
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::thread;
+use std::time::{Duration, Instant, SystemTime};
+
+use crossbeam_channel::{bounded, Receiver, Sender};
+use log::kv::Key;
+use log::{LevelFilter, Log, Metadata, Record};
+
+use crate::line::format_line;
+
+/// Bounds of a sink.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Lines that wait for the writer.
+    pub waiting: usize,
+    /// Lines of one kind in a second.
+    pub per_second: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            waiting: 4096,
+            per_second: 200,
+        }
+    }
+}
+
+/// Why logging can't be set up.
+#[derive(Debug)]
+pub enum LogError {
+    /// Another logger is in place.
+    Taken,
+    /// The writer's thread can't be created.
+    Thread(io::Error),
+}
+
+impl fmt::Display for LogError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LogError::Taken => write!(f, "another logger is in place: install only one"),
+            LogError::Thread(cause) => {
+                write!(f, "can't create a thread: {cause}; raise the process limit")
+            }
+        }
+    }
+}
+
+impl std::error::Error for LogError {}
+
+/// Lines of each kind in the present second.
+struct Rates {
+    second: Instant,
+    kinds: Vec<(String, u32)>,
+}
+
+/// A logger with a bounded queue.
+pub struct Sink {
+    limits: Limits,
+    level: LevelFilter,
+    lines: Sender<String>,
+    dropped: AtomicU64,
+    rates: Mutex<Rates>,
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+
+impl Sink {
+    /// A sink and the receiver of its lines.
+    pub fn new(level: LevelFilter, limits: Limits) -> (Sink, Receiver<String>) {
+        let (lines, written) = bounded(limits.waiting);
+        let rates = Rates {
+            second: Instant::now(),
+            kinds: Vec::new(),
+        };
+        let sink = Sink {
+            limits,
+            level,
+            lines,
+            dropped: AtomicU64::new(0),
+            rates: Mutex::new(rates),
+        };
+        (sink, written)
+    }
+
+    /// Whether a line of this kind is within its rate.
+    fn is_within(&self, kind: &str) -> bool {
+        let Ok(mut rates) = self.rates.lock() else {
+            return true;
+        };
+        if rates.second.elapsed() >= SECOND {
+            rates.second = Instant::now();
+            rates.kinds.clear();
+        }
+        let at = rates.kinds.binary_search_by(|(k, _)| k.as_str().cmp(kind));
+        let at = match at {
+            Ok(at) => at,
+            Err(at) => {
+                rates.kinds.insert(at, (kind.to_string(), 0));
+                at
+            }
+        };
+        rates.kinds[at].1 += 1;
+        rates.kinds[at].1 <= self.limits.per_second
+    }
+}
+
+impl Log for Sink {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.level() <= self.level
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let kind = record.key_values().get(Key::from_str("event"));
+        let kind = kind.map_or(record.target().to_string(), |kind| kind.to_string());
+        if !self.is_within(&kind) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        let mut line = format_line(SystemTime::now(), record);
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            line.push_str(&format!(" dropped_before={dropped}"));
+        }
+        if self.lines.try_send(line).is_err() {
+            self.dropped.fetch_add(dropped + 1, Ordering::Relaxed);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// Logs to standard output from now on.
+pub fn install(level: LevelFilter, limits: Limits) -> Result<(), LogError> {
+    let (sink, lines) = Sink::new(level, limits);
+    thread::Builder::new()
+        .name("logs".to_string())
+        .spawn(move || write_all(&lines))
+        .map_err(LogError::Thread)?;
+    log::set_boxed_logger(Box::new(sink)).map_err(|_| LogError::Taken)?;
+    log::set_max_level(level);
+    Ok(())
+}
+
+/// Writes lines, all that wait at once, until the sink is gone.
+fn write_all(lines: &Receiver<String>) {
+    let mut text = String::new();
+    for line in lines {
+        text.push_str(&line);
+        text.push('\n');
+        while let Ok(line) = lines.try_recv() {
+            text.push_str(&line);
+            text.push('\n');
+        }
+        // Nobody is left to tell when standard output is closed.
+        let _ = io::stdout().write_all(text.as_bytes());
+        text.clear();
+    }
+}
--- /dev/null
+++ b/crates/runtime/src/disk.rs
@@ -0,0 +1,141 @@
+//! The data folder of a control VM.
+//!
+//! The seeds of a new deployment prepare their folders as first voters, with the folder id 0. Any
+//! other empty folder gets a random id and so is a new node that has to be added. The first
+//! members are stored when the folder is made, since the seeds of later settings may differ.
+
+use std::num::NonZeroU64;
+
+use crossbeam_channel::{unbounded, Sender};
+use eyre::{Report, WrapErr};
+use greengage_agreement::{Config, Entry, SaveSeq, Seat};
+use greengage_config::{Edit, GroupSave, Restored};
+use greengage_core::{Address, Index, Name, NodeId, VmName};
+use greengage_journal as journal;
+use greengage_journal::{Batch, Journal, JournalError, RealDisk};
+use greengage_wire::{decode, encode};
+
+use crate::runtime::Input;
+use crate::settings::Settings;
+
+/// The journal's group of the configuration.
+const GROUP: &str = "configuration";
+/// The journal's group of the first members.
+const FIRST_GROUP: &str = "configuration-first";
+/// The length of a segment: a data folder may have as little as 128 MB.
+const SEGMENT_BYTES: u64 = 8 << 20;
+
+/// An open data folder.
+pub(crate) struct Folder {
+    pub(crate) node: NodeId,
+    pub(crate) restored: Restored,
+    pub(crate) journal: Journal,
+}
+
+/// The VM behind an address, which is named by its IP address.
+fn vm_of(address: &Address) -> Option<VmName> {
+    let ip = address.as_str().rsplit_once(':')?.0;
+    VmName::new(ip).ok()
+}
+
+fn first_members(settings: &Settings) -> Config {
+    let mut config = Config::default();
+    for vm in settings.seeds.iter().filter_map(vm_of) {
+        config.members.insert(NodeId { vm, folder: 0 }, Seat::Voter);
+    }
+    config
+}
+
+/// Opens the data folder and recovers what it holds.
+pub(crate) fn open(settings: &Settings, fresh: u64) -> Result<Option<Folder>, Report> {
+    let Some(path) = &settings.data else {
+        return Ok(None);
+    };
+    let seed = settings
+        .seeds
+        .iter()
+        .any(|seed| vm_of(seed).as_ref() == Some(&settings.vm));
+    if settings.first && seed {
+        match journal::init(&RealDisk, path, &settings.vm) {
+            Ok(_) | Err(JournalError::Initialized { .. }) => {}
+            Err(error) => return Err(error).wrap_err("cannot prepare the data folder"),
+        }
+    }
+    let journal_settings = journal::Settings {
+        folder: path.clone(),
+        vm: settings.vm.clone(),
+        fresh: NonZeroU64::new(fresh).unwrap_or(NonZeroU64::MIN),
+        segment_bytes: SEGMENT_BYTES,
+        sync_delay: std::time::Duration::ZERO,
+    };
+    let opened = Journal::open(Box::new(RealDisk), journal_settings);
+    let (mut journal, identity, mut recovered) = opened.wrap_err("cannot open the data folder")?;
+    let node = identity.node;
+    let found = recovered.remove(GROUP).unwrap_or_default();
+    let mut restored = Restored::default();
+    if let Some(bytes) = found.hard {
+        restored.hard = decode(&bytes)?;
+    }
+    if let Some((_, bytes)) = found.snapshot {
+        restored.snapshot = Some(decode(&bytes)?);
+    }
+    for (_, bytes) in found.entries {
+        restored.entries.push(decode::<Entry<Edit>>(&bytes)?);
+    }
+    restored.config = match recovered.remove(FIRST_GROUP).and_then(|f| f.snapshot) {
+        Some((_, bytes)) => decode(&bytes)?,
+        None => {
+            let first = match node.folder {
+                0 => first_members(settings),
+                _ => Config::default(),
+            };
+            let batch = Batch {
+                group: Name::new(FIRST_GROUP)?,
+                hard: None,
+                entries: Vec::new(),
+                snapshot: Some((Index(1), encode(&first))),
+                clear: false,
+            };
+            journal.write(&[batch])?;
+            first
+        }
+    };
+    Ok(Some(Folder {
+        node,
+        restored,
+        journal,
+    }))
+}
+
+/// What the group wants stored, as a batch of the journal.
+fn batch(group: &Name, save: &GroupSave) -> Batch {
+    let entries = save.entries.iter();
+    Batch {
+        group: group.clone(),
+        hard: save.hard.as_ref().map(encode),
+        clear: save.clear,
+        entries: entries.map(|e| (e.index, encode(e))).collect(),
+        snapshot: save.snapshot.as_ref().map(|s| (s.index, encode(s))),
+    }
+}
+
+/// Starts the disk's thread and returns the way to it; it ends when that is dropped.
+pub(crate) fn start(
+    journal: Journal,
+    events: Sender<Input>,
+) -> Result<impl FnMut(&GroupSave), Report> {
+    let (saves, batches) = unbounded::<(Batch, SaveSeq)>();
+    journal::start(journal, batches, move |done| {
+        let input = match done {
+            Ok(seq) => Input::Event(greengage_cluster::Event::Saved(seq)),
+            Err(error) => Input::DiskFailed(error.to_string()),
+        };
+        // The control thread is gone only when the process ends.
+        let _ = events.send(input);
+    })?;
+    let group = Name::new(GROUP)?;
+    Ok(move |save: &GroupSave| {
+        // A disk thread that has ended has reported its error.
+        let _ = saves.send((batch(&group, save), save.seq));
+    })
+}
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,15 @@
+//! Runs the control state of one VM: its control thread, its disk and its connections to others.
+//!
+//! The control thread owns the state. It waits on one channel until the next deadline and does no
+//! I/O; the mesh, the journal and whatever speaks to callers and targets have threads of their own
+//! and send it events. What callers and targets are told is the business of an [`Outside`], the
+//! only trait here.
+
+mod clock;
+mod disk;
+mod runtime;
+mod settings;
+
+pub use clock::Clock;
+pub use runtime::{run, Input, Outside};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/runtime/src/runtime.rs
@@ -0,0 +1,190 @@
+//! The control thread.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use eyre::{eyre, Report};
+use greengage_agreement::Timing;
+use greengage_cluster::{gossip, scheduler};
+use greengage_cluster::{Cluster, Effect, Event, Message, Outcome, Setup, Stage, Standing};
+use greengage_config as config;
+use greengage_core::{Address, Incarnation, RequestId, TargetName};
+use greengage_mesh::Mesh;
+use greengage_wire::{decode, encode};
+
+use crate::clock::Clock;
+use crate::disk;
+use crate::settings::Settings;
+
+/// Time limits of the control group. A sync takes 9 ms, and a control VM has half a core, so
+/// heartbeats need not be closer; a leader that is lost is replaced within a second.
+const TIMING: Timing = Timing {
+    heartbeat: Duration::from_millis(90),
+    election: Duration::from_millis(400),
+    pre_vote: true,
+};
+
+/// Events that are taken before standing is reported again.
+const BATCH: usize = 256;
+
+/// Pause before the process ends because its disk has failed, so that restarts on a disk that
+/// stays full don't follow each other at once.
+const FAILED_PAUSE: Duration = Duration::from_millis(500);
+
+/// What reaches the control thread.
+#[derive(Debug)]
+pub enum Input {
+    /// An event.
+    Event(Event),
+    /// The disk takes no more writes.
+    DiskFailed(String),
+}
+
+/// What speaks to callers and targets.
+pub trait Outside {
+    /// Answers a caller.
+    fn answer(&mut self, request: RequestId, outcome: Outcome);
+    /// Calls a target.
+    fn call(
+        &mut self,
+        target: TargetName,
+        address: Address,
+        generation: u64,
+        call: scheduler::TargetCall,
+    );
+    /// Takes note of this VM's standing.
+    fn standing(&mut self, standing: &Standing);
+}
+
+fn setup(settings: &Settings, folder: Option<&mut disk::Folder>, clock: Clock) -> Setup {
+    let now = clock.now();
+    let node = folder.as_ref().map(|folder| folder.node.clone());
+    let member = gossip::Member {
+        vm: settings.vm.clone(),
+        zone: settings.zone.clone(),
+        address: Address(
+            greengage_core::Name::new(&settings.mesh.to_string()).expect("an address is a name"),
+        ),
+        api: settings.api.clone(),
+        life: Incarnation(clock.wall().0),
+        roles: gossip::Roles {
+            entry: settings.entry,
+            control: node.is_some(),
+        },
+        folder: node.as_ref().map(|node| node.folder),
+        leaving: false,
+    };
+    let group = folder.map(|folder| config::Setup {
+        node: folder.node.clone(),
+        restored: std::mem::take(&mut folder.restored),
+        timing: TIMING,
+        voters: settings.voters,
+        seed: rand::random(),
+        now,
+    });
+    let own = scheduler::Candidate {
+        vm: settings.vm.clone(),
+        zone: settings.zone.clone(),
+        weight: 100,
+    };
+    let scheduler = settings.entry.then_some(scheduler::Setup { own });
+    Setup {
+        member,
+        seeds: settings.seeds.clone(),
+        timing: gossip::Timing::default(),
+        group,
+        scheduler,
+        grace: settings.grace,
+    }
+}
+
+/// Runs a VM until it has shut down. `inputs` are what arrives at `inbox`.
+pub fn run(
+    settings: &Settings,
+    inputs: Sender<Input>,
+    inbox: &Receiver<Input>,
+    outside: &mut dyn Outside,
+) -> Result<(), Report> {
+    let clock = Clock;
+    let mut folder = disk::open(settings, rand::random())?;
+    let setup = setup(settings, folder.as_mut(), clock);
+    let mut save: Box<dyn FnMut(&config::GroupSave)> = match folder {
+        Some(folder) => Box::new(disk::start(folder.journal, inputs.clone())?),
+        None => Box::new(|_| {}),
+    };
+    let mesh = Mesh::start(settings.vm.clone(), settings.mesh, move |from, bytes| {
+        match decode::<Message>(&bytes) {
+            Ok(message) => {
+                // The control thread is gone only when the process ends.
+                let _ = inputs.send(Input::Event(Event::Receive { from, message }));
+            }
+            Err(error) => log::warn!(event = "message-unreadable", from = from.as_str(),
+                cause = error.to_string().as_str(); "a message of a VM can't be read"),
+        }
+    })?;
+    let mut cluster = Cluster::new(clock.now(), setup);
+    log::info!(event = "started", vm = settings.vm.as_str(), zone = settings.zone.as_str(),
+        entry = settings.entry, seeds = settings.seeds.len(), first = settings.first;
+        "the VM has started");
+    let mut shown = None;
+    loop {
+        let standing = cluster.standing(clock.now());
+        if standing.stage == Stage::Done {
+            log::info!(event = "stopped", callers = standing.callers; "the VM has shut down");
+            return Ok(());
+        }
+        if shown != Some(standing) {
+            outside.standing(&standing);
+            shown = Some(standing);
+        }
+        for _ in 0..BATCH {
+            let wait = cluster.wake().since(clock.now());
+            let event = match inbox.recv_timeout(wait) {
+                Ok(Input::Event(event)) => event,
+                Ok(Input::DiskFailed(cause)) => {
+                    std::thread::sleep(FAILED_PAUSE);
+                    return Err(eyre!("the disk takes no more writes: {cause}"));
+                }
+                Err(RecvTimeoutError::Timeout) => Event::Tick,
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            };
+            let ticked = matches!(event, Event::Tick);
+            let effects = cluster.step(clock.now(), clock.wall(), event);
+            carry_out(effects, &mesh, &mut *save, outside);
+            if ticked {
+                break;
+            }
+            if clock.now() >= cluster.wake() {
+                let effects = cluster.step(clock.now(), clock.wall(), Event::Tick);
+                carry_out(effects, &mesh, &mut *save, outside);
+                break;
+            }
+        }
+    }
+}
+
+fn carry_out(
+    effects: Vec<Effect>,
+    mesh: &Mesh,
+    save: &mut dyn FnMut(&config::GroupSave),
+    outside: &mut dyn Outside,
+) {
+    for effect in effects {
+        match effect {
+            Effect::Send { to, message } => match to.as_str().parse::<SocketAddr>() {
+                Ok(address) => mesh.send(address, encode(&message)),
+                Err(error) => log::warn!(event = "address-unusable", address = to.as_str(),
+                    cause = error.to_string().as_str(); "a VM's address can't be used"),
+            },
+            Effect::Save(group) => save(&group),
+            Effect::Answer { request, outcome } => outside.answer(request, outcome),
+            Effect::Call {
+                target,
+                address,
+                generation,
+                call,
+            } => outside.call(target, address, generation, call),
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/ends.rs
@@ -0,0 +1,385 @@
+//! What becomes of runs: results of starts and stops, ends, standing runs, lost targets.
+
+use std::time::Duration;
+
+use greengage_core::{TargetName, Time};
+
+use crate::event::{
+    Effect, End, EndKind, Listing, Reply, StartResult, StopCall, StopResult, TargetCall,
+};
+use crate::job::TaskState;
+use crate::peer::ErrandEnd;
+use crate::progress::earliest_end;
+use crate::scheduler::Scheduler;
+use crate::target::{Lease, Origin, Run, RunState};
+
+/// How a run came to its end, as far as its task is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fate {
+    /// The task is done.
+    Done,
+    /// The task failed.
+    Failed,
+    /// It doesn't run; the task may be started again.
+    NotRunning,
+    /// It was stopped because it could not have ended in time.
+    TooLong,
+}
+
+/// After a number that the target had seen before, numbers go on from this much higher.
+const NUMBER_STEP: u32 = 16;
+/// Runs of one task that could not have ended in time after which its job is given up: the first
+/// one may be its target's fault.
+const MOST_OVERRUNS: u32 = 2;
+/// How long a target that had no room gets no start, unless an end comes first.
+const FULL_PAUSE: Duration = Duration::from_millis(30);
+/// Time between two orders to stop the same run.
+const STOP_AGAIN: Duration = Duration::from_millis(150);
+/// A run stands still when it has made no progress for this many times its expected run time. Runs
+/// that are seven times as long as usual still move a percent or more in that time.
+const STILL_FACTOR: u32 = 2;
+/// A run is not taken to stand still before this time.
+const STILL_LEAST: Duration = Duration::from_millis(150);
+
+impl Scheduler {
+    pub(crate) fn started(
+        &mut self,
+        now: Time,
+        name: &TargetName,
+        task: &str,
+        number: u32,
+        result: StartResult,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        if let StartResult::Running { clock } = result {
+            target.clock = Some((clock, now));
+        }
+        let Some(at) = target.run(task, number) else {
+            return;
+        };
+        let run = &mut target.runs[at];
+        match result {
+            StartResult::Running { .. } => {
+                if run.state == RunState::Starting {
+                    run.state = RunState::Running;
+                }
+            }
+            StartResult::NoRoom => {
+                target.full = now + FULL_PAUSE;
+                self.end_run(now, name, at, Fate::NotRunning, out);
+            }
+            StartResult::OldNumber => {
+                self.raise_number(name, at);
+                self.end_run(now, name, at, Fate::NotRunning, out);
+            }
+            StartResult::Late | StartResult::NotSent | StartResult::Rejected => {
+                if result == StartResult::Rejected {
+                    target.health.stalled(now);
+                }
+                log::info!(event = "start-refused", task = task, run = number,
+                    target = name.as_str(), result:? = result; "a start had no effect");
+                target.full = now + FULL_PAUSE;
+                self.end_run(now, name, at, Fate::NotRunning, out);
+            }
+            StartResult::Fenced => {
+                self.end_run(now, name, at, Fate::NotRunning, out);
+                self.fenced(now, name, out);
+            }
+            StartResult::OtherLife => self.lose_life(now, name, out),
+            StartResult::Unknown => {
+                log::info!(event = "start-unknown", task = task, run = number,
+                    target = name.as_str(); "a start got no answer; the run is stopped");
+                target.health.stalled(now);
+                self.stop_run(now, name, task, number, out);
+            }
+        }
+    }
+
+    /// Lets the next run of a task have a number that its target hasn't seen.
+    fn raise_number(&mut self, name: &TargetName, at: usize) {
+        let Some(run) = self.targets.get(name).and_then(|t| t.runs.get(at)) else {
+            return;
+        };
+        if let Origin::Own(job) = run.origin {
+            let job = self.jobs.get_mut(&job);
+            if let Some((job, i)) = job.and_then(|j| j.task(&run.task).map(|i| (j, i))) {
+                job.tasks[i].number += NUMBER_STEP;
+            }
+        }
+    }
+
+    /// Orders a run to be stopped, unless it was before.
+    pub(crate) fn stop_run(
+        &mut self,
+        now: Time,
+        name: &TargetName,
+        task: &str,
+        number: u32,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        let Some(at) = target.run(task, number) else {
+            return;
+        };
+        let run = &mut target.runs[at];
+        let again = match run.state {
+            RunState::Stopping(sent) => now.since(sent) >= STOP_AGAIN,
+            RunState::Stopped(_) => false,
+            RunState::Starting | RunState::Running => true,
+        };
+        if again {
+            run.state = RunState::Stopping(now);
+            let call = StopCall {
+                task: run.task.clone(),
+                number,
+            };
+            self.call(name, TargetCall::Stop(call), out);
+        }
+    }
+
+    pub(crate) fn stopped(
+        &mut self,
+        now: Time,
+        name: &TargetName,
+        task: &str,
+        number: u32,
+        result: StopResult,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        match result {
+            StopResult::Done => {
+                if let Some(at) = target.run(task, number) {
+                    target.runs[at].state = RunState::Stopped(now);
+                }
+            }
+            StopResult::Fenced => self.fenced(now, name, out),
+            StopResult::OtherLife => self.lose_life(now, name, out),
+            StopResult::Unknown => {}
+        }
+    }
+
+    /// Takes a target's lists into account; `sent` is when they were asked for.
+    pub(crate) fn lists(
+        &mut self,
+        now: Time,
+        name: &TargetName,
+        sent: Time,
+        lists: (Vec<Listing>, Vec<End>),
+        out: &mut Vec<Effect>,
+    ) {
+        let (running, ended) = lists;
+        for end in ended {
+            let Some(target) = self.targets.get_mut(name) else {
+                return;
+            };
+            if end.number <= target.observed {
+                continue;
+            }
+            target.observed = end.number;
+            let Some(at) = target.run(&end.task, end.run) else {
+                continue;
+            };
+            let fate = match end.kind {
+                EndKind::Done => Fate::Done,
+                EndKind::Failed => Fate::Failed,
+                EndKind::Stopped => Fate::NotRunning,
+            };
+            self.end_run(now, name, at, fate, out);
+        }
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        for row in &running {
+            if let Some(at) = target.run(&row.task, row.run) {
+                let run = &mut target.runs[at];
+                run.looked = now;
+                if row.percent != run.percent {
+                    (run.percent, run.moved) = (row.percent, now);
+                }
+            }
+        }
+        // A run that was stopped before this look and isn't listed has ended, or never was there.
+        let gone = |run: &Run| {
+            let listed = running
+                .iter()
+                .any(|row| row.run == run.number && row.task == run.task);
+            matches!(run.state, RunState::Stopped(at) if at < sent) && !listed
+        };
+        while let Some(at) = self
+            .targets
+            .get(name)
+            .and_then(|target| target.runs.iter().position(gone))
+        {
+            self.end_run(now, name, at, Fate::NotRunning, out);
+        }
+    }
+
+    /// Removes a run and tells whose task it was.
+    pub(crate) fn end_run(
+        &mut self,
+        now: Time,
+        name: &TargetName,
+        at: usize,
+        fate: Fate,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        let run = target.runs.remove(at);
+        self.rooms_changed = true;
+        self.stale = true;
+        match fate {
+            Fate::Done => {
+                let took = now.since(run.sent);
+                self.estimates
+                    .observe(&run.queue, &mut target.speed, run.declared, took);
+                target.health.done();
+            }
+            Fate::Failed => {
+                if target.health.failed(now, run.origin.job_number()) {
+                    log::info!(event = "target-left-out", target = name.as_str(),
+                        task = &*run.task; "a target that fails its tasks is left out");
+                }
+            }
+            Fate::NotRunning | Fate::TooLong => {}
+        }
+        let fate = match fate {
+            Fate::NotRunning if run.too_long => Fate::TooLong,
+            fate => fate,
+        };
+        match run.origin {
+            Origin::Own(job) => {
+                let task = self.jobs.get(&job).and_then(|j| j.task(&run.task));
+                if let Some(task) = task {
+                    self.task_ended(now, job, task, fate, Some(name), out);
+                }
+            }
+            Origin::Peer { vm, ticket } => {
+                let end = match fate {
+                    Fate::Done => ErrandEnd::Done,
+                    Fate::Failed => ErrandEnd::Failed,
+                    Fate::NotRunning => ErrandEnd::NotRunning,
+                    Fate::TooLong => ErrandEnd::TooLong,
+                };
+                self.ended.entry(vm, Vec::new).push((ticket, end));
+            }
+        }
+    }
+
+    /// Notes the end of a task's run, here or away.
+    pub(crate) fn task_ended(
+        &mut self,
+        now: Time,
+        number: u64,
+        task: usize,
+        fate: Fate,
+        target: Option<&TargetName>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        self.stale = true;
+        let attempts = job.attempts;
+        let entry = &mut job.tasks[task];
+        match fate {
+            Fate::Done => {
+                entry.state = TaskState::Done;
+                let step = entry.step;
+                job.steps[step].left -= 1;
+                if job.steps.iter().all(|step| step.left == 0) {
+                    self.finish(now, number, Reply::Completed, out);
+                }
+            }
+            Fate::Failed => {
+                entry.state = TaskState::Waiting;
+                entry.failures += 1;
+                entry.avoid = target.cloned();
+                if entry.failures >= attempts {
+                    self.finish(now, number, Reply::Failed, out);
+                }
+            }
+            Fate::NotRunning => {
+                entry.state = TaskState::Waiting;
+                entry.avoid = target.cloned();
+            }
+            Fate::TooLong => {
+                entry.state = TaskState::Waiting;
+                entry.avoid = target.cloned();
+                entry.overruns += 1;
+                if entry.overruns >= MOST_OVERRUNS {
+                    self.finish(now, number, Reply::TimedOut, out);
+                }
+            }
+        }
+    }
+
+    /// Stops runs that stand still or whose time is over, and gives up those whose lease has
+    /// ended without a word from their target.
+    pub(crate) fn review_runs(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let mut stops = Vec::new();
+        let mut lapsed = Vec::new();
+        for (name, target) in self.targets.iter_mut() {
+            let (speed, estimates) = (target.speed, &self.estimates);
+            let mut stalled = false;
+            for run in &mut target.runs {
+                let usual = estimates.expected(&run.queue, run.declared);
+                let expected = usual.div_f64(speed.factor().max(0.01));
+                let still = (expected * STILL_FACTOR).max(STILL_LEAST);
+                // The target's lists are the only sign of progress, so only those count.
+                let stood = run.looked.since(run.moved);
+                let stands = run.state == RunState::Running && stood > still;
+                let again =
+                    matches!(run.state, RunState::Stopping(sent) if now.since(sent) >= STOP_AGAIN);
+                let late = run.state == RunState::Running
+                    && earliest_end(run.sent, run.looked, run.percent).is_some_and(|e| e > run.end);
+                run.too_long |= late;
+                if now >= run.end || again || stands || late {
+                    stalled |= stands && now < run.end;
+                    stops.push((name.clone(), run.task.clone(), run.number));
+                }
+            }
+            if stalled {
+                log::info!(event = "target-stalls", target = name.as_str();
+                    "a run on a target stands still");
+                target.health.stalled(now);
+            }
+            if target.lease == Lease::None && !target.runs.is_empty() && now >= target.leased {
+                lapsed.push(name.clone());
+            }
+            if target.hold.misses > 0 && !target.runs.is_empty() && now >= target.leased {
+                lapsed.push(name.clone());
+            }
+        }
+        for (name, task, number) in stops {
+            self.stop_run(now, &name, &task, number, out);
+        }
+        for name in lapsed {
+            self.drop_runs(now, &name, out);
+        }
+    }
+
+    /// Ends all runs of a target that certainly run no more.
+    pub(crate) fn drop_runs(&mut self, now: Time, name: &TargetName, out: &mut Vec<Effect>) {
+        while self.targets.get(name).is_some_and(|t| !t.runs.is_empty()) {
+            self.end_run(now, name, 0, Fate::NotRunning, out);
+        }
+    }
+
+    /// The process behind a target's name is another one now, so what ran there is gone.
+    pub(crate) fn lose_life(&mut self, now: Time, name: &TargetName, out: &mut Vec<Effect>) {
+        log::info!(event = "target-gone", target = name.as_str(); "a target's life is over");
+        self.drop_runs(now, name, out);
+        self.targets.remove(name);
+        self.reassign = true;
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/offload.rs
@@ -0,0 +1,239 @@
+//! Errands: tasks that one entry VM runs for another one.
+
+use std::time::Duration;
+
+use greengage_core::{TargetName, Time, VmName};
+
+use crate::ends::Fate;
+use crate::event::{Effect, Reply};
+use crate::job::TaskState;
+use crate::peer::{Errand, ErrandEnd, PeerMessage, Room};
+use crate::placement::{choose, Slot};
+use crate::scheduler::{Peer, PeerView, Scheduler};
+use crate::target::{Origin, Run, RunState};
+
+/// Shortest time between two reports of free room. A trip between zones takes a few milliseconds
+/// and a short task 50, so older reports would send tasks to targets that are full.
+const ROOMS_EVERY: Duration = Duration::from_millis(25);
+/// Longest time between two reports.
+const ROOMS_AT_LEAST: Duration = Duration::from_millis(300);
+
+impl Scheduler {
+    pub(crate) fn set_peers(&mut self, now: Time, peers: Vec<Peer>, out: &mut Vec<Effect>) {
+        let lost: Vec<VmName> = self
+            .peers
+            .keys()
+            .filter(|vm| !peers.iter().any(|peer| peer.own.vm == **vm))
+            .cloned()
+            .collect();
+        for vm in lost {
+            log::info!(event = "vm-lost", vm = vm.as_str(); "an entry VM is not heard any more");
+            self.peers.remove(&vm);
+            self.lose_peer(now, &vm, out);
+            self.reassign = true;
+        }
+        for peer in peers {
+            match self.peers.get_mut(&peer.own.vm) {
+                Some(view) => {
+                    self.reassign |= view.peer != peer;
+                    view.peer = peer;
+                }
+                None => {
+                    log::info!(event = "vm-live", vm = peer.own.vm.as_str();
+                        "an entry VM is live");
+                    self.reassign = true;
+                    self.rooms_changed = true;
+                    let vm = peer.own.vm.clone();
+                    let view = PeerView {
+                        peer,
+                        owned: Vec::new(),
+                        rooms: Vec::new(),
+                    };
+                    self.peers.insert(vm, view);
+                }
+            }
+        }
+    }
+
+    /// Ends the jobs that have tasks at a lost VM, whose outcome can't be known in time, and stops
+    /// what runs here for it: its callers submit their jobs again elsewhere.
+    fn lose_peer(&mut self, now: Time, vm: &VmName, out: &mut Vec<Effect>) {
+        let away = |state: &TaskState| matches!(state, TaskState::Away { vm: v, .. } if v == vm);
+        let jobs: Vec<u64> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.tasks.iter().any(|task| away(&task.state)))
+            .map(|(number, _)| *number)
+            .collect();
+        for number in jobs {
+            self.finish(now, number, Reply::TimedOut, out);
+        }
+        let of_peer = |run: &Run| matches!(&run.origin, Origin::Peer { vm: v, .. } if v == vm);
+        self.stop_where(now, of_peer, out);
+    }
+
+    fn stop_where(&mut self, now: Time, which: impl Fn(&Run) -> bool, out: &mut Vec<Effect>) {
+        let mut stops = Vec::new();
+        for (name, target) in self.targets.iter() {
+            for run in target.runs.iter().filter(|run| which(run)) {
+                stops.push((name.clone(), run.task.clone(), run.number));
+            }
+        }
+        for (name, task, number) in stops {
+            self.stop_run(now, &name, &task, number, out);
+        }
+    }
+
+    pub(crate) fn peer_message(
+        &mut self,
+        now: Time,
+        from: VmName,
+        message: PeerMessage,
+        out: &mut Vec<Effect>,
+    ) {
+        match message {
+            PeerMessage::Rooms { owned, rooms } => {
+                if let Some(view) = self.peers.get_mut(&from) {
+                    view.owned = owned;
+                    view.rooms = rooms;
+                    self.stale = true;
+                }
+            }
+            PeerMessage::Run(errands) => {
+                for errand in errands {
+                    self.run_errand(now, &from, errand, out);
+                }
+            }
+            PeerMessage::Ended(ends) => {
+                for (ticket, end) in ends {
+                    self.errand_ended(now, &from, ticket, end, out);
+                }
+            }
+            PeerMessage::Stop(tickets) => {
+                let asked = |run: &Run| match &run.origin {
+                    Origin::Peer { vm, ticket } => *vm == from && tickets.contains(ticket),
+                    Origin::Own(_) => false,
+                };
+                self.stop_where(now, asked, out);
+            }
+        }
+    }
+
+    fn run_errand(&mut self, now: Time, from: &VmName, errand: Errand, out: &mut Vec<Effect>) {
+        let Some(target) = self.errand_target(now, &errand) else {
+            let end = (errand.ticket, ErrandEnd::NotRunning);
+            self.ended.entry(from.clone(), Vec::new).push(end);
+            self.rooms_changed = true;
+            return;
+        };
+        let run = Run {
+            task: errand.task,
+            number: errand.number,
+            origin: Origin::Peer {
+                vm: from.clone(),
+                ticket: errand.ticket,
+            },
+            queue: errand.queue,
+            demand: errand.demand,
+            declared: errand.declared,
+            state: RunState::Starting,
+            sent: now,
+            end: now + errand.end,
+            percent: 0,
+            moved: now,
+            looked: now,
+            too_long: false,
+        };
+        self.start_run(now, &target, run, errand.spec, out);
+    }
+
+    fn errand_target(&self, now: Time, errand: &Errand) -> Option<TargetName> {
+        let mut slots = Vec::new();
+        let mut names = Vec::new();
+        for (name, target) in self.targets.iter().filter(|(_, t)| t.is_open(now)) {
+            let labels = &target.report.labels;
+            slots.push(Slot {
+                free: target.free(),
+                speed: target.speed.factor(),
+                delay: Duration::ZERO,
+                remote: false,
+                barred: target.report.service != errand.service
+                    || errand.label.as_ref().is_some_and(|l| !labels.contains(l)),
+            });
+            names.push(name);
+        }
+        let expected = self.estimates.expected(&errand.queue, errand.declared);
+        let objective = now + errand.objective;
+        let (slot, _) = choose(now, &slots, &errand.demand, expected, objective)?;
+        Some(names[slot].clone())
+    }
+
+    fn errand_ended(
+        &mut self,
+        now: Time,
+        from: &VmName,
+        ticket: u64,
+        end: ErrandEnd,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(number) = self.away.remove(&ticket) else {
+            return;
+        };
+        let is_it =
+            |state: &TaskState| matches!(state, TaskState::Away { ticket: t, .. } if *t == ticket);
+        let job = self.jobs.get(&number);
+        let task = job.and_then(|job| job.tasks.iter().position(|task| is_it(&task.state)));
+        let Some(task) = task else {
+            return;
+        };
+        let fate = match end {
+            ErrandEnd::Done => Fate::Done,
+            ErrandEnd::Failed => Fate::Failed,
+            ErrandEnd::TooLong => Fate::TooLong,
+            ErrandEnd::NotRunning => {
+                // What it reported was out of date.
+                if let Some(view) = self.peers.get_mut(from) {
+                    view.rooms.clear();
+                }
+                Fate::NotRunning
+            }
+        };
+        self.task_ended(now, number, task, fate, None, out);
+    }
+
+    /// Tells the other entry VMs what is owned and free here.
+    pub(crate) fn share_rooms(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let since = now.since(self.rooms_sent);
+        let due = self.rooms_changed && since >= ROOMS_EVERY || since >= ROOMS_AT_LEAST;
+        if !due || self.peers.is_empty() {
+            return;
+        }
+        (self.rooms_sent, self.rooms_changed) = (now, false);
+        let mut owned = Vec::new();
+        let mut rooms = Vec::new();
+        for (name, target) in self.targets.iter() {
+            if target.lease != crate::target::Lease::None {
+                owned.push(name.clone());
+            }
+            let free = target.free();
+            if target.is_open(now) && free.milli_cores > 0 {
+                rooms.push(Room {
+                    free,
+                    speed: (target.speed.factor() * 100.0) as u32,
+                });
+            }
+        }
+        for (vm, view) in self.peers.iter() {
+            let near = view.peer.own.zone == *self.zone() || self.peers.len() <= 16;
+            if near || since >= ROOMS_AT_LEAST {
+                out.push(Effect::Send {
+                    to: vm.clone(),
+                    message: PeerMessage::Rooms {
+                        owned: owned.clone(),
+                        rooms: rooms.clone(),
+                    },
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/owner.rs
@@ -0,0 +1,78 @@
+//! Which entry VM owns which target.
+//!
+//! A rule over the list of live VMs, so that VMs with the same list agree without a message. A
+//! target goes to a VM of its zone while the zone has one. Rendezvous hashing keeps most targets
+//! where they are when the lists change; a cap on the number for each VM keeps them even. VMs with
+//! different lists may disagree for a while; the generation that targets check decides then.
+
+use std::hash::{Hash, Hasher};
+
+use greengage_core::{value, TargetName, VmName, ZoneName};
+
+/// An entry VM that may own targets.
+#[value]
+pub struct Candidate {
+    /// The VM.
+    pub vm: VmName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its size relative to others.
+    pub weight: u32,
+}
+
+/// FNV-1a, so that VMs of different builds agree; the standard library's hasher promises no fixed
+/// values.
+struct Fnv(u64);
+
+impl Hasher for Fnv {
+    fn finish(&self) -> u64 {
+        // The low bits of FNV-1a change little between similar names.
+        let x = self.0 ^ (self.0 >> 32);
+        x.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+    }
+}
+
+fn score(target: &TargetName, vm: &VmName) -> u64 {
+    let mut hasher = Fnv(0xcbf2_9ce4_8422_2325);
+    target.as_str().hash(&mut hasher);
+    vm.as_str().hash(&mut hasher);
+    hasher.finish()
+}
+
+/// The owner of each target: an index into `vms`, or `None` when there is no VM. Both lists are in
+/// the order of their names.
+pub fn assign(targets: &[(&TargetName, &ZoneName)], vms: &[Candidate]) -> Vec<Option<usize>> {
+    let mut owned = vec![0u32; vms.len()];
+    let mut owners = Vec::with_capacity(targets.len());
+    for (target, zone) in targets {
+        let local = vms.iter().any(|vm| vm.zone == **zone);
+        let fits = |vm: &Candidate| !local || vm.zone == **zone;
+        let group = targets.iter().filter(|(_, z)| !local || z == zone).count() as u64;
+        let total: u64 = vms
+            .iter()
+            .filter(|vm| fits(vm))
+            .map(|vm| u64::from(vm.weight))
+            .sum();
+        let best = vms
+            .iter()
+            .enumerate()
+            .filter(|(i, vm)| {
+                let cap = (group * u64::from(vm.weight)).div_ceil(total.max(1));
+                fits(vm) && u64::from(owned[*i]) < cap
+            })
+            .max_by_key(|(_, vm)| score(target, &vm.vm))
+            .map(|(i, _)| i)
+            .or_else(|| vms.iter().position(fits));
+        if let Some(i) = best {
+            owned[i] += 1;
+        }
+        owners.push(best);
+    }
+    owners
+}
--- /dev/null
+++ b/crates/scheduler/src/progress.rs
@@ -0,0 +1,29 @@
+//! What a run's progress tells of its end.
+//!
+//! Targets list how far each run is, in whole percent rounded down. After some time that bounds
+//! from below how long the run takes, whatever its caller declared: a run that can't end before its
+//! job is given up is stopped early, so that its room serves others and its caller gets the answer
+//! at once.
+
+use std::time::Duration;
+
+use greengage_core::Time;
+
+/// Time of a run that isn't work: the way to the target and its start.
+const START_TIME: Duration = Duration::from_millis(15);
+/// The part of the bound, in percent, that is believed, since targets give rough figures.
+const BELIEF: u32 = 75;
+/// No verdict is given before a run is this old.
+const LEAST_AGE: Duration = Duration::from_millis(60);
+
+/// The earliest end of a run that was sent at `sent` and had done `percent` when it was seen at
+/// `looked`; `None` while that tells nothing.
+pub fn earliest_end(sent: Time, looked: Time, percent: u32) -> Option<Time> {
+    let age = looked.since(sent);
+    if age < LEAST_AGE {
+        return None;
+    }
+    let worked = age.saturating_sub(START_TIME);
+    let total = worked * 100 / (percent + 1);
+    Some(sent + total * BELIEF / 100)
+}
--- /dev/null
+++ b/crates/scheduler/src/scheduler.rs
@@ -0,0 +1,291 @@
+//! The scheduler of one entry VM.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use greengage_config::Document;
+use greengage_core::{
+    value, Address, RequestId, SortedMap, TargetName, Time, VmName, Wall, ZoneName,
+};
+
+use crate::estimate::Estimates;
+use crate::event::{Effect, Event, Reply, TargetCall};
+use crate::job::{Job, TaskState};
+use crate::owner::Candidate;
+use crate::peer::{ErrandEnd, PeerMessage, Room};
+use crate::target::Target;
+
+/// Time between two looks at leases, deadlines and standing runs.
+const REVIEW_EVERY: Duration = Duration::from_millis(20);
+
+/// What a scheduler starts from.
+#[value]
+pub struct Setup {
+    /// This VM, as a candidate for targets.
+    pub own: Candidate,
+}
+
+/// Another live entry VM.
+#[value]
+pub struct Peer {
+    /// The VM.
+    pub own: Candidate,
+    /// Whether it is shutting down and gives its targets away.
+    pub leaving: bool,
+}
+
+/// What is known of another entry VM.
+pub(crate) struct PeerView {
+    pub(crate) peer: Peer,
+    pub(crate) owned: Vec<TargetName>,
+    pub(crate) rooms: Vec<Room>,
+}
+
+/// The state machine of one entry VM.
+pub struct Scheduler {
+    pub(crate) setup: Setup,
+    pub(crate) document: Option<Arc<Document>>,
+    pub(crate) targets: SortedMap<TargetName, Target>,
+    pub(crate) peers: SortedMap<VmName, PeerView>,
+    pub(crate) jobs: SortedMap<u64, Job>,
+    /// The jobs of callers that wait.
+    pub(crate) requests: SortedMap<RequestId, u64>,
+    /// The job of each errand that another VM runs.
+    pub(crate) away: SortedMap<u64, u64>,
+    pub(crate) last_job: u64,
+    pub(crate) last_ticket: u64,
+    pub(crate) estimates: Estimates,
+    pub(crate) leaving: bool,
+    pub(crate) assigned: Time,
+    pub(crate) reassign: bool,
+    pub(crate) rooms_sent: Time,
+    pub(crate) rooms_changed: bool,
+    /// Ends of errands that are reported after this step.
+    pub(crate) ended: SortedMap<VmName, Vec<(u64, ErrandEnd)>>,
+    review: Time,
+    /// Whether there may be tasks that wait and room for them.
+    pub(crate) stale: bool,
+    /// The job that this step has accepted.
+    pub(crate) arrived: Option<u64>,
+}
+
+impl Scheduler {
+    /// A scheduler that knows no target and has no configuration.
+    pub fn new(now: Time, setup: Setup) -> Scheduler {
+        Scheduler {
+            setup,
+            document: None,
+            targets: SortedMap::new(),
+            peers: SortedMap::new(),
+            jobs: SortedMap::new(),
+            requests: SortedMap::new(),
+            away: SortedMap::new(),
+            last_job: 0,
+            last_ticket: 0,
+            estimates: Estimates::default(),
+            leaving: false,
+            assigned: now,
+            reassign: true,
+            rooms_sent: now,
+            rooms_changed: true,
+            ended: SortedMap::new(),
+            review: now,
+            stale: false,
+            arrived: None,
+        }
+    }
+
+    /// The configuration in force here.
+    pub fn document(&self) -> Option<&Arc<Document>> {
+        self.document.as_ref()
+    }
+
+    /// The number of callers that wait for an answer.
+    pub fn callers(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// The number of targets that this VM owns.
+    pub fn owned(&self) -> usize {
+        let targets = self.targets.values();
+        targets
+            .filter(|t| t.lease != crate::target::Lease::None)
+            .count()
+    }
+
+    /// The number of targets that are known.
+    pub fn known(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// When `Event::Tick` is due.
+    pub fn wake(&self) -> Time {
+        self.review
+    }
+
+    /// Takes one event.
+    pub fn step(&mut self, now: Time, wall: Wall, event: Event) -> Vec<Effect> {
+        let mut out = Vec::new();
+        match event {
+            Event::Tick => self.tick(now, wall, &mut out),
+            Event::Configuration(document) => self.configure(document),
+            Event::Submit(submission) => self.submit(now, submission, &mut out),
+            Event::Count {
+                request,
+                host,
+                path,
+            } => self.count(request, &host, &path, &mut out),
+            Event::Abandon(request) => self.abandon(now, request, &mut out),
+            Event::Report(report) => self.report(now, report, &mut out),
+            Event::Left(target) => self.left(now, &target, &mut out),
+            Event::Peers(peers) => self.set_peers(now, peers, &mut out),
+            Event::Peer { from, message } => self.peer_message(now, from, message, &mut out),
+            Event::Started {
+                target,
+                task,
+                number,
+                result,
+            } => self.started(now, &target, &task, number, result, &mut out),
+            Event::Stopped {
+                target,
+                task,
+                number,
+                result,
+            } => self.stopped(now, &target, &task, number, result, &mut out),
+            Event::Held {
+                target,
+                generation,
+                result,
+            } => self.held(now, &target, generation, result, &mut out),
+            Event::Leave => {
+                self.leaving = true;
+                self.reassign = true;
+            }
+        }
+        if self.stale {
+            self.stale = false;
+            self.dispatch(now, &mut out);
+        }
+        if let Some(job) = self.arrived.take() {
+            self.refuse_hopeless(now, job, &mut out);
+        }
+        for (to, ends) in std::mem::take(&mut self.ended) {
+            let message = PeerMessage::Ended(ends);
+            out.push(Effect::Send { to, message });
+        }
+        self.share_rooms(now, &mut out);
+        out
+    }
+
+    fn tick(&mut self, now: Time, wall: Wall, out: &mut Vec<Effect>) {
+        if now < self.review {
+            return;
+        }
+        self.review = now + REVIEW_EVERY;
+        self.review_owners(now, wall, out);
+        self.review_runs(now, out);
+        self.review_jobs(now, out);
+        self.stale = true;
+    }
+
+    fn configure(&mut self, document: Arc<Document>) {
+        let version = self.document.as_ref().map(|d| d.version);
+        if Some(document.version) > version {
+            log::info!(event = "configuration", version = document.version.0,
+                queues = document.queues.len(); "a configuration is in force");
+            self.document = Some(document);
+        }
+    }
+
+    fn count(&self, request: RequestId, host: &str, path: &str, out: &mut Vec<Effect>) {
+        let document = self.document.as_ref();
+        let reply = match (document, document.and_then(|d| d.queue(host, path))) {
+            (None, _) => Reply::Refused {
+                after: Duration::from_secs(1),
+            },
+            (Some(_), None) => Reply::NoQueue,
+            (Some(_), Some(queue)) if *queue.prefix != *path => Reply::NoJob,
+            (Some(_), Some(queue)) => {
+                let jobs = self.jobs.values();
+                let waiting = jobs.filter(|job| !job.begun && job.queue == queue.name);
+                Reply::Pending(waiting.count() as u64)
+            }
+        };
+        out.push(Effect::Answer { request, reply });
+    }
+
+    /// Ends a job with an answer; runs that go on are stopped.
+    pub(crate) fn finish(&mut self, now: Time, number: u64, reply: Reply, out: &mut Vec<Effect>) {
+        let Some(job) = self.jobs.remove(&number) else {
+            return;
+        };
+        log::info!(event = "job-ended", job = job.id.as_str(), queue = &*job.queue,
+            outcome:? = reply, tasks = job.tasks.len(), begun = job.begun,
+            age_ms = now.since(job.arrived).as_millis() as u64,
+            version = self.document.as_ref().map_or(0, |d| d.version.0); "a job has ended");
+        if self.requests.remove(&job.request).is_some() {
+            let request = job.request;
+            out.push(Effect::Answer { request, reply });
+        }
+        let mut stops: SortedMap<VmName, Vec<u64>> = SortedMap::new();
+        for task in &job.tasks {
+            match &task.state {
+                TaskState::Here(target) => {
+                    self.stop_run(now, &target.clone(), &task.name, task.number, out);
+                }
+                TaskState::Away { vm, ticket } => {
+                    self.away.remove(ticket);
+                    stops.entry(vm.clone(), Vec::new).push(*ticket);
+                }
+                TaskState::Waiting | TaskState::Done => {}
+            }
+        }
+        for (to, tickets) in stops {
+            let message = PeerMessage::Stop(tickets);
+            out.push(Effect::Send { to, message });
+        }
+        self.stale = true;
+    }
+
+    fn abandon(&mut self, now: Time, request: RequestId, out: &mut Vec<Effect>) {
+        if let Some(job) = self.requests.remove(&request) {
+            self.finish(now, job, Reply::TimedOut, out);
+        }
+    }
+
+    /// Ends jobs whose time is over.
+    fn review_jobs(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let over: Vec<(u64, bool)> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| now >= job.end || (!job.begun && now >= job.begin))
+            .map(|(number, job)| (*number, job.begun))
+            .collect();
+        for (number, begun) in over {
+            if begun {
+                self.finish(now, number, Reply::TimedOut, out);
+            } else if !self.begin_late(now, number, out) {
+                let after = crate::admission::return_time(self.backlog(now));
+                self.finish(now, number, Reply::Refused { after }, out);
+            }
+        }
+    }
+
+    /// A call to a target that this VM owns or claims.
+    pub(crate) fn call(&self, target: &TargetName, call: TargetCall, out: &mut Vec<Effect>) {
+        if let Some(found) = self.targets.get(target) {
+            let address: Address = found.report.address.clone();
+            out.push(Effect::Call {
+                target: target.clone(),
+                address,
+                generation: found.generation,
+                call,
+            });
+        }
+    }
+
+    /// The zone of this VM.
+    pub(crate) fn zone(&self) -> &ZoneName {
+        &self.setup.own.zone
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/submit.rs
@@ -0,0 +1,197 @@
+//! Taking or refusing a job.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use greengage_config::Queue;
+use greengage_core::Time;
+
+use crate::admission::{backlog, longest_wait, return_time};
+use crate::event::{Effect, Reply, Step, Submission};
+use crate::job::{Job, StepInfo, Task, TaskState};
+use crate::scheduler::Scheduler;
+
+/// When a caller may come back that was refused for another reason than load.
+const LATER: Duration = Duration::from_secs(1);
+
+/// Most tasks of one job; 1,200 are expected at most in the years to come.
+const MOST_TASKS: u64 = 10_000;
+
+/// The part of the expected run time, in percent, in which work may end after all: estimates are off
+/// by two fifths, and the fastest targets take five eighths of the usual time.
+pub(crate) const OPTIMISM: u32 = 40;
+
+/// Taken off the time that a caller waits, for the way of the answer.
+const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+
+/// Expected slowest of several equal tasks, in percent of one task's run time, by their number:
+/// the mean of the largest of as many log-normal values with a deviation of a sixth, rounded.
+const SLOWEST_PERCENT: [(u32, u32); 4] = [(1, 100), (3, 112), (8, 124), (u32::MAX, 136)];
+
+impl Scheduler {
+    pub(crate) fn submit(&mut self, now: Time, job: Submission, out: &mut Vec<Effect>) {
+        let request = job.request;
+        match self.admit(now, &job) {
+            Ok(accepted) => {
+                self.last_job += 1;
+                log::debug!(event = "job-accepted", job = job.id.as_str(),
+                    queue = &*accepted.queue; "a job was accepted");
+                self.requests.insert(request, self.last_job);
+                self.jobs.insert(self.last_job, accepted);
+                self.arrived = Some(self.last_job);
+                self.stale = true;
+            }
+            Err((reply, reason)) => {
+                log::info!(event = "job-refused", job = job.id.as_str(), reason = reason,
+                    outcome:? = reply, waiting = self.jobs.len(),
+                    version = self.document.as_ref().map_or(0, |d| d.version.0);
+                    "a job was refused");
+                out.push(Effect::Answer { request, reply });
+            }
+        }
+    }
+
+    /// The accepted job, or its refusal and the reason.
+    fn admit(&self, now: Time, job: &Submission) -> Result<Job, (Reply, &'static str)> {
+        let later = || Reply::Refused { after: LATER };
+        let Some(document) = &self.document else {
+            return Err((later(), "no configuration yet"));
+        };
+        let Some(queue) = document.queue(&job.host, &job.path) else {
+            return Err((Reply::NoQueue, "no such queue"));
+        };
+        if job.path.strip_prefix(&*queue.prefix) != Some(job.id.as_str()) {
+            return Err((Reply::NoQueue, "the path is no queue's prefix and an id"));
+        }
+        if queue.advised {
+            return Err((later(), "the queue needs advice, which is not available"));
+        }
+        if let Some(missing) = job.missing {
+            return Err((later(), missing));
+        }
+        let count: u64 = job.steps.iter().map(|step| u64::from(step.count)).sum();
+        if count == 0 || count > MOST_TASKS {
+            return Err((later(), "number of tasks out of range"));
+        }
+        let accepted = self.job(now, job, queue);
+        if !self.is_possible(&job.steps, &queue.service) {
+            // No target of the service has the size or the label, whoever owns it.
+            return Err((Reply::Failed, "no target fits"));
+        }
+        let work = self.longest_chain(&job.steps, &queue.name);
+        let fastest = work * OPTIMISM / 100;
+        if now + fastest > accepted.end {
+            return Err((later(), "the work takes longer than the caller waits"));
+        }
+        Ok(accepted)
+    }
+
+    /// Refuses a job for which there was no room on arrival, when the work that waits here is
+    /// expected to keep it waiting for longer than it may.
+    pub(crate) fn refuse_hopeless(&mut self, now: Time, number: u64, out: &mut Vec<Effect>) {
+        let waiting = self.backlog(now);
+        let hopeless = |job: &Job| !job.begun && now + waiting > job.begin;
+        if self.jobs.get(&number).is_some_and(hopeless) {
+            let after = return_time(waiting);
+            self.finish(now, number, Reply::Refused { after }, out);
+        }
+    }
+
+    /// Whether each task fits a target of the service, or no target is known yet.
+    fn is_possible(&self, steps: &[Step], service: &str) -> bool {
+        let mut of_service = self
+            .targets
+            .values()
+            .filter(|target| *target.report.service == *service)
+            .peekable();
+        if of_service.peek().is_none() {
+            return true;
+        }
+        let targets: Vec<_> = of_service.collect();
+        steps.iter().all(|step| {
+            targets.iter().any(|target| {
+                let labels = &target.report.labels;
+                let labelled = step.label.as_ref().is_none_or(|l| labels.contains(l));
+                labelled && step.demand.fits(&target.report.capacity)
+            })
+        })
+    }
+
+    fn job(&self, now: Time, job: &Submission, queue: &Queue) -> Job {
+        let work = self.longest_chain(&job.steps, &queue.name);
+        let objective = work * queue.slack / 100 + queue.latency;
+        let patience = job.patience.min(queue.timeout);
+        let end = now + patience.saturating_sub(ANSWER_MARGIN);
+        let mut tasks = Vec::new();
+        for (i, step) in job.steps.iter().enumerate() {
+            for index in 0..step.count {
+                tasks.push(Task {
+                    name: format!("{}.0.{i}.{index}", job.id).into(),
+                    step: i,
+                    state: TaskState::Waiting,
+                    number: 0,
+                    failures: 0,
+                    overruns: 0,
+                    avoid: None,
+                });
+            }
+        }
+        let steps = job.steps.iter().map(|step| StepInfo {
+            demand: step.demand,
+            declared: step.expected,
+            after: step.after.clone(),
+            label: step.label.clone(),
+            left: step.count,
+        });
+        Job {
+            request: job.request,
+            id: job.id.clone(),
+            queue: queue.name.clone(),
+            service: queue.service.clone(),
+            spec: job.spec.clone(),
+            attempts: queue.attempts.max(1),
+            tasks,
+            steps: steps.collect(),
+            arrived: now,
+            begin: now + longest_wait(objective),
+            objective: end.min(now + objective),
+            end,
+            begun: false,
+        }
+    }
+
+    /// The expected run time of the longest chain of steps.
+    fn longest_chain(&self, steps: &[Step], queue: &Arc<str>) -> Duration {
+        let mut chains: Vec<Duration> = Vec::with_capacity(steps.len());
+        for step in steps {
+            let before = step.after.iter();
+            let before = before.filter_map(|i| chains.get(*i as usize)).max();
+            let found = SLOWEST_PERCENT.iter().find(|(most, _)| step.count <= *most);
+            let percent = found.map_or(100, |(_, percent)| *percent);
+            let own = self.estimates.expected(queue, step.expected) * percent / 100;
+            chains.push(own + before.copied().unwrap_or_default());
+        }
+        chains.into_iter().max().unwrap_or_default()
+    }
+
+    /// The time in which the tasks that wait here are expected to be served.
+    pub(crate) fn backlog(&self, now: Time) -> Duration {
+        let mut work = Duration::ZERO;
+        for job in self.jobs.values() {
+            for i in job.waiting() {
+                let step = &job.steps[job.tasks[i].step];
+                work += self.estimates.expected(&job.queue, step.declared);
+            }
+        }
+        if work.is_zero() {
+            return work;
+        }
+        let open = self
+            .targets
+            .values()
+            .filter(|t| t.is_open(now) || !t.runs.is_empty());
+        let lanes: usize = open.map(|t| t.runs.len().max(1)).sum();
+        let rooms: usize = self.peers.values().map(|view| view.rooms.len()).sum();
+        backlog(work, (lanes + rooms) as f64)
+    }
+}
