Begin jobs early and let their tasks wait for fast targets

Cause: a wide job began only with room for half of its tasks at once, and the rest of a begun job took any target, also one on which it ended late. Ruled out: more attempts.

Change: a job begins with room for an eighth of its tasks; tasks of a begun job wait for a target on which they end in time, until that is too late even on the fastest one.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -18,7 +18,7 @@
 
 /// The part of a job's tasks, as a divisor, for which there has to be room when it begins. The
 /// others start as further room comes free, within milliseconds under load.
-const BEGIN_PART: usize = 2;
+const BEGIN_PART: usize = 8;
 
 /// The way to a target of another VM and back: two trips between zones and the other VM's work.
 const REMOTE_DELAY: Duration = Duration::from_millis(5);
@@ -65,7 +65,7 @@
                 break;
             }
             let rule = match self.jobs.get(&number) {
-                Some(job) if job.begun => Rule::Late,
+                Some(job) if job.begun && now >= self.last_start(job, &room) => Rule::Late,
                 _ => Rule::InTime,
             };
             self.place_job(now, number, rule, &mut room, &mut errands, out);
@@ -105,6 +105,17 @@
         job.objective - longest.unwrap_or_default()
     }
 
+    /// When a job's tasks have to start even on the fastest target; after that they are late
+    /// anywhere.
+    fn last_start(&self, job: &Job, room: &Room) -> Time {
+        let steps = job.steps.iter().filter(|step| step.left > 0);
+        let longest = steps
+            .map(|step| self.estimates.expected(&job.queue, step.declared))
+            .max();
+        let fastest = room.slots.iter().map(|slot| slot.speed).fold(1.0, f64::max);
+        job.objective - longest.unwrap_or_default().div_f64(fastest)
+    }
+
     /// All free room that is known.
     fn room(&self, now: Time) -> Room {
         let mut room = Room {
