Serve a job for as long as its caller waits

Cause: a job was given up after its queue's timeout of 1.5 s, while callers of long jobs wait 18 to 36 s, as the refusals now log.

Change: the caller's own deadline alone ends a job.

--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -44,6 +44,8 @@
             Err((reply, reason)) => {
                 log::info!(event = "job-refused", job = job.id.as_str(), reason = reason,
                     outcome:? = reply, waiting = self.jobs.len(),
+                    patience_ms = job.patience.as_millis() as u64,
+                    declared_ms = job.steps.iter().map(|s| s.expected.as_millis() as u64).max(),
                     version = self.document.as_ref().map_or(0, |d| d.version.0);
                     "a job was refused");
                 out.push(Effect::Answer { request, reply });
@@ -120,8 +122,7 @@
     fn job(&self, now: Time, job: &Submission, queue: &Queue) -> Job {
         let work = self.longest_chain(&job.steps, &queue.name);
         let objective = work * queue.slack / 100 + queue.latency;
-        let patience = job.patience.min(queue.timeout);
-        let end = now + patience.saturating_sub(ANSWER_MARGIN);
+        let end = now + job.patience.saturating_sub(ANSWER_MARGIN);
         let mut tasks = Vec::new();
         for (i, step) in job.steps.iter().enumerate() {
             for index in 0..step.count {
