Number errands by life, renew them, and shorten leases

Change: tickets start at the life's number; a new life of a peer ends the errands of the old one; errands are renewed every 120 ms and stopped after 450 ms of silence; leases last 650 ms; a job that is submitted again to the VM that runs it joins the run.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -218,6 +218,7 @@
                     zone: vm.zone.clone(),
                     weight: WEIGHT,
                 },
+                life: vm.life,
                 leaving: vm.leaving,
             })
             .collect();
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -88,7 +88,10 @@
         zone: settings.zone.clone(),
         weight: 100,
     };
-    let scheduler = settings.entry.then_some(scheduler::Setup { own });
+    let scheduler = settings.entry.then_some(scheduler::Setup {
+        own,
+        life: member.life,
+    });
     Setup {
         member,
         seeds: settings.seeds.clone(),
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -53,6 +53,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
     pub(crate) request: RequestId,
+    pub(crate) host: Arc<str>,
+    pub(crate) path: Arc<str>,
     pub(crate) id: Name,
     pub(crate) queue: Arc<str>,
     pub(crate) service: Arc<str>,
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -15,6 +15,11 @@
 /// Shortest time between two reports of free room. A trip between zones takes a few milliseconds
 /// and a short task 50, so older reports would send tasks to targets that are full.
 const ROOMS_EVERY: Duration = Duration::from_millis(25);
+/// Time between two renewals of errands.
+const RENEW_EVERY: Duration = Duration::from_millis(120);
+/// Silence of a VM after which its errands are stopped: three renewals, and together with a lease
+/// less than the time after which callers submit their jobs again.
+const ERRAND_SILENCE: Duration = Duration::from_millis(450);
 /// Longest time between two reports.
 const ROOMS_AT_LEAST: Duration = Duration::from_millis(300);
 
@@ -35,8 +40,15 @@
         for peer in peers {
             match self.peers.get_mut(&peer.own.vm) {
                 Some(view) => {
+                    let restarted = view.peer.life != peer.life;
                     self.reassign |= view.peer != peer;
-                    view.peer = peer;
+                    view.peer = peer.clone();
+                    if restarted {
+                        log::info!(event = "vm-restarted", vm = peer.own.vm.as_str();
+                            "an entry VM has started again");
+                        (view.owned, view.rooms) = (Vec::new(), Vec::new());
+                        self.lose_peer(now, &peer.own.vm, out);
+                    }
                 }
                 None => {
                     log::info!(event = "vm-live", vm = peer.own.vm.as_str();
@@ -48,6 +60,7 @@
                         peer,
                         owned: Vec::new(),
                         rooms: Vec::new(),
+                        heard: now,
                     };
                     self.peers.insert(vm, view);
                 }
@@ -72,6 +85,37 @@
         self.stop_where(now, of_peer, out);
     }
 
+    /// Renews the errands of this VM and stops those of VMs that have fallen silent: their callers
+    /// submit their jobs again.
+    pub(crate) fn review_errands(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if now.since(self.renewed) >= RENEW_EVERY {
+            self.renewed = now;
+            let mut vms: Vec<&VmName> = Vec::new();
+            for task in self.jobs.values().flat_map(|job| &job.tasks) {
+                if let TaskState::Away { vm, .. } = &task.state {
+                    if let Err(at) = vms.binary_search(&vm) {
+                        vms.insert(at, vm);
+                    }
+                }
+            }
+            out.extend(vms.into_iter().map(|vm| Effect::Send {
+                to: vm.clone(),
+                message: PeerMessage::Renew,
+            }));
+        }
+        let silent: Vec<VmName> = self
+            .peers
+            .iter()
+            .filter(|(_, view)| now.since(view.heard) >= ERRAND_SILENCE)
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        if !silent.is_empty() {
+            let of_silent =
+                |run: &Run| matches!(&run.origin, Origin::Peer { vm, .. } if silent.contains(vm));
+            self.stop_where(now, of_silent, out);
+        }
+    }
+
     fn stop_where(&mut self, now: Time, which: impl Fn(&Run) -> bool, out: &mut Vec<Effect>) {
         let mut stops = Vec::new();
         for (name, target) in self.targets.iter() {
@@ -91,7 +135,11 @@
         message: PeerMessage,
         out: &mut Vec<Effect>,
     ) {
+        if let Some(view) = self.peers.get_mut(&from) {
+            view.heard = now;
+        }
         match message {
+            PeerMessage::Renew => {}
             PeerMessage::Rooms { owned, rooms } => {
                 if let Some(view) = self.peers.get_mut(&from) {
                     view.owned = owned;
--- a/crates/scheduler/src/peer.rs
+++ b/crates/scheduler/src/peer.rs
@@ -70,4 +70,6 @@
     Ended(Vec<(u64, ErrandEnd)>),
     /// Stop these errands.
     Stop(Vec<u64>),
+    /// The sender is there and still wants its errands.
+    Renew,
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -5,7 +5,7 @@
 
 use greengage_config::Document;
 use greengage_core::{
-    value, Address, RequestId, SortedMap, TargetName, Time, VmName, Wall, ZoneName,
+    value, Address, Incarnation, RequestId, SortedMap, TargetName, Time, VmName, Wall, ZoneName,
 };
 
 use crate::estimate::Estimates;
@@ -23,6 +23,8 @@
 pub struct Setup {
     /// This VM, as a candidate for targets.
     pub own: Candidate,
+    /// The life of this VM's process.
+    pub life: Incarnation,
 }
 
 /// Another live entry VM.
@@ -30,6 +32,8 @@
 pub struct Peer {
     /// The VM.
     pub own: Candidate,
+    /// The life of its process.
+    pub life: Incarnation,
     /// Whether it is shutting down and gives its targets away.
     pub leaving: bool,
 }
@@ -39,6 +43,8 @@
     pub(crate) peer: Peer,
     pub(crate) owned: Vec<TargetName>,
     pub(crate) rooms: Vec<Room>,
+    /// When it last sent a message.
+    pub(crate) heard: Time,
 }
 
 /// The state machine of one entry VM.
@@ -60,6 +66,7 @@
     pub(crate) reassign: bool,
     pub(crate) rooms_sent: Time,
     pub(crate) rooms_changed: bool,
+    pub(crate) renewed: Time,
     /// Ends of errands that are reported after this step.
     pub(crate) ended: SortedMap<VmName, Vec<(u64, ErrandEnd)>>,
     review: Time,
@@ -69,11 +76,20 @@
     pub(crate) arrived: Option<u64>,
 }
 
+/// Errands of one life that are numbered apart from those of the next one, which starts at least a
+/// millisecond later.
+const LIFE_TICKETS: u64 = 1 << 20;
+
+/// The number before the first errand of a life. Ends of an earlier life's errands must not be
+/// taken for those of new ones.
+fn first_ticket(life: Incarnation) -> u64 {
+    life.0.wrapping_mul(LIFE_TICKETS)
+}
+
 impl Scheduler {
     /// A scheduler that knows no target and has no configuration.
     pub fn new(now: Time, setup: Setup) -> Scheduler {
         Scheduler {
-            setup,
             document: None,
             targets: SortedMap::new(),
             peers: SortedMap::new(),
@@ -81,17 +97,19 @@
             requests: SortedMap::new(),
             away: SortedMap::new(),
             last_job: 0,
-            last_ticket: 0,
+            last_ticket: first_ticket(setup.life),
             estimates: Estimates::default(),
             leaving: false,
             assigned: now,
             reassign: true,
             rooms_sent: now,
             rooms_changed: true,
+            renewed: now,
             ended: SortedMap::new(),
             review: now,
             stale: false,
             arrived: None,
+            setup,
         }
     }
 
@@ -185,6 +203,7 @@
         self.review_owners(now, wall, out);
         self.review_runs(now, out);
         self.review_jobs(now, out);
+        self.review_errands(now, out);
         self.stale = true;
     }
 
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -31,6 +31,9 @@
 impl Scheduler {
     pub(crate) fn submit(&mut self, now: Time, job: Submission, out: &mut Vec<Effect>) {
         let request = job.request;
+        if self.attach(&job) {
+            return;
+        }
         match self.admit(now, &job) {
             Ok(accepted) => {
                 self.last_job += 1;
@@ -53,6 +56,19 @@
         }
     }
 
+    /// Gives the answer of a job that goes on to a caller that submits it again; the earlier
+    /// connection has broken without this VM having noticed it yet.
+    fn attach(&mut self, job: &Submission) -> bool {
+        let same = |j: &Job| j.id == job.id && j.path == job.path && j.host == job.host;
+        let Some((number, found)) = self.jobs.iter_mut().find(|(_, j)| same(j)) else {
+            return false;
+        };
+        self.requests.remove(&found.request);
+        found.request = job.request;
+        self.requests.insert(job.request, *number);
+        true
+    }
+
     /// The accepted job, or its refusal and the reason.
     fn admit(&self, now: Time, job: &Submission) -> Result<Job, (Reply, &'static str)> {
         let later = || Reply::Refused { after: LATER };
@@ -146,6 +162,8 @@
         });
         Job {
             request: job.request,
+            host: job.host.clone(),
+            path: job.path.clone(),
             id: job.id.clone(),
             queue: queue.name.clone(),
             service: queue.service.clone(),
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -12,9 +12,11 @@
 use crate::event::TargetReport;
 use crate::health::Health;
 
-/// The lease of what runs on a target, below the second that the platform allows, so that it ends
-/// before a caller that has lost its VM submits its job again, 1.3 s later.
-pub(crate) const LEASE: Duration = Duration::from_millis(950);
+/// The lease of what runs on a target. A caller that has lost its VM submits its job again 1.3 s
+/// later, and by then nothing of it may run, even if the VM that runs an errand for the lost one
+/// dies just before it has noticed: the silence after which errands are stopped and the lease
+/// together stay below that time. Holds renew it three times.
+pub(crate) const LEASE: Duration = Duration::from_millis(650);
 /// How much slower than this VM's clock a target's clock may be, in percent.
 const CLOCK_DRIFT: u32 = 2;
 /// Added to the end of a lease before what ran under it counts as gone.
--- /dev/null
+++ b/crates/scheduler/tests/world/main.rs
@@ -0,0 +1,5 @@
+//! Several entry VMs and targets in virtual time, with faults.
+
+mod faults;
+mod load;
+mod support;
