Stop runs that may have reached a target's new life

Change: a new life of a target lets each run be stopped there before its task starts again; a claim does the same with runs that are left.

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -63,7 +63,7 @@
             Some(target) if older(target) => {}
             Some(target) => {
                 if report.life > target.report.life {
-                    self.new_life(now, &report, out);
+                    self.new_life(&report);
                 }
                 if let Some(target) = self.targets.get_mut(&name) {
                     if report.draining != target.report.draining {
@@ -78,11 +78,12 @@
         }
     }
 
-    /// A target has started again under its name.
-    fn new_life(&mut self, now: Time, report: &TargetReport, out: &mut Vec<Effect>) {
+    /// A target has started again under its name. Its earlier life runs nothing more, but a start
+    /// that was sent lately may have reached the new one, so each run is stopped there before its
+    /// task may start elsewhere.
+    fn new_life(&mut self, report: &TargetReport) {
         log::info!(event = "target-reborn", target = report.target.as_str(),
             life = report.life.0; "a target has started again");
-        self.drop_runs(now, &report.target, out);
         if let Some(target) = self.targets.get_mut(&report.target) {
             target.reborn(report.life);
         }
@@ -158,7 +159,8 @@
         match (&target.lease, target.mine) {
             (Lease::None, Some(since)) => {
                 let settled = now.since(since) >= SETTLE && now >= target.rest;
-                if settled && !held_elsewhere && target.runs.is_empty() {
+                if settled && !held_elsewhere {
+                    target.distrust_runs();
                     target.lease = Lease::Claiming;
                     target.generation = (wall.0 + target.raise).max(target.generation + 1);
                     target.hold.next = now;
@@ -245,7 +247,7 @@
                 if let Some(life) = life.filter(|life| *life > target.report.life) {
                     let mut report = target.report.clone();
                     report.life = life;
-                    return self.new_life(now, &report, out);
+                    return self.new_life(&report);
                 }
                 if target.hold.misses > 0 {
                     log::info!(event = "target-answers", target = name.as_str();
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -157,6 +157,7 @@
         self.report.life = life;
         self.report.sequence = 0;
         self.forget();
+        self.distrust_runs();
         self.speed = Learned::default();
         self.health = Health::default();
     }
@@ -169,6 +170,13 @@
         self.clock = None;
     }
 
+    /// Lets all runs be stopped again: it isn't known which of them are there.
+    pub(crate) fn distrust_runs(&mut self) {
+        for run in &mut self.runs {
+            run.state = RunState::Stopping(Time(0));
+        }
+    }
+
     /// What is free.
     pub(crate) fn free(&self) -> Demand {
         let runs = self.runs.iter();
