--- a/crates/config/src/autopilot.rs
+++ b/crates/config/src/autopilot.rs
@@ -55,7 +55,10 @@
         .map(|(node, _)| node)
         .collect();
     let lost_voter = voting.iter().find(|node| lost(node));
-    if let (true, Some(node)) = (voting.len() > voters, lost_voter) {
+    // A lost voter that is back after its replacement got the vote leaves one voter too many, which
+    // would raise the majority.
+    let spare = lost_voter.or_else(|| voting.iter().rfind(|node| **node != own));
+    if let (true, Some(node)) = (voting.len() > voters, spare) {
         return Some(Change::Remove((*node).clone()));
     }
     let caught_up = |node: &NodeId| {
--- /dev/null
+++ b/crates/config/tests/document.rs
@@ -0,0 +1,82 @@
+//! Documents: which are valid, and which queue serves a path.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use greengage_config::{Document, DocumentError, Edit, Limits, Queue, Service, State};
+use greengage_core::{Payload, Version};
+
+fn queue(name: &str, host: &str, prefix: &str) -> Queue {
+    Queue {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        service: "desk".into(),
+        timeout: Duration::from_millis(1500),
+        latency: Duration::from_millis(60),
+        slack: 160,
+        priority: 0,
+        attempts: 3,
+        advised: false,
+    }
+}
+
+fn document(version: u64, queues: Vec<Queue>) -> Document {
+    Document {
+        version: Version(version),
+        queues,
+        services: vec![Service {
+            name: "desk".into(),
+            connections: 64,
+        }],
+        limits: Limits { body: 1000 },
+        source: Payload::new(Vec::new()),
+    }
+}
+
+/// Guards against a path that is served by a shorter prefix or by another host's queue.
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let queues = vec![
+        queue("b", "two", "/"),
+        queue("a", "one", "/x/"),
+        queue("c", "one", "/x/y/"),
+    ];
+    let document = document(1, queues).verified().unwrap();
+    let name = |host, path| document.queue(host, path).map(|q| q.name.to_string());
+    assert_eq!(name("one", "/x/1"), Some("a".to_string()));
+    assert_eq!(name("one", "/x/y/1"), Some("c".to_string()));
+    assert_eq!(name("two", "/x/y/1"), Some("b".to_string()));
+    assert_eq!(name("one", "/z/1"), None);
+    assert_eq!(name("three", "/x/1"), None);
+}
+
+/// Guards against an invalid document that is acknowledged.
+#[test]
+fn invalid_documents_are_refused() {
+    let twice = vec![queue("a", "one", "/x/"), queue("b", "one", "/x/")];
+    let error = document(1, twice).verified().unwrap_err();
+    assert!(matches!(error, DocumentError::SamePlace { .. }));
+    let mut other = queue("a", "one", "/x/");
+    other.service = "none".into();
+    let error = document(1, vec![other]).verified().unwrap_err();
+    assert!(matches!(error, DocumentError::UnknownService { .. }));
+    let mut never = queue("a", "one", "/x/");
+    never.timeout = Duration::ZERO;
+    let error = document(1, vec![never]).verified().unwrap_err();
+    assert!(matches!(error, DocumentError::NoTimeout(_)));
+}
+
+/// Guards against a state that goes back, or takes other content under the version that it has.
+#[test]
+fn highest_version_and_its_first_content_stay() {
+    let edit =
+        |version, name: &str| Edit(Arc::new(document(version, vec![queue(name, "one", "/x/")])));
+    let mut state = State::default();
+    let applied: Vec<bool> = [(5, "a"), (5, "b"), (4, "c"), (9, "d"), (9, "d")]
+        .into_iter()
+        .map(|(version, name)| state.apply(edit(version, name)))
+        .collect();
+    assert_eq!(applied, [true, false, false, true, false]);
+    assert_eq!(&*state.0.unwrap().queues[0].name, "d");
+}
