--- /dev/null
+++ b/crates/cluster/tests/shutdown.rs
@@ -0,0 +1,43 @@
+//! Stages of a shutdown: time and callers in, stage out.
+
+use std::time::Duration;
+
+use greengage_cluster::{Shutdown, Stage};
+use greengage_core::Time;
+
+const GRACE: Duration = Duration::from_secs(6);
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(10_000 + ms)
+}
+
+/// Guards against a VM that ends before the balancer has noticed, or while callers wait.
+#[test]
+fn quiet_vm_ends_once_the_balancer_has_noticed() {
+    let mut shutdown = Shutdown::default();
+    assert_eq!(shutdown.stage(at(0), 0, false), Stage::Serving);
+    shutdown.begin(at(0), GRACE);
+    assert_eq!(shutdown.stage(at(100), 3, false), Stage::Draining);
+    assert_eq!(shutdown.stage(at(2000), 0, false), Stage::Draining);
+    assert_eq!(shutdown.stage(at(2400), 0, false), Stage::Done);
+}
+
+/// Guards against a VM that is killed in the middle of a request because callers never stop.
+#[test]
+fn busy_vm_closes_in_time_for_its_last_jobs() {
+    let mut shutdown = Shutdown::default();
+    shutdown.begin(at(0), GRACE);
+    assert_eq!(shutdown.stage(at(3800), 5, false), Stage::Draining);
+    assert_eq!(shutdown.stage(at(3950), 5, false), Stage::Closing);
+    assert_eq!(shutdown.stage(at(5500), 1, false), Stage::Closing);
+    assert_eq!(shutdown.stage(at(5650), 1, false), Stage::Done);
+}
+
+/// Guards against a second signal that starts the time anew.
+#[test]
+fn second_begin_changes_nothing() {
+    let mut shutdown = Shutdown::default();
+    shutdown.begin(at(0), GRACE);
+    shutdown.begin(at(4000), GRACE);
+    assert_eq!(shutdown.stage(at(5700), 1, false), Stage::Done);
+}
--- /dev/null
+++ b/crates/gossip/tests/roster.rs
@@ -0,0 +1,132 @@
+//! Rosters that find one another, in virtual time.
+
+use std::time::Duration;
+
+use greengage_core::{Address, Incarnation, Time, VmName, ZoneName};
+use greengage_gossip::{Introduction, Member, Roles, Roster, Timing};
+
+fn address(vm: usize) -> Address {
+    Address::new(&format!("10.0.0.{vm}:7700")).unwrap()
+}
+
+fn member(vm: usize, life: u64) -> Member {
+    Member {
+        vm: VmName::new(&format!("10.0.0.{vm}")).unwrap(),
+        zone: ZoneName::new("a").unwrap(),
+        address: address(vm),
+        api: None,
+        life: Incarnation(life),
+        roles: Roles {
+            entry: true,
+            control: false,
+        },
+        folder: None,
+        leaving: false,
+    }
+}
+
+struct World {
+    now: Time,
+    vms: Vec<(Roster, bool)>,
+    sent: usize,
+}
+
+impl World {
+    fn new(vms: usize, seeds: &[usize]) -> World {
+        let now = Time::from_millis(1000);
+        let seeds: Vec<Address> = seeds.iter().map(|vm| address(*vm)).collect();
+        let roster = |vm| Roster::new(now, member(vm, 1), seeds.clone(), Timing::default());
+        World {
+            now,
+            vms: (0..vms).map(|vm| (roster(vm), true)).collect(),
+            sent: 0,
+        }
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(10);
+            let mut messages = Vec::new();
+            for (roster, up) in &mut self.vms {
+                if *up && self.now >= roster.wake() {
+                    messages.extend(roster.tick(self.now));
+                }
+            }
+            while let Some(send) = messages.pop() {
+                self.sent += 1;
+                let to = self
+                    .vms
+                    .iter_mut()
+                    .find(|(r, _)| r.own().address == send.to);
+                if let Some((roster, true)) = to {
+                    messages.extend(roster.receive(self.now, send.message));
+                }
+            }
+        }
+    }
+
+    fn live(&self, vm: usize) -> usize {
+        self.vms[vm].0.live(self.now).count()
+    }
+}
+
+/// Guards against VMs that don't find one another within a second of a start from one seed.
+#[test]
+fn all_vms_find_one_another_from_one_seed() {
+    let mut world = World::new(13, &[0]);
+    world.run(Duration::from_millis(1000));
+    for vm in 0..13 {
+        assert_eq!(world.live(vm), 12, "VM {vm}");
+    }
+}
+
+/// Guards against a VM that counts as live because others still list it.
+#[test]
+fn silent_vm_is_not_live_whatever_others_say() {
+    let mut world = World::new(5, &[0, 1]);
+    world.run(Duration::from_secs(1));
+    world.vms[3].1 = false;
+    world.run(Duration::from_millis(900));
+    assert_eq!(world.live(0), 3);
+    world.run(Duration::from_secs(60));
+    assert!(
+        world.vms[0].0.member(&member(3, 1).vm).is_none(),
+        "it is forgotten in the end"
+    );
+    world.vms[3].1 = true;
+    world.run(Duration::from_secs(2));
+    assert_eq!(world.live(0), 4);
+}
+
+/// Guards against a late message of an earlier life that replaces the present one.
+#[test]
+fn earlier_life_is_ignored() {
+    let now = Time::from_millis(1000);
+    let mut roster = Roster::new(now, member(0, 1), vec![address(1)], Timing::default());
+    let hello = |life, leaving| Introduction::Hello {
+        member: Member {
+            leaving,
+            ..member(1, life)
+        },
+        known: true,
+    };
+    roster.receive(now, hello(9, false));
+    roster.receive(now, hello(8, true));
+    assert!(!roster.member(&member(1, 0).vm).unwrap().leaving);
+}
+
+/// Guards against messages that grow with the square of the number of VMs: a VM sends about as many
+/// heartbeats a second in a large deployment as in a small one.
+#[test]
+fn heartbeats_of_a_vm_are_bounded() {
+    let rate = |vms: usize| {
+        let mut world = World::new(vms, &[0, 1, 2]);
+        world.run(Duration::from_secs(5));
+        let before = world.sent;
+        world.run(Duration::from_secs(10));
+        (world.sent - before) as f64 / 10.0 / vms as f64
+    };
+    let (few, many) = (rate(13), rate(60));
+    assert!(many < few * 1.5, "{few} and {many} messages a second");
+}
--- /dev/null
+++ b/crates/listener/tests/direct.rs
@@ -0,0 +1,92 @@
+//! Requests that a service takes on the listener's own thread.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Mutex;
+use std::time::Duration;
+
+use greengage_listener::{start_direct, Answer, Limits, Listener, Request, Responder, Service};
+
+const WAIT: Duration = Duration::from_secs(5);
+
+enum Seen {
+    Call(u64, Request, Responder),
+    Gone(u64),
+}
+
+struct Recorder(Mutex<Sender<Seen>>);
+
+impl Recorder {
+    fn send(&self, seen: Seen) {
+        let _ = self.0.lock().unwrap().send(seen);
+    }
+}
+
+impl Service for Recorder {
+    fn call(&self, number: u64, request: Request, responder: Responder) {
+        self.send(Seen::Call(number, request, responder));
+    }
+
+    fn gone(&self, number: u64) {
+        self.send(Seen::Gone(number));
+    }
+}
+
+fn start() -> (Listener, Receiver<Seen>) {
+    let (sender, seen) = channel();
+    let service = Box::new(Recorder(Mutex::new(sender)));
+    let refuse = |status, message: &str| Answer::json(status, message);
+    let address = "127.0.0.1:0".parse().unwrap();
+    let listener = start_direct("test", address, Limits::default(), refuse, service);
+    (listener.unwrap(), seen)
+}
+
+const REQUEST: &[u8] = b"POST /a HTTP/1.1\r\nHost: one\r\nX-Wait: 5\r\nContent-Length: 2\r\n\r\n{}";
+
+/// Guards against headers that don't reach the service and answers that lose theirs.
+#[test]
+fn request_and_answer_carry_their_headers() {
+    let (listener, seen) = start();
+    let mut stream = TcpStream::connect(listener.address()).unwrap();
+    stream.write_all(REQUEST).unwrap();
+    let Ok(Seen::Call(_, request, responder)) = seen.recv_timeout(WAIT) else {
+        panic!("no call");
+    };
+    assert_eq!(request.headers.get("host"), Some("one"));
+    assert_eq!(request.headers.get("x-wait"), Some("5"));
+    responder.send(Answer {
+        location: Some("http://two/a".to_string()),
+        last: true,
+        retry_ms: Some(1500),
+        ..Answer::json(307, "{}")
+    });
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    let text = text.to_lowercase();
+    for part in [
+        "http/1.1 307",
+        "location: http://two/a",
+        "connection: close",
+        "retry-after: 2",
+    ] {
+        assert!(text.contains(part), "{text}");
+    }
+    assert!(
+        seen.try_recv().is_err(),
+        "an answered caller isn't reported as gone"
+    );
+}
+
+/// Guards against work that goes on for a caller that has closed its connection.
+#[test]
+fn caller_that_closes_is_reported() {
+    let (listener, seen) = start();
+    let mut stream = TcpStream::connect(listener.address()).unwrap();
+    stream.write_all(REQUEST).unwrap();
+    let Ok(Seen::Call(number, _, _responder)) = seen.recv_timeout(WAIT) else {
+        panic!("no call");
+    };
+    drop(stream);
+    assert!(matches!(seen.recv_timeout(WAIT), Ok(Seen::Gone(n)) if n == number));
+}
--- /dev/null
+++ b/crates/logs/tests/sink.rs
@@ -0,0 +1,65 @@
+//! Lines of a sink: their text and their bounds.
+
+use std::time::SystemTime;
+
+use greengage_logs::{format_line, Limits, Sink};
+use log::{Level, LevelFilter, Log, Record};
+
+fn log(sink: &Sink, event: &str) {
+    let pairs = [("event", event)];
+    let record = Record::builder()
+        .level(Level::Info)
+        .target("part")
+        .key_values(&pairs)
+        .args(format_args!("a thing happened"))
+        .build();
+    sink.log(&record);
+}
+
+/// Guards against lines that can't be split at spaces and equal signs.
+#[test]
+fn line_quotes_what_has_spaces() {
+    let pairs = [("event", "job-ended"), ("cause", "no room")];
+    let record = Record::builder()
+        .level(Level::Warn)
+        .target("part")
+        .key_values(&pairs)
+        .args(format_args!("a job has ended"))
+        .build();
+    let line = format_line(SystemTime::UNIX_EPOCH, &record);
+    assert_eq!(
+        line,
+        "1970-01-01T00:00:00.000Z WARN part event=job-ended cause=\"no room\" \"a job has ended\""
+    );
+}
+
+/// Guards against a thread that blocks on its log, and against lines that vanish without a trace.
+#[test]
+fn full_queue_drops_lines_and_tells_how_many() {
+    let limits = Limits {
+        waiting: 2,
+        per_second: 100,
+    };
+    let (sink, lines) = Sink::new(LevelFilter::Info, limits);
+    for _ in 0..5 {
+        log(&sink, "x");
+    }
+    assert_eq!(lines.try_iter().count(), 2);
+    log(&sink, "x");
+    assert!(lines.try_recv().unwrap().ends_with("dropped_before=3"));
+}
+
+/// Guards against one kind of line that takes the whole log.
+#[test]
+fn each_kind_has_a_rate_of_its_own() {
+    let limits = Limits {
+        waiting: 100,
+        per_second: 3,
+    };
+    let (sink, lines) = Sink::new(LevelFilter::Info, limits);
+    for _ in 0..10 {
+        log(&sink, "often");
+    }
+    log(&sink, "seldom");
+    assert_eq!(lines.try_iter().count(), 4);
+}
--- /dev/null
+++ b/crates/mesh/tests/mesh.rs
@@ -0,0 +1,79 @@
+//! Messages over loopback.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+
+use greengage_core::VmName;
+use greengage_mesh::Mesh;
+
+const WAIT: Duration = Duration::from_secs(5);
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn start(name: &str, address: SocketAddr) -> (Mesh, Receiver<(VmName, Vec<u8>)>) {
+    let (sender, receiver) = channel();
+    let name = VmName::new(name).unwrap();
+    let mesh = Mesh::start(name, address, move |from, bytes| {
+        let _ = sender.send((from, bytes));
+    });
+    (mesh.unwrap(), receiver)
+}
+
+/// Guards against messages that are lost, reordered or taken for another VM's.
+#[test]
+fn messages_arrive_in_order_with_their_sender() {
+    let (a, b) = (free_address(), free_address());
+    let (mesh, _) = start("a", a);
+    let (_other, inbox) = start("b", b);
+    for i in 0..1000u32 {
+        mesh.send(b, i.to_be_bytes().to_vec());
+    }
+    mesh.send(b, vec![7; 1 << 20]);
+    for i in 0..1000u32 {
+        let (from, bytes) = inbox.recv_timeout(WAIT).unwrap();
+        assert_eq!((from.as_str(), bytes), ("a", i.to_be_bytes().to_vec()));
+    }
+    assert_eq!(inbox.recv_timeout(WAIT).unwrap().1.len(), 1 << 20);
+}
+
+/// Guards against a VM that stays unreachable after it was away.
+#[test]
+fn vm_that_returns_is_reached_again() {
+    let (a, b) = (free_address(), free_address());
+    let (mesh, _) = start("a", a);
+    mesh.send(b, vec![1]);
+    std::thread::sleep(Duration::from_millis(300));
+    let (_other, inbox) = start("b", b);
+    let end = Instant::now() + WAIT;
+    loop {
+        mesh.send(b, vec![2]);
+        if let Ok((_, bytes)) = inbox.recv_timeout(Duration::from_millis(50)) {
+            assert_eq!(bytes, [2], "messages from before are out of date");
+            return;
+        }
+        assert!(Instant::now() < end);
+    }
+}
+
+/// Guards against a stranger's bytes that take memory or are taken for a message.
+#[test]
+fn frame_that_is_too_long_closes_the_connection() {
+    let b = free_address();
+    let (_mesh, inbox) = start("b", b);
+    let mut stream = TcpStream::connect(b).unwrap();
+    stream
+        .write_all(&[0, 0, 0, 1, b'x', 0xff, 0xff, 0xff, 0xff, 1])
+        .unwrap();
+    stream.set_read_timeout(Some(WAIT)).unwrap();
+    let mut byte = [0];
+    assert!(matches!(
+        std::io::Read::read(&mut stream, &mut byte),
+        Ok(0) | Err(_)
+    ));
+    assert!(inbox.try_recv().is_err());
+}
--- /dev/null
+++ b/crates/outbound/tests/outbound.rs
@@ -0,0 +1,128 @@
+//! Calls to small servers on loopback.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use greengage_outbound::{Call, Outbound, Outcome};
+
+const WAIT: Duration = Duration::from_secs(5);
+
+fn start() -> (Outbound<u32>, Receiver<(u32, Outcome)>) {
+    let (sender, receiver) = channel();
+    let outbound = Outbound::start(move |token, outcome| {
+        let _ = sender.send((token, outcome));
+    });
+    (outbound.unwrap(), receiver)
+}
+
+fn call(to: SocketAddr, token: u32, limit: u64) -> Call<u32> {
+    Call {
+        to,
+        path: "/work".to_string(),
+        headers: vec![("X-For", "t1".to_string())],
+        body: b"{}".to_vec(),
+        limit: Duration::from_millis(limit),
+        token,
+    }
+}
+
+/// Reads one request's head and body of two bytes; returns the head.
+fn read_request(reader: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut head = String::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        if line == "\r\n" {
+            break;
+        }
+        head.push_str(&line);
+    }
+    let mut body = [0; 2];
+    reader.read_exact(&mut body).ok()?;
+    Some(head)
+}
+
+/// A server that answers each request; it returns the number of connections that it saw.
+fn server(answer: &'static str) -> (SocketAddr, Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, heads) = channel();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let sender = sender.clone();
+            thread::spawn(move || {
+                let mut reader = BufReader::new(stream);
+                let _ = sender.send("connection".to_string());
+                while let Some(head) = read_request(&mut reader) {
+                    let _ = sender.send(head);
+                    if reader.get_mut().write_all(answer.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, heads)
+}
+
+const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+
+/// Guards against a connection for each call: connections to targets are few.
+#[test]
+fn connection_is_used_again() {
+    let (address, heads) = server(OK);
+    let (outbound, done) = start();
+    for token in 0..5 {
+        outbound.call(call(address, token, 2000));
+        let (got, outcome) = done.recv_timeout(WAIT).unwrap();
+        assert_eq!(got, token);
+        assert!(
+            matches!(outcome, Outcome::Answered { status: 200, .. }),
+            "{outcome:?}"
+        );
+    }
+    let heads: Vec<String> = heads.try_iter().collect();
+    assert_eq!(heads.iter().filter(|head| *head == "connection").count(), 1);
+    assert!(heads[1].starts_with("POST /work HTTP/1.1\r\n"));
+    assert!(heads[1].to_lowercase().contains("x-for: t1\r\n"));
+}
+
+/// Guards against a call that was sent and is taken for one that was not: its order may have been
+/// carried out.
+#[test]
+fn silence_after_sending_is_unanswered() {
+    let (address, _heads) = server("");
+    let (outbound, done) = start();
+    let began = Instant::now();
+    outbound.call(call(address, 1, 150));
+    let (_, outcome) = done.recv_timeout(WAIT).unwrap();
+    assert!(matches!(outcome, Outcome::Unanswered(_)), "{outcome:?}");
+    assert!(began.elapsed() < Duration::from_secs(2));
+}
+
+/// Guards against a connection that breaks in the middle and is taken for one that was refused.
+#[test]
+fn broken_answer_is_unanswered() {
+    let (address, _heads) = server("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{}");
+    let (outbound, done) = start();
+    outbound.call(call(address, 1, 300));
+    let (_, outcome) = done.recv_timeout(WAIT).unwrap();
+    assert!(matches!(outcome, Outcome::Unanswered(_)), "{outcome:?}");
+}
+
+/// Guards against a target without a process whose tasks wait for a time limit.
+#[test]
+fn refused_connection_is_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let (outbound, done) = start();
+    outbound.call(call(address, 1, 2000));
+    let (_, outcome) = done.recv_timeout(WAIT).unwrap();
+    assert!(matches!(outcome, Outcome::NotSent(_)), "{outcome:?}");
+}
