Serve metrics and log what a job ended without

Cause: on-call engineers have only logs and metrics; a job that ended without success didn't say which task it lacked or where that was.

Change: counters and latency histograms at the port of `--metrics`; lines task-unfinished and run-ended with target, run, progress and age.

--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -32,7 +32,11 @@
 #[derive(Clone, Copy, Debug, Subcommand)]
 pub(crate) enum Command {
     /// Runs a VM of the users' platform, from the settings file that the platform names.
-    Platform,
+    Platform {
+        /// Port of the VM's address at which /metrics is served.
+        #[arg(long)]
+        metrics: Option<u16>,
+    },
 }
 
 /// The dispatcher daemon of one VM.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -46,7 +46,7 @@
 
 fn run_command(command: Command) -> ExitCode {
     let result = match command {
-        Command::Platform => greengage_platform::run(),
+        Command::Platform { metrics } => greengage_platform::run(metrics),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -7,9 +7,11 @@
 
 mod clock;
 mod disk;
+mod metrics;
 mod runtime;
 mod settings;
 
 pub use clock::Clock;
+pub use metrics::{note_answer, note_call, note_standing, Metrics};
 pub use runtime::{run, Input, Outside};
 pub use settings::Settings;
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -15,6 +15,7 @@
 
 use crate::clock::Clock;
 use crate::disk;
+use crate::metrics::note_standing;
 use crate::settings::Settings;
 
 /// Time limits of the control group. A sync takes 9 ms, and a control VM has half a core, so
@@ -138,6 +139,7 @@
             return Ok(());
         }
         if shown != Some(standing) {
+            note_standing(&standing);
             outside.standing(&standing);
             shown = Some(standing);
         }
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -256,6 +256,13 @@
             Fate::NotRunning if run.too_long => Fate::TooLong,
             fate => fate,
         };
+        if fate != Fate::Done {
+            log::info!(event = "run-ended", task = &*run.task, run = run.number,
+                target = name.as_str(), outcome:? = fate, percent = run.percent,
+                age_ms = now.since(run.sent).as_millis() as u64,
+                misses = target.hold.misses, generation = target.generation;
+                "a run has ended without success");
+        }
         match run.origin {
             Origin::Own(job) => {
                 let task = self.jobs.get(&job).and_then(|j| j.task(&run.task));
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -86,6 +86,25 @@
     life.0.wrapping_mul(LIFE_TICKETS)
 }
 
+/// Tasks that are named in the log when their job ends without them.
+const TASKS_LOGGED: usize = 4;
+
+/// Names the tasks that a job has ended without, and where they were.
+fn log_unfinished(now: Time, job: &Job) {
+    let open = job.tasks.iter().filter(|t| t.state != TaskState::Done);
+    for task in open.take(TASKS_LOGGED) {
+        let (place, name) = match &task.state {
+            TaskState::Here(target) => ("target", target.as_str()),
+            TaskState::Away { vm, .. } => ("vm", vm.as_str()),
+            TaskState::Waiting | TaskState::Done => ("queue", ""),
+        };
+        log::info!(event = "task-unfinished", job = job.id.as_str(), task = &*task.name,
+            place = place, name = name, run = task.number, failures = task.failures,
+            overruns = task.overruns, left_ms = job.end.since(now).as_millis() as u64;
+            "a job ended without this task");
+    }
+}
+
 impl Scheduler {
     /// A scheduler that knows no target and has no configuration.
     pub fn new(now: Time, setup: Setup) -> Scheduler {
@@ -242,6 +261,9 @@
             outcome:? = reply, tasks = job.tasks.len(), begun = job.begun,
             age_ms = now.since(job.arrived).as_millis() as u64,
             version = self.document.as_ref().map_or(0, |d| d.version.0); "a job has ended");
+        if reply != Reply::Completed && job.begun {
+            log_unfinished(now, &job);
+        }
         if self.requests.remove(&job.request).is_some() {
             let request = job.request;
             out.push(Effect::Answer { request, reply });
