Claim far targets after a report only; keep errands near

Ruled out: the zone's own VMs, which kept their leases all the while.

Change: a target of another zone is claimed only after it has reported since its owner was lost; calls that are given up reset their connection; rooms of the own zone go before those of others.

--- a/crates/outbound/src/pool.rs
+++ b/crates/outbound/src/pool.rs
@@ -11,6 +11,7 @@
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::Request;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{timeout_at, Instant};
@@ -113,6 +114,12 @@
 async fn connect(to: SocketAddr) -> Result<Connection, String> {
     let stream = TcpStream::connect(to).await.map_err(|e| e.to_string())?;
     stream.set_nodelay(true).map_err(|e| e.to_string())?;
+    // A call without an answer is given up by resetting its connection, so that its bytes aren't
+    // delivered when a partition ends.
+    let socket = SockRef::from(&stream);
+    socket
+        .set_linger(Some(Duration::ZERO))
+        .map_err(|e| e.to_string())?;
     let (sender, connection) = handshake(TokioIo::new(stream))
         .await
         .map_err(|e| e.to_string())?;
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -11,7 +11,7 @@
 use crate::event::{Effect, StartCall, TargetCall};
 use crate::job::{Job, TaskState};
 use crate::peer::{Errand, PeerMessage};
-use crate::placement::{choose, finish, Slot};
+use crate::placement::{choose, finish, Owner, Slot};
 use crate::scheduler::Scheduler;
 use crate::submit::OPTIMISM;
 use crate::target::{Origin, Run, RunState};
@@ -129,20 +129,24 @@
                     free,
                     speed: target.speed.factor(),
                     delay: LOCAL_DELAY,
-                    remote: false,
+                    owner: Owner::Own,
                     barred: false,
                 });
                 room.places.push(Place::Here(name.clone()));
             }
         }
         for (vm, view) in self.peers.iter() {
+            let owner = match view.peer.own.zone == *self.zone() {
+                true => Owner::Zone,
+                false => Owner::Far,
+            };
             for (i, free) in view.rooms.iter().enumerate() {
                 if free.free.milli_cores > 0 {
                     room.slots.push(Slot {
                         free: free.free,
                         speed: f64::from(free.speed) / 100.0,
                         delay: REMOTE_DELAY,
-                        remote: true,
+                        owner,
                         barred: false,
                     });
                     room.places.push(Place::Away(vm.clone(), i));
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -3,7 +3,8 @@
 //! A VM claims a target that the rule gives it once no live VM says that it owns it. The claim has
 //! a generation above all earlier ones: the time of day in milliseconds, raised when the target
 //! knows a higher one. Runs of an earlier owner are stopped before the first start, and their
-//! lease isn't renewed until they are gone. A target that the rule gives to another VM is kept
+//! lease isn't renewed until they are gone. A target of another zone is claimed only once it has
+//! reported after its owner was lost. A target that the rule gives to another VM is kept
 //! until its runs have ended.
 
 use std::time::Duration;
@@ -153,13 +154,17 @@
 
     fn review_lease(&mut self, now: Time, wall: Wall, name: &TargetName, out: &mut Vec<Effect>) {
         let held_elsewhere = self.peers.values().any(|view| view.owned.contains(name));
+        let own_zone = self.zone().clone();
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
         match (&target.lease, target.mine) {
             (Lease::None, Some(since)) => {
                 let settled = now.since(since) >= SETTLE && now >= target.rest;
-                if settled && !held_elsewhere {
+                // When a whole zone falls silent it may be cut off and go on by itself. Claims of
+                // its targets would reach them when the cut ends and fence off their owners.
+                let reached = target.report.zone == own_zone || target.reported > since;
+                if settled && reached && !held_elsewhere {
                     target.distrust_runs();
                     target.lease = Lease::Claiming;
                     target.generation = (wall.0 + target.raise).max(target.generation + 1);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -47,6 +47,6 @@
 };
 pub use owner::{assign, Candidate};
 pub use peer::{Errand, ErrandEnd, PeerMessage, Room};
-pub use placement::{choose, Slot};
+pub use placement::{choose, Owner, Slot};
 pub use progress::earliest_end;
 pub use scheduler::{Peer, Scheduler, Setup};
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -8,7 +8,7 @@
 use crate::event::{Effect, Reply};
 use crate::job::TaskState;
 use crate::peer::{Errand, ErrandEnd, PeerMessage, Room};
-use crate::placement::{choose, Slot};
+use crate::placement::{choose, Owner, Slot};
 use crate::scheduler::{Peer, PeerView, Scheduler};
 use crate::target::{Origin, Run, RunState};
 
@@ -204,7 +204,7 @@
                 free: target.free(),
                 speed: target.speed.factor(),
                 delay: Duration::ZERO,
-                remote: false,
+                owner: Owner::Own,
                 barred: target.report.service != errand.service
                     || errand.label.as_ref().is_some_and(|l| !labels.contains(l)),
             });
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -1,6 +1,6 @@
 //! Which free room a task gets.
 //!
-//! Among rooms in which the task ends in time, its own VM's go first, then the slowest target, so
+//! Among rooms in which the task ends in time, its own VM's go first, then its zone's, then the slowest target, so
 //! that fast ones stay free for tasks that need them. Where it ends in time nowhere, it gets the
 //! room in which it ends first. This answers loads near the capacity with targets of different
 //! speed: long tasks meet their objective on fast targets only.
@@ -13,6 +13,17 @@
 /// since declared run times are off by two fifths in the mean.
 const MARGIN: u32 = 60;
 
+/// Whose a target is, nearest first. A task that runs far away is lost when a zone is cut off.
+#[value(copy, key)]
+pub enum Owner {
+    /// This VM's.
+    Own,
+    /// A VM's of this zone.
+    Zone,
+    /// A VM's of another zone.
+    Far,
+}
+
 /// Free room on a target.
 #[value(float)]
 pub struct Slot {
@@ -22,8 +33,8 @@
     pub speed: f64,
     /// The time that the way to the target takes.
     pub delay: Duration,
-    /// Whether the target belongs to another VM.
-    pub remote: bool,
+    /// Whose the target is.
+    pub owner: Owner,
     /// Whether the target may not take this task.
     pub barred: bool,
 }
@@ -48,7 +59,7 @@
     };
     let in_time = fitting().filter(|(_, s)| finish(now, s, expected + margin) <= objective);
     let best = in_time.min_by(|(_, a), (_, b)| {
-        let by_place = a.remote.cmp(&b.remote);
+        let by_place = a.owner.cmp(&b.owner);
         by_place.then(a.speed.total_cmp(&b.speed))
     });
     if let Some((i, _)) = best {
--- a/crates/scheduler/tests/world/faults.rs
+++ b/crates/scheduler/tests/world/faults.rs
@@ -174,6 +174,22 @@
     ));
 }
 
+/// Guards against claims of a cut-off zone's targets by the other zones: they would fence off the
+/// zone's own VM when the cut ends.
+#[test]
+fn cut_off_zone_keeps_its_targets() {
+    let mut world = World::new(8, 3, 9);
+    world.cut = vec![(0, 1), (0, 2)];
+    // Reports of the zone reach only its own VM.
+    world.cut_zone = Some(0);
+    world.run(5 * SECOND);
+    let owned: Vec<usize> = world.vms.iter().map(|vm| vm.scheduler.owned()).collect();
+    assert_eq!(owned, [3, 3, 3]);
+    world.submit(0, 0, vec![millis(50); 2]);
+    world.run(SECOND);
+    assert_eq!(world.in_time(0), (1, 1), "the zone goes on by itself");
+}
+
 /// Guards against errands of an earlier life that run on, or whose ends are taken for those of new
 /// ones, when a VM is back before the others have missed it.
 #[test]
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -137,6 +137,8 @@
     pub(crate) vms: Vec<Vm>,
     pub(crate) targets: Vec<Target>,
     pub(crate) callers: Vec<Caller>,
+    /// The VM whose zone is cut off: reports of its targets reach only it, and the others' not it.
+    pub(crate) cut_zone: Option<usize>,
     /// Pairs of VMs that don't hear each other.
     pub(crate) cut: Vec<(usize, usize)>,
     queue: BTreeMap<(Time, u64), Act>,
@@ -189,6 +191,7 @@
             vms: Vec::new(),
             targets: Vec::new(),
             callers: Vec::new(),
+            cut_zone: None,
             cut: Vec::new(),
             queue: BTreeMap::new(),
             seq: 0,
@@ -683,6 +686,13 @@
             sequence: target.sequence,
         };
         for vm in 0..self.vms.len() {
+            let inside = |zone: usize| report.zone == candidate(zone, 3).zone;
+            if self
+                .cut_zone
+                .is_some_and(|zone| inside(zone) != (vm == zone))
+            {
+                continue;
+            }
             let life = self.vms[vm].life;
             self.later(
                 PEER_TRIP,
