--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -19,6 +19,9 @@
 /// How long the rule must have given a target to this VM before it is claimed, so that lists of
 /// live VMs have settled.
 const SETTLE: Duration = Duration::from_millis(250);
+/// How long a target of another zone must have been reporting again before it is claimed. When a
+/// cut ends, its report may arrive before the heartbeat of the VM that owns it.
+const FAR_SETTLE: Duration = Duration::from_millis(1000);
 /// Pause after a claim that another generation has fenced off.
 const FENCED_PAUSE: Duration = Duration::from_millis(500);
 /// By how much a claim is raised after it was fenced, in milliseconds; it doubles.
@@ -74,6 +77,9 @@
                     }
                     target.report = report;
                     target.reported = now;
+                    if target.mine.is_some_and(|since| now > since) {
+                        target.seen = target.seen.or(Some(now));
+                    }
                 }
             }
         }
@@ -133,6 +139,7 @@
                 (true, since) => Some(since.unwrap_or(now)),
                 (false, _) => None,
             };
+            target.seen = target.seen.filter(|_| mine);
         }
     }
 
@@ -163,7 +170,10 @@
                 let settled = now.since(since) >= SETTLE && now >= target.rest;
                 // When a whole zone falls silent it may be cut off and go on by itself. Claims of
                 // its targets would reach them when the cut ends and fence off their owners.
-                let reached = target.report.zone == own_zone || target.reported > since;
+                let seen = target
+                    .seen
+                    .is_some_and(|seen| now.since(seen) >= FAR_SETTLE);
+                let reached = target.report.zone == own_zone || seen;
                 if settled && reached && !held_elsewhere {
                     target.distrust_runs();
                     target.lease = Lease::Claiming;
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -113,6 +113,8 @@
     pub(crate) lease: Lease,
     /// Whether the rule gives it to this VM, and since when.
     pub(crate) mine: Option<Time>,
+    /// When it first reported after that.
+    pub(crate) seen: Option<Time>,
     pub(crate) generation: u64,
     /// Generations by which the next claim exceeds the time of day, after a claim was fenced.
     pub(crate) raise: u64,
@@ -138,6 +140,7 @@
             reported: now,
             lease: Lease::None,
             mine: None,
+            seen: None,
             generation: 0,
             raise: 0,
             rest: now,
