Report free room at once only to VMs that lacked room

Change: a VM says that it lacked room; only such VMs get reports as soon as room changes, the others every 300 ms.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -25,6 +25,9 @@
 /// The way to a target of this VM and back.
 const LOCAL_DELAY: Duration = Duration::from_millis(2);
 
+/// How long a VM that lacked room wants to know of others' room at once.
+const NEED_TIME: Duration = Duration::from_millis(1000);
+
 /// What a slot stands for.
 enum Place {
     Here(TargetName),
@@ -70,6 +73,10 @@
             };
             self.place_job(now, number, rule, &mut room, &mut errands, out);
         }
+        let waits = |job: &Job| job.tasks.iter().any(|t| t.state == TaskState::Waiting);
+        if !errands.is_empty() || self.jobs.values().any(waits) {
+            self.need = now + NEED_TIME;
+        }
         self.send_errands(errands, out);
     }
 
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -66,6 +66,7 @@
                         peer,
                         owned: Vec::new(),
                         rooms: Vec::new(),
+                        needs: false,
                         heard: now,
                     };
                     self.peers.insert(vm, view);
@@ -146,10 +147,16 @@
         }
         match message {
             PeerMessage::Renew => {}
-            PeerMessage::Rooms { owned, rooms } => {
+            PeerMessage::Rooms {
+                owned,
+                rooms,
+                needs,
+            } => {
                 if let Some(view) = self.peers.get_mut(&from) {
+                    self.rooms_changed |= needs && !view.needs;
                     view.owned = owned;
                     view.rooms = rooms;
+                    view.needs = needs;
                     self.stale = true;
                 }
             }
@@ -255,18 +262,44 @@
         self.task_ended(now, number, task, fate, None, out);
     }
 
-    /// Tells the other entry VMs what is owned and free here.
+    /// Tells other entry VMs what is owned and free here: those that lately lacked room at once, the
+    /// others now and then.
     pub(crate) fn share_rooms(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let since = now.since(self.rooms_sent);
-        let zone = self.zone();
-        let is_near = |view: &PeerView| view.peer.own.zone == *zone || self.peers.len() <= NEAR_VMS;
-        let near = self.peers.values().filter(|view| is_near(view)).count();
-        let every = ROOMS_EVERY * near.div_ceil(FEW_VMS).max(1) as u32;
-        let due = self.rooms_changed && since >= every || since >= ROOMS_AT_LEAST;
-        if !due || self.peers.is_empty() {
+        if self.peers.is_empty() {
+            return;
+        }
+        let needs = now < self.need;
+        let all = now.since(self.rooms_told) >= ROOMS_AT_LEAST || needs && !self.need_told;
+        let needy = self.peers.values().filter(|view| self.is_served(view));
+        let every = ROOMS_EVERY * needy.count().div_ceil(FEW_VMS).max(1) as u32;
+        let soon = self.rooms_changed && now.since(self.rooms_sent) >= every;
+        if !all && !soon {
             return;
         }
         (self.rooms_sent, self.rooms_changed) = (now, false);
+        if all {
+            (self.rooms_told, self.need_told) = (now, needs);
+        }
+        let (owned, rooms) = self.own_rooms(now);
+        for (vm, _) in self.peers.iter().filter(|(_, v)| all || self.is_served(v)) {
+            out.push(Effect::Send {
+                to: vm.clone(),
+                message: PeerMessage::Rooms {
+                    owned: owned.clone(),
+                    rooms: rooms.clone(),
+                    needs,
+                },
+            });
+        }
+    }
+
+    /// Whether a VM gets reports as soon as room changes.
+    fn is_served(&self, view: &PeerView) -> bool {
+        let near = view.peer.own.zone == *self.zone() || self.peers.len() <= NEAR_VMS;
+        near && view.needs
+    }
+
+    fn own_rooms(&self, now: Time) -> (Vec<TargetName>, Vec<Room>) {
         let mut owned = Vec::new();
         let mut rooms = Vec::new();
         for (name, target) in self.targets.iter() {
@@ -281,17 +314,6 @@
                 });
             }
         }
-        for (vm, view) in self.peers.iter() {
-            let near = view.peer.own.zone == *self.zone() || self.peers.len() <= NEAR_VMS;
-            if near || since >= ROOMS_AT_LEAST {
-                out.push(Effect::Send {
-                    to: vm.clone(),
-                    message: PeerMessage::Rooms {
-                        owned: owned.clone(),
-                        rooms: rooms.clone(),
-                    },
-                });
-            }
-        }
+        (owned, rooms)
     }
 }
--- a/crates/scheduler/src/peer.rs
+++ b/crates/scheduler/src/peer.rs
@@ -63,6 +63,8 @@
         owned: Vec<TargetName>,
         /// Their free room, without targets that take nothing.
         rooms: Vec<Room>,
+        /// Whether the sender lately lacked room, so that it wants to know of others' at once.
+        needs: bool,
     },
     /// Run these tasks.
     Run(Vec<Errand>),
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -43,6 +43,8 @@
     pub(crate) peer: Peer,
     pub(crate) owned: Vec<TargetName>,
     pub(crate) rooms: Vec<Room>,
+    /// Whether it lately lacked room.
+    pub(crate) needs: bool,
     /// When it last sent a message.
     pub(crate) heard: Time,
 }
@@ -64,7 +66,12 @@
     pub(crate) leaving: bool,
     pub(crate) assigned: Time,
     pub(crate) reassign: bool,
+    /// When free room was last reported to VMs that need it, and to all.
     pub(crate) rooms_sent: Time,
+    pub(crate) rooms_told: Time,
+    /// Until when this VM needs others' room, and whether they know.
+    pub(crate) need: Time,
+    pub(crate) need_told: bool,
     pub(crate) rooms_changed: bool,
     pub(crate) renewed: Time,
     /// Ends of errands that are reported after this step.
@@ -122,6 +129,9 @@
             assigned: now,
             reassign: true,
             rooms_sent: now,
+            rooms_told: now,
+            need: now,
+            need_told: false,
             rooms_changed: true,
             renewed: now,
             ended: SortedMap::new(),
