Open a failed data folder again instead of ending the process

Change: the VM leaves the control group, answers operators with 503, opens its data folder every half second and takes part again. An idle target's hold waits 380 ms instead of 200.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -96,6 +96,23 @@
         }
     }
 
+    /// Ends this VM's part in the control group, as when its disk has failed. The VM goes on to hear
+    /// targets and to pass their reports on.
+    pub fn lose_group(&mut self, now: Time, wall: Wall) -> Vec<Effect> {
+        let mut out = Vec::new();
+        if let Some(group) = self.group.take() {
+            for effect in group.abandon() {
+                self.group_effect(now, wall, effect, &mut out);
+            }
+        }
+        out
+    }
+
+    /// Takes part in the control group again, from what the disk holds now.
+    pub fn restore_group(&mut self, setup: config::Setup) {
+        self.group = Some(Group::new(setup));
+    }
+
     /// When `Event::Tick` is due.
     pub fn wake(&self) -> Time {
         let group = self.group.as_ref().map(Group::wake);
@@ -333,33 +350,40 @@
             .filter_map(|(member, heard)| member.node().map(|node| config::Peer { node, heard }))
             .collect();
         for effect in group.step(now, event, &peers) {
-            match effect {
-                config::Effect::Save(save) => out.push(Effect::Save(save)),
-                config::Effect::Send { to, message } => self.send_group(to, message, out),
-                config::Effect::Edited { request, outcome } => {
-                    let outcome = match outcome {
-                        Edited::Accepted => Outcome::Accepted,
-                        Edited::Unknown => Outcome::Unknown,
-                    };
-                    out.push(Effect::Answer { request, outcome });
-                }
-                config::Effect::Read { request, document } => {
-                    let outcome = match document {
-                        Some(document) => Outcome::Configuration(document),
-                        None => Outcome::Unknown,
-                    };
-                    out.push(Effect::Answer { request, outcome });
-                }
-                config::Effect::Elsewhere { request, leader } => {
-                    let api = leader.and_then(|node| self.roster.member(&node.vm)?.api.clone());
-                    let outcome = api.map_or(Outcome::Unknown, Outcome::Elsewhere);
-                    out.push(Effect::Answer { request, outcome });
-                }
-                config::Effect::Changed(document) => self.changed(now, wall, document, out),
+            self.group_effect(now, wall, effect, out);
+        }
+    }
+
+    fn group_effect(
+        &mut self,
+        now: Time,
+        wall: Wall,
+        effect: config::Effect,
+        out: &mut Vec<Effect>,
+    ) {
+        match effect {
+            config::Effect::Save(save) => out.push(Effect::Save(save)),
+            config::Effect::Send { to, message } => self.send_group(to, message, out),
+            config::Effect::Edited { request, outcome } => {
+                let outcome = match outcome {
+                    Edited::Accepted => Outcome::Accepted,
+                    Edited::Unknown => Outcome::Unknown,
+                };
+                out.push(Effect::Answer { request, outcome });
+            }
+            config::Effect::Read { request, document } => {
+                let outcome = match document {
+                    Some(document) => Outcome::Configuration(document),
+                    None => Outcome::Unknown,
+                };
+                out.push(Effect::Answer { request, outcome });
             }
-            if self.group.is_none() {
-                return;
+            config::Effect::Elsewhere { request, leader } => {
+                let api = leader.and_then(|node| self.roster.member(&node.vm)?.api.clone());
+                let outcome = api.map_or(Outcome::Unknown, Outcome::Elsewhere);
+                out.push(Effect::Answer { request, outcome });
             }
+            config::Effect::Changed(document) => self.changed(now, wall, document, out),
         }
     }
 
--- /dev/null
+++ b/crates/cluster/tests/group.rs
@@ -0,0 +1,129 @@
+//! A control VM whose disk fails.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use greengage_agreement::{Config, Seat, Timing};
+use greengage_cluster::{gossip, Cluster, Effect, Event, Outcome, Setup};
+use greengage_config as config;
+use greengage_config::{Document, Limits, Restored};
+use greengage_core::{
+    Address, Incarnation, NodeId, Payload, RequestId, Time, Version, VmName, Wall, ZoneName,
+};
+
+fn node() -> NodeId {
+    NodeId {
+        vm: VmName::new("10.0.0.1").unwrap(),
+        folder: 0,
+    }
+}
+
+fn group(now: Time) -> config::Setup {
+    let members = [(node(), Seat::Voter)].into_iter().collect();
+    config::Setup {
+        node: node(),
+        restored: Restored {
+            config: Config { members },
+            ..Restored::default()
+        },
+        timing: Timing::default(),
+        voters: 1,
+        seed: 1,
+        now,
+    }
+}
+
+fn cluster(now: Time) -> Cluster {
+    let address = Address::new("10.0.0.1:7700").unwrap();
+    let member = gossip::Member {
+        vm: node().vm,
+        zone: ZoneName::new("a").unwrap(),
+        address: address.clone(),
+        api: Some(address),
+        life: Incarnation(1),
+        roles: gossip::Roles {
+            entry: false,
+            control: true,
+        },
+        folder: Some(0),
+        leaving: false,
+    };
+    let setup = Setup {
+        member,
+        seeds: Vec::new(),
+        timing: gossip::Timing::default(),
+        group: Some(group(now)),
+        scheduler: None,
+        grace: Duration::from_secs(6),
+    };
+    Cluster::new(now, setup)
+}
+
+fn document() -> Arc<Document> {
+    Arc::new(Document {
+        version: Version(1),
+        queues: Vec::new(),
+        services: Vec::new(),
+        limits: Limits { body: 1 },
+        source: Payload::new(Vec::new()),
+    })
+}
+
+/// Runs ticks and saves until `end`; saves take no time.
+fn run(cluster: &mut Cluster, from: u64, to: u64) -> Vec<Effect> {
+    let mut seen = Vec::new();
+    for ms in from..to {
+        let mut effects = cluster.step(Time::from_millis(ms), Wall(ms), Event::Tick);
+        while let Some(effect) = effects.pop() {
+            if let Effect::Save(save) = &effect {
+                let event = Event::Saved(save.seq);
+                effects.extend(cluster.step(Time::from_millis(ms), Wall(ms), event));
+            }
+            seen.push(effect);
+        }
+    }
+    seen
+}
+
+fn answers(effects: &[Effect]) -> Vec<&Outcome> {
+    let answers = effects.iter().filter_map(|effect| match effect {
+        Effect::Answer { outcome, .. } => Some(outcome),
+        _ => None,
+    });
+    answers.collect()
+}
+
+/// Guards against an operator who hears nothing, or that an edit was accepted, when the disk fails
+/// before the edit is durable; and against a VM that needs a restart once the disk works again.
+#[test]
+fn failed_disk_leaves_edits_unknown_and_the_group_can_return() {
+    let start = Time::from_millis(1000);
+    let mut cluster = cluster(start);
+    run(&mut cluster, 1000, 3000);
+    assert!(cluster.standing(Time::from_millis(3000)).leads);
+    let put = |request| Event::Put {
+        request: RequestId(request),
+        document: document(),
+    };
+    let now = Time::from_millis(3000);
+    let effects = cluster.step(now, Wall(3000), put(1));
+    assert!(answers(&effects).is_empty(), "the edit isn't durable yet");
+    let effects = cluster.lose_group(now, Wall(3000));
+    assert_eq!(answers(&effects), [&Outcome::Unknown]);
+    let effects = cluster.step(now, Wall(3000), Event::Get(RequestId(2)));
+    assert_eq!(answers(&effects), [&Outcome::Unknown]);
+    cluster.restore_group(group(now));
+    run(&mut cluster, 3000, 5000);
+    let mut effects = cluster.step(Time::from_millis(5000), Wall(5000), put(3));
+    let saves: Vec<_> = effects
+        .iter()
+        .filter_map(|e| match e {
+            Effect::Save(save) => Some(save.seq),
+            _ => None,
+        })
+        .collect();
+    for seq in saves {
+        effects.extend(cluster.step(Time::from_millis(5000), Wall(5000), Event::Saved(seq)));
+    }
+    assert_eq!(answers(&effects), [&Outcome::Accepted]);
+}
--- a/crates/config/src/group.rs
+++ b/crates/config/src/group.rs
@@ -196,6 +196,14 @@
         }
     }
 
+    /// Ends the member, as when its disk has failed; callers that wait hear that the outcome isn't
+    /// known.
+    pub fn abandon(mut self) -> Vec<Effect> {
+        let mut out = Vec::new();
+        self.step_down(&mut out);
+        out
+    }
+
     /// The document that this member has applied.
     pub fn document(&self) -> Option<&Arc<Document>> {
         self.state.0.as_ref()
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -9,7 +9,7 @@
 use greengage_cluster::{gossip, scheduler};
 use greengage_cluster::{Cluster, Effect, Event, Message, Outcome, Setup, Stage, Standing};
 use greengage_config as config;
-use greengage_core::{Address, Incarnation, RequestId, TargetName};
+use greengage_core::{Address, Incarnation, RequestId, TargetName, Time};
 use greengage_mesh::Mesh;
 use greengage_wire::{decode, encode};
 
@@ -29,9 +29,8 @@
 /// Events that are taken before standing is reported again.
 const BATCH: usize = 256;
 
-/// Pause before the process ends because its disk has failed, so that restarts on a disk that
-/// stays full don't follow each other at once.
-const FAILED_PAUSE: Duration = Duration::from_millis(500);
+/// Time between two attempts to open the data folder of a disk that has failed.
+const REOPEN_EVERY: Duration = Duration::from_millis(500);
 
 /// What reaches the control thread.
 #[derive(Debug)]
@@ -58,6 +57,26 @@
     fn standing(&mut self, standing: &Standing);
 }
 
+/// What this VM's part in the control group starts from.
+fn group_setup(settings: &Settings, folder: &mut disk::Folder, now: Time) -> config::Setup {
+    config::Setup {
+        node: folder.node.clone(),
+        restored: std::mem::take(&mut folder.restored),
+        timing: TIMING,
+        voters: settings.voters,
+        seed: rand::random(),
+        now,
+    }
+}
+
+/// The way to the disk.
+type Save = Box<dyn FnMut(&config::GroupSave)>;
+
+/// What becomes of saves while there is no disk.
+fn no_disk() -> Save {
+    Box::new(|_| {})
+}
+
 fn setup(settings: &Settings, folder: Option<&mut disk::Folder>, clock: Clock) -> Setup {
     let now = clock.now();
     let node = folder.as_ref().map(|folder| folder.node.clone());
@@ -76,14 +95,7 @@
         folder: node.as_ref().map(|node| node.folder),
         leaving: false,
     };
-    let group = folder.map(|folder| config::Setup {
-        node: folder.node.clone(),
-        restored: std::mem::take(&mut folder.restored),
-        timing: TIMING,
-        voters: settings.voters,
-        seed: rand::random(),
-        now,
-    });
+    let group = folder.map(|folder| group_setup(settings, folder, now));
     let own = scheduler::Candidate {
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
@@ -113,10 +125,12 @@
     let clock = Clock;
     let mut folder = disk::open(settings, rand::random())?;
     let setup = setup(settings, folder.as_mut(), clock);
-    let mut save: Box<dyn FnMut(&config::GroupSave)> = match folder {
+    let mut save: Save = match folder {
         Some(folder) => Box::new(disk::start(folder.journal, inputs.clone())?),
-        None => Box::new(|_| {}),
+        None => no_disk(),
     };
+    let disk_inputs = inputs.clone();
+    let mut reopen: Option<Time> = None;
     let mesh = Mesh::start(settings.vm.clone(), settings.mesh, move |from, bytes| {
         match decode::<Message>(&bytes) {
             Ok(message) => {
@@ -133,6 +147,19 @@
         "the VM has started");
     let mut shown = None;
     loop {
+        if reopen.is_some_and(|at| clock.now() >= at) {
+            reopen = match reopened(settings, &disk_inputs, &mut cluster, clock) {
+                Ok(opened) => {
+                    save = opened;
+                    None
+                }
+                Err(error) => {
+                    log::info!(event = "disk-unusable", cause = format!("{error:#}").as_str();
+                        "the data folder can't be opened yet");
+                    Some(clock.now() + REOPEN_EVERY)
+                }
+            };
+        }
         let standing = cluster.standing(clock.now());
         if standing.stage == Stage::Done {
             log::info!(event = "stopped", callers = standing.callers; "the VM has shut down");
@@ -148,8 +175,15 @@
             let event = match inbox.recv_timeout(wait) {
                 Ok(Input::Event(event)) => event,
                 Ok(Input::DiskFailed(cause)) => {
-                    std::thread::sleep(FAILED_PAUSE);
-                    return Err(eyre!("the disk takes no more writes: {cause}"));
+                    if reopen.is_none() {
+                        log::warn!(event = "disk-failed", cause = cause.as_str();
+                            "the disk takes no more writes; leaving the control group");
+                        let effects = cluster.lose_group(clock.now(), clock.wall());
+                        carry_out(effects, &mesh, &mut *save, outside);
+                        save = no_disk();
+                        reopen = Some(clock.now() + REOPEN_EVERY);
+                    }
+                    break;
                 }
                 Err(RecvTimeoutError::Timeout) => Event::Tick,
                 Err(RecvTimeoutError::Disconnected) => return Ok(()),
@@ -169,6 +203,22 @@
     }
 }
 
+/// Opens the data folder again and takes part in the control group from what it holds. What was
+/// not durable is forgotten, as after a restart.
+fn reopened(
+    settings: &Settings,
+    inputs: &Sender<Input>,
+    cluster: &mut Cluster,
+    clock: Clock,
+) -> Result<Save, Report> {
+    let folder = disk::open(settings, rand::random())?;
+    let mut folder = folder.ok_or_else(|| eyre!("this VM has no data folder"))?;
+    cluster.restore_group(group_setup(settings, &mut folder, clock.now()));
+    log::info!(event = "disk-usable", node = folder.node.to_string().as_str();
+        "the data folder is open again");
+    Ok(Box::new(disk::start(folder.journal, inputs.clone())?))
+}
+
 fn carry_out(
     effects: Vec<Effect>,
     mesh: &Mesh,
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -29,6 +29,9 @@
 /// How long a target may wait for an end before it answers a hold. A lease is renewed by each
 /// hold, and several of them fit in one; runs that stand still show only in its answers.
 const HOLD_WAIT: Duration = Duration::from_millis(200);
+/// The same while nothing runs there. A start grants a lease itself, which lasts until the hold
+/// after this one.
+const IDLE_WAIT: Duration = Duration::from_millis(380);
 /// The same while the lists of earlier owners' runs are read.
 const CLAIM_WAIT: Duration = Duration::from_millis(15);
 /// Pause after a hold without an answer.
@@ -212,6 +215,7 @@
             false => None,
         };
         let wait = match owned {
+            true if target.runs.is_empty() => IDLE_WAIT,
             true => HOLD_WAIT,
             false if target.clock.is_none() => Duration::ZERO,
             false => CLAIM_WAIT,
