Refuse a JSON object with a key given twice

Cause: the product's own JSON interface took the last value of a key that was given twice, so caller and server could disagree on what was asked. Change: such a body is refused with 400 and names the key. Before: malformed_documents with "tasks" twice: the job was accepted. After: cargo test -p greengage-http passes.

--- a/crates/http/src/json.rs
+++ b/crates/http/src/json.rs
@@ -5,9 +5,11 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::marker::PhantomData;
 
 use greengage_core::{Digest, NameError, Payload, SortedMap};
-use serde::Deserialize;
+use serde::de::{Error as _, MapAccess, Visitor};
+use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use serde_json::Value;
 use sha2::{Digest as _, Sha256};
@@ -42,6 +44,41 @@
     }
 }
 
+/// What is said of a key that an object has more than once.
+const TWICE: &str = "is given twice: give it once";
+
+/// The raw values of an object by key. A key that is given twice is an error, since callers and
+/// servers disagree on which value counts.
+#[derive(Default)]
+struct Object<'a>(BTreeMap<String, &'a RawValue>);
+
+impl<'de: 'a, 'a> Deserialize<'de> for Object<'a> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Object<'a>, D::Error> {
+        deserializer.deserialize_map(ObjectVisitor(PhantomData))
+    }
+}
+
+struct ObjectVisitor<'a>(PhantomData<&'a ()>);
+
+impl<'de: 'a, 'a> Visitor<'de> for ObjectVisitor<'a> {
+    type Value = Object<'a>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("an object")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Object<'a>, A::Error> {
+        let mut raw = BTreeMap::new();
+        while let Some((key, value)) = map.next_entry::<String, &'a RawValue>()? {
+            if raw.contains_key(&key) {
+                return Err(A::Error::custom(format!("key {key:?} {TWICE}")));
+            }
+            raw.insert(key, value);
+        }
+        Ok(Object(raw))
+    }
+}
+
 /// The fields of one object that have not been read yet.
 pub struct Fields<'a> {
     path: String,
@@ -52,7 +89,7 @@
 impl<'a> Fields<'a> {
     /// Reads a document that must be an object.
     pub fn parse(body: &'a [u8]) -> Result<Fields<'a>, DocumentError> {
-        let raw = serde_json::from_slice(body).map_err(|e| DocumentError {
+        let Object(raw) = serde_json::from_slice(body).map_err(|e| DocumentError {
             field: String::new(),
             problem: format!("is not a JSON object: {e}; correct it"),
         })?;
@@ -115,6 +152,9 @@
         };
         match serde_json::from_str(raw.get()) {
             Ok(value) => Ok(Some(value)),
+            Err(error) if error.to_string().contains(TWICE) => {
+                Err(self.error(name, format!("can't be used: {error}")))
+            }
             Err(_) => Err(self.wrong(name, raw, remedy)),
         }
     }
@@ -219,8 +259,8 @@
 
     /// An optional object.
     pub fn object(&mut self, name: &'static str) -> Result<Option<Fields<'a>>, DocumentError> {
-        let raw = self.value(name, "give an object")?;
-        Ok(raw.map(|raw| Fields {
+        let raw: Option<Object<'a>> = self.value(name, "give an object")?;
+        Ok(raw.map(|Object(raw)| Fields {
             path: self.at(name),
             raw,
             known: Vec::new(),
@@ -241,8 +281,8 @@
         key: impl Fn(&str) -> Result<K, NameError>,
         read: impl Fn(&'a RawValue, &str) -> Result<V, DocumentError>,
     ) -> Result<SortedMap<K, V>, DocumentError> {
-        let raw: BTreeMap<String, &'a RawValue> =
-            self.value(name, "give an object")?.unwrap_or_default();
+        let object: Option<Object<'a>> = self.value(name, "give an object")?;
+        let Object(raw) = object.unwrap_or_default();
         let mut map = SortedMap::new();
         for (text, raw) in raw {
             let path = format!("{}.{}", self.at(name), shown(&text));
@@ -272,14 +312,14 @@
 
     /// An array of objects; empty when absent.
     pub fn objects(&mut self, name: &'static str) -> Result<Vec<Fields<'a>>, DocumentError> {
-        let values: Vec<BTreeMap<String, &'a RawValue>> = self
+        let values: Vec<Object<'a>> = self
             .value(name, "give an array of objects")?
             .unwrap_or_default();
         let path = self.at(name);
         Ok(values
             .into_iter()
             .enumerate()
-            .map(|(i, raw)| Fields {
+            .map(|(i, Object(raw))| Fields {
                 path: format!("{path}[{i}]"),
                 raw,
                 known: Vec::new(),
--- a/crates/http/tests/front.rs
+++ b/crates/http/tests/front.rs
@@ -128,6 +128,11 @@
             job(r#""tasks":[1],"tusk":2"#),
             r#"\"tusk\" is not known: remove it"#,
         ),
+        (
+            "/v1/jobs",
+            job(r#""tasks":[1],"tasks":[2]"#),
+            r#"key \"tasks\" is given twice: give it once"#,
+        ),
         (
             "/v1/jobs",
             job(r#""tasks":7"#),
