Let room reports to all VMs grow with their number

Cause: on the grown site an entry VM reads and writes about 460 messages a second of roster, rooms and reports, as much work as its own tasks.

--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -26,7 +26,7 @@
 /// Silence of a VM after which its errands are stopped: three renewals, and together with a lease
 /// less than the time after which callers submit their jobs again.
 const ERRAND_SILENCE: Duration = Duration::from_millis(450);
-/// Longest time between two reports.
+/// Longest time between two reports, for up to [`NEAR_VMS`]; it grows with their number.
 const ROOMS_AT_LEAST: Duration = Duration::from_millis(300);
 
 impl Scheduler {
@@ -269,7 +269,8 @@
             return;
         }
         let needs = now < self.need;
-        let all = now.since(self.rooms_told) >= ROOMS_AT_LEAST || needs && !self.need_told;
+        let told_every = ROOMS_AT_LEAST * self.peers.len().div_ceil(NEAR_VMS) as u32;
+        let all = now.since(self.rooms_told) >= told_every || needs && !self.need_told;
         let needy = self.peers.values().filter(|view| self.is_served(view));
         let every = ROOMS_EVERY * needy.count().div_ceil(FEW_VMS).max(1) as u32;
         let soon = self.rooms_changed && now.since(self.rooms_sent) >= every;
