Hear a VM whose clock was set back before it started again

Cause: a VM numbers its lives by the time of day; after a step back by five seconds a restarted VM would have been ignored until the clock caught up.

Change: a lower life counts once the higher one isn't heard any more. Names and imports of the change are tidied; one usual weight, no outcome that is never made, an error in place of a panic for an address that is no name.

Before: lower_life_counts_once_the_earlier_one_is_silent failed with no live VM. After: passes.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -8,7 +8,7 @@
 use greengage_core::{Address, NodeId, RequestId, SortedMap, Time, Version, VmName, Wall};
 use greengage_gossip::{Introduction, Member, Roster, Timing};
 use greengage_scheduler as scheduler;
-use greengage_scheduler::{Candidate, Peer, Reply, Scheduler, TargetReport};
+use greengage_scheduler::{Candidate, Peer, Reply, Scheduler, TargetReport, USUAL_WEIGHT};
 
 use crate::event::{Effect, Event, Outcome};
 use crate::message::Message;
@@ -19,8 +19,6 @@
 const LIVE_EVERY: Duration = Duration::from_millis(100);
 /// Time between two copies of the configuration to a VM that lacks it.
 const COPY_EVERY: Duration = Duration::from_millis(300);
-/// The weight of a VM without one of its own.
-const WEIGHT: u32 = 100;
 /// When a caller may come back that a VM refuses because it shuts down: at once, at another VM.
 const ELSEWHERE_AFTER: Duration = Duration::from_secs(1);
 
@@ -96,8 +94,8 @@
         }
     }
 
-    /// Ends this VM's part in the control group, as when its disk has failed. The VM goes on to hear
-    /// targets and to pass their reports on.
+    /// Ends this VM's part in the control group, as when its disk has failed. The VM goes on to
+    /// hear targets and to pass their reports on.
     pub fn lose_group(&mut self, now: Time, wall: Wall) -> Vec<Effect> {
         let mut out = Vec::new();
         if let Some(group) = self.group.take() {
@@ -233,7 +231,7 @@
                 own: Candidate {
                     vm: vm.vm.clone(),
                     zone: vm.zone.clone(),
-                    weight: WEIGHT,
+                    weight: USUAL_WEIGHT,
                 },
                 life: vm.life,
                 leaving: vm.leaving,
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -54,8 +54,6 @@
     Accepted,
     /// The configuration in force.
     Configuration(Arc<Document>),
-    /// No configuration was put yet.
-    NoConfiguration,
     /// Another VM has to be asked.
     Elsewhere(Address),
     /// The outcome, or the newest configuration, isn't known; the request may be sent again.
--- a/crates/config/src/group.rs
+++ b/crates/config/src/group.rs
@@ -5,6 +5,7 @@
 //! at a node that doesn't lead are sent on by the caller's means; this module only names the
 //! leader.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use greengage_agreement as agreement;
@@ -13,7 +14,6 @@
     Timing,
 };
 use greengage_core::{value, Index, NodeId, RequestId, SortedMap, Time};
-use std::sync::Arc;
 
 use crate::autopilot::{next_change, Peer};
 use crate::document::Document;
@@ -268,7 +268,8 @@
             self.review = now + REVIEW_EVERY;
             let status = self.raft.status();
             if let Some(change) = next_change(now, &status, &self.node, peers, self.voters) {
-                log::info!(event = "member-change", change:? = change; "membership change proposed");
+                log::info!(event = "member-change", change:? = change;
+                    "a membership change is proposed");
                 self.tickets += 1;
                 let ticket = Ticket(self.tickets);
                 self.raft(now, agreement::Event::Change { ticket, change }, out);
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -7,7 +7,8 @@
 //!
 //! # Invariants
 //!
-//! - A member's record is replaced only by one of the same or a later life of its VM.
+//! - A member's record is replaced only by one of the same or a later life of its VM, or once its
+//!   life has fallen silent.
 //! - A VM that isn't heard for [`Timing::lost`] is not live, whatever others say.
 
 mod roster;
--- a/crates/gossip/src/roster.rs
+++ b/crates/gossip/src/roster.rs
@@ -283,9 +283,12 @@
         out
     }
 
-    /// Notes a record; returns whether it is of the present life of its VM.
+    /// Notes a record; returns whether it is of the present life of its VM. Lives are numbered by
+    /// the time of day, which may be set back, so a lower number counts once the life with the
+    /// higher one has fallen silent.
     fn note(&mut self, now: Time, member: Member, direct: bool) -> bool {
         let vm = member.vm.clone();
+        let lost = self.lost_after();
         let Some(peer) = self.peers.get_mut(&vm) else {
             log::info!(event = "vm-known", vm = vm.as_str(), direct = direct; "a VM became known");
             let heard = direct.then_some(now);
@@ -297,7 +300,9 @@
             self.peers.insert(vm, peer);
             return true;
         };
-        if member.life < peer.member.life {
+        let older = member.life < peer.member.life;
+        let heard = peer.heard.is_some_and(|heard| now.since(heard) < lost);
+        if older && (heard || !direct) {
             return false;
         }
         if direct || member.life > peer.member.life {
--- a/crates/gossip/tests/roster.rs
+++ b/crates/gossip/tests/roster.rs
@@ -116,6 +116,27 @@
     assert!(!roster.member(&member(1, 0).vm).unwrap().leaving);
 }
 
+/// Guards against a VM that stays unknown because its clock was set back before it started again.
+#[test]
+fn lower_life_counts_once_the_earlier_one_is_silent() {
+    let now = Time::from_millis(1000);
+    let mut roster = Roster::new(now, member(0, 1), vec![address(1)], Timing::default());
+    let hello = |life| Introduction::Hello {
+        member: member(1, life),
+        known: true,
+    };
+    roster.receive(now, hello(9));
+    let later = now + Duration::from_millis(800);
+    assert_eq!(roster.live(later).count(), 0);
+    roster.receive(later, Introduction::Members(vec![member(1, 8)]));
+    assert_eq!(roster.live(later).count(), 0, "a list is no sign of life");
+    roster.receive(later, hello(8));
+    assert_eq!(
+        roster.live(later).map(|vm| vm.life.0).collect::<Vec<_>>(),
+        [8]
+    );
+}
+
 /// Guards against messages that grow with the square of the number of VMs: a VM sends about as many
 /// heartbeats a second in a large deployment as in a small one.
 #[test]
--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -51,7 +51,6 @@
         Outcome::Work(Reply::Pending(_)) => "pending",
         Outcome::Accepted => "accepted",
         Outcome::Configuration(_) => "configuration",
-        Outcome::NoConfiguration => "no_configuration",
         Outcome::Elsewhere(_) => "elsewhere",
         Outcome::Unknown => "unknown",
     };
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -6,8 +6,9 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use eyre::{eyre, Report};
 use greengage_agreement::Timing;
-use greengage_cluster::{gossip, scheduler};
-use greengage_cluster::{Cluster, Effect, Event, Message, Outcome, Setup, Stage, Standing};
+use greengage_cluster::{
+    gossip, scheduler, Cluster, Effect, Event, Message, Outcome, Setup, Stage, Standing,
+};
 use greengage_config as config;
 use greengage_core::{Address, Incarnation, RequestId, TargetName, Time};
 use greengage_mesh::Mesh;
@@ -77,15 +78,17 @@
     Box::new(|_| {})
 }
 
-fn setup(settings: &Settings, folder: Option<&mut disk::Folder>, clock: Clock) -> Setup {
+fn setup(
+    settings: &Settings,
+    folder: Option<&mut disk::Folder>,
+    clock: Clock,
+) -> Result<Setup, Report> {
     let now = clock.now();
     let node = folder.as_ref().map(|folder| folder.node.clone());
     let member = gossip::Member {
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
-        address: Address(
-            greengage_core::Name::new(&settings.mesh.to_string()).expect("an address is a name"),
-        ),
+        address: Address::new(&settings.mesh.to_string())?,
         api: settings.api.clone(),
         life: Incarnation(clock.wall().0),
         roles: gossip::Roles {
@@ -99,20 +102,20 @@
     let own = scheduler::Candidate {
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
-        weight: 100,
+        weight: scheduler::USUAL_WEIGHT,
     };
     let scheduler = settings.entry.then_some(scheduler::Setup {
         own,
         life: member.life,
     });
-    Setup {
+    Ok(Setup {
         member,
         seeds: settings.seeds.clone(),
         timing: gossip::Timing::default(),
         group,
         scheduler,
         grace: settings.grace,
-    }
+    })
 }
 
 /// Runs a VM until it has shut down. `inputs` are what arrives at `inbox`.
@@ -124,7 +127,7 @@
 ) -> Result<(), Report> {
     let clock = Clock;
     let mut folder = disk::open(settings, rand::random())?;
-    let setup = setup(settings, folder.as_mut(), clock);
+    let setup = setup(settings, folder.as_mut(), clock)?;
     let mut save: Save = match folder {
         Some(folder) => Box::new(disk::start(folder.journal, inputs.clone())?),
         None => no_disk(),
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -86,7 +86,7 @@
             }
             StartResult::Fenced => {
                 self.end_run(now, name, at, Fate::NotRunning, out);
-                self.fenced(now, name, out);
+                self.fenced(now, name);
             }
             StartResult::OtherLife => self.lose_life(now, name, out),
             StartResult::Unknown => {
@@ -160,7 +160,7 @@
                     target.runs[at].state = RunState::Stopped(now);
                 }
             }
-            StopResult::Fenced => self.fenced(now, name, out),
+            StopResult::Fenced => self.fenced(now, name),
             StopResult::OtherLife => self.lose_life(now, name, out),
             StopResult::Unknown => {}
         }
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -255,7 +255,7 @@
                     self.rooms_changed = true;
                 }
             }
-            HoldResult::Fenced => self.fenced(now, name, out),
+            HoldResult::Fenced => self.fenced(now, name),
             HoldResult::OtherLife => self.lose_life(now, name, out),
             HoldResult::Lists {
                 clock,
@@ -295,7 +295,7 @@
     }
 
     /// Another VM has a higher generation: what ran here is that VM's to stop.
-    pub(crate) fn fenced(&mut self, now: Time, name: &TargetName, _out: &mut Vec<Effect>) {
+    pub(crate) fn fenced(&mut self, now: Time, name: &TargetName) {
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -45,7 +45,7 @@
     Effect, End, EndKind, Event, HoldCall, HoldResult, Listing, Reply, StartCall, StartResult,
     Step, StopCall, StopResult, Submission, TargetCall, TargetReport,
 };
-pub use owner::{assign, Candidate};
+pub use owner::{assign, Candidate, USUAL_WEIGHT};
 pub use peer::{Errand, ErrandEnd, PeerMessage, Room};
 pub use placement::{choose, Owner, Slot};
 pub use progress::earliest_end;
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -262,8 +262,8 @@
         self.task_ended(now, number, task, fate, None, out);
     }
 
-    /// Tells other entry VMs what is owned and free here: those that lately lacked room at once, the
-    /// others now and then.
+    /// Tells other entry VMs what is owned and free here: those that lately lacked room at once,
+    /// the others now and then.
     pub(crate) fn share_rooms(&mut self, now: Time, out: &mut Vec<Effect>) {
         if self.peers.is_empty() {
             return;
--- a/crates/scheduler/src/owner.rs
+++ b/crates/scheduler/src/owner.rs
@@ -9,6 +9,9 @@
 
 use greengage_core::{value, TargetName, VmName, ZoneName};
 
+/// The weight of a VM whose size isn't known.
+pub const USUAL_WEIGHT: u32 = 100;
+
 /// An entry VM that may own targets.
 #[value]
 pub struct Candidate {
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -17,8 +17,8 @@
 /// Most tasks of one job; 1,200 are expected at most in the years to come.
 const MOST_TASKS: u64 = 10_000;
 
-/// The part of the expected run time, in percent, in which work may end after all: estimates are off
-/// by two fifths, and the fastest targets take five eighths of the usual time.
+/// The part of the expected run time, in percent, in which work may end after all: estimates are
+/// off by two fifths, and the fastest targets take five eighths of the usual time.
 pub(crate) const OPTIMISM: u32 = 40;
 
 /// Taken off the time that a caller waits, for the way of the answer.
