--- /dev/null
+++ b/crates/scheduler/tests/rules.rs
@@ -0,0 +1,157 @@
+//! Single rules: input and expected output.
+
+use std::time::Duration;
+
+use greengage_core::{Demand, TargetName, Time, VmName, ZoneName};
+use greengage_scheduler::{assign, choose, earliest_end, Candidate, Owner, Slot, USUAL_WEIGHT};
+
+fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn zone(name: &str) -> ZoneName {
+    ZoneName::new(name).unwrap()
+}
+
+fn candidates(list: &[(&str, &str)]) -> Vec<Candidate> {
+    let candidate = |(vm, at): &(&str, &str)| Candidate {
+        vm: VmName::new(vm).unwrap(),
+        zone: zone(at),
+        weight: USUAL_WEIGHT,
+    };
+    list.iter().map(candidate).collect()
+}
+
+/// The number of targets of zone `a` that each VM owns, of `targets` targets in turn in `a` and `b`.
+fn shares(targets: usize, vms: &[(&str, &str)]) -> Vec<usize> {
+    let names: Vec<TargetName> = (0..targets)
+        .map(|i| TargetName::new(&format!("t{i:03}")).unwrap())
+        .collect();
+    let zones = [zone("a"), zone("b")];
+    let list: Vec<_> = names
+        .iter()
+        .enumerate()
+        .map(|(i, n)| (n, &zones[i % 2]))
+        .collect();
+    let owners = assign(&list, &candidates(vms));
+    let of_zone = |vm: usize| {
+        let owned = owners.iter().step_by(2);
+        owned.filter(|owner| **owner == Some(vm)).count()
+    };
+    (0..vms.len()).map(of_zone).collect()
+}
+
+/// Guards against targets that another zone's VM owns while their own zone has one, and against a
+/// VM that owns far more than others.
+#[test]
+fn targets_are_owned_evenly_in_their_zone() {
+    let shared = shares(32, &[("v1", "a"), ("v2", "a"), ("v3", "b")]);
+    assert_eq!(shared, [8, 8, 0]);
+}
+
+/// Guards against targets without an owner when their zone has lost its VMs.
+#[test]
+fn zone_without_a_vm_is_shared_by_the_others() {
+    let shared = shares(32, &[("v3", "b"), ("v4", "b")]);
+    assert_eq!(shared.iter().sum::<usize>(), 16);
+    assert_eq!(shares(4, &[]), Vec::<usize>::new());
+}
+
+/// Guards against a change of VMs that moves targets between those that stay.
+#[test]
+fn lost_vm_moves_few_other_targets() {
+    let names: Vec<TargetName> = (0..60)
+        .map(|i| TargetName::new(&format!("t{i:03}")).unwrap())
+        .collect();
+    let a = zone("a");
+    let list: Vec<_> = names.iter().map(|name| (name, &a)).collect();
+    let all = candidates(&[("v1", "a"), ("v2", "a"), ("v3", "a"), ("v4", "a")]);
+    let fewer = candidates(&[("v1", "a"), ("v2", "a"), ("v3", "a")]);
+    let (before, after) = (assign(&list, &all), assign(&list, &fewer));
+    let kept = |i: usize| before[i] != Some(3) && before[i] != after[i];
+    let moved = (0..60).filter(|i| kept(*i)).count();
+    assert!(
+        moved <= 10,
+        "{moved} of 45 targets moved between VMs that stay"
+    );
+}
+
+fn slot(owner: Owner, speed: f64) -> Slot {
+    Slot {
+        free: Demand {
+            milli_cores: 8000,
+            memory_mib: 1000,
+            accelerators: 0,
+        },
+        speed,
+        delay: Duration::ZERO,
+        owner,
+        barred: false,
+    }
+}
+
+/// The slot for a task of 7 cores that takes 100 ms, with `objective` ms left.
+fn chosen(slots: &[Slot], objective: u64) -> Option<(usize, bool)> {
+    let demand = Demand {
+        milli_cores: 7000,
+        memory_mib: 64,
+        accelerators: 0,
+    };
+    let now = Time::from_millis(1000);
+    choose(now, slots, &demand, millis(100), now + millis(objective))
+}
+
+/// Guards against short tasks on fast targets that long ones need, and against late ones on slow
+/// targets.
+#[test]
+fn slowest_target_in_time_is_chosen_nearest_first() {
+    use Owner::{Far, Own, Zone};
+    let slots = [
+        slot(Own, 1.6),
+        slot(Own, 0.6),
+        slot(Zone, 0.5),
+        slot(Far, 2.0),
+    ];
+    assert_eq!(chosen(&slots, 400), Some((1, true)), "slow, but in time");
+    assert_eq!(chosen(&slots, 150), Some((0, true)), "own before far");
+    assert_eq!(
+        chosen(&slots, 90),
+        Some((3, true)),
+        "only the fastest is in time"
+    );
+    assert_eq!(chosen(&slots, 20), Some((3, false)), "late everywhere");
+    assert_eq!(
+        chosen(&slots[1..3], 400),
+        Some((0, true)),
+        "own before the zone"
+    );
+}
+
+/// Guards against tasks on targets that lack room or may not take them.
+#[test]
+fn full_and_barred_targets_are_passed_over() {
+    let mut slots = [slot(Owner::Own, 1.0), slot(Owner::Own, 1.0)];
+    slots[0].barred = true;
+    slots[1].free.milli_cores = 6999;
+    assert_eq!(chosen(&slots, 400), None);
+}
+
+/// Guards against runs that are given up for figures that tell nothing, and against those that hold
+/// their room until the caller's deadline though they can't end in time.
+#[test]
+fn progress_bounds_the_end() {
+    let sent = Time::from_millis(1000);
+    let end = |age, percent| earliest_end(sent, sent + millis(age), percent).map(|t| t.since(sent));
+    assert_eq!(end(50, 0), None, "too young");
+    assert_eq!(
+        end(115, 0),
+        Some(millis(7500)),
+        "three quarters of 100 ms for one percent"
+    );
+    assert_eq!(end(115, 9), Some(millis(750)));
+    assert_eq!(
+        end(215, 49),
+        Some(millis(380)),
+        "nearly exact once much is done"
+    );
+}
