Refuse errands of VMs that are not heard; tidy names

Cause: an errand of a VM that this one doesn't count as live wasn't watched, so it would have run on when that VM was lost.

Change: such an errand is answered "not running" at once. Two computations of a job's longest task are one; names say what they mean (foreign_runs, recheck_runs, FreeRoom, last_chance).

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -1,8 +1,8 @@
 //! Placing waiting tasks.
 //!
 //! Jobs that have begun go first, since what they have run is lost if they end late; then those
-//! whose latest start is nearest. A job begins only when there is room for a good part of its tasks
-//! at once.
+//! whose latest start is nearest. A job begins only when there is room for a part of its tasks at
+//! once; the others wait for targets on which they end in time, as long as there can be one.
 
 use std::time::Duration;
 
@@ -43,7 +43,8 @@
     Late,
 }
 
-struct Room {
+/// All free room that is known, and what each slot stands for.
+struct FreeRoom {
     slots: Vec<Slot>,
     places: Vec<Place>,
 }
@@ -68,7 +69,7 @@
                 break;
             }
             let rule = match self.jobs.get(&number) {
-                Some(job) if job.begun && now >= self.last_start(job, &room) => Rule::Late,
+                Some(job) if job.begun && now >= self.last_chance(job, &room) => Rule::Late,
                 _ => Rule::InTime,
             };
             self.place_job(now, number, rule, &mut room, &mut errands, out);
@@ -103,29 +104,27 @@
         }
     }
 
-    /// When the tasks of a job have to start so that it ends in time.
-    fn latest_start(&self, job: &Job) -> Time {
+    /// The expected run time of the longest task that a job still lacks.
+    fn longest_task(&self, job: &Job) -> Duration {
         let steps = job.steps.iter().filter(|step| step.left > 0);
-        let longest = steps
-            .map(|step| self.estimates.expected(&job.queue, step.declared))
-            .max();
-        job.objective - longest.unwrap_or_default()
+        let times = steps.map(|step| self.estimates.expected(&job.queue, step.declared));
+        times.max().unwrap_or_default()
     }
 
-    /// When a job's tasks have to start even on the fastest target; after that they are late
-    /// anywhere.
-    fn last_start(&self, job: &Job, room: &Room) -> Time {
-        let steps = job.steps.iter().filter(|step| step.left > 0);
-        let longest = steps
-            .map(|step| self.estimates.expected(&job.queue, step.declared))
-            .max();
+    /// When the tasks of a job have to start on a usual target so that it ends in time.
+    fn latest_start(&self, job: &Job) -> Time {
+        job.objective - self.longest_task(job)
+    }
+
+    /// When a job's tasks have to start on the fastest target; after that they are late anywhere.
+    fn last_chance(&self, job: &Job, room: &FreeRoom) -> Time {
         let fastest = room.slots.iter().map(|slot| slot.speed).fold(1.0, f64::max);
-        job.objective - longest.unwrap_or_default().div_f64(fastest)
+        job.objective - self.longest_task(job).div_f64(fastest)
     }
 
     /// All free room that is known.
-    fn room(&self, now: Time) -> Room {
-        let mut room = Room {
+    fn room(&self, now: Time) -> FreeRoom {
+        let mut room = FreeRoom {
             slots: Vec::new(),
             places: Vec::new(),
         };
@@ -169,7 +168,7 @@
         now: Time,
         number: u64,
         rule: Rule,
-        room: &mut Room,
+        room: &mut FreeRoom,
         errands: &mut Vec<(VmName, Errand)>,
         out: &mut Vec<Effect>,
     ) -> bool {
@@ -219,7 +218,7 @@
     }
 
     /// Marks the slots that a task may not use.
-    fn bar(&self, job: &Job, task: usize, room: &mut Room) {
+    fn bar(&self, job: &Job, task: usize, room: &mut FreeRoom) {
         let task = &job.tasks[task];
         let step = &job.steps[task.step];
         for (slot, place) in room.slots.iter_mut().zip(&room.places) {
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -88,7 +88,7 @@
                 self.end_run(now, name, at, Fate::NotRunning, out);
                 self.fenced(now, name);
             }
-            StartResult::OtherLife => self.lose_life(now, name, out),
+            StartResult::OtherLife => self.lose_target(now, name, out),
             StartResult::Unknown => {
                 log::info!(event = "start-unknown", task = task, run = number,
                     target = name.as_str(); "a start got no answer; the run is stopped");
@@ -161,7 +161,7 @@
                 }
             }
             StopResult::Fenced => self.fenced(now, name),
-            StopResult::OtherLife => self.lose_life(now, name, out),
+            StopResult::OtherLife => self.lose_target(now, name, out),
             StopResult::Unknown => {}
         }
     }
@@ -383,7 +383,7 @@
     }
 
     /// The process behind a target's name is another one now, so what ran there is gone.
-    pub(crate) fn lose_life(&mut self, now: Time, name: &TargetName, out: &mut Vec<Effect>) {
+    pub(crate) fn lose_target(&mut self, now: Time, name: &TargetName, out: &mut Vec<Effect>) {
         log::info!(event = "target-gone", target = name.as_str(); "a target's life is over");
         self.drop_runs(now, name, out);
         self.targets.remove(name);
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -57,7 +57,7 @@
                 return;
             }
             let other = other.clone();
-            self.lose_life(now, &other, out);
+            self.lose_target(now, &other, out);
         }
         match self.targets.get_mut(&name) {
             None => {
@@ -92,17 +92,17 @@
     /// that was sent lately may have reached the new one, so each run is stopped there before its
     /// task may start elsewhere.
     fn new_life(&mut self, report: &TargetReport) {
-        log::info!(event = "target-reborn", target = report.target.as_str(),
+        log::info!(event = "target-restarted", target = report.target.as_str(),
             life = report.life.0; "a target has started again");
         if let Some(target) = self.targets.get_mut(&report.target) {
-            target.reborn(report.life);
+            target.begin_life(report.life);
         }
         self.rooms_changed = true;
     }
 
     pub(crate) fn left(&mut self, now: Time, name: &TargetName, out: &mut Vec<Effect>) {
         if self.targets.contains(name) {
-            self.lose_life(now, name, out);
+            self.lose_target(now, name, out);
         }
     }
 
@@ -158,7 +158,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in gone {
-            self.lose_life(now, &name, out);
+            self.lose_target(now, &name, out);
         }
     }
 
@@ -178,7 +178,7 @@
                     .is_some_and(|seen| now.since(seen) >= FAR_SETTLE);
                 let reached = target.report.zone == own_zone || seen;
                 if settled && reached && !held_elsewhere {
-                    target.distrust_runs();
+                    target.recheck_runs();
                     target.lease = Lease::Claiming;
                     target.generation = (wall.0 + target.raise).max(target.generation + 1);
                     target.hold.next = now;
@@ -256,7 +256,7 @@
                 }
             }
             HoldResult::Fenced => self.fenced(now, name),
-            HoldResult::OtherLife => self.lose_life(now, name, out),
+            HoldResult::OtherLife => self.lose_target(now, name, out),
             HoldResult::Lists {
                 clock,
                 life,
@@ -278,13 +278,13 @@
                 target.raise = 0;
                 target.reported = now;
                 if target.lease == Lease::Claiming {
-                    let strangers = strangers(target, &running);
-                    if strangers.is_empty() {
+                    let foreign_runs = foreign_runs(target, &running);
+                    if foreign_runs.is_empty() {
                         target.lease = Lease::Owned;
                         self.rooms_changed = true;
                         self.stale = true;
                     }
-                    for call in strangers {
+                    for call in foreign_runs {
                         self.call(name, TargetCall::Stop(call), out);
                     }
                 }
@@ -314,7 +314,7 @@
 }
 
 /// Runs of earlier owners, to be stopped.
-fn strangers(target: &Target, running: &[Listing]) -> Vec<StopCall> {
+fn foreign_runs(target: &Target, running: &[Listing]) -> Vec<StopCall> {
     let others = running
         .iter()
         .filter(|row| target.run(&row.task, row.run).is_none());
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -181,7 +181,10 @@
     }
 
     fn run_errand(&mut self, now: Time, from: &VmName, errand: Errand, out: &mut Vec<Effect>) {
-        let Some(target) = self.errand_target(now, &errand) else {
+        // An errand of a VM that isn't heard here would run on when that VM is lost.
+        let heard = self.peers.contains(from);
+        let target = self.errand_target(now, &errand).filter(|_| heard);
+        let Some(target) = target else {
             let end = (errand.ticket, ErrandEnd::NotRunning);
             self.ended.entry(from.clone(), Vec::new).push(end);
             self.rooms_changed = true;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -214,7 +214,7 @@
             self.dispatch(now, &mut out);
         }
         if let Some(job) = self.arrived.take() {
-            self.refuse_hopeless(now, job, &mut out);
+            self.refuse_if_backlogged(now, job, &mut out);
         }
         for (to, ends) in std::mem::take(&mut self.ended) {
             let message = PeerMessage::Ended(ends);
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -106,10 +106,10 @@
 
     /// Refuses a job for which there was no room on arrival, when the work that waits here is
     /// expected to keep it waiting for longer than it may.
-    pub(crate) fn refuse_hopeless(&mut self, now: Time, number: u64, out: &mut Vec<Effect>) {
+    pub(crate) fn refuse_if_backlogged(&mut self, now: Time, number: u64, out: &mut Vec<Effect>) {
         let waiting = self.backlog(now);
-        let hopeless = |job: &Job| !job.begun && now + waiting > job.begin;
-        if self.jobs.get(&number).is_some_and(hopeless) {
+        let overdue = |job: &Job| !job.begun && now + waiting > job.begin;
+        if self.jobs.get(&number).is_some_and(overdue) {
             let after = return_time(waiting);
             self.finish(now, number, Reply::Refused { after }, out);
         }
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -156,11 +156,11 @@
     }
 
     /// Begins a new life of the target: it runs nothing and knows nothing of before.
-    pub(crate) fn reborn(&mut self, life: Incarnation) {
+    pub(crate) fn begin_life(&mut self, life: Incarnation) {
         self.report.life = life;
         self.report.sequence = 0;
         self.forget();
-        self.distrust_runs();
+        self.recheck_runs();
         self.speed = Learned::default();
         self.health = Health::default();
     }
@@ -174,7 +174,7 @@
     }
 
     /// Lets all runs be stopped again: it isn't known which of them are there.
-    pub(crate) fn distrust_runs(&mut self) {
+    pub(crate) fn recheck_runs(&mut self) {
         for run in &mut self.runs {
             run.state = RunState::Stopping(Time(0));
         }
--- a/crates/scheduler/tests/world/faults.rs
+++ b/crates/scheduler/tests/world/faults.rs
@@ -190,6 +190,22 @@
     assert_eq!(world.in_time(0), (1, 1), "the zone goes on by itself");
 }
 
+/// Guards against errands for a VM that isn't heard here: nobody would stop them when it is lost.
+#[test]
+fn errand_of_a_vm_that_is_not_heard_is_refused() {
+    let mut world = World::new(9, 3, 9);
+    world.deaf = Some((1, 0));
+    world.run(SECOND);
+    for _ in 0..20 {
+        world.submit(0, 0, vec![millis(50); 8]);
+        world.run(millis(50));
+    }
+    world.run(SECOND);
+    assert_eq!(world.targets_of_errands(1, 0), 0);
+    let done = |c: &&crate::support::Caller| matches!(c.answer, Some((_, Reply::Completed)));
+    assert!(world.callers.iter().filter(done).count() >= 15);
+}
+
 /// Guards against errands of an earlier life that run on, or whose ends are taken for those of new
 /// ones, when a VM is back before the others have missed it.
 #[test]
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -144,6 +144,10 @@
     pub(crate) callers: Vec<Caller>,
     /// The VM whose zone is cut off: reports of its targets reach only it, and the others' not it.
     pub(crate) cut_zone: Option<usize>,
+    /// A VM that doesn't count another one as live, though its messages arrive.
+    pub(crate) deaf: Option<(usize, usize)>,
+    /// Errands that each VM has started, by VM and by the VM that sent them.
+    errands: BTreeMap<(usize, usize), usize>,
     /// Pairs of VMs that don't hear each other.
     pub(crate) cut: Vec<(usize, usize)>,
     queue: BTreeMap<(Time, u64), Act>,
@@ -197,6 +201,8 @@
             targets: Vec::new(),
             callers: Vec::new(),
             cut_zone: None,
+            deaf: None,
+            errands: BTreeMap::new(),
             cut: Vec::new(),
             queue: BTreeMap::new(),
             seq: 0,
@@ -304,7 +310,27 @@
             return;
         }
         let wall = Wall(1_000_000 + self.now.0 / 1000);
+        let sender = match &event {
+            Event::Peer {
+                from,
+                message: PeerMessage::Run(_),
+            } => Some(from.clone()),
+            _ => None,
+        };
         let effects = state.scheduler.step(self.now, wall, event);
+        if let Some(other) = (0..self.vms.len()).find(|i| Some(candidate(*i, 3).vm) == sender) {
+            let is_start = |effect: &&Effect| {
+                matches!(
+                    effect,
+                    Effect::Call {
+                        call: TargetCall::Start(_),
+                        ..
+                    }
+                )
+            };
+            let starts = effects.iter().filter(is_start).count();
+            *self.errands.entry((vm, other)).or_default() += starts;
+        }
         for effect in effects {
             self.effect(vm, effect);
         }
@@ -704,7 +730,8 @@
             let mut peers = Vec::new();
             for other in 0..self.vms.len() {
                 let heard = self.now.since(self.vms[other].heard) < LOST_AFTER;
-                if other != vm && heard && !self.is_cut(vm, other) {
+                let deaf = self.deaf == Some((vm, other));
+                if other != vm && heard && !deaf && !self.is_cut(vm, other) {
                     peers.push(Peer {
                         own: candidate(other, 3),
                         life: Incarnation(self.vms[other].life),
@@ -851,6 +878,11 @@
         }
     }
 
+    /// How many starts `vm` has sent for errands of `other`.
+    pub(crate) fn targets_of_errands(&self, vm: usize, other: usize) -> usize {
+        self.errands.get(&(vm, other)).copied().unwrap_or(0)
+    }
+
     /// The callers that were answered with success within their objective, and all.
     pub(crate) fn in_time(&self, queue: usize) -> (usize, usize) {
         let of_queue = || self.callers.iter().filter(|c| c.queue == queue);
