Use the usual terms for outcomes, stalled runs and the front end

Cause: a newcomer stumbles over Fate, Outside and runs that stand still. Change: RunOutcome, Frontend, stalled; names and comments only.

--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! The control thread owns the state. It waits on one channel until the next deadline and does no
 //! I/O; the mesh, the journal and whatever speaks to callers and targets have threads of their own
-//! and send it events. What callers and targets are told is the business of an [`Outside`], the
+//! and send it events. What callers and targets are told is the business of an [`Frontend`], the
 //! only trait here.
 
 mod clock;
@@ -13,5 +13,5 @@
 
 pub use clock::Clock;
 pub use metrics::{note_answer, note_call, note_standing, Metrics};
-pub use runtime::{run, Input, Outside};
+pub use runtime::{run, Frontend, Input};
 pub use settings::Settings;
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -43,7 +43,7 @@
 }
 
 /// What speaks to callers and targets.
-pub trait Outside {
+pub trait Frontend {
     /// Answers a caller.
     fn answer(&mut self, request: RequestId, outcome: Outcome);
     /// Calls a target.
@@ -123,7 +123,7 @@
     settings: &Settings,
     inputs: Sender<Input>,
     inbox: &Receiver<Input>,
-    outside: &mut dyn Outside,
+    frontend: &mut dyn Frontend,
 ) -> Result<(), Report> {
     let clock = Clock;
     let mut folder = disk::open(settings, rand::random())?;
@@ -170,7 +170,7 @@
         }
         if shown != Some(standing) {
             note_standing(&standing);
-            outside.standing(&standing);
+            frontend.standing(&standing);
             shown = Some(standing);
         }
         for _ in 0..BATCH {
@@ -182,7 +182,7 @@
                         log::warn!(event = "disk-failed", cause = cause.as_str();
                             "the disk takes no more writes; leaving the control group");
                         let effects = cluster.lose_group(clock.now(), clock.wall());
-                        carry_out(effects, &mesh, &mut *save, outside);
+                        carry_out(effects, &mesh, &mut *save, frontend);
                         save = no_disk();
                         reopen = Some(clock.now() + REOPEN_EVERY);
                     }
@@ -193,13 +193,13 @@
             };
             let ticked = matches!(event, Event::Tick);
             let effects = cluster.step(clock.now(), clock.wall(), event);
-            carry_out(effects, &mesh, &mut *save, outside);
+            carry_out(effects, &mesh, &mut *save, frontend);
             if ticked {
                 break;
             }
             if clock.now() >= cluster.wake() {
                 let effects = cluster.step(clock.now(), clock.wall(), Event::Tick);
-                carry_out(effects, &mesh, &mut *save, outside);
+                carry_out(effects, &mesh, &mut *save, frontend);
                 break;
             }
         }
@@ -226,7 +226,7 @@
     effects: Vec<Effect>,
     mesh: &Mesh,
     save: &mut dyn FnMut(&config::GroupSave),
-    outside: &mut dyn Outside,
+    frontend: &mut dyn Frontend,
 ) {
     for effect in effects {
         match effect {
@@ -236,13 +236,13 @@
                     cause = error.to_string().as_str(); "a VM's address can't be used"),
             },
             Effect::Save(group) => save(&group),
-            Effect::Answer { request, outcome } => outside.answer(request, outcome),
+            Effect::Answer { request, outcome } => frontend.answer(request, outcome),
             Effect::Call {
                 target,
                 address,
                 generation,
                 call,
-            } => outside.call(target, address, generation, call),
+            } => frontend.call(target, address, generation, call),
         }
     }
 }
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -1,4 +1,4 @@
-//! What becomes of runs: results of starts and stops, ends, standing runs, lost targets.
+//! What becomes of runs: results of starts and stops, ends, stalled runs, lost targets.
 
 use std::time::Duration;
 
@@ -15,7 +15,7 @@
 
 /// How a run came to its end, as far as its task is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Fate {
+pub(crate) enum RunOutcome {
     /// The task is done.
     Done,
     /// The task failed.
@@ -35,11 +35,11 @@
 const FULL_PAUSE: Duration = Duration::from_millis(30);
 /// Time between two orders to stop the same run.
 const STOP_AGAIN: Duration = Duration::from_millis(150);
-/// A run stands still when it has made no progress for this many times its expected run time. Runs
+/// A run is stalled when it has made no progress for this many times its expected run time. Runs
 /// that are seven times as long as usual still move a percent or more in that time.
-const STILL_FACTOR: u32 = 2;
-/// A run is not taken to stand still before this time.
-const STILL_LEAST: Duration = Duration::from_millis(150);
+const STALL_FACTOR: u32 = 2;
+/// A run does not count as stalled before this time.
+const STALL_LEAST: Duration = Duration::from_millis(150);
 
 impl Scheduler {
     pub(crate) fn started(
@@ -69,11 +69,11 @@
             }
             StartResult::NoRoom => {
                 target.full = now + FULL_PAUSE;
-                self.end_run(now, name, at, Fate::NotRunning, out);
+                self.end_run(now, name, at, RunOutcome::NotRunning, out);
             }
             StartResult::OldNumber => {
                 self.raise_number(name, at);
-                self.end_run(now, name, at, Fate::NotRunning, out);
+                self.end_run(now, name, at, RunOutcome::NotRunning, out);
             }
             StartResult::Late | StartResult::NotSent | StartResult::Rejected => {
                 if result == StartResult::Rejected {
@@ -82,10 +82,10 @@
                 log::info!(event = "start-refused", task = task, run = number,
                     target = name.as_str(), result:? = result; "a start had no effect");
                 target.full = now + FULL_PAUSE;
-                self.end_run(now, name, at, Fate::NotRunning, out);
+                self.end_run(now, name, at, RunOutcome::NotRunning, out);
             }
             StartResult::Fenced => {
-                self.end_run(now, name, at, Fate::NotRunning, out);
+                self.end_run(now, name, at, RunOutcome::NotRunning, out);
                 self.fenced(now, name);
             }
             StartResult::OtherLife => self.lose_target(now, name, out),
@@ -187,12 +187,12 @@
             let Some(at) = target.run(&end.task, end.run) else {
                 continue;
             };
-            let fate = match end.kind {
-                EndKind::Done => Fate::Done,
-                EndKind::Failed => Fate::Failed,
-                EndKind::Stopped => Fate::NotRunning,
+            let outcome = match end.kind {
+                EndKind::Done => RunOutcome::Done,
+                EndKind::Failed => RunOutcome::Failed,
+                EndKind::Stopped => RunOutcome::NotRunning,
             };
-            self.end_run(now, name, at, fate, out);
+            self.end_run(now, name, at, outcome, out);
         }
         let Some(target) = self.targets.get_mut(name) else {
             return;
@@ -218,7 +218,7 @@
             .get(name)
             .and_then(|target| target.runs.iter().position(gone))
         {
-            self.end_run(now, name, at, Fate::NotRunning, out);
+            self.end_run(now, name, at, RunOutcome::NotRunning, out);
         }
     }
 
@@ -228,7 +228,7 @@
         now: Time,
         name: &TargetName,
         at: usize,
-        fate: Fate,
+        outcome: RunOutcome,
         out: &mut Vec<Effect>,
     ) {
         let Some(target) = self.targets.get_mut(name) else {
@@ -237,28 +237,28 @@
         let run = target.runs.remove(at);
         self.rooms_changed = true;
         self.stale = true;
-        match fate {
-            Fate::Done => {
+        match outcome {
+            RunOutcome::Done => {
                 let took = now.since(run.sent);
                 self.estimates
                     .observe(&run.queue, &mut target.speed, run.declared, took);
                 target.health.done();
             }
-            Fate::Failed => {
+            RunOutcome::Failed => {
                 if target.health.failed(now, run.origin.job_number()) {
                     log::info!(event = "target-left-out", target = name.as_str(),
                         task = &*run.task; "a target that fails its tasks is left out");
                 }
             }
-            Fate::NotRunning | Fate::TooLong => {}
+            RunOutcome::NotRunning | RunOutcome::TooLong => {}
         }
-        let fate = match fate {
-            Fate::NotRunning if run.too_long => Fate::TooLong,
-            fate => fate,
+        let outcome = match outcome {
+            RunOutcome::NotRunning if run.too_long => RunOutcome::TooLong,
+            outcome => outcome,
         };
-        if fate != Fate::Done {
+        if outcome != RunOutcome::Done {
             log::info!(event = "run-ended", task = &*run.task, run = run.number,
-                target = name.as_str(), outcome:? = fate, percent = run.percent,
+                target = name.as_str(), outcome:? = outcome, percent = run.percent,
                 age_ms = now.since(run.sent).as_millis() as u64,
                 misses = target.hold.misses, generation = target.generation;
                 "a run has ended without success");
@@ -267,15 +267,15 @@
             Origin::Own(job) => {
                 let task = self.jobs.get(&job).and_then(|j| j.task(&run.task));
                 if let Some(task) = task {
-                    self.task_ended(now, job, task, fate, Some(name), out);
+                    self.task_ended(now, job, task, outcome, Some(name), out);
                 }
             }
             Origin::Peer { vm, ticket } => {
-                let end = match fate {
-                    Fate::Done => ErrandEnd::Done,
-                    Fate::Failed => ErrandEnd::Failed,
-                    Fate::NotRunning => ErrandEnd::NotRunning,
-                    Fate::TooLong => ErrandEnd::TooLong,
+                let end = match outcome {
+                    RunOutcome::Done => ErrandEnd::Done,
+                    RunOutcome::Failed => ErrandEnd::Failed,
+                    RunOutcome::NotRunning => ErrandEnd::NotRunning,
+                    RunOutcome::TooLong => ErrandEnd::TooLong,
                 };
                 self.ended.entry(vm, Vec::new).push((ticket, end));
             }
@@ -288,7 +288,7 @@
         now: Time,
         number: u64,
         task: usize,
-        fate: Fate,
+        outcome: RunOutcome,
         target: Option<&TargetName>,
         out: &mut Vec<Effect>,
     ) {
@@ -298,8 +298,8 @@
         self.stale = true;
         let attempts = job.attempts;
         let entry = &mut job.tasks[task];
-        match fate {
-            Fate::Done => {
+        match outcome {
+            RunOutcome::Done => {
                 entry.state = TaskState::Done;
                 let step = entry.step;
                 job.steps[step].left -= 1;
@@ -307,7 +307,7 @@
                     self.finish(now, number, Reply::Completed, out);
                 }
             }
-            Fate::Failed => {
+            RunOutcome::Failed => {
                 entry.state = TaskState::Waiting;
                 entry.failures += 1;
                 entry.avoid = target.cloned();
@@ -315,11 +315,11 @@
                     self.finish(now, number, Reply::Failed, out);
                 }
             }
-            Fate::NotRunning => {
+            RunOutcome::NotRunning => {
                 entry.state = TaskState::Waiting;
                 entry.avoid = target.cloned();
             }
-            Fate::TooLong => {
+            RunOutcome::TooLong => {
                 entry.state = TaskState::Waiting;
                 entry.avoid = target.cloned();
                 entry.overruns += 1;
@@ -330,8 +330,8 @@
         }
     }
 
-    /// Stops runs that stand still or whose time is over, and gives up those whose lease has
-    /// ended without a word from their target.
+    /// Stops runs that have stalled or whose time is over, and gives up those whose lease has
+    /// ended while their target does not answer.
     pub(crate) fn review_runs(&mut self, now: Time, out: &mut Vec<Effect>) {
         let mut stops = Vec::new();
         let mut lapsed = Vec::new();
@@ -341,23 +341,23 @@
             for run in &mut target.runs {
                 let usual = estimates.expected(&run.queue, run.declared);
                 let expected = usual.div_f64(speed.factor().max(0.01));
-                let still = (expected * STILL_FACTOR).max(STILL_LEAST);
+                let limit = (expected * STALL_FACTOR).max(STALL_LEAST);
                 // The target's lists are the only sign of progress, so only those count.
                 let stood = run.looked.since(run.moved);
-                let stands = run.state == RunState::Running && stood > still;
+                let stalls = run.state == RunState::Running && stood > limit;
                 let again =
                     matches!(run.state, RunState::Stopping(sent) if now.since(sent) >= STOP_AGAIN);
                 let late = run.state == RunState::Running
                     && earliest_end(run.sent, run.looked, run.percent).is_some_and(|e| e > run.end);
                 run.too_long |= late;
-                if now >= run.end || again || stands || late {
-                    stalled |= stands && now < run.end;
+                if now >= run.end || again || stalls || late {
+                    stalled |= stalls && now < run.end;
                     stops.push((name.clone(), run.task.clone(), run.number));
                 }
             }
             if stalled {
                 log::info!(event = "target-stalls", target = name.as_str();
-                    "a run on a target stands still");
+                    "a run on a target has stalled");
                 target.health.stalled(now);
             }
             if target.lease == Lease::None && !target.runs.is_empty() && now >= target.leased {
@@ -378,7 +378,7 @@
     /// Ends all runs of a target that certainly run no more.
     pub(crate) fn drop_runs(&mut self, now: Time, name: &TargetName, out: &mut Vec<Effect>) {
         while self.targets.get(name).is_some_and(|t| !t.runs.is_empty()) {
-            self.end_run(now, name, 0, Fate::NotRunning, out);
+            self.end_run(now, name, 0, RunOutcome::NotRunning, out);
         }
     }
 
--- a/crates/scheduler/src/health.rs
+++ b/crates/scheduler/src/health.rs
@@ -1,6 +1,6 @@
 //! Targets that fail or stall what they start.
 //!
-//! A target that failed the tasks of several jobs in a row, or on which a task stood still, gets
+//! A target that failed the tasks of several jobs in a row, or on which a task stalled, gets
 //! nothing for a while and then single tasks, until one is done. Failures of one job count once,
 //! since a job whose tasks always fail says nothing about its target.
 
@@ -43,7 +43,7 @@
         out
     }
 
-    /// A run stood still, or an order got no answer.
+    /// A run has stalled, or an order got no answer.
     pub(crate) fn stalled(&mut self, now: Time) {
         self.leave_out(now);
     }
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -27,7 +27,7 @@
 /// By how much a claim is raised after it was fenced, in milliseconds; it doubles.
 const RAISE: u64 = 8_000;
 /// How long a target may wait for an end before it answers a hold. A lease is renewed by each
-/// hold, and several of them fit in one; runs that stand still show only in its answers.
+/// hold, and several of them fit in one; stalled runs show only in its answers.
 const HOLD_WAIT: Duration = Duration::from_millis(200);
 /// The same while nothing runs there. A start grants a lease itself, which lasts until the hold
 /// after this one.
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -4,7 +4,7 @@
 
 use greengage_core::{TargetName, Time, VmName};
 
-use crate::ends::Fate;
+use crate::ends::RunOutcome;
 use crate::event::{Effect, Reply};
 use crate::job::TaskState;
 use crate::peer::{Errand, ErrandEnd, PeerMessage, Room};
@@ -250,19 +250,19 @@
         let Some(task) = task else {
             return;
         };
-        let fate = match end {
-            ErrandEnd::Done => Fate::Done,
-            ErrandEnd::Failed => Fate::Failed,
-            ErrandEnd::TooLong => Fate::TooLong,
+        let outcome = match end {
+            ErrandEnd::Done => RunOutcome::Done,
+            ErrandEnd::Failed => RunOutcome::Failed,
+            ErrandEnd::TooLong => RunOutcome::TooLong,
             ErrandEnd::NotRunning => {
                 // What it reported was out of date.
                 if let Some(view) = self.peers.get_mut(from) {
                     view.rooms.clear();
                 }
-                Fate::NotRunning
+                RunOutcome::NotRunning
             }
         };
-        self.task_ended(now, number, task, fate, None, out);
+        self.task_ended(now, number, task, outcome, None, out);
     }
 
     /// Tells other entry VMs what is owned and free here: those that lately lacked room at once,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -15,7 +15,7 @@
 use crate::peer::{ErrandEnd, PeerMessage, Room};
 use crate::target::Target;
 
-/// Time between two looks at leases, deadlines and standing runs.
+/// Time between two looks at leases, deadlines and stalled runs.
 const REVIEW_EVERY: Duration = Duration::from_millis(20);
 
 /// What a scheduler starts from.
--- a/crates/scheduler/tests/world/faults.rs
+++ b/crates/scheduler/tests/world/faults.rs
@@ -194,7 +194,7 @@
 #[test]
 fn errand_of_a_vm_that_is_not_heard_is_refused() {
     let mut world = World::new(9, 3, 9);
-    world.deaf = Some((1, 0));
+    world.unheard = Some((1, 0));
     world.run(SECOND);
     for _ in 0..20 {
         world.submit(0, 0, vec![millis(50); 8]);
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -145,7 +145,7 @@
     /// The VM whose zone is cut off: reports of its targets reach only it, and the others' not it.
     pub(crate) cut_zone: Option<usize>,
     /// A VM that doesn't count another one as live, though its messages arrive.
-    pub(crate) deaf: Option<(usize, usize)>,
+    pub(crate) unheard: Option<(usize, usize)>,
     /// Errands that each VM has started, by VM and by the VM that sent them.
     errands: BTreeMap<(usize, usize), usize>,
     /// Pairs of VMs that don't hear each other.
@@ -201,7 +201,7 @@
             targets: Vec::new(),
             callers: Vec::new(),
             cut_zone: None,
-            deaf: None,
+            unheard: None,
             errands: BTreeMap::new(),
             cut: Vec::new(),
             queue: BTreeMap::new(),
@@ -730,8 +730,8 @@
             let mut peers = Vec::new();
             for other in 0..self.vms.len() {
                 let heard = self.now.since(self.vms[other].heard) < LOST_AFTER;
-                let deaf = self.deaf == Some((vm, other));
-                if other != vm && heard && !deaf && !self.is_cut(vm, other) {
+                let unheard = self.unheard == Some((vm, other));
+                if other != vm && heard && !unheard && !self.is_cut(vm, other) {
                     peers.push(Peer {
                         own: candidate(other, 3),
                         life: Incarnation(self.vms[other].life),
