Store the reports of targets at control VMs

Ruled out: the group, whose documents were there.

Change: a control VM stores the latest reports when targets have come, gone or changed, at most every 2 s, and passes them on after a restart. A stored report is a hint; claims and newer reports decide.

Tests: crates/cluster/tests/stored.rs; without the change the first fails, with a copy only where there is a disk the third does.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -34,6 +34,8 @@
     pub group: Option<config::Setup>,
     /// Its scheduler, for entry VMs.
     pub scheduler: Option<scheduler::Setup>,
+    /// The reports of targets that it had on disk, for control VMs.
+    pub targets: Vec<TargetReport>,
     /// How long a shutdown may take.
     pub grace: Duration,
 }
@@ -84,7 +86,7 @@
             roster: Roster::new(now, setup.member, setup.seeds, setup.timing),
             group,
             scheduler,
-            reports: Reports::new(now),
+            reports: Reports::new(now, setup.targets),
             document,
             shutdown: Shutdown::default(),
             grace: setup.grace,
@@ -192,6 +194,9 @@
         self.group(now, wall, config::Event::Tick, out);
         self.work(now, wall, scheduler::Event::Tick, out);
         self.pass_reports(now, out);
+        let copy = self.reports.take_copy(now);
+        // Without the group there is no disk that works.
+        out.extend(copy.filter(|_| self.group.is_some()).map(Effect::Store));
     }
 
     fn pass_reports(&mut self, now: Time, out: &mut Vec<Effect>) {
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -72,6 +72,8 @@
     },
     /// Make this durable, then report `Event::Saved`.
     Save(GroupSave),
+    /// Store these reports of targets in place of earlier ones; nothing waits for it.
+    Store(Vec<TargetReport>),
     /// Answer a caller.
     Answer {
         /// The caller.
--- a/crates/cluster/src/reports.rs
+++ b/crates/cluster/src/reports.rs
@@ -2,6 +2,11 @@
 //!
 //! Reports are passed on to all live entry VMs in batches. A VM that becomes live gets the recent
 //! ones at once, so that it can take over targets without waiting for their next reports.
+//!
+//! The reports are stored as well, now and then and only when targets have come, gone or changed.
+//! After a loss of all power entry VMs can then claim the targets of before at once. A stored
+//! report is only a hint: a target that has ended since doesn't answer its claim, and a report with
+//! a higher sequence replaces it.
 
 use std::time::Duration;
 
@@ -13,19 +18,39 @@
 /// Reports older than this are not passed on to a VM that becomes live.
 const FRESH: Duration = Duration::from_secs(5);
 
+/// Time between two copies on disk. A copy takes one sync of the disk that edits wait for too.
+const STORE_EVERY: Duration = Duration::from_secs(2);
+/// Reports older than this are not stored: their targets report every few seconds while they live.
+const STORED_AGE: Duration = Duration::from_secs(10);
+
 /// What a control VM heard from targets.
 pub(crate) struct Reports {
     latest: SortedMap<TargetName, (TargetReport, Time)>,
     batch: Vec<TargetReport>,
     due: Time,
+    /// Whether the copy on disk is out of date, and when the next one may be made.
+    changed: bool,
+    store: Time,
+}
+
+/// Whether a report tells more than that its target is still there.
+fn differs(old: &TargetReport, new: &TargetReport) -> bool {
+    TargetReport {
+        sequence: old.sequence,
+        ..new.clone()
+    } != *old
 }
 
 impl Reports {
-    pub(crate) fn new(now: Time) -> Reports {
+    /// Starts from the stored reports.
+    pub(crate) fn new(now: Time, stored: Vec<TargetReport>) -> Reports {
+        let stored = stored.into_iter();
         Reports {
-            latest: SortedMap::new(),
+            latest: stored.map(|r| (r.target.clone(), (r, now))).collect(),
             batch: Vec::new(),
             due: now,
+            changed: false,
+            store: now,
         }
     }
 
@@ -36,6 +61,7 @@
         if known.is_some_and(|(known, _)| order(known) >= order(&report)) {
             return;
         }
+        self.changed |= known.is_none_or(|(known, _)| differs(known, &report));
         if report.draining {
             self.due = now;
         }
@@ -45,13 +71,24 @@
 
     /// Forgets a target that has left.
     pub(crate) fn remove(&mut self, target: &TargetName) {
-        self.latest.remove(target);
+        self.changed |= self.latest.remove(target).is_some();
         self.batch.retain(|report| report.target != *target);
     }
 
-    /// When the next batch is due.
+    /// When the next batch or copy is due.
     pub(crate) fn wake(&self) -> Option<Time> {
-        (!self.batch.is_empty()).then_some(self.due)
+        let batch = (!self.batch.is_empty()).then_some(self.due);
+        let store = self.changed.then_some(self.store);
+        batch.into_iter().chain(store).min()
+    }
+
+    /// What has to be stored now, if anything.
+    pub(crate) fn take_copy(&mut self, now: Time) -> Option<Vec<TargetReport>> {
+        if !self.changed || now < self.store {
+            return None;
+        }
+        (self.changed, self.store) = (false, now + STORE_EVERY);
+        Some(self.younger_than(now, STORED_AGE))
     }
 
     /// The batch, once it is due.
@@ -65,8 +102,12 @@
 
     /// The recent reports.
     pub(crate) fn recent(&self, now: Time) -> Vec<TargetReport> {
+        self.younger_than(now, FRESH)
+    }
+
+    fn younger_than(&self, now: Time, age: Duration) -> Vec<TargetReport> {
         let latest = self.latest.values();
-        let recent = latest.filter(|(_, at)| now.since(*at) < FRESH);
-        recent.map(|(report, _)| report.clone()).collect()
+        let young = latest.filter(|(_, at)| now.since(*at) < age);
+        young.map(|(report, _)| report.clone()).collect()
     }
 }
--- a/crates/cluster/tests/group.rs
+++ b/crates/cluster/tests/group.rs
@@ -1,63 +1,14 @@
 //! A control VM whose disk fails.
 
-use std::sync::Arc;
-use std::time::Duration;
-
-use greengage_agreement::{Config, Seat, Timing};
-use greengage_cluster::{gossip, Cluster, Effect, Event, Outcome, Setup};
-use greengage_config as config;
-use greengage_config::{Document, Limits, Restored};
-use greengage_core::{
-    Address, Incarnation, NodeId, Payload, RequestId, Time, Version, VmName, Wall, ZoneName,
-};
+mod support;
 
-fn node() -> NodeId {
-    NodeId {
-        vm: VmName::new("10.0.0.1").unwrap(),
-        folder: 0,
-    }
-}
+use std::sync::Arc;
 
-fn group(now: Time) -> config::Setup {
-    let members = [(node(), Seat::Voter)].into_iter().collect();
-    config::Setup {
-        node: node(),
-        restored: Restored {
-            config: Config { members },
-            ..Restored::default()
-        },
-        timing: Timing::default(),
-        voters: 1,
-        seed: 1,
-        now,
-    }
-}
+use greengage_cluster::{Cluster, Effect, Event, Outcome};
+use greengage_config::{Document, Limits};
+use greengage_core::{Payload, RequestId, Time, Version, Wall};
 
-fn cluster(now: Time) -> Cluster {
-    let address = Address::new("10.0.0.1:7700").unwrap();
-    let member = gossip::Member {
-        vm: node().vm,
-        zone: ZoneName::new("a").unwrap(),
-        address: address.clone(),
-        api: Some(address),
-        life: Incarnation(1),
-        roles: gossip::Roles {
-            entry: false,
-            control: true,
-        },
-        folder: Some(0),
-        leaving: false,
-    };
-    let setup = Setup {
-        member,
-        seeds: Vec::new(),
-        timing: gossip::Timing::default(),
-        group: Some(group(now)),
-        scheduler: None,
-        grace: Duration::from_secs(6),
-    };
-    Cluster::new(now, setup)
-}
+use support::{control_setup, group};
 
 fn document() -> Arc<Document> {
     Arc::new(Document {
@@ -98,7 +49,7 @@
 #[test]
 fn failed_disk_leaves_edits_unknown_and_the_group_can_return() {
     let start = Time::from_millis(1000);
-    let mut cluster = cluster(start);
+    let mut cluster = Cluster::new(start, control_setup(start));
     run(&mut cluster, 1000, 3000);
     assert!(cluster.standing(Time::from_millis(3000)).leads);
     let put = |request| Event::Put {
--- /dev/null
+++ b/crates/cluster/tests/stored.rs
@@ -0,0 +1,99 @@
+//! Reports of targets that a control VM keeps on disk.
+
+mod support;
+
+use greengage_cluster::{gossip, Cluster, Effect, Event, Message};
+use greengage_core::{Incarnation, Time, VmName, Wall};
+use greengage_scheduler::TargetReport;
+
+use support::{control_setup, entry_member, report};
+
+const START: u64 = 1000;
+
+fn step(cluster: &mut Cluster, ms: u64, event: Event) -> Vec<Effect> {
+    cluster.step(Time::from_millis(ms), Wall(ms), event)
+}
+
+/// The copies that a control VM makes in a time span; saves of its group take no time.
+fn stored(cluster: &mut Cluster, from: u64, to: u64) -> Vec<Vec<TargetReport>> {
+    let mut copies = Vec::new();
+    for ms in from..to {
+        let mut effects = step(cluster, ms, Event::Tick);
+        while let Some(effect) = effects.pop() {
+            match effect {
+                Effect::Save(save) => effects.extend(step(cluster, ms, Event::Saved(save.seq))),
+                Effect::Store(reports) => copies.push(reports),
+                _ => {}
+            }
+        }
+    }
+    copies
+}
+
+/// Guards against a deployment that waits for the next reports of its targets after a loss of all
+/// power: an entry VM hears of them in the first exchange with a control VM.
+#[test]
+fn stored_targets_are_passed_to_entry_vms_before_they_report() {
+    let now = Time::from_millis(START);
+    let mut setup = control_setup(now);
+    setup.targets = vec![report("t-1", 7), report("t-2", 9)];
+    let mut cluster = Cluster::new(now, setup);
+    let hello = gossip::Introduction::Hello {
+        member: entry_member(Incarnation(1)),
+        known: false,
+    };
+    let event = Event::Receive {
+        from: VmName::new("10.0.0.9").unwrap(),
+        message: Message::Roster(hello, None),
+    };
+    let mut effects = step(&mut cluster, START + 1, event);
+    effects.extend(step(&mut cluster, START + 110, Event::Tick));
+    let passed: Vec<_> = effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Send {
+                message: Message::Reports(reports),
+                ..
+            } => Some(reports.clone()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(passed, [[report("t-1", 7), report("t-2", 9)]]);
+}
+
+/// Guards against a disk that is written for each report: only targets that are new, have gone or
+/// have changed are stored, and at most every two seconds.
+#[test]
+fn targets_are_stored_when_they_change_and_seldom() {
+    let now = Time::from_millis(START);
+    let mut cluster = Cluster::new(now, control_setup(now));
+    for sequence in 1..20 {
+        step(&mut cluster, START, Event::Report(report("t-1", sequence)));
+    }
+    assert_eq!(
+        stored(&mut cluster, START, START + 100),
+        [[report("t-1", 19)]]
+    );
+    step(&mut cluster, START + 100, Event::Report(report("t-1", 20)));
+    assert!(stored(&mut cluster, START + 100, START + 3000).is_empty());
+    step(&mut cluster, START + 3000, Event::Report(report("t-2", 1)));
+    let left = report("t-1", 20).target;
+    let copies = stored(&mut cluster, START + 3000, START + 3100);
+    assert_eq!(copies, [[report("t-1", 20), report("t-2", 1)]]);
+    step(&mut cluster, START + 3100, Event::Left(left));
+    assert!(stored(&mut cluster, START + 3100, START + 4900).is_empty());
+    let copies = stored(&mut cluster, START + 4900, START + 5100);
+    assert_eq!(copies, [[report("t-2", 1)]]);
+}
+
+/// Guards against a control thread that never waits while there is no disk to store reports on.
+#[test]
+fn vm_without_a_disk_waits_all_the_same() {
+    let now = Time::from_millis(START);
+    let mut cluster = Cluster::new(now, control_setup(now));
+    cluster.lose_group(now, Wall(START));
+    step(&mut cluster, START, Event::Report(report("t-1", 1)));
+    let copies = stored(&mut cluster, START, START + 10);
+    assert!(copies.is_empty());
+    assert!(cluster.wake() > Time::from_millis(START + 9));
+}
--- /dev/null
+++ b/crates/cluster/tests/support/mod.rs
@@ -0,0 +1,86 @@
+//! A control VM that is the only voter of its group, and what it hears from others.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use greengage_agreement::{Config, Seat, Timing};
+use greengage_cluster::{gossip, Setup};
+use greengage_config as config;
+use greengage_config::Restored;
+use greengage_core::{Address, Demand, Incarnation, NodeId, TargetName, Time, VmName, ZoneName};
+use greengage_scheduler::TargetReport;
+
+pub(crate) fn node() -> NodeId {
+    NodeId {
+        vm: VmName::new("10.0.0.1").unwrap(),
+        folder: 0,
+    }
+}
+
+pub(crate) fn group(now: Time) -> config::Setup {
+    let members = [(node(), Seat::Voter)].into_iter().collect();
+    config::Setup {
+        node: node(),
+        restored: Restored {
+            config: Config { members },
+            ..Restored::default()
+        },
+        timing: Timing::default(),
+        voters: 1,
+        seed: 1,
+        now,
+    }
+}
+
+fn member(vm: &str, entry: bool, life: Incarnation) -> gossip::Member {
+    let address = Address::new(&format!("{vm}:7700")).unwrap();
+    gossip::Member {
+        vm: VmName::new(vm).unwrap(),
+        zone: ZoneName::new("a").unwrap(),
+        address: address.clone(),
+        api: (!entry).then_some(address),
+        life,
+        roles: gossip::Roles {
+            entry,
+            control: !entry,
+        },
+        folder: (!entry).then_some(0),
+        leaving: false,
+    }
+}
+
+pub(crate) fn entry_member(life: Incarnation) -> gossip::Member {
+    member("10.0.0.9", true, life)
+}
+
+pub(crate) fn control_setup(now: Time) -> Setup {
+    Setup {
+        member: member(node().vm.as_str(), false, Incarnation(1)),
+        seeds: Vec::new(),
+        timing: gossip::Timing::default(),
+        group: Some(group(now)),
+        scheduler: None,
+        targets: Vec::new(),
+        grace: Duration::from_secs(6),
+    }
+}
+
+pub(crate) fn report(target: &str, sequence: u64) -> TargetReport {
+    TargetReport {
+        target: TargetName::new(target).unwrap(),
+        service: Arc::from("desk"),
+        address: Address::new(&format!("10.1.0.1:80{}", target.len())).unwrap(),
+        zone: ZoneName::new("a").unwrap(),
+        capacity: Demand {
+            milli_cores: 16_000,
+            memory_mib: 1024,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+        draining: false,
+        life: Incarnation(1),
+        sequence,
+    }
+}
--- a/crates/runtime/src/disk.rs
+++ b/crates/runtime/src/disk.rs
@@ -9,6 +9,7 @@
 use crossbeam_channel::{unbounded, Sender};
 use eyre::{Report, WrapErr};
 use greengage_agreement::{Config, Entry, SaveSeq, Seat};
+use greengage_cluster::scheduler::TargetReport;
 use greengage_config::{Edit, GroupSave, Restored};
 use greengage_core::{Address, Index, Name, NodeId, VmName};
 use greengage_journal as journal;
@@ -22,6 +23,8 @@
 const GROUP: &str = "configuration";
 /// The journal's group of the first members.
 const FIRST_GROUP: &str = "configuration-first";
+/// The journal's group of what targets have reported.
+const TARGETS_GROUP: &str = "targets";
 /// The length of a segment: a data folder may have as little as 128 MB.
 const SEGMENT_BYTES: u64 = 8 << 20;
 
@@ -29,9 +32,18 @@
 pub(crate) struct Folder {
     pub(crate) node: NodeId,
     pub(crate) restored: Restored,
+    pub(crate) targets: Vec<TargetReport>,
     pub(crate) journal: Journal,
 }
 
+/// What has to be stored.
+pub(crate) enum Stored<'a> {
+    /// The control group's; the control thread hears when it is durable.
+    Group(&'a GroupSave),
+    /// Reports of targets.
+    Targets(&'a [TargetReport]),
+}
+
 /// The VM behind an address, which is named by its IP address.
 fn vm_of(address: &Address) -> Option<VmName> {
     let ip = address.as_str().rsplit_once(':')?.0;
@@ -100,9 +112,17 @@
             first
         }
     };
+    let stored = recovered.remove(TARGETS_GROUP).and_then(|f| f.hard);
+    let targets = stored.map_or(Ok(Vec::new()), |bytes| decode(&bytes));
     Ok(Some(Folder {
         node,
         restored,
+        // Reports of another version of the program are only hints that are missing.
+        targets: targets.unwrap_or_else(|error| {
+            log::warn!(event = "targets-unreadable", cause = error.to_string().as_str();
+                "the stored reports of targets can't be read; waiting for new ones");
+            Vec::new()
+        }),
         journal,
     }))
 }
@@ -119,23 +139,40 @@
     }
 }
 
+/// Reports of targets, as a batch of the journal: the group has no entries, only a state that is
+/// replaced, so that one sync stores it.
+fn targets_batch(group: &Name, reports: &[TargetReport]) -> Batch {
+    Batch {
+        group: group.clone(),
+        hard: Some(encode(&reports)),
+        clear: false,
+        entries: Vec::new(),
+        snapshot: None,
+    }
+}
+
 /// Starts the disk's thread and returns the way to it; it ends when that is dropped.
 pub(crate) fn start(
     journal: Journal,
     events: Sender<Input>,
-) -> Result<impl FnMut(&GroupSave), Report> {
-    let (saves, batches) = unbounded::<(Batch, SaveSeq)>();
+) -> Result<impl FnMut(Stored<'_>), Report> {
+    let (saves, batches) = unbounded::<(Batch, Option<SaveSeq>)>();
     journal::start(journal, batches, move |done| {
         let input = match done {
-            Ok(seq) => Input::Event(greengage_cluster::Event::Saved(seq)),
+            Ok(Some(seq)) => Input::Event(greengage_cluster::Event::Saved(seq)),
+            Ok(None) => return,
             Err(error) => Input::DiskFailed(error.to_string()),
         };
         // The control thread is gone only when the process ends.
         let _ = events.send(input);
     })?;
-    let group = Name::new(GROUP)?;
-    Ok(move |save: &GroupSave| {
+    let (group, targets) = (Name::new(GROUP)?, Name::new(TARGETS_GROUP)?);
+    Ok(move |stored: Stored<'_>| {
+        let order = match stored {
+            Stored::Group(save) => (batch(&group, save), Some(save.seq)),
+            Stored::Targets(reports) => (targets_batch(&targets, reports), None),
+        };
         // A disk thread that has ended has reported its error.
-        let _ = saves.send((batch(&group, save), save.seq));
+        let _ = saves.send(order);
     })
 }
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -16,6 +16,7 @@
 
 use crate::clock::Clock;
 use crate::disk;
+use crate::disk::Stored;
 use crate::metrics::note_standing;
 use crate::settings::Settings;
 
@@ -71,10 +72,10 @@
 }
 
 /// The way to the disk.
-type Save = Box<dyn FnMut(&config::GroupSave)>;
+type Store = Box<dyn FnMut(Stored<'_>)>;
 
 /// What becomes of saves while there is no disk.
-fn no_disk() -> Save {
+fn no_disk() -> Store {
     Box::new(|_| {})
 }
 
@@ -98,7 +99,11 @@
         folder: node.as_ref().map(|node| node.folder),
         leaving: false,
     };
-    let group = folder.map(|folder| group_setup(settings, folder, now));
+    let mut targets = Vec::new();
+    let group = folder.map(|folder| {
+        targets = std::mem::take(&mut folder.targets);
+        group_setup(settings, folder, now)
+    });
     let own = scheduler::Candidate {
         vm: settings.vm.clone(),
         zone: settings.zone.clone(),
@@ -114,6 +119,7 @@
         timing: gossip::Timing::default(),
         group,
         scheduler,
+        targets,
         grace: settings.grace,
     })
 }
@@ -128,7 +134,8 @@
     let clock = Clock;
     let mut folder = disk::open(settings, rand::random())?;
     let setup = setup(settings, folder.as_mut(), clock)?;
-    let mut save: Save = match folder {
+    let stored = setup.targets.len();
+    let mut store: Store = match folder {
         Some(folder) => Box::new(disk::start(folder.journal, inputs.clone())?),
         None => no_disk(),
     };
@@ -146,14 +153,14 @@
     })?;
     let mut cluster = Cluster::new(clock.now(), setup);
     log::info!(event = "started", vm = settings.vm.as_str(), zone = settings.zone.as_str(),
-        entry = settings.entry, seeds = settings.seeds.len(), first = settings.first;
-        "the VM has started");
+        entry = settings.entry, seeds = settings.seeds.len(), first = settings.first,
+        targets = stored; "the VM has started");
     let mut shown = None;
     loop {
         if reopen.is_some_and(|at| clock.now() >= at) {
             reopen = match reopened(settings, &disk_inputs, &mut cluster, clock) {
                 Ok(opened) => {
-                    save = opened;
+                    store = opened;
                     None
                 }
                 Err(error) => {
@@ -182,8 +189,8 @@
                         log::warn!(event = "disk-failed", cause = cause.as_str();
                             "the disk takes no more writes; leaving the control group");
                         let effects = cluster.lose_group(clock.now(), clock.wall());
-                        carry_out(effects, &mesh, &mut *save, frontend);
-                        save = no_disk();
+                        carry_out(effects, &mesh, &mut *store, frontend);
+                        store = no_disk();
                         reopen = Some(clock.now() + REOPEN_EVERY);
                     }
                     break;
@@ -193,13 +200,13 @@
             };
             let ticked = matches!(event, Event::Tick);
             let effects = cluster.step(clock.now(), clock.wall(), event);
-            carry_out(effects, &mesh, &mut *save, frontend);
+            carry_out(effects, &mesh, &mut *store, frontend);
             if ticked {
                 break;
             }
             if clock.now() >= cluster.wake() {
                 let effects = cluster.step(clock.now(), clock.wall(), Event::Tick);
-                carry_out(effects, &mesh, &mut *save, frontend);
+                carry_out(effects, &mesh, &mut *store, frontend);
                 break;
             }
         }
@@ -213,7 +220,7 @@
     inputs: &Sender<Input>,
     cluster: &mut Cluster,
     clock: Clock,
-) -> Result<Save, Report> {
+) -> Result<Store, Report> {
     let folder = disk::open(settings, rand::random())?;
     let mut folder = folder.ok_or_else(|| eyre!("this VM has no data folder"))?;
     cluster.restore_group(group_setup(settings, &mut folder, clock.now()));
@@ -225,7 +232,7 @@
 fn carry_out(
     effects: Vec<Effect>,
     mesh: &Mesh,
-    save: &mut dyn FnMut(&config::GroupSave),
+    store: &mut dyn FnMut(Stored<'_>),
     frontend: &mut dyn Frontend,
 ) {
     for effect in effects {
@@ -235,7 +242,8 @@
                 Err(error) => log::warn!(event = "address-unusable", address = to.as_str(),
                     cause = error.to_string().as_str(); "a VM's address can't be used"),
             },
-            Effect::Save(group) => save(&group),
+            Effect::Save(group) => store(Stored::Group(&group)),
+            Effect::Store(reports) => store(Stored::Targets(&reports)),
             Effect::Answer { request, outcome } => frontend.answer(request, outcome),
             Effect::Call {
                 target,
