Let control VMs recall the VMs of their last life

Change: hints on disk hold the addresses of live VMs too; a control VM introduces itself to them for 4 s after its start. A VM that hears of another one by its introduction asks for its list. A VM without a configuration gets it from any control VM. Claims wait until no VM has been added for 150 ms instead of until 250 ms after the rule's decision.

Tests: vms_that_are_recalled_learn_of_one_another_at_once fails without the list (VM 1 knows 1 VM of 8); vms_of_the_last_life_are_introduced_to.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -10,7 +10,7 @@
 use greengage_scheduler as scheduler;
 use greengage_scheduler::{Candidate, Peer, Reply, Scheduler, TargetReport, USUAL_WEIGHT};
 
-use crate::event::{Effect, Event, Outcome};
+use crate::event::{Effect, Event, Hints, Outcome};
 use crate::message::Message;
 use crate::reports::Reports;
 use crate::shutdown::{Shutdown, Stage};
@@ -34,8 +34,8 @@
     pub group: Option<config::Setup>,
     /// Its scheduler, for entry VMs.
     pub scheduler: Option<scheduler::Setup>,
-    /// The reports of targets that it had on disk, for control VMs.
-    pub targets: Vec<TargetReport>,
+    /// The hints that it had on disk, for control VMs.
+    pub hints: Hints,
     /// How long a shutdown may take.
     pub grace: Duration,
 }
@@ -82,11 +82,13 @@
         let scheduler = setup.scheduler.map(|s| Scheduler::new(now, s));
         let group = setup.group.map(Group::new);
         let document = group.as_ref().and_then(|g| g.document().cloned());
+        let mut roster = Roster::new(now, setup.member, setup.seeds, setup.timing);
+        roster.recall(now, setup.hints.vms);
         Cluster {
-            roster: Roster::new(now, setup.member, setup.seeds, setup.timing),
+            roster,
             group,
             scheduler,
-            reports: Reports::new(now, setup.targets),
+            reports: Reports::new(now, setup.hints.targets),
             document,
             shutdown: Shutdown::default(),
             grace: setup.grace,
@@ -196,7 +198,10 @@
         self.pass_reports(now, out);
         let copy = self.reports.take_copy(now);
         // Without the group there is no disk that works.
-        out.extend(copy.filter(|_| self.group.is_some()).map(Effect::Store));
+        if let Some(targets) = copy.filter(|_| self.group.is_some()) {
+            let vms = self.roster.live(now).map(|vm| vm.address.clone()).collect();
+            out.push(Effect::Store(Hints { targets, vms }));
+        }
     }
 
     fn pass_reports(&mut self, now: Time, out: &mut Vec<Effect>) {
@@ -228,6 +233,9 @@
                 });
             }
         }
+        if live.iter().any(|vm| !self.live.contains(&vm.vm)) {
+            self.reports.copy_again();
+        }
         self.live = live.iter().map(|vm| vm.vm.clone()).collect();
         let peers = live
             .iter()
@@ -288,7 +296,8 @@
     }
 
     /// Sends the configuration to an entry VM that has an older one. One control VM of its zone
-    /// and the leader do so, so that a large document isn't sent by all at once.
+    /// and the leader do so, so that a large document isn't sent by all at once; a VM that has none
+    /// can't serve anybody and gets it from all.
     fn copy_configuration(
         &mut self,
         now: Time,
@@ -299,7 +308,7 @@
         let (Some(group), Some(document)) = (&self.group, &self.document) else {
             return;
         };
-        let near = member.zone == self.roster.own().zone || group.leads();
+        let near = member.zone == self.roster.own().zone || group.leads() || version.is_none();
         let older = version < Some(document.version) && member.roles.entry;
         let last = self.copied.get(&member.vm);
         if near && older && last.is_none_or(|at| now.since(*at) >= COPY_EVERY) {
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -60,6 +60,16 @@
     Unknown,
 }
 
+/// What a control VM keeps on disk of others, to find them sooner when it starts again.
+#[value]
+#[derive(Default)]
+pub struct Hints {
+    /// The latest reports of targets.
+    pub targets: Vec<TargetReport>,
+    /// The addresses of live VMs.
+    pub vms: Vec<Address>,
+}
+
 /// An output.
 #[value(local)]
 pub enum Effect {
@@ -72,8 +82,8 @@
     },
     /// Make this durable, then report `Event::Saved`.
     Save(GroupSave),
-    /// Store these reports of targets in place of earlier ones; nothing waits for it.
-    Store(Vec<TargetReport>),
+    /// Store these hints in place of earlier ones; nothing waits for it.
+    Store(Hints),
     /// Answer a caller.
     Answer {
         /// The caller.
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -20,6 +20,6 @@
 mod shutdown;
 
 pub use cluster::{Cluster, Setup, Standing};
-pub use event::{Effect, Event, Outcome};
+pub use event::{Effect, Event, Hints, Outcome};
 pub use message::Message;
 pub use shutdown::{Shutdown, Stage};
--- a/crates/cluster/src/reports.rs
+++ b/crates/cluster/src/reports.rs
@@ -82,6 +82,11 @@
         batch.into_iter().chain(store).min()
     }
 
+    /// Asks for another copy, since what goes with it has changed.
+    pub(crate) fn copy_again(&mut self) {
+        self.changed = true;
+    }
+
     /// What has to be stored now, if anything.
     pub(crate) fn take_copy(&mut self, now: Time) -> Option<Vec<TargetReport>> {
         if !self.changed || now < self.store {
--- a/crates/cluster/tests/stored.rs
+++ b/crates/cluster/tests/stored.rs
@@ -22,7 +22,7 @@
         while let Some(effect) = effects.pop() {
             match effect {
                 Effect::Save(save) => effects.extend(step(cluster, ms, Event::Saved(save.seq))),
-                Effect::Store(reports) => copies.push(reports),
+                Effect::Store(hints) => copies.push(hints.targets),
                 _ => {}
             }
         }
@@ -36,7 +36,7 @@
 fn stored_targets_are_passed_to_entry_vms_before_they_report() {
     let now = Time::from_millis(START);
     let mut setup = control_setup(now);
-    setup.targets = vec![report("t-1", 7), report("t-2", 9)];
+    setup.hints.targets = vec![report("t-1", 7), report("t-2", 9)];
     let mut cluster = Cluster::new(now, setup);
     let hello = gossip::Introduction::Hello {
         member: entry_member(Incarnation(1)),
@@ -86,6 +86,28 @@
     assert_eq!(copies, [[report("t-2", 1)]]);
 }
 
+/// Guards against a VM that waits for a seed, though it knew other VMs before it lost its power.
+#[test]
+fn vms_of_the_last_life_are_introduced_to_at_once_and_for_a_while() {
+    let now = Time::from_millis(START);
+    let mut setup = control_setup(now);
+    setup.hints.vms = vec![entry_member(Incarnation(1)).address];
+    let mut cluster = Cluster::new(now, setup);
+    let mut told = Vec::new();
+    for ms in START..START + 10_000 {
+        for effect in step(&mut cluster, ms, Event::Tick) {
+            match effect {
+                Effect::Send { to, .. } if to == entry_member(Incarnation(1)).address => {
+                    told.push(ms - START);
+                }
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(told.first(), Some(&0));
+    assert!(told.last().is_some_and(|last| *last < 5000), "{told:?}");
+}
+
 /// Guards against a control thread that never waits while there is no disk to store reports on.
 #[test]
 fn vm_without_a_disk_waits_all_the_same() {
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use greengage_agreement::{Config, Seat, Timing};
-use greengage_cluster::{gossip, Setup};
+use greengage_cluster::{gossip, Hints, Setup};
 use greengage_config as config;
 use greengage_config::Restored;
 use greengage_core::{Address, Demand, Incarnation, NodeId, TargetName, Time, VmName, ZoneName};
@@ -62,7 +62,7 @@
         timing: gossip::Timing::default(),
         group: Some(group(now)),
         scheduler: None,
-        targets: Vec::new(),
+        hints: Hints::default(),
         grace: Duration::from_secs(6),
     }
 }
--- a/crates/gossip/src/roster.rs
+++ b/crates/gossip/src/roster.rs
@@ -95,6 +95,10 @@
 /// grows, so that the number of messages that a VM sends in a second stays the same.
 const FEW_VMS: usize = 14;
 
+/// How long a VM tries to reach the VMs of its last life. By then seeds have answered, or a VM that
+/// they name has.
+const RECALL_TIME: Duration = Duration::from_secs(4);
+
 /// Heartbeats between two lists sent to one of the VMs.
 const LIST_EVERY: u64 = 5;
 
@@ -111,6 +115,8 @@
     own: Member,
     timing: Timing,
     seeds: Vec<Address>,
+    /// VMs of this VM's last life, and until when they are introduced to.
+    recalled: (Vec<Address>, Time),
     peers: SortedMap<VmName, Peer>,
     beat: Time,
     join: Time,
@@ -124,6 +130,7 @@
             own,
             timing,
             seeds,
+            recalled: (Vec::new(), now),
             peers: SortedMap::new(),
             beat: now,
             join: now,
@@ -136,6 +143,12 @@
         &self.own
     }
 
+    /// Introduces this VM to the VMs that it knew in its last life, for a while. When all VMs start
+    /// at once, those that seeds would name first hear of it without waiting for a seed.
+    pub fn recall(&mut self, now: Time, vms: Vec<Address>) {
+        self.recalled = (vms, now + RECALL_TIME);
+    }
+
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: Vec<Address>) {
         self.seeds = seeds;
@@ -186,6 +199,9 @@
         let mut out = Vec::new();
         if now >= self.join {
             self.join = now + self.timing.join;
+            if now >= self.recalled.1 {
+                self.recalled.0.clear();
+            }
             self.introduce(&mut out);
         }
         if now >= self.beat {
@@ -220,14 +236,17 @@
     }
 
     fn introduce(&self, out: &mut Vec<Send>) {
-        for seed in &self.seeds {
+        let mut addresses: Vec<&Address> = self.seeds.iter().chain(&self.recalled.0).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        for address in addresses {
             let known = self
                 .peers
                 .values()
-                .any(|peer| peer.member.address == *seed && peer.heard.is_some());
-            if *seed != self.own.address && !known {
+                .any(|peer| peer.member.address == *address && peer.heard.is_some());
+            if *address != self.own.address && !known {
                 out.push(Send {
-                    to: seed.clone(),
+                    to: address.clone(),
                     message: self.hello(false),
                 });
             }
@@ -254,15 +273,17 @@
 
     fn on_hello(&mut self, now: Time, member: Member, known: bool) -> Vec<Send> {
         let to = member.address.clone();
+        let met = self.peers.contains(&member.vm);
         if member.vm == self.own.vm || !self.note(now, member, true) {
             return Vec::new();
         }
         if known {
             return Vec::new();
         }
+        // A VM that wasn't known here answers with its list too.
         let hello = Send {
             to: to.clone(),
-            message: self.hello(true),
+            message: self.hello(met),
         };
         let message = self.list(now);
         vec![hello, Send { to, message }]
--- a/crates/gossip/tests/roster.rs
+++ b/crates/gossip/tests/roster.rs
@@ -81,6 +81,19 @@
     }
 }
 
+/// Guards against VMs that hear of a seed before they have introduced themselves to it, and then
+/// wait for its list: when one VM recalls all others, each of them knows all within 0.3 s, without a seed.
+#[test]
+fn vms_that_are_recalled_learn_of_one_another_at_once() {
+    let mut world = World::new(9, &[]);
+    let others = (1..9).map(address).collect();
+    world.vms[0].0.recall(world.now, others);
+    world.run(Duration::from_millis(300));
+    for vm in 0..9 {
+        assert_eq!(world.live(vm), 8, "VM {vm}");
+    }
+}
+
 /// Guards against a VM that counts as live because others still list it.
 #[test]
 fn silent_vm_is_not_live_whatever_others_say() {
--- a/crates/runtime/src/disk.rs
+++ b/crates/runtime/src/disk.rs
@@ -9,7 +9,7 @@
 use crossbeam_channel::{unbounded, Sender};
 use eyre::{Report, WrapErr};
 use greengage_agreement::{Config, Entry, SaveSeq, Seat};
-use greengage_cluster::scheduler::TargetReport;
+use greengage_cluster::Hints;
 use greengage_config::{Edit, GroupSave, Restored};
 use greengage_core::{Address, Index, Name, NodeId, VmName};
 use greengage_journal as journal;
@@ -23,8 +23,8 @@
 const GROUP: &str = "configuration";
 /// The journal's group of the first members.
 const FIRST_GROUP: &str = "configuration-first";
-/// The journal's group of what targets have reported.
-const TARGETS_GROUP: &str = "targets";
+/// The journal's group of hints about other VMs and targets.
+const HINTS_GROUP: &str = "hints";
 /// The length of a segment: a data folder may have as little as 128 MB.
 const SEGMENT_BYTES: u64 = 8 << 20;
 
@@ -32,7 +32,7 @@
 pub(crate) struct Folder {
     pub(crate) node: NodeId,
     pub(crate) restored: Restored,
-    pub(crate) targets: Vec<TargetReport>,
+    pub(crate) hints: Hints,
     pub(crate) journal: Journal,
 }
 
@@ -40,8 +40,8 @@
 pub(crate) enum Stored<'a> {
     /// The control group's; the control thread hears when it is durable.
     Group(&'a GroupSave),
-    /// Reports of targets.
-    Targets(&'a [TargetReport]),
+    /// Hints for the next start.
+    Hints(&'a Hints),
 }
 
 /// The VM behind an address, which is named by its IP address.
@@ -112,16 +112,16 @@
             first
         }
     };
-    let stored = recovered.remove(TARGETS_GROUP).and_then(|f| f.hard);
-    let targets = stored.map_or(Ok(Vec::new()), |bytes| decode(&bytes));
+    let stored = recovered.remove(HINTS_GROUP).and_then(|f| f.hard);
+    let hints = stored.map_or(Ok(Hints::default()), |bytes| decode(&bytes));
     Ok(Some(Folder {
         node,
         restored,
-        // Reports of another version of the program are only hints that are missing.
-        targets: targets.unwrap_or_else(|error| {
-            log::warn!(event = "targets-unreadable", cause = error.to_string().as_str();
-                "the stored reports of targets can't be read; waiting for new ones");
-            Vec::new()
+        // Hints of another version of the program may be in another form.
+        hints: hints.unwrap_or_else(|error| {
+            log::warn!(event = "hints-unreadable", cause = error.to_string().as_str();
+                "the stored hints can't be read; waiting for VMs and targets to report");
+            Hints::default()
         }),
         journal,
     }))
@@ -139,12 +139,12 @@
     }
 }
 
-/// Reports of targets, as a batch of the journal: the group has no entries, only a state that is
-/// replaced, so that one sync stores it.
-fn targets_batch(group: &Name, reports: &[TargetReport]) -> Batch {
+/// Hints as a batch of the journal: the group has no entries, only a state that is replaced, so
+/// that one sync stores it.
+fn hints_batch(group: &Name, hints: &Hints) -> Batch {
     Batch {
         group: group.clone(),
-        hard: Some(encode(&reports)),
+        hard: Some(encode(hints)),
         clear: false,
         entries: Vec::new(),
         snapshot: None,
@@ -166,11 +166,11 @@
         // The control thread is gone only when the process ends.
         let _ = events.send(input);
     })?;
-    let (group, targets) = (Name::new(GROUP)?, Name::new(TARGETS_GROUP)?);
+    let (group, hints_group) = (Name::new(GROUP)?, Name::new(HINTS_GROUP)?);
     Ok(move |stored: Stored<'_>| {
         let order = match stored {
             Stored::Group(save) => (batch(&group, save), Some(save.seq)),
-            Stored::Targets(reports) => (targets_batch(&targets, reports), None),
+            Stored::Hints(hints) => (hints_batch(&hints_group, hints), None),
         };
         // A disk thread that has ended has reported its error.
         let _ = saves.send(order);
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -7,7 +7,7 @@
 use eyre::{eyre, Report};
 use greengage_agreement::Timing;
 use greengage_cluster::{
-    gossip, scheduler, Cluster, Effect, Event, Message, Outcome, Setup, Stage, Standing,
+    gossip, scheduler, Cluster, Effect, Event, Hints, Message, Outcome, Setup, Stage, Standing,
 };
 use greengage_config as config;
 use greengage_core::{Address, Incarnation, RequestId, TargetName, Time};
@@ -99,9 +99,9 @@
         folder: node.as_ref().map(|node| node.folder),
         leaving: false,
     };
-    let mut targets = Vec::new();
+    let mut hints = Hints::default();
     let group = folder.map(|folder| {
-        targets = std::mem::take(&mut folder.targets);
+        hints = std::mem::take(&mut folder.hints);
         group_setup(settings, folder, now)
     });
     let own = scheduler::Candidate {
@@ -119,7 +119,7 @@
         timing: gossip::Timing::default(),
         group,
         scheduler,
-        targets,
+        hints,
         grace: settings.grace,
     })
 }
@@ -134,7 +134,7 @@
     let clock = Clock;
     let mut folder = disk::open(settings, rand::random())?;
     let setup = setup(settings, folder.as_mut(), clock)?;
-    let stored = setup.targets.len();
+    let (targets, vms) = (setup.hints.targets.len(), setup.hints.vms.len());
     let mut store: Store = match folder {
         Some(folder) => Box::new(disk::start(folder.journal, inputs.clone())?),
         None => no_disk(),
@@ -154,7 +154,7 @@
     let mut cluster = Cluster::new(clock.now(), setup);
     log::info!(event = "started", vm = settings.vm.as_str(), zone = settings.zone.as_str(),
         entry = settings.entry, seeds = settings.seeds.len(), first = settings.first,
-        targets = stored; "the VM has started");
+        targets = targets, vms = vms; "the VM has started");
     let mut shown = None;
     loop {
         if reopen.is_some_and(|at| clock.now() >= at) {
@@ -243,7 +243,7 @@
                     cause = error.to_string().as_str(); "a VM's address can't be used"),
             },
             Effect::Save(group) => store(Stored::Group(&group)),
-            Effect::Store(reports) => store(Stored::Targets(&reports)),
+            Effect::Store(hints) => store(Stored::Hints(&hints)),
             Effect::Answer { request, outcome } => frontend.answer(request, outcome),
             Effect::Call {
                 target,
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -16,9 +16,9 @@
 use crate::scheduler::Scheduler;
 use crate::target::{Lease, Target};
 
-/// How long the rule must have given a target to this VM before it is claimed, so that lists of
-/// live VMs have settled.
-const SETTLE: Duration = Duration::from_millis(250);
+/// How long the rule must have given a target to this VM, and no VM must have been added to the
+/// live ones, before it is claimed. VMs whose lists differ would fence one another off.
+const SETTLE: Duration = Duration::from_millis(150);
 /// How long a target of another zone must have been reporting again before it is claimed. When a
 /// cut ends, its report may arrive before the heartbeat of the VM that owns it.
 const FAR_SETTLE: Duration = Duration::from_millis(1000);
@@ -165,12 +165,13 @@
     fn review_lease(&mut self, now: Time, wall: Wall, name: &TargetName, out: &mut Vec<Effect>) {
         let held_elsewhere = self.peers.values().any(|view| view.owned.contains(name));
         let own_zone = self.zone().clone();
+        let joined = self.joined;
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
         match (&target.lease, target.mine) {
             (Lease::None, Some(since)) => {
-                let settled = now.since(since) >= SETTLE && now >= target.rest;
+                let settled = now.since(since.max(joined)) >= SETTLE && now >= target.rest;
                 // When a whole zone falls silent it may be cut off and go on by itself. Claims of
                 // its targets would reach them when the cut ends and fence off their owners.
                 let seen = target
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -60,6 +60,7 @@
                     log::info!(event = "vm-live", vm = peer.own.vm.as_str();
                         "an entry VM is live");
                     self.reassign = true;
+                    self.joined = now;
                     self.rooms_changed = true;
                     let vm = peer.own.vm.clone();
                     let view = PeerView {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -66,6 +66,8 @@
     pub(crate) leaving: bool,
     pub(crate) assigned: Time,
     pub(crate) reassign: bool,
+    /// When an entry VM was last added to the live ones.
+    pub(crate) joined: Time,
     /// When free room was last reported to VMs that need it, and to all.
     pub(crate) rooms_sent: Time,
     pub(crate) rooms_told: Time,
@@ -128,6 +130,7 @@
             leaving: false,
             assigned: now,
             reassign: true,
+            joined: now,
             rooms_sent: now,
             rooms_told: now,
             need: now,
