Take over the targets of a zone whose last VM shuts down at once

Cause: a target of another zone was claimed only after it had reported for a second, so that the end of a cut finds its owner in place.

Change: the wait doesn't hold while a VM of the zone is heard; the zone isn't cut off then, and that VM has given the target away.

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -4,7 +4,7 @@
 //! a generation above all earlier ones: the time of day in milliseconds, raised when the target
 //! knows a higher one. Runs of an earlier owner are stopped before the first start, and their
 //! lease isn't renewed until they are gone. A target of another zone is claimed only once it has
-//! reported after its owner was lost. A target that the rule gives to another VM is kept
+//! reported after its owner was lost, unless a VM of its zone is heard, which then shuts down. A target that the rule gives to another VM is kept
 //! until its runs have ended.
 
 use std::time::Duration;
@@ -164,21 +164,23 @@
 
     fn review_lease(&mut self, now: Time, wall: Wall, name: &TargetName, out: &mut Vec<Effect>) {
         let held_elsewhere = self.peers.values().any(|view| view.owned.contains(name));
-        let own_zone = self.zone().clone();
         let joined = self.joined;
+        let Some(zone) = self.targets.get(name).map(|t| t.report.zone.clone()) else {
+            return;
+        };
+        let heard = zone == *self.zone() || self.peers.values().any(|v| v.peer.own.zone == zone);
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
         match (&target.lease, target.mine) {
             (Lease::None, Some(since)) => {
                 let settled = now.since(since.max(joined)) >= SETTLE && now >= target.rest;
-                // When a whole zone falls silent it may be cut off and go on by itself. Claims of
+                // When a whole zone has fallen silent it may be cut off and go on by itself. Claims of
                 // its targets would reach them when the cut ends and fence off their owners.
                 let seen = target
                     .seen
                     .is_some_and(|seen| now.since(seen) >= FAR_SETTLE);
-                let reached = target.report.zone == own_zone || seen;
-                if settled && reached && !held_elsewhere {
+                if settled && (heard || seen) && !held_elsewhere {
                     target.recheck_runs();
                     target.lease = Lease::Claiming;
                     target.generation = (wall.0 + target.raise).max(target.generation + 1);
--- a/crates/scheduler/tests/world/faults.rs
+++ b/crates/scheduler/tests/world/faults.rs
@@ -190,6 +190,18 @@
     assert_eq!(world.in_time(0), (1, 1), "the zone goes on by itself");
 }
 
+/// Guards against a third of the room that stays unused while the last VM of a zone shuts down: the
+/// others take its targets over at once, since the zone isn't cut off.
+#[test]
+fn targets_of_a_zone_whose_last_vm_leaves_are_taken_over_at_once() {
+    let mut world = World::new(10, 3, 9);
+    world.leave(0);
+    world.run(millis(500));
+    let owned: Vec<usize> = world.vms.iter().map(|vm| vm.scheduler.owned()).collect();
+    assert_eq!(owned[0], 0);
+    assert_eq!(owned[1] + owned[2], 9);
+}
+
 /// Guards against errands for a VM that isn't heard here: nobody would stop them when it is lost.
 #[test]
 fn errand_of_a_vm_that_is_not_heard_is_refused() {
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -92,6 +92,7 @@
     pub(crate) scheduler: Scheduler,
     pub(crate) up: bool,
     pub(crate) frozen: bool,
+    pub(crate) leaving: bool,
     pub(crate) life: u64,
     heard: Time,
     held_back: Vec<Event>,
@@ -221,6 +222,7 @@
                 ),
                 up: true,
                 frozen: false,
+                leaving: false,
                 life: 1,
                 heard: now,
                 held_back: Vec::new(),
@@ -735,7 +737,7 @@
                     peers.push(Peer {
                         own: candidate(other, 3),
                         life: Incarnation(self.vms[other].life),
-                        leaving: false,
+                        leaving: self.vms[other].leaving,
                     });
                 }
             }
@@ -831,6 +833,13 @@
         }
     }
 
+    /// Asks a VM to shut down; it stays until its work is done.
+    pub(crate) fn leave(&mut self, vm: usize) {
+        self.vms[vm].leaving = true;
+        let life = self.vms[vm].life;
+        self.event(vm, life, Event::Leave);
+    }
+
     pub(crate) fn restart(&mut self, vm: usize) {
         let own = candidate(vm, self.vms.len().min(3));
         let state = &mut self.vms[vm];
