Empty targets that are handed over a few at a time

Cause: a VM that shut down, or gave targets back to one that returned, started nothing more on all of them at once and kept each until its runs had ended.

Change: a quarter of a VM's targets is emptied at a time, those with the fewest runs first; the others go on to be used. Two seconds into a shutdown all are emptied.

Handing over a target with its runs would lose no room at all; it isn't built.

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -4,8 +4,9 @@
 //! a generation above all earlier ones: the time of day in milliseconds, raised when the target
 //! knows a higher one. Runs of an earlier owner are stopped before the first start, and their
 //! lease isn't renewed until they are gone. A target of another zone is claimed only once it has
-//! reported after its owner was lost, unless a VM of its zone is heard, which then shuts down. A target that the rule gives to another VM is kept
-//! until its runs have ended.
+//! reported after its owner was lost, unless a VM of its zone is heard, which then shuts down. A target that the rule gives to another VM is handed
+//! over once its runs have ended; only a part of them is emptied at a time, so that the room of a VM
+//! that leaves or returns isn't missing all at once.
 
 use std::time::Duration;
 
@@ -38,6 +39,11 @@
 const MISSED_PAUSE: Duration = Duration::from_millis(100);
 /// Time between two applications of the rule.
 const ASSIGN_EVERY: Duration = Duration::from_millis(200);
+/// The part of a VM's targets, as a divisor, that is emptied at a time to be handed over.
+const EMPTYING_PART: usize = 4;
+/// After this time of a shutdown all targets are emptied, so that it ends in time. Tasks run for
+/// up to a few seconds, and a shutdown may take six.
+const EMPTY_ALL_AFTER: Duration = Duration::from_millis(2000);
 /// Silence in reports and holds after which a target is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(8);
 
@@ -113,6 +119,7 @@
             self.apply_rule(now);
             self.forget_silent(now, out);
         }
+        self.empty_some(now);
         let names: Vec<TargetName> = self.targets.keys().cloned().collect();
         for name in names {
             self.review_lease(now, wall, &name, out);
@@ -126,7 +133,7 @@
             .filter(|view| !view.peer.leaving)
             .map(|view| view.peer.own.clone())
             .collect();
-        if !self.leaving {
+        if self.leaving.is_none() {
             vms.push(self.setup.own.clone());
         }
         vms.sort_by(|a, b| a.vm.cmp(&b.vm));
@@ -143,6 +150,31 @@
                 (false, _) => None,
             };
             target.seen = target.seen.filter(|_| mine);
+            target.emptying &= !mine;
+        }
+    }
+
+    /// Chooses which of the targets that are to be handed over take nothing more, those with the
+    /// fewest runs first.
+    fn empty_some(&mut self, now: Time) {
+        let hurry = self
+            .leaving
+            .is_some_and(|since| now.since(since) >= EMPTY_ALL_AFTER);
+        let owned = self.owned();
+        let most = if hurry {
+            owned
+        } else {
+            owned.div_ceil(EMPTYING_PART)
+        };
+        let mut given: Vec<&mut Target> = self
+            .targets
+            .values_mut()
+            .filter(|target| target.lease != Lease::None && target.mine.is_none())
+            .collect();
+        given.sort_by_key(|target| (!target.emptying, target.runs.len()));
+        for (i, target) in given.into_iter().enumerate() {
+            self.rooms_changed |= i < most && !target.emptying;
+            target.emptying |= i < most;
         }
     }
 
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -63,7 +63,8 @@
     pub(crate) last_job: u64,
     pub(crate) last_ticket: u64,
     pub(crate) estimates: Estimates,
-    pub(crate) leaving: bool,
+    /// Since when this VM shuts down.
+    pub(crate) leaving: Option<Time>,
     pub(crate) assigned: Time,
     pub(crate) reassign: bool,
     /// When an entry VM was last added to the live ones.
@@ -127,7 +128,7 @@
             last_job: 0,
             last_ticket: first_ticket(setup.life),
             estimates: Estimates::default(),
-            leaving: false,
+            leaving: None,
             assigned: now,
             reassign: true,
             joined: now,
@@ -208,7 +209,7 @@
                 result,
             } => self.held(now, &target, generation, result, &mut out),
             Event::Leave => {
-                self.leaving = true;
+                self.leaving = self.leaving.or(Some(now));
                 self.reassign = true;
             }
         }
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -115,6 +115,8 @@
     pub(crate) mine: Option<Time>,
     /// When it first reported after that.
     pub(crate) seen: Option<Time>,
+    /// Whether nothing more is started on it, so that it can be handed over.
+    pub(crate) emptying: bool,
     pub(crate) generation: u64,
     /// Generations by which the next claim exceeds the time of day, after a claim was fenced.
     pub(crate) raise: u64,
@@ -141,6 +143,7 @@
             lease: Lease::None,
             mine: None,
             seen: None,
+            emptying: false,
             generation: 0,
             raise: 0,
             rest: now,
@@ -168,6 +171,7 @@
     /// Gives up ownership, with all that depends on it.
     pub(crate) fn forget(&mut self) {
         self.lease = Lease::None;
+        self.emptying = false;
         self.hold = Hold::default();
         self.observed = 0;
         self.clock = None;
@@ -189,7 +193,7 @@
     /// Whether tasks may be started on it.
     pub(crate) fn is_open(&self, now: Time) -> bool {
         self.lease == Lease::Owned
-            && self.mine.is_some()
+            && !self.emptying
             && !self.report.draining
             && self.hold.misses == 0
             && now >= self.full
--- a/crates/scheduler/tests/world/faults.rs
+++ b/crates/scheduler/tests/world/faults.rs
@@ -202,6 +202,31 @@
     assert_eq!(owned[1] + owned[2], 9);
 }
 
+/// Guards against room that is missing all at once while a VM shuts down: its targets are emptied
+/// a few at a time, and the others go on to take the work of a full deployment.
+#[test]
+fn targets_of_a_leaving_vm_are_emptied_a_few_at_a_time() {
+    let mut world = World::new(11, 3, 36);
+    // A long run on each target of VM 0 keeps it from being handed over; the others are full.
+    for (demand, vms) in [(9000, [0, 1, 2].as_slice()), (6800, &[1, 2])] {
+        world.demand = demand;
+        for vm in vms.repeat(12) {
+            world.submit(vm, 1, vec![millis(1900)]);
+            world.run(millis(2));
+        }
+    }
+    world.leave(0);
+    let before = world.callers.len();
+    for _ in 0..40 {
+        world.submit(1, 0, vec![millis(50); 2]);
+        world.run(millis(20));
+    }
+    world.run(SECOND);
+    let done = |c: &&crate::support::Caller| matches!(c.answer, Some((_, Reply::Completed)));
+    let completed = world.callers[before..].iter().filter(done).count();
+    assert!(completed >= 30, "{completed} of 40 jobs completed");
+}
+
 /// Guards against errands for a VM that isn't heard here: nobody would stop them when it is lost.
 #[test]
 fn errand_of_a_vm_that_is_not_heard_is_refused() {
