--- a/crates/daemon/src/args.rs
+++ b/crates/daemon/src/args.rs
@@ -1,6 +1,6 @@
 //! Flags and environment variables.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -33,9 +33,14 @@
 pub(crate) enum Command {
     /// Runs a VM of the users' platform, from the settings file that the platform names.
     Platform {
-        /// Port of the VM's address at which /metrics is served.
+        /// Port at which /metrics is served.
         #[arg(long)]
         metrics: Option<u16>,
+
+        /// IP address on which other VMs and /metrics are listened for, where it isn't the one by
+        /// which other VMs reach this VM, as behind address translation.
+        #[arg(long)]
+        listen: Option<IpAddr>,
     },
 }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -46,7 +46,7 @@
 
 fn run_command(command: Command) -> ExitCode {
     let result = match command {
-        Command::Platform { metrics } => greengage_platform::run(metrics),
+        Command::Platform { metrics, listen } => greengage_platform::run(metrics, listen),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -141,7 +141,7 @@
     };
     let disk_inputs = inputs.clone();
     let mut reopen: Option<Time> = None;
-    let mesh = Mesh::start(settings.vm.clone(), settings.mesh, move |from, bytes| {
+    let mesh = Mesh::start(settings.vm.clone(), settings.listen, move |from, bytes| {
         match decode::<Message>(&bytes) {
             Ok(message) => {
                 // The control thread is gone only when the process ends.
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -15,8 +15,10 @@
     pub zone: ZoneName,
     /// Whether it takes jobs and owns targets.
     pub entry: bool,
-    /// Where it listens for other VMs.
+    /// Where other VMs reach it.
     pub mesh: SocketAddr,
+    /// Where it listens for other VMs.
+    pub listen: SocketAddr,
     /// Where operators and targets reach it, for control VMs.
     pub api: Option<Address>,
     /// The addresses at which seeds listen for other VMs.
