Keep one rule for what a target serves; tidy the scheduler

Change: Target::serves, Origin::is_errand_of and new_job; only targets that are owned or to be claimed are reviewed. Behaviour stays.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -224,13 +224,10 @@
         for (slot, place) in room.slots.iter_mut().zip(&room.places) {
             slot.barred = match place {
                 Place::Here(name) => {
-                    let report = self.targets.get(name).map(|target| &target.report);
-                    task.avoid.as_ref() == Some(name)
-                        || !report.is_some_and(|report| {
-                            let labels = &report.labels;
-                            report.service == job.service
-                                && step.label.as_ref().is_none_or(|l| labels.contains(l))
-                        })
+                    let target = self.targets.get(name);
+                    let serves =
+                        target.is_some_and(|t| t.serves(&job.service, step.label.as_ref()));
+                    task.avoid.as_ref() == Some(name) || !serves
                 }
                 Place::Away(..) => false,
             };
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use greengage_core::{TargetName, Time, Wall, ZoneName};
+use greengage_core::{Incarnation, TargetName, Time, Wall, ZoneName};
 
 use crate::event::{Effect, HoldCall, HoldResult, Listing, StopCall, TargetCall, TargetReport};
 use crate::owner::{assign, Candidate};
@@ -76,7 +76,7 @@
             Some(target) if older(target) => {}
             Some(target) => {
                 if report.life > target.report.life {
-                    self.new_life(&report);
+                    self.new_life(&name, report.life);
                 }
                 if let Some(target) = self.targets.get_mut(&name) {
                     if report.draining != target.report.draining {
@@ -97,11 +97,11 @@
     /// A target has started again under its name. Its earlier life runs nothing more, but a start
     /// that was sent lately may have reached the new one, so each run is stopped there before its
     /// task may start elsewhere.
-    fn new_life(&mut self, report: &TargetReport) {
-        log::info!(event = "target-restarted", target = report.target.as_str(),
-            life = report.life.0; "a target has started again");
-        if let Some(target) = self.targets.get_mut(&report.target) {
-            target.begin_life(report.life);
+    fn new_life(&mut self, name: &TargetName, life: Incarnation) {
+        log::info!(event = "target-restarted", target = name.as_str(), life = life.0;
+            "a target has started again");
+        if let Some(target) = self.targets.get_mut(name) {
+            target.begin_life(life);
         }
         self.rooms_changed = true;
     }
@@ -120,7 +120,10 @@
             self.forget_silent(now, out);
         }
         self.empty_some(now);
-        let names: Vec<TargetName> = self.targets.keys().cloned().collect();
+        // Most targets belong to others and need nothing.
+        let concerned = |t: &Target| t.lease != Lease::None || t.mine.is_some();
+        let targets = self.targets.iter().filter(|(_, target)| concerned(target));
+        let names: Vec<TargetName> = targets.map(|(name, _)| name.clone()).collect();
         for name in names {
             self.review_lease(now, wall, &name, out);
         }
@@ -299,9 +302,7 @@
                 ended,
             } => {
                 if let Some(life) = life.filter(|life| *life > target.report.life) {
-                    let mut report = target.report.clone();
-                    report.life = life;
-                    return self.new_life(&report);
+                    return self.new_life(name, life);
                 }
                 if target.hold.misses > 0 {
                     log::info!(event = "target-answers", target = name.as_str();
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -89,8 +89,7 @@
         for number in jobs {
             self.finish(now, number, Reply::TimedOut, out);
         }
-        let of_peer = |run: &Run| matches!(&run.origin, Origin::Peer { vm: v, .. } if v == vm);
-        self.stop_where(now, of_peer, out);
+        self.stop_where(now, |run| run.origin.is_errand_of(vm), out);
     }
 
     /// Renews the errands of this VM and stops those of VMs that have fallen silent: their callers
@@ -118,8 +117,7 @@
             .map(|(vm, _)| vm.clone())
             .collect();
         if !silent.is_empty() {
-            let of_silent =
-                |run: &Run| matches!(&run.origin, Origin::Peer { vm, .. } if silent.contains(vm));
+            let of_silent = |run: &Run| silent.iter().any(|vm| run.origin.is_errand_of(vm));
             self.stop_where(now, of_silent, out);
         }
     }
@@ -184,7 +182,7 @@
     fn run_errand(&mut self, now: Time, from: &VmName, errand: Errand, out: &mut Vec<Effect>) {
         // An errand of a VM that isn't heard here would run on when that VM is lost.
         let heard = self.peers.contains(from);
-        let target = self.errand_target(now, &errand).filter(|_| heard);
+        let target = heard.then(|| self.errand_target(now, &errand)).flatten();
         let Some(target) = target else {
             let end = (errand.ticket, ErrandEnd::NotRunning);
             self.ended.entry(from.clone(), Vec::new).push(end);
@@ -216,14 +214,12 @@
         let mut slots = Vec::new();
         let mut names = Vec::new();
         for (name, target) in self.targets.iter().filter(|(_, t)| t.is_open(now)) {
-            let labels = &target.report.labels;
             slots.push(Slot {
                 free: target.free(),
                 speed: target.speed.factor(),
                 delay: Duration::ZERO,
                 owner: Owner::Own,
-                barred: target.report.service != errand.service
-                    || errand.label.as_ref().is_some_and(|l| !labels.contains(l)),
+                barred: !target.serves(&errand.service, errand.label.as_ref()),
             });
             names.push(name);
         }
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -91,14 +91,13 @@
         if count == 0 || count > MOST_TASKS {
             return Err((later(), "number of tasks out of range"));
         }
-        let accepted = self.job(now, job, queue);
         if !self.is_possible(&job.steps, &queue.service) {
             // No target of the service has the size or the label, whoever owns it.
             return Err((Reply::Failed, "no target fits"));
         }
         let work = self.longest_chain(&job.steps, &queue.name);
-        let fastest = work * OPTIMISM / 100;
-        if now + fastest > accepted.end {
+        let accepted = new_job(now, job, queue, work);
+        if now + work * OPTIMISM / 100 > accepted.end {
             return Err((later(), "the work takes longer than the caller waits"));
         }
         Ok(accepted)
@@ -115,68 +114,14 @@
         }
     }
 
-    /// Whether each task fits a target of the service, or no target is known yet.
+    /// Whether each task fits a target of the service, or no target of it is known yet.
     fn is_possible(&self, steps: &[Step], service: &str) -> bool {
-        let mut of_service = self
-            .targets
-            .values()
-            .filter(|target| *target.report.service == *service)
-            .peekable();
-        if of_service.peek().is_none() {
-            return true;
-        }
-        let targets: Vec<_> = of_service.collect();
-        steps.iter().all(|step| {
-            targets.iter().any(|target| {
-                let labels = &target.report.labels;
-                let labelled = step.label.as_ref().is_none_or(|l| labels.contains(l));
-                labelled && step.demand.fits(&target.report.capacity)
-            })
-        })
-    }
-
-    fn job(&self, now: Time, job: &Submission, queue: &Queue) -> Job {
-        let work = self.longest_chain(&job.steps, &queue.name);
-        let objective = work * queue.slack / 100 + queue.latency;
-        let end = now + job.patience.saturating_sub(ANSWER_MARGIN);
-        let mut tasks = Vec::new();
-        for (i, step) in job.steps.iter().enumerate() {
-            for index in 0..step.count {
-                tasks.push(Task {
-                    name: format!("{}.0.{i}.{index}", job.id).into(),
-                    step: i,
-                    state: TaskState::Waiting,
-                    number: 0,
-                    failures: 0,
-                    overruns: 0,
-                    avoid: None,
-                });
-            }
-        }
-        let steps = job.steps.iter().map(|step| StepInfo {
-            demand: step.demand,
-            declared: step.expected,
-            after: step.after.clone(),
-            label: step.label.clone(),
-            left: step.count,
-        });
-        Job {
-            request: job.request,
-            host: job.host.clone(),
-            path: job.path.clone(),
-            id: job.id.clone(),
-            queue: queue.name.clone(),
-            service: queue.service.clone(),
-            spec: job.spec.clone(),
-            attempts: queue.attempts.max(1),
-            tasks,
-            steps: steps.collect(),
-            arrived: now,
-            begin: now + longest_wait(objective),
-            objective: end.min(now + objective),
-            end,
-            begun: false,
-        }
+        let targets = || self.targets.values();
+        let fits = |step: &Step| {
+            let mut serving = targets().filter(|t| t.serves(service, step.label.as_ref()));
+            serving.any(|target| step.demand.fits(&target.report.capacity))
+        };
+        !targets().any(|target| target.serves(service, None)) || steps.iter().all(fits)
     }
 
     /// The expected run time of the longest chain of steps.
@@ -214,3 +159,47 @@
         backlog(work, (lanes + rooms) as f64)
     }
 }
+
+/// A job that waits, whose longest chain of steps takes `work`.
+fn new_job(now: Time, job: &Submission, queue: &Queue, work: Duration) -> Job {
+    let objective = work * queue.slack / 100 + queue.latency;
+    let end = now + job.patience.saturating_sub(ANSWER_MARGIN);
+    let mut tasks = Vec::new();
+    for (i, step) in job.steps.iter().enumerate() {
+        for index in 0..step.count {
+            tasks.push(Task {
+                name: format!("{}.0.{i}.{index}", job.id).into(),
+                step: i,
+                state: TaskState::Waiting,
+                number: 0,
+                failures: 0,
+                overruns: 0,
+                avoid: None,
+            });
+        }
+    }
+    let steps = job.steps.iter().map(|step| StepInfo {
+        demand: step.demand,
+        declared: step.expected,
+        after: step.after.clone(),
+        label: step.label.clone(),
+        left: step.count,
+    });
+    Job {
+        request: job.request,
+        host: job.host.clone(),
+        path: job.path.clone(),
+        id: job.id.clone(),
+        queue: queue.name.clone(),
+        service: queue.service.clone(),
+        spec: job.spec.clone(),
+        attempts: queue.attempts.max(1),
+        tasks,
+        steps: steps.collect(),
+        arrived: now,
+        begin: now + longest_wait(objective),
+        objective: end.min(now + objective),
+        end,
+        begun: false,
+    }
+}
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -37,6 +37,14 @@
 }
 
 impl Origin {
+    /// Whether it is an errand of a VM.
+    pub(crate) fn is_errand_of(&self, vm: &VmName) -> bool {
+        match self {
+            Origin::Own(_) => false,
+            Origin::Peer { vm: sender, .. } => sender == vm,
+        }
+    }
+
     /// A number that differs between jobs, to tell failures of one job from those of several.
     pub(crate) fn job_number(&self) -> u64 {
         match self {
@@ -184,6 +192,12 @@
         }
     }
 
+    /// Whether it may run the tasks of a service that ask for a label.
+    pub(crate) fn serves(&self, service: &str, label: Option<&Arc<str>>) -> bool {
+        let labels = &self.report.labels;
+        *self.report.service == *service && label.is_none_or(|label| labels.contains(label))
+    }
+
     /// What is free.
     pub(crate) fn free(&self) -> Demand {
         let runs = self.runs.iter();
