--- a/crates/scheduler/tests/world/faults.rs
+++ b/crates/scheduler/tests/world/faults.rs
@@ -56,7 +56,7 @@
         world.run(millis(700));
     }
     world.run(2 * SECOND);
-    let done = |c: &crate::support::Caller| matches!(c.answer, Some((_, Reply::Completed)));
+    let done = |c: &crate::callers::Caller| matches!(c.answer, Some((_, Reply::Completed)));
     assert!(world.callers.iter().filter(|c| done(c)).count() >= 5);
     assert!(world.twice.is_empty(), "{:?}", world.twice);
 }
@@ -134,7 +134,7 @@
         world.run(5 * SECOND);
         assert!(world.twice.is_empty(), "seed {seed}: {:?}", world.twice);
         let completed =
-            |c: &&crate::support::Caller| matches!(c.answer, Some((_, Reply::Completed)));
+            |c: &&crate::callers::Caller| matches!(c.answer, Some((_, Reply::Completed)));
         done += world.callers.iter().filter(completed).count();
     }
     assert!(done >= 20 * 20 * 8 / 10, "{done} of 400");
@@ -222,7 +222,7 @@
         world.run(millis(20));
     }
     world.run(SECOND);
-    let done = |c: &&crate::support::Caller| matches!(c.answer, Some((_, Reply::Completed)));
+    let done = |c: &&crate::callers::Caller| matches!(c.answer, Some((_, Reply::Completed)));
     let completed = world.callers[before..].iter().filter(done).count();
     assert!(completed >= 30, "{completed} of 40 jobs completed");
 }
@@ -239,7 +239,7 @@
     }
     world.run(SECOND);
     assert_eq!(world.targets_of_errands(1, 0), 0);
-    let done = |c: &&crate::support::Caller| matches!(c.answer, Some((_, Reply::Completed)));
+    let done = |c: &&crate::callers::Caller| matches!(c.answer, Some((_, Reply::Completed)));
     assert!(world.callers.iter().filter(done).count() >= 15);
 }
 
--- a/crates/scheduler/tests/world/main.rs
+++ b/crates/scheduler/tests/world/main.rs
@@ -1,5 +1,7 @@
 //! Several entry VMs and targets in virtual time, with faults.
 
+mod callers;
 mod faults;
 mod load;
 mod support;
+mod targets;
--- /dev/null
+++ b/crates/scheduler/tests/world/targets.rs
@@ -0,0 +1,445 @@
+//! Targets with leases, generations and room, and the calls on their way to them.
+//!
+//! Checked at each start: no task runs twice at a time.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use greengage_core::{Address, Demand, Incarnation, TargetName, Time, ZoneName};
+use greengage_scheduler::{
+    End, EndKind, Event, HoldResult, Listing, StartResult, StopResult, TargetCall, TargetReport,
+};
+
+use crate::support::{candidate, Act, World, PEER_TRIP};
+
+/// Trip to a target.
+const TRIP: Duration = Duration::from_micros(600);
+/// Longest lease that a target grants.
+const MOST_LEASE: u64 = 1000;
+/// How long a call may take before it counts as unanswered.
+const REPORT_EVERY: Duration = Duration::from_millis(1500);
+
+pub(crate) struct Run {
+    pub(crate) task: Arc<str>,
+    pub(crate) number: u32,
+    pub(crate) began: Time,
+    pub(crate) ends: Time,
+    pub(crate) fails: bool,
+    pub(crate) hangs: bool,
+}
+
+pub(crate) struct Target {
+    pub(crate) name: TargetName,
+    pub(crate) zone: ZoneName,
+    pub(crate) speed: f64,
+    pub(crate) life: u64,
+    pub(crate) sequence: u64,
+    pub(crate) up: bool,
+    pub(crate) cut: bool,
+    pub(crate) hangs: bool,
+    pub(crate) fails: bool,
+    /// Percent of orders that get no answer and are carried out late.
+    pub(crate) late_orders: u64,
+    pub(crate) generation: u64,
+    pub(crate) lease: u64,
+    pub(crate) runs: Vec<Run>,
+    pub(crate) ends: Vec<End>,
+    pub(crate) last_end: u64,
+    pub(crate) stopped: BTreeMap<Arc<str>, u32>,
+    pub(crate) waiting: Vec<(usize, Time, u64, u64)>,
+    pub(crate) starts: u64,
+}
+
+/// A call on its way to a target.
+pub(crate) struct Delivery {
+    pub(crate) vm: usize,
+    pub(crate) life: u64,
+    pub(crate) target: usize,
+    /// The life of the target when the call was sent.
+    pub(crate) born: u64,
+    pub(crate) generation: u64,
+    pub(crate) call: TargetCall,
+    /// Whether its answer reaches the VM.
+    pub(crate) answered: bool,
+}
+
+impl World {
+    pub(crate) fn call(&mut self, vm: usize, name: &TargetName, generation: u64, call: TargetCall) {
+        let target = self.targets.iter().position(|t| t.name == *name).unwrap();
+        let (life, born) = (self.vms[vm].life, self.targets[target].life);
+        let order = !matches!(call, TargetCall::Hold(_));
+        let lost = order && self.rng.chance(self.targets[target].late_orders);
+        let limit = call.limit();
+        let unreachable = self.targets[target].cut || !self.targets[target].up;
+        if lost || unreachable {
+            let unanswered = self.unanswered(name, generation, &call);
+            self.later(limit, Act::Event(vm, life, unanswered));
+        }
+        if !unreachable {
+            let delay = match lost {
+                true => Duration::from_millis(300 + self.rng.below(3000)),
+                false => TRIP,
+            };
+            let answered = !lost;
+            self.later(
+                delay,
+                Act::Call(Delivery {
+                    vm,
+                    life,
+                    target,
+                    born,
+                    generation,
+                    call,
+                    answered,
+                }),
+            );
+        }
+    }
+
+    pub(crate) fn unanswered(
+        &self,
+        name: &TargetName,
+        generation: u64,
+        call: &TargetCall,
+    ) -> Event {
+        let target = name.clone();
+        match call {
+            TargetCall::Start(c) => Event::Started {
+                target,
+                task: c.task.clone(),
+                number: c.number,
+                result: StartResult::Unknown,
+            },
+            TargetCall::Stop(c) => Event::Stopped {
+                target,
+                task: c.task.clone(),
+                number: c.number,
+                result: StopResult::Unknown,
+            },
+            TargetCall::Hold(_) => Event::Held {
+                target,
+                generation,
+                result: HoldResult::Unknown,
+            },
+        }
+    }
+
+    pub(crate) fn clock(&self) -> u64 {
+        self.now.0 / 1000
+    }
+
+    pub(crate) fn carry_out(&mut self, delivery: Delivery) {
+        let Delivery {
+            vm,
+            life,
+            target: index,
+            born,
+            generation,
+            call,
+            answered,
+        } = delivery;
+        self.lapse(index);
+        let clock = self.clock();
+        let target = &mut self.targets[index];
+        if !target.up || target.cut {
+            return;
+        }
+        let name = target.name.clone();
+        if target.life != born {
+            return;
+        }
+        let fenced = generation < target.generation;
+        target.generation = target.generation.max(generation);
+        let event = match call {
+            TargetCall::Start(c) => {
+                let result = match fenced {
+                    true => StartResult::Fenced,
+                    false => self.start(index, &c.task, c.number, c.lease, clock),
+                };
+                Event::Started {
+                    target: name,
+                    task: c.task,
+                    number: c.number,
+                    result,
+                }
+            }
+            TargetCall::Stop(c) => {
+                let result = match fenced {
+                    true => StopResult::Fenced,
+                    false => {
+                        let last = target.stopped.entry(c.task.clone()).or_default();
+                        *last = (*last).max(c.number);
+                        self.end(index, &c.task, c.number, EndKind::Stopped);
+                        StopResult::Done
+                    }
+                };
+                Event::Stopped {
+                    target: name,
+                    task: c.task,
+                    number: c.number,
+                    result,
+                }
+            }
+            TargetCall::Hold(c) => {
+                if fenced {
+                    Event::Held {
+                        target: name,
+                        generation,
+                        result: HoldResult::Fenced,
+                    }
+                } else {
+                    target.ends.retain(|end| end.number > c.observed);
+                    if let Some(lease) = c.lease {
+                        target.lease = target.lease.max(lease.min(clock + MOST_LEASE));
+                    }
+                    self.seq += 1;
+                    let number = self.seq;
+                    let target = &mut self.targets[index];
+                    target.waiting.push((vm, self.now, generation, number));
+                    let now = target.ends.is_empty() && !c.wait.is_zero();
+                    match now {
+                        true => self.later(c.wait, Act::HoldEnd(index, number)),
+                        false => self.answer_hold(index, Some(number)),
+                    }
+                    return;
+                }
+            }
+        };
+        if answered {
+            self.later(TRIP, Act::Event(vm, life, event));
+        }
+    }
+
+    pub(crate) fn start(
+        &mut self,
+        index: usize,
+        task: &Arc<str>,
+        number: u32,
+        lease: u64,
+        clock: u64,
+    ) -> StartResult {
+        let target = &mut self.targets[index];
+        if lease <= clock {
+            return StartResult::Late;
+        }
+        target.lease = target.lease.max(lease.min(clock + MOST_LEASE));
+        if target.stopped.get(task).is_some_and(|last| *last >= number) {
+            return StartResult::OldNumber;
+        }
+        if target
+            .runs
+            .iter()
+            .any(|run| run.task == *task && run.number == number)
+        {
+            return StartResult::Running { clock };
+        }
+        let used = target.runs.len() as u32 * self.demand;
+        if used + self.demand > 16_000 {
+            return StartResult::NoRoom;
+        }
+        target.starts += 1;
+        let (id, task_index) = task.split_once(".0.0.").expect("a task's name");
+        let caller = self.callers.iter().find(|c| c.id.as_str() == id).unwrap();
+        let work = caller.work[task_index.parse::<usize>().unwrap()];
+        let speed = target.speed;
+        let run = Run {
+            task: task.clone(),
+            number,
+            began: self.now,
+            ends: self.now + work.div_f64(speed),
+            fails: target.fails || (caller.queue == 9),
+            hangs: target.hangs,
+        };
+        let after = if run.fails {
+            Duration::from_millis(5)
+        } else {
+            run.ends.since(self.now)
+        };
+        let hangs = run.hangs;
+        target.runs.push(run);
+        self.seq += 1;
+        if !hangs {
+            let ends = self.now + after;
+            let target = &mut self.targets[index];
+            target.runs.last_mut().unwrap().ends = ends;
+            self.later(after, Act::Expire(index, number as usize));
+        }
+        let running: usize = (0..self.targets.len())
+            .map(|i| {
+                self.lapse(i);
+                let target = &self.targets[i];
+                let up = target.up;
+                target
+                    .runs
+                    .iter()
+                    .filter(|run| up && run.task == *task)
+                    .count()
+            })
+            .sum();
+        if running > 1 {
+            self.twice
+                .push(format!("{task} run {number} at {:?}", self.now));
+        }
+        StartResult::Running { clock }
+    }
+
+    pub(crate) fn expire(&mut self, index: usize, _seq: usize) {
+        self.lapse(index);
+        let now = self.now;
+        let over: Vec<(Arc<str>, u32, bool)> = self.targets[index]
+            .runs
+            .iter()
+            .filter(|run| !run.hangs && now >= run.ends)
+            .map(|run| (run.task.clone(), run.number, run.fails))
+            .collect();
+        for (task, number, fails) in over {
+            let kind = if fails {
+                EndKind::Failed
+            } else {
+                EndKind::Done
+            };
+            self.end(index, &task, number, kind);
+        }
+    }
+
+    pub(crate) fn end(&mut self, index: usize, task: &Arc<str>, number: u32, kind: EndKind) {
+        let target = &mut self.targets[index];
+        let at = target
+            .runs
+            .iter()
+            .position(|run| run.task == *task && run.number == number);
+        let Some(at) = at else {
+            return;
+        };
+        target.runs.remove(at);
+        let last = target.stopped.entry(task.clone()).or_default();
+        *last = (*last).max(number);
+        target.last_end += 1;
+        target.ends.push(End {
+            number: target.last_end,
+            task: task.clone(),
+            run: number,
+            kind,
+        });
+        self.answer_hold(index, None);
+    }
+
+    pub(crate) fn lapse(&mut self, index: usize) {
+        let clock = self.clock();
+        if self.targets[index].lease <= clock {
+            while let Some(run) = self.targets[index].runs.first() {
+                let (task, number) = (run.task.clone(), run.number);
+                self.end(index, &task, number, EndKind::Stopped);
+            }
+        }
+    }
+
+    pub(crate) fn answer_hold(&mut self, index: usize, only: Option<u64>) {
+        let (clock, now) = (self.clock(), self.now);
+        let target = &mut self.targets[index];
+        let (answered, kept): (Vec<_>, Vec<_>) = target
+            .waiting
+            .drain(..)
+            .partition(|(.., number)| only.is_none_or(|o| o == *number));
+        target.waiting = kept;
+        let percent = |run: &Run| match run.hangs {
+            true => 0,
+            false => {
+                let total = run.ends.since(run.began).as_micros().max(1);
+                (now.since(run.began).as_micros() * 100 / total).min(99) as u32
+            }
+        };
+        let running: Vec<Listing> = target
+            .runs
+            .iter()
+            .map(|run| Listing {
+                task: run.task.clone(),
+                run: run.number,
+                percent: percent(run),
+            })
+            .collect();
+        let result = HoldResult::Lists {
+            clock,
+            life: Some(Incarnation(target.life)),
+            running,
+            ended: target.ends.clone(),
+        };
+        let (name, silent) = (target.name.clone(), target.cut || !target.up);
+        for (vm, _, generation, _) in answered {
+            let life = self.vms[vm].life;
+            let result = match silent {
+                true => HoldResult::Unknown,
+                false => result.clone(),
+            };
+            let event = Event::Held {
+                target: name.clone(),
+                generation,
+                result,
+            };
+            let delay = if silent {
+                Duration::from_millis(400)
+            } else {
+                TRIP
+            };
+            self.later(delay, Act::Event(vm, life, event));
+        }
+    }
+
+    pub(crate) fn report(&mut self, index: usize) {
+        self.later(REPORT_EVERY, Act::Report(index));
+        let target = &mut self.targets[index];
+        if !target.up || target.cut {
+            return;
+        }
+        target.sequence += 1;
+        let report = TargetReport {
+            target: target.name.clone(),
+            service: "s".into(),
+            address: Address::new(&format!("{}:1", target.name)).unwrap(),
+            zone: target.zone.clone(),
+            capacity: Demand {
+                milli_cores: 16_000,
+                memory_mib: 65_536,
+                accelerators: 0,
+            },
+            labels: Vec::new(),
+            draining: false,
+            life: Incarnation(target.life),
+            sequence: target.sequence,
+        };
+        for vm in 0..self.vms.len() {
+            let inside = |zone: usize| report.zone == candidate(zone, 3).zone;
+            if self
+                .cut_zone
+                .is_some_and(|zone| inside(zone) != (vm == zone))
+            {
+                continue;
+            }
+            let life = self.vms[vm].life;
+            self.later(
+                PEER_TRIP,
+                Act::Event(vm, life, Event::Report(report.clone())),
+            );
+        }
+    }
+
+    pub(crate) fn crash(&mut self, index: usize) {
+        let target = &mut self.targets[index];
+        target.up = false;
+        target.runs.clear();
+        target.ends.clear();
+        target.stopped.clear();
+        (target.generation, target.lease, target.last_end) = (0, 0, 0);
+        target.waiting.clear();
+    }
+
+    pub(crate) fn revive(&mut self, index: usize) {
+        let target = &mut self.targets[index];
+        if !target.up {
+            target.up = true;
+            target.life += 1;
+            target.sequence = 0;
+        }
+    }
+}
