Split the dispatcher's state machine by submission and order

Change: dispatch/submission.rs and dispatch/order.rs; nothing else moves. Doc comments that the split of the scheduler's tests had dropped return.

--- /dev/null
+++ b/crates/dispatch/src/dispatch/submission.rs
@@ -0,0 +1,319 @@
+//! Jobs that come, begin, end and go.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use greengage_core::{Failure, GuardAction, JobNumber, SortedMap, Time};
+
+use crate::event::{Attempt, Effect, Job, Mode, Running, Settled};
+use crate::ids::JobId;
+use crate::jobs::{Entry, Jobs, Pending, Phase};
+use crate::timers::Alarm;
+
+use super::{Dispatch, Run};
+
+/// Refused starts of one task before its job pauses.
+const REFUSALS: u32 = 3;
+
+/// First pause of such a job; doubled for each further refusal.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Doublings of that pause; the longest is 1.28 s.
+const PAUSE_DOUBLINGS: u32 = 7;
+
+impl Dispatch {
+    pub(super) fn submit(&mut self, now: Time, job: &Job, effects: &mut Vec<Effect>) {
+        if self.jobs.find(job.number).is_some() {
+            return;
+        }
+        if job.tasks == 0 {
+            effects.push(Effect::Complete(job.number));
+            return;
+        }
+        let phase = match job.mode {
+            Mode::Recorded { begun: false } => Phase::Unbegun,
+            Mode::Recorded { begun: true } | Mode::Repeatable { .. } => Phase::Begun,
+        };
+        let id = self.insert(now, job, phase);
+        self.set_queued(now, id, job.tasks);
+        let entry = self.jobs.get(id);
+        let pool = self.pools.of(entry.work);
+        let size = entry.unit * u64::from(job.tasks);
+        self.fair.arrived(entry.account, pool, now, size);
+        if phase == Phase::Begun {
+            self.add_primed(id);
+        }
+        self.line_up(id);
+    }
+
+    pub(super) fn adopt(
+        &mut self,
+        now: Time,
+        job: &Job,
+        done: &[u32],
+        running: &[Running],
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.jobs.find(job.number).is_some() {
+            return;
+        }
+        let id = self.insert(now, job, Phase::Begun);
+        let entry = self.jobs.get_mut(id);
+        entry.next = job.tasks;
+        entry.begun = 1;
+        for task in done.iter().filter(|t| **t < job.tasks) {
+            if entry.started.insert(*task) {
+                entry.done += 1;
+            }
+        }
+        for run in running {
+            let Attempt { task, .. } = run.attempt;
+            if task >= job.tasks || !self.jobs.get_mut(id).started.insert(task) {
+                continue;
+            }
+            let tie = self.rng.random();
+            let target = self.targets.known(&run.target, tie);
+            self.targets.all[target.at()].excused = true;
+            self.run(now, id, run.attempt, target, 0);
+        }
+        let entry = self.jobs.get_mut(id);
+        let tasks = (0..job.tasks).rev();
+        entry.back = tasks
+            .filter(|t| !entry.started.contains(*t))
+            .map(|task| Pending {
+                task,
+                attempts: 0,
+                lost: 0,
+                refused: 0,
+                avoid: None,
+            })
+            .collect();
+        let queued = entry.back.len() as u32;
+        if entry.done == job.tasks {
+            self.complete(now, id, effects);
+            return;
+        }
+        self.set_queued(now, id, queued);
+        self.add_primed(id);
+        self.line_up(id);
+    }
+
+    pub(super) fn insert(&mut self, now: Time, job: &Job, phase: Phase) -> JobId {
+        let work = self.work(&job.work, job.target);
+        let account = self.account(&job.account);
+        let shape = self.shape(work, job);
+        self.targets.shape_mut(shape).users += 1;
+        let id = self.jobs.insert(Entry {
+            number: job.number,
+            account,
+            work,
+            shape,
+            tasks: job.tasks,
+            next: 0,
+            queued: 0,
+            running: 0,
+            done: 0,
+            back: Vec::new(),
+            deadline: job.deadline,
+            arrival: now,
+            declared: job.expected,
+            unit: self.expected(work, job.expected),
+            line: None,
+            size: 0,
+            front: false,
+            mode: job.mode,
+            phase,
+            bytes: job.bytes,
+            primed: None,
+            paused: None,
+            begun: 0,
+            started: Jobs::bits(job.tasks),
+            racks: SortedMap::new(),
+        });
+        self.timers.insert(job.deadline, Alarm::Deadline(id));
+        id
+    }
+
+    pub(super) fn begun(&mut self, _now: Time, number: JobNumber) {
+        let Some(id) = self.jobs.find(number) else {
+            return;
+        };
+        let entry = self.jobs.get_mut(id);
+        match entry.phase {
+            Phase::Beginning => {
+                entry.phase = Phase::Begun;
+                self.line_up(id);
+            }
+            Phase::Unbegun => {
+                entry.phase = Phase::Begun;
+                self.add_primed(id);
+                self.line_up(id);
+            }
+            Phase::Begun => {}
+        }
+    }
+
+    pub(super) fn settled(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        settled: Settled,
+        effects: &mut Vec<Effect>,
+    ) {
+        if settled == Settled::Guard(GuardAction::Throttled) {
+            return;
+        }
+        let Some(run) = self.attempts.remove(&attempt) else {
+            return;
+        };
+        let target = run.grant.target;
+        let name = self.targets.get(target).name.clone();
+        self.touch_target(target);
+        self.touch_work(run.work);
+        match settled {
+            Settled::Done { service } => {
+                self.estimates.observe(run.work, service);
+                let expected = self.estimates.expected(run.work, service);
+                self.targets.observe(target, service, expected);
+            }
+            Settled::NotRun => {
+                if let Some(until) = self.targets.refused(target, now) {
+                    self.timers.insert(until, Alarm::Rested(target));
+                }
+                self.fair
+                    .refund(run.account, self.pools.of(run.work), run.cost);
+            }
+            Settled::Failed { .. } | Settled::Lost | Settled::Guard(_) => {}
+        }
+        self.targets.settle(attempt, run.grant, now);
+        let pool = self.pools.of(run.work);
+        let limit = self.fair.limit(run.account, run.work);
+        limit.running -= 1;
+        let counted = u64::from(limit.running) + u64::from(limit.primed) + 1;
+        if counted >= u64::from(limit.share.concurrency) {
+            self.fair.stale(run.account, pool);
+        }
+        self.fair.refresh(run.account, pool, None);
+        let Some(id) = self.jobs.find(attempt.job) else {
+            return;
+        };
+        let entry = self.jobs.get_mut(id);
+        entry.running -= 1;
+        let task = attempt.task;
+        match settled {
+            Settled::Done { .. } => {
+                entry.done += 1;
+                if entry.done == entry.tasks {
+                    self.complete(now, id, effects);
+                }
+            }
+            Settled::Failed { message } => {
+                self.fail(now, id, Failure::TaskFailed { task, message }, effects)
+            }
+            Settled::Guard(action) => self.fail(now, id, Failure::Guard { task, action }, effects),
+            Settled::NotRun => {
+                entry.begun -= 1;
+                entry.started.remove(task);
+                self.put_back(now, id, attempt, run, run.lost, run.refused + 1);
+            }
+            Settled::Lost => {
+                let retries = match entry.mode {
+                    Mode::Recorded { .. } => 0,
+                    Mode::Repeatable { retries } => retries,
+                };
+                if run.lost < retries && self.budget.take(now) {
+                    self.put_back(now, id, attempt, run, run.lost + 1, run.refused);
+                } else {
+                    let target = Some(name);
+                    self.fail(now, id, Failure::MayHaveRun { task, target }, effects);
+                }
+            }
+        }
+    }
+
+    /// Puts a task back to the head of its lane.
+    pub(super) fn put_back(
+        &mut self,
+        now: Time,
+        id: JobId,
+        attempt: Attempt,
+        run: Run,
+        lost: u32,
+        refused: u32,
+    ) {
+        let entry = self.jobs.get_mut(id);
+        entry.back.push(Pending {
+            task: attempt.task,
+            attempts: attempt.number,
+            lost,
+            refused,
+            avoid: Some(run.grant.target),
+        });
+        entry.front = true;
+        if refused >= REFUSALS && refused > run.refused && entry.paused.is_none() {
+            let until = now + PAUSE * (1 << (refused - REFUSALS).min(PAUSE_DOUBLINGS));
+            entry.paused = Some(until);
+            self.timers.insert(until, Alarm::Resume(id));
+        }
+        let (queued, primed) = (entry.queued + 1, entry.primed);
+        self.set_queued(now, id, queued);
+        if let Some(cost) = primed {
+            self.count_primed(id, 1, cost as i64);
+        }
+        self.line_up(id);
+    }
+
+    pub(super) fn complete(&mut self, now: Time, id: JobId, effects: &mut Vec<Effect>) {
+        let entry = self.remove(now, id);
+        effects.push(Effect::Complete(entry.number));
+    }
+
+    /// Fails a job and stops its running tasks; their slots stay taken until they are settled.
+    pub(super) fn fail(
+        &mut self,
+        now: Time,
+        id: JobId,
+        failure: Failure,
+        effects: &mut Vec<Effect>,
+    ) {
+        let entry = self.remove(now, id);
+        let attempt = |task, number| Attempt {
+            job: entry.number,
+            task,
+            number,
+        };
+        let runs = self
+            .attempts
+            .range(attempt(0, 0)..=attempt(u32::MAX, u32::MAX));
+        effects.extend(runs.map(|(attempt, run)| Effect::Stop {
+            attempt: *attempt,
+            target: self.targets.get(run.grant.target).name.clone(),
+        }));
+        effects.push(Effect::Failed {
+            job: entry.number,
+            failure,
+        });
+    }
+
+    pub(super) fn remove(&mut self, now: Time, id: JobId) -> Entry {
+        // A job that only runs is in no line and counts in no lane.
+        if self.jobs.get(id).queued > 0 {
+            self.drop_primed(id);
+            self.set_queued(now, id, 0);
+            self.line_up(id);
+        }
+        let entry = self.jobs.remove(id);
+        self.timers.remove(entry.deadline, Alarm::Deadline(id));
+        if let Some(until) = entry.paused {
+            self.timers.remove(until, Alarm::Resume(id));
+        }
+        self.targets.shape_mut(entry.shape).users -= 1;
+        entry
+    }
+
+    pub(super) fn expire(&mut self, now: Time, id: JobId, effects: &mut Vec<Effect>) {
+        let begun = self.jobs.get(id).begun > 0;
+        self.fail(now, id, Failure::Deadline { begun }, effects);
+    }
+}
--- a/crates/scheduler/tests/world/callers.rs
+++ b/crates/scheduler/tests/world/callers.rs
@@ -26,6 +26,7 @@
 }
 
 impl World {
+    /// A caller submits a job of tasks with this work; declared times are off.
     pub(crate) fn submit(&mut self, vm: usize, queue: usize, work: Vec<Duration>) -> usize {
         let longest = work.iter().max().copied().unwrap();
         let objective = longest * 8 / 5 + Duration::from_millis(60);
@@ -96,6 +97,7 @@
         }
     }
 
+    /// The callers that were answered with success within their objective, and all.
     pub(crate) fn in_time(&self, queue: usize) -> (usize, usize) {
         let of_queue = || self.callers.iter().filter(|c| c.queue == queue);
         let served = of_queue().filter(|c| match &c.answer {
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -321,6 +321,7 @@
         }
     }
 
+    /// Kills a VM; its callers notice and submit again elsewhere.
     pub(crate) fn kill(&mut self, vm: usize) {
         if !self.vms[vm].up {
             return;
@@ -336,6 +337,7 @@
         }
     }
 
+    /// Asks a VM to shut down; it stays until its work is done.
     pub(crate) fn leave(&mut self, vm: usize) {
         self.vms[vm].leaving = true;
         let life = self.vms[vm].life;
@@ -360,6 +362,7 @@
         }
     }
 
+    /// Lets a frozen VM go on with all that has arrived.
     pub(crate) fn thaw(&mut self, vm: usize) {
         self.vms[vm].frozen = false;
         let life = self.vms[vm].life;
@@ -368,6 +371,7 @@
         }
     }
 
+    /// How many starts `vm` has sent for errands of `other`.
     pub(crate) fn targets_of_errands(&self, vm: usize, other: usize) -> usize {
         self.errands.get(&(vm, other)).copied().unwrap_or(0)
     }
--- a/crates/scheduler/tests/world/targets.rs
+++ b/crates/scheduler/tests/world/targets.rs
@@ -284,6 +284,7 @@
         StartResult::Running { clock }
     }
 
+    /// Ends the runs whose time has come.
     pub(crate) fn expire(&mut self, index: usize, _seq: usize) {
         self.lapse(index);
         let now = self.now;
@@ -325,6 +326,7 @@
         self.answer_hold(index, None);
     }
 
+    /// Ends all runs once the lease is over.
     pub(crate) fn lapse(&mut self, index: usize) {
         let clock = self.clock();
         if self.targets[index].lease <= clock {
@@ -424,6 +426,7 @@
         }
     }
 
+    /// Crashes a target; it returns under its name as another life.
     pub(crate) fn crash(&mut self, index: usize) {
         let target = &mut self.targets[index];
         target.up = false;
