Keep the configuration in force among a control VM's hints

Change: the hints hold the configuration that was in force. It was committed, so it is obeyed and passed on; reads still ask the group.

Test: stored_configuration_is_passed_on_before_a_leader_is_elected, which fails when the hint is ignored.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -81,7 +81,9 @@
     pub fn new(now: Time, setup: Setup) -> Cluster {
         let scheduler = setup.scheduler.map(|s| Scheduler::new(now, s));
         let group = setup.group.map(Group::new);
-        let document = group.as_ref().and_then(|g| g.document().cloned());
+        let restored = group.as_ref().and_then(|g| g.document().cloned());
+        let known = restored.into_iter().chain(setup.hints.document);
+        let document = known.max_by_key(|document| document.version);
         let mut roster = Roster::new(now, setup.member, setup.seeds, setup.timing);
         roster.recall(now, setup.hints.vms);
         Cluster {
@@ -202,7 +204,12 @@
         // Without the group there is no disk that works.
         if let Some(targets) = copy.filter(|_| self.group.is_some()) {
             let vms = self.roster.live(now).map(|vm| vm.address.clone()).collect();
-            out.push(Effect::Store(Hints { targets, vms }));
+            let document = self.document.clone();
+            out.push(Effect::Store(Hints {
+                document,
+                targets,
+                vms,
+            }));
         }
     }
 
@@ -327,6 +334,7 @@
         let version = self.document.as_ref().map(|d| d.version);
         if Some(document.version) > version {
             self.document = Some(document.clone());
+            self.reports.copy_again();
             self.work(now, wall, scheduler::Event::Configuration(document), out);
         }
     }
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -60,10 +60,13 @@
     Unknown,
 }
 
-/// What a control VM keeps on disk of others, to find them sooner when it starts again.
+/// What a control VM keeps on disk beside its group, to serve sooner when it starts again.
 #[value]
 #[derive(Default)]
 pub struct Hints {
+    /// The configuration that was in force. It was committed, so it may be obeyed before a new
+    /// leader has told how far the group's log is committed.
+    pub document: Option<Arc<Document>>,
     /// The latest reports of targets.
     pub targets: Vec<TargetReport>,
     /// The addresses of live VMs.
--- a/crates/cluster/tests/group.rs
+++ b/crates/cluster/tests/group.rs
@@ -2,23 +2,10 @@
 
 mod support;
 
-use std::sync::Arc;
-
 use greengage_cluster::{Cluster, Effect, Event, Outcome};
-use greengage_config::{Document, Limits};
-use greengage_core::{Payload, RequestId, Time, Version, Wall};
-
-use support::{control_setup, group};
+use greengage_core::{RequestId, Time, Wall};
 
-fn document() -> Arc<Document> {
-    Arc::new(Document {
-        version: Version(1),
-        queues: Vec::new(),
-        services: Vec::new(),
-        limits: Limits { body: 1 },
-        source: Payload::new(Vec::new()),
-    })
-}
+use support::{control_setup, document, group};
 
 /// Runs ticks and saves until `end`; saves take no time.
 fn run(cluster: &mut Cluster, from: u64, to: u64) -> Vec<Effect> {
@@ -54,7 +41,7 @@
     assert!(cluster.standing(Time::from_millis(3000)).leads);
     let put = |request| Event::Put {
         request: RequestId(request),
-        document: document(),
+        document: document(1),
     };
     let now = Time::from_millis(3000);
     let effects = cluster.step(now, Wall(3000), put(1));
--- a/crates/cluster/tests/stored.rs
+++ b/crates/cluster/tests/stored.rs
@@ -3,10 +3,10 @@
 mod support;
 
 use greengage_cluster::{gossip, Cluster, Effect, Event, Message};
-use greengage_core::{Incarnation, Time, VmName, Wall};
+use greengage_core::{Incarnation, Time, Version, VmName, Wall};
 use greengage_scheduler::TargetReport;
 
-use support::{control_setup, entry_member, report};
+use support::{control_setup, document, entry_member, report};
 
 const START: u64 = 1000;
 
@@ -86,6 +86,45 @@
     assert_eq!(copies, [[report("t-2", 1)]]);
 }
 
+/// Guards against entry VMs that refuse their callers until a leader is elected: the configuration
+/// that was in force is passed on at once, and stored when another one is.
+#[test]
+fn stored_configuration_is_passed_on_before_a_leader_is_elected() {
+    let now = Time::from_millis(START);
+    let mut setup = control_setup(now);
+    setup.hints.document = Some(document(7));
+    let mut cluster = Cluster::new(now, setup);
+    let hello = gossip::Introduction::Hello {
+        member: entry_member(Incarnation(1)),
+        known: true,
+    };
+    let event = Event::Receive {
+        from: VmName::new("10.0.0.9").unwrap(),
+        message: Message::Roster(hello, None),
+    };
+    let passed = step(&mut cluster, START, event);
+    let is_passed = |effect: &Effect| match effect {
+        Effect::Send {
+            message: Message::Configuration(document),
+            ..
+        } => document.version == Version(7),
+        _ => false,
+    };
+    assert!(passed.iter().any(is_passed));
+    let earlier = Message::Configuration(document(6));
+    let from = VmName::new("10.0.0.9").unwrap();
+    let event = Event::Receive {
+        from,
+        message: earlier,
+    };
+    step(&mut cluster, START, event);
+    assert_eq!(
+        cluster.standing(now).version,
+        Some(Version(7)),
+        "an older one changes nothing"
+    );
+}
+
 /// Guards against a VM that waits for a seed, though it knew other VMs before it lost its power.
 #[test]
 fn vms_of_the_last_life_are_introduced_to_at_once_and_for_a_while() {
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -8,8 +8,10 @@
 use greengage_agreement::{Config, Seat, Timing};
 use greengage_cluster::{gossip, Hints, Setup};
 use greengage_config as config;
-use greengage_config::Restored;
-use greengage_core::{Address, Demand, Incarnation, NodeId, TargetName, Time, VmName, ZoneName};
+use greengage_config::{Document, Limits, Restored};
+use greengage_core::{
+    Address, Demand, Incarnation, NodeId, Payload, TargetName, Time, Version, VmName, ZoneName,
+};
 use greengage_scheduler::TargetReport;
 
 pub(crate) fn node() -> NodeId {
@@ -67,6 +69,16 @@
     }
 }
 
+pub(crate) fn document(version: u64) -> Arc<Document> {
+    Arc::new(Document {
+        version: Version(version),
+        queues: Vec::new(),
+        services: Vec::new(),
+        limits: Limits { body: 1 },
+        source: Payload::new(Vec::new()),
+    })
+}
+
 pub(crate) fn report(target: &str, sequence: u64) -> TargetReport {
     TargetReport {
         target: TargetName::new(target).unwrap(),
