Refuse bodies beyond the configuration's limit

Cause: the limit of bodies in the users' document was kept and not enforced; only the listener's own limit of 8 MiB held.

Test: body_beyond_the_limit_is_refused_and_names_it.

--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -47,6 +47,7 @@
         Outcome::Work(Reply::TimedOut) => "timed_out",
         Outcome::Work(Reply::Refused { .. }) => "refused",
         Outcome::Work(Reply::NoQueue) => "no_queue",
+        Outcome::Work(Reply::TooLarge { .. }) => "too_large",
         Outcome::Work(Reply::NoJob) => "no_job",
         Outcome::Work(Reply::Pending(_)) => "pending",
         Outcome::Accepted => "accepted",
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -41,6 +41,8 @@
     pub spec: Arc<str>,
     /// The steps.
     pub steps: Vec<Step>,
+    /// The length of the request's body in bytes.
+    pub bytes: u64,
     /// How long the caller waits.
     pub patience: Duration,
     /// A feature that the job asks for and that isn't there; the job is refused.
@@ -242,6 +244,11 @@
     },
     /// There is no such queue.
     NoQueue,
+    /// The body is longer than the configuration allows; nothing ran.
+    TooLarge {
+        /// The longest body in bytes.
+        most: u64,
+    },
     /// There is no such job; jobs aren't kept.
     NoJob,
     /// The number of jobs that haven't begun.
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -81,6 +81,10 @@
         if job.path.strip_prefix(&*queue.prefix) != Some(job.id.as_str()) {
             return Err((Reply::NoQueue, "the path is no queue's prefix and an id"));
         }
+        let most = document.limits.body;
+        if job.bytes > most {
+            return Err((Reply::TooLarge { most }, "the body is too large"));
+        }
         if queue.advised {
             return Err((later(), "the queue needs advice, which is not available"));
         }
--- a/crates/scheduler/tests/world/callers.rs
+++ b/crates/scheduler/tests/world/callers.rs
@@ -79,6 +79,7 @@
                 after: Vec::new(),
                 label: None,
             }],
+            bytes: self.bytes,
             patience: caller.patience,
             missing: None,
         };
--- a/crates/scheduler/tests/world/faults.rs
+++ b/crates/scheduler/tests/world/faults.rs
@@ -22,6 +22,24 @@
     assert!(world.twice.is_empty());
 }
 
+/// Guards against bodies that are longer than the operator's configuration allows.
+#[test]
+fn body_beyond_the_limit_is_refused_and_names_it() {
+    let mut world = World::new(12, 1, 3);
+    for bytes in [1 << 18, (1 << 18) + 1] {
+        world.bytes = bytes;
+        world.submit(0, 0, vec![millis(50)]);
+        world.run(SECOND);
+    }
+    let answers: Vec<_> = world
+        .callers
+        .iter()
+        .flat_map(|c| c.answer.clone())
+        .collect();
+    assert_eq!(answers[0].1, Reply::Completed);
+    assert_eq!(answers[1].1, Reply::TooLarge { most: 1 << 18 });
+}
+
 /// Guards against a job that is shown as failed because a target failed it: the failing target is
 /// left out and the task runs elsewhere.
 #[test]
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -86,6 +86,8 @@
     pub(crate) seq: u64,
     pub(crate) twice: Vec<String>,
     pub(crate) demand: u32,
+    /// The length of callers' bodies.
+    pub(crate) bytes: u64,
 }
 
 pub(crate) fn document(version: u64) -> Arc<Document> {
@@ -140,6 +142,7 @@
             seq: 0,
             twice: Vec::new(),
             demand: 6800,
+            bytes: 300,
         };
         for i in 0..vms {
             let own = candidate(i, zones);
