Extend no lease while a stop goes unconfirmed

Cause: runs of a VM that died were stopped, but the lease of their target was extended by holds and starts while no stop arrived.

Change: after 0.15 s without a confirmed stop the lease of the target is not extended and nothing is started there. Silence, that time and the lease add up to 1.25 s, below the 1.3 s after which callers submit again.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -265,6 +265,7 @@
             moved: now,
             looked: now,
             too_long: false,
+            unwanted: None,
         };
         let spec = job.spec.clone();
         self.start_run(now, target, run, spec, out);
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -11,7 +11,7 @@
 use crate::peer::ErrandEnd;
 use crate::progress::earliest_end;
 use crate::scheduler::Scheduler;
-use crate::target::{Lease, Origin, Run, RunState};
+use crate::target::{Lease, Origin, Run, RunState, STOP_AGAIN};
 
 /// How a run came to its end, as far as its task is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,8 +33,6 @@
 const MOST_OVERRUNS: u32 = 2;
 /// How long a target that had no room gets no start, unless an end comes first.
 const FULL_PAUSE: Duration = Duration::from_millis(30);
-/// Time between two orders to stop the same run.
-const STOP_AGAIN: Duration = Duration::from_millis(150);
 /// A run is stalled when it has made no progress for this many times its expected run time. Runs
 /// that are seven times as long as usual still move a percent or more in that time.
 const STALL_FACTOR: u32 = 2;
@@ -134,6 +132,7 @@
         };
         if again {
             run.state = RunState::Stopping(now);
+            run.unwanted = run.unwanted.or(Some(now));
             let call = StopCall {
                 task: run.task.clone(),
                 number,
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -247,7 +247,8 @@
         let owned = target.lease == Lease::Owned;
         // A target that doesn't answer isn't granted more time: its runs count as gone once the
         // time that it was granted is over.
-        let renews = owned && target.hold.misses == 0 && !target.runs.is_empty();
+        let overrun = target.is_overrun(now);
+        let renews = owned && target.hold.misses == 0 && !target.runs.is_empty() && !overrun;
         let lease = match renews {
             true => target.grant(now),
             false => None,
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -206,6 +206,7 @@
             moved: now,
             looked: now,
             too_long: false,
+            unwanted: None,
         };
         self.start_run(now, &target, run, errand.spec, out);
     }
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -17,6 +17,8 @@
 /// dies just before it has noticed: the silence after which errands are stopped and the lease
 /// together stay below that time. Holds renew it three times.
 pub(crate) const LEASE: Duration = Duration::from_millis(650);
+/// Time between two orders to stop the same run.
+pub(crate) const STOP_AGAIN: Duration = Duration::from_millis(150);
 /// How much slower than this VM's clock a target's clock may be, in percent.
 const CLOCK_DRIFT: u32 = 2;
 /// Added to the end of a lease before what ran under it counts as gone.
@@ -88,6 +90,8 @@
     pub(crate) looked: Time,
     /// Whether it is stopped because it could not have ended in time.
     pub(crate) too_long: bool,
+    /// When it was first ordered to be stopped.
+    pub(crate) unwanted: Option<Time>,
 }
 
 /// Whether this VM owns a target.
@@ -189,6 +193,7 @@
     pub(crate) fn recheck_runs(&mut self) {
         for run in &mut self.runs {
             run.state = RunState::Stopping(Time(0));
+            run.unwanted = None;
         }
     }
 
@@ -198,6 +203,16 @@
         *self.report.service == *service && label.is_none_or(|label| labels.contains(label))
     }
 
+    /// Whether a run has to be stopped and no stop has been confirmed for a while. The lease of all
+    /// that runs there isn't extended then: it ends before a caller that has lost its VM submits
+    /// its job again.
+    pub(crate) fn is_overrun(&self, now: Time) -> bool {
+        self.runs.iter().any(|run| {
+            let unwanted = run.unwanted.is_some_and(|at| now.since(at) >= STOP_AGAIN);
+            unwanted && !matches!(run.state, RunState::Stopped(_))
+        })
+    }
+
     /// What is free.
     pub(crate) fn free(&self) -> Demand {
         let runs = self.runs.iter();
@@ -209,6 +224,7 @@
         self.lease == Lease::Owned
             && !self.emptying
             && !self.report.draining
+            && !self.is_overrun(now)
             && self.hold.misses == 0
             && now >= self.full
             && self.clock.is_some()
--- a/crates/scheduler/tests/world/faults.rs
+++ b/crates/scheduler/tests/world/faults.rs
@@ -261,6 +261,30 @@
     assert!(world.callers.iter().filter(done).count() >= 15);
 }
 
+/// Guards against leases that are renewed for runs which have to be stopped while no stop arrives:
+/// the caller of a dead VM has submitted its job again by the time that they end.
+#[test]
+fn runs_whose_stops_are_late_outlive_their_lease_only() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 3, 18);
+        for _ in 0..6 {
+            world.submit(0, 1, vec![millis(3000); 3]);
+        }
+        world.run(millis(300));
+        world.kill(0);
+        world.late_by = 2 * SECOND;
+        // Free targets take orders, so that the job that is submitted again starts there.
+        let busy = world.targets.iter_mut().filter(|t| !t.runs.is_empty());
+        busy.for_each(|target| target.late_orders = 100);
+        world.run(millis(1900));
+        for target in &mut world.targets {
+            target.late_orders = 0;
+        }
+        world.run(4 * SECOND);
+        assert!(world.twice.is_empty(), "seed {seed}: {:?}", world.twice);
+    }
+}
+
 /// Guards against errands of an earlier life that run on, or whose ends are taken for those of new
 /// ones, when a VM is back before the others have missed it.
 #[test]
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -86,6 +86,8 @@
     pub(crate) seq: u64,
     pub(crate) twice: Vec<String>,
     pub(crate) demand: u32,
+    /// The least time by which late orders are late.
+    pub(crate) late_by: Duration,
     /// The length of callers' bodies.
     pub(crate) bytes: u64,
 }
@@ -142,6 +144,7 @@
             seq: 0,
             twice: Vec::new(),
             demand: 6800,
+            late_by: Duration::from_millis(300),
             bytes: 300,
         };
         for i in 0..vms {
--- a/crates/scheduler/tests/world/targets.rs
+++ b/crates/scheduler/tests/world/targets.rs
@@ -78,7 +78,7 @@
         }
         if !unreachable {
             let delay = match lost {
-                true => Duration::from_millis(300 + self.rng.below(3000)),
+                true => self.late_by + Duration::from_millis(self.rng.below(3000)),
                 false => TRIP,
             };
             let answered = !lost;
