Start a task elsewhere once its stop is confirmed

Orders got no answer and were carried out seconds later (93 start-unknown).

Change: a run whose stop was confirmed as long ago as the users' bound for stops allows (plus 10 ms) is reported as not running. It takes room on its target until the lists show its end, as before.

--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -112,6 +112,7 @@
     let scheduler = settings.entry.then_some(scheduler::Setup {
         own,
         life: member.life,
+        stop: settings.stop,
     });
     Ok(Setup {
         member,
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -31,4 +31,6 @@
     pub voters: usize,
     /// How long a shutdown may take.
     pub grace: Duration,
+    /// How long a run goes on at most after its target has confirmed a stop.
+    pub stop: Duration,
 }
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -266,6 +266,7 @@
             looked: now,
             too_long: false,
             unwanted: None,
+            told: false,
         };
         let spec = job.spec.clone();
         self.start_run(now, target, run, spec, out);
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -26,6 +26,8 @@
     TooLong,
 }
 
+/// Added to the time that a stop may take, for the way of its confirmation.
+const STOP_MARGIN: Duration = Duration::from_millis(10);
 /// After a number that the target had seen before, numbers go on from this much higher.
 const NUMBER_STEP: u32 = 16;
 /// Runs of one task that could not have ended in time after which its job is given up: the first
@@ -252,7 +254,7 @@
             RunOutcome::NotRunning | RunOutcome::TooLong => {}
         }
         let outcome = match outcome {
-            RunOutcome::NotRunning if run.too_long => RunOutcome::TooLong,
+            RunOutcome::NotRunning => run.stopped_outcome(),
             outcome => outcome,
         };
         if outcome != RunOutcome::Done {
@@ -262,11 +264,25 @@
                 misses = target.hold.misses, generation = target.generation;
                 "a run has ended without success");
         }
-        match run.origin {
+        if !run.told {
+            self.tell_origin(now, name, &run, outcome, out);
+        }
+    }
+
+    /// Tells the job of a run, or the VM that sent it, how it ended.
+    fn tell_origin(
+        &mut self,
+        now: Time,
+        name: &TargetName,
+        run: &Run,
+        outcome: RunOutcome,
+        out: &mut Vec<Effect>,
+    ) {
+        match &run.origin {
             Origin::Own(job) => {
-                let task = self.jobs.get(&job).and_then(|j| j.task(&run.task));
+                let task = self.jobs.get(job).and_then(|j| j.task(&run.task));
                 if let Some(task) = task {
-                    self.task_ended(now, job, task, outcome, Some(name), out);
+                    self.task_ended(now, *job, task, outcome, Some(name), out);
                 }
             }
             Origin::Peer { vm, ticket } => {
@@ -276,9 +292,29 @@
                     RunOutcome::NotRunning => ErrandEnd::NotRunning,
                     RunOutcome::TooLong => ErrandEnd::TooLong,
                 };
-                self.ended.entry(vm, Vec::new).push((ticket, end));
+                let ends = self.ended.entry(vm.clone(), Vec::new);
+                ends.push((*ticket, end));
+            }
+        }
+    }
+
+    /// Tells the origins of runs that were stopped so long ago that they have certainly ended. A
+    /// start that was stopped before it arrived shows in no list, and waiting for one to be read
+    /// would cost its task up to two holds.
+    fn tell_of_stopped(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let certain = self.setup.stop + STOP_MARGIN;
+        let mut stopped = Vec::new();
+        for (name, target) in self.targets.iter_mut() {
+            for run in target.runs.iter_mut().filter(|run| !run.told) {
+                if matches!(run.state, RunState::Stopped(at) if now.since(at) >= certain) {
+                    run.told = true;
+                    stopped.push((name.clone(), run.clone()));
+                }
             }
         }
+        for (name, run) in stopped {
+            self.tell_origin(now, &name, &run, run.stopped_outcome(), out);
+        }
     }
 
     /// Notes the end of a task's run, here or away.
@@ -372,6 +408,7 @@
         for name in lapsed {
             self.drop_runs(now, &name, out);
         }
+        self.tell_of_stopped(now, out);
     }
 
     /// Ends all runs of a target that certainly run no more.
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -207,6 +207,7 @@
             looked: now,
             too_long: false,
             unwanted: None,
+            told: false,
         };
         self.start_run(now, &target, run, errand.spec, out);
     }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -25,6 +25,8 @@
     pub own: Candidate,
     /// The life of this VM's process.
     pub life: Incarnation,
+    /// How long a run goes on at most after its target has confirmed a stop.
+    pub stop: Duration,
 }
 
 /// Another live entry VM.
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -8,6 +8,7 @@
 
 use greengage_core::{Demand, Incarnation, Time, VmName};
 
+use crate::ends::RunOutcome;
 use crate::estimate::Learned;
 use crate::event::TargetReport;
 use crate::health::Health;
@@ -92,6 +93,19 @@
     pub(crate) too_long: bool,
     /// When it was first ordered to be stopped.
     pub(crate) unwanted: Option<Time>,
+    /// Whether its job, or the VM that sent it, knows that it has ended; it still takes room until
+    /// the target's lists show the end.
+    pub(crate) told: bool,
+}
+
+impl Run {
+    /// What its task is told when it was stopped.
+    pub(crate) fn stopped_outcome(&self) -> RunOutcome {
+        match self.too_long {
+            true => RunOutcome::TooLong,
+            false => RunOutcome::NotRunning,
+        }
+    }
 }
 
 /// Whether this VM owns a target.
--- a/crates/scheduler/tests/world/faults.rs
+++ b/crates/scheduler/tests/world/faults.rs
@@ -261,6 +261,32 @@
     assert!(world.callers.iter().filter(done).count() >= 15);
 }
 
+/// Guards against short tasks that wait for a target's next list after their start got no answer
+/// and was stopped: a confirmed stop is enough to start them elsewhere.
+#[test]
+fn task_without_an_answer_starts_elsewhere_once_its_stop_is_confirmed() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 1, 3);
+        world.late_by = 2 * SECOND;
+        world.targets[seed as usize % 3].late_starts = true;
+        for _ in 0..2 {
+            world.submit(0, 0, vec![millis(60); 3]);
+            world.run(SECOND);
+        }
+        for caller in &world.callers {
+            let (at, reply) = caller.answer.clone().expect("an answer");
+            let took = at.since(caller.sent);
+            assert_eq!(reply, Reply::Completed, "seed {seed}");
+            // The limit of an order, the time of a stop, a review and the slowest run.
+            assert!(
+                took < millis(200 + 60 + 20 + 120 + 10),
+                "seed {seed}: {took:?}"
+            );
+        }
+        assert!(world.twice.is_empty(), "seed {seed}: {:?}", world.twice);
+    }
+}
+
 /// Guards against leases that are renewed for runs which have to be stopped while no stop arrives:
 /// the caller of a dead VM has submitted its job again by the time that they end.
 #[test]
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -20,6 +20,9 @@
 /// Silence after which VMs don't count as live.
 const LOST_AFTER: Duration = Duration::from_millis(650);
 
+/// How long targets take to stop a run at most.
+const STOP: Duration = Duration::from_millis(50);
+
 /// A small seeded generator (splitmix64).
 pub(crate) struct Rng(pub(crate) u64);
 
@@ -155,6 +158,7 @@
                     Setup {
                         own,
                         life: Incarnation(1),
+                        stop: STOP,
                     },
                 ),
                 up: true,
@@ -182,6 +186,7 @@
                 hangs: false,
                 fails: false,
                 late_orders: 0,
+                late_starts: false,
                 generation: 0,
                 lease: 0,
                 runs: Vec::new(),
@@ -358,6 +363,7 @@
             let setup = Setup {
                 own,
                 life: Incarnation(life),
+                stop: STOP,
             };
             state.scheduler = Scheduler::new(self.now, setup);
             state.up = true;
--- a/crates/scheduler/tests/world/targets.rs
+++ b/crates/scheduler/tests/world/targets.rs
@@ -41,6 +41,8 @@
     pub(crate) fails: bool,
     /// Percent of orders that get no answer and are carried out late.
     pub(crate) late_orders: u64,
+    /// Whether all starts do.
+    pub(crate) late_starts: bool,
     pub(crate) generation: u64,
     pub(crate) lease: u64,
     pub(crate) runs: Vec<Run>,
@@ -69,7 +71,8 @@
         let target = self.targets.iter().position(|t| t.name == *name).unwrap();
         let (life, born) = (self.vms[vm].life, self.targets[target].life);
         let order = !matches!(call, TargetCall::Hold(_));
-        let lost = order && self.rng.chance(self.targets[target].late_orders);
+        let late_start = self.targets[target].late_starts && matches!(call, TargetCall::Start(_));
+        let lost = late_start || order && self.rng.chance(self.targets[target].late_orders);
         let limit = call.limit();
         let unreachable = self.targets[target].cut || !self.targets[target].up;
         if lost || unreachable {
