--- a/crates/runtime/src/disk.rs
+++ b/crates/runtime/src/disk.rs
@@ -23,7 +23,7 @@
 const GROUP: &str = "configuration";
 /// The journal's group of the first members.
 const FIRST_GROUP: &str = "configuration-first";
-/// The journal's group of hints about other VMs and targets.
+/// The journal's group of the hints for the next start.
 const HINTS_GROUP: &str = "hints";
 /// The length of a segment: a data folder may have as little as 128 MB.
 const SEGMENT_BYTES: u64 = 8 << 20;
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -4,9 +4,11 @@
 //! a generation above all earlier ones: the time of day in milliseconds, raised when the target
 //! knows a higher one. Runs of an earlier owner are stopped before the first start, and their
 //! lease isn't renewed until they are gone. A target of another zone is claimed only once it has
-//! reported after its owner was lost, unless a VM of its zone is heard, which then shuts down. A target that the rule gives to another VM is handed
-//! over once its runs have ended; only a part of them is emptied at a time, so that the room of a VM
-//! that leaves or returns isn't missing all at once.
+//! reported after its owner was lost, unless a VM of its zone is heard, which then shuts down.
+//!
+//! A target that the rule gives to another VM is handed over once its runs have ended; only a part
+//! of them is emptied at a time, so that the room of a VM that leaves or returns isn't missing all
+//! at once.
 
 use std::time::Duration;
 
@@ -211,8 +213,9 @@
         match (&target.lease, target.mine) {
             (Lease::None, Some(since)) => {
                 let settled = now.since(since.max(joined)) >= SETTLE && now >= target.rest;
-                // When a whole zone has fallen silent it may be cut off and go on by itself. Claims of
-                // its targets would reach them when the cut ends and fence off their owners.
+                // When a whole zone has fallen silent it may be cut off and go on by itself.
+                // Claims of its targets would reach them when the cut ends and fence off their
+                // owners.
                 let seen = target
                     .seen
                     .is_some_and(|seen| now.since(seen) >= FAR_SETTLE);
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -1,9 +1,9 @@
 //! Which free room a task gets.
 //!
 //! Among rooms in which the task ends in time, its own VM's go first, then its zone's, then the
-//! slowest target, so that fast ones stay free for tasks that need them. Where it ends in time nowhere, it gets the
-//! room in which it ends first. This answers loads near the capacity with targets of different
-//! speed: long tasks meet their objective on fast targets only.
+//! slowest target, so that fast ones stay free for tasks that need them. Where it ends in time
+//! nowhere, it gets the room in which it ends first. This answers loads near the capacity with
+//! targets of different speed: long tasks meet their objective on fast targets only.
 
 use std::time::Duration;
 
