Start runs in one place, and look for claims only where they are due

Change: Run::new takes an order; may_claim is asked only of targets that have no owner here, and asks the cheap conditions first. Behaviour stays.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::placement::{choose, finish, Owner, Slot};
 use crate::scheduler::Scheduler;
 use crate::submit::OPTIMISM;
-use crate::target::{Origin, Run, RunState};
+use crate::target::{Order, Origin, Run};
 
 /// The part of a job's tasks, as a divisor, for which there has to be room when it begins. The
 /// others start as further room comes free, within milliseconds under load.
@@ -251,25 +251,17 @@
         let entry = &mut job.tasks[task];
         entry.number += 1;
         entry.state = TaskState::Here(target.clone());
-        let run = Run {
+        let order = Order {
             task: entry.name.clone(),
             number: entry.number,
             origin: Origin::Own(number),
             queue: job.queue.clone(),
             demand,
             declared,
-            state: RunState::Starting,
-            sent: now,
             end: job.end,
-            percent: 0,
-            moved: now,
-            looked: now,
-            too_long: false,
-            unwanted: None,
-            told: false,
         };
         let spec = job.spec.clone();
-        self.start_run(now, target, run, spec, out);
+        self.start_run(now, target, Run::new(now, order), spec, out);
     }
 
     /// Sends a start to a target of this VM.
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -200,35 +200,39 @@
         }
     }
 
+    /// Whether a target that the rule gives to this VM may be claimed now.
+    fn may_claim(&self, now: Time, name: &TargetName, target: &Target) -> bool {
+        let settled = |since: Time| now.since(since.max(self.joined)) >= SETTLE;
+        if !target.mine.is_some_and(settled) || now < target.rest {
+            return false;
+        }
+        // When a whole zone has fallen silent it may be cut off and go on by itself. Claims of its
+        // targets would reach them when the cut ends and fence off their owners.
+        let zone = &target.report.zone;
+        let heard = zone == self.zone() || self.peers.values().any(|v| v.peer.own.zone == *zone);
+        let reported = |seen: Time| now.since(seen) >= FAR_SETTLE;
+        let reached = heard || target.seen.is_some_and(reported);
+        reached && !self.peers.values().any(|view| view.owned.contains(name))
+    }
+
     fn review_lease(&mut self, now: Time, wall: Wall, name: &TargetName, out: &mut Vec<Effect>) {
-        let held_elsewhere = self.peers.values().any(|view| view.owned.contains(name));
-        let joined = self.joined;
-        let Some(zone) = self.targets.get(name).map(|t| t.report.zone.clone()) else {
+        let Some(target) = self.targets.get(name) else {
             return;
         };
-        let heard = zone == *self.zone() || self.peers.values().any(|v| v.peer.own.zone == zone);
+        let claims = target.lease == Lease::None && self.may_claim(now, name, target);
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
         match (&target.lease, target.mine) {
-            (Lease::None, Some(since)) => {
-                let settled = now.since(since.max(joined)) >= SETTLE && now >= target.rest;
-                // When a whole zone has fallen silent it may be cut off and go on by itself.
-                // Claims of its targets would reach them when the cut ends and fence off their
-                // owners.
-                let seen = target
-                    .seen
-                    .is_some_and(|seen| now.since(seen) >= FAR_SETTLE);
-                if settled && (heard || seen) && !held_elsewhere {
-                    target.recheck_runs();
-                    target.lease = Lease::Claiming;
-                    target.generation = (wall.0 + target.raise).max(target.generation + 1);
-                    target.hold.next = now;
-                    log::info!(event = "target-claimed", target = name.as_str(),
-                        generation = target.generation; "a target is claimed");
-                }
+            (Lease::None, _) if claims => {
+                target.recheck_runs();
+                target.lease = Lease::Claiming;
+                target.generation = (wall.0 + target.raise).max(target.generation + 1);
+                target.hold.next = now;
+                log::info!(event = "target-claimed", target = name.as_str(),
+                    generation = target.generation; "a target is claimed");
             }
-            (Lease::None, None) => return,
+            (Lease::None, _) => return,
             (Lease::Claiming | Lease::Owned, None) if target.runs.is_empty() => {
                 log::info!(event = "target-released", target = name.as_str();
                     "a target is handed over");
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -10,7 +10,7 @@
 use crate::peer::{Errand, ErrandEnd, PeerMessage, Room};
 use crate::placement::{choose, Owner, Slot};
 use crate::scheduler::{Peer, PeerView, Scheduler};
-use crate::target::{Origin, Run, RunState};
+use crate::target::{Order, Origin, Run};
 
 /// Shortest time between two reports of free room while there are few VMs. A trip between zones
 /// takes a few milliseconds and a short task 50, so older reports would send tasks to targets that
@@ -189,7 +189,7 @@
             self.rooms_changed = true;
             return;
         };
-        let run = Run {
+        let order = Order {
             task: errand.task,
             number: errand.number,
             origin: Origin::Peer {
@@ -199,17 +199,9 @@
             queue: errand.queue,
             demand: errand.demand,
             declared: errand.declared,
-            state: RunState::Starting,
-            sent: now,
             end: now + errand.end,
-            percent: 0,
-            moved: now,
-            looked: now,
-            too_long: false,
-            unwanted: None,
-            told: false,
         };
-        self.start_run(now, &target, run, errand.spec, out);
+        self.start_run(now, &target, Run::new(now, order), errand.spec, out);
     }
 
     fn errand_target(&self, now: Time, errand: &Errand) -> Option<TargetName> {
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -98,7 +98,40 @@
     pub(crate) told: bool,
 }
 
+/// What a run is started with.
+pub(crate) struct Order {
+    pub(crate) task: Arc<str>,
+    pub(crate) number: u32,
+    pub(crate) origin: Origin,
+    pub(crate) queue: Arc<str>,
+    pub(crate) demand: Demand,
+    pub(crate) declared: Duration,
+    /// When the run is given up.
+    pub(crate) end: Time,
+}
+
 impl Run {
+    /// A run whose start is sent now.
+    pub(crate) fn new(now: Time, order: Order) -> Run {
+        Run {
+            task: order.task,
+            number: order.number,
+            origin: order.origin,
+            queue: order.queue,
+            demand: order.demand,
+            declared: order.declared,
+            state: RunState::Starting,
+            sent: now,
+            end: order.end,
+            percent: 0,
+            moved: now,
+            looked: now,
+            too_long: false,
+            unwanted: None,
+            told: false,
+        }
+    }
+
     /// What its task is told when it was stopped.
     pub(crate) fn stopped_outcome(&self) -> RunOutcome {
         match self.too_long {
