Log each request that ends without an answer, and why

Change: event=request-unanswered with the request, its path, its age and the cause, and the counter greengage_unanswered_total; event=shutdown-stage with callers, owned targets and leadership; event=job-resubmitted. The log is flushed before the process ends, for at most 0.1 s. Figures: flush_returns_after_all_queued_lines_are_written did not pass before, since flush did nothing. No behaviour of the VM changes otherwise.

--- a/crates/logs/src/lib.rs
+++ b/crates/logs/src/lib.rs
@@ -9,4 +9,4 @@
 mod sink;
 
 pub use line::format_line;
-pub use sink::{install, Limits, LogError, Sink};
+pub use sink::{install, write_lines, Limits, LogError, Output, Sink};
--- a/crates/logs/src/sink.rs
+++ b/crates/logs/src/sink.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime};
 
-use crossbeam_channel::{bounded, Receiver, Sender};
+use crossbeam_channel::{bounded, select, Receiver, Sender};
 use log::kv::Key;
 use log::{LevelFilter, Log, Metadata, Record};
 
@@ -69,16 +69,29 @@
     limits: Limits,
     level: LevelFilter,
     lines: Sender<String>,
+    flushes: Sender<Sender<()>>,
     dropped: AtomicU64,
     window: Mutex<RateWindow>,
 }
 
+/// What a sink passes to its writer.
+pub struct Output {
+    /// The queued lines.
+    pub lines: Receiver<String>,
+    /// Each is closed once the lines queued before it are written.
+    flushes: Receiver<Sender<()>>,
+}
+
+/// Time limit of a flush, so that a blocked standard output doesn't delay the end of a process.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
 impl Sink {
-    /// Creates a sink and the receiver of its lines.
-    pub fn new(level: LevelFilter, limits: Limits) -> (Sink, Receiver<String>) {
-        let (lines, receiver) = bounded(limits.queued_lines);
+    /// Creates a sink and the output of its lines.
+    pub fn new(level: LevelFilter, limits: Limits) -> (Sink, Output) {
+        let (lines, queued_lines) = bounded(limits.queued_lines);
+        let (flushes, flush_requests) = bounded(1);
         let window = RateWindow {
             start: Instant::now(),
             counts: Vec::new(),
@@ -87,10 +100,15 @@
             limits,
             level,
             lines,
+            flushes,
             dropped: AtomicU64::new(0),
             window: Mutex::new(window),
         };
-        (sink, receiver)
+        let output = Output {
+            lines: queued_lines,
+            flushes: flush_requests,
+        };
+        (sink, output)
     }
 
     /// Counts a line of this kind and returns whether it is within the rate limit.
@@ -142,33 +160,53 @@
         }
     }
 
-    fn flush(&self) {}
+    /// Waits until all queued lines are written, up to a time limit.
+    fn flush(&self) {
+        let (done, written) = bounded::<()>(0);
+        if self.flushes.send_timeout(done, FLUSH_TIMEOUT).is_ok() {
+            // Ends with an error in any case: the writer closes the channel, or time is up.
+            let _ = written.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
 }
 
 /// Installs a sink that writes to standard output as the global logger.
 pub fn install(level: LevelFilter, limits: Limits) -> Result<(), LogError> {
-    let (sink, lines) = Sink::new(level, limits);
+    let (sink, output) = Sink::new(level, limits);
     thread::Builder::new()
         .name("logs".to_string())
-        .spawn(move || write_lines(&lines))
+        .spawn(move || write_lines(&output, &mut io::stdout()))
         .map_err(LogError::Thread)?;
     log::set_boxed_logger(Box::new(sink)).map_err(|_| LogError::AlreadyInstalled)?;
     log::set_max_level(level);
     Ok(())
 }
 
+fn push_line(text: &mut String, line: &str) {
+    text.push_str(line);
+    text.push('\n');
+}
+
 /// Writes lines until the sink is dropped; all queued lines go into one write.
-fn write_lines(lines: &Receiver<String>) {
+pub fn write_lines(output: &Output, destination: &mut dyn Write) {
     let mut text = String::new();
-    for line in lines {
-        text.push_str(&line);
-        text.push('\n');
-        while let Ok(line) = lines.try_recv() {
-            text.push_str(&line);
-            text.push('\n');
+    loop {
+        let flush = select! {
+            recv(output.lines) -> line => match line {
+                Ok(line) => {
+                    push_line(&mut text, &line);
+                    None
+                }
+                Err(_) => return,
+            },
+            recv(output.flushes) -> flush => flush.ok(),
+        };
+        for line in output.lines.try_iter() {
+            push_line(&mut text, &line);
         }
         // A failure to write to standard output can't be reported anywhere.
-        let _ = io::stdout().write_all(text.as_bytes());
+        let _ = destination.write_all(text.as_bytes());
         text.clear();
+        drop(flush);
     }
 }
--- a/crates/logs/tests/sink.rs
+++ b/crates/logs/tests/sink.rs
@@ -1,8 +1,11 @@
 //! The format and the limits of log lines.
 
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::SystemTime;
 
-use greengage_logs::{format_line, Limits, Sink};
+use greengage_logs::{format_line, write_lines, Limits, Sink};
 use log::{Level, LevelFilter, Log, Record};
 
 fn log(sink: &Sink, event: &str) {
@@ -41,13 +44,17 @@
         queued_lines: 2,
         lines_per_second: 100,
     };
-    let (sink, lines) = Sink::new(LevelFilter::Info, limits);
+    let (sink, output) = Sink::new(LevelFilter::Info, limits);
     for _ in 0..5 {
         log(&sink, "x");
     }
-    assert_eq!(lines.try_iter().count(), 2);
+    assert_eq!(output.lines.try_iter().count(), 2);
     log(&sink, "x");
-    assert!(lines.try_recv().unwrap().ends_with("dropped_before=3"));
+    assert!(output
+        .lines
+        .try_recv()
+        .unwrap()
+        .ends_with("dropped_before=3"));
 }
 
 /// Guards against one frequent event crowding out all other lines.
@@ -57,10 +64,47 @@
         queued_lines: 100,
         lines_per_second: 3,
     };
-    let (sink, lines) = Sink::new(LevelFilter::Info, limits);
+    let (sink, output) = Sink::new(LevelFilter::Info, limits);
     for _ in 0..10 {
         log(&sink, "often");
     }
     log(&sink, "seldom");
-    assert_eq!(lines.try_iter().count(), 4);
+    assert_eq!(output.lines.try_iter().count(), 4);
+}
+
+#[derive(Clone, Default)]
+struct Written(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Written {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against the loss of the last lines of a process, which tell why it ended.
+#[test]
+fn flush_returns_after_all_queued_lines_are_written() {
+    let (sink, output) = Sink::new(LevelFilter::Info, Limits::default());
+    for _ in 0..100 {
+        log(&sink, "x");
+    }
+    let written = Written::default();
+    let mut destination = written.clone();
+    let writer = thread::spawn(move || write_lines(&output, &mut destination));
+    sink.flush();
+    let lines = written
+        .0
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|b| **b == b'\n')
+        .count();
+    assert_eq!(lines, 100);
+    drop(sink);
+    writer.join().unwrap();
 }
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -12,6 +12,6 @@
 mod settings;
 
 pub use clock::Clock;
-pub use metrics::{record_answer, record_call, record_status, Metrics};
+pub use metrics::{record_answer, record_call, record_status, record_unanswered, Metrics};
 pub use runtime::{run, Frontend, Input};
 pub use settings::Settings;
--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -5,6 +5,7 @@
 use eyre::{eyre, Report};
 use greengage_cluster::scheduler::{Reply, TargetCall};
 use greengage_cluster::{Outcome, Status};
+use greengage_core::RequestId;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 /// Upper bounds of the latency histograms, from the length of a short task to the longest time for
@@ -60,6 +61,13 @@
         .record(latency.as_secs_f64());
 }
 
+/// Counts a request that ends without an answer, and logs it with `cause`.
+pub fn record_unanswered(request: RequestId, path: &str, age: Duration, cause: &'static str) {
+    log::info!(event = "request-unanswered", request = request.0, path = path, cause = cause,
+        age_ms = age.as_millis() as u64; "a request ended without an answer");
+    ::metrics::counter!("greengage_unanswered_total", "cause" => cause).increment(1);
+}
+
 /// Counts a call to a target under its outcome.
 pub fn record_call(call: &TargetCall, outcome: &'static str) {
     let kind = match call {
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -160,7 +160,7 @@
     log::info!(event = "started", vm = settings.vm.as_str(), zone = settings.zone.as_str(),
         entry = settings.entry, seeds = settings.seeds.len(), first = settings.bootstrap,
         targets = targets, vms = vms; "the VM has started");
-    let mut reported = None;
+    let mut reported: Option<Status> = None;
     loop {
         if reopen_at.is_some_and(|at| clock.now() >= at) {
             reopen_at = match reopen_folder(settings, &disk_sender, &mut cluster, clock) {
@@ -181,6 +181,11 @@
             return Ok(());
         }
         if reported != Some(status) {
+            if reported.is_some_and(|last| last.stage != status.stage) {
+                log::info!(event = "shutdown-stage", stage:? = status.stage,
+                    callers = status.callers, owned = status.owned, leads = status.is_leader;
+                    "the stage of the shutdown changed");
+            }
             record_status(&status);
             frontend.status_changed(&status);
             reported = Some(status);
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -64,6 +64,8 @@
         let Some((job_id, found)) = self.jobs.iter_mut().find(|(_, j)| same(j)) else {
             return false;
         };
+        log::info!(event = "job-resubmitted", job = job.id.as_str(), earlier = found.request.0,
+            request = job.request.0; "a current job was submitted again");
         self.requests.remove(&found.request);
         found.request = job.request;
         self.requests.insert(job.request, *job_id);
