Send the last responses before a listener is dropped

Cause: dropping a listener ended its thread at once, so responses that had been handed over but not written were lost, and callers saw their connection close. The product's daemon dropped its listener the moment it had drained, and at its drain limit it closed the connections of callers that still waited without an answer. Ruled out: hyper dropping responses during a graceful shutdown; close() alone keeps them. Change: Listener::shut_down stops listening and waits, up to a limit, until each connection has sent its response. CallerListener::shut_down answers the requests that are still pending with unknown_outcome first; the daemon uses it. Conclusion: a response is sent once it is handed over, also when the process exits.

--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -85,6 +85,8 @@
         id: RequestId,
         reply: Reply,
     },
+    /// Answer all pending and further requests with `unknown_outcome`.
+    AnswerAll,
     Stop,
 }
 
@@ -136,6 +138,15 @@
     pub fn close(&mut self) {
         self.listener.close();
     }
+
+    /// Stops listening, answers the pending requests with `unknown_outcome` and waits, for at most
+    /// `timeout`, until the responses are sent.
+    pub fn shut_down(&mut self, timeout: Duration) {
+        self.close();
+        // The send fails only if the thread has ended, and with it all pending requests.
+        let _ = self.replies.0.send(Message::AnswerAll);
+        self.listener.shut_down(timeout);
+    }
 }
 
 impl Drop for CallerListener {
@@ -205,13 +216,21 @@
     metrics::counter!("greengage_http_answers_total", "status" => status).increment(1);
 }
 
+fn send_unknown_outcome(responder: Responder) {
+    let answer = status::error_response(&ApiError::UnknownOutcome { key: None });
+    count_response(&answer);
+    responder.send(answer);
+}
+
 fn dispatch_replies(receiver: &Receiver<Message>, pending_count: &AtomicUsize) {
     // A B-tree, since thousands of ids may be pending and are removed in any order.
     let mut pending: BTreeMap<RequestId, (Responder, reply::OutcomeForm, Instant)> =
         BTreeMap::new();
     let mut next_expiry = Instant::now() + EXPIRY_INTERVAL;
+    let mut closing = false;
     loop {
         match receiver.recv_deadline(next_expiry) {
+            Ok(Message::Register { responder, .. }) if closing => send_unknown_outcome(responder),
             Ok(Message::Register {
                 id,
                 responder,
@@ -237,13 +256,16 @@
                     .collect();
                 for id in expired {
                     if let Some((responder, ..)) = pending.remove(&id) {
-                        let answer =
-                            status::error_response(&ApiError::UnknownOutcome { key: None });
-                        count_response(&answer);
-                        responder.send(answer);
+                        send_unknown_outcome(responder);
                     }
                 }
             }
+            Ok(Message::AnswerAll) => {
+                closing = true;
+                for (_, (responder, ..)) in std::mem::take(&mut pending) {
+                    send_unknown_outcome(responder);
+                }
+            }
             Ok(Message::Stop) | Err(RecvTimeoutError::Disconnected) => return,
         }
         pending_count.store(pending.len(), Ordering::Relaxed);
--- a/crates/http/tests/front.rs
+++ b/crates/http/tests/front.rs
@@ -594,3 +594,18 @@
     drop(front);
     assert_eq!(held.read(&mut [0; 10]).unwrap_or(0), 0);
 }
+
+/// Guards against a shutdown at its time limit that closes connections without an answer.
+#[test]
+fn shutdown_answers_pending_requests() {
+    let (mut front, _) = recording_front(settings());
+    let mut held = connect(front.address());
+    send(&mut held, "POST", "/v1/jobs", JOB);
+    while front.pending_requests() == 0 {
+        thread::sleep(Duration::from_millis(1));
+    }
+    front.shut_down(Duration::from_secs(5));
+    let (status, _, body) = read_response(&mut held);
+    assert_eq!(status, 504);
+    assert!(body.contains(r#""not_run":false"#), "{body}");
+}
--- a/crates/listener/src/connection.rs
+++ b/crates/listener/src/connection.rs
@@ -27,12 +27,20 @@
 /// How long the rest of a rejected body is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Runs until the sender of `closing` is dropped; drops `socket_open` when it stops listening.
+/// Channels of a listener that are closed as it shuts down.
+pub(crate) struct OpenGuards {
+    /// Closed once the listening socket is closed.
+    pub(crate) socket: Sender<()>,
+    /// Closed once the listening socket and all connections are closed.
+    pub(crate) connections: Sender<()>,
+}
+
+/// Runs until the sender of `closing` is dropped.
 pub(crate) fn run(
     socket: std::net::TcpListener,
     shared: Arc<Shared>,
     closing: watch::Receiver<bool>,
-    socket_open: Sender<()>,
+    guards: OpenGuards,
 ) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -44,7 +52,7 @@
     let tasks = LocalSet::new();
     tasks.block_on(&runtime, async {
         match TcpListener::from_std(socket) {
-            Ok(listener) => accept(listener, shared, closing, socket_open).await,
+            Ok(listener) => accept(listener, shared, closing, guards).await,
             Err(error) => log::error!("can't register the socket of the HTTP listener: {error}"),
         }
     });
@@ -54,12 +62,12 @@
     listener: TcpListener,
     shared: Arc<Shared>,
     mut closing: watch::Receiver<bool>,
-    socket_open: Sender<()>,
+    guards: OpenGuards,
 ) {
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => admit(stream, &shared, &closing),
+                Ok((stream, _)) => admit(stream, &shared, &closing, &guards),
                 Err(error) => {
                     log::warn!("can't accept an HTTP connection: {error}");
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -72,14 +80,23 @@
         }
     }
     drop(listener);
-    drop(socket_open);
+    drop(guards.socket);
+    drop(guards.connections);
     // Connections are served until the listener is dropped.
     while closing.changed().await.is_ok() {}
 }
 
-fn admit(stream: TcpStream, shared: &Arc<Shared>, closing: &watch::Receiver<bool>) {
+fn admit(
+    stream: TcpStream,
+    shared: &Arc<Shared>,
+    closing: &watch::Receiver<bool>,
+    guards: &OpenGuards,
+) {
     let previously_open = shared.open_connections.fetch_add(1, Ordering::Relaxed);
-    let connection_count = ConnectionCount(shared.clone());
+    let connection_count = ConnectionCount {
+        shared: shared.clone(),
+        _guard: guards.connections.clone(),
+    };
     if previously_open >= shared.limits.max_connections {
         return;
     }
@@ -87,11 +104,14 @@
 }
 
 /// Decrements the number of open connections when dropped.
-struct ConnectionCount(Arc<Shared>);
+struct ConnectionCount {
+    shared: Arc<Shared>,
+    _guard: Sender<()>,
+}
 
 impl Drop for ConnectionCount {
     fn drop(&mut self) {
-        self.0.open_connections.fetch_sub(1, Ordering::Relaxed);
+        self.shared.open_connections.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -100,7 +120,7 @@
     connection_count: ConnectionCount,
     mut closing: watch::Receiver<bool>,
 ) {
-    let shared = connection_count.0.clone();
+    let shared = connection_count.shared.clone();
     let stream = TimedStream::new(stream, shared.limits.write_timeout);
     let service = service_fn(|request| handle(request, shared.clone()));
     let connection = http1::Builder::new()
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -26,11 +26,13 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-use crossbeam_channel::{bounded, Receiver, Sender};
+use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use percent_encoding::percent_decode_str;
 use socket2::{Domain, Socket, Type};
 use tokio::sync::{oneshot, watch, Semaphore};
 
+use connection::OpenGuards;
+
 /// Limits and timeouts of a listener.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -224,6 +226,8 @@
     closing: Option<watch::Sender<bool>>,
     /// Disconnected once the listening socket is closed and its address is free.
     socket_closed: Receiver<()>,
+    /// Disconnected once all connections are closed as well.
+    connections_closed: Receiver<()>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -280,7 +284,12 @@
     let address = socket.local_addr().map_err(address_error)?;
     let open_connections = Arc::new(AtomicUsize::new(0));
     let (closing, closing_receiver) = watch::channel(false);
-    let (socket_open, socket_closed) = bounded(0);
+    let (socket_guard, socket_closed) = bounded(0);
+    let (connections_guard, connections_closed) = bounded(0);
+    let guards = OpenGuards {
+        socket: socket_guard,
+        connections: connections_guard,
+    };
     let shared = Arc::new(Shared {
         body_permits: Semaphore::new(limits.max_buffered_bytes / BODY_PERMIT_BYTES),
         limits,
@@ -291,13 +300,14 @@
     });
     let thread = thread::Builder::new()
         .name(name.to_string())
-        .spawn(move || connection::run(socket, shared, closing_receiver, socket_open))
+        .spawn(move || connection::run(socket, shared, closing_receiver, guards))
         .map_err(ListenError::Thread)?;
     Ok(Listener {
         address,
         open_connections,
         closing: Some(closing),
         socket_closed,
+        connections_closed,
         thread: Some(thread),
     })
 }
@@ -320,6 +330,18 @@
             let _ = self.socket_closed.recv_timeout(CLOSE_TIMEOUT);
         }
     }
+
+    /// Stops listening and waits, for at most `timeout`, until all connections have sent their
+    /// current response and are closed. Those that are still open afterwards are aborted when the
+    /// listener is dropped.
+    pub fn shut_down(&mut self, timeout: Duration) {
+        self.close();
+        if self.connections_closed.recv_timeout(timeout) == Err(RecvTimeoutError::Timeout) {
+            log::info!(event = "connections-aborted", address = self.address.to_string().as_str(),
+                connections = self.connections(), timeout_ms = timeout.as_millis() as u64;
+                "connections were still open when the listener shut down");
+        }
+    }
 }
 
 impl Drop for Listener {
--- a/crates/listener/tests/listener.rs
+++ b/crates/listener/tests/listener.rs
@@ -203,3 +203,42 @@
     drop(receiver.recv_timeout(Duration::from_secs(1)).unwrap());
     assert_eq!(read_response(&mut stream), "");
 }
+
+/// Guards against responses that are handed over shortly before the process exits and are lost.
+#[test]
+fn responses_handed_over_before_the_shutdown_are_sent() {
+    for _ in 0..20 {
+        let (mut listener, receiver) = listener_with_channel();
+        let mut streams: Vec<TcpStream> = (0..10).map(|_| connect(&listener)).collect();
+        for stream in &mut streams {
+            get(stream, "/held");
+        }
+        let responders: Vec<_> = receiver.iter().take(streams.len()).collect();
+        for (_, responder) in responders {
+            responder.send(Answer::json(200, "done"));
+        }
+        listener.shut_down(Duration::from_secs(5));
+        for stream in &mut streams {
+            let answer = read_response(stream);
+            assert!(answer.ends_with("done"), "{answer:?}");
+        }
+    }
+}
+
+/// Guards against a shutdown that waits for idle connections, or for a caller without an answer.
+#[test]
+fn shutdown_closes_idle_connections_and_is_limited_in_time() {
+    let (mut listener, _receiver) = listener_with_channel();
+    let mut idle = connect(&listener);
+    let start = Instant::now();
+    listener.shut_down(Duration::from_secs(5));
+    assert!(start.elapsed() < Duration::from_secs(2));
+    assert_eq!(read_response(&mut idle), "");
+    let (mut listener, receiver) = listener_with_channel();
+    let mut held = connect(&listener);
+    get(&mut held, "/held");
+    let _unanswered = receiver.recv_timeout(Duration::from_secs(1)).unwrap();
+    listener.shut_down(Duration::from_millis(100));
+    drop(listener);
+    assert_eq!(read_response(&mut held), "");
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::{bounded, unbounded, Receiver, Sender};
 use greengage_control::{Control, Event};
@@ -28,6 +28,9 @@
 /// Capacity of the event queue; when it is full, requests are refused and peers' messages dropped.
 const EVENT_QUEUE_CAPACITY: usize = 65_536;
 
+/// Limit on the delivery of the last responses to callers before the process exits.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The threads of a running VM.
 pub struct Node {
     events: Sender<Event>,
@@ -40,7 +43,7 @@
     /// Dropping it ends the control thread, and with it every thread that it feeds.
     stop_guard: Sender<()>,
     threads: Vec<JoinHandle<()>>,
-    drain_limit: std::time::Duration,
+    drain_limit: Duration,
     pending: Arc<AtomicUsize>,
 }
 
@@ -297,6 +300,7 @@
         let unanswered = self.pending.load(Ordering::Relaxed);
         self.front.close();
         drop(self.stop_guard);
+        self.front.shut_down(RESPONSE_TIMEOUT);
         drop(self.front);
         drop(self.admin);
         drop(self.transport);
@@ -312,7 +316,7 @@
 
 fn request_sender(
     events: Sender<Event>,
-) -> impl Fn(greengage_core::RequestId, std::time::Duration, greengage_control::api::Request) -> bool
+) -> impl Fn(greengage_core::RequestId, Duration, greengage_control::api::Request) -> bool
        + Send
        + Sync
        + 'static {
