End jobs before the VM that shuts down has to exit

Cause: a shutdown was no part of a job's time. A VM took jobs until 3.9 s after the signal, whatever their run time, and the process ended at 5.6 s with jobs under way. Ruled out: a VM that exits early; event=stopped came at 5.6 s each time. Change: Leave carries the time by which the last caller has its answer, 0.2 s before the exit. It limits the deadline of each job, so that the usual review ends it, stops its runs and answers; a job whose expected run time, doubled for slow targets, goes beyond it is refused at once, since another VM can serve it. Conclusion: each accepted job ends, with an answer, within the grace period.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -175,7 +175,9 @@
                 self.shutdown.begin(now, self.grace_period);
                 self.members.leave(now);
                 self.step_group(now, wall, config::Event::TransferLeadership, &mut out);
-                self.step_scheduler(now, wall, scheduler::Event::Leave, &mut out);
+                if let Some(end) = self.shutdown.answers_due() {
+                    self.step_scheduler(now, wall, scheduler::Event::Leave { end }, &mut out);
+                }
             }
         }
         out
--- a/crates/cluster/src/shutdown.rs
+++ b/crates/cluster/src/shutdown.rs
@@ -2,7 +2,8 @@
 //!
 //! The load balancer needs some seconds to detect that a VM is no longer ready, and callers keep
 //! using open connections. The VM therefore continues to serve, asks callers to close their
-//! connections, and exits once it has been idle for a while or its grace period is over.
+//! connections, and exits once it has been idle for a while or its grace period is over. Callers
+//! whose jobs can't end within the grace period are answered before the exit.
 
 use std::time::Duration;
 
@@ -16,6 +17,9 @@
 const CLOSING_TIME: Duration = Duration::from_millis(1700);
 /// Part of the grace period that is reserved for the exit of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
+/// Time before the end in which no caller waits any more, so that the last answers are delivered
+/// and the last runs stopped.
+const ANSWER_RESERVE: Duration = Duration::from_millis(200);
 
 /// Stage of a shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +50,13 @@
         }
     }
 
+    /// When the last caller must have its answer; `None` if no shutdown was requested.
+    pub fn answers_due(&self) -> Option<Time> {
+        let end = self.grace_period.saturating_sub(EXIT_RESERVE);
+        self.started
+            .map(|started| started + end.saturating_sub(ANSWER_RESERVE))
+    }
+
     /// The stage at `now`. The VM is busy while `callers` wait for answers or while it
     /// `has_duties`, which means that it owns targets or leads the control group.
     pub fn stage(&mut self, now: Time, callers: usize, has_duties: bool) -> Stage {
--- a/crates/cluster/tests/shutdown.rs
+++ b/crates/cluster/tests/shutdown.rs
@@ -43,3 +43,14 @@
     shutdown.begin(at(4000), GRACE);
     assert_eq!(shutdown.stage(at(5700), 1, false), Stage::Done);
 }
+
+/// Guards against a deadline of answers that leaves no time to deliver them before the exit.
+#[test]
+fn answers_are_due_before_the_exit() {
+    let mut shutdown = Shutdown::default();
+    assert_eq!(shutdown.answers_due(), None);
+    shutdown.begin(at(0), GRACE);
+    let due = shutdown.answers_due().unwrap();
+    assert!(due > at(5000) && due < at(5600), "{due:?}");
+    assert_ne!(shutdown.stage(due, 1, false), Stage::Done);
+}
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -5,7 +5,7 @@
 
 use greengage_config::Document;
 use greengage_core::{
-    value, Address, Demand, Incarnation, Name, RequestId, TargetName, VmName, ZoneName,
+    value, Address, Demand, Incarnation, Name, RequestId, TargetName, Time, VmName, ZoneName,
 };
 
 use crate::peer::PeerMessage;
@@ -321,8 +321,11 @@
         /// Result of the call.
         result: HoldResult,
     },
-    /// Hand over all targets, because this VM shuts down.
-    Leave,
+    /// Hand over all targets and answer all callers, because this VM shuts down.
+    Leave {
+        /// When the last caller must have its answer.
+        end: Time,
+    },
 }
 
 /// An output of the scheduler.
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -73,6 +73,12 @@
 }
 
 impl Job {
+    /// Makes the job end by `end` at the latest.
+    pub(crate) fn limit_end(&mut self, end: Time) {
+        self.deadline = self.deadline.min(end);
+        self.objective = self.objective.min(end);
+    }
+
     /// Whether all steps that the given one depends on are done.
     pub(crate) fn is_ready(&self, step: usize) -> bool {
         let after = self.steps[step].depends_on.iter();
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -178,7 +178,7 @@
     fn release_some(&mut self, now: Time) {
         let release_all = self
             .leaving
-            .is_some_and(|since| now.since(since) >= RELEASE_ALL_AFTER);
+            .is_some_and(|leaving| now.since(leaving.since) >= RELEASE_ALL_AFTER);
         let owned = self.owned();
         let limit = if release_all {
             owned
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -51,6 +51,14 @@
     pub(crate) last_message: Time,
 }
 
+/// A shutdown of this VM.
+#[value(copy)]
+pub(crate) struct Leaving {
+    pub(crate) since: Time,
+    /// When the last caller must have its answer.
+    pub(crate) end: Time,
+}
+
 /// The state machine of one entry VM.
 pub struct Scheduler {
     pub(crate) setup: Setup,
@@ -65,8 +73,8 @@
     pub(crate) last_job_id: u64,
     pub(crate) last_offload_id: u64,
     pub(crate) estimates: Estimates,
-    /// When the shutdown of this VM began; `None` before.
-    pub(crate) leaving: Option<Time>,
+    /// The shutdown of this VM; `None` before it begins.
+    pub(crate) leaving: Option<Leaving>,
     pub(crate) last_assignment: Time,
     pub(crate) reassign: bool,
     /// When a peer was last added.
@@ -210,10 +218,7 @@
                 generation,
                 result,
             } => self.on_hold_result(now, &target, generation, result, &mut out),
-            Event::Leave => {
-                self.leaving = self.leaving.or(Some(now));
-                self.reassign = true;
-            }
+            Event::Leave { end } => self.leave(now, end),
         }
         if self.dispatch_due {
             self.dispatch_due = false;
@@ -230,6 +235,17 @@
         out
     }
 
+    fn leave(&mut self, now: Time, end: Time) {
+        if self.leaving.is_some() {
+            return;
+        }
+        self.leaving = Some(Leaving { since: now, end });
+        self.reassign = true;
+        for job in self.jobs.values_mut() {
+            job.limit_end(end);
+        }
+    }
+
     fn tick(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
         if now < self.next_review {
             return;
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -21,6 +21,10 @@
 /// by two fifths, and the fastest targets take five eighths of the usual time.
 pub(crate) const BEST_CASE_PERCENT: u32 = 40;
 
+/// Multiple of a job's expected run time that must be left before the end of a shutdown. The slowest
+/// targets take five thirds of the usual time, and another VM can serve a refused job at once.
+const SHUTDOWN_RUN_TIMES: u32 = 2;
+
 /// Subtracted from the time that a caller waits, for the delivery of the answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
 
@@ -112,7 +116,16 @@
             return Err((Reply::Failed, "a task fits on no target of the service"));
         }
         let work = self.critical_path(&job.steps, &queue.name);
-        let accepted = new_job(now, job, queue, work);
+        let mut accepted = new_job(now, job, queue, work);
+        if let Some(leaving) = &self.leaving {
+            if now + work * SHUTDOWN_RUN_TIMES > leaving.end {
+                return Err((
+                    retry_later(),
+                    "the expected run time exceeds the time until this VM has shut down",
+                ));
+            }
+            accepted.limit_end(leaving.end);
+        }
         if now + work * BEST_CASE_PERCENT / 100 > accepted.deadline {
             return Err((
                 retry_later(),
--- a/crates/scheduler/tests/world/main.rs
+++ b/crates/scheduler/tests/world/main.rs
@@ -3,5 +3,6 @@
 mod callers;
 mod faults;
 mod load;
+mod shutdown;
 mod support;
 mod targets;
--- /dev/null
+++ b/crates/scheduler/tests/world/shutdown.rs
@@ -0,0 +1,57 @@
+//! Callers of a VM that shuts down.
+
+use std::time::Duration;
+
+use greengage_core::Time;
+use greengage_scheduler::Reply;
+
+use crate::support::{Simulation, SHUTDOWN_ANSWER_LIMIT};
+
+const SECOND: Duration = Duration::from_secs(1);
+/// The longest time from the end of a job's time until its caller is answered.
+const REVIEW_DELAY: Duration = Duration::from_millis(25);
+
+fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Submits a job with one task of this length to VM 0.
+fn submit_task(sim: &mut Simulation, work: Duration) -> usize {
+    sim.submit(0, 0, vec![work])
+}
+
+fn answer(sim: &Simulation, caller: usize) -> (Time, Reply) {
+    sim.callers[caller].answer.clone().expect("an answer")
+}
+
+/// Guards against a process that exits while a caller still waits for a long job.
+#[test]
+fn job_that_outlasts_the_shutdown_is_answered_before_its_end() {
+    let mut sim = Simulation::new(41, 2, 6);
+    let caller = submit_task(&mut sim, SECOND * 12);
+    sim.run(millis(100));
+    let started = sim.now;
+    sim.shut_down_vm(0);
+    sim.run(SHUTDOWN_ANSWER_LIMIT + REVIEW_DELAY);
+    let (time, reply) = answer(&sim, caller);
+    assert_eq!(reply, Reply::TimedOut);
+    assert!(time.since(started) >= SHUTDOWN_ANSWER_LIMIT, "{time:?}");
+}
+
+/// Guards against accepting a job during a shutdown that would end after it.
+#[test]
+fn job_that_would_outlast_the_shutdown_is_refused_at_once() {
+    let mut sim = Simulation::new(42, 2, 6);
+    sim.shut_down_vm(0);
+    sim.run(millis(300));
+    let (long, short) = (
+        submit_task(&mut sim, SECOND * 4),
+        submit_task(&mut sim, millis(200)),
+    );
+    let sent = sim.now;
+    sim.run(SECOND);
+    let (time, reply) = answer(&sim, long);
+    assert!(matches!(reply, Reply::Refused { .. }), "{reply:?}");
+    assert!(time.since(sent) < millis(20), "{time:?}");
+    assert_eq!(answer(&sim, short).1, Reply::Completed);
+}
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -20,6 +20,9 @@
 /// Time without a tick after which a VM doesn't count as live.
 const PEER_TIMEOUT: Duration = Duration::from_millis(650);
 
+/// Time from the start of a shutdown until all callers must have an answer.
+pub(crate) const SHUTDOWN_ANSWER_LIMIT: Duration = Duration::from_millis(5400);
+
 /// Longest time that a target takes to stop a run.
 const STOP_LIMIT: Duration = Duration::from_millis(50);
 
@@ -357,7 +360,8 @@
     pub(crate) fn shut_down_vm(&mut self, vm: usize) {
         self.vms[vm].leaving = true;
         let incarnation = self.vms[vm].incarnation;
-        self.event(vm, incarnation, Event::Leave);
+        let end = self.now + SHUTDOWN_ANSWER_LIMIT;
+        self.event(vm, incarnation, Event::Leave { end });
     }
 
     pub(crate) fn restart_vm(&mut self, vm: usize) {
