Answer all requests before the process exits

Ruled out: a wrong number of callers; event=stopped callers=0 counts jobs only. Change: the control thread ends all jobs and pending operators' requests as its last step. Operators' requests count as callers of a VM. Conclusion: a request that a VM has passed on is answered before a planned exit.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -56,7 +56,7 @@
     pub targets: usize,
     /// Number of other VMs that are live.
     pub vms: usize,
-    /// Number of callers that wait for an answer.
+    /// Number of callers and operators that wait for an answer.
     pub callers: usize,
     /// Whether it leads the control group.
     pub is_leader: bool,
@@ -113,6 +113,16 @@
         out
     }
 
+    /// Answers all callers and operators that still wait, because the process is about to exit.
+    pub fn answer_all(&mut self, now: Time, wall: WallTime) -> Vec<Effect> {
+        let mut out = self.drop_group(now, wall);
+        let effects = self.scheduler.as_mut().map(|s| s.answer_all(now));
+        for effect in effects.unwrap_or_default() {
+            self.handle_scheduler_effect(effect, &mut out);
+        }
+        out
+    }
+
     /// Rejoins the control group with the state recovered from disk.
     pub fn restore_group(&mut self, setup: config::Setup) {
         self.group = Some(Group::new(setup));
@@ -130,7 +140,8 @@
     /// Status of this VM at `now`.
     pub fn status(&mut self, now: Time) -> Status {
         let scheduler = self.scheduler.as_ref();
-        let callers = scheduler.map_or(0, Scheduler::callers);
+        let operators = self.group.as_ref().map_or(0, Group::pending_requests);
+        let callers = scheduler.map_or(0, Scheduler::callers) + operators;
         let owned = scheduler.map_or(0, Scheduler::owned);
         let targets = scheduler.map_or(0, Scheduler::known);
         let is_leader = self.group.as_ref().is_some_and(Group::is_leader);
@@ -490,7 +501,7 @@
         out: &mut Vec<Effect>,
     ) {
         if let scheduler::Event::Submit(job) = &event {
-            if self.status(now).stage == Stage::Closing {
+            if matches!(self.status(now).stage, Stage::Closing | Stage::Done) {
                 let outcome = Outcome::Scheduler(Reply::Refused {
                     after: SHUTDOWN_RETRY_AFTER,
                 });
@@ -502,29 +513,33 @@
             return;
         };
         for effect in scheduler.step(now, wall, event) {
-            match effect {
-                scheduler::Effect::Answer { request, reply } => {
-                    let outcome = Outcome::Scheduler(reply);
-                    out.push(Effect::Answer { request, outcome });
-                }
-                scheduler::Effect::Call {
-                    target,
-                    address,
-                    generation,
-                    call,
-                } => out.push(Effect::Call {
-                    target,
-                    address,
-                    generation,
-                    call,
-                }),
-                scheduler::Effect::Send { to, message } => {
-                    if let Some(member) = self.members.member(&to) {
-                        out.push(Effect::Send {
-                            to: member.address.clone(),
-                            message: Message::Scheduler(message),
-                        });
-                    }
+            self.handle_scheduler_effect(effect, out);
+        }
+    }
+
+    fn handle_scheduler_effect(&self, effect: scheduler::Effect, out: &mut Vec<Effect>) {
+        match effect {
+            scheduler::Effect::Answer { request, reply } => {
+                let outcome = Outcome::Scheduler(reply);
+                out.push(Effect::Answer { request, outcome });
+            }
+            scheduler::Effect::Call {
+                target,
+                address,
+                generation,
+                call,
+            } => out.push(Effect::Call {
+                target,
+                address,
+                generation,
+                call,
+            }),
+            scheduler::Effect::Send { to, message } => {
+                if let Some(member) = self.members.member(&to) {
+                    out.push(Effect::Send {
+                        to: member.address.clone(),
+                        message: Message::Scheduler(message),
+                    });
                 }
             }
         }
--- a/crates/cluster/tests/shutdown.rs
+++ b/crates/cluster/tests/shutdown.rs
@@ -1,9 +1,11 @@
 //! Tests of the stages of a graceful shutdown.
 
+mod support;
+
 use std::time::Duration;
 
-use greengage_cluster::{Shutdown, Stage};
-use greengage_core::Time;
+use greengage_cluster::{Cluster, Effect, Event, Outcome, Shutdown, Stage};
+use greengage_core::{RequestId, Time, WallTime};
 
 const GRACE: Duration = Duration::from_secs(6);
 
@@ -54,3 +56,32 @@
     assert!(due > at(5000) && due < at(5600), "{due:?}");
     assert_ne!(shutdown.stage(due, 1, false), Stage::Done);
 }
+
+/// Guards against an exit of a control VM that leaves an operator's edit without an answer.
+#[test]
+fn control_vm_answers_operators_before_its_exit() {
+    let now = at(0);
+    let mut cluster = Cluster::new(now, support::control_setup(now));
+    for ms in 0..2000 {
+        let effects = cluster.step(at(ms), WallTime(ms), Event::Tick);
+        for effect in effects {
+            if let Effect::Save(save) = effect {
+                cluster.step(at(ms), WallTime(ms), Event::Saved(save.seq));
+            }
+        }
+    }
+    let now = at(2000);
+    let put = Event::Put {
+        request: RequestId(7),
+        document: support::document(1),
+    };
+    cluster.step(now, WallTime(2000), put);
+    assert_eq!(cluster.status(now).callers, 1);
+    let effects = cluster.answer_all(now, WallTime(2000));
+    let answered = |effect: &Effect| {
+        matches!(effect, Effect::Answer { request, outcome: Outcome::Unknown }
+            if *request == RequestId(7))
+    };
+    assert!(effects.iter().any(answered));
+    assert_eq!(cluster.status(now).callers, 0);
+}
--- a/crates/config/src/group.rs
+++ b/crates/config/src/group.rs
@@ -213,6 +213,11 @@
         matches!(self.raft.status().role, Role::Leader)
     }
 
+    /// Number of edits and reads that wait for an answer.
+    pub fn pending_requests(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Raft status of the group as this member sees it.
     pub fn status(&self) -> agreement::Status {
         self.raft.status()
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -125,7 +125,9 @@
     })
 }
 
-/// Runs a VM until it has shut down. `sender` and `inputs` are the two ends of one channel.
+/// Runs a VM until it has shut down. `sender` and `inputs` are the two ends of one channel. All
+/// requests whose events were taken from it are answered before the function returns; the requests
+/// of events that remain in it have had no effect.
 pub fn run(
     settings: &Settings,
     sender: Sender<Input>,
@@ -177,6 +179,8 @@
         }
         let status = cluster.status(clock.now());
         if status.stage == Stage::Done {
+            let effects = cluster.answer_all(clock.now(), clock.wall());
+            apply_effects(effects, &mesh, &mut *save, frontend);
             log::info!(event = "stopped", callers = status.callers; "the VM has shut down");
             return Ok(());
         }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -13,6 +13,7 @@
 use crate::event::{Effect, Event, Reply, TargetCall};
 use crate::job::{Job, TaskState};
 use crate::peer::{OffloadOutcome, PeerMessage, ResourceOffer};
+use crate::submit::RETRY_AFTER;
 use crate::target::Target;
 
 /// Interval between checks of leases, deadlines and stalled runs.
@@ -246,6 +247,24 @@
         }
     }
 
+    /// Ends all jobs and answers their callers, because the process is about to exit.
+    pub fn answer_all(&mut self, now: Time) -> Vec<Effect> {
+        let mut out = Vec::new();
+        let jobs: Vec<(u64, bool)> = self
+            .jobs
+            .iter()
+            .map(|(id, job)| (*id, job.started))
+            .collect();
+        for (job_id, started) in jobs {
+            let reply = match started {
+                true => Reply::TimedOut,
+                false => Reply::Refused { after: RETRY_AFTER },
+            };
+            self.finish(now, job_id, reply, &mut out);
+        }
+        out
+    }
+
     fn tick(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
         if now < self.next_review {
             return;
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -12,7 +12,7 @@
 use crate::scheduler::Scheduler;
 
 /// Retry delay of jobs that are refused for another reason than load.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Limit on the tasks of one job; the largest expected jobs have 1,200.
 const MAX_TASKS: u64 = 10_000;
--- a/crates/scheduler/tests/world/shutdown.rs
+++ b/crates/scheduler/tests/world/shutdown.rs
@@ -55,3 +55,20 @@
     assert!(time.since(sent) < millis(20), "{time:?}");
     assert_eq!(answer(&sim, short).1, Reply::Completed);
 }
+
+/// Guards against an exit that leaves the callers of running or waiting jobs without an answer.
+#[test]
+fn exit_answers_running_and_waiting_jobs() {
+    let mut sim = Simulation::new(43, 1, 1);
+    for _ in 0..4 {
+        submit_task(&mut sim, SECOND * 3);
+    }
+    sim.run(millis(100));
+    assert!(sim.callers.iter().any(|c| c.answer.is_none()));
+    sim.answer_all(0);
+    let replies: Vec<Reply> = (0..4).map(|caller| answer(&sim, caller).1).collect();
+    assert!(replies.contains(&Reply::TimedOut), "{replies:?}");
+    let waited = |reply: &Reply| matches!(reply, Reply::Refused { .. });
+    assert!(replies.iter().any(waited), "{replies:?}");
+    assert_eq!(sim.vms[0].scheduler.callers(), 0);
+}
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -364,6 +364,13 @@
         self.event(vm, incarnation, Event::Leave { end });
     }
 
+    /// Ends all jobs of a VM, as before the exit of its process.
+    pub(crate) fn answer_all(&mut self, vm: usize) {
+        for effect in self.vms[vm].scheduler.answer_all(self.now) {
+            self.effect(vm, effect);
+        }
+    }
+
     pub(crate) fn restart_vm(&mut self, vm: usize) {
         let candidate = candidate(vm, self.vms.len().min(3));
         let state = &mut self.vms[vm];
