--- a/crates/daemon/tests/soak.rs
+++ b/crates/daemon/tests/soak.rs
@@ -29,8 +29,14 @@
     };
     let summary = run(&config).expect("the run completes");
     println!(
-        "seed {seed}: {} completed, {} refused, {} other, {} starts",
-        summary.completed, summary.refused, summary.other, summary.starts
+        "seed {seed}: {} completed, {} refused, {} other, {} starts; during shutdowns {} answered, \
+         {} without an answer",
+        summary.completed,
+        summary.refused,
+        summary.other,
+        summary.starts,
+        summary.shutdown_answered,
+        summary.shutdown_cut
     );
     assert!(
         summary.violations.is_empty(),
@@ -42,7 +48,8 @@
 
 /// Guards against broken guarantees under overlapping faults in real processes: tasks that run
 /// twice or were never submitted, jobs that run although they were refused, lost configurations,
-/// callers without an answer, shutdowns that don't end, and service that doesn't recover.
+/// callers without an answer, shutdowns that don't end or that leave requests without an answer, and
+/// service that doesn't recover.
 #[test]
 fn promises_hold_under_overlapping_faults() {
     let first = env_or("GREENGAGE_SEED", 1);
