Answer each request of a job that is submitted again

Scheduler::attach replaced the first request of a current job by the second one. The first connection got no answer if it was still open, and the job ended at the deadline of the first request. Change: a job has a list of callers with a deadline each. Each one gets the job's answer, or a time-out at its own deadline; the job lasts until the latest deadline and ends early only when all of its connections are closed. The simulation numbers requests by submission and checks that each one gets one answer in time.

--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -48,10 +48,19 @@
     pub(crate) remaining: u32,
 }
 
+/// A request that waits for the answer of a job.
+#[derive(Clone, Debug)]
+pub(crate) struct JobCaller {
+    pub(crate) request: RequestId,
+    /// The request is answered at this time, even if the job goes on for others.
+    pub(crate) deadline: Time,
+}
+
 /// An accepted job.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
-    pub(crate) request: RequestId,
+    /// More than one if the job was submitted again while it was current.
+    pub(crate) callers: Vec<JobCaller>,
     pub(crate) host: Arc<str>,
     pub(crate) path: Arc<str>,
     pub(crate) id: Name,
@@ -66,7 +75,7 @@
     pub(crate) start_by: Time,
     /// End time up to which the job counts as in time.
     pub(crate) objective: Time,
-    /// The job ends with a time-out at this time.
+    /// The job ends with a time-out at this time, the latest deadline of its callers.
     pub(crate) deadline: Time,
     /// Whether a task was sent to a target.
     pub(crate) started: bool,
@@ -90,6 +99,13 @@
             .collect()
     }
 
+    /// Removes a caller, and sets the deadline to the latest one of the others.
+    pub(crate) fn remove_caller(&mut self, request: RequestId) {
+        self.callers.retain(|caller| caller.request != request);
+        let latest = self.callers.iter().map(|caller| caller.deadline).max();
+        self.deadline = latest.unwrap_or(self.deadline);
+    }
+
     /// Index of the task with this name.
     pub(crate) fn find_task(&self, name: &str) -> Option<usize> {
         self.tasks.iter().position(|task| &*task.name == name)
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -11,7 +11,7 @@
 use crate::assignment::Candidate;
 use crate::estimate::Estimates;
 use crate::event::{Effect, Event, Reply, TargetCall};
-use crate::job::{Job, TaskState};
+use crate::job::{Job, JobCaller, TaskState};
 use crate::peer::{OffloadOutcome, PeerMessage, ResourceOffer};
 use crate::target::Target;
 
@@ -268,7 +268,7 @@
         out.push(Effect::Answer { request, reply });
     }
 
-    /// Ends a job, answers its caller and stops its remaining runs.
+    /// Ends a job, answers its callers and stops its remaining runs.
     pub(crate) fn finish(&mut self, now: Time, job_id: u64, reply: Reply, out: &mut Vec<Effect>) {
         let Some(job) = self.jobs.remove(&job_id) else {
             return;
@@ -280,9 +280,12 @@
         if reply != Reply::Completed && job.started {
             log_unfinished(now, &job);
         }
-        if self.requests.remove(&job.request).is_some() {
-            let request = job.request;
-            out.push(Effect::Answer { request, reply });
+        for JobCaller { request, .. } in &job.callers {
+            self.requests.remove(request);
+            out.push(Effect::Answer {
+                request: *request,
+                reply: reply.clone(),
+            });
         }
         let mut remote_stops: SortedMap<VmName, Vec<u64>> = SortedMap::new();
         for task in &job.tasks {
@@ -307,13 +310,32 @@
     }
 
     fn on_caller_gone(&mut self, now: Time, request: RequestId, out: &mut Vec<Effect>) {
-        if let Some(job_id) = self.requests.remove(&request) {
+        let Some(job_id) = self.requests.remove(&request) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&job_id) else {
+            return;
+        };
+        job.remove_caller(request);
+        if job.callers.is_empty() {
             self.finish(now, job_id, Reply::TimedOut, out);
         }
     }
 
-    /// Ends jobs that have reached their deadline or weren't started in time.
+    /// Ends jobs that have reached their deadline or weren't started in time, and answers callers
+    /// that wait no longer for a job that goes on for others.
     fn review_jobs(&mut self, now: Time, out: &mut Vec<Effect>) {
+        for job in self.jobs.values_mut().filter(|job| now < job.deadline) {
+            while let Some(caller) = job.callers.iter().find(|c| now >= c.deadline) {
+                let request = caller.request;
+                job.remove_caller(request);
+                self.requests.remove(&request);
+                out.push(Effect::Answer {
+                    request,
+                    reply: Reply::TimedOut,
+                });
+            }
+        }
         let over: Vec<(u64, bool)> = self
             .jobs
             .iter()
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -8,8 +8,9 @@
 
 use crate::admission::{backlog, max_wait, retry_delay};
 use crate::event::{Effect, Reply, Step, Submission};
-use crate::job::{Job, StepInfo, Task, TaskState};
+use crate::job::{Job, JobCaller, StepInfo, Task, TaskState};
 use crate::scheduler::Scheduler;
+use crate::target::Origin;
 
 /// Retry delay of jobs that are refused for another reason than load.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -32,7 +33,7 @@
 impl Scheduler {
     pub(crate) fn submit(&mut self, now: Time, job: Submission, out: &mut Vec<Effect>) {
         let request = job.request;
-        if self.attach(&job) {
+        if self.attach(now, &job) {
             return;
         }
         match self.admit(now, &job) {
@@ -57,18 +58,28 @@
         }
     }
 
-    /// Attaches a caller that submits a current job again to that job. Its earlier connection has
-    /// broken, which this VM may not have noticed yet.
-    fn attach(&mut self, job: &Submission) -> bool {
+    /// Attaches a caller that submits a current job again to that job. The earlier request is still
+    /// answered: its connection may have broken, which this VM hasn't noticed, or not.
+    fn attach(&mut self, now: Time, job: &Submission) -> bool {
         let same = |j: &Job| j.id == job.id && j.path == job.path && j.host == job.host;
         let Some((job_id, found)) = self.jobs.iter_mut().find(|(_, j)| same(j)) else {
             return false;
         };
-        log::info!(event = "job-resubmitted", job = job.id.as_str(), earlier = found.request.0,
+        let earlier = found.callers.first().map_or(0, |caller| caller.request.0);
+        log::info!(event = "job-resubmitted", job = job.id.as_str(), earlier = earlier,
             request = job.request.0; "a current job was submitted again");
-        self.requests.remove(&found.request);
-        found.request = job.request;
+        let caller = JobCaller {
+            request: job.request,
+            deadline: answer_time(now, job.timeout),
+        };
+        found.deadline = found.deadline.max(caller.deadline);
+        found.callers.push(caller);
         self.requests.insert(job.request, *job_id);
+        let (origin, deadline) = (Origin::Local(*job_id), found.deadline);
+        let runs = self.targets.values_mut().flat_map(|t| &mut t.runs);
+        for run in runs.filter(|run| run.origin == origin) {
+            run.deadline = deadline;
+        }
         true
     }
 
@@ -181,10 +192,15 @@
     }
 }
 
+/// When a caller that waits this long is answered at the latest.
+fn answer_time(now: Time, timeout: Duration) -> Time {
+    now + timeout.saturating_sub(ANSWER_MARGIN)
+}
+
 /// Creates a waiting job; `work` is the expected run time of its longest chain of steps.
 fn new_job(now: Time, job: &Submission, queue: &Queue, work: Duration) -> Job {
     let objective = work * queue.slack_percent / 100 + queue.latency;
-    let deadline = now + job.timeout.saturating_sub(ANSWER_MARGIN);
+    let deadline = answer_time(now, job.timeout);
     let mut tasks = Vec::new();
     for (i, step) in job.steps.iter().enumerate() {
         for index in 0..step.count {
@@ -207,7 +223,10 @@
         remaining: step.count,
     });
     Job {
-        request: job.request,
+        callers: vec![JobCaller {
+            request: job.request,
+            deadline,
+        }],
         host: job.host.clone(),
         path: job.path.clone(),
         id: job.id.clone(),
--- a/crates/scheduler/tests/world/callers.rs
+++ b/crates/scheduler/tests/world/callers.rs
@@ -7,9 +7,29 @@
 
 use crate::support::{Action, Simulation};
 
+/// One-way latency between a caller and a VM.
+const SUBMIT_LATENCY: Duration = Duration::from_millis(3);
+/// Limit on the submissions of a caller whose jobs time out.
+const MAX_SUBMISSIONS: u32 = 4;
 /// Delay after which a caller that lost its VM submits its job again.
 pub(crate) const RESUBMIT_DELAY: Duration = Duration::from_millis(1300);
 
+/// How late an answer may be: a VM reviews its jobs every 20 ms and answers 15 ms before the time
+/// that a caller waits is over; a trip takes 3 ms.
+pub(crate) const ANSWER_BOUND: Duration = Duration::from_millis(25);
+
+/// One submission of a caller's job, over a connection of its own.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub(crate) caller: usize,
+    pub(crate) vm: usize,
+    pub(crate) sent: Time,
+    pub(crate) timeout: Duration,
+    pub(crate) answers: Vec<(Time, Reply)>,
+    /// Whether the connection was closed by the caller or with the VM.
+    pub(crate) closed: bool,
+}
+
 /// A caller with its job and its answer.
 #[derive(Clone, Debug)]
 pub(crate) struct Caller {
@@ -38,7 +58,9 @@
             queue,
             sent: self.now,
             objective,
-            timeout: (objective * 3).max(Duration::from_millis(1500)),
+            timeout: self
+                .caller_timeout
+                .unwrap_or((objective * 3).max(Duration::from_millis(1500))),
             work,
             vm,
             answer: None,
@@ -52,6 +74,7 @@
     }
 
     pub(crate) fn submit_now(&mut self, index: usize) {
+        let request = RequestId(self.requests.len() as u64 + 1);
         let caller = &mut self.callers[index];
         if caller.answer.is_some() {
             return;
@@ -64,7 +87,7 @@
         caller.vm = vm;
         let queue = caller.queue % 3;
         let job = Submission {
-            request: RequestId(index as u64 + 1),
+            request,
             host: "h".into(),
             path: format!("/q{queue}/{}", caller.id).into(),
             id: caller.id.clone(),
@@ -84,19 +107,78 @@
             timeout: caller.timeout,
             unsupported: None,
         };
+        self.requests.push(Request {
+            caller: index,
+            vm,
+            sent: self.now,
+            timeout: caller.timeout,
+            answers: Vec::new(),
+            closed: false,
+        });
         let incarnation = self.vms[vm].incarnation;
         self.schedule(
-            Duration::from_millis(3),
+            SUBMIT_LATENCY,
             Action::Event(vm, incarnation, Event::Submit(job)),
         );
     }
 
     pub(crate) fn record_answer(&mut self, vm: usize, request: RequestId, reply: Reply) {
         let now = self.now;
-        let caller = &mut self.callers[request.0 as usize - 1];
-        if caller.vm == vm && caller.answer.is_none() {
-            caller.answer = Some((now, reply));
+        let request = &mut self.requests[request.0 as usize - 1];
+        request.answers.push((now, reply.clone()));
+        if request.closed {
+            return;
+        }
+        let index = request.caller;
+        let caller = &mut self.callers[index];
+        if caller.vm != vm || caller.answer.is_some() {
+            return;
+        }
+        if self.resubmit_timeouts && reply == Reply::TimedOut && caller.attempts < MAX_SUBMISSIONS {
+            return self.schedule(RESUBMIT_DELAY, Action::Submit(index));
+        }
+        caller.answer = Some((now, reply));
+    }
+
+    /// Closes the open connections of a caller, which submits its job again later, to the next VM.
+    pub(crate) fn close_caller(&mut self, index: usize) {
+        if self.callers[index].answer.is_some() {
+            return;
+        }
+        let mut closed = Vec::new();
+        for (i, request) in self.requests.iter_mut().enumerate() {
+            if request.caller == index && !request.closed && request.answers.is_empty() {
+                request.closed = true;
+                closed.push((RequestId(i as u64 + 1), request.vm));
+            }
+        }
+        if closed.is_empty() {
+            return;
+        }
+        for (request, vm) in closed {
+            let incarnation = self.vms[vm].incarnation;
+            let event = Event::CallerGone(request);
+            self.schedule(SUBMIT_LATENCY, Action::Event(vm, incarnation, event));
+        }
+        self.callers[index].vm = (self.callers[index].vm + 1) % self.vms.len();
+        self.schedule(RESUBMIT_DELAY, Action::Submit(index));
+    }
+
+    /// Requests that break the rule of answers: each one gets exactly one answer in time, unless
+    /// its connection was closed. Those whose time isn't over may be open.
+    pub(crate) fn answer_faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        for (i, request) in self.requests.iter().enumerate() {
+            let limit = request.sent + request.timeout + ANSWER_BOUND;
+            let fault = match request.answers.as_slice() {
+                [] if !request.closed && self.now > limit => "no answer",
+                [(time, _)] if !request.closed && *time > limit => "a late answer",
+                [_, _, ..] => "several answers",
+                _ => continue,
+            };
+            faults.push(format!("request {}: {fault}: {request:?}", i + 1));
         }
+        faults
     }
 
     /// Number of a queue's callers whose job completed within its objective, and number of all its
--- a/crates/scheduler/tests/world/faults.rs
+++ b/crates/scheduler/tests/world/faults.rs
@@ -375,7 +375,7 @@
     }
 }
 
-fn env_number(name: &str, default: u64) -> u64 {
+pub(crate) fn env_number(name: &str, default: u64) -> u64 {
     match std::env::var(name) {
         Ok(value) => value.parse().expect("the variable holds a number"),
         Err(_) => default,
--- a/crates/scheduler/tests/world/main.rs
+++ b/crates/scheduler/tests/world/main.rs
@@ -1,5 +1,6 @@
 //! Simulation of several entry VMs and targets in virtual time, with faults.
 
+mod answers;
 mod callers;
 mod faults;
 mod load;
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -12,7 +12,7 @@
     Candidate, Effect, Event, Peer, PeerMessage, Scheduler, Setup, TargetCall,
 };
 
-use crate::callers::{Caller, RESUBMIT_DELAY};
+use crate::callers::{Caller, Request, RESUBMIT_DELAY};
 use crate::targets::{Delivery, Target};
 
 /// One-way latency between VMs.
@@ -20,6 +20,10 @@
 /// Time without a tick after which a VM doesn't count as live.
 const PEER_TIMEOUT: Duration = Duration::from_millis(650);
 
+/// Limit on the delay of late messages between VMs, in milliseconds: how long sent bytes may stay
+/// unacknowledged before their connection is closed.
+const LATE_MESSAGE_MS: u64 = 900;
+
 /// Longest time that a target takes to stop a run.
 const STOP_LIMIT: Duration = Duration::from_millis(50);
 
@@ -50,6 +54,25 @@
     }
 }
 
+/// Kinds of messages between VMs whose loss is simulated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum MessageKind {
+    Run,
+    Ended,
+    Stop,
+}
+
+impl MessageKind {
+    fn of(message: &PeerMessage) -> Option<MessageKind> {
+        match message {
+            PeerMessage::Run(_) => Some(MessageKind::Run),
+            PeerMessage::Ended(_) => Some(MessageKind::Ended),
+            PeerMessage::Stop(_) => Some(MessageKind::Stop),
+            PeerMessage::Offers { .. } | PeerMessage::Renew => None,
+        }
+    }
+}
+
 pub(crate) struct Vm {
     pub(crate) scheduler: Scheduler,
     pub(crate) up: bool,
@@ -77,6 +100,12 @@
     pub(crate) vms: Vec<Vm>,
     pub(crate) targets: Vec<Target>,
     pub(crate) callers: Vec<Caller>,
+    /// All submissions of the callers, by request id.
+    pub(crate) requests: Vec<Request>,
+    /// How long callers wait, if it doesn't depend on their work.
+    pub(crate) caller_timeout: Option<Duration>,
+    /// Whether callers submit jobs that have timed out again.
+    pub(crate) resubmit_timeouts: bool,
     /// The VM whose zone is cut off: only it receives the reports of the zone's targets, and it
     /// receives no others.
     pub(crate) isolated_zone: Option<usize>,
@@ -87,6 +116,13 @@
     offloads: BTreeMap<(usize, usize), usize>,
     /// Pairs of VMs that can't reach each other.
     pub(crate) partitions: Vec<(usize, usize)>,
+    /// Connections that are about to be replaced, by sender, receiver and the time until which
+    /// messages are lost or late. Both VMs stay live.
+    pub(crate) failing_links: Vec<(usize, usize, Time)>,
+    /// Percentage of the messages on failing links that arrive late instead of being lost.
+    pub(crate) late_message_percent: u64,
+    /// The kind and number of the next messages between VMs that are lost.
+    pub(crate) lost_messages: Option<(MessageKind, u32)>,
     pub(crate) queue: BTreeMap<(Time, u64), Action>,
     pub(crate) seq: u64,
     pub(crate) duplicates: Vec<String>,
@@ -143,10 +179,16 @@
             vms: Vec::new(),
             targets: Vec::new(),
             callers: Vec::new(),
+            requests: Vec::new(),
+            caller_timeout: None,
+            resubmit_timeouts: false,
             isolated_zone: None,
             ignored_peer: None,
             offloads: BTreeMap::new(),
             partitions: Vec::new(),
+            failing_links: Vec::new(),
+            late_message_percent: 0,
+            lost_messages: None,
             queue: BTreeMap::new(),
             seq: 0,
             duplicates: Vec::new(),
@@ -305,10 +347,26 @@
         if self.is_partitioned(vm, peer) {
             return;
         }
+        if let Some((kind, left)) = &mut self.lost_messages {
+            if *left > 0 && MessageKind::of(&message) == Some(*kind) {
+                *left -= 1;
+                return;
+            }
+        }
+        let now = self.now;
+        self.failing_links.retain(|(.., until)| now < *until);
+        let mut delay = PEER_LATENCY;
+        let mut failing = self.failing_links.iter();
+        if failing.any(|(from, to, _)| (*from, *to) == (vm, peer)) {
+            if !self.rng.chance(self.late_message_percent) {
+                return;
+            }
+            delay += Duration::from_millis(self.rng.below(LATE_MESSAGE_MS));
+        }
         let from = candidate(vm, 3).vm;
         let incarnation = self.vms[peer].incarnation;
         self.schedule(
-            PEER_LATENCY,
+            delay,
             Action::Event(peer, incarnation, Event::Peer { from, message }),
         );
     }
@@ -345,6 +403,9 @@
         self.vms[vm].up = false;
         self.vms[vm].deferred.clear();
         self.vms[vm].incarnation += 1;
+        for request in self.requests.iter_mut().filter(|r| r.vm == vm) {
+            request.closed = true;
+        }
         let disconnected_callers: Vec<usize> = (0..self.callers.len())
             .filter(|i| self.callers[*i].vm == vm && self.callers[*i].answer.is_none())
             .collect();
@@ -372,6 +433,7 @@
             };
             state.scheduler = Scheduler::new(self.now, setup);
             state.up = true;
+            state.leaving = false;
             self.schedule(
                 Duration::ZERO,
                 Action::Event(vm, incarnation, Event::Configuration(document(1))),
