Repair lost messages about offloaded tasks with each renewal

A message between two live entry VMs is lost when their connection is replaced. Without its Run or Ended message an offloaded task stayed Remote until the deadline of its job, 30 s for a patient caller; without its Stop message a run went on while the job was submitted again elsewhere. Change: a renewal lists the offload ids that its sender needs and has a number from the same sequence. The receiver repeats the outcomes of listed runs that have ended, which it keeps until they are no longer listed, reports runs that never arrived, refuses them if they arrive later, stops runs that aren't listed and those that weren't listed for 0.45 s. Run and Renew name the incarnations, so that nothing of an earlier process counts.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -109,8 +109,9 @@
                 None => by_vm.push((vm, vec![offload])),
             }
         }
-        for (to, offloads) in by_vm {
-            let message = PeerMessage::Run(offloads);
+        let sender = self.setup.incarnation;
+        for (to, tasks) in by_vm {
+            let message = PeerMessage::Run { sender, tasks };
             out.push(Effect::Send { to, message });
         }
     }
@@ -338,6 +339,7 @@
         };
         self.offloaded.insert(offload_id, job_id);
         if let Some(view) = self.peers.get_mut(vm) {
+            view.renewal_due = true;
             if let Some(offer) = view.offers.get_mut(index) {
                 offer.free = offer.free.saturating_sub(&offload.demand);
             }
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -292,10 +292,7 @@
                     RunOutcome::NotRunning => OffloadOutcome::NotRunning,
                     RunOutcome::TooLong => OffloadOutcome::TooLong,
                 };
-                let ends = self
-                    .offload_outcomes
-                    .get_or_insert_with(vm.clone(), Vec::new);
-                ends.push((*offload_id, end));
+                self.report_outcome(now, vm, *offload_id, end);
             }
         }
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -14,6 +14,7 @@
 //! - `placement`: choice of a slot for a task.
 //! - `progress`: lower bound on the end of a run from its reported progress.
 //! - `job`: a job and its tasks.
+//! - `renewal`: which offloaded runs are still needed, and which outcomes were received.
 //! - `admission`: limits on the queueing time of jobs.
 //! - `scheduler`, `submit`, `dispatch`, `ends`, `leases`, `offload`: the state machine.
 //!
@@ -37,6 +38,7 @@
 mod peer;
 mod placement;
 mod progress;
+mod renewal;
 mod scheduler;
 mod submit;
 mod target;
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -3,13 +3,14 @@
 
 use std::time::Duration;
 
-use greengage_core::{TargetName, Time, VmName};
+use greengage_core::{Incarnation, TargetName, Time, VmName};
 
 use crate::ends::RunOutcome;
 use crate::event::{Effect, Reply};
 use crate::job::TaskState;
 use crate::peer::{OffloadOutcome, OffloadedTask, PeerMessage, ResourceOffer};
 use crate::placement::{choose_slot, Locality, Slot};
+use crate::renewal::Renewal;
 use crate::scheduler::{Peer, PeerView, Scheduler};
 use crate::target::{Origin, Run, RunParams};
 
@@ -22,12 +23,6 @@
 /// Number of peers up to which all of them may get updates; with more, only those of the same zone
 /// do. The broadcast interval grows with each further group of as many peers.
 const BROADCAST_INTERVAL_VMS: usize = 16;
-/// Interval between renewals of offloaded tasks.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(120);
-/// Time without a message from a VM after which its offloaded tasks are stopped: more than three
-/// renewals. Together with a lease, it is shorter than the time after which callers submit their
-/// jobs again.
-const OFFLOAD_PEER_TIMEOUT: Duration = Duration::from_millis(450);
 /// Interval between broadcasts of offers, for up to [`BROADCAST_INTERVAL_VMS`] peers.
 const BROADCAST_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -70,7 +65,7 @@
                         owned: Vec::new(),
                         offers: Vec::new(),
                         shortage: false,
-                        last_message: now,
+                        renewal_due: false,
                     };
                     self.peers.insert(vm, view);
                 }
@@ -95,37 +90,7 @@
         self.stop_matching(now, |run| run.origin.is_offloaded_by(vm), out);
     }
 
-    /// Renews the offloaded tasks of this VM, and stops those of VMs that have become silent, whose
-    /// callers submit their jobs again.
-    pub(crate) fn review_offloads(&mut self, now: Time, out: &mut Vec<Effect>) {
-        if now.since(self.last_renewal) >= RENEWAL_INTERVAL {
-            self.last_renewal = now;
-            let mut vms: Vec<&VmName> = Vec::new();
-            for task in self.jobs.values().flat_map(|job| &job.tasks) {
-                if let TaskState::Remote { vm, .. } = &task.state {
-                    if let Err(index) = vms.binary_search(&vm) {
-                        vms.insert(index, vm);
-                    }
-                }
-            }
-            out.extend(vms.into_iter().map(|vm| Effect::Send {
-                to: vm.clone(),
-                message: PeerMessage::Renew,
-            }));
-        }
-        let silent: Vec<VmName> = self
-            .peers
-            .iter()
-            .filter(|(_, view)| now.since(view.last_message) >= OFFLOAD_PEER_TIMEOUT)
-            .map(|(vm, _)| vm.clone())
-            .collect();
-        if !silent.is_empty() {
-            let of_silent = |run: &Run| silent.iter().any(|vm| run.origin.is_offloaded_by(vm));
-            self.stop_matching(now, of_silent, out);
-        }
-    }
-
-    fn stop_matching(
+    pub(crate) fn stop_matching(
         &mut self,
         now: Time,
         predicate: impl Fn(&Run) -> bool,
@@ -149,11 +114,21 @@
         message: PeerMessage,
         out: &mut Vec<Effect>,
     ) {
-        if let Some(view) = self.peers.get_mut(&from) {
-            view.last_message = now;
-        }
         match message {
-            PeerMessage::Renew => {}
+            PeerMessage::Renew {
+                sender,
+                receiver,
+                number,
+                needed,
+            } => {
+                let renewal = Renewal {
+                    sender,
+                    receiver,
+                    number,
+                    needed,
+                };
+                self.on_renewal(now, &from, renewal, out);
+            }
             PeerMessage::Offers {
                 owned,
                 offers,
@@ -167,9 +142,9 @@
                     self.dispatch_due = true;
                 }
             }
-            PeerMessage::Run(offloads) => {
-                for offload in offloads {
-                    self.run_offloaded(now, &from, offload, out);
+            PeerMessage::Run { sender, tasks } => {
+                for task in tasks {
+                    self.run_offloaded(now, &from, sender, task, out);
                 }
             }
             PeerMessage::Ended(ends) => {
@@ -193,17 +168,16 @@
         &mut self,
         now: Time,
         from: &VmName,
+        sender: Incarnation,
         offload: OffloadedTask,
         out: &mut Vec<Effect>,
     ) {
-        // Nothing would stop a task of a VM that isn't a known peer if that VM were lost.
-        let known = self.peers.contains(from);
-        let target = known.then(|| self.offload_target(now, &offload)).flatten();
+        let accepted = self.accepts_offload(now, from, sender, offload.offload_id);
+        let target = accepted
+            .then(|| self.offload_target(now, &offload))
+            .flatten();
         let Some(target) = target else {
-            let end = (offload.offload_id, OffloadOutcome::NotRunning);
-            self.offload_outcomes
-                .get_or_insert_with(from.clone(), Vec::new)
-                .push(end);
+            self.report_outcome(now, from, offload.offload_id, OffloadOutcome::NotRunning);
             self.offers_changed = true;
             return;
         };
--- a/crates/scheduler/src/peer.rs
+++ b/crates/scheduler/src/peer.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use greengage_core::{value, Demand, TargetName};
+use greengage_core::{value, Demand, Incarnation, TargetName};
 
 /// Free resources of one target, offered to other VMs.
 #[value(copy)]
@@ -67,11 +67,25 @@
         shortage: bool,
     },
     /// Run these tasks.
-    Run(Vec<OffloadedTask>),
+    Run {
+        /// Incarnation of the sender.
+        sender: Incarnation,
+        /// The tasks.
+        tasks: Vec<OffloadedTask>,
+    },
     /// Offload ids of runs that have ended, with their outcomes.
     Ended(Vec<(u64, OffloadOutcome)>),
     /// Stop the runs with these offload ids.
     Stop(Vec<u64>),
-    /// The sender is alive and still needs its offloaded tasks.
-    Renew,
+    /// The sender still needs these runs, and no others of earlier offload ids.
+    Renew {
+        /// Incarnation of the sender.
+        sender: Incarnation,
+        /// Incarnation of the receiver to which the runs were offloaded.
+        receiver: Incarnation,
+        /// Number of the renewal, from the same sequence as offload ids.
+        number: u64,
+        /// Offload ids, ascending.
+        needed: Vec<u64>,
+    },
 }
--- /dev/null
+++ b/crates/scheduler/src/renewal.rs
@@ -0,0 +1,226 @@
+//! Renewal of offloaded runs, which also repairs lost messages between entry VMs.
+//!
+//! A message is lost when a connection between two live VMs is replaced. The VM that has offloaded
+//! runs therefore lists those that it needs in each renewal, and the VM that runs them compares the
+//! list with what it knows:
+//!
+//! - The outcome of a run that has ended is sent again. Outcomes are kept until a renewal no longer
+//!   lists the run.
+//! - A run that never arrived is reported as not running. It may still arrive, over an earlier
+//!   connection; it is refused then, as its id isn't higher than the renewal's number, or since
+//!   its VM has restarted.
+//! - A run that isn't listed is stopped, since the message that stops it was lost.
+//! - A run that hasn't been listed for a while is stopped, since its VM may be lost.
+//!
+//! A task is therefore started again only once its run has ended or can't start any more.
+
+use std::time::Duration;
+
+use greengage_core::{Incarnation, SortedMap, Time, VmName};
+
+use crate::event::Effect;
+use crate::job::TaskState;
+use crate::peer::{OffloadOutcome, PeerMessage};
+use crate::scheduler::Scheduler;
+use crate::target::Run;
+
+/// Interval between renewals of offloaded runs.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(120);
+/// Time without a renewal after which an offloaded run is stopped: more than three intervals.
+/// Together with a lease, it is shorter than the time after which callers submit their jobs again.
+const RENEWAL_TIMEOUT: Duration = Duration::from_millis(450);
+/// Time after which the state of a VM that is no longer live is dropped: longer than callers wait
+/// for the jobs that it may still ask about.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// What this VM remembers of the runs that another VM has offloaded to it.
+#[derive(Debug)]
+pub(crate) struct OffloadRecord {
+    /// Incarnation of the VM.
+    sender: Incarnation,
+    /// Number of the VM's latest renewal.
+    renewal: u64,
+    /// Outcomes by offload id, other than `NotRunning`, that the VM may not have received.
+    outcomes: SortedMap<u64, OffloadOutcome>,
+    /// When the record last changed.
+    changed: Time,
+}
+
+impl OffloadRecord {
+    fn new(now: Time, sender: Incarnation) -> OffloadRecord {
+        OffloadRecord {
+            sender,
+            renewal: 0,
+            outcomes: SortedMap::new(),
+            changed: now,
+        }
+    }
+}
+
+/// A renewal as it was received.
+pub(crate) struct Renewal {
+    /// Incarnation of the sender.
+    pub(crate) sender: Incarnation,
+    /// Incarnation of the receiver; another one doesn't know the runs of this one.
+    pub(crate) receiver: Incarnation,
+    /// Number of the renewal, from the same sequence as offload ids.
+    pub(crate) number: u64,
+    /// Offload ids, ascending.
+    pub(crate) needed: Vec<u64>,
+}
+
+impl Renewal {
+    fn lists(&self, offload_id: u64) -> bool {
+        self.needed.binary_search(&offload_id).is_ok()
+    }
+}
+
+impl Scheduler {
+    /// Renews the offloaded runs of this VM, and stops those of other VMs that weren't renewed.
+    pub(crate) fn review_offloads(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if now.since(self.last_renewal) >= RENEWAL_INTERVAL {
+            self.last_renewal = now;
+            self.send_renewals(out);
+        }
+        let expired =
+            |run: &Run| run.origin.is_remote() && now.since(run.renewed) >= RENEWAL_TIMEOUT;
+        self.stop_matching(now, expired, out);
+        let peers = &self.peers;
+        self.offload_records
+            .retain(|vm, record| peers.contains(vm) || now.since(record.changed) < RECORD_TIMEOUT);
+    }
+
+    /// Sends a renewal to each VM with offloaded runs, and one more when the last run has ended, so
+    /// that the VM can drop the outcomes.
+    fn send_renewals(&mut self, out: &mut Vec<Effect>) {
+        let mut needed: SortedMap<VmName, Vec<u64>> = SortedMap::new();
+        for task in self.jobs.values().flat_map(|job| &job.tasks) {
+            if let TaskState::Remote { vm, offload_id } = &task.state {
+                needed
+                    .get_or_insert_with(vm.clone(), Vec::new)
+                    .push(*offload_id);
+            }
+        }
+        let due = self.peers.iter_mut().filter(|(_, view)| view.renewal_due);
+        for (vm, view) in due {
+            let mut needed = needed.remove(vm).unwrap_or_default();
+            needed.sort_unstable();
+            view.renewal_due = !needed.is_empty();
+            self.last_offload_id += 1;
+            out.push(Effect::Send {
+                to: vm.clone(),
+                message: PeerMessage::Renew {
+                    sender: self.setup.incarnation,
+                    receiver: view.peer.incarnation,
+                    number: self.last_offload_id,
+                    needed,
+                },
+            });
+        }
+    }
+
+    /// Whether a run that has arrived may start. It may not if its VM isn't a known peer, since
+    /// nothing would stop it if that VM were lost, and not after a later renewal, which has
+    /// reported it as not running or didn't list it.
+    pub(crate) fn accepts_offload(
+        &mut self,
+        now: Time,
+        from: &VmName,
+        sender: Incarnation,
+        offload_id: u64,
+    ) -> bool {
+        let view = self.peers.get(from);
+        let current = view.is_some_and(|view| view.peer.incarnation == sender);
+        current && offload_id > self.offload_record(now, from, sender).renewal
+    }
+
+    /// The record of a VM, a new one if there is none of this incarnation.
+    fn offload_record(
+        &mut self,
+        now: Time,
+        vm: &VmName,
+        sender: Incarnation,
+    ) -> &mut OffloadRecord {
+        let record = self
+            .offload_records
+            .get_or_insert_with(vm.clone(), || OffloadRecord::new(now, sender));
+        if record.sender != sender {
+            *record = OffloadRecord::new(now, sender);
+        }
+        record
+    }
+
+    /// Reports the outcome of an offloaded run, and keeps it until it was received.
+    pub(crate) fn report_outcome(
+        &mut self,
+        now: Time,
+        vm: &VmName,
+        offload_id: u64,
+        outcome: OffloadOutcome,
+    ) {
+        // A run that isn't known counts as not running.
+        let record = self.offload_records.get_mut(vm);
+        if let Some(record) = record.filter(|_| outcome != OffloadOutcome::NotRunning) {
+            record.outcomes.insert(offload_id, outcome);
+            record.changed = now;
+        }
+        self.offload_outcomes
+            .get_or_insert_with(vm.clone(), Vec::new)
+            .push((offload_id, outcome));
+    }
+
+    pub(crate) fn on_renewal(
+        &mut self,
+        now: Time,
+        from: &VmName,
+        renewal: Renewal,
+        out: &mut Vec<Effect>,
+    ) {
+        let view = self.peers.get(from);
+        let current = view.is_none_or(|view| view.peer.incarnation == renewal.sender);
+        if renewal.receiver != self.setup.incarnation || !current {
+            return;
+        }
+        let record = self.offload_record(now, from, renewal.sender);
+        // One that was overtaken by a later renewal may list runs that have ended since.
+        if renewal.number <= record.renewal {
+            return;
+        }
+        (record.renewal, record.changed) = (renewal.number, now);
+        record.outcomes.retain(|id, _| renewal.lists(*id));
+        let known = self.renew_runs(now, from, &renewal);
+        let record = self.offload_records.get(from);
+        let needed = renewal.needed.iter();
+        for offload_id in needed.filter(|id| known.binary_search(id).is_err()) {
+            let outcome = record.and_then(|record| record.outcomes.get(offload_id));
+            let outcome = outcome.copied().unwrap_or(OffloadOutcome::NotRunning);
+            log::info!(event = "outcome-repeated", vm = from.as_str(), id = *offload_id,
+                outcome:? = outcome; "repeating the outcome of an offloaded run");
+            self.offload_outcomes
+                .get_or_insert_with(from.clone(), Vec::new)
+                .push((*offload_id, outcome));
+        }
+        let unneeded = |run: &Run| {
+            let id = run.origin.offload_id(from);
+            id.is_some_and(|id| id < renewal.number && !renewal.lists(id))
+        };
+        self.stop_matching(now, unneeded, out);
+    }
+
+    /// Renews the listed runs, and returns the ascending offload ids of those whose end hasn't been
+    /// reported.
+    fn renew_runs(&mut self, now: Time, from: &VmName, renewal: &Renewal) -> Vec<u64> {
+        let mut known = Vec::new();
+        for run in self.targets.values_mut().flat_map(|t| &mut t.runs) {
+            let offload_id = run.origin.offload_id(from);
+            if let Some(offload_id) = offload_id.filter(|id| renewal.lists(*id)) {
+                run.renewed = now;
+                if !run.notified {
+                    known.push(offload_id);
+                }
+            }
+        }
+        known.sort_unstable();
+        known
+    }
+}
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -13,6 +13,7 @@
 use crate::event::{Effect, Event, Reply, TargetCall};
 use crate::job::{Job, JobCaller, TaskState};
 use crate::peer::{OffloadOutcome, PeerMessage, ResourceOffer};
+use crate::renewal::OffloadRecord;
 use crate::target::Target;
 
 /// Interval between checks of leases, deadlines and stalled runs.
@@ -47,8 +48,9 @@
     pub(crate) offers: Vec<ResourceOffer>,
     /// Whether it recently lacked free resources.
     pub(crate) shortage: bool,
-    /// When it last sent a message.
-    pub(crate) last_message: Time,
+    /// Whether it gets a renewal: runs were offloaded to it, and no renewal has said since that
+    /// none of them is needed any more.
+    pub(crate) renewal_due: bool,
 }
 
 /// The state machine of one entry VM.
@@ -81,6 +83,8 @@
     pub(crate) last_renewal: Time,
     /// Outcomes of runs for other VMs, which are sent at the end of this step.
     pub(crate) offload_outcomes: SortedMap<VmName, Vec<(u64, OffloadOutcome)>>,
+    /// State of the runs for other VMs.
+    pub(crate) offload_records: SortedMap<VmName, OffloadRecord>,
     next_review: Time,
     /// Whether waiting tasks may fit now.
     pub(crate) dispatch_due: bool,
@@ -141,6 +145,7 @@
             offers_changed: true,
             last_renewal: now,
             offload_outcomes: SortedMap::new(),
+            offload_records: SortedMap::new(),
             next_review: now,
             dispatch_due: false,
             accepted_job: None,
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -15,7 +15,7 @@
 
 /// Lease of the runs on a target. A caller that loses its VM submits its job again 1.3 s later, and
 /// no run of the first submission may exist by then, even if a VM that runs offloaded tasks of the
-/// lost one dies just before it notices the loss. The sum of `OFFLOAD_PEER_TIMEOUT` and this lease
+/// lost one dies just before it notices the loss. The sum of `RENEWAL_TIMEOUT` and this lease
 /// stays below that time. About three holds renew it before it ends.
 pub(crate) const LEASE_DURATION: Duration = Duration::from_millis(650);
 /// Interval between stop calls for the same run.
@@ -40,14 +40,27 @@
 }
 
 impl Origin {
-    /// Whether `vm` has offloaded the run.
-    pub(crate) fn is_offloaded_by(&self, vm: &VmName) -> bool {
+    /// Whether another VM has offloaded the run.
+    pub(crate) fn is_remote(&self) -> bool {
+        matches!(self, Origin::Peer { .. })
+    }
+
+    /// The offload id of the run, if `vm` has offloaded it.
+    pub(crate) fn offload_id(&self, vm: &VmName) -> Option<u64> {
         match self {
-            Origin::Local(_) => false,
-            Origin::Peer { vm: sender, .. } => sender == vm,
+            Origin::Peer {
+                vm: sender,
+                offload_id,
+            } if sender == vm => Some(*offload_id),
+            Origin::Peer { .. } | Origin::Local(_) => None,
         }
     }
 
+    /// Whether `vm` has offloaded the run.
+    pub(crate) fn is_offloaded_by(&self, vm: &VmName) -> bool {
+        self.offload_id(vm).is_some()
+    }
+
     /// Key that tells failures of one job from failures of several.
     pub(crate) fn job_key(&self) -> u64 {
         match self {
@@ -89,6 +102,8 @@
     pub(crate) progressed: Time,
     /// When the target last listed the run.
     pub(crate) last_listed: Time,
+    /// When the VM that offloaded it last listed it as needed; at first, when it was started.
+    pub(crate) renewed: Time,
     /// Whether it is stopped because it could not end before the deadline.
     pub(crate) too_long: bool,
     /// When the first stop was sent.
@@ -126,6 +141,7 @@
             percent: 0,
             progressed: now,
             last_listed: now,
+            renewed: now,
             too_long: false,
             stop_requested: None,
             notified: false,
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -65,10 +65,10 @@
 impl MessageKind {
     fn of(message: &PeerMessage) -> Option<MessageKind> {
         match message {
-            PeerMessage::Run(_) => Some(MessageKind::Run),
+            PeerMessage::Run { .. } => Some(MessageKind::Run),
             PeerMessage::Ended(_) => Some(MessageKind::Ended),
             PeerMessage::Stop(_) => Some(MessageKind::Stop),
-            PeerMessage::Offers { .. } | PeerMessage::Renew => None,
+            PeerMessage::Offers { .. } | PeerMessage::Renew { .. } => None,
         }
     }
 }
@@ -304,7 +304,7 @@
         let sender = match &event {
             Event::Peer {
                 from,
-                message: PeerMessage::Run(_),
+                message: PeerMessage::Run { .. },
             } => Some(from.clone()),
             _ => None,
         };
@@ -403,12 +403,13 @@
         self.vms[vm].up = false;
         self.vms[vm].deferred.clear();
         self.vms[vm].incarnation += 1;
-        for request in self.requests.iter_mut().filter(|r| r.vm == vm) {
+        let mut disconnected_callers = Vec::new();
+        for request in self.requests.iter_mut().filter(|r| r.vm == vm && !r.closed) {
             request.closed = true;
+            if request.answers.is_empty() && !disconnected_callers.contains(&request.caller) {
+                disconnected_callers.push(request.caller);
+            }
         }
-        let disconnected_callers: Vec<usize> = (0..self.callers.len())
-            .filter(|i| self.callers[*i].vm == vm && self.callers[*i].answer.is_none())
-            .collect();
         for caller in disconnected_callers {
             self.schedule(RESUBMIT_DELAY, Action::Submit(caller));
         }
