Claim no target before the live VMs have told what they own

A VM that had just started claimed targets 0.15 s after it knew its peers, but their first message about the targets that they own came with the next broadcast, up to 0.3 s later. Change: a claim waits until each live peer has told which targets it owns, for at most 1 s for each peer. A VM sends that message at once to a VM that becomes a peer, and again in answer to the first one from it. The simulation forwards the latest reports to a VM that starts, as control VMs do. Conclusion: planned restarts interrupt no runs by such claims in the simulation.

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -1,6 +1,7 @@
 //! Ownership of targets: claims, holds and hand-over.
 //!
-//! A VM claims a target that is assigned to it once no live VM reports to own it. The generation of
+//! A VM claims a target that is assigned to it once each live VM has told which targets it owns, and
+//! none of them owns it. The generation of
 //! a claim is higher than all earlier ones: the time of day in milliseconds, raised if the target
 //! knows a higher generation. The VM stops the runs of earlier owners before it starts its first
 //! one, and doesn't renew their lease.
@@ -19,7 +20,7 @@
 
 use crate::assignment::{assign, Candidate};
 use crate::event::{Effect, HoldCall, HoldResult, RunListing, StopCall, TargetCall, TargetReport};
-use crate::scheduler::Scheduler;
+use crate::scheduler::{PeerView, Scheduler};
 use crate::target::{Ownership, Target};
 
 /// How long a target must have been assigned to this VM, and no peer added, before it is claimed.
@@ -28,6 +29,9 @@
 /// How long a target of another zone must have reported since its assignment before it is claimed.
 /// When a partition ends, its report may arrive before the heartbeat of its owner.
 const OTHER_ZONE_CLAIM_DELAY: Duration = Duration::from_millis(1000);
+/// How long a VM that hasn't told which targets it owns may own any of them. Its first message
+/// arrives within milliseconds, unless messages get lost.
+const UNKNOWN_OWNER_DELAY: Duration = Duration::from_millis(1000);
 /// Pause in claims after one that was fenced by another generation.
 const FENCED_BACKOFF: Duration = Duration::from_millis(500);
 /// Added to the generation of a claim after a fenced one; it doubles each time.
@@ -228,7 +232,11 @@
             zone == self.zone() || self.peers.values().any(|v| v.peer.candidate.zone == *zone);
         let is_stable = |first_report: Time| now.since(first_report) >= OTHER_ZONE_CLAIM_DELAY;
         let reachable = zone_live || target.first_report.is_some_and(is_stable);
-        reachable && !self.peers.values().any(|view| view.owned.contains(name))
+        let may_own = |view: &PeerView| match &view.owned {
+            Some(owned) => owned.contains(name),
+            None => now.since(view.joined) < UNKNOWN_OWNER_DELAY,
+        };
+        reachable && !self.peers.values().any(may_own)
     }
 
     fn review_lease(
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -40,6 +40,7 @@
             self.peer_lost(now, &vm, out);
             self.reassign = true;
         }
+        let mut joined = Vec::new();
         for peer in peers {
             match self.peers.get_mut(&peer.candidate.vm) {
                 Some(view) => {
@@ -49,7 +50,8 @@
                     if restarted {
                         log::info!(event = "vm-restarted", vm = peer.candidate.vm.as_str();
                             "an entry VM has restarted");
-                        (view.owned, view.offers) = (Vec::new(), Vec::new());
+                        (view.joined, view.owned, view.offers) = (now, None, Vec::new());
+                        joined.push(peer.candidate.vm.clone());
                         self.peer_lost(now, &peer.candidate.vm, out);
                     }
                 }
@@ -62,15 +64,25 @@
                     let vm = peer.candidate.vm.clone();
                     let view = PeerView {
                         peer,
-                        owned: Vec::new(),
+                        joined: now,
+                        owned: None,
                         offers: Vec::new(),
                         shortage: false,
                         renewal_due: false,
                     };
+                    joined.push(vm.clone());
                     self.peers.insert(vm, view);
                 }
             }
         }
+        // They claim no target before they know the owners.
+        if !joined.is_empty() {
+            let message = self.offers_message(now);
+            out.extend(joined.into_iter().map(|to| Effect::Send {
+                to,
+                message: message.clone(),
+            }));
+        }
     }
 
     /// Handles the loss of a VM. Ends the jobs with tasks on it, whose outcome can't be known in
@@ -136,10 +148,16 @@
             } => {
                 if let Some(view) = self.peers.get_mut(&from) {
                     self.offers_changed |= shortage && !view.shortage;
-                    view.owned = owned;
+                    let is_first = view.owned.is_none();
+                    view.owned = Some(owned);
                     view.offers = offers;
                     view.shortage = shortage;
                     self.dispatch_due = true;
+                    // This VM's first message may have arrived before it was a peer there.
+                    if is_first {
+                        let message = self.offers_message(now);
+                        out.push(Effect::Send { to: from, message });
+                    }
                 }
             }
             PeerMessage::Run { sender, tasks } => {
@@ -272,7 +290,7 @@
         if broadcast_due {
             (self.offers_broadcast, self.shortage_sent) = (now, shortage);
         }
-        let (owned, offers) = self.own_offers(now);
+        let message = self.offers_message(now);
         for (vm, _) in self
             .peers
             .iter()
@@ -280,15 +298,20 @@
         {
             out.push(Effect::Send {
                 to: vm.clone(),
-                message: PeerMessage::Offers {
-                    owned: owned.clone(),
-                    offers: offers.clone(),
-                    shortage,
-                },
+                message: message.clone(),
             });
         }
     }
 
+    fn offers_message(&self, now: Time) -> PeerMessage {
+        let (owned, offers) = self.own_offers(now);
+        PeerMessage::Offers {
+            owned,
+            offers,
+            shortage: now < self.shortage_until,
+        }
+    }
+
     /// Whether a VM gets updates as soon as offers change.
     fn wants_updates(&self, view: &PeerView) -> bool {
         let near =
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -44,7 +44,10 @@
 /// Last known state of another entry VM.
 pub(crate) struct PeerView {
     pub(crate) peer: Peer,
-    pub(crate) owned: Vec<TargetName>,
+    /// When this incarnation became a peer.
+    pub(crate) joined: Time,
+    /// The targets that it owns; `None` before its first message about them.
+    pub(crate) owned: Option<Vec<TargetName>>,
     pub(crate) offers: Vec<ResourceOffer>,
     /// Whether it recently lacked free resources.
     pub(crate) shortage: bool,
--- a/crates/scheduler/tests/world/faults.rs
+++ b/crates/scheduler/tests/world/faults.rs
@@ -229,6 +229,27 @@
     assert_eq!(owned[1] + owned[2], 9);
 }
 
+/// Guards against a VM that has just started and claims targets before it knows their owners, which
+/// ends the runs there.
+#[test]
+fn started_vm_claims_no_target_of_a_live_owner() {
+    for seed in 0..20 {
+        let mut sim = Simulation::new(seed, 3, 9);
+        sim.caller_timeout = Some(10 * SECOND);
+        sim.kill_vm(0);
+        sim.run(5 * SECOND);
+        for vm in [1, 2] {
+            sim.submit(vm, 1, vec![millis(2000); 6]);
+        }
+        sim.run(millis(100 + seed * 20));
+        sim.restart_vm(0);
+        sim.run(6 * SECOND);
+        let starts: u64 = sim.targets.iter().map(|t| t.starts).sum();
+        assert_eq!(starts, 12, "seed {seed}: each task runs once");
+        assert_eq!(sim.vms[0].scheduler.owned(), 3, "seed {seed}");
+    }
+}
+
 /// Guards against a VM that takes all its targets out of use at once when it shuts down. It
 /// releases them in batches, so that a fully loaded deployment still accepts work.
 #[test]
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -439,6 +439,7 @@
                 Duration::ZERO,
                 Action::Event(vm, incarnation, Event::Configuration(document(1))),
             );
+            self.forward_reports(vm);
         }
     }
 
