Number requests by process, not by listener

The table of pending requests is shared by the listeners for callers and for operators, and finds a request by the listener's number. In a process that has both roles, a disconnect at one listener removed the request with the same number at the other, whose connection was closed unanswered. Change: all listeners take numbers from one counter.

--- a/crates/listener/src/connection.rs
+++ b/crates/listener/src/connection.rs
@@ -17,7 +17,7 @@
 use tokio::task::LocalSet;
 
 use crate::stream::TimedStream;
-use crate::{Answer, Handler, Headers, Request, Responder, Shared, BODY_PERMIT_BYTES};
+use crate::{Answer, Handler, Headers, Request, Responder, Shared, BODY_PERMIT_BYTES, NEXT_NUMBER};
 
 /// Delay after a failed accept, which would fail again at once while no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -175,7 +175,7 @@
             }
         },
         Handler::Direct(service) => {
-            let number = shared.next_number.fetch_add(1, Ordering::Relaxed);
+            let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
             service.call(number, request, responder);
             guard = Some(DisconnectGuard {
                 shared: shared.clone(),
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -202,7 +202,7 @@
 
 /// Handles requests on the listener's own thread, so its methods must not block.
 pub trait Service: Send + Sync {
-    /// Handles a request; `number` identifies it within this listener.
+    /// Handles a request; `number` identifies it within this process.
     fn call(&self, number: u64, request: Request, responder: Responder);
     /// The caller of request `number` disconnected before the response.
     fn disconnected(&self, number: u64);
@@ -286,7 +286,6 @@
         limits,
         reject,
         handler,
-        next_number: AtomicU64::new(0),
         open_connections: open_connections.clone(),
     });
     let thread = thread::Builder::new()
@@ -336,13 +335,15 @@
     }
 }
 
+/// The number of the next request to a service. All listeners share it, since a process may keep
+/// their requests in one table.
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(0);
+
 /// State that all connections of a listener share.
 struct Shared {
     limits: Limits,
     reject: fn(u16, &str) -> Answer,
     handler: Handler,
-    /// The number of the next request to a service.
-    next_number: AtomicU64,
     open_connections: Arc<AtomicUsize>,
     /// The unused part of `Limits::max_buffered_bytes`, in units of `BODY_PERMIT_BYTES`.
     body_permits: Semaphore,
--- a/crates/listener/tests/direct.rs
+++ b/crates/listener/tests/direct.rs
@@ -34,11 +34,15 @@
 }
 
 fn start() -> (Listener, Receiver<Event>) {
+    start_with(Limits::default())
+}
+
+fn start_with(limits: Limits) -> (Listener, Receiver<Event>) {
     let (sender, events) = channel();
     let service = Box::new(Recorder(Mutex::new(sender)));
     let reject = |status, message: &str| Answer::json(status, message);
     let address = "127.0.0.1:0".parse().unwrap();
-    let listener = start_direct("test", address, Limits::default(), reject, service);
+    let listener = start_direct("test", address, limits, reject, service);
     (listener.unwrap(), events)
 }
 
@@ -78,6 +82,48 @@
     );
 }
 
+/// Guards against requests of two listeners with the same number: a disconnect of one would end the
+/// other, for which the process may have a common table.
+#[test]
+fn requests_of_all_listeners_have_different_numbers() {
+    let listeners = [start(), start()];
+    let mut numbers = Vec::new();
+    for (listener, events) in &listeners {
+        let mut stream = TcpStream::connect(listener.address()).unwrap();
+        stream.write_all(REQUEST).unwrap();
+        let Ok(Event::Call(number, _, responder)) = events.recv_timeout(TIMEOUT) else {
+            panic!("no call");
+        };
+        responder.send(Answer::json(200, "{}"));
+        numbers.push(number);
+    }
+    assert_ne!(numbers[0], numbers[1]);
+}
+
+/// Guards against a caller that loses its connection because its answer takes longer than a head
+/// may take.
+#[test]
+fn request_may_wait_longer_than_the_head_timeout() {
+    let limits = Limits {
+        head_timeout: Duration::from_millis(200),
+        ..Limits::default()
+    };
+    let (listener, events) = start_with(limits);
+    let mut stream = TcpStream::connect(listener.address()).unwrap();
+    stream.write_all(REQUEST).unwrap();
+    let Ok(Event::Call(_, _, responder)) = events.recv_timeout(TIMEOUT) else {
+        panic!("no call");
+    };
+    assert!(events.recv_timeout(Duration::from_millis(800)).is_err());
+    responder.send(Answer {
+        close: true,
+        ..Answer::json(200, "late")
+    });
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    assert!(text.ends_with("late"), "{text}");
+}
+
 /// Guards against a service that is not told of a disconnect and so continues the caller's work.
 #[test]
 fn disconnected_caller_is_reported() {
