Run a task again on its last target if there is no other

A task whose run failed or was stopped avoids the target of that run for good. If no other known target can run it, its job waited until the caller's deadline. Change: the last target is avoided only while another known target of the service has the label and the capacity. Figures: failed_task_runs_again_on_the_only_target had 1 start after 2 s and no answer before, now 2 starts and the answer completed.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::placement::{choose_slot, finish_time, Locality, Slot};
 use crate::scheduler::Scheduler;
 use crate::submit::BEST_CASE_PERCENT;
-use crate::target::{Origin, Run, RunParams};
+use crate::target::{Origin, Run, RunParams, Target};
 
 /// Divisor of a job's waiting tasks: the part that has to fit at once when the job starts. The
 /// others start as resources become free, within milliseconds under load.
@@ -230,17 +230,25 @@
         true
     }
 
-    /// Excludes the slots that a task may not use.
+    /// Excludes the slots that a task may not use. It may use the target of its last run if no other
+    /// one is known that can run it.
     fn mark_excluded(&self, job: &Job, task: usize, pool: &mut SlotPool) {
         let task = &job.tasks[task];
         let step = &job.steps[task.step];
+        let avoided = task.avoid_target.as_ref();
+        let is_other = |name: &TargetName, target: &Target| {
+            Some(name) != avoided
+                && target.serves(&job.service, step.label.as_ref())
+                && step.demand.fits(&target.report.capacity)
+        };
+        let avoided = avoided.filter(|_| self.targets.iter().any(|(n, t)| is_other(n, t)));
         for (slot, place) in pool.slots.iter_mut().zip(&pool.places) {
             slot.excluded = match place {
                 Place::Local(name) => {
                     let target = self.targets.get(name);
                     let serves =
                         target.is_some_and(|t| t.serves(&job.service, step.label.as_ref()));
-                    task.avoid_target.as_ref() == Some(name) || !serves
+                    avoided == Some(name) || !serves
                 }
                 Place::Remote(..) => false,
             };
--- a/crates/scheduler/tests/world/faults.rs
+++ b/crates/scheduler/tests/world/faults.rs
@@ -61,6 +61,22 @@
     assert_eq!(shown.filter(|(_, reply)| failed(reply)).count(), 0);
 }
 
+/// Guards against a job that waits until its caller gives up because its last run failed on the
+/// only target that can run it.
+#[test]
+fn failed_task_runs_again_on_the_only_target() {
+    let mut sim = Simulation::new(15, 1, 1);
+    sim.caller_timeout = Some(30 * SECOND);
+    sim.targets[0].fails = true;
+    sim.submit(0, 0, vec![millis(50)]);
+    sim.run(millis(6));
+    sim.targets[0].fails = false;
+    sim.run(2 * SECOND);
+    assert_eq!(sim.targets[0].starts, 2);
+    let answer = sim.callers[0].answer.as_ref().map(|(_, reply)| reply);
+    assert_eq!(answer, Some(&Reply::Completed));
+}
+
 /// Guards against jobs that wait for a stalled run until their callers give up.
 #[test]
 fn stalled_run_is_stopped_and_its_task_runs_elsewhere() {
