Repeat outcomes of offloaded tasks only after 50 ms

Cause: a renewal that is sent just before an outcome arrives lists a run that has ended. Change: an outcome is repeated only 50 ms after it was sent; a lost one is repeated with the next renewal as before, or the one after it.

Conclusion: the log line outcome-repeated now tells of a lost message.

--- a/crates/scheduler/src/renewal.rs
+++ b/crates/scheduler/src/renewal.rs
@@ -29,6 +29,9 @@
 /// Time without a renewal after which an offloaded run is stopped: more than three intervals.
 /// Together with a lease, it is shorter than the time after which callers submit their jobs again.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(450);
+/// Time after which an outcome is sent again: several round trips, as a renewal may have been sent
+/// before the outcome arrived.
+const REPEAT_DELAY: Duration = Duration::from_millis(50);
 /// Time after which the state of a VM that is no longer live is dropped: longer than callers wait
 /// for the jobs that it may still ask about.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(60);
@@ -40,8 +43,8 @@
     sender: Incarnation,
     /// Number of the VM's latest renewal.
     renewal: u64,
-    /// Outcomes by offload id, other than `NotRunning`, that the VM may not have received.
-    outcomes: SortedMap<u64, OffloadOutcome>,
+    /// Outcomes that the VM may not have received, and when they were last sent, by offload id.
+    outcomes: SortedMap<u64, (OffloadOutcome, Time)>,
     /// When the record last changed.
     changed: Time,
 }
@@ -158,10 +161,8 @@
         offload_id: u64,
         outcome: OffloadOutcome,
     ) {
-        // A run that isn't known counts as not running.
-        let record = self.offload_records.get_mut(vm);
-        if let Some(record) = record.filter(|_| outcome != OffloadOutcome::NotRunning) {
-            record.outcomes.insert(offload_id, outcome);
+        if let Some(record) = self.offload_records.get_mut(vm) {
+            record.outcomes.insert(offload_id, (outcome, now));
             record.changed = now;
         }
         self.offload_outcomes
@@ -189,16 +190,18 @@
         (record.renewal, record.changed) = (renewal.number, now);
         record.outcomes.retain(|id, _| renewal.lists(*id));
         let known = self.renew_runs(now, from, &renewal);
-        let record = self.offload_records.get(from);
         let needed = renewal.needed.iter();
         for offload_id in needed.filter(|id| known.binary_search(id).is_err()) {
-            let outcome = record.and_then(|record| record.outcomes.get(offload_id));
-            let outcome = outcome.copied().unwrap_or(OffloadOutcome::NotRunning);
+            let record = self.offload_records.get(from);
+            let outcome = match record.and_then(|record| record.outcomes.get(offload_id)) {
+                Some((_, sent)) if now.since(*sent) < REPEAT_DELAY => continue,
+                Some((outcome, _)) => *outcome,
+                // It never arrived.
+                None => OffloadOutcome::NotRunning,
+            };
             log::info!(event = "outcome-repeated", vm = from.as_str(), id = *offload_id,
-                outcome:? = outcome; "repeating the outcome of an offloaded run");
-            self.offload_outcomes
-                .get_or_insert_with(from.clone(), Vec::new)
-                .push((*offload_id, outcome));
+                outcome:? = outcome; "a message about an offloaded run was lost");
+            self.report_outcome(now, from, *offload_id, outcome);
         }
         let unneeded = |run: &Run| {
             let id = run.origin.offload_id(from);
