End jobs with tasks on a VM that receives nothing

If messages between two entry VMs arrive in one direction only, the VM that receives nothing counts the other one as lost, while the other one still counts it as live, offloads tasks to it and waits for their outcomes until the deadlines of its jobs. A live VM from which four broadcasts of offers (1.2 s) are missing is treated like a lost one: nothing is offloaded there, and jobs with tasks there end with a time-out.

--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -25,6 +25,8 @@
 const BROADCAST_INTERVAL_VMS: usize = 16;
 /// Interval between broadcasts of offers, for up to [`BROADCAST_INTERVAL_VMS`] peers.
 const BROADCAST_INTERVAL: Duration = Duration::from_millis(300);
+/// Number of broadcasts without which a live VM doesn't count this one as live.
+const MISSED_BROADCASTS: u32 = 4;
 
 impl Scheduler {
     pub(crate) fn set_peers(&mut self, now: Time, peers: Vec<Peer>, out: &mut Vec<Effect>) {
@@ -50,7 +52,8 @@
                     if restarted {
                         log::info!(event = "vm-restarted", vm = peer.candidate.vm.as_str();
                             "an entry VM has restarted");
-                        (view.joined, view.owned, view.offers) = (now, None, Vec::new());
+                        (view.joined, view.last_offers) = (now, now);
+                        (view.owned, view.offers) = (None, Vec::new());
                         joined.push(peer.candidate.vm.clone());
                         self.peer_lost(now, &peer.candidate.vm, out);
                     }
@@ -65,6 +68,7 @@
                     let view = PeerView {
                         peer,
                         joined: now,
+                        last_offers: now,
                         owned: None,
                         offers: Vec::new(),
                         shortage: false,
@@ -85,9 +89,31 @@
         }
     }
 
-    /// Handles the loss of a VM. Ends the jobs with tasks on it, whose outcome can't be known in
-    /// time, and stops the runs for its own jobs, which their callers submit again elsewhere.
+    /// Handles the loss of a VM. Ends the jobs with tasks on it, and stops the runs for its own jobs,
+    /// which their callers submit again elsewhere.
     fn peer_lost(&mut self, now: Time, vm: &VmName, out: &mut Vec<Effect>) {
+        self.end_jobs_on(now, vm, out);
+        self.stop_matching(now, |run| run.origin.is_offloaded_by(vm), out);
+    }
+
+    /// Stops offloading to VMs that are live but send no offers, and ends the jobs with tasks there.
+    /// Such a VM doesn't count this one as live, since nothing that this one sends arrives.
+    pub(crate) fn review_silent_peers(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let limit = self.broadcast_interval() * MISSED_BROADCASTS;
+        let silent = self.peers.iter_mut();
+        let silent = silent.filter(|(_, view)| now.since(view.last_offers) >= limit);
+        let mut vms = Vec::new();
+        for (vm, view) in silent {
+            view.offers.clear();
+            vms.push(vm.clone());
+        }
+        for vm in vms {
+            self.end_jobs_on(now, &vm, out);
+        }
+    }
+
+    /// Ends the jobs with tasks on a VM, whose outcome can't be known in time.
+    fn end_jobs_on(&mut self, now: Time, vm: &VmName, out: &mut Vec<Effect>) {
         let offloaded =
             |state: &TaskState| matches!(state, TaskState::Remote { vm: other, .. } if other == vm);
         let jobs: Vec<u64> = self
@@ -99,7 +125,6 @@
         for job_id in jobs {
             self.finish(now, job_id, Reply::TimedOut, out);
         }
-        self.stop_matching(now, |run| run.origin.is_offloaded_by(vm), out);
     }
 
     pub(crate) fn stop_matching(
@@ -150,6 +175,7 @@
                     self.offers_changed |= shortage && !view.shortage;
                     let is_first = view.owned.is_none();
                     view.owned = Some(owned);
+                    view.last_offers = now;
                     view.offers = offers;
                     view.shortage = shortage;
                     self.dispatch_due = true;
@@ -275,9 +301,7 @@
             return;
         }
         let shortage = now < self.shortage_until;
-        let broadcast_interval =
-            BROADCAST_INTERVAL * self.peers.len().div_ceil(BROADCAST_INTERVAL_VMS) as u32;
-        let broadcast_due = now.since(self.offers_broadcast) >= broadcast_interval
+        let broadcast_due = now.since(self.offers_broadcast) >= self.broadcast_interval()
             || shortage && !self.shortage_sent;
         let receivers = self.peers.values().filter(|view| self.wants_updates(view));
         let interval =
@@ -303,6 +327,10 @@
         }
     }
 
+    fn broadcast_interval(&self) -> Duration {
+        BROADCAST_INTERVAL * self.peers.len().div_ceil(BROADCAST_INTERVAL_VMS) as u32
+    }
+
     fn offers_message(&self, now: Time) -> PeerMessage {
         let (owned, offers) = self.own_offers(now);
         PeerMessage::Offers {
--- a/crates/scheduler/src/renewal.rs
+++ b/crates/scheduler/src/renewal.rs
@@ -84,6 +84,7 @@
         if now.since(self.last_renewal) >= RENEWAL_INTERVAL {
             self.last_renewal = now;
             self.send_renewals(out);
+            self.review_silent_peers(now, out);
         }
         let expired =
             |run: &Run| run.origin.is_remote() && now.since(run.renewed) >= RENEWAL_TIMEOUT;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -46,6 +46,8 @@
     pub(crate) peer: Peer,
     /// When this incarnation became a peer.
     pub(crate) joined: Time,
+    /// When its last offers arrived; at first, when it became a peer.
+    pub(crate) last_offers: Time,
     /// The targets that it owns; `None` before its first message about them.
     pub(crate) owned: Option<Vec<TargetName>>,
     pub(crate) offers: Vec<ResourceOffer>,
--- a/crates/scheduler/tests/world/answers.rs
+++ b/crates/scheduler/tests/world/answers.rs
@@ -138,6 +138,29 @@
     }
 }
 
+/// Guards against jobs that wait until their caller gives up because messages reach the other VM in
+/// one direction only: that VM doesn't count this one as live and runs none of its tasks.
+#[test]
+fn jobs_end_when_another_vm_receives_nothing() {
+    for seed in 0..10 {
+        let mut sim = Simulation::new(seed, 3, 9);
+        sim.caller_timeout = Some(PATIENCE);
+        sim.failing_links.push((0, 1, sim.now + PATIENCE));
+        sim.run(millis(650));
+        sim.ignored_peer = Some((1, 0));
+        for _ in 0..20 {
+            sim.submit(0, 0, vec![millis(100); 8]);
+            sim.run(millis(200));
+        }
+        sim.run(2 * SECOND);
+        let open = sim.callers.iter().filter(|c| c.answer.is_none()).count();
+        assert_eq!(open, 0, "seed {seed}");
+        let completed = sim.callers.iter().filter(is_completed).count();
+        assert!(completed >= 15, "seed {seed}: {completed} of 20");
+        assert!(sim.duplicates.is_empty(), "{:?}", sim.duplicates);
+    }
+}
+
 /// Guards against requests without an answer, jobs that hang and tasks with two runs, under
 /// connections between VMs that are replaced while both stay live, callers that submit again to
 /// the same VM or to another one, VMs that leave or are killed, and patient callers.
