--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -3,13 +3,14 @@
 
 use std::time::Duration;
 
-use greengage_core::{TargetName, Time, VmName};
+use greengage_core::{Incarnation, TargetName, Time, VmName};
 
 use crate::ends::RunOutcome;
 use crate::event::{Effect, Reply};
 use crate::job::TaskState;
 use crate::peer::{OffloadOutcome, OffloadedTask, PeerMessage, ResourceOffer};
 use crate::placement::{choose_slot, Locality, Slot};
+use crate::renewal::Renewal;
 use crate::scheduler::{Peer, PeerView, Scheduler};
 use crate::target::{Origin, Run, RunParams};
 
@@ -22,14 +23,10 @@
 /// Number of peers up to which all of them may get updates; with more, only those of the same zone
 /// do. The broadcast interval grows with each further group of as many peers.
 const BROADCAST_INTERVAL_VMS: usize = 16;
-/// Interval between renewals of offloaded tasks.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(120);
-/// Time without a message from a VM after which its offloaded tasks are stopped: more than three
-/// renewals. Together with a lease, it is shorter than the time after which callers submit their
-/// jobs again.
-const OFFLOAD_PEER_TIMEOUT: Duration = Duration::from_millis(450);
 /// Interval between broadcasts of offers, for up to [`BROADCAST_INTERVAL_VMS`] peers.
 const BROADCAST_INTERVAL: Duration = Duration::from_millis(300);
+/// Number of broadcasts without which a live VM doesn't count this one as live.
+const MISSED_BROADCASTS: u32 = 4;
 
 impl Scheduler {
     pub(crate) fn set_peers(&mut self, now: Time, peers: Vec<Peer>, out: &mut Vec<Effect>) {
@@ -45,6 +42,7 @@
             self.peer_lost(now, &vm, out);
             self.reassign = true;
         }
+        let mut joined = Vec::new();
         for peer in peers {
             match self.peers.get_mut(&peer.candidate.vm) {
                 Some(view) => {
@@ -54,7 +52,9 @@
                     if restarted {
                         log::info!(event = "vm-restarted", vm = peer.candidate.vm.as_str();
                             "an entry VM has restarted");
-                        (view.owned, view.offers) = (Vec::new(), Vec::new());
+                        (view.joined, view.last_offers) = (now, now);
+                        (view.owned, view.offers) = (None, Vec::new());
+                        joined.push(peer.candidate.vm.clone());
                         self.peer_lost(now, &peer.candidate.vm, out);
                     }
                 }
@@ -67,20 +67,53 @@
                     let vm = peer.candidate.vm.clone();
                     let view = PeerView {
                         peer,
-                        owned: Vec::new(),
+                        joined: now,
+                        last_offers: now,
+                        owned: None,
                         offers: Vec::new(),
                         shortage: false,
-                        last_message: now,
+                        renewal_due: false,
                     };
+                    joined.push(vm.clone());
                     self.peers.insert(vm, view);
                 }
             }
         }
+        // They claim no target before they know the owners.
+        if !joined.is_empty() {
+            let message = self.offers_message(now);
+            out.extend(joined.into_iter().map(|to| Effect::Send {
+                to,
+                message: message.clone(),
+            }));
+        }
     }
 
-    /// Handles the loss of a VM. Ends the jobs with tasks on it, whose outcome can't be known in
-    /// time, and stops the runs for its own jobs, which their callers submit again elsewhere.
+    /// Handles the loss of a VM. Ends the jobs with tasks on it, and stops the runs for its own jobs,
+    /// which their callers submit again elsewhere.
     fn peer_lost(&mut self, now: Time, vm: &VmName, out: &mut Vec<Effect>) {
+        self.end_jobs_on(now, vm, out);
+        self.stop_matching(now, |run| run.origin.is_offloaded_by(vm), out);
+    }
+
+    /// Stops offloading to VMs that are live but send no offers, and ends the jobs with tasks there.
+    /// Such a VM doesn't count this one as live, since nothing that this one sends arrives.
+    pub(crate) fn review_silent_peers(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let limit = self.broadcast_interval() * MISSED_BROADCASTS;
+        let silent = self.peers.iter_mut();
+        let silent = silent.filter(|(_, view)| now.since(view.last_offers) >= limit);
+        let mut vms = Vec::new();
+        for (vm, view) in silent {
+            view.offers.clear();
+            vms.push(vm.clone());
+        }
+        for vm in vms {
+            self.end_jobs_on(now, &vm, out);
+        }
+    }
+
+    /// Ends the jobs with tasks on a VM, whose outcome can't be known in time.
+    fn end_jobs_on(&mut self, now: Time, vm: &VmName, out: &mut Vec<Effect>) {
         let offloaded =
             |state: &TaskState| matches!(state, TaskState::Remote { vm: other, .. } if other == vm);
         let jobs: Vec<u64> = self
@@ -92,40 +125,9 @@
         for job_id in jobs {
             self.finish(now, job_id, Reply::TimedOut, out);
         }
-        self.stop_matching(now, |run| run.origin.is_offloaded_by(vm), out);
-    }
-
-    /// Renews the offloaded tasks of this VM, and stops those of VMs that have become silent, whose
-    /// callers submit their jobs again.
-    pub(crate) fn review_offloads(&mut self, now: Time, out: &mut Vec<Effect>) {
-        if now.since(self.last_renewal) >= RENEWAL_INTERVAL {
-            self.last_renewal = now;
-            let mut vms: Vec<&VmName> = Vec::new();
-            for task in self.jobs.values().flat_map(|job| &job.tasks) {
-                if let TaskState::Remote { vm, .. } = &task.state {
-                    if let Err(index) = vms.binary_search(&vm) {
-                        vms.insert(index, vm);
-                    }
-                }
-            }
-            out.extend(vms.into_iter().map(|vm| Effect::Send {
-                to: vm.clone(),
-                message: PeerMessage::Renew,
-            }));
-        }
-        let silent: Vec<VmName> = self
-            .peers
-            .iter()
-            .filter(|(_, view)| now.since(view.last_message) >= OFFLOAD_PEER_TIMEOUT)
-            .map(|(vm, _)| vm.clone())
-            .collect();
-        if !silent.is_empty() {
-            let of_silent = |run: &Run| silent.iter().any(|vm| run.origin.is_offloaded_by(vm));
-            self.stop_matching(now, of_silent, out);
-        }
     }
 
-    fn stop_matching(
+    pub(crate) fn stop_matching(
         &mut self,
         now: Time,
         predicate: impl Fn(&Run) -> bool,
@@ -149,11 +151,21 @@
         message: PeerMessage,
         out: &mut Vec<Effect>,
     ) {
-        if let Some(view) = self.peers.get_mut(&from) {
-            view.last_message = now;
-        }
         match message {
-            PeerMessage::Renew => {}
+            PeerMessage::Renew {
+                sender,
+                receiver,
+                number,
+                needed,
+            } => {
+                let renewal = Renewal {
+                    sender,
+                    receiver,
+                    number,
+                    needed,
+                };
+                self.on_renewal(now, &from, renewal, out);
+            }
             PeerMessage::Offers {
                 owned,
                 offers,
@@ -161,15 +173,22 @@
             } => {
                 if let Some(view) = self.peers.get_mut(&from) {
                     self.offers_changed |= shortage && !view.shortage;
-                    view.owned = owned;
+                    let is_first = view.owned.is_none();
+                    view.owned = Some(owned);
+                    view.last_offers = now;
                     view.offers = offers;
                     view.shortage = shortage;
                     self.dispatch_due = true;
+                    // This VM's first message may have arrived before it was a peer there.
+                    if is_first {
+                        let message = self.offers_message(now);
+                        out.push(Effect::Send { to: from, message });
+                    }
                 }
             }
-            PeerMessage::Run(offloads) => {
-                for offload in offloads {
-                    self.run_offloaded(now, &from, offload, out);
+            PeerMessage::Run { sender, tasks } => {
+                for task in tasks {
+                    self.run_offloaded(now, &from, sender, task, out);
                 }
             }
             PeerMessage::Ended(ends) => {
@@ -193,17 +212,16 @@
         &mut self,
         now: Time,
         from: &VmName,
+        sender: Incarnation,
         offload: OffloadedTask,
         out: &mut Vec<Effect>,
     ) {
-        // Nothing would stop a task of a VM that isn't a known peer if that VM were lost.
-        let known = self.peers.contains(from);
-        let target = known.then(|| self.offload_target(now, &offload)).flatten();
+        let accepted = self.accepts_offload(now, from, sender, offload.offload_id);
+        let target = accepted
+            .then(|| self.offload_target(now, &offload))
+            .flatten();
         let Some(target) = target else {
-            let end = (offload.offload_id, OffloadOutcome::NotRunning);
-            self.offload_outcomes
-                .get_or_insert_with(from.clone(), Vec::new)
-                .push(end);
+            self.report_outcome(now, from, offload.offload_id, OffloadOutcome::NotRunning);
             self.offers_changed = true;
             return;
         };
@@ -283,9 +301,7 @@
             return;
         }
         let shortage = now < self.shortage_until;
-        let broadcast_interval =
-            BROADCAST_INTERVAL * self.peers.len().div_ceil(BROADCAST_INTERVAL_VMS) as u32;
-        let broadcast_due = now.since(self.offers_broadcast) >= broadcast_interval
+        let broadcast_due = now.since(self.offers_broadcast) >= self.broadcast_interval()
             || shortage && !self.shortage_sent;
         let receivers = self.peers.values().filter(|view| self.wants_updates(view));
         let interval =
@@ -298,7 +314,7 @@
         if broadcast_due {
             (self.offers_broadcast, self.shortage_sent) = (now, shortage);
         }
-        let (owned, offers) = self.own_offers(now);
+        let message = self.offers_message(now);
         for (vm, _) in self
             .peers
             .iter()
@@ -306,15 +322,24 @@
         {
             out.push(Effect::Send {
                 to: vm.clone(),
-                message: PeerMessage::Offers {
-                    owned: owned.clone(),
-                    offers: offers.clone(),
-                    shortage,
-                },
+                message: message.clone(),
             });
         }
     }
 
+    fn broadcast_interval(&self) -> Duration {
+        BROADCAST_INTERVAL * self.peers.len().div_ceil(BROADCAST_INTERVAL_VMS) as u32
+    }
+
+    fn offers_message(&self, now: Time) -> PeerMessage {
+        let (owned, offers) = self.own_offers(now);
+        PeerMessage::Offers {
+            owned,
+            offers,
+            shortage: now < self.shortage_until,
+        }
+    }
+
     /// Whether a VM gets updates as soon as offers change.
     fn wants_updates(&self, view: &PeerView) -> bool {
         let near =
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -11,8 +11,9 @@
 use crate::assignment::Candidate;
 use crate::estimate::Estimates;
 use crate::event::{Effect, Event, Reply, TargetCall};
-use crate::job::{Job, TaskState};
+use crate::job::{Job, JobCaller, TaskState};
 use crate::peer::{OffloadOutcome, PeerMessage, ResourceOffer};
+use crate::renewal::OffloadRecord;
 use crate::submit::RETRY_AFTER;
 use crate::target::Target;
 
@@ -44,12 +45,18 @@
 /// Last known state of another entry VM.
 pub(crate) struct PeerView {
     pub(crate) peer: Peer,
-    pub(crate) owned: Vec<TargetName>,
+    /// When this incarnation became a peer.
+    pub(crate) joined: Time,
+    /// When its last offers arrived; at first, when it became a peer.
+    pub(crate) last_offers: Time,
+    /// The targets that it owns; `None` before its first message about them.
+    pub(crate) owned: Option<Vec<TargetName>>,
     pub(crate) offers: Vec<ResourceOffer>,
     /// Whether it recently lacked free resources.
     pub(crate) shortage: bool,
-    /// When it last sent a message.
-    pub(crate) last_message: Time,
+    /// Whether it gets a renewal: runs were offloaded to it, and no renewal has said since that
+    /// none of them is needed any more.
+    pub(crate) renewal_due: bool,
 }
 
 /// A shutdown of this VM.
@@ -90,6 +97,8 @@
     pub(crate) last_renewal: Time,
     /// Outcomes of runs for other VMs, which are sent at the end of this step.
     pub(crate) offload_outcomes: SortedMap<VmName, Vec<(u64, OffloadOutcome)>>,
+    /// State of the runs for other VMs.
+    pub(crate) offload_records: SortedMap<VmName, OffloadRecord>,
     next_review: Time,
     /// Whether waiting tasks may fit now.
     pub(crate) dispatch_due: bool,
@@ -150,6 +159,7 @@
             offers_changed: true,
             last_renewal: now,
             offload_outcomes: SortedMap::new(),
+            offload_records: SortedMap::new(),
             next_review: now,
             dispatch_due: false,
             accepted_job: None,
@@ -303,7 +313,7 @@
         out.push(Effect::Answer { request, reply });
     }
 
-    /// Ends a job, answers its caller and stops its remaining runs.
+    /// Ends a job, answers its callers and stops its remaining runs.
     pub(crate) fn finish(&mut self, now: Time, job_id: u64, reply: Reply, out: &mut Vec<Effect>) {
         let Some(job) = self.jobs.remove(&job_id) else {
             return;
@@ -315,9 +325,12 @@
         if reply != Reply::Completed && job.started {
             log_unfinished(now, &job);
         }
-        if self.requests.remove(&job.request).is_some() {
-            let request = job.request;
-            out.push(Effect::Answer { request, reply });
+        for JobCaller { request, .. } in &job.callers {
+            self.requests.remove(request);
+            out.push(Effect::Answer {
+                request: *request,
+                reply: reply.clone(),
+            });
         }
         let mut remote_stops: SortedMap<VmName, Vec<u64>> = SortedMap::new();
         for task in &job.tasks {
@@ -342,13 +355,32 @@
     }
 
     fn on_caller_gone(&mut self, now: Time, request: RequestId, out: &mut Vec<Effect>) {
-        if let Some(job_id) = self.requests.remove(&request) {
+        let Some(job_id) = self.requests.remove(&request) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&job_id) else {
+            return;
+        };
+        job.remove_caller(request);
+        if job.callers.is_empty() {
             self.finish(now, job_id, Reply::TimedOut, out);
         }
     }
 
-    /// Ends jobs that have reached their deadline or weren't started in time.
+    /// Ends jobs that have reached their deadline or weren't started in time, and answers callers
+    /// that wait no longer for a job that goes on for others.
     fn review_jobs(&mut self, now: Time, out: &mut Vec<Effect>) {
+        for job in self.jobs.values_mut().filter(|job| now < job.deadline) {
+            while let Some(caller) = job.callers.iter().find(|c| now >= c.deadline) {
+                let request = caller.request;
+                job.remove_caller(request);
+                self.requests.remove(&request);
+                out.push(Effect::Answer {
+                    request,
+                    reply: Reply::TimedOut,
+                });
+            }
+        }
         let over: Vec<(u64, bool)> = self
             .jobs
             .iter()
--- a/crates/scheduler/tests/world/faults.rs
+++ b/crates/scheduler/tests/world/faults.rs
@@ -61,6 +61,22 @@
     assert_eq!(shown.filter(|(_, reply)| failed(reply)).count(), 0);
 }
 
+/// Guards against a job that waits until its caller gives up because its last run failed on the
+/// only target that can run it.
+#[test]
+fn failed_task_runs_again_on_the_only_target() {
+    let mut sim = Simulation::new(15, 1, 1);
+    sim.caller_timeout = Some(30 * SECOND);
+    sim.targets[0].fails = true;
+    sim.submit(0, 0, vec![millis(50)]);
+    sim.run(millis(6));
+    sim.targets[0].fails = false;
+    sim.run(2 * SECOND);
+    assert_eq!(sim.targets[0].starts, 2);
+    let answer = sim.callers[0].answer.as_ref().map(|(_, reply)| reply);
+    assert_eq!(answer, Some(&Reply::Completed));
+}
+
 /// Guards against jobs that wait for a stalled run until their callers give up.
 #[test]
 fn stalled_run_is_stopped_and_its_task_runs_elsewhere() {
@@ -229,6 +245,27 @@
     assert_eq!(owned[1] + owned[2], 9);
 }
 
+/// Guards against a VM that has just started and claims targets before it knows their owners, which
+/// ends the runs there.
+#[test]
+fn started_vm_claims_no_target_of_a_live_owner() {
+    for seed in 0..20 {
+        let mut sim = Simulation::new(seed, 3, 9);
+        sim.caller_timeout = Some(10 * SECOND);
+        sim.kill_vm(0);
+        sim.run(5 * SECOND);
+        for vm in [1, 2] {
+            sim.submit(vm, 1, vec![millis(2000); 6]);
+        }
+        sim.run(millis(100 + seed * 20));
+        sim.restart_vm(0);
+        sim.run(6 * SECOND);
+        let starts: u64 = sim.targets.iter().map(|t| t.starts).sum();
+        assert_eq!(starts, 12, "seed {seed}: each task runs once");
+        assert_eq!(sim.vms[0].scheduler.owned(), 3, "seed {seed}");
+    }
+}
+
 /// Guards against a VM that takes all its targets out of use at once when it shuts down. It
 /// releases them in batches, so that a fully loaded deployment still accepts work.
 #[test]
@@ -375,7 +412,7 @@
     }
 }
 
-fn env_number(name: &str, default: u64) -> u64 {
+pub(crate) fn env_number(name: &str, default: u64) -> u64 {
     match std::env::var(name) {
         Ok(value) => value.parse().expect("the variable holds a number"),
         Err(_) => default,
--- a/crates/scheduler/tests/world/shutdown.rs
+++ b/crates/scheduler/tests/world/shutdown.rs
@@ -38,6 +38,20 @@
     assert!(time.since(started) >= SHUTDOWN_ANSWER_LIMIT, "{time:?}");
 }
 
+/// Guards against a job that is submitted again during a shutdown and so outlasts it.
+#[test]
+fn resubmission_does_not_extend_a_job_beyond_the_shutdown() {
+    let mut sim = Simulation::new(44, 2, 6);
+    let caller = submit_task(&mut sim, SECOND * 12);
+    sim.run(millis(100));
+    sim.shut_down_vm(0);
+    sim.run(SECOND);
+    sim.submit_now(caller);
+    sim.run(SHUTDOWN_ANSWER_LIMIT - SECOND + REVIEW_DELAY);
+    assert_eq!(answer(&sim, caller).1, Reply::TimedOut);
+    assert_eq!(sim.vms[0].scheduler.callers(), 0);
+}
+
 /// Guards against accepting a job during a shutdown that would end after it.
 #[test]
 fn job_that_would_outlast_the_shutdown_is_refused_at_once() {
