Attach resubmitted jobs also while a VM refuses new ones

Cause: 1.7 s before its exit a VM refused each job with 503, which says that the job has not run. That is false for a job that is current on the VM and is submitted again over another connection. Change: a job that is current is attached to as at any other time, and both callers get its answer before the exit. Figures: closing_vm_does_not_refuse_a_current_job got a refusal without the check. Conclusion: a refusal during a shutdown is true.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -501,7 +501,9 @@
         out: &mut Vec<Effect>,
     ) {
         if let scheduler::Event::Submit(job) = &event {
-            if matches!(self.status(now).stage, Stage::Closing | Stage::Done) {
+            let stage = self.status(now).stage;
+            let is_current = || self.scheduler.as_ref().is_some_and(|s| s.has_job(job));
+            if matches!(stage, Stage::Closing | Stage::Done) && !is_current() {
                 let outcome = Outcome::Scheduler(Reply::Refused {
                     after: SHUTDOWN_RETRY_AFTER,
                 });
--- a/crates/cluster/tests/shutdown.rs
+++ b/crates/cluster/tests/shutdown.rs
@@ -2,10 +2,12 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use greengage_cluster::{Cluster, Effect, Event, Outcome, Shutdown, Stage};
-use greengage_core::{RequestId, Time, WallTime};
+use greengage_cluster::{scheduler, Cluster, Effect, Event, Message, Outcome, Shutdown, Stage};
+use greengage_config::{Document, Queue};
+use greengage_core::{Demand, Name, RequestId, Time, VmName, WallTime};
 
 const GRACE: Duration = Duration::from_secs(6);
 
@@ -85,3 +87,61 @@
     assert!(effects.iter().any(answered));
     assert_eq!(cluster.status(now).callers, 0);
 }
+
+/// A job of one task of 1 s in a queue without targets, in which it may wait for long.
+fn submission(request: u64) -> Event {
+    let step = scheduler::Step {
+        count: 1,
+        demand: Demand::default(),
+        declared: Duration::from_secs(1),
+        depends_on: Vec::new(),
+        label: None,
+    };
+    Event::Scheduler(scheduler::Event::Submit(scheduler::Submission {
+        request: RequestId(request),
+        host: "h".into(),
+        path: "/q/j1".into(),
+        id: Name::new("j1").unwrap(),
+        spec: "".into(),
+        steps: vec![step],
+        body_bytes: 1,
+        timeout: Duration::from_secs(30),
+        unsupported: None,
+    }))
+}
+
+fn waiting_queue() -> Queue {
+    Queue {
+        name: "q".into(),
+        host: "h".into(),
+        prefix: "/q/".into(),
+        service: "s".into(),
+        timeout: Duration::from_secs(30),
+        latency: Duration::ZERO,
+        slack_percent: 10_000,
+        priority: 0,
+        max_attempts: 1,
+        uses_advisor: false,
+    }
+}
+
+/// Guards against telling a caller that a job has not run although it is current on this VM.
+#[test]
+fn closing_vm_does_not_refuse_a_current_job() {
+    let mut cluster = Cluster::new(at(0), support::entry_setup());
+    let document = Document {
+        queues: vec![waiting_queue()],
+        ..(*support::document(1)).clone()
+    };
+    let from = VmName::new("10.0.0.1").unwrap();
+    let message = Message::Configuration(Arc::new(document));
+    cluster.step(at(0), WallTime(0), Event::Receive { from, message });
+    cluster.step(at(1), WallTime(1), submission(1));
+    cluster.step(at(2), WallTime(2), Event::Shutdown);
+    let now = at(4200);
+    assert_eq!(cluster.status(now).stage, Stage::Closing);
+    let effects = cluster.step(now, WallTime(4200), submission(2));
+    let is_answer = |effect: &&Effect| matches!(effect, Effect::Answer { .. });
+    assert_eq!(effects.iter().filter(is_answer).count(), 0);
+    assert_eq!(cluster.status(now).callers, 2);
+}
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -12,7 +12,8 @@
 use greengage_core::{
     Address, Demand, Incarnation, NodeId, Payload, TargetName, Time, Version, VmName, ZoneName,
 };
-use greengage_scheduler::TargetReport;
+use greengage_scheduler as scheduler;
+use greengage_scheduler::{Candidate, TargetReport, DEFAULT_WEIGHT};
 
 pub(crate) fn node() -> NodeId {
     NodeId {
@@ -69,6 +70,26 @@
     }
 }
 
+pub(crate) fn entry_setup() -> Setup {
+    let member = entry_member(Incarnation(1));
+    let candidate = Candidate {
+        vm: member.vm.clone(),
+        zone: member.zone.clone(),
+        weight: DEFAULT_WEIGHT,
+    };
+    let scheduler = scheduler::Setup {
+        candidate,
+        incarnation: member.incarnation,
+        stop_limit: Duration::from_millis(50),
+    };
+    Setup {
+        member,
+        group: None,
+        scheduler: Some(scheduler),
+        ..control_setup(Time::default())
+    }
+}
+
 pub(crate) fn document(version: u64) -> Arc<Document> {
     Arc::new(Document {
         version: Version(version),
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -5,6 +5,8 @@
 
 use greengage_core::{Demand, Name, RequestId, TargetName, Time, VmName};
 
+use crate::event::Submission;
+
 /// State of a task.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum TaskState {
@@ -82,6 +84,11 @@
 }
 
 impl Job {
+    /// Whether it is the job that was submitted.
+    pub(crate) fn matches(&self, job: &Submission) -> bool {
+        self.id == job.id && self.path == job.path && self.host == job.host
+    }
+
     /// Makes the job end, and answer its callers, by `end` at the latest.
     pub(crate) fn limit_end(&mut self, end: Time) {
         for caller in &mut self.callers {
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -62,11 +62,15 @@
         }
     }
 
+    /// Whether the submitted job is current, so that its tasks may have run.
+    pub fn has_job(&self, job: &Submission) -> bool {
+        self.jobs.values().any(|current| current.matches(job))
+    }
+
     /// Attaches a caller that submits a current job again to that job. The earlier request is still
     /// answered: its connection may have broken, which this VM hasn't noticed, or not.
     fn attach(&mut self, now: Time, job: &Submission) -> bool {
-        let same = |j: &Job| j.id == job.id && j.path == job.path && j.host == job.host;
-        let Some((job_id, found)) = self.jobs.iter_mut().find(|(_, j)| same(j)) else {
+        let Some((job_id, found)) = self.jobs.iter_mut().find(|(_, j)| j.matches(job)) else {
             return false;
         };
         let answer_due = answer_time(now, job.timeout);
