Let entry VMs redirect operators and targets to live control VMs

Operators and targets could call the three control VMs only. While one of them is frozen, each call to it costs a second, and after a lost acknowledgement the operator tries the other VMs first, of which one is frozen. A configuration sent at 4.0 s reached a running control VM only at 6.236 s, was committed at 6.280 s and acknowledged; that answer was lost. No running control VM took over 29 ms to answer. Only control VMs form and serve the group. Conclusion: more VMs to call make one that is silent matter less.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -163,6 +163,11 @@
                     out.push(Effect::Send { to, message });
                 }
             }
+            Event::Redirect(request) => {
+                let api = self.control_api(now, request);
+                let outcome = api.map_or(Outcome::Unknown, Outcome::Redirect);
+                out.push(Effect::Answer { request, outcome });
+            }
             Event::Put { request, document } => {
                 let event = config::Event::Edit { request, document };
                 self.request_group(now, wall, request, event, &mut out);
@@ -235,6 +240,15 @@
         live.map(|vm| vm.address.clone()).collect()
     }
 
+    /// Address of a control VM that can take `request`; `None` if none is live. Requests are spread
+    /// over the live control VMs, since this VM does not know which of them leads.
+    fn control_api(&self, now: Time, request: RequestId) -> Option<Address> {
+        let control_vms = self.members.live(now).filter(|vm| !vm.leaving);
+        let apis: Vec<&Address> = control_vms.filter_map(|vm| vm.api.as_ref()).collect();
+        let index = request.0.checked_rem(apis.len() as u64)?;
+        Some(apis[index as usize].clone())
+    }
+
     fn update_live(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
         let live: Vec<Member> = self.members.live(now).cloned().collect();
         let new_members = live.iter().filter(|vm| !self.live.contains(&vm.vm));
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -57,6 +57,23 @@
     member("10.0.0.9", true, incarnation)
 }
 
+pub(crate) fn control_member(vm: &str) -> gossip::Member {
+    member(vm, false, Incarnation(1))
+}
+
+/// An entry VM without a scheduler.
+pub(crate) fn entry_setup() -> Setup {
+    Setup {
+        member: entry_member(Incarnation(1)),
+        seeds: Vec::new(),
+        timing: gossip::Timing::default(),
+        group: None,
+        scheduler: None,
+        hints: Hints::default(),
+        grace_period: Duration::from_secs(6),
+    }
+}
+
 pub(crate) fn control_setup(now: Time) -> Setup {
     Setup {
         member: member(node().vm.as_str(), false, Incarnation(1)),
