Redirect operators and targets to the leader of the control group

Cause: an entry VM spread requests over all live control VMs. Change: the record that a VM announces tells whether it leads the control group, a change is announced at once, and redirects go to the leader; only while no live VM leads do they go to any live control VM. Conclusion: a redirect leads to the VM that can take the order.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -106,6 +106,7 @@
     pub fn drop_group(&mut self, now: Time, wall: WallTime) -> Vec<Effect> {
         let mut out = Vec::new();
         if let Some(group) = self.group.take() {
+            self.members.set_leads(now, false);
             for effect in group.shut_down() {
                 self.handle_group_effect(now, wall, effect, &mut out);
             }
@@ -240,13 +241,15 @@
         live.map(|vm| vm.address.clone()).collect()
     }
 
-    /// Address of a control VM that can take `request`; `None` if none is live. Requests are spread
-    /// over the live control VMs, since this VM does not know which of them leads.
+    /// Address of a control VM for `request`: the one that leads the group or, while none is known
+    /// to lead, any; `None` if none is live.
     fn control_api(&self, now: Time, request: RequestId) -> Option<Address> {
-        let control_vms = self.members.live(now).filter(|vm| !vm.leaving);
-        let apis: Vec<&Address> = control_vms.filter_map(|vm| vm.api.as_ref()).collect();
-        let index = request.0.checked_rem(apis.len() as u64)?;
-        Some(apis[index as usize].clone())
+        let control_vms = self.members.live(now).filter(|vm| vm.api.is_some());
+        let (leaders, others): (Vec<&Member>, _) = control_vms.partition(|vm| vm.leads);
+        let others: Vec<&Member> = others.into_iter().filter(|vm| !vm.leaving).collect();
+        let candidates = if leaders.is_empty() { others } else { leaders };
+        let index = request.0.checked_rem(candidates.len() as u64)?;
+        candidates[index as usize].api.clone()
     }
 
     fn update_live(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
@@ -419,7 +422,9 @@
                 member.node().map(|node| config::Peer { node, last_heard })
             })
             .collect();
-        for effect in group.step(now, event, &peers) {
+        let effects = group.step(now, event, &peers);
+        self.members.set_leads(now, group.is_leader());
+        for effect in effects {
             self.handle_group_effect(now, wall, effect, out);
         }
     }
--- a/crates/cluster/tests/redirect.rs
+++ b/crates/cluster/tests/redirect.rs
@@ -12,6 +12,10 @@
         leaving,
         ..control_member(vm)
     };
+    hear_member(cluster, ms, member);
+}
+
+fn hear_member(cluster: &mut Cluster, ms: u64, member: gossip::Member) {
     let from = member.vm.clone();
     let hello = gossip::GossipMessage::Hello {
         member,
@@ -60,3 +64,19 @@
     assert_eq!(outcomes(&mut cluster, 1800), [redirect("10.0.0.1")]);
     assert_eq!(outcomes(&mut cluster, 2400), [Outcome::Unknown]);
 }
+
+/// Guards against orders that meet control VMs which are live but have no disk or no quorum.
+#[test]
+fn requests_are_redirected_to_the_leader() {
+    let mut cluster = Cluster::new(Time::from_millis(1000), entry_setup());
+    hear(&mut cluster, 1000, "10.0.0.1", false);
+    let leader = gossip::Member {
+        leads: true,
+        ..control_member("10.0.0.2")
+    };
+    hear_member(&mut cluster, 1000, leader);
+    assert_eq!(outcomes(&mut cluster, 1100), [redirect("10.0.0.2")]);
+    hear(&mut cluster, 1200, "10.0.0.2", false);
+    let both = [redirect("10.0.0.1"), redirect("10.0.0.2")];
+    assert_eq!(outcomes(&mut cluster, 1300), both);
+}
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -50,6 +50,7 @@
         },
         folder_id: (!entry).then_some(0),
         leaving: false,
+        leads: false,
     }
 }
 
--- a/crates/gossip/tests/member_list.rs
+++ b/crates/gossip/tests/member_list.rs
@@ -22,6 +22,7 @@
         },
         folder_id: None,
         leaving: false,
+        leads: false,
     }
 }
 
