Keep operators and targets at the control VMs for now

But the first members of the control group are the seeds, and the seeds come from the operator's list, which would then hold entry VMs too. A first start whose seeds are entry VMs would form no group. Change: reverts.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -106,7 +106,6 @@
     pub fn drop_group(&mut self, now: Time, wall: WallTime) -> Vec<Effect> {
         let mut out = Vec::new();
         if let Some(group) = self.group.take() {
-            self.members.set_leads(now, false);
             for effect in group.shut_down() {
                 self.handle_group_effect(now, wall, effect, &mut out);
             }
@@ -175,11 +174,6 @@
                     out.push(Effect::Send { to, message });
                 }
             }
-            Event::Redirect(request) => {
-                let api = self.control_api(now, request);
-                let outcome = api.map_or(Outcome::Unknown, Outcome::Redirect);
-                out.push(Effect::Answer { request, outcome });
-            }
             Event::Put { request, document } => {
                 let event = config::Event::Edit { request, document };
                 self.request_group(now, wall, request, event, &mut out);
@@ -254,17 +248,6 @@
         live.map(|vm| vm.address.clone()).collect()
     }
 
-    /// Address of a control VM for `request`: the one that leads the group or, while none is known
-    /// to lead, any; `None` if none is live.
-    fn control_api(&self, now: Time, request: RequestId) -> Option<Address> {
-        let control_vms = self.members.live(now).filter(|vm| vm.api.is_some());
-        let (leaders, others): (Vec<&Member>, _) = control_vms.partition(|vm| vm.leads);
-        let others: Vec<&Member> = others.into_iter().filter(|vm| !vm.leaving).collect();
-        let candidates = if leaders.is_empty() { others } else { leaders };
-        let index = request.0.checked_rem(candidates.len() as u64)?;
-        candidates[index as usize].api.clone()
-    }
-
     fn update_live(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
         let live: Vec<Member> = self.members.live(now).cloned().collect();
         let new_members = live.iter().filter(|vm| !self.live.contains(&vm.vm));
@@ -435,9 +418,7 @@
                 member.node().map(|node| config::Peer { node, last_heard })
             })
             .collect();
-        let effects = group.step(now, event, &peers);
-        self.members.set_leads(now, group.is_leader());
-        for effect in effects {
+        for effect in group.step(now, event, &peers) {
             self.handle_group_effect(now, wall, effect, out);
         }
     }
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -30,8 +30,6 @@
     Report(TargetReport),
     /// A target told this VM that it leaves the deployment.
     TargetLeft(TargetName),
-    /// An operator or a target called this VM, which is not a control VM; the request to answer.
-    Redirect(RequestId),
     /// An operator submits a configuration.
     Put {
         /// The request to answer.
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -51,7 +51,6 @@
         },
         folder_id: (!entry).then_some(0),
         leaving: false,
-        leads: false,
     }
 }
 
@@ -59,10 +58,6 @@
     member("10.0.0.9", true, incarnation)
 }
 
-pub(crate) fn control_member(vm: &str) -> gossip::Member {
-    member(vm, false, Incarnation(1))
-}
-
 pub(crate) fn control_setup(now: Time) -> Setup {
     Setup {
         member: member(node().vm.as_str(), false, Incarnation(1)),
--- a/crates/gossip/src/roster.rs
+++ b/crates/gossip/src/roster.rs
@@ -32,8 +32,6 @@
     pub folder_id: Option<u64>,
     /// Whether it is shutting down.
     pub leaving: bool,
-    /// Whether it leads the control group.
-    pub leads: bool,
 }
 
 impl Member {
@@ -169,14 +167,6 @@
         self.next_heartbeat = now;
     }
 
-    /// Sets whether this VM leads the control group; a change is announced at once.
-    pub fn set_leads(&mut self, now: Time, leads: bool) {
-        if self.own.leads != leads {
-            self.own.leads = leads;
-            self.next_heartbeat = now;
-        }
-    }
-
     /// The record of another VM; `None` if it is unknown.
     pub fn member(&self, vm: &VmName) -> Option<&Member> {
         self.peers.get(vm).map(|peer| &peer.member)
--- a/crates/gossip/tests/member_list.rs
+++ b/crates/gossip/tests/member_list.rs
@@ -22,7 +22,6 @@
         },
         folder_id: None,
         leaving: false,
-        leads: false,
     }
 }
 
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -98,7 +98,6 @@
         },
         folder_id: node.as_ref().map(|node| node.folder),
         leaving: false,
-        leads: false,
     };
     let mut hints = Hints::default();
     let group = folder.map(|folder| {
