--- a/crates/journal/tests/common/mod.rs
+++ b/crates/journal/tests/common/mod.rs
@@ -16,10 +16,81 @@
 
 type FileNames = BTreeMap<PathBuf, usize>;
 
+/// A change of a file's content.
+#[derive(Clone, Debug)]
+enum DataChange {
+    Truncate(usize),
+    Write(usize, Vec<u8>),
+}
+
+/// A change of the names in a folder.
+#[derive(Clone, Debug)]
+enum NameChange {
+    Create(PathBuf, usize),
+    Rename(PathBuf, PathBuf, usize),
+    Remove(PathBuf),
+}
+
 #[derive(Clone, Debug, Default)]
 struct Inode {
     data: Vec<u8>,
     synced: Vec<u8>,
+    /// Changes since the last sync.
+    unsynced: Vec<DataChange>,
+}
+
+impl Inode {
+    fn truncate(&mut self, len: usize) {
+        self.data.truncate(len);
+        self.unsynced.push(DataChange::Truncate(len));
+    }
+
+    fn append(&mut self, bytes: &[u8]) {
+        let change = DataChange::Write(self.data.len(), bytes.to_vec());
+        self.unsynced.push(change);
+        self.data.extend(bytes);
+    }
+
+    fn sync(&mut self) {
+        self.synced = self.data.clone();
+        self.unsynced.clear();
+    }
+
+    /// The content if each change since the last sync is kept, lost or torn on its own.
+    fn tear_each(&self, random: &mut Random) -> Vec<u8> {
+        let mut data = self.synced.clone();
+        for change in &self.unsynced {
+            let kept = random.below(3);
+            match change {
+                DataChange::Truncate(len) if kept > 0 => data.truncate(*len),
+                DataChange::Write(start, bytes) if kept > 0 => {
+                    let count = match kept {
+                        1 => bytes.len(),
+                        _ => random.below(bytes.len() + 1),
+                    };
+                    data.resize(data.len().max(start + count), 0);
+                    data[*start..start + count].copy_from_slice(&bytes[..count]);
+                }
+                DataChange::Truncate(_) | DataChange::Write(..) => {}
+            }
+        }
+        data
+    }
+}
+
+fn apply_name(names: &mut FileNames, change: &NameChange) {
+    match change {
+        NameChange::Create(path, inode) => {
+            names.insert(path.clone(), *inode);
+        }
+        NameChange::Rename(from, to, inode) => {
+            names.remove(from);
+            names.insert(to.clone(), *inode);
+        }
+        NameChange::Remove(path) => {
+            names.remove(path);
+        }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -27,8 +98,10 @@
     folders: BTreeSet<PathBuf>,
     inodes: Vec<Inode>,
     names: FileNames,
-    /// Names at the last folder sync, followed by the names after each later change.
-    name_history: Vec<FileNames>,
+    /// Names at the last folder sync.
+    synced_names: FileNames,
+    /// Changes of names since then.
+    unsynced_names: Vec<NameChange>,
     locks: BTreeSet<PathBuf>,
     /// Number of mutating operations so far.
     operations: u64,
@@ -68,8 +141,9 @@
         }
     }
 
-    fn record_names(&mut self) {
-        self.name_history.push(self.names.clone());
+    fn change_names(&mut self, change: NameChange) {
+        apply_name(&mut self.names, &change);
+        self.unsynced_names.push(change);
     }
 
     fn inode_of(&self, path: &Path) -> io::Result<usize> {
@@ -123,7 +197,7 @@
         let mut state = self.state();
         let inode = state.inode_of(path).unwrap();
         state.inodes[inode].data = data.to_vec();
-        state.inodes[inode].synced = data.to_vec();
+        state.inodes[inode].sync();
     }
 
     /// Copies the disk without its locks and faults, as a process finds it after a process crash.
@@ -133,25 +207,37 @@
             folders: state.folders.clone(),
             inodes: state.inodes.clone(),
             names: state.names.clone(),
-            name_history: state.name_history.clone(),
+            synced_names: state.synced_names.clone(),
+            unsynced_names: state.unsynced_names.clone(),
             ..DiskState::default()
         };
         FakeDisk(Arc::new(Mutex::new(copy)))
     }
 
     /// Copies the disk as it may be after a power failure. Unsynced name changes are lost from a
-    /// random point on. A file with unsynced content is reverted to the synced content, or
-    /// truncated at a random point, or truncated and zeroed in a random range of that content.
+    /// random point on, or each on its own. A file with unsynced content is reverted to the synced
+    /// content, or truncated at a random point, or truncated and zeroed in a random range of that
+    /// content, or each of its unsynced writes is kept, lost or torn on its own.
     pub(crate) fn crash(&self, random: &mut Random) -> FakeDisk {
         let copy = self.copy();
         let mut state = copy.state();
-        if !state.name_history.is_empty() {
-            let kept = random.below(state.name_history.len());
-            state.names = state.name_history[kept].clone();
+        let changes = std::mem::take(&mut state.unsynced_names);
+        let in_order = random.below(2) == 0;
+        let kept_changes = random.below(changes.len() + 1);
+        let mut names = state.synced_names.clone();
+        for (i, change) in changes.iter().enumerate() {
+            let kept = match in_order {
+                true => i < kept_changes,
+                false => random.below(2) == 0,
+            };
+            if kept {
+                apply_name(&mut names, change);
+            }
         }
-        state.name_history = vec![state.names.clone()];
+        state.names = names.clone();
+        state.synced_names = names;
         for inode in &mut state.inodes {
-            if inode.data == inode.synced {
+            if inode.unsynced.is_empty() {
                 continue;
             }
             let common = inode
@@ -161,9 +247,10 @@
                 .take_while(|(a, b)| a == b);
             let common_len = common.count();
             let len = common_len + random.below(inode.data.len() - common_len + 1);
-            match random.below(3) {
+            match random.below(4) {
                 0 => inode.data = inode.synced.clone(),
                 1 => inode.data.truncate(len),
+                2 => inode.data = inode.tear_each(random),
                 _ => {
                     let gap_start = common_len + random.below(len - common_len + 1);
                     let gap_end = gap_start + random.below(len - gap_start + 1);
@@ -171,7 +258,7 @@
                     inode.data[gap_start..gap_end].fill(0);
                 }
             }
-            inode.synced = inode.data.clone();
+            inode.sync();
         }
         drop(state);
         copy
@@ -208,12 +295,11 @@
         let mut state = self.state();
         state.count_operation()?;
         if let Ok(inode) = state.inode_of(path) {
-            state.inodes[inode].data.clear();
+            state.inodes[inode].truncate(0);
         } else {
             let inode = state.inodes.len();
             state.inodes.push(Inode::default());
-            state.names.insert(path.to_path_buf(), inode);
-            state.record_names();
+            state.change_names(NameChange::Create(path.to_path_buf(), inode));
         }
         let inode = state.inode_of(path)?;
         Ok(Box::new(FakeFile(self.clone(), inode)))
@@ -223,7 +309,7 @@
         let mut state = self.state();
         state.count_operation()?;
         let inode = state.inode_of(path)?;
-        state.inodes[inode].data.truncate(len as usize);
+        state.inodes[inode].truncate(len as usize);
         Ok(Box::new(FakeFile(self.clone(), inode)))
     }
 
@@ -231,9 +317,7 @@
         let mut state = self.state();
         state.count_operation()?;
         let inode = state.inode_of(from)?;
-        state.names.remove(from);
-        state.names.insert(to.to_path_buf(), inode);
-        state.record_names();
+        state.change_names(NameChange::Rename(from.into(), to.into(), inode));
         Ok(())
     }
 
@@ -241,15 +325,15 @@
         let mut state = self.state();
         state.count_operation()?;
         state.inode_of(path)?;
-        state.names.remove(path);
-        state.record_names();
+        state.change_names(NameChange::Remove(path.to_path_buf()));
         Ok(())
     }
 
     fn sync_folder(&self, _: &Path) -> io::Result<()> {
         let mut state = self.state();
         state.count_operation()?;
-        state.name_history = vec![state.names.clone()];
+        state.synced_names = state.names.clone();
+        state.unsynced_names.clear();
         Ok(())
     }
 
@@ -289,7 +373,7 @@
             false if state.operations == state.fails_after.unwrap_or(0) + 1 => bytes.len() / 2,
             false => 0,
         };
-        state.inodes[self.1].data.extend(&bytes[..stored]);
+        state.inodes[self.1].append(&bytes[..stored]);
         result?;
         if stored < bytes.len() {
             return Err(io::ErrorKind::StorageFull.into());
@@ -300,8 +384,7 @@
     fn sync(&mut self) -> io::Result<()> {
         let mut state = self.0.state();
         state.count_operation()?;
-        let inode = &mut state.inodes[self.1];
-        inode.synced = inode.data.clone();
+        state.inodes[self.1].sync();
         let delay = state.sync_delay;
         drop(state);
         std::thread::sleep(delay);
