Test listeners that shut down in the middle of a request

Cause: no test showed what hyper's graceful shutdown does with a request that has arrived in part when it is called. Change: two tests. A request whose head has arrived is answered once its body has, on new and on reused connections; so is the first request of a connection whose head is incomplete. Conclusion: a request that the listener has read in full is answered.

--- a/crates/listener/tests/listener.rs
+++ b/crates/listener/tests/listener.rs
@@ -242,3 +242,42 @@
     drop(listener);
     assert_eq!(read_response(&mut held), "");
 }
+
+/// Opens a connection, sends `first`, shuts the listener down and then sends `rest`.
+fn response_across_shutdown(first: &[u8], rest: &[u8], reused: bool) -> String {
+    let mut listener = echo_listener(Limits::default());
+    let mut stream = connect(&listener);
+    if reused {
+        get(&mut stream, "/first");
+        assert!(read_response(&mut stream).ends_with("/first"));
+    }
+    stream.write_all(first).unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    let rest = rest.to_vec();
+    let caller = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(100));
+        let _ = stream.write_all(&rest);
+        read_response(&mut stream)
+    });
+    listener.shut_down(Duration::from_secs(2));
+    caller.join().unwrap()
+}
+
+const POST_HEAD: &[u8] = b"POST /late HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n";
+
+/// Guards against a shutdown that closes a connection whose request head has arrived.
+#[test]
+fn shutdown_answers_request_whose_head_has_arrived() {
+    for reused in [false, true] {
+        let answer = response_across_shutdown(POST_HEAD, b"body", reused);
+        assert!(answer.ends_with("/late"), "reused: {reused}: {answer:?}");
+    }
+}
+
+/// Guards against a shutdown that closes a new connection in the middle of its first head.
+#[test]
+fn shutdown_answers_first_request_whose_head_is_incomplete() {
+    let (first, rest) = POST_HEAD.split_at(20);
+    let answer = response_across_shutdown(first, &[rest, b"body"].concat(), false);
+    assert!(answer.ends_with("/late"), "{answer:?}");
+}
