Wait for requests and responses until the grace period ends

Cause: the idle exit, from 2.3 s after SIGTERM, looks only at callers that the control thread knows. A request that a listener still receives, or a response that is still being written, had 0.2 s from then on, although 3 s and more of the grace period were left. Connections without a request are still closed at once, so other exits take no longer. Conclusion: a slow caller loses its connection only at the end of the grace period.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -137,6 +137,11 @@
         wake_times.into_iter().flatten().fold(own, Time::min)
     }
 
+    /// Time from `now` to the end of the grace period; `None` if no shutdown was requested.
+    pub fn time_left(&self, now: Time) -> Option<Duration> {
+        self.shutdown.time_left(now)
+    }
+
     /// Status of this VM at `now`.
     pub fn status(&mut self, now: Time) -> Status {
         let scheduler = self.scheduler.as_ref();
--- a/crates/cluster/src/shutdown.rs
+++ b/crates/cluster/src/shutdown.rs
@@ -57,6 +57,12 @@
             .map(|started| started + end.saturating_sub(ANSWER_RESERVE))
     }
 
+    /// Time from `now` to the end of the grace period; `None` if no shutdown was requested.
+    pub fn time_left(&self, now: Time) -> Option<Duration> {
+        self.started
+            .map(|started| (started + self.grace_period).since(now))
+    }
+
     /// The stage at `now`. The VM is busy while `callers` wait for answers or while it
     /// `has_duties`, which means that it owns targets or leads the control group.
     pub fn stage(&mut self, now: Time, callers: usize, has_duties: bool) -> Stage {
--- /dev/null
+++ b/crates/daemon/tests/shutdown_requests.rs
@@ -0,0 +1,125 @@
+//! Requests that are being received when a VM of the platform role exits.
+
+use std::fs::File;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use greengage_soak::GRACE_PERIOD;
+use rustix::process::{kill_process, Pid, Signal};
+
+/// Last byte of the VM's loopback address.
+fn ip(number: u8) -> String {
+    format!("127.{}.3.{number}", 64 + std::process::id() % 150)
+}
+
+struct Vm {
+    process: Child,
+    front: SocketAddr,
+    folder: tempfile::TempDir,
+}
+
+impl Vm {
+    /// Starts an entry VM without targets and without control VMs.
+    fn start(number: u8) -> Vm {
+        let folder = tempfile::tempdir().unwrap();
+        let ip = ip(number);
+        let settings = folder.path().join("settings.toml");
+        let text = format!(
+            "node-name = \"vm\"\nip = \"{ip}\"\nzone = \"north\"\ninternal-ports = [7720,7735]\n\
+             seeds = [\"{ip}:8166\"]\nbootstrap = true\n[bind-addresses]\n\
+             front = \"{ip}:8161\"\nreadiness = \"{ip}:8167\"\n[fault-tolerance]\nmachines = 1\n\
+             zones = 1\nregions = 0\n[bounds]\ngrace-s = {}\n",
+            GRACE_PERIOD.as_secs()
+        );
+        std::fs::write(&settings, text).unwrap();
+        let log = File::create(folder.path().join("log")).unwrap();
+        let process = Command::new(env!("CARGO_BIN_EXE_greengageproxy"))
+            .args(["platform", "--listen", &ip])
+            .env_clear()
+            .env("GREENGAGEPROXY_BOOT", &settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        let front = format!("{ip}:8161").parse().unwrap();
+        Vm {
+            process,
+            front,
+            folder,
+        }
+    }
+
+    fn connect(&self) -> TcpStream {
+        let end = Instant::now() + Duration::from_secs(5);
+        loop {
+            match TcpStream::connect(self.front) {
+                Ok(stream) => return stream,
+                Err(error) if Instant::now() > end => panic!("no connection: {error}"),
+                Err(_) => thread::sleep(Duration::from_millis(10)),
+            }
+        }
+    }
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+/// Guards against an exit of an idle VM that cuts off a request which it still receives, although
+/// most of its grace period is left.
+#[test]
+fn idle_exit_waits_for_requests_that_are_being_received() {
+    let vm = Vm::start(1);
+    let mut stream = vm.connect();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(2)))
+        .unwrap();
+    let body = r#"{"spec":"a","best-effort":true,"phases":[{"count":1,"cpu":1,"estimated-ms":1}]}"#;
+    let (first, rest) = body.split_at(20);
+    write!(
+        stream,
+        "POST /p/0123456789abcdef HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n{first}",
+        body.len()
+    )
+    .unwrap();
+    let pid = Pid::from_child(&vm.process);
+    kill_process(pid, Signal::TERM).unwrap();
+    thread::sleep(Duration::from_millis(3500));
+    let _ = stream.write_all(rest.as_bytes());
+    let mut answer = String::new();
+    let read = stream.read_to_string(&mut answer);
+    let log = std::fs::read_to_string(vm.folder.path().join("log")).unwrap();
+    assert!(
+        answer.starts_with("HTTP/1.1 503 "),
+        "{read:?}: {answer:?}\n{log}"
+    );
+}
+
+/// Guards against a caller that sends slowly and so delays the exit beyond the grace period.
+#[test]
+fn exit_waits_for_slow_requests_only_within_the_grace_period() {
+    let mut vm = Vm::start(2);
+    let mut stream = vm.connect();
+    // The VM accepts it before it gets the signal.
+    thread::sleep(Duration::from_millis(200));
+    let pid = Pid::from_child(&vm.process);
+    kill_process(pid, Signal::TERM).unwrap();
+    let signal_at = Instant::now();
+    // The time to receive a body ends after the grace period.
+    thread::sleep(Duration::from_millis(1500));
+    write!(
+        stream,
+        "POST /p/0123456789abcdef HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n{{"
+    )
+    .unwrap();
+    let status = vm.process.wait().unwrap();
+    assert!(status.success());
+    assert!(signal_at.elapsed() < GRACE_PERIOD);
+}
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -127,13 +127,14 @@
 
 /// Runs a VM until it has shut down. `sender` and `inputs` are the two ends of one channel. All
 /// requests whose events were taken from it are answered before the function returns; the requests
-/// of events that remain in it have had no effect.
+/// of events that remain in it have had no effect. Returns the time that is left until the grace
+/// period is over.
 pub fn run(
     settings: &Settings,
     sender: Sender<Input>,
     inputs: &Receiver<Input>,
     frontend: &mut dyn Frontend,
-) -> Result<(), Report> {
+) -> Result<Duration, Report> {
     let clock = Clock;
     let mut folder = disk::open(settings, rand::random())?;
     let setup = cluster_setup(settings, folder.as_mut(), clock)?;
@@ -182,7 +183,7 @@
             let effects = cluster.answer_all(clock.now(), clock.wall());
             apply_effects(effects, &mesh, &mut *save, frontend);
             log::info!(event = "stopped", callers = status.callers; "the VM has shut down");
-            return Ok(());
+            return Ok(cluster.time_left(clock.now()).unwrap_or_default());
         }
         if reported != Some(status) {
             if reported.is_some_and(|last| last.stage != status.stage) {
@@ -210,7 +211,7 @@
                     break;
                 }
                 Err(RecvTimeoutError::Timeout) => Event::Tick,
-                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+                Err(RecvTimeoutError::Disconnected) => return Ok(Duration::ZERO),
             };
             let is_tick = matches!(event, Event::Tick);
             let effects = cluster.step(clock.now(), clock.wall(), event);
