--- a/crates/daemon/tests/shutdown_requests.rs
+++ b/crates/daemon/tests/shutdown_requests.rs
@@ -102,11 +102,16 @@
     );
 }
 
-/// Guards against a caller that sends slowly and so delays the exit beyond the grace period.
+/// Guards against a caller that sends slowly and so delays the exit beyond the grace period, or
+/// leaves the other listeners no time to close.
 #[test]
 fn exit_waits_for_slow_requests_only_within_the_grace_period() {
     let mut vm = Vm::start(2);
     let mut stream = vm.connect();
+    let readiness = SocketAddr::new(vm.front.ip(), 8167);
+    let _idle: Vec<TcpStream> = (0..20)
+        .map(|_| TcpStream::connect(readiness).unwrap())
+        .collect();
     // The VM accepts it before it gets the signal.
     thread::sleep(Duration::from_millis(200));
     let pid = Pid::from_child(&vm.process);
@@ -122,4 +127,12 @@
     let status = vm.process.wait().unwrap();
     assert!(status.success());
     assert!(signal_at.elapsed() < GRACE_PERIOD);
+    let log = std::fs::read_to_string(vm.folder.path().join("log")).unwrap();
+    let aborted = log.lines().filter(|l| l.contains("connections-aborted"));
+    let aborted: Vec<&str> = aborted.collect();
+    assert_eq!(aborted.len(), 1, "{log}");
+    assert!(
+        aborted[0].contains(&format!("address={}", vm.front)),
+        "{log}"
+    );
 }
