Count the grace period from the signal

Cause: the grace period began when the control thread took the event of the signal, while the platform counts it from the signal. Change: the event carries the time at which the signal thread got the signal. begin() returns when the last caller must have its answer. Figures: grace_period_counts_from_the_signal; before, 1.5 s of delay moved the end of the shutdown by 1.5 s. Conclusion: a late control thread has less time for its jobs instead of being killed.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -187,13 +187,11 @@
                 self.request_group(now, wall, request, config::Event::Read(request), &mut out);
             }
             Event::SetSeeds(seeds) => self.members.set_seeds(seeds),
-            Event::Shutdown => {
-                self.shutdown.begin(now, self.grace_period);
+            Event::Shutdown { requested } => {
+                let end = self.shutdown.begin(requested, self.grace_period);
                 self.members.leave(now);
                 self.step_group(now, wall, config::Event::TransferLeadership, &mut out);
-                if let Some(end) = self.shutdown.answers_due() {
-                    self.step_scheduler(now, wall, scheduler::Event::Leave { end }, &mut out);
-                }
+                self.step_scheduler(now, wall, scheduler::Event::Leave { end }, &mut out);
             }
         }
         out
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -4,7 +4,7 @@
 
 use greengage_agreement::SaveSeq;
 use greengage_config::{Document, GroupSave};
-use greengage_core::{value, Address, RequestId, TargetName, VmName};
+use greengage_core::{value, Address, RequestId, TargetName, Time, VmName};
 use greengage_scheduler as scheduler;
 use greengage_scheduler::{Reply, TargetReport};
 
@@ -42,7 +42,10 @@
     /// The settings were reloaded with these seeds.
     SetSeeds(Vec<Address>),
     /// Starts a graceful shutdown.
-    Shutdown,
+    Shutdown {
+        /// When it was requested, from which the grace period counts.
+        requested: Time,
+    },
 }
 
 /// The outcome of a caller's request.
--- a/crates/cluster/src/shutdown.rs
+++ b/crates/cluster/src/shutdown.rs
@@ -13,7 +13,8 @@
 const BALANCER_DETECTION: Duration = Duration::from_millis(2300);
 /// A VM that has been idle for this long may exit.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Jobs are refused for this long before the end, so that the longest job can finish.
+/// New jobs are refused for this long before the end. Their callers are about to lose the
+/// connection, and another VM can serve them at once.
 const CLOSING_TIME: Duration = Duration::from_millis(1700);
 /// Part of the grace period that is reserved for the exit of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
@@ -43,18 +44,19 @@
 }
 
 impl Shutdown {
-    /// Begins a shutdown that must end within `grace_period`; no effect if one is in progress.
-    pub fn begin(&mut self, now: Time, grace_period: Duration) {
-        if self.started.is_none() {
-            (self.started, self.last_busy, self.grace_period) = (Some(now), now, grace_period);
-        }
+    /// Begins a shutdown that must end `grace_period` after `requested`, unless one is in progress.
+    /// Returns when the last caller must have its answer.
+    pub fn begin(&mut self, requested: Time, grace_period: Duration) -> Time {
+        let started = *self.started.get_or_insert_with(|| {
+            (self.last_busy, self.grace_period) = (requested, grace_period);
+            requested
+        });
+        started + self.service_time().saturating_sub(ANSWER_RESERVE)
     }
 
-    /// When the last caller must have its answer; `None` if no shutdown was requested.
-    pub fn answers_due(&self) -> Option<Time> {
-        let end = self.grace_period.saturating_sub(EXIT_RESERVE);
-        self.started
-            .map(|started| started + end.saturating_sub(ANSWER_RESERVE))
+    /// Time from the start of the shutdown until the process exits, unless it exits earlier.
+    fn service_time(&self) -> Duration {
+        self.grace_period.saturating_sub(EXIT_RESERVE)
     }
 
     /// Time from `now` to the end of the grace period; `None` if no shutdown was requested.
@@ -73,7 +75,7 @@
             self.last_busy = now;
         }
         let elapsed = now.since(started);
-        let end = self.grace_period.saturating_sub(EXIT_RESERVE);
+        let end = self.service_time();
         let idle = elapsed >= BALANCER_DETECTION && now.since(self.last_busy) >= IDLE_TIMEOUT;
         if elapsed >= end || idle {
             return Stage::Done;
--- a/crates/cluster/tests/shutdown.rs
+++ b/crates/cluster/tests/shutdown.rs
@@ -52,9 +52,7 @@
 #[test]
 fn answers_are_due_before_the_exit() {
     let mut shutdown = Shutdown::default();
-    assert_eq!(shutdown.answers_due(), None);
-    shutdown.begin(at(0), GRACE);
-    let due = shutdown.answers_due().unwrap();
+    let due = shutdown.begin(at(0), GRACE);
     assert!(due > at(5000) && due < at(5600), "{due:?}");
     assert_ne!(shutdown.stage(due, 1, false), Stage::Done);
 }
@@ -88,6 +86,30 @@
     assert_eq!(cluster.status(now).callers, 0);
 }
 
+/// Guards against a grace period that starts only when a busy control thread takes the event, so
+/// that the process is killed before it has answered its callers.
+#[test]
+fn grace_period_counts_from_the_signal() {
+    let mut cluster = Cluster::new(at(0), support::control_setup(at(0)));
+    let requested = at(1000);
+    cluster.step(at(2500), WallTime(2500), Event::Shutdown { requested });
+    assert_eq!(
+        cluster.time_left(at(2500)),
+        Some(Duration::from_millis(4500))
+    );
+    cluster.step(
+        at(3000),
+        WallTime(3000),
+        Event::Shutdown {
+            requested: at(3000),
+        },
+    );
+    assert_eq!(
+        cluster.time_left(at(3000)),
+        Some(Duration::from_millis(4000))
+    );
+}
+
 /// A job of one task of 1 s in a queue without targets, in which it may wait for long.
 fn submission(request: u64) -> Event {
     let step = scheduler::Step {
@@ -137,7 +159,8 @@
     let message = Message::Configuration(Arc::new(document));
     cluster.step(at(0), WallTime(0), Event::Receive { from, message });
     cluster.step(at(1), WallTime(1), submission(1));
-    cluster.step(at(2), WallTime(2), Event::Shutdown);
+    let requested = at(2);
+    cluster.step(at(2), WallTime(2), Event::Shutdown { requested });
     let now = at(4200);
     assert_eq!(cluster.status(now).stage, Stage::Closing);
     let effects = cluster.step(now, WallTime(4200), submission(2));
