--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -61,11 +61,11 @@
         .record(latency.as_secs_f64());
 }
 
-/// Counts a request that ends without an answer, and logs it with `cause`.
-pub fn record_unanswered(request: RequestId, path: &str, age: Duration, cause: &'static str) {
-    log::info!(event = "request-unanswered", request = request.0, path = path, cause = cause,
-        age_ms = age.as_millis() as u64; "a request ended without an answer");
-    ::metrics::counter!("greengage_unanswered_total", "cause" => cause).increment(1);
+/// Counts and logs a request whose caller has disconnected before the answer.
+pub fn record_unanswered(request: RequestId, path: &str, age: Duration) {
+    log::info!(event = "request-unanswered", request = request.0, path = path,
+        age_ms = age.as_millis() as u64; "a caller disconnected before the answer");
+    ::metrics::counter!("greengage_unanswered_total").increment(1);
 }
 
 /// Counts a call to a target under its outcome.
