Rewrite unproven records when a data folder is opened

Cause: after a failed sync Linux counts the pages as clean. The folder was opened again in the same process, its records were read from the page cache and built upon, and no later sync wrote them. A power loss then left a hole before synced records: the folder could not be opened, or the last records were missing. Exiting and starting again reads the same page cache; rejoining with an empty folder costs a voter.

The in-memory disk of the tests keeps content whose sync failed readable but not durable.

Conclusion: the suspicion is confirmed on the model of the disk; a real disk with failing syncs was not tried.

--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -165,6 +165,10 @@
 impl Journal {
     /// Opens a data folder and recovers its records.
     ///
+    /// Records that aren't known to be synced are written to a new file first. They may have been
+    /// read from the page cache after a failed sync, and no later sync of the old file would write
+    /// them.
+    ///
     /// An empty folder is assigned the id [`Settings::new_folder_id`].
     pub fn open(
         disk: Box<dyn Disk>,
@@ -181,13 +185,27 @@
             }
         }
         let (log, last) = replay_segments(&*disk, &folder, folder_id, &files)?;
-        let path = folder.join(segment_file_name(last.number));
+        let name = segment_file_name(last.number);
+        let path = folder.join(&name);
+        if last.has_unsynced {
+            let text = encode_identity(&identity.node);
+            let delay = settings.sync_delay;
+            write_file(&*disk, &folder, IDENTITY_FILE, &[text.as_bytes()], delay)?;
+            let bytes = read(&*disk, &path)?;
+            write_file(
+                &*disk,
+                &folder,
+                &name,
+                &[&bytes[..last.len as usize]],
+                delay,
+            )?;
+        }
         let mut file = disk
             .append(&path, last.len)
             .map_err(|e| JournalError::io("open", &path, &e))?;
         sync(&mut *file, &path, settings.sync_delay)?;
         sync_folder(&*disk, &folder, settings.sync_delay)?;
-        let journal = Journal {
+        let mut journal = Journal {
             disk,
             settings,
             folder_id,
@@ -202,6 +220,11 @@
             _lock: lock,
         };
         let recovered = journal.recover(&files)?;
+        // What was recovered is durable, so a failure affects only later batches.
+        if let Err(error) = journal.write_sync_mark() {
+            log::error!("journal stopped, no more batches are accepted: {error}");
+            journal.failure = Some(error);
+        }
         Ok((journal, identity, recovered))
     }
 
@@ -831,8 +854,11 @@
 /// State of the last segment after replay.
 struct LastSegment {
     number: u64,
+    /// Length up to the last record, without trailing sync marks.
     len: u64,
     head_len: u64,
+    /// Whether a part of that length isn't known to be synced.
+    has_unsynced: bool,
 }
 
 /// Reads and applies all segments.
@@ -896,11 +922,16 @@
                 path.display()
             );
         }
-        apply_records(&mut log, number, &path, &scan)?;
+        let head_len = mark.offset + mark.len;
+        let records = scan.records.iter().rev();
+        let marks = records.take_while(|r| r.kind == RecordKind::SyncMark && r.offset >= head_len);
+        let len = marks.last().map_or(scan.end, |r| r.offset);
+        apply_records(&mut log, number, &path, &scan, len)?;
         end = Some(LastSegment {
             number,
-            len: scan.end,
-            head_len: mark.offset + mark.len,
+            len,
+            head_len,
+            has_unsynced: scan.synced_len() < len,
         });
     }
     Ok((log, end.expect("the first segment was read")))
@@ -925,10 +956,11 @@
     number: u64,
     path: &Path,
     scan: &Scan<'_>,
+    len: u64,
 ) -> Result<(), JournalError> {
     log.segments
         .get_or_insert_with(number, SegmentUsage::default)
-        .len = scan.end;
+        .len = len;
     for record in &scan.records {
         match record.kind {
             RecordKind::SegmentStart | RecordKind::SyncMark | RecordKind::SegmentEnd => {}
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -35,9 +35,12 @@
 //! A disk that reports a sync without carrying it out is not detected either.
 //!
 //! After a failed write or sync the journal accepts no more batches, because the operating system
-//! may drop the unwritten pages and report success for the next sync. A restart recovers what the
-//! operating system still returns; after a failed sync this may include pages that are not on the
-//! disk.
+//! may drop the unwritten pages and report success for the next sync. `Journal::open` may then read
+//! records that are in the page cache only. A record counts as synced if a later one, such as the
+//! sync mark, contains a synced length that includes it. If a record of the last segment doesn't,
+//! the valid records of that segment and the identity are written to new files, which are synced
+//! and renamed before `open` returns. Trailing sync marks are replaced. All other files were
+//! synced before a record or file that depends on them was written.
 
 mod disk;
 mod error;
--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -75,6 +75,8 @@
     /// Encoded length in bytes, header included.
     pub(crate) len: u64,
     pub(crate) kind: RecordKind,
+    /// Length up to which the segment was synced when the record was written.
+    pub(crate) synced_len: u64,
     pub(crate) group: &'a str,
     pub(crate) index: Index,
     pub(crate) payload: &'a [u8],
@@ -169,6 +171,7 @@
         offset: offset as u64,
         len: (HEADER_BYTES + len) as u64,
         kind,
+        synced_len: u64_at(body, 1)?,
         group: std::str::from_utf8(body.get(10..name_end)?).ok()?,
         index: Index(u64_at(body, name_end)?),
         payload: &body[name_end + 8..],
@@ -184,6 +187,14 @@
     pub(crate) corrupt: bool,
 }
 
+impl Scan<'_> {
+    /// Length that the records prove to be synced.
+    pub(crate) fn synced_len(&self) -> u64 {
+        let lengths = self.records.iter().map(|record| record.synced_len);
+        lengths.max().unwrap_or(0)
+    }
+}
+
 /// Decodes records up to the first invalid one.
 pub(crate) fn scan(segment_id: SegmentId, bytes: &[u8]) -> Scan<'_> {
     let mut records = Vec::new();
--- a/crates/journal/tests/common/mod.rs
+++ b/crates/journal/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::num::NonZeroU64;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -37,6 +38,8 @@
     synced: Vec<u8>,
     /// Changes since the last sync.
     unsynced: Vec<DataChange>,
+    /// Byte ranges whose sync failed: reads return them, but a later sync does not write them.
+    dropped: Vec<Range<usize>>,
 }
 
 impl Inode {
@@ -48,7 +51,17 @@
     fn append(&mut self, bytes: &[u8]) {
         let change = DataChange::Write(self.data.len(), bytes.to_vec());
         self.unsynced.push(change);
+        let start = self.data.len();
         self.data.extend(bytes);
+        let written = start..self.data.len();
+        let rest = |range: Range<usize>| {
+            let before = range.start..range.end.min(written.start);
+            let behind = range.start.max(written.end)..range.end;
+            [before, behind]
+        };
+        let dropped = std::mem::take(&mut self.dropped);
+        self.dropped = dropped.into_iter().flat_map(rest).collect();
+        self.dropped.retain(|range| !range.is_empty());
     }
 
     fn sync(&mut self) {
@@ -56,6 +69,29 @@
         self.unsynced.clear();
     }
 
+    /// A sync that fails: as on Linux, the pages count as clean afterwards.
+    fn fail_sync(&mut self) {
+        for change in &self.unsynced {
+            if let DataChange::Write(start, bytes) = change {
+                self.dropped.push(*start..start + bytes.len());
+            }
+        }
+        self.sync();
+    }
+
+    /// Of the ranges whose sync failed, each is on the disk or reads as zeros. One at the end of
+    /// the file may also be missing.
+    fn lose_dropped(&mut self, random: &mut Random) {
+        for range in std::mem::take(&mut self.dropped) {
+            let range = range.start.min(self.data.len())..range.end.min(self.data.len());
+            match random.below(3) {
+                0 => {}
+                1 if range.end == self.data.len() => self.data.truncate(range.start),
+                _ => self.data[range].fill(0),
+            }
+        }
+    }
+
     /// The content if each change since the last sync is kept, lost or torn on its own.
     fn tear_each(&self, random: &mut Random) -> Vec<u8> {
         let mut data = self.synced.clone();
@@ -217,7 +253,8 @@
     /// Copies the disk as it may be after a power failure. Unsynced name changes are lost from a
     /// random point on, or each on its own. A file with unsynced content is reverted to the synced
     /// content, or truncated at a random point, or truncated and zeroed in a random range of that
-    /// content, or each of its unsynced writes is kept, lost or torn on its own.
+    /// content, or each of its unsynced writes is kept, lost or torn on its own. Ranges whose sync
+    /// failed are kept or lost in any case.
     pub(crate) fn crash(&self, random: &mut Random) -> FakeDisk {
         let copy = self.copy();
         let mut state = copy.state();
@@ -238,6 +275,8 @@
         state.synced_names = names;
         for inode in &mut state.inodes {
             if inode.unsynced.is_empty() {
+                inode.lose_dropped(random);
+                inode.sync();
                 continue;
             }
             let common = inode
@@ -258,6 +297,7 @@
                     inode.data[gap_start..gap_end].fill(0);
                 }
             }
+            inode.lose_dropped(random);
             inode.sync();
         }
         drop(state);
@@ -383,7 +423,10 @@
 
     fn sync(&mut self) -> io::Result<()> {
         let mut state = self.0.state();
-        state.count_operation()?;
+        if let Err(error) = state.count_operation() {
+            state.inodes[self.1].fail_sync();
+            return Err(error);
+        }
         state.inodes[self.1].sync();
         let delay = state.sync_delay;
         drop(state);
--- a/crates/journal/tests/crash.rs
+++ b/crates/journal/tests/crash.rs
@@ -200,6 +200,35 @@
     }
 }
 
+/// Guards against records that are read back from the page cache after a failed sync, and are
+/// missing after a power failure because no later sync writes them.
+#[test]
+fn records_read_back_after_a_failed_sync_survive_a_power_failure() {
+    for seed in seeds() {
+        println!("GREENGAGE_SEED={seed} GREENGAGE_CASES=1");
+        let disk = FakeDisk::with_folder(&folder());
+        let (mut journal, _) = open_small_segments(&disk);
+        let mut random = Random(seed);
+        disk.fail_after(Some(disk.operations() + random.below(60) as u64));
+        run_writes(&mut journal, Groups::new(), WRITES, &mut random);
+        drop(journal);
+        // The next attempts to open the folder may fail as well.
+        for _ in 0..random.below(3) {
+            disk.fail_after(Some(disk.operations() + random.below(6) as u64));
+            let _ = open_with_segments(&disk, SMALL_SEGMENT_BYTES);
+        }
+        disk.fail_after(None);
+        let (mut journal, found) = open_small_segments(&disk);
+        for _ in 0..4 {
+            let (_, after) = open_small_segments(&disk.crash(&mut random));
+            assert_eq!(after, found);
+        }
+        let (durable, _) = run_writes(&mut journal, found, 3, &mut random);
+        let (_, after) = open_small_segments(&disk.crash(&mut random));
+        assert_eq!(after, durable);
+    }
+}
+
 /// Guards against a log that grows without bound because one group rarely takes a snapshot, and
 /// against the loss of that group's entries when they are copied.
 #[test]
