Keep a replaced voter as a learner until it ends

Cause: a voter that was replaced during its shutdown heard nothing of the group any more, so it answered operators with 503 until it had ended instead of redirecting them to the leader (by reading).

Change: a VM that shuts down is added as a learner like any other; it is not promoted.

Before and after: leaving_voter_is_replaced_before_it_ends expected no change before and expects the learner now.

Conclusion: no voter is added, so what may be lost stays as it was.

--- a/crates/config/src/autopilot.rs
+++ b/crates/config/src/autopilot.rs
@@ -2,10 +2,12 @@
 //!
 //! Every reachable control VM becomes a learner. A caught-up learner is promoted while there are
 //! fewer voters than configured or while a voter is lost or shuts down; that voter is removed
-//! afterwards. A shutdown can outlast the time within which the platform expects a replacement to
-//! vote, so its end is not awaited. A replaced data folder is a new node on the same VM, so the old
-//! node is lost for good. A voter is removed only once its replacement votes, so the number of
-//! voters never falls below the configured number.
+//! afterwards. A replaced data folder is a new node on the same VM, so the old node is lost for
+//! good. A voter is removed only once its replacement votes, so the number of voters never falls
+//! below the configured number.
+//!
+//! A shutdown can outlast the time within which the platform expects a replacement to vote, so its
+//! end is not awaited. Until then the VM is a learner, which can redirect operators to the leader.
 
 use std::time::Duration;
 
@@ -95,6 +97,6 @@
     }
     let new_peer = peers
         .iter()
-        .find(|peer| !members.contains(&peer.node) && !is_lost(&peer.node) && !peer.leaving);
+        .find(|peer| !members.contains(&peer.node) && !is_lost(&peer.node));
     new_peer.map(|peer| Change::AddLearner(peer.node.clone()))
 }
