Send target reports to a VM that restarts before it counts as lost

Cause: the known target reports are sent to a VM that becomes live, and that was judged by its name. An entry VM that is back within 650 ms never left the list of live VMs, so its new process learned of each target from the target's next report, up to 1.5 s later. Ruled out: the gossip, which replaces the record of the VM at once.

Change: the last check keeps the incarnation of each live VM, and a new incarnation counts as started.

Conclusion: a restarted VM knows the targets with its first messages.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -5,7 +5,9 @@
 
 use greengage_config as config;
 use greengage_config::{Document, EditOutcome, Group};
-use greengage_core::{Address, NodeId, RequestId, SortedMap, Time, Version, VmName, WallTime};
+use greengage_core::{
+    Address, Incarnation, NodeId, RequestId, SortedMap, Time, Version, VmName, WallTime,
+};
 use greengage_gossip::{GossipMessage, Member, MemberList, Timing};
 use greengage_scheduler as scheduler;
 use greengage_scheduler::{Candidate, Peer, Reply, Scheduler, TargetReport, DEFAULT_WEIGHT};
@@ -71,7 +73,8 @@
     document: Option<Arc<Document>>,
     shutdown: Shutdown,
     grace_period: Duration,
-    live: Vec<VmName>,
+    /// The live VMs and their incarnations at the last check.
+    live: SortedMap<VmName, Incarnation>,
     liveness_due: Time,
     /// Time of the last transmission of the configuration to each VM.
     config_sent: SortedMap<VmName, Time>,
@@ -95,7 +98,7 @@
             document,
             shutdown: Shutdown::default(),
             grace_period: setup.grace_period,
-            live: Vec::new(),
+            live: SortedMap::new(),
             liveness_due: now,
             config_sent: SortedMap::new(),
         }
@@ -253,8 +256,11 @@
 
     fn update_live(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
         let live: Vec<Member> = self.members.live(now).cloned().collect();
-        let new_members = live.iter().filter(|vm| !self.live.contains(&vm.vm));
-        for vm in new_members.filter(|vm| vm.roles.entry) {
+        let started: Vec<&Member> = live
+            .iter()
+            .filter(|vm| self.live.get(&vm.vm) != Some(&vm.incarnation))
+            .collect();
+        for vm in started.iter().filter(|vm| vm.roles.entry) {
             let recent = self.reports.recent(now);
             if !recent.is_empty() {
                 out.push(Effect::Send {
@@ -263,10 +269,11 @@
                 });
             }
         }
-        if live.iter().any(|vm| !self.live.contains(&vm.vm)) {
+        if !started.is_empty() {
             self.reports.mark_dirty();
         }
-        self.live = live.iter().map(|vm| vm.vm.clone()).collect();
+        let incarnations = live.iter().map(|vm| (vm.vm.clone(), vm.incarnation));
+        self.live = incarnations.collect();
         let peers = live
             .iter()
             .filter(|vm| vm.roles.entry)
--- a/crates/cluster/tests/stored.rs
+++ b/crates/cluster/tests/stored.rs
@@ -164,3 +164,35 @@
     assert!(copies.is_empty());
     assert!(cluster.next_wake() > Time::from_millis(START + 9));
 }
+
+/// Guards against an entry VM that restarts before it counts as lost and then knows only the targets
+/// that have reported since.
+#[test]
+fn reports_are_sent_again_to_an_entry_vm_that_restarts_quickly() {
+    let now = Time::from_millis(START);
+    let mut setup = control_setup(now);
+    setup.hints.targets = vec![report("t-1", 7), report("t-2", 9)];
+    let mut cluster = Cluster::new(now, setup);
+    let mut received = Vec::new();
+    for (ms, incarnation) in [(1, 1), (400, 2)] {
+        let hello = gossip::GossipMessage::Hello {
+            member: entry_member(Incarnation(incarnation)),
+            known: false,
+        };
+        let event = Event::Receive {
+            from: VmName::new("10.0.0.9").unwrap(),
+            message: Message::Gossip(hello, None),
+        };
+        let mut effects = step(&mut cluster, START + ms, event);
+        effects.extend(step(&mut cluster, START + ms + 110, Event::Tick));
+        let reports = effects.iter().filter_map(|effect| match effect {
+            Effect::Send {
+                message: Message::Reports(reports),
+                ..
+            } => Some(reports.len()),
+            _ => None,
+        });
+        received.push(reports.sum::<usize>());
+    }
+    assert_eq!(received, [2, 2], "reports for each incarnation");
+}
