Answer requests of a control group that is restored again

Cause: restore_group replaced the member of the control group without ending it, so operators whose requests waited in it got no answer. The runtime restored the group before it started the disk thread; if that failed, the next attempt restored it again. Ruled out: the first restore after drop_group, which finds no member.

Change: restore_group drops the member that it replaces and returns the answers. The runtime starts the disk thread first.

Conclusion: rare, since a process needs a thread that can't be created; the answer no longer depends on it.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -126,9 +126,17 @@
         out
     }
 
-    /// Rejoins the control group with the state recovered from disk.
-    pub fn restore_group(&mut self, setup: config::Setup) {
+    /// Rejoins the control group with the state recovered from disk. Requests that wait in a member
+    /// that was not dropped before are answered as unknown.
+    pub fn restore_group(
+        &mut self,
+        now: Time,
+        wall: WallTime,
+        setup: config::Setup,
+    ) -> Vec<Effect> {
+        let out = self.drop_group(now, wall);
         self.group = Some(Group::new(setup));
+        out
     }
 
     /// When the next `Event::Tick` is due.
--- a/crates/cluster/tests/group.rs
+++ b/crates/cluster/tests/group.rs
@@ -50,7 +50,8 @@
     assert_eq!(outcomes(&effects), [&Outcome::Unknown]);
     let effects = cluster.step(now, WallTime(3000), Event::Get(RequestId(2)));
     assert_eq!(outcomes(&effects), [&Outcome::Unknown]);
-    cluster.restore_group(group(now));
+    let effects = cluster.restore_group(now, WallTime(3000), group(now));
+    assert!(effects.is_empty());
     run(&mut cluster, 3000, 5000);
     let mut effects = cluster.step(Time::from_millis(5000), WallTime(5000), put(3));
     let saves: Vec<_> = effects
@@ -65,3 +66,21 @@
     }
     assert_eq!(outcomes(&effects), [&Outcome::Accepted]);
 }
+
+/// Guards against an operator's request that is forgotten because the group is restored again, as
+/// after an attempt to reopen the data folder that restored the group and then failed.
+#[test]
+fn second_restore_of_the_group_answers_pending_requests() {
+    let start = Time::from_millis(1000);
+    let mut cluster = Cluster::new(start, control_setup(start));
+    run(&mut cluster, 1000, 3000);
+    let now = Time::from_millis(3000);
+    let put = Event::Put {
+        request: RequestId(1),
+        document: document(1),
+    };
+    assert!(outcomes(&cluster.step(now, WallTime(3000), put)).is_empty());
+    let mut effects = cluster.restore_group(now, WallTime(3000), group(now));
+    effects.extend(run(&mut cluster, 3000, 8000));
+    assert_eq!(outcomes(&effects), [&Outcome::Unknown]);
+}
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -166,9 +166,11 @@
     let mut reported: Option<Status> = None;
     loop {
         if reopen_at.is_some_and(|at| clock.now() >= at) {
-            reopen_at = match reopen_folder(settings, &disk_sender, &mut cluster, clock) {
-                Ok(opened) => {
+            reopen_at = match reopen_folder(settings, &disk_sender, clock) {
+                Ok((opened, setup)) => {
                     save = opened;
+                    let effects = cluster.restore_group(clock.now(), clock.wall(), setup);
+                    apply_effects(effects, &mesh, &mut *save, frontend);
                     None
                 }
                 Err(error) => {
@@ -228,23 +230,20 @@
     }
 }
 
-/// Opens the data folder again and rejoins the control group with the state recovered from it.
+/// Opens the data folder again, for a member of the control group with the state recovered from it.
 /// State that was not durable is lost, as after a restart.
 fn reopen_folder(
     settings: &Settings,
     sender: &Sender<Input>,
-    cluster: &mut Cluster,
     clock: Clock,
-) -> Result<SaveFn, Report> {
+) -> Result<(SaveFn, config::Setup), Report> {
     let folder = disk::open(settings, rand::random())?;
     let mut folder = folder.ok_or_else(|| eyre!("this VM has no data folder"))?;
-    cluster.restore_group(group_setup(settings, &mut folder, clock.now()));
-    log::info!(event = "disk-usable", node = folder.node.to_string().as_str();
-        "reopened the data folder");
-    Ok(Box::new(disk::start_writer(
-        folder.journal,
-        sender.clone(),
-    )?))
+    let setup = group_setup(settings, &mut folder, clock.now());
+    let node = folder.node.to_string();
+    let save = disk::start_writer(folder.journal, sender.clone())?;
+    log::info!(event = "disk-usable", node = node.as_str(); "reopened the data folder");
+    Ok((Box::new(save), setup))
 }
 
 /// Parses the address that a VM has announced; `None` if it is invalid, which is logged.
