Pass leadership of the control group to a voter that stays

Cause: a leader that shuts down asked for one transfer, to the voter with the longest log, also if that one shuts down itself. The new leader had handled its own request before and kept the leadership until its process ended; operators whose requests waited there got 503. A transfer that timed out was not repeated either. Ruled out: the election after the end, which works but takes up to a second.

Conclusion: if all voters shut down, the leader keeps its role until one of them has started again; a group without another voter has nobody to pass to.

--- a/crates/config/src/group.rs
+++ b/crates/config/src/group.rs
@@ -9,12 +9,12 @@
 
 use greengage_agreement as agreement;
 use greengage_agreement::{
-    Change, Config, Entry, EntryKind, HardState, Message, Raft, Role, Save, SaveSeq, Snapshot,
-    Ticket, Timing,
+    Change, Config, Entry, EntryKind, HardState, MemberRole, Message, Raft, Role, Save, SaveSeq,
+    Snapshot, Ticket, Timing,
 };
 use greengage_core::{value, Index, NodeId, RequestId, SortedMap, Time};
 
-use crate::autopilot::{next_change, Peer};
+use crate::autopilot::{next_change, Peer, VOTER_TIMEOUT};
 use crate::document::Document;
 use crate::state::{Edit, State};
 
@@ -259,9 +259,7 @@
                 let ticket = self.add_pending(now, request, RequestKind::Read);
                 self.step_raft(now, agreement::Event::Read(ticket), &mut out);
             }
-            Event::TransferLeadership => {
-                self.step_raft(now, agreement::Event::Transfer(None), &mut out)
-            }
+            Event::TransferLeadership => self.transfer_leadership(now, peers, &mut out),
             Event::PeerLeaving => {
                 self.autopilot_due = now;
                 self.check_members(now, peers, &mut out);
@@ -287,11 +285,15 @@
         self.check_members(now, peers, out);
     }
 
-    /// Proposes the membership change that is due, if this member leads.
+    /// Proposes the membership change that is due, if this member leads. A leader that shuts down
+    /// transfers its leadership.
     fn check_members(&mut self, now: Time, peers: &[Peer], out: &mut Vec<Effect>) {
         if now < self.autopilot_due || !self.is_leader() {
             return;
         }
+        if peers.iter().any(|p| p.node == self.node && p.leaving) {
+            self.transfer_leadership(now, peers, out);
+        }
         let status = self.raft.status();
         let change = next_change(now, &status, &self.node, peers, self.voters);
         let interval = match &change {
@@ -308,6 +310,27 @@
         }
     }
 
+    /// Transfers leadership to the live voter with the longest log that isn't shutting down itself.
+    fn transfer_leadership(&mut self, now: Time, peers: &[Peer], out: &mut Vec<Effect>) {
+        let status = self.raft.status();
+        let can_lead = |peer: &&Peer| {
+            let role = status.config.members.get(&peer.node);
+            let silence = now.since(peer.last_heard);
+            role == Some(&MemberRole::Voter)
+                && peer.node != self.node
+                && !peer.leaving
+                && silence <= VOTER_TIMEOUT
+        };
+        let successor = peers
+            .iter()
+            .filter(can_lead)
+            .max_by_key(|peer| (status.match_index.get(&peer.node), peer.last_heard));
+        if let Some(peer) = successor {
+            let event = agreement::Event::Transfer(Some(peer.node.clone()));
+            self.step_raft(now, event, out);
+        }
+    }
+
     fn add_pending(&mut self, now: Time, request: RequestId, kind: RequestKind) -> Ticket {
         self.last_ticket += 1;
         let ticket = Ticket(self.last_ticket);
