--- a/crates/daemon/tests/shutdown_requests.rs
+++ b/crates/daemon/tests/shutdown_requests.rs
@@ -136,3 +136,30 @@
         "{log}"
     );
 }
+
+/// Processor time that a process has used, in clock ticks of 10 ms.
+fn cpu_ticks(process: &Child) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{}/stat", process.id())).unwrap();
+    let (_, fields) = text.rsplit_once(") ").unwrap();
+    let times = fields.split(' ').skip(11).take(2);
+    times.map(|ticks| ticks.parse::<u64>().unwrap()).sum()
+}
+
+/// Guards against a thread that runs without pause after a second SIGTERM, while the process waits
+/// for its last request.
+#[test]
+fn second_termination_during_the_exit_leaves_no_busy_thread() {
+    let vm = Vm::start(3);
+    let mut stream = vm.connect();
+    let head = "POST /p/0123456789abcdef HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n{";
+    write!(stream, "{head}").unwrap();
+    let pid = Pid::from_child(&vm.process);
+    kill_process(pid, Signal::TERM).unwrap();
+    // The control thread of an idle VM has ended by then.
+    thread::sleep(Duration::from_millis(3300));
+    kill_process(pid, Signal::TERM).unwrap();
+    let before = cpu_ticks(&vm.process);
+    thread::sleep(Duration::from_secs(1));
+    let used = cpu_ticks(&vm.process) - before;
+    assert!(used < 20, "{used} ticks within a second");
+}
