--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -5,7 +5,9 @@
 
 use greengage_config as config;
 use greengage_config::{Document, EditOutcome, Group};
-use greengage_core::{Address, NodeId, RequestId, SortedMap, Time, Version, VmName, WallTime};
+use greengage_core::{
+    Address, Incarnation, NodeId, RequestId, SortedMap, Time, Version, VmName, WallTime,
+};
 use greengage_gossip::{GossipMessage, Member, MemberList, Timing};
 use greengage_scheduler as scheduler;
 use greengage_scheduler::{Candidate, Peer, Reply, Scheduler, TargetReport, DEFAULT_WEIGHT};
@@ -71,7 +73,8 @@
     document: Option<Arc<Document>>,
     shutdown: Shutdown,
     grace_period: Duration,
-    live: Vec<VmName>,
+    /// The live VMs and their incarnations at the last check.
+    live: SortedMap<VmName, Incarnation>,
     liveness_due: Time,
     /// Time of the last transmission of the configuration to each VM.
     config_sent: SortedMap<VmName, Time>,
@@ -95,7 +98,7 @@
             document,
             shutdown: Shutdown::default(),
             grace_period: setup.grace_period,
-            live: Vec::new(),
+            live: SortedMap::new(),
             liveness_due: now,
             config_sent: SortedMap::new(),
         }
@@ -123,9 +126,17 @@
         out
     }
 
-    /// Rejoins the control group with the state recovered from disk.
-    pub fn restore_group(&mut self, setup: config::Setup) {
+    /// Rejoins the control group with the state recovered from disk. Requests that wait in a member
+    /// that was not dropped before are answered as unknown.
+    pub fn restore_group(
+        &mut self,
+        now: Time,
+        wall: WallTime,
+        setup: config::Setup,
+    ) -> Vec<Effect> {
+        let out = self.drop_group(now, wall);
         self.group = Some(Group::new(setup));
+        out
     }
 
     /// When the next `Event::Tick` is due.
@@ -253,8 +264,11 @@
 
     fn update_live(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
         let live: Vec<Member> = self.members.live(now).cloned().collect();
-        let new_members = live.iter().filter(|vm| !self.live.contains(&vm.vm));
-        for vm in new_members.filter(|vm| vm.roles.entry) {
+        let started: Vec<&Member> = live
+            .iter()
+            .filter(|vm| self.live.get(&vm.vm) != Some(&vm.incarnation))
+            .collect();
+        for vm in started.iter().filter(|vm| vm.roles.entry) {
             let recent = self.reports.recent(now);
             if !recent.is_empty() {
                 out.push(Effect::Send {
@@ -263,10 +277,11 @@
                 });
             }
         }
-        if live.iter().any(|vm| !self.live.contains(&vm.vm)) {
+        if !started.is_empty() {
             self.reports.mark_dirty();
         }
-        self.live = live.iter().map(|vm| vm.vm.clone()).collect();
+        let incarnations = live.iter().map(|vm| (vm.vm.clone(), vm.incarnation));
+        self.live = incarnations.collect();
         let peers = live
             .iter()
             .filter(|vm| vm.roles.entry)
@@ -297,12 +312,16 @@
                     self.send_configuration(now, member, version, out);
                 }
                 let own = self.document.as_ref().map(|d| d.version);
+                let was_leaving = self.is_leaving(&from);
                 for envelope in self.members.receive(now, gossip) {
                     out.push(Effect::Send {
                         to: envelope.to,
                         message: Message::Gossip(envelope.message, own),
                     });
                 }
+                if self.is_leaving(&from) && !was_leaving {
+                    self.step_group(now, wall, config::Event::PeerLeaving, out);
+                }
             }
             Message::Group { from, to, message } => {
                 if self.members.own().node() == Some(to) {
@@ -327,6 +346,11 @@
         }
     }
 
+    /// Whether another VM has announced that it shuts down.
+    fn is_leaving(&self, vm: &VmName) -> bool {
+        self.members.member(vm).is_some_and(|member| member.leaving)
+    }
+
     /// Sends the configuration to an entry VM whose version is outdated. Only the leader and the
     /// control VMs of the receiver's zone send it, so that a large document is not sent by all
     /// control VMs at once. A VM without a configuration can't serve callers, so all of them send
@@ -414,11 +438,18 @@
         let Some(group) = &mut self.group else {
             return;
         };
+        let own = (self.members.own(), now);
         let peers: Vec<config::Peer> = self
             .members
             .last_heard()
+            .chain([own])
             .filter_map(|(member, last_heard)| {
-                member.node().map(|node| config::Peer { node, last_heard })
+                let leaving = member.leaving;
+                member.node().map(|node| config::Peer {
+                    node,
+                    last_heard,
+                    leaving,
+                })
             })
             .collect();
         for effect in group.step(now, event, &peers) {
