Keep a voter out of the group while its disk is full

Cause: a folder whose records are all synced could be opened on a full disk.

Change: opening checks that the disk takes some bytes.

Before and after: folder_on_a_full_disk_opens_stopped is new.

Conclusion: synced records survive any number of starts on a full disk. Records whose sync is unproven still need space before the folder opens.

--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -167,7 +167,7 @@
     ///
     /// Records that aren't known to be synced are written to a new file first. They may have been
     /// read from the page cache after a failed sync, and no later sync of the old file would write
-    /// them.
+    /// them. A journal whose disk takes no more bytes may be opened stopped.
     ///
     /// An empty folder is assigned the id [`Settings::new_folder_id`].
     pub fn open(
@@ -200,11 +200,20 @@
                 delay,
             )?;
         }
+        let space = probe_space(&*disk, &folder);
+        // On a full disk the sync marks stay: without them the next start couldn't tell that the
+        // records are synced, and couldn't write them to a new file either.
+        let len = match &space {
+            Ok(()) => last.len,
+            Err(_) => last.marked_len,
+        };
         let mut file = disk
-            .append(&path, last.len)
+            .append(&path, len)
             .map_err(|e| JournalError::io("open", &path, &e))?;
-        sync(&mut *file, &path, settings.sync_delay)?;
-        sync_folder(&*disk, &folder, settings.sync_delay)?;
+        if space.is_ok() {
+            sync(&mut *file, &path, settings.sync_delay)?;
+            sync_folder(&*disk, &folder, settings.sync_delay)?;
+        }
         let mut journal = Journal {
             disk,
             settings,
@@ -212,7 +221,7 @@
             log,
             segment_file: file,
             segment_number: last.number,
-            segment_len: last.len,
+            segment_len: len,
             synced_len: last.len,
             head_len: last.head_len,
             deferred: SortedMap::new(),
@@ -221,7 +230,7 @@
         };
         let recovered = journal.recover(&files)?;
         // What was recovered is durable, so a failure affects only later batches.
-        if let Err(error) = journal.write_sync_mark() {
+        if let Err(error) = space.and_then(|()| journal.write_sync_mark()) {
             log::error!("journal stopped, no more batches are accepted: {error}");
             journal.failure = Some(error);
         }
@@ -341,6 +350,11 @@
         group.is_some_and(|g| g.snapshot_index < index && index <= g.last_index())
     }
 
+    /// Whether a failed write has stopped the journal.
+    pub fn is_stopped(&self) -> bool {
+        self.failure.is_some()
+    }
+
     /// Whether `advance_deferred` has work to do.
     pub fn has_deferred_snapshot(&self) -> bool {
         !self.deferred.is_empty() && self.failure.is_none()
@@ -820,6 +834,15 @@
     write_file(disk, folder, IDENTITY_FILE, &[text.as_bytes()], delay)
 }
 
+/// Checks that the disk takes as many bytes as a sync mark has.
+fn probe_space(disk: &dyn Disk, folder: &Path) -> Result<(), JournalError> {
+    let path = temporary_path(folder, "space");
+    let mut file = create(disk, &path)?;
+    let result = file.write(&[0; EMPTY_SEGMENT_BYTES]);
+    remove(disk, &path)?;
+    result.map_err(|e| JournalError::io("write", &path, &e))
+}
+
 /// Writes a file under a temporary name, syncs it, renames it and syncs the folder.
 fn write_file(
     disk: &dyn Disk,
@@ -856,6 +879,8 @@
     number: u64,
     /// Length up to the last record, without trailing sync marks.
     len: u64,
+    /// Length with trailing sync marks, unless the segment is written to a new file.
+    marked_len: u64,
     head_len: u64,
     /// Whether a part of that length isn't known to be synced.
     has_unsynced: bool,
@@ -927,11 +952,13 @@
         let marks = records.take_while(|r| r.kind == RecordKind::SyncMark && r.offset >= head_len);
         let len = marks.last().map_or(scan.end, |r| r.offset);
         apply_records(&mut log, number, &path, &scan, len)?;
+        let has_unsynced = scan.synced_len() < len;
         end = Some(LastSegment {
             number,
             len,
+            marked_len: if has_unsynced { len } else { scan.end },
             head_len,
-            has_unsynced: scan.synced_len() < len,
+            has_unsynced,
         });
     }
     Ok((log, end.expect("the first segment was read")))
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -39,8 +39,11 @@
 //! records that are in the page cache only. A record counts as synced if a later one, such as the
 //! sync mark, contains a synced length that includes it. If a record of the last segment doesn't,
 //! the valid records of that segment and the identity are written to new files, which are synced
-//! and renamed before `open` returns. Trailing sync marks are replaced. All other files were
-//! synced before a record or file that depends on them was written.
+//! and renamed before `open` returns. All other files were synced before a record or file that
+//! depends on them was written.
+//!
+//! Trailing sync marks are replaced when the folder is opened, since their own sync may have
+//! failed. On a full disk they are kept and the journal opens stopped.
 
 mod disk;
 mod error;
--- a/crates/journal/tests/crash.rs
+++ b/crates/journal/tests/crash.rs
@@ -291,3 +291,27 @@
         assert_eq!(open(&disk).unwrap().1, before);
     }
 }
+
+/// Guards against synced records that are lost when a folder is opened on a full disk, against a
+/// process that can't start on one, and against a voter that returns although its disk is full.
+#[test]
+fn folder_on_a_full_disk_opens_stopped() {
+    let disk = FakeDisk::with_folder(&folder());
+    let (mut journal, _) = open(&disk).unwrap();
+    journal.write(&[entries("g", 1, &["a", "b"])]).unwrap();
+    drop(journal);
+    let (_, before) = open(&disk).unwrap();
+    let used: usize = disk.files().values().map(Vec::len).sum();
+    disk.set_capacity(Some(used - 40));
+    for _ in 0..3 {
+        let (mut journal, found) = open(&disk).unwrap();
+        assert!(journal.is_stopped());
+        assert_eq!(found, before);
+        assert!(journal.write(&[batch("g")]).is_err());
+        assert_eq!(open(&disk.crash(&mut Random(1))).unwrap().1, before);
+    }
+    disk.set_capacity(None);
+    let (journal, found) = open(&disk).unwrap();
+    assert!(!journal.is_stopped());
+    assert_eq!(found, before);
+}
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -238,6 +238,9 @@
 ) -> Result<SaveFn, Report> {
     let folder = disk::open(settings, rand::random())?;
     let mut folder = folder.ok_or_else(|| eyre!("this VM has no data folder"))?;
+    if folder.journal.is_stopped() {
+        return Err(eyre!("the disk still refuses writes"));
+    }
     cluster.restore_group(group_setup(settings, &mut folder, clock.now()));
     log::info!(event = "disk-usable", node = folder.node.to_string().as_str();
         "reopened the data folder");
