--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -239,6 +239,9 @@
 ) -> Result<(SaveFn, config::Setup), Report> {
     let folder = disk::open(settings, rand::random())?;
     let mut folder = folder.ok_or_else(|| eyre!("this VM has no data folder"))?;
+    if folder.journal.is_stopped() {
+        return Err(eyre!("the disk still refuses writes"));
+    }
     let setup = group_setup(settings, &mut folder, clock.now());
     let node = folder.node.to_string();
     let save = disk::start_writer(folder.journal, sender.clone())?;
