Refuse offloaded tasks that outlast a shutdown

Cause: a VM that shuts down took tasks of other VMs whatever their run time, let earlier ones run until its exit, and its last step (`answer_all`) told the other VMs nothing. Ruled out: the admission of the VM that offloads and lost messages; the tests lose none.

Change: such a VM refuses tasks that may outlast it, by the rule for jobs, and its offers tell the time that is left, so that the sender places long tasks elsewhere instead of again there. It stops runs for other VMs that can't end in time. The last step repeats outcomes that weren't acknowledged and reports the other runs as unknown, which ends their jobs as timed out.

Conclusion: each run that a VM has for another one has an outcome before that VM exits, as far as its messages arrive.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::peer::{OffloadedTask, PeerMessage};
 use crate::placement::{choose_slot, finish_time, Locality, Slot};
 use crate::scheduler::Scheduler;
-use crate::submit::BEST_CASE_PERCENT;
+use crate::submit::{outlasts, BEST_CASE_PERCENT};
 use crate::target::{Origin, Run, RunParams, Target};
 
 /// Divisor of a job's waiting tasks: the part that has to fit at once when the job starts. The
@@ -193,7 +193,7 @@
             let task = &job.tasks[*i];
             let step = &job.steps[task.step];
             let expected = self.estimates.expected_run_time(&job.queue, step.declared);
-            self.mark_excluded(job, *i, pool);
+            self.mark_excluded(now, job, *i, pool);
             let Some((slot, in_time)) =
                 choose_slot(now, &pool.slots, &step.demand, expected, job.objective)
             else {
@@ -231,8 +231,8 @@
     }
 
     /// Excludes the slots that a task may not use. It may use the target of its last run if no other
-    /// one is known that can run it.
-    fn mark_excluded(&self, job: &Job, task: usize, pool: &mut SlotPool) {
+    /// one is known that can run it. It may not go to a VM whose shutdown it may outlast.
+    fn mark_excluded(&self, now: Time, job: &Job, task: usize, pool: &mut SlotPool) {
         let task = &job.tasks[task];
         let step = &job.steps[task.step];
         let avoided = task.avoid_target.as_ref();
@@ -241,6 +241,11 @@
                 && target.serves(&job.service, step.label.as_ref())
                 && step.demand.fits(&target.report.capacity)
         };
+        let expected = self.estimates.expected_run_time(&job.queue, step.declared);
+        let exits = |vm: &VmName| {
+            let end = self.peers.get(vm).and_then(|view| view.end);
+            end.is_some_and(|end| outlasts(now, expected, end))
+        };
         let avoided = avoided.filter(|_| self.targets.iter().any(|(n, t)| is_other(n, t)));
         for (slot, place) in pool.slots.iter_mut().zip(&pool.places) {
             slot.excluded = match place {
@@ -250,7 +255,7 @@
                         target.is_some_and(|t| t.serves(&job.service, step.label.as_ref()));
                     avoided == Some(name) || !serves
                 }
-                Place::Remote(..) => false,
+                Place::Remote(vm, _) => exits(vm),
             };
         }
     }
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -369,6 +369,7 @@
     pub(crate) fn review_runs(&mut self, now: Time, out: &mut Vec<Effect>) {
         let mut stops = Vec::new();
         let mut expired = Vec::new();
+        let exit = self.leaving.map(|leaving| leaving.end);
         for (name, target) in self.targets.iter_mut() {
             let (speed, estimates) = (target.speed, &self.estimates);
             let mut stalled = false;
@@ -382,12 +383,19 @@
                 let is_stalled = run.state == RunState::Running && idle > limit;
                 let retry =
                     matches!(run.state, RunState::Stopping(sent) if now.since(sent) >= STOP_RETRY);
-                let too_late = run.state == RunState::Running
-                    && earliest_end(run.sent, run.last_listed, run.percent)
-                        .is_some_and(|e| e > run.deadline);
-                run.too_long |= too_late;
-                if now >= run.deadline || retry || is_stalled || too_late {
-                    stalled |= is_stalled && now < run.deadline;
+                let end = match run.state {
+                    RunState::Running => earliest_end(run.sent, run.last_listed, run.percent),
+                    _ => None,
+                };
+                run.too_long |= end.is_some_and(|end| end > run.deadline);
+                // The VM that offloaded a run learns of its end before this VM exits.
+                let limit = match exit.filter(|_| run.origin.is_remote()) {
+                    Some(exit) => run.deadline.min(exit),
+                    None => run.deadline,
+                };
+                let too_late = end.is_some_and(|end| end > limit);
+                if now >= limit || retry || is_stalled || too_late {
+                    stalled |= is_stalled && now < limit;
                     stops.push((name.clone(), run.task.clone(), run.number));
                 }
             }
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -12,6 +12,7 @@
 use crate::placement::{choose_slot, Locality, Slot};
 use crate::renewal::Renewal;
 use crate::scheduler::{Peer, PeerView, Scheduler};
+use crate::submit::outlasts;
 use crate::target::{Origin, Run, RunParams};
 
 /// Shortest interval between updates of offers, for up to `OFFER_INTERVAL_VMS` receivers. A trip
@@ -53,7 +54,7 @@
                         log::info!(event = "vm-restarted", vm = peer.candidate.vm.as_str();
                             "an entry VM has restarted");
                         (view.joined, view.last_offers) = (now, now);
-                        (view.owned, view.offers) = (None, Vec::new());
+                        (view.owned, view.offers, view.end) = (None, Vec::new(), None);
                         joined.push(peer.candidate.vm.clone());
                         self.peer_lost(now, &peer.candidate.vm, out);
                     }
@@ -71,6 +72,7 @@
                         last_offers: now,
                         owned: None,
                         offers: Vec::new(),
+                        end: None,
                         shortage: false,
                         renewal_due: false,
                     };
@@ -170,6 +172,7 @@
                 owned,
                 offers,
                 shortage,
+                time_left,
             } => {
                 if let Some(view) = self.peers.get_mut(&from) {
                     self.offers_changed |= shortage && !view.shortage;
@@ -177,6 +180,7 @@
                     view.owned = Some(owned);
                     view.last_offers = now;
                     view.offers = offers;
+                    view.end = time_left.map(|left| now + left);
                     view.shortage = shortage;
                     self.dispatch_due = true;
                     // This VM's first message may have arrived before it was a peer there.
@@ -256,6 +260,9 @@
         let expected = self
             .estimates
             .expected_run_time(&offload.queue, offload.declared);
+        if self.leaving.is_some_and(|l| outlasts(now, expected, l.end)) {
+            return None;
+        }
         let objective = now + offload.objective;
         let (slot, _) = choose_slot(now, &slots, &offload.demand, expected, objective)?;
         Some(names[slot].clone())
@@ -283,6 +290,7 @@
             OffloadOutcome::Done => RunOutcome::Done,
             OffloadOutcome::Failed => RunOutcome::Failed,
             OffloadOutcome::TooLong => RunOutcome::TooLong,
+            OffloadOutcome::Unknown => return self.finish(now, job_id, Reply::TimedOut, out),
             OffloadOutcome::NotRunning => {
                 // Its last offers were out of date.
                 if let Some(view) = self.peers.get_mut(from) {
@@ -337,6 +345,7 @@
             owned,
             offers,
             shortage: now < self.shortage_until,
+            time_left: self.leaving.map(|leaving| leaving.end.since(now)),
         }
     }
 
--- a/crates/scheduler/src/peer.rs
+++ b/crates/scheduler/src/peer.rs
@@ -52,6 +52,8 @@
     NotRunning,
     /// The run was stopped because it could not end before the deadline.
     TooLong,
+    /// The VM exits before the end of the run is known. The run ends with its lease.
+    Unknown,
 }
 
 /// A message between entry VMs.
@@ -65,6 +67,9 @@
         offers: Vec<ResourceOffer>,
         /// Whether the sender recently lacked free resources and wants updates of offers.
         shortage: bool,
+        /// Time until the runs on the sender must have ended, because it shuts down; `None` if it
+        /// doesn't.
+        time_left: Option<Duration>,
     },
     /// Run these tasks.
     Run {
--- a/crates/scheduler/src/renewal.rs
+++ b/crates/scheduler/src/renewal.rs
@@ -22,7 +22,7 @@
 use crate::job::TaskState;
 use crate::peer::{OffloadOutcome, PeerMessage};
 use crate::scheduler::Scheduler;
-use crate::target::Run;
+use crate::target::{Origin, Run};
 
 /// Interval between renewals of offloaded runs.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(120);
@@ -171,6 +171,26 @@
             .push((offload_id, outcome));
     }
 
+    /// Reports the runs for other VMs whose end isn't known, stops them, and sends the outcomes that
+    /// may not have been received again, because this VM is about to exit.
+    pub(crate) fn report_remaining(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let mut outcomes: Vec<(VmName, u64, OffloadOutcome)> = Vec::new();
+        for (vm, record) in self.offload_records.iter() {
+            let sent = record.outcomes.iter();
+            outcomes.extend(sent.map(|(id, (outcome, _))| (vm.clone(), *id, *outcome)));
+        }
+        let runs = self.targets.values().flat_map(|target| &target.runs);
+        for run in runs.filter(|run| !run.notified) {
+            if let Origin::Peer { vm, offload_id } = &run.origin {
+                outcomes.push((vm.clone(), *offload_id, OffloadOutcome::Unknown));
+            }
+        }
+        for (vm, offload_id, outcome) in outcomes {
+            self.report_outcome(now, &vm, offload_id, outcome);
+        }
+        self.stop_matching(now, |run| run.origin.is_remote(), out);
+    }
+
     pub(crate) fn on_renewal(
         &mut self,
         now: Time,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -52,6 +52,8 @@
     /// The targets that it owns; `None` before its first message about them.
     pub(crate) owned: Option<Vec<TargetName>>,
     pub(crate) offers: Vec<ResourceOffer>,
+    /// When its shutdown ends, by its last offers; `None` if it doesn't shut down.
+    pub(crate) end: Option<Time>,
     /// Whether it recently lacked free resources.
     pub(crate) shortage: bool,
     /// Whether it gets a renewal: runs were offloaded to it, and no renewal has said since that
@@ -238,12 +240,16 @@
         if let Some(job) = self.accepted_job.take() {
             self.refuse_if_backlogged(now, job, &mut out);
         }
+        self.send_outcomes(&mut out);
+        self.send_offers(now, &mut out);
+        out
+    }
+
+    fn send_outcomes(&mut self, out: &mut Vec<Effect>) {
         for (to, ends) in std::mem::take(&mut self.offload_outcomes) {
             let message = PeerMessage::Ended(ends);
             out.push(Effect::Send { to, message });
         }
-        self.send_offers(now, &mut out);
-        out
     }
 
     fn leave(&mut self, now: Time, end: Time) {
@@ -252,12 +258,14 @@
         }
         self.leaving = Some(Leaving { since: now, end });
         self.reassign = true;
+        self.offers_changed = true;
         for job in self.jobs.values_mut() {
             job.limit_end(end);
         }
     }
 
-    /// Ends all jobs and answers their callers, because the process is about to exit.
+    /// Ends all jobs, answers their callers and reports the runs for other VMs, because the process
+    /// is about to exit.
     pub fn answer_all(&mut self, now: Time) -> Vec<Effect> {
         let mut out = Vec::new();
         let jobs: Vec<(u64, bool)> = self
@@ -272,6 +280,8 @@
             };
             self.finish(now, job_id, reply, &mut out);
         }
+        self.report_remaining(now, &mut out);
+        self.send_outcomes(&mut out);
         out
     }
 
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -135,7 +135,7 @@
         let work = self.critical_path(&job.steps, &queue.name);
         let mut accepted = new_job(now, job, queue, work);
         if let Some(leaving) = &self.leaving {
-            if now + work * SHUTDOWN_RUN_TIMES > leaving.end {
+            if outlasts(now, work, leaving.end) {
                 return Err((
                     retry_later(),
                     "the expected run time exceeds the time until this VM has shut down",
@@ -211,6 +211,11 @@
     }
 }
 
+/// Whether work with this expected run time may outlast a shutdown that ends at `end`.
+pub(crate) fn outlasts(now: Time, work: Duration, end: Time) -> bool {
+    now + work * SHUTDOWN_RUN_TIMES > end
+}
+
 /// When a caller that waits this long is answered at the latest.
 fn answer_time(now: Time, timeout: Duration) -> Time {
     now + timeout.saturating_sub(ANSWER_MARGIN)
--- a/crates/scheduler/tests/world/main.rs
+++ b/crates/scheduler/tests/world/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod faults;
 mod load;
+mod owners;
 mod shutdown;
 mod support;
 mod targets;
