Send queued messages before the mesh ends

Cause: dropping the mesh ended its links at once, so the messages of the last step of a shutdown (stops and outcomes of offloaded runs) stayed in their queues. Ruled out: the queue of commands, which is read to its end.

Change: the mesh waits until its links have sent what is queued, for 50 ms at most, and dropping it waits for its thread. The runtime drops it before it computes the time that is left.

Conclusion: the last step of a VM reaches the others if they can be reached.

--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use greengage_core::{SortedMap, VmName};
@@ -14,7 +14,8 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::task::LocalSet;
+use tokio::task::{JoinSet, LocalSet};
+use tokio::time::timeout;
 
 use crate::link;
 
@@ -30,6 +31,9 @@
 const READ_CHUNK_BYTES: usize = 16 << 10;
 /// How long sent bytes may stay unacknowledged; shorter than the time-outs of callers.
 pub(crate) const ACK_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time for the messages that are queued when the mesh is dropped: several round trips between
+/// zones. It is part of the time that a process has for its exit.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// An error that prevents the mesh from starting.
 #[derive(Debug)]
@@ -65,9 +69,12 @@
     Reconnect(SocketAddr),
 }
 
-/// A handle to the mesh thread. Dropping it ends the thread and closes all connections.
+/// A handle to the mesh thread. Dropping it sends the queued messages, for `FLUSH_TIMEOUT` at most,
+/// ends the thread and closes all connections.
 pub struct Mesh {
-    commands: mpsc::UnboundedSender<Command>,
+    /// `None` only while it is dropped.
+    commands: Option<mpsc::UnboundedSender<Command>>,
+    thread: Option<JoinHandle<()>>,
 }
 
 type DeliverFn = Arc<dyn Fn(VmName, Vec<u8>) + Send + Sync>;
@@ -83,17 +90,19 @@
         let listener = listen(address).map_err(|cause| MeshError::Listen(address, cause))?;
         let (commands, receiver) = mpsc::unbounded_channel();
         let deliver: DeliverFn = Arc::new(deliver);
-        thread::Builder::new()
+        let thread = thread::Builder::new()
             .name("mesh".to_string())
             .spawn(move || run(local_vm, listener, receiver, deliver))
             .map_err(MeshError::Thread)?;
-        Ok(Mesh { commands })
+        Ok(Mesh {
+            commands: Some(commands),
+            thread: Some(thread),
+        })
     }
 
     /// Sends a message without waiting; it is lost if the VM can't be reached or the queue is full.
     pub fn send(&self, address: SocketAddr, message: Vec<u8>) {
-        // The send fails only after the thread has ended, which it has logged.
-        let _ = self.commands.send(Command::Send(address, message));
+        self.command(Command::Send(address, message));
     }
 
     /// Closes the connection to an address; the next message opens a new one.
@@ -101,7 +110,24 @@
     /// Called when nothing is received from a VM, since a device between the VMs may acknowledge
     /// bytes without forwarding them, which `ACK_TIMEOUT` does not detect.
     pub fn reconnect(&self, address: SocketAddr) {
-        let _ = self.commands.send(Command::Reconnect(address));
+        self.command(Command::Reconnect(address));
+    }
+
+    fn command(&self, command: Command) {
+        if let Some(commands) = &self.commands {
+            // The send fails only after the thread has ended, which it has logged.
+            let _ = commands.send(command);
+        }
+    }
+}
+
+impl Drop for Mesh {
+    fn drop(&mut self) {
+        drop(self.commands.take());
+        if let Some(thread) = self.thread.take() {
+            // A panic of the thread has been reported by then.
+            let _ = thread.join();
+        }
     }
 }
 
@@ -138,9 +164,12 @@
 }
 
 /// Executes commands until the handle is dropped; each message goes to the link of its address.
+/// Then waits until the links have sent what is queued.
 async fn dispatch_commands(local_vm: VmName, mut commands: mpsc::UnboundedReceiver<Command>) {
     let links: Rc<RefCell<SortedMap<SocketAddr, mpsc::Sender<Vec<u8>>>>> = Rc::default();
+    let mut tasks = JoinSet::new();
     while let Some(command) = commands.recv().await {
+        while tasks.try_join_next().is_some() {}
         let mut open_links = links.borrow_mut();
         let (address, message) = match command {
             Command::Send(address, message) => (address, message),
@@ -152,7 +181,7 @@
         };
         if open_links.get(&address).is_none_or(mpsc::Sender::is_closed) {
             let (sender, queue) = mpsc::channel(LINK_QUEUE_MESSAGES);
-            tokio::task::spawn_local(link::run(local_vm.clone(), address, queue));
+            tasks.spawn_local(link::run(local_vm.clone(), address, queue));
             open_links.insert(address, sender);
         }
         let sent = open_links.get(&address).map(|link| link.try_send(message));
@@ -160,6 +189,11 @@
             log::debug!("queue of messages to {address} is full; dropped a message");
         }
     }
+    drop(links);
+    let flushed = async { while tasks.join_next().await.is_some() {} };
+    if timeout(FLUSH_TIMEOUT, flushed).await.is_err() {
+        log::debug!("queued messages were dropped at the end of the mesh");
+    }
 }
 
 async fn accept_connections(listener: TcpListener, deliver: DeliverFn) {
--- a/crates/mesh/tests/mesh.rs
+++ b/crates/mesh/tests/mesh.rs
@@ -25,6 +25,17 @@
     (mesh.unwrap(), receiver)
 }
 
+/// A listener, and a connection that fills its accept queue, so that further SYNs are dropped.
+fn full_listener() -> (TcpListener, TcpStream) {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    listener.bind(&any.into()).unwrap();
+    listener.listen(0).unwrap();
+    let listener: TcpListener = listener.into();
+    let filler = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    (listener, filler)
+}
+
 /// Guards against messages that are lost, reordered or attributed to another VM.
 #[test]
 fn messages_arrive_in_order_with_their_sender() {
@@ -42,6 +53,28 @@
     assert_eq!(inbox.recv_timeout(TEST_TIMEOUT).unwrap().1.len(), 1 << 20);
 }
 
+/// Guards against the loss of the last messages of a process that exits.
+#[test]
+fn messages_sent_before_the_end_arrive() {
+    let (a, b) = (free_address(), free_address());
+    let (mesh, _) = start("a", a);
+    let (_other, inbox) = start("b", b);
+    mesh.send(b, vec![1]);
+    drop(mesh);
+    assert_eq!(inbox.recv_timeout(TEST_TIMEOUT).unwrap().1, [1]);
+}
+
+/// Guards against an exit that waits for a VM which doesn't answer.
+#[test]
+fn end_does_not_wait_for_an_unreachable_vm() {
+    let (listener, _filler) = full_listener();
+    let (mesh, _) = start("a", free_address());
+    mesh.send(listener.local_addr().unwrap(), vec![1]);
+    let dropped_at = Instant::now();
+    drop(mesh);
+    assert!(dropped_at.elapsed() < Duration::from_millis(200));
+}
+
 /// Guards against a VM that stays unreachable after it has been down.
 #[test]
 fn unreachable_vm_is_reconnected() {
@@ -69,14 +102,8 @@
 /// the kernel retransmits a SYN only after a second.
 #[test]
 fn dropped_syn_is_retried_within_limit() {
-    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-    listener.bind(&any.into()).unwrap();
-    listener.listen(0).unwrap();
-    let listener: TcpListener = listener.into();
+    let (listener, filler) = full_listener();
     let b = listener.local_addr().unwrap();
-    // This connection fills the accept queue, so that further SYNs are dropped.
-    let filler = TcpStream::connect(b).unwrap();
     let (mesh, _) = start("a", free_address());
     mesh.send(b, vec![1]);
     std::thread::sleep(Duration::from_millis(60));
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -185,6 +185,8 @@
             let effects = cluster.answer_all(clock.now(), clock.wall());
             apply_effects(effects, &mesh, &mut *save, frontend);
             log::info!(event = "stopped", callers = status.callers; "the VM has shut down");
+            // Sends the last messages to other VMs.
+            drop(mesh);
             return Ok(cluster.time_left(clock.now()).unwrap_or_default());
         }
         if reported != Some(status) {
