Extend offloaded runs of resubmitted jobs

Cause: a job that is submitted again lasts until its last caller's deadline, but only the runs on the VM's own targets learned of that. An offloaded run kept the first caller's deadline, was stopped, and its task started again. Ruled out: the stop for want of progress; the run ends in time for the second caller.

Change: a renewal carries the time that each run has left, and its VM takes over a later deadline.

Conclusion: an offloaded run lasts as long as a local one.

--- a/crates/scheduler/src/peer.rs
+++ b/crates/scheduler/src/peer.rs
@@ -90,7 +90,7 @@
         receiver: Incarnation,
         /// Number of the renewal, from the same sequence as offload ids.
         number: u64,
-        /// Offload ids, ascending.
-        needed: Vec<u64>,
+        /// Offload ids, ascending, each with the time left until the run is stopped.
+        needed: Vec<(u64, Duration)>,
     },
 }
--- a/crates/scheduler/src/renewal.rs
+++ b/crates/scheduler/src/renewal.rs
@@ -10,6 +10,8 @@
 //!   connection; it is refused then, as its id isn't higher than the renewal's number, or since
 //!   its VM has restarted.
 //! - A run that isn't listed is stopped, since the message that stops it was lost.
+//! - A run is stopped at the latest deadline that a renewal has told, as a job lasts longer when it
+//!   is submitted again.
 //! - A run that hasn't been listed for a while is stopped, since its VM may be lost.
 //!
 //! A task is therefore started again only once its run has ended or can't start any more.
@@ -68,13 +70,19 @@
     pub(crate) receiver: Incarnation,
     /// Number of the renewal, from the same sequence as offload ids.
     pub(crate) number: u64,
-    /// Offload ids, ascending.
-    pub(crate) needed: Vec<u64>,
+    /// Offload ids, ascending, each with the time left until the run is stopped.
+    pub(crate) needed: Vec<(u64, Duration)>,
 }
 
 impl Renewal {
+    /// The time left until a run is stopped; `None` if it isn't listed.
+    fn time_left(&self, offload_id: u64) -> Option<Duration> {
+        let index = self.needed.binary_search_by_key(&offload_id, |(id, _)| *id);
+        index.ok().map(|index| self.needed[index].1)
+    }
+
     fn lists(&self, offload_id: u64) -> bool {
-        self.needed.binary_search(&offload_id).is_ok()
+        self.time_left(offload_id).is_some()
     }
 }
 
@@ -83,7 +91,7 @@
     pub(crate) fn review_offloads(&mut self, now: Time, out: &mut Vec<Effect>) {
         if now.since(self.last_renewal) >= RENEWAL_INTERVAL {
             self.last_renewal = now;
-            self.send_renewals(out);
+            self.send_renewals(now, out);
             self.review_silent_peers(now, out);
         }
         let expired =
@@ -96,13 +104,16 @@
 
     /// Sends a renewal to each VM with offloaded runs, and one more when the last run has ended, so
     /// that the VM can drop the outcomes.
-    fn send_renewals(&mut self, out: &mut Vec<Effect>) {
-        let mut needed: SortedMap<VmName, Vec<u64>> = SortedMap::new();
-        for task in self.jobs.values().flat_map(|job| &job.tasks) {
-            if let TaskState::Remote { vm, offload_id } = &task.state {
-                needed
-                    .get_or_insert_with(vm.clone(), Vec::new)
-                    .push(*offload_id);
+    pub(crate) fn send_renewals(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let mut needed: SortedMap<VmName, Vec<(u64, Duration)>> = SortedMap::new();
+        for job in self.jobs.values() {
+            let time_left = job.deadline.since(now);
+            for task in &job.tasks {
+                if let TaskState::Remote { vm, offload_id } = &task.state {
+                    needed
+                        .get_or_insert_with(vm.clone(), Vec::new)
+                        .push((*offload_id, time_left));
+                }
             }
         }
         let due = self.peers.iter_mut().filter(|(_, view)| view.renewal_due);
@@ -211,7 +222,7 @@
         (record.renewal, record.changed) = (renewal.number, now);
         record.outcomes.retain(|id, _| renewal.lists(*id));
         let known = self.renew_runs(now, from, &renewal);
-        let needed = renewal.needed.iter();
+        let needed = renewal.needed.iter().map(|(id, _)| id);
         for offload_id in needed.filter(|id| known.binary_search(id).is_err()) {
             let record = self.offload_records.get(from);
             let outcome = match record.and_then(|record| record.outcomes.get(offload_id)) {
@@ -231,14 +242,17 @@
         self.stop_matching(now, unneeded, out);
     }
 
-    /// Renews the listed runs, and returns the ascending offload ids of those whose end hasn't been
+    /// Renews the listed runs and extends their deadlines, and returns the ascending offload ids of those whose end hasn't been
     /// reported.
     fn renew_runs(&mut self, now: Time, from: &VmName, renewal: &Renewal) -> Vec<u64> {
         let mut known = Vec::new();
         for run in self.targets.values_mut().flat_map(|t| &mut t.runs) {
-            let offload_id = run.origin.offload_id(from);
-            if let Some(offload_id) = offload_id.filter(|id| renewal.lists(*id)) {
+            let Some(offload_id) = run.origin.offload_id(from) else {
+                continue;
+            };
+            if let Some(time_left) = renewal.time_left(offload_id) {
                 run.renewed = now;
+                run.deadline = run.deadline.max(now + time_left);
                 if !run.notified {
                     known.push(offload_id);
                 }
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -37,7 +37,7 @@
 impl Scheduler {
     pub(crate) fn submit(&mut self, now: Time, job: Submission, out: &mut Vec<Effect>) {
         let request = job.request;
-        if self.attach(now, &job) {
+        if self.attach(now, &job, out) {
             return;
         }
         match self.admit(now, &job) {
@@ -69,7 +69,7 @@
 
     /// Attaches a caller that submits a current job again to that job. The earlier request is still
     /// answered: its connection may have broken, which this VM hasn't noticed, or not.
-    fn attach(&mut self, now: Time, job: &Submission) -> bool {
+    fn attach(&mut self, now: Time, job: &Submission, out: &mut Vec<Effect>) -> bool {
         let Some((job_id, found)) = self.jobs.iter_mut().find(|(_, j)| j.matches(job)) else {
             return false;
         };
@@ -82,6 +82,7 @@
             request: job.request,
             deadline: answer_due,
         };
+        let extended = caller.deadline > found.deadline;
         found.deadline = found.deadline.max(caller.deadline);
         found.callers.push(caller);
         self.requests.insert(job.request, *job_id);
@@ -90,6 +91,9 @@
         for run in runs.filter(|run| run.origin == origin) {
             run.deadline = deadline;
         }
+        if extended {
+            self.send_renewals(now, out);
+        }
         true
     }
 
--- a/crates/scheduler/tests/world/owners.rs
+++ b/crates/scheduler/tests/world/owners.rs
@@ -4,7 +4,7 @@
 
 use greengage_scheduler::Reply;
 
-use crate::support::{Simulation, SHUTDOWN_ANSWER_LIMIT};
+use crate::support::{MessageKind, Simulation, SHUTDOWN_ANSWER_LIMIT};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// How long a patient caller waits.
@@ -108,3 +108,28 @@
         assert_eq!(reply, Some(Reply::TimedOut), "seed {seed}");
     }
 }
+
+/// Guards against an offloaded run that is stopped because the message with its later deadline was
+/// lost, or because the job was submitted again just before the earlier one.
+#[test]
+fn deadline_of_an_offloaded_run_is_sent_at_once_and_repeated() {
+    for (seed, lost) in [(0, 0), (3, 0), (0, 1), (3, 1)] {
+        let mut sim = Simulation::new(seed, 2, 6);
+        sim.caller_timeout = Some(PATIENCE);
+        sim.submit(0, 1, vec![20 * SECOND; 6]);
+        sim.run(millis(50));
+        sim.caller_timeout = Some(millis(2000));
+        let caller = sim.submit(0, 1, vec![SECOND]);
+        sim.run(millis(50));
+        sim.set_run_time("j1.0.0.0", millis(2050));
+        sim.run(millis([1910, 1500][lost as usize]));
+        assert_eq!(sim.offload_starts(1, 0), 1, "seed {seed}: offloaded");
+        sim.lost_messages = Some((MessageKind::Renew, lost));
+        sim.callers[caller].timeout = 10 * SECOND;
+        sim.submit_now(caller);
+        sim.run(SECOND);
+        assert_eq!(sim.lost_messages, Some((MessageKind::Renew, 0)));
+        let starts = sim.offload_starts(1, 0);
+        assert_eq!(starts, 1, "seed {seed}, lost {lost}: no task runs again");
+    }
+}
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -62,6 +62,7 @@
     Run,
     Ended,
     Stop,
+    Renew,
 }
 
 impl MessageKind {
@@ -70,7 +71,8 @@
             PeerMessage::Run { .. } => Some(MessageKind::Run),
             PeerMessage::Ended(_) => Some(MessageKind::Ended),
             PeerMessage::Stop(_) => Some(MessageKind::Stop),
-            PeerMessage::Offers { .. } | PeerMessage::Renew { .. } => None,
+            PeerMessage::Renew { .. } => Some(MessageKind::Renew),
+            PeerMessage::Offers { .. } => None,
         }
     }
 }
--- a/crates/scheduler/tests/world/targets.rs
+++ b/crates/scheduler/tests/world/targets.rs
@@ -306,6 +306,18 @@
         StartResult::Running { clock }
     }
 
+    /// Changes the run time of a task that is running.
+    pub(crate) fn set_run_time(&mut self, task: &str, time: Duration) {
+        for index in 0..self.targets.len() {
+            let mut runs = self.targets[index].runs.iter_mut();
+            if let Some(run) = runs.find(|run| *run.task == *task) {
+                run.end_time = run.start_time + time;
+                let (after, number) = (run.end_time.since(self.now), run.number);
+                self.schedule(after, Action::FinishDue(index, number as usize));
+            }
+        }
+    }
+
     /// Ends the runs that have reached their end time.
     pub(crate) fn finish_due_runs(&mut self, index: usize, _run: usize) {
         self.expire_lease(index);
