Fail jobs for good only once all targets are known

Cause: a VM answered a job that fits on none of the targets that it knew as failed, also when it had just started and knew a part of them. Ruled out: jobs that can never run, for which the answer is right.

Change: until a VM knows all targets, such a job waits like others; it starts if a target reports, or is refused as not run if it can't start in time. A VM knows all targets 2.6 s after the first report (targets report every 1.5 s, and again after 1 s without an acknowledgement) if it also knows each target that another VM owns. Then jobs that still fit nowhere are answered as failed: waiting ones at the next tick, later ones at once.

The queue of the tests now lets jobs wait, so that the later answers can be seen.

Conclusion: the answer no longer depends on which reports came first.

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -86,6 +86,9 @@
                 log::info!(event = "target-known", target = name.as_str(),
                     address = report.address.as_str(), life = report.incarnation.0;
                     "a target has reported for the first time");
+                if self.targets.is_empty() {
+                    self.first_target = Some(now);
+                }
                 self.targets.insert(name, Target::new(now, report));
                 self.reassign = true;
             }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -74,6 +74,8 @@
     pub(crate) setup: Setup,
     pub(crate) document: Option<Arc<Document>>,
     pub(crate) targets: SortedMap<TargetName, Target>,
+    /// When the first of the known targets became known; `None` before.
+    pub(crate) first_target: Option<Time>,
     pub(crate) peers: SortedMap<VmName, PeerView>,
     pub(crate) jobs: SortedMap<u64, Job>,
     /// Job id by the request of the caller that waits for it.
@@ -143,6 +145,7 @@
         Scheduler {
             document: None,
             targets: SortedMap::new(),
+            first_target: None,
             peers: SortedMap::new(),
             jobs: SortedMap::new(),
             requests: SortedMap::new(),
@@ -292,6 +295,7 @@
         self.next_review = now + REVIEW_INTERVAL;
         self.review_ownership(now, wall, out);
         self.review_runs(now, out);
+        self.review_unplaceable(now, out);
         self.review_jobs(now, out);
         self.review_offloads(now, out);
         self.dispatch_due = true;
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use greengage_config::Queue;
-use greengage_core::Time;
+use greengage_core::{Demand, Time};
 
 use crate::admission::{backlog, max_wait, retry_delay};
 use crate::event::{Effect, Reply, Step, Submission};
@@ -18,6 +18,10 @@
 /// Limit on the tasks of one job; the largest expected jobs have 1,200.
 const MAX_TASKS: u64 = 10_000;
 
+/// Time from a VM's first report of a target until it has one of each target. Targets report every
+/// 1.5 s, and once more if the report isn't acknowledged within a second.
+const DISCOVERY_TIME: Duration = Duration::from_millis(2600);
+
 /// Shortest run time that is considered possible, in percent of the expected one: estimates are off
 /// by two fifths, and the fastest targets take five eighths of the usual time.
 pub(crate) const BEST_CASE_PERCENT: u32 = 40;
@@ -132,12 +136,16 @@
         if count == 0 || count > MAX_TASKS {
             return Err((retry_later(), "the number of tasks is out of range"));
         }
-        if !self.is_feasible(&job.steps, &queue.service) {
+        let steps = job.steps.iter();
+        let steps = steps.map(|step| (&step.demand, step.label.as_ref()));
+        let unplaceable = !self.is_feasible(&queue.service, steps);
+        if unplaceable && self.knows_targets(now) {
             // No target of the service, whoever owns it, has the capacity or the label.
             return Err((Reply::Failed, "a task fits on no target of the service"));
         }
         let work = self.critical_path(&job.steps, &queue.name);
         let mut accepted = new_job(now, job, queue, work);
+        accepted.unplaceable = unplaceable;
         if let Some(leaving) = &self.leaving {
             if outlasts(now, work, leaving.end) {
                 return Err((
@@ -167,14 +175,50 @@
         }
     }
 
-    /// Whether each task fits on a target of the service, or no target of it is known yet.
-    fn is_feasible(&self, steps: &[Step], service: &str) -> bool {
+    /// Whether each step's tasks, given by demand and label, fit on a target of the service, or no
+    /// target of it is known yet.
+    fn is_feasible<'a>(
+        &self,
+        service: &str,
+        mut steps: impl Iterator<Item = (&'a Demand, Option<&'a Arc<str>>)>,
+    ) -> bool {
         let targets = || self.targets.values();
-        let fits = |step: &Step| {
-            let mut serving = targets().filter(|t| t.serves(service, step.label.as_ref()));
-            serving.any(|target| step.demand.fits(&target.report.capacity))
+        let fits = |(demand, label): (&Demand, Option<&Arc<str>>)| {
+            let mut serving = targets().filter(|t| t.serves(service, label));
+            serving.any(|target| demand.fits(&target.report.capacity))
         };
-        !targets().any(|target| target.serves(service, None)) || steps.iter().all(fits)
+        !targets().any(|target| target.serves(service, None)) || steps.all(fits)
+    }
+
+    /// Whether this VM knows all targets: each has had time to report, and no other VM owns one that
+    /// this VM doesn't know.
+    fn knows_targets(&self, now: Time) -> bool {
+        let is_settled = |since: Time| now.since(since) >= DISCOVERY_TIME;
+        let owned = self.peers.values().filter_map(|view| view.owned.as_ref());
+        self.first_target.is_some_and(is_settled)
+            && owned.flatten().all(|target| self.targets.contains(target))
+    }
+
+    /// Ends the jobs that were accepted although a task fits on no known target, if all targets are
+    /// known now and it still fits on none.
+    pub(crate) fn review_unplaceable(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if !self.jobs.values().any(|job| job.unplaceable) || !self.knows_targets(now) {
+            return;
+        }
+        let mut failed = Vec::new();
+        for (job_id, job) in self.jobs.iter().filter(|(_, job)| job.unplaceable) {
+            let steps = job.steps.iter();
+            let steps = steps.map(|step| (&step.demand, step.label.as_ref()));
+            if !self.is_feasible(&job.service, steps) {
+                failed.push(*job_id);
+            }
+        }
+        for job in self.jobs.values_mut() {
+            job.unplaceable = false;
+        }
+        for job_id in failed {
+            self.finish(now, job_id, Reply::Failed, out);
+        }
     }
 
     /// Expected run time of the longest dependency chain of steps.
@@ -269,5 +313,6 @@
         objective: deadline.min(now + objective),
         deadline,
         started: false,
+        unplaceable: false,
     }
 }
--- /dev/null
+++ b/crates/scheduler/tests/knowledge.rs
@@ -0,0 +1,191 @@
+//! Answers of a VM that doesn't know all targets yet.
+
+use std::time::Duration;
+
+use greengage_config::{Document, Limits, Queue, Service};
+use greengage_core::{
+    Address, Demand, Incarnation, Name, Payload, RequestId, TargetName, Time, Version, VmName,
+    WallTime, ZoneName,
+};
+use greengage_scheduler::{
+    Candidate, Effect, Event, Peer, PeerMessage, Reply, Scheduler, Setup, Step, Submission,
+    TargetReport, DEFAULT_WEIGHT,
+};
+
+fn document() -> Document {
+    let queue = Queue {
+        name: "q".into(),
+        host: "h".into(),
+        prefix: "/q/".into(),
+        service: "s".into(),
+        timeout: Duration::from_secs(10),
+        latency: Duration::from_millis(60),
+        // A job may wait for 5 s.
+        slack_percent: 20_000,
+        priority: 0,
+        max_attempts: 3,
+        uses_advisor: false,
+    };
+    let service = Service {
+        name: "s".into(),
+        max_connections: 64,
+    };
+    Document {
+        version: Version(1),
+        queues: vec![queue],
+        services: vec![service],
+        limits: Limits {
+            max_body_bytes: 1 << 18,
+        },
+        source: Payload::new(Vec::new()),
+    }
+}
+
+fn demand(milli_cores: u32) -> Demand {
+    Demand {
+        milli_cores,
+        memory_mib: 64,
+        accelerators: 0,
+    }
+}
+
+fn report(name: &str, milli_cores: u32) -> TargetReport {
+    TargetReport {
+        target: TargetName::new(name).unwrap(),
+        service: "s".into(),
+        address: Address::new(&format!("{name}:8080")).unwrap(),
+        zone: ZoneName::new("a").unwrap(),
+        capacity: demand(milli_cores),
+        labels: Vec::new(),
+        draining: false,
+        incarnation: Incarnation(1),
+        sequence: 1,
+    }
+}
+
+/// A VM that has started now, with the configuration and the report of one target.
+fn started_vm(start: Time) -> Scheduler {
+    let candidate = Candidate {
+        vm: VmName::new("v1").unwrap(),
+        zone: ZoneName::new("a").unwrap(),
+        weight: DEFAULT_WEIGHT,
+    };
+    let setup = Setup {
+        candidate,
+        incarnation: Incarnation(1),
+        stop_limit: Duration::from_millis(50),
+    };
+    let mut scheduler = Scheduler::new(start, setup);
+    let document = document().validated().unwrap();
+    step(&mut scheduler, start, Event::Configuration(document.into()));
+    step(
+        &mut scheduler,
+        start,
+        Event::TargetReported(report("small", 4000)),
+    );
+    scheduler
+}
+
+fn step(scheduler: &mut Scheduler, now: Time, event: Event) -> Vec<Effect> {
+    scheduler.step(now, WallTime(1_000_000), event)
+}
+
+/// A job of one task that needs 8 cores.
+fn submission(request: u64) -> Event {
+    Event::Submit(Submission {
+        request: RequestId(request),
+        host: "h".into(),
+        path: format!("/q/j{request}").into(),
+        id: Name::new(&format!("j{request}")).unwrap(),
+        spec: "".into(),
+        steps: vec![Step {
+            count: 1,
+            demand: demand(8000),
+            declared: Duration::from_millis(100),
+            depends_on: Vec::new(),
+            label: None,
+        }],
+        body_bytes: 100,
+        timeout: Duration::from_secs(30),
+        unsupported: None,
+    })
+}
+
+fn has_failed(effects: &[Effect], request: u64) -> bool {
+    effects.iter().any(|effect| {
+        matches!(effect, Effect::Answer { request: answered, reply: Reply::Failed }
+            if answered.0 == request)
+    })
+}
+
+/// Guards against the final answer "failed" from a VM that has just started and has the report of
+/// one target, while the report of a target on which the task fits is still on its way.
+#[test]
+fn started_vm_fails_no_job_before_it_knows_the_targets() {
+    let start = Time::from_millis(1000);
+    let mut scheduler = started_vm(start);
+    let effects = step(&mut scheduler, start, submission(1));
+    let failed = has_failed(&effects, 1);
+    assert!(!failed, "answered as failed 0 ms after the start");
+}
+
+/// Ticks a VM from 20 ms after `start` on, and returns the time at which it answers a request as
+/// failed; `None` if it hasn't after 5 s.
+fn failed_after(scheduler: &mut Scheduler, start: Time, request: u64) -> Option<Duration> {
+    let mut ticks = (1..250).map(|i| Duration::from_millis(20 * i));
+    ticks.find(|after| {
+        let effects = step(scheduler, start + *after, Event::Tick);
+        has_failed(&effects, request)
+    })
+}
+
+/// Guards against a job that can never run and waits although all targets are known: those that
+/// wait are answered when each target has had time to report, later ones at once.
+#[test]
+fn job_that_fits_nowhere_fails_once_the_targets_are_known() {
+    let start = Time::from_millis(1000);
+    let mut scheduler = started_vm(start);
+    step(&mut scheduler, start, submission(1));
+    let failed = failed_after(&mut scheduler, start, 1);
+    assert_eq!(failed, Some(Duration::from_millis(2600)));
+    let now = start + Duration::from_secs(3);
+    let effects = step(&mut scheduler, now, submission(2));
+    assert!(has_failed(&effects, 2));
+}
+
+/// Guards against a job that is failed although a target on which it fits has reported since its
+/// submission, or another VM owns a target that this one doesn't know.
+#[test]
+fn job_that_may_fit_elsewhere_does_not_fail() {
+    let start = Time::from_millis(1000);
+    let mut scheduler = started_vm(start);
+    let effects = step(&mut scheduler, start, submission(1));
+    assert!(!has_failed(&effects, 1));
+    let large = Event::TargetReported(report("large", 16_000));
+    step(&mut scheduler, start + Duration::from_millis(1500), large);
+    assert_eq!(failed_after(&mut scheduler, start, 1), None);
+
+    let mut scheduler = started_vm(start);
+    let candidate = Candidate {
+        vm: VmName::new("v2").unwrap(),
+        zone: ZoneName::new("a").unwrap(),
+        weight: DEFAULT_WEIGHT,
+    };
+    let peer = Peer {
+        candidate: candidate.clone(),
+        incarnation: Incarnation(1),
+        leaving: false,
+    };
+    step(&mut scheduler, start, Event::Peers(vec![peer]));
+    let message = PeerMessage::Offers {
+        owned: vec![TargetName::new("large").unwrap()],
+        offers: Vec::new(),
+        shortage: false,
+        time_left: None,
+    };
+    let from = candidate.vm;
+    step(&mut scheduler, start, Event::Peer { from, message });
+    let effects = step(&mut scheduler, start, submission(1));
+    assert!(!has_failed(&effects, 1));
+    assert_eq!(failed_after(&mut scheduler, start, 1), None);
+}
