Send Retry-After with each 503 response

Cause: the users' platform makes the listener's refusals with `error_answer`, which names no time, as do other 503 answers of that crate that set none. Ruled out: the product's daemon, whose answers name one.

Change: a 503 response that names no time carries `Retry-After: 1`.

Figures: cargo test -p greengage-listener unavailable_answers_name_a_time. Before: no such header in the refusal of a body beyond the limit of all bodies. After: in that and in a service's answer.

--- a/crates/listener/src/connection.rs
+++ b/crates/listener/src/connection.rs
@@ -27,6 +27,10 @@
 /// How long the rest of a rejected body is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// `Retry-After` of a 503 response that names no time, as are refusals by this crate, in
+/// milliseconds.
+const DEFAULT_RETRY_MS: u64 = 1000;
+
 /// Channels of a listener that are closed as it shuts down.
 pub(crate) struct OpenGuards {
     /// Closed once the listening socket is closed.
@@ -286,7 +290,8 @@
     let mut builder = HttpResponse::builder()
         .status(StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR))
         .header(CONTENT_TYPE, answer.content_type);
-    if let Some(ms) = answer.retry_ms {
+    let default_retry = (answer.status == 503).then_some(DEFAULT_RETRY_MS);
+    if let Some(ms) = answer.retry_ms.or(default_retry) {
         builder = builder.header(RETRY_AFTER, ms.div_ceil(1000));
     }
     if let Some(location) = answer.location {
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -164,7 +164,8 @@
     pub status: u16,
     /// The value of `Content-Type`.
     pub content_type: &'static str,
-    /// `Retry-After` in milliseconds, sent in whole seconds, rounded up; `None` omits the header.
+    /// `Retry-After` in milliseconds, sent in whole seconds, rounded up; `None` omits the header, or
+    /// sends one second with status 503.
     pub retry_ms: Option<u64>,
     /// The value of `Location`; `None` omits the header.
     pub location: Option<String>,
--- a/crates/listener/tests/direct.rs
+++ b/crates/listener/tests/direct.rs
@@ -82,6 +82,37 @@
     );
 }
 
+/// Guards against refusals that don't tell a caller when to try again, by the listener or by its
+/// service.
+#[test]
+fn unavailable_answers_name_a_time() {
+    let limits = Limits {
+        max_buffered_bytes: 0,
+        ..Limits::default()
+    };
+    let (busy, _events) = start_with(limits);
+    let (listener, events) = start();
+    let mut streams = [busy.address(), listener.address()].map(|address| {
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.write_all(REQUEST).unwrap();
+        stream
+    });
+    let Ok(Event::Call(_, _, responder)) = events.recv_timeout(TIMEOUT) else {
+        panic!("no call");
+    };
+    responder.send(Answer {
+        close: true,
+        ..Answer::json(503, "{}")
+    });
+    for stream in &mut streams {
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        let text = text.to_lowercase();
+        assert!(text.starts_with("http/1.1 503"), "{text}");
+        assert!(text.contains("retry-after: 1\r\n"), "{text}");
+    }
+}
+
 /// Guards against requests of two listeners with the same number: a disconnect of one would end the
 /// other, for which the process may have a common table.
 #[test]
