Ignore late fenced results of earlier claims

Cause: `Fenced` as the result of a start or stop released the target whatever claim the call belonged to, so a result that arrived after the next claim released that one. Ruled out: holds, which compare the generation.

Change: results of starts and stops carry the generation of their call, and only one of the current claim releases the target. The start's own run still counts as not running, since the target refused it.

Conclusion: starts, stops and holds follow one rule. `OtherLife` of a start or stop isn't compared with the target's incarnation; not looked into.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -26,6 +26,16 @@
     TooLong,
 }
 
+/// A start or stop call that has ended.
+#[derive(Clone, Copy)]
+pub(crate) struct EndedCall<'a> {
+    pub(crate) target: &'a TargetName,
+    pub(crate) task: &'a str,
+    pub(crate) number: u32,
+    /// The generation that the call was sent with.
+    pub(crate) generation: u64,
+}
+
 /// Added to the time that a stop may take, for the trip of its confirmation.
 const STOP_MARGIN: Duration = Duration::from_millis(10);
 /// Added to a task's run number after a target had seen a number already.
@@ -44,12 +54,16 @@
     pub(crate) fn on_start_result(
         &mut self,
         now: Time,
-        name: &TargetName,
-        task: &str,
-        number: u32,
+        call: EndedCall<'_>,
         result: StartResult,
         out: &mut Vec<Effect>,
     ) {
+        let EndedCall {
+            target: name,
+            task,
+            number,
+            generation,
+        } = call;
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
@@ -85,7 +99,7 @@
             }
             StartResult::Fenced => {
                 self.end_run(now, name, index, RunOutcome::NotRunning, out);
-                self.on_fenced(now, name);
+                self.on_fenced(now, name, generation);
             }
             StartResult::OtherLife => self.remove_target(now, name, out),
             StartResult::Unknown => {
@@ -145,12 +159,16 @@
     pub(crate) fn on_stop_result(
         &mut self,
         now: Time,
-        name: &TargetName,
-        task: &str,
-        number: u32,
+        call: EndedCall<'_>,
         result: StopResult,
         out: &mut Vec<Effect>,
     ) {
+        let EndedCall {
+            target: name,
+            task,
+            number,
+            generation,
+        } = call;
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
@@ -160,7 +178,7 @@
                     target.runs[index].state = RunState::Stopped(now);
                 }
             }
-            StopResult::Fenced => self.on_fenced(now, name),
+            StopResult::Fenced => self.on_fenced(now, name, generation),
             StopResult::OtherLife => self.remove_target(now, name, out),
             StopResult::Unknown => {}
         }
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -298,6 +298,8 @@
         task: Arc<str>,
         /// Number of the run.
         number: u32,
+        /// The generation that the call was sent with.
+        generation: u64,
         /// Result of the call.
         result: StartResult,
     },
@@ -309,6 +311,8 @@
         task: Arc<str>,
         /// Number of the run.
         number: u32,
+        /// The generation that the call was sent with.
+        generation: u64,
         /// Result of the call.
         result: StopResult,
     },
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -340,7 +340,7 @@
                 self.offers_changed = true;
                 self.send_hold(now, name, out);
             }
-            HoldResult::Fenced => self.on_fenced(now, name),
+            HoldResult::Fenced => self.on_fenced(now, name, generation),
             HoldResult::OtherLife => self.remove_target(now, name, out),
             HoldResult::Lists {
                 clock,
@@ -379,12 +379,13 @@
         }
     }
 
-    /// Another VM has claimed the target with a higher generation and takes over its runs.
-    pub(crate) fn on_fenced(&mut self, now: Time, name: &TargetName) {
+    /// Another VM has claimed the target with a higher generation than that of a call, and takes over
+    /// its runs. A call of an earlier claim says nothing about the current one.
+    pub(crate) fn on_fenced(&mut self, now: Time, name: &TargetName, generation: u64) {
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
-        if target.ownership == Ownership::Unowned {
+        if target.generation != generation || target.ownership == Ownership::Unowned {
             return;
         }
         log::info!(event = "target-fenced", target = name.as_str(),
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::assignment::Candidate;
+use crate::ends::EndedCall;
 use crate::estimate::Estimates;
 use crate::event::{Effect, Event, Reply, TargetCall};
 use crate::job::{Job, JobCaller, TaskState};
@@ -221,14 +222,32 @@
                 target,
                 task,
                 number,
+                generation,
                 result,
-            } => self.on_start_result(now, &target, &task, number, result, &mut out),
+            } => {
+                let call = EndedCall {
+                    target: &target,
+                    task: &task,
+                    number,
+                    generation,
+                };
+                self.on_start_result(now, call, result, &mut out)
+            }
             Event::StopEnded {
                 target,
                 task,
                 number,
+                generation,
                 result,
-            } => self.on_stop_result(now, &target, &task, number, result, &mut out),
+            } => {
+                let call = EndedCall {
+                    target: &target,
+                    task: &task,
+                    number,
+                    generation,
+                };
+                self.on_stop_result(now, call, result, &mut out)
+            }
             Event::HoldEnded {
                 target,
                 generation,
--- a/crates/scheduler/tests/world/faults.rs
+++ b/crates/scheduler/tests/world/faults.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use greengage_scheduler::Reply;
+use greengage_scheduler::{Event, Reply, StartResult, StopResult};
 
 use crate::support::Simulation;
 
@@ -156,6 +156,40 @@
     }
 }
 
+/// Guards against a target that is released because a start or stop of an earlier claim was refused,
+/// and whose result arrives after the next claim.
+#[test]
+fn late_result_of_an_earlier_claim_releases_no_target() {
+    let mut sim = Simulation::new(16, 1, 1);
+    sim.submit(0, 1, vec![SECOND]);
+    sim.run(millis(50));
+    let generation = sim.targets[0].generation;
+    let start_ended = |sim: &Simulation, generation| Event::StartEnded {
+        target: sim.targets[0].name.clone(),
+        task: "j0.0.0.0".into(),
+        number: 1,
+        generation,
+        result: StartResult::Fenced,
+    };
+    let stop_ended = |sim: &Simulation, generation| Event::StopEnded {
+        target: sim.targets[0].name.clone(),
+        task: "j0.0.0.0".into(),
+        number: 1,
+        generation,
+        result: StopResult::Fenced,
+    };
+    for event in [
+        stop_ended(&sim, generation - 1),
+        start_ended(&sim, generation - 1),
+    ] {
+        sim.event(0, 1, event);
+        assert_eq!(sim.vms[0].scheduler.owned(), 1);
+    }
+    let event = stop_ended(&sim, generation);
+    sim.event(0, 1, event);
+    assert_eq!(sim.vms[0].scheduler.owned(), 0, "the current claim");
+}
+
 /// Guards against duplicate runs and lost jobs when calls get no answer but are carried out late.
 #[test]
 fn late_orders_start_no_duplicate_runs() {
--- a/crates/scheduler/tests/world/targets.rs
+++ b/crates/scheduler/tests/world/targets.rs
@@ -125,12 +125,14 @@
                 target,
                 task: c.task.clone(),
                 number: c.number,
+                generation,
                 result: StartResult::Unknown,
             },
             TargetCall::Stop(c) => Event::StopEnded {
                 target,
                 task: c.task.clone(),
                 number: c.number,
+                generation,
                 result: StopResult::Unknown,
             },
             TargetCall::Hold(_) => Event::HoldEnded {
@@ -177,6 +179,7 @@
                     target: name,
                     task: c.task,
                     number: c.number,
+                    generation,
                     result,
                 }
             }
@@ -194,6 +197,7 @@
                     target: name,
                     task: c.task,
                     number: c.number,
+                    generation,
                     result,
                 }
             }
