Answer requests for begun jobs truly at the exit

Cause: requests that the control thread doesn't take before it ends were all refused as not run, also those for a job that an earlier request had begun. Ruled out: requests that the control thread takes; they join the job.

A job that is submitted again after its first answer, while the control thread still runs, is a new one.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -126,6 +126,13 @@
         out
     }
 
+    /// Paths of the jobs that have ended with an unknown outcome since the shutdown began. Their tasks
+    /// may have run, so further requests for them must not be refused as not run.
+    pub fn unfinished_jobs(&self) -> Vec<Arc<str>> {
+        let scheduler = self.scheduler.as_ref();
+        scheduler.map_or(Vec::new(), |s| s.unfinished().to_vec())
+    }
+
     /// Rejoins the control group with the state recovered from disk. Requests that wait in a member
     /// that was not dropped before are answered as unknown.
     pub fn restore_group(
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -1,6 +1,7 @@
 //! The loop of the control thread, which feeds inputs to the cluster state and applies its effects.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
@@ -125,16 +126,25 @@
     })
 }
 
+/// The end of a VM's control thread.
+#[derive(Clone, Debug, Default)]
+pub struct Exit {
+    /// Time until the grace period is over.
+    pub time_left: Duration,
+    /// Paths of the jobs that have ended with an unknown outcome since the shutdown began.
+    pub unfinished: Vec<Arc<str>>,
+}
+
 /// Runs a VM until it has shut down. `sender` and `inputs` are the two ends of one channel. All
 /// requests whose events were taken from it are answered before the function returns; the requests
-/// of events that remain in it have had no effect. Returns the time that is left until the grace
-/// period is over.
+/// of events that remain in it have had no effect, but their jobs may have run for an earlier
+/// request if they are in `Exit::unfinished`.
 pub fn run(
     settings: &Settings,
     sender: Sender<Input>,
     inputs: &Receiver<Input>,
     frontend: &mut dyn Frontend,
-) -> Result<Duration, Report> {
+) -> Result<Exit, Report> {
     let clock = Clock;
     let mut folder = disk::open(settings, rand::random())?;
     let setup = cluster_setup(settings, folder.as_mut(), clock)?;
@@ -187,7 +197,10 @@
             log::info!(event = "stopped", callers = status.callers; "the VM has shut down");
             // Sends the last messages to other VMs.
             drop(mesh);
-            return Ok(cluster.time_left(clock.now()).unwrap_or_default());
+            return Ok(Exit {
+                time_left: cluster.time_left(clock.now()).unwrap_or_default(),
+                unfinished: cluster.unfinished_jobs(),
+            });
         }
         if reported != Some(status) {
             if reported.is_some_and(|last| last.stage != status.stage) {
@@ -215,7 +228,7 @@
                     break;
                 }
                 Err(RecvTimeoutError::Timeout) => Event::Tick,
-                Err(RecvTimeoutError::Disconnected) => return Ok(Duration::ZERO),
+                Err(RecvTimeoutError::Disconnected) => return Ok(Exit::default()),
             };
             let is_tick = matches!(event, Event::Tick);
             let effects = cluster.step(clock.now(), clock.wall(), event);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -107,6 +107,8 @@
     next_review: Time,
     /// Whether waiting tasks may fit now.
     pub(crate) dispatch_due: bool,
+    /// Paths of the jobs that have ended with an unknown outcome since the shutdown began.
+    unfinished: Vec<Arc<str>>,
     /// Id of the job that was accepted in this step.
     pub(crate) accepted_job: Option<u64>,
 }
@@ -168,6 +170,7 @@
             offload_records: SortedMap::new(),
             next_review: now,
             dispatch_due: false,
+            unfinished: Vec::new(),
             accepted_job: None,
             setup,
         }
@@ -183,6 +186,11 @@
         self.requests.len()
     }
 
+    /// Paths of the jobs that have ended with an unknown outcome since the shutdown began.
+    pub fn unfinished(&self) -> &[Arc<str>] {
+        &self.unfinished
+    }
+
     /// Number of targets that this VM has claimed or owns.
     pub fn owned(&self) -> usize {
         let targets = self.targets.values();
@@ -358,6 +366,9 @@
         if reply != Reply::Completed && job.started {
             log_unfinished(now, &job);
         }
+        if reply == Reply::TimedOut && job.started && self.leaving.is_some() {
+            self.unfinished.push(job.path.clone());
+        }
         for JobCaller { request, .. } in &job.callers {
             self.requests.remove(request);
             out.push(Effect::Answer {
--- a/crates/scheduler/tests/world/shutdown.rs
+++ b/crates/scheduler/tests/world/shutdown.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use greengage_core::Time;
-use greengage_scheduler::Reply;
+use greengage_core::{RequestId, Time};
+use greengage_scheduler::{Event, Reply};
 
 use crate::support::{Simulation, SHUTDOWN_ANSWER_LIMIT};
 
@@ -86,3 +86,27 @@
     assert!(replies.iter().any(waited), "{replies:?}");
     assert_eq!(sim.vms[0].scheduler.callers(), 0);
 }
+
+/// Guards against an exit that doesn't know which jobs have run: a request for one of them that is
+/// still queued would be refused as not run.
+#[test]
+fn jobs_that_ran_until_the_exit_are_unfinished() {
+    let mut sim = Simulation::new(43, 1, 1);
+    for _ in 0..5 {
+        submit_task(&mut sim, SECOND * 8);
+    }
+    sim.run(millis(100));
+    sim.shut_down_vm(0);
+    let gone = Event::CallerGone(RequestId(1));
+    sim.event(0, 1, gone);
+    sim.run(millis(300));
+    sim.answer_all(0);
+    let unfinished = sim.vms[0].scheduler.unfinished().iter();
+    let mut unfinished: Vec<&str> = unfinished.map(|path| &**path).collect();
+    unfinished.sort_unstable();
+    // The target has room for the first two; the caller of one has disconnected.
+    assert_eq!(unfinished, ["/q0/j0", "/q0/j1"]);
+    let waited = |caller| matches!(answer(&sim, caller).1, Reply::Refused { .. });
+    assert_eq!(answer(&sim, 1).1, Reply::TimedOut);
+    assert!((2..5).all(waited));
+}
