--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -1,4 +1,4 @@
-//! Answers of a VM that doesn't know all targets yet.
+//! Decisions of a VM that doesn't know all targets, their owners, or which messages have arrived.
 
 use std::time::Duration;
 
@@ -8,8 +8,8 @@
     WallTime, ZoneName,
 };
 use greengage_scheduler::{
-    Candidate, Effect, Event, Peer, PeerMessage, Reply, Scheduler, Setup, Step, Submission,
-    TargetReport, DEFAULT_WEIGHT,
+    Candidate, Effect, Event, OffloadOutcome, OffloadedTask, Peer, PeerMessage, Reply, Scheduler,
+    Setup, Step, Submission, TargetReport, DEFAULT_WEIGHT,
 };
 
 fn document() -> Document {
@@ -90,6 +90,30 @@
     scheduler.step(now, WallTime(1_000_000), event)
 }
 
+/// Another live VM, of another zone.
+fn peer(name: &str) -> Peer {
+    Peer {
+        candidate: Candidate {
+            vm: VmName::new(name).unwrap(),
+            zone: ZoneName::new("b").unwrap(),
+            weight: DEFAULT_WEIGHT,
+        },
+        incarnation: Incarnation(1),
+        leaving: false,
+    }
+}
+
+/// Receives a message of VM `v2`, and returns the messages that are sent then.
+fn receive(scheduler: &mut Scheduler, now: Time, message: PeerMessage) -> Vec<PeerMessage> {
+    let from = VmName::new("v2").unwrap();
+    let effects = step(scheduler, now, Event::Peer { from, message });
+    let sent = effects.into_iter().filter_map(|effect| match effect {
+        Effect::Send { message, .. } => Some(message),
+        _ => None,
+    });
+    sent.collect()
+}
+
 /// A job of one task that needs 8 cores.
 fn submission(request: u64) -> Event {
     Event::Submit(Submission {
@@ -166,26 +190,69 @@
     assert_eq!(failed_after(&mut scheduler, start, 1), None);
 
     let mut scheduler = started_vm(start);
-    let candidate = Candidate {
-        vm: VmName::new("v2").unwrap(),
-        zone: ZoneName::new("a").unwrap(),
-        weight: DEFAULT_WEIGHT,
-    };
-    let peer = Peer {
-        candidate: candidate.clone(),
-        incarnation: Incarnation(1),
-        leaving: false,
-    };
-    step(&mut scheduler, start, Event::Peers(vec![peer]));
+    step(&mut scheduler, start, Event::Peers(vec![peer("v2")]));
     let message = PeerMessage::Offers {
         owned: vec![TargetName::new("large").unwrap()],
         offers: Vec::new(),
         shortage: false,
         time_left: None,
     };
-    let from = candidate.vm;
-    step(&mut scheduler, start, Event::Peer { from, message });
+    receive(&mut scheduler, start, message);
     let effects = step(&mut scheduler, start, submission(1));
     assert!(!has_failed(&effects, 1));
     assert_eq!(failed_after(&mut scheduler, start, 1), None);
 }
+
+/// Guards against a claim of a target that another VM may own, as it hasn't told its targets yet,
+/// and against a target that stays without an owner because that VM tells nothing.
+#[test]
+fn target_is_claimed_once_its_owner_has_had_time_to_tell() {
+    let start = Time::from_millis(1000);
+    let mut scheduler = started_vm(start);
+    step(&mut scheduler, start, Event::Peers(vec![peer("v2")]));
+    let mut ticks = (1..250).map(|i| Duration::from_millis(20 * i));
+    let claimed = ticks.find(|after| {
+        let effects = step(&mut scheduler, start + *after, Event::Tick);
+        effects.iter().any(|e| matches!(e, Effect::Call { .. }))
+    });
+    assert_eq!(claimed, Some(Duration::from_millis(1000)));
+}
+
+/// Guards against outcomes that are sent again to each renewal that they cross, and against ones
+/// that aren't repeated although they were lost.
+#[test]
+fn outcome_is_repeated_once_it_has_had_time_to_arrive() {
+    let start = Time::from_millis(1000);
+    let mut scheduler = started_vm(start);
+    step(&mut scheduler, start, Event::Peers(vec![peer("v2")]));
+    // This VM owns no target, so it refuses the task.
+    let task = OffloadedTask {
+        offload_id: 1,
+        task: "j1.0.0.0".into(),
+        number: 1,
+        spec: "".into(),
+        service: "s".into(),
+        queue: "q".into(),
+        demand: demand(1000),
+        declared: Duration::from_millis(100),
+        label: None,
+        objective: Duration::from_secs(1),
+        deadline: Duration::from_secs(1),
+    };
+    let run = PeerMessage::Run {
+        sender: Incarnation(1),
+        tasks: vec![task],
+    };
+    let refused = PeerMessage::Ended(vec![(1, OffloadOutcome::NotRunning)]);
+    assert!(receive(&mut scheduler, start, run).contains(&refused));
+    for (number, ms, repeated) in [(2, 5, false), (3, 120, true), (4, 125, false)] {
+        let renewal = PeerMessage::Renew {
+            sender: Incarnation(1),
+            receiver: Incarnation(1),
+            number,
+            needed: vec![(1, Duration::from_secs(1))],
+        };
+        let sent = receive(&mut scheduler, start + Duration::from_millis(ms), renewal);
+        assert_eq!(sent.contains(&refused), repeated, "after {ms} ms");
+    }
+}
--- a/crates/scheduler/tests/world/answers.rs
+++ b/crates/scheduler/tests/world/answers.rs
@@ -86,6 +86,26 @@
     }
 }
 
+/// Guards against offloaded runs whose lost stop isn't noticed with the next renewal, so that they
+/// use resources until none has arrived for a while.
+#[test]
+fn lost_stop_of_an_offloaded_run_is_repaired_by_the_next_renewal() {
+    for seed in 0..20 {
+        let mut sim = Simulation::new(seed, 3, 9);
+        sim.caller_timeout = Some(PATIENCE);
+        let caller = sim.submit(0, 1, vec![millis(3000); 10]);
+        sim.run(millis(300));
+        let running = |sim: &Simulation| sim.targets.iter().map(|t| t.runs.len()).sum::<usize>();
+        assert!(running(&sim) > 6, "seed {seed}: some are offloaded");
+        sim.lost_messages = Some((MessageKind::Stop, 10));
+        sim.close_caller(caller);
+        // The interval between renewals and ticks, and the trips of caller, VM and target.
+        sim.run(millis(120 + 20 + 3 + 2 + 1));
+        assert_ne!(sim.lost_messages, Some((MessageKind::Stop, 10)));
+        assert_eq!(running(&sim), 0, "seed {seed}");
+    }
+}
+
 /// Guards against a request that is forgotten because the job was submitted again over another
 /// connection: each connection gets the job's answer.
 #[test]
