Log connections that end without a response

Cause: requests that end without an answer around planned restarts are in no VM's table and in no log line, so nothing tells whether a process had read them. Log lines of requests (request-unanswered) begin only once a request is complete.

Change: a connection records how far its current request has come. If it ends with bytes of a request received or still in the socket and no complete response, it logs connection-cut with the number of bytes, the phase and the cause; closing a listener logs its open connections.

--- a/crates/listener/src/connection.rs
+++ b/crates/listener/src/connection.rs
@@ -1,5 +1,6 @@
 //! The thread that accepts connections and serves HTTP on all of them.
 
+use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,7 +17,7 @@
 use tokio::sync::{oneshot, watch};
 use tokio::task::LocalSet;
 
-use crate::stream::TimedStream;
+use crate::stream::{Exchange, Phase, TimedStream};
 use crate::{Answer, Handler, Headers, Request, Responder, Shared, BODY_PERMIT_BYTES, NEXT_NUMBER};
 
 /// Delay after a failed accept, which would fail again at once while no file descriptor is free.
@@ -121,8 +122,16 @@
     mut closing: watch::Receiver<bool>,
 ) {
     let shared = connection_count.shared.clone();
-    let stream = TimedStream::new(stream, shared.limits.write_timeout);
-    let service = service_fn(|request| handle(request, shared.clone()));
+    let exchange = Exchange::new();
+    let closed = closing.clone();
+    // Declared before the connection, so that it logs after the socket is closed.
+    let mut end = ConnectionEnd {
+        exchange: exchange.clone(),
+        closing: closed,
+        cause: String::from("aborted"),
+    };
+    let stream = TimedStream::new(stream, exchange.clone(), shared.limits.write_timeout);
+    let service = service_fn(|request| handle(request, shared.clone(), exchange.clone()));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(shared.limits.head_timeout)
@@ -131,17 +140,33 @@
     tokio::pin!(connection);
     if !*closing.borrow_and_update() {
         tokio::select! {
-            ended = connection.as_mut() => return log_end(ended),
+            ended = connection.as_mut() => return end.set_cause(ended),
             _ = closing.changed() => {}
         }
     }
     connection.as_mut().graceful_shutdown();
-    log_end(connection.await);
+    end.set_cause(connection.await);
 }
 
-fn log_end(ended: Result<(), hyper::Error>) {
-    if let Err(error) = ended {
-        log::debug!("an HTTP connection ended with an error: {error}");
+/// Logs the end of a connection when dropped.
+struct ConnectionEnd {
+    exchange: Rc<Exchange>,
+    closing: watch::Receiver<bool>,
+    cause: String,
+}
+
+impl ConnectionEnd {
+    fn set_cause(&mut self, ended: Result<(), hyper::Error>) {
+        self.cause = match ended {
+            Ok(()) => String::from("closed"),
+            Err(error) => error.to_string(),
+        };
+    }
+}
+
+impl Drop for ConnectionEnd {
+    fn drop(&mut self) {
+        self.exchange.log_end(*self.closing.borrow(), &self.cause);
     }
 }
 
@@ -160,7 +185,9 @@
 async fn handle(
     request: HttpRequest<Incoming>,
     shared: Arc<Shared>,
+    exchange: Rc<Exchange>,
 ) -> Result<HttpResponse<Full<Bytes>>, RequestDropped> {
+    exchange.set_phase(Phase::Body);
     let (head, mut body) = request.into_parts();
     let read = tokio::time::timeout(shared.limits.body_timeout, read_body(&mut body, &shared));
     let body = match read.await {
@@ -183,6 +210,7 @@
         headers: Headers(Box::new(head.headers)),
         body,
     };
+    exchange.set_phase(Phase::Waiting);
     let (responder, answer) = oneshot::channel();
     let responder = Responder(responder);
     let mut guard = None;
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -325,7 +325,10 @@
     /// Stops listening; open connections are closed after their next response.
     pub fn close(&mut self) {
         if let Some(closing) = &self.closing {
-            closing.send_replace(true);
+            if !closing.send_replace(true) {
+                log::info!(event = "listener-closed", address = self.address.to_string().as_str(),
+                    connections = self.connections(); "the listener accepts no more connections");
+            }
             let _ = self.socket_closed.recv_timeout(CLOSE_TIMEOUT);
         }
     }
