Answer or refuse each request when a listener shuts down

Cause: a shutdown closed idle connections with hyper's graceful shutdown, which looks at no socket, and closed the listening socket with connections in its backlog. Requests that had arrived or were on their way were reset; a response could be reset with them.

Change: the listener accepts what waits, and each connection ends once its socket holds no part of a request. An idle connection is sent a refusal first, which answers a request that crosses the end; a request that is incomplete at the end is refused too. The write side is shut down before the socket, which is read for up to 0.1 s.

--- a/crates/listener/src/connection.rs
+++ b/crates/listener/src/connection.rs
@@ -18,11 +18,17 @@
 use tokio::task::LocalSet;
 
 use crate::stream::{Exchange, Phase, TimedStream};
-use crate::{Answer, Handler, Headers, Request, Responder, Shared, BODY_PERMIT_BYTES, NEXT_NUMBER};
+use crate::{
+    Answer, Handler, Headers, Request, Responder, Shared, ACCEPT_BACKLOG, BODY_PERMIT_BYTES,
+    NEXT_NUMBER,
+};
 
 /// Delay after a failed accept, which would fail again at once while no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
+/// Delay before a retry if a refusal carries none of its own.
+const DEFAULT_RETRY_MS: u64 = 1000;
+
 /// Bytes of a rejected body that are read and dropped so that the caller receives the response.
 const MAX_DISCARD_BYTES: usize = 64 << 20;
 /// How long the rest of a rejected body is read.
@@ -80,13 +86,35 @@
             },
         }
     }
-    drop(listener);
+    if let Ok(socket) = listener.into_std() {
+        accept_waiting(&socket, &shared, &closing, &guards);
+    }
     drop(guards.socket);
     drop(guards.connections);
     // Connections are served until the listener is dropped.
     while closing.changed().await.is_ok() {}
 }
 
+/// Accepts the connections that a listening socket would reset as it is closed. Tokio's own accept
+/// reports them only once its reactor has run.
+fn accept_waiting(
+    socket: &std::net::TcpListener,
+    shared: &Arc<Shared>,
+    closing: &watch::Receiver<bool>,
+    guards: &OpenGuards,
+) {
+    for _ in 0..ACCEPT_BACKLOG {
+        let Ok((stream, _)) = socket.accept() else {
+            return;
+        };
+        let stream = stream.set_nonblocking(true).map(|()| stream);
+        match stream.and_then(TcpStream::from_std) {
+            Ok(stream) => admit(stream, shared, closing, guards),
+            Err(error) => log::warn!("can't register an HTTP connection: {error}"),
+        }
+    }
+}
+
 fn admit(
     stream: TcpStream,
     shared: &Arc<Shared>,
@@ -123,14 +151,17 @@
 ) {
     let shared = connection_count.shared.clone();
     let exchange = Exchange::new();
-    let closed = closing.clone();
     // Declared before the connection, so that it logs after the socket is closed.
     let mut end = ConnectionEnd {
         exchange: exchange.clone(),
-        closing: closed,
         cause: String::from("aborted"),
     };
-    let stream = TimedStream::new(stream, exchange.clone(), shared.limits.write_timeout);
+    let stream = TimedStream::new(
+        stream,
+        exchange.clone(),
+        shared.refusal.clone(),
+        shared.limits.write_timeout,
+    );
     let service = service_fn(|request| handle(request, shared.clone(), exchange.clone()));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -144,14 +175,13 @@
             _ = closing.changed() => {}
         }
     }
-    connection.as_mut().graceful_shutdown();
+    exchange.close();
     end.set_cause(connection.await);
 }
 
 /// Logs the end of a connection when dropped.
 struct ConnectionEnd {
     exchange: Rc<Exchange>,
-    closing: watch::Receiver<bool>,
     cause: String,
 }
 
@@ -166,7 +196,7 @@
 
 impl Drop for ConnectionEnd {
     fn drop(&mut self) {
-        self.exchange.log_end(*self.closing.borrow(), &self.cause);
+        self.exchange.log_end(&self.cause);
     }
 }
 
@@ -236,7 +266,9 @@
     if let Some(guard) = &mut guard {
         guard.answered = true;
     }
-    outcome.map(response).map_err(|_| RequestDropped)
+    let mut answer = outcome.map_err(|_| RequestDropped)?;
+    answer.close |= exchange.is_closing();
+    Ok(response(answer))
 }
 
 /// Notifies the service that the caller has disconnected, if dropped before the response.
@@ -310,6 +342,20 @@
     response(answer)
 }
 
+/// The bytes of a response that refuses a request which wasn't received in full.
+pub(crate) fn refusal(reject: fn(u16, &str) -> Answer) -> Bytes {
+    let message = "the connection is being closed: send the request again on another one";
+    let answer = reject(503, message);
+    let retry_s = answer.retry_ms.unwrap_or(DEFAULT_RETRY_MS).div_ceil(1000);
+    let head = format!(
+        "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-type: {}\r\n\
+         retry-after: {retry_s}\r\ncontent-length: {}\r\n\r\n",
+        answer.content_type,
+        answer.body.len()
+    );
+    [head.into_bytes(), answer.body].concat().into()
+}
+
 fn response(answer: Answer) -> HttpResponse<Full<Bytes>> {
     let mut builder = HttpResponse::builder()
         .status(StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR))
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -10,6 +10,11 @@
 //! them, the time to write a response and the time that sent bytes may stay unacknowledged. A
 //! connection beyond the limit is closed at once.
 //!
+//! A listener that shuts down accepts the connections that wait for it, answers each request that
+//! has arrived and refuses those that it doesn't receive in full. A caller can't know that its idle
+//! connection is about to be closed, so this connection gets a refusal too: it answers a request
+//! that is on its way, and a caller without a request drops it with the connection.
+//!
 //! rouille and tiny_http, on which rouille is built, are not suitable. Both use a thread for each
 //! connection without a limit and set no read timeout: eight stalled bodies kept a pool of eight
 //! threads from serving `/healthz`. In tiny_http 0.12, dropping a request that declares a body of
@@ -27,6 +32,7 @@
 use std::time::Duration;
 
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
+use hyper::body::Bytes;
 use percent_encoding::percent_decode_str;
 use socket2::{Domain, Socket, Type};
 use tokio::sync::{oneshot, watch, Semaphore};
@@ -294,6 +300,7 @@
         body_permits: Semaphore::new(limits.max_buffered_bytes / BODY_PERMIT_BYTES),
         limits,
         reject,
+        refusal: connection::refusal(reject),
         handler,
         open_connections: open_connections.clone(),
     });
@@ -322,7 +329,7 @@
         self.open_connections.load(Ordering::Relaxed)
     }
 
-    /// Stops listening; open connections are closed after their next response.
+    /// Stops listening and closes idle connections; others are closed after their next response.
     pub fn close(&mut self) {
         if let Some(closing) = &self.closing {
             if !closing.send_replace(true) {
@@ -368,6 +375,8 @@
 struct Shared {
     limits: Limits,
     reject: fn(u16, &str) -> Answer,
+    /// Response to a request that was not received in full as its connection is closed.
+    refusal: Bytes,
     handler: Handler,
     open_connections: Arc<AtomicUsize>,
     /// The unused part of `Limits::max_buffered_bytes`, in units of `BODY_PERMIT_BYTES`.
--- a/crates/listener/src/stream.rs
+++ b/crates/listener/src/stream.rs
@@ -1,4 +1,4 @@
-//! A TCP stream that limits the time to write a response.
+//! A TCP stream that limits the time to write a response and closes without losing answers.
 //!
 //! The kernel closes a connection whose peer acknowledges nothing (`TCP_USER_TIMEOUT`). A peer that
 //! reads a byte now and then never triggers that, so this stream limits the time for the whole
@@ -6,18 +6,36 @@
 //!
 //! The stream also records how far the current request has come, so that a connection that ends
 //! without a response can be logged with what was received.
+//!
+//! As its listener shuts down, the stream ends once no part of a request is in its socket. hyper's
+//! graceful shutdown doesn't look there: it closes an idle connection whose next request has
+//! arrived. A caller whose request is still on its way can't be told apart from an idle one, so an
+//! idle connection gets a refusal before it is closed, which answers that request.
+//!
+//! A socket that is closed with unread bytes is reset, and so is one that receives bytes later; a
+//! reset destroys a response that the caller hasn't received yet. Therefore the write side is shut
+//! down first, and the socket is read until the caller closes it.
 
 use std::cell::Cell;
-use std::io;
-use std::mem::MaybeUninit;
+use std::future::Future;
+use std::io::{self, Read, Write};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
+use hyper::body::Bytes;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
+
+/// How long a socket is read after its write side was shut down.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Limit on the bytes that are read and dropped in that time.
+const MAX_LINGER_BYTES: usize = 1 << 20;
+/// Size of a read whose bytes are dropped.
+const DISCARD_BYTES: usize = 4096;
 
 /// How far the current request of a connection has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,23 +59,41 @@
     phase: Cell<Phase>,
     /// Responses that were written in full.
     responses: Cell<usize>,
-    /// Bytes found in the socket when it was closed, up to `MAX_UNREAD_BYTES`.
+    /// Whether the listener shuts down.
+    closing: Cell<bool>,
+    /// Whether the stream has refused all requests that it doesn't answer.
+    refused: Cell<bool>,
+    /// Bytes that arrived after the last response or refusal.
     unread: Cell<usize>,
 }
 
-/// Limit on the bytes that are looked for in a socket that is being closed.
-const MAX_UNREAD_BYTES: usize = 1024;
-
 impl Exchange {
     pub(crate) fn new() -> Rc<Exchange> {
         Rc::new(Exchange {
             received: Cell::new(0),
             phase: Cell::new(Phase::Head),
             responses: Cell::new(0),
+            closing: Cell::new(false),
+            refused: Cell::new(false),
             unread: Cell::new(0),
         })
     }
 
+    /// Ends the connection once it is idle.
+    pub(crate) fn close(&self) {
+        self.closing.set(true);
+    }
+
+    /// Whether the connection ends once it is idle.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    /// Whether no part of a request has been received since the last response.
+    fn is_idle(&self) -> bool {
+        self.received.get() == 0 && self.phase.get() == Phase::Head
+    }
+
     /// Sets how far the current request has come.
     pub(crate) fn set_phase(&self, phase: Phase) {
         self.phase.set(phase);
@@ -70,12 +106,13 @@
     }
 
     /// Logs the end of a connection that leaves a request without a complete response.
-    pub(crate) fn log_end(&self, closing: bool, cause: &str) {
+    pub(crate) fn log_end(&self, cause: &str) {
         let (received, unread) = (self.received.get(), self.unread.get());
         if received + unread > 0 {
             log::info!(event = "connection-cut", received = received, unread = unread,
-                phase:? = self.phase.get(), responses = self.responses.get(), closing = closing,
-                cause = cause; "a connection ended without a response to its last request");
+                refused = self.refused.get(), phase:? = self.phase.get(),
+                responses = self.responses.get(), closing = self.closing.get(), cause = cause;
+                "a connection ended without a response to its last request");
         }
     }
 }
@@ -83,25 +120,62 @@
 pub(crate) struct TimedStream {
     tcp: TcpStream,
     exchange: Rc<Exchange>,
+    /// Response to a request that wasn't received in full.
+    refusal: Bytes,
     write_timeout: Duration,
     /// When writing the current response started; `None` between responses.
     write_started: Option<Instant>,
+    /// Ends the reading of a socket whose write side is shut down; `None` before.
+    linger: Option<Pin<Box<Sleep>>>,
+    /// Whether the caller has closed the connection.
+    ended: bool,
 }
 
 impl TimedStream {
     pub(crate) fn new(
         tcp: TcpStream,
         exchange: Rc<Exchange>,
+        refusal: Bytes,
         write_timeout: Duration,
     ) -> TimedStream {
         TimedStream {
             tcp,
             exchange,
+            refusal,
             write_timeout,
             write_started: None,
+            linger: None,
+            ended: false,
         }
     }
 
+    /// Sends the refusal, of which the socket takes what its buffer has room for.
+    fn refuse(&mut self) {
+        let sent = (&*SockRef::from(&self.tcp)).write(&self.refusal);
+        self.exchange.refused.set(sent.is_ok());
+    }
+
+    /// Reads what is in the socket. Tokio's own read reports nothing until its reactor has run.
+    fn read_now(&self, buf: &mut [u8]) -> io::Result<usize> {
+        (&*SockRef::from(&self.tcp)).read(buf)
+    }
+
+    /// Reads until the caller closes the connection; drops what it reads.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut bytes = [0; DISCARD_BYTES];
+        while self.exchange.unread.get() < MAX_LINGER_BYTES {
+            let mut buf = ReadBuf::new(&mut bytes);
+            match ready!(Pin::new(&mut self.tcp).poll_read(cx, &mut buf)) {
+                Ok(()) if !buf.filled().is_empty() => {
+                    let unread = self.exchange.unread.get() + buf.filled().len();
+                    self.exchange.unread.set(unread);
+                }
+                Ok(()) | Err(_) => break,
+            }
+        }
+        Poll::Ready(())
+    }
+
     fn check_timeout(&mut self) -> io::Result<()> {
         let write_started = *self.write_started.get_or_insert_with(Instant::now);
         match write_started.elapsed() > self.write_timeout {
@@ -118,9 +192,23 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        ready!(Pin::new(&mut self.tcp).poll_read(cx, buf))?;
-        let received = self.exchange.received.get() + buf.filled().len() - before;
-        self.exchange.received.set(received);
+        if self.exchange.is_closing() && self.exchange.is_idle() {
+            match self.read_now(buf.initialize_unfilled()) {
+                Ok(read) => buf.advance(read),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.refuse();
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        } else {
+            ready!(Pin::new(&mut self.tcp).poll_read(cx, buf))?;
+        }
+        let read = buf.filled().len() - before;
+        self.ended |= read == 0;
+        self.exchange
+            .received
+            .set(self.exchange.received.get() + read);
         Poll::Ready(Ok(()))
     }
 }
@@ -160,15 +248,32 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_shutdown(cx)
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.tcp).poll_shutdown(cx))?;
+            self.linger = Some(Box::pin(tokio::time::sleep(LINGER_TIMEOUT)));
+        }
+        if self.poll_discard(cx).is_pending() {
+            if let Some(linger) = &mut self.linger {
+                ready!(linger.as_mut().poll(cx));
+            }
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
 impl Drop for TimedStream {
+    /// Refuses a request that wasn't received in full when the listener ends.
     fn drop(&mut self) {
-        let mut buf = [MaybeUninit::uninit(); MAX_UNREAD_BYTES];
-        // The socket doesn't block. Tokio's own read reports nothing until the reactor has run.
-        let unread = SockRef::from(&self.tcp).recv(&mut buf).unwrap_or(0);
+        if self.linger.is_some() || self.ended {
+            return;
+        }
+        let receiving = matches!(self.exchange.phase.get(), Phase::Head | Phase::Body);
+        if self.exchange.is_closing() && receiving {
+            self.refuse();
+            let _ = SockRef::from(&self.tcp).shutdown(std::net::Shutdown::Write);
+        }
+        let mut bytes = [0; DISCARD_BYTES];
+        let unread = self.read_now(&mut bytes).unwrap_or(0);
         self.exchange.unread.set(unread);
     }
 }
--- a/crates/listener/tests/direct.rs
+++ b/crates/listener/tests/direct.rs
@@ -136,3 +136,170 @@
     drop(stream);
     assert!(matches!(events.recv_timeout(TIMEOUT), Ok(Event::Disconnected(n)) if n == number));
 }
+
+/// Lets the listener's thread wait in the call of a request until a message is sent.
+struct Blocking(Mutex<Receiver<()>>);
+
+impl Service for Blocking {
+    fn call(&self, _number: u64, request: Request, responder: Responder) {
+        if request.path == "/block" {
+            let _ = self.0.lock().unwrap().recv_timeout(TIMEOUT);
+        }
+        responder.send(Answer::json(200, request.path));
+    }
+
+    fn disconnected(&self, _number: u64) {}
+}
+
+const GET: &[u8] = b"GET /late HTTP/1.1\r\nHost: one\r\n\r\n";
+
+fn connect(listener: &Listener) -> TcpStream {
+    let stream = TcpStream::connect(listener.address()).unwrap();
+    stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+    stream
+}
+
+/// What a caller reads until the connection ends, and the error that ends it.
+fn read_all(stream: &mut TcpStream) -> (String, Option<std::io::ErrorKind>) {
+    let mut text = Vec::new();
+    let error = stream.read_to_end(&mut text).err();
+    (
+        String::from_utf8(text).unwrap(),
+        error.map(|error| error.kind()),
+    )
+}
+
+/// Closes a listener whose thread is busy while `send` runs; returns the answer to its request.
+fn answer_sent_while_the_thread_is_busy(
+    reused: bool,
+    send: impl FnOnce(&Listener, Option<TcpStream>) -> TcpStream,
+) -> (String, Option<std::io::ErrorKind>) {
+    let (unblock, blocked) = channel();
+    let service = Box::new(Blocking(Mutex::new(blocked)));
+    let reject = |status, message: &str| Answer::json(status, message);
+    let address = "127.0.0.1:0".parse().unwrap();
+    let mut listener = start_direct("test", address, Limits::default(), reject, service).unwrap();
+    let idle = reused.then(|| {
+        let mut stream = connect(&listener);
+        stream
+            .write_all(b"GET /a HTTP/1.1\r\nHost: one\r\n\r\n")
+            .unwrap();
+        let mut response = [0; 1024];
+        assert!(stream.read(&mut response).unwrap() > 0);
+        stream
+    });
+    let mut blocker = connect(&listener);
+    blocker
+        .write_all(b"GET /block HTTP/1.1\r\nHost: one\r\n\r\n")
+        .unwrap();
+    std::thread::sleep(Duration::from_millis(50));
+    let mut stream = send(&listener, idle);
+    let unblocker = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(50));
+        unblock.send(()).unwrap();
+    });
+    listener.shut_down(TIMEOUT);
+    unblocker.join().unwrap();
+    read_all(&mut stream)
+}
+
+/// Guards against a shutdown that closes a reused connection with a request in its socket.
+#[test]
+fn shutdown_answers_requests_in_the_sockets_of_reused_connections() {
+    for round in 0..20 {
+        let answer = answer_sent_while_the_thread_is_busy(true, |_, idle| {
+            let mut stream = idle.unwrap();
+            stream.write_all(GET).unwrap();
+            stream
+        });
+        assert!(answer.0.ends_with("/late"), "round {round}: {answer:?}");
+    }
+}
+
+/// Guards against a shutdown that resets connections which wait to be accepted.
+#[test]
+fn shutdown_answers_requests_of_connections_not_accepted_yet() {
+    for round in 0..20 {
+        let answer = answer_sent_while_the_thread_is_busy(false, |listener, _| {
+            let mut stream = connect(listener);
+            stream.write_all(GET).unwrap();
+            stream
+        });
+        assert!(answer.0.ends_with("/late"), "round {round}: {answer:?}");
+    }
+}
+
+/// Guards against a caller whose request is on its way while its idle connection is closed and who
+/// gets neither an answer nor a refusal.
+#[test]
+fn shutdown_refuses_requests_that_cross_the_end_of_an_idle_connection() {
+    for reused in [false, true] {
+        let (mut listener, events) = start();
+        let mut stream = connect(&listener);
+        if reused {
+            stream.write_all(REQUEST).unwrap();
+            let Ok(Event::Call(_, _, responder)) = events.recv_timeout(TIMEOUT) else {
+                panic!("no call");
+            };
+            responder.send(Answer::json(200, ""));
+            let mut response = [0; 1024];
+            assert!(stream.read(&mut response).unwrap() > 0);
+        } else {
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        listener.close();
+        std::thread::sleep(Duration::from_millis(20));
+        let sent = stream.write_all(REQUEST);
+        let (text, error) = read_all(&mut stream);
+        assert!(
+            text.starts_with("HTTP/1.1 503 ") && error.is_none(),
+            "reused: {reused}: {sent:?} {text:?} {error:?}"
+        );
+        assert!(text.to_lowercase().contains("connection: close"), "{text}");
+        listener.shut_down(TIMEOUT);
+        assert!(events.try_recv().is_err(), "a refused request must not run");
+    }
+}
+
+/// Guards against the end of a shutdown that leaves a caller without a refusal in the middle of its
+/// request.
+#[test]
+fn requests_that_are_still_received_at_the_end_are_refused() {
+    let parts = [&REQUEST[..20], &REQUEST[..REQUEST.len() - 1]];
+    for part in parts {
+        let (mut listener, events) = start();
+        let mut stream = connect(&listener);
+        stream.write_all(part).unwrap();
+        std::thread::sleep(Duration::from_millis(50));
+        listener.shut_down(Duration::from_millis(100));
+        drop(listener);
+        let (text, error) = read_all(&mut stream);
+        assert!(
+            text.starts_with("HTTP/1.1 503 ") && error.is_none(),
+            "{text:?} {error:?}"
+        );
+        assert!(events.try_recv().is_err(), "a refused request must not run");
+    }
+}
+
+/// Guards against an answer that is lost since its connection is closed with unread bytes.
+#[test]
+fn answers_survive_bytes_that_arrive_after_them() {
+    let (listener, events) = start();
+    for _ in 0..20 {
+        let mut stream = connect(&listener);
+        stream.write_all(REQUEST).unwrap();
+        let Ok(Event::Call(_, _, responder)) = events.recv_timeout(TIMEOUT) else {
+            panic!("no call");
+        };
+        responder.send(Answer {
+            close: true,
+            ..Answer::json(200, "x".repeat(1_000_000))
+        });
+        std::thread::sleep(Duration::from_millis(5));
+        let _ = stream.write_all(REQUEST);
+        std::thread::sleep(Duration::from_millis(5));
+        let (text, error) = read_all(&mut stream);
+        assert!(text.ends_with("xxx") && error.is_none(), "{error:?}");
+    }
+}
--- a/crates/listener/tests/listener.rs
+++ b/crates/listener/tests/listener.rs
@@ -233,6 +233,7 @@
     let start = Instant::now();
     listener.shut_down(Duration::from_secs(5));
     assert!(start.elapsed() < Duration::from_secs(2));
+    assert!(read_response(&mut idle).starts_with("HTTP/1.1 503 "));
     assert_eq!(read_response(&mut idle), "");
     let (mut listener, receiver) = listener_with_channel();
     let mut held = connect(&listener);
