Keep reused connections open longer than a head may take

A request that crosses the closing gets no answer.

Change: the stream has both limits itself: the head's from its first byte, and 30 s between a response and the next request. A connection that was idle for too long gets the refusal before it is closed.

Conclusion: the fault is shown by the tests.

--- a/crates/http/tests/front.rs
+++ b/crates/http/tests/front.rs
@@ -541,6 +541,7 @@
     let mut settings = settings();
     settings.limits.listener.write_timeout = Duration::from_millis(2200);
     settings.limits.listener.head_timeout = Duration::from_secs(1);
+    settings.limits.listener.idle_timeout = Duration::from_secs(1);
     let front = echo_front(settings);
     // Larger than the socket buffers.
     let task = format!("\"{}\"", "x".repeat(7_000_000));
--- a/crates/listener/src/connection.rs
+++ b/crates/listener/src/connection.rs
@@ -12,7 +12,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request as HttpRequest, Response as HttpResponse, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::task::LocalSet;
@@ -156,16 +156,11 @@
         exchange: exchange.clone(),
         cause: String::from("aborted"),
     };
-    let stream = TimedStream::new(
-        stream,
-        exchange.clone(),
-        shared.refusal.clone(),
-        shared.limits.write_timeout,
-    );
+    let stream = TimedStream::new(stream, exchange.clone(), &shared);
     let service = service_fn(|request| handle(request, shared.clone(), exchange.clone()));
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(shared.limits.head_timeout)
+        // The stream limits the time to receive a head.
+        .header_read_timeout(None)
         .max_buf_size(shared.limits.max_head_bytes.max(8192))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -55,8 +55,11 @@
     pub handler_threads: usize,
     /// Maximum number of requests that wait for a handler; further ones are answered with 503.
     pub max_queued: usize,
-    /// Time to receive a head, counted from the accept or the previous response.
+    /// Time to receive a head, counted from the accept or, on a reused connection, from its first
+    /// byte.
     pub head_timeout: Duration,
+    /// Time for which a connection may be idle after a response.
+    pub idle_timeout: Duration,
     /// Time to receive a body; a slower one is answered with 408.
     pub body_timeout: Duration,
     /// How long sent bytes may stay unacknowledged before the kernel closes the connection.
@@ -75,6 +78,8 @@
             handler_threads: 4,
             max_queued: 4096,
             head_timeout: Duration::from_secs(10),
+            // Callers may reuse connections for 15 s, the idle time that operators configure.
+            idle_timeout: Duration::from_secs(30),
             body_timeout: Duration::from_secs(5),
             unacked_timeout: Duration::from_secs(5),
             write_timeout: Duration::from_secs(10),
--- a/crates/listener/src/stream.rs
+++ b/crates/listener/src/stream.rs
@@ -1,8 +1,9 @@
-//! A TCP stream that limits the time to write a response and closes without losing answers.
+//! A TCP stream that limits the times of an exchange and closes without losing answers.
 //!
 //! The kernel closes a connection whose peer acknowledges nothing (`TCP_USER_TIMEOUT`). A peer that
 //! reads a byte now and then never triggers that, so this stream limits the time for the whole
-//! response.
+//! response. It also limits the time to receive a head and the time between a response and the next
+//! request, for which hyper has only one limit together.
 //!
 //! The stream also records how far the current request has come, so that a connection that ends
 //! without a response can be logged with what was received.
@@ -10,7 +11,8 @@
 //! As its listener shuts down, the stream ends once no part of a request is in its socket. hyper's
 //! graceful shutdown doesn't look there: it closes an idle connection whose next request has
 //! arrived. A caller whose request is still on its way can't be told apart from an idle one, so an
-//! idle connection gets a refusal before it is closed, which answers that request.
+//! idle connection gets a refusal before it is closed, which answers that request. The same holds
+//! for a connection that was idle for too long.
 //!
 //! A socket that is closed with unread bytes is reset, and so is one that receives bytes later; a
 //! reset destroys a response that the caller hasn't received yet. Therefore the write side is shut
@@ -21,15 +23,17 @@
 use std::io::{self, Read, Write};
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
-use hyper::body::Bytes;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
+use crate::Shared;
+
 /// How long a socket is read after its write side was shut down.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Limit on the bytes that are read and dropped in that time.
@@ -120,9 +124,9 @@
 pub(crate) struct TimedStream {
     tcp: TcpStream,
     exchange: Rc<Exchange>,
-    /// Response to a request that wasn't received in full.
-    refusal: Bytes,
-    write_timeout: Duration,
+    shared: Arc<Shared>,
+    /// Ends at the limit for the head, or for the first byte of the next request.
+    read_timer: Pin<Box<Sleep>>,
     /// When writing the current response started; `None` between responses.
     write_started: Option<Instant>,
     /// Ends the reading of a socket whose write side is shut down; `None` before.
@@ -132,17 +136,12 @@
 }
 
 impl TimedStream {
-    pub(crate) fn new(
-        tcp: TcpStream,
-        exchange: Rc<Exchange>,
-        refusal: Bytes,
-        write_timeout: Duration,
-    ) -> TimedStream {
+    pub(crate) fn new(tcp: TcpStream, exchange: Rc<Exchange>, shared: &Arc<Shared>) -> TimedStream {
         TimedStream {
             tcp,
             exchange,
-            refusal,
-            write_timeout,
+            shared: shared.clone(),
+            read_timer: Box::pin(tokio::time::sleep(shared.limits.head_timeout)),
             write_started: None,
             linger: None,
             ended: false,
@@ -151,7 +150,7 @@
 
     /// Sends the refusal, of which the socket takes what its buffer has room for.
     fn refuse(&mut self) {
-        let sent = (&*SockRef::from(&self.tcp)).write(&self.refusal);
+        let sent = (&*SockRef::from(&self.tcp)).write(&self.shared.refusal);
         self.exchange.refused.set(sent.is_ok());
     }
 
@@ -160,6 +159,24 @@
         (&*SockRef::from(&self.tcp)).read(buf)
     }
 
+    fn start_read_timer(&mut self, timeout: Duration) {
+        let deadline = tokio::time::Instant::now() + timeout;
+        self.read_timer.as_mut().reset(deadline);
+    }
+
+    /// Ends the reading of a head that takes too long, and of an idle connection.
+    fn poll_read_timer(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.exchange.phase.get() != Phase::Head {
+            return Poll::Pending;
+        }
+        ready!(self.read_timer.as_mut().poll(cx));
+        if self.exchange.is_idle() && self.exchange.responses.get() > 0 {
+            self.refuse();
+            return Poll::Ready(Ok(()));
+        }
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
     /// Reads until the caller closes the connection; drops what it reads.
     fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let mut bytes = [0; DISCARD_BYTES];
@@ -178,7 +195,7 @@
 
     fn check_timeout(&mut self) -> io::Result<()> {
         let write_started = *self.write_started.get_or_insert_with(Instant::now);
-        match write_started.elapsed() > self.write_timeout {
+        match write_started.elapsed() > self.shared.limits.write_timeout {
             true => Err(io::ErrorKind::TimedOut.into()),
             false => Ok(()),
         }
@@ -201,11 +218,17 @@
                 }
                 Err(error) => return Poll::Ready(Err(error)),
             }
+        } else if let Poll::Ready(read) = Pin::new(&mut self.tcp).poll_read(cx, buf) {
+            read?;
         } else {
-            ready!(Pin::new(&mut self.tcp).poll_read(cx, buf))?;
+            return self.poll_read_timer(cx);
         }
         let read = buf.filled().len() - before;
         self.ended |= read == 0;
+        if self.exchange.is_idle() && self.exchange.responses.get() > 0 {
+            let timeout = self.shared.limits.head_timeout;
+            self.start_read_timer(timeout);
+        }
         self.exchange
             .received
             .set(self.exchange.received.get() + read);
@@ -243,6 +266,12 @@
         ready!(Pin::new(&mut self.tcp).poll_flush(cx))?;
         if self.write_started.take().is_some() {
             self.exchange.responded();
+            let timeout = self.shared.limits.idle_timeout;
+            self.start_read_timer(timeout);
+            // hyper may have read before the response was written, and reads again once woken.
+            if self.read_timer.as_mut().poll(cx).is_ready() {
+                cx.waker().wake_by_ref();
+            }
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/listener/tests/listener.rs
+++ b/crates/listener/tests/listener.rs
@@ -88,12 +88,13 @@
     assert_eq!(listener.connections(), 0, "of {}", stalled.len());
 }
 
-/// A connection without a request must be closed after the head timeout, both before its first
-/// request and after a response.
+/// A connection without a request must be closed, both after the head timeout before its first
+/// request and after the idle timeout after a response.
 #[test]
 fn idle_connections_are_closed() {
     let limits = Limits {
         head_timeout: Duration::from_millis(500),
+        idle_timeout: Duration::from_millis(500),
         ..Limits::default()
     };
     let listener = echo_listener(limits);
@@ -105,6 +106,48 @@
     assert_eq!(listener.connections(), 0);
 }
 
+/// Guards against a connection that is closed while its caller may still reuse it: the time to
+/// receive a head doesn't begin before its first byte.
+#[test]
+fn reused_connections_stay_open_longer_than_the_head_timeout() {
+    let limits = Limits {
+        head_timeout: Duration::from_millis(300),
+        ..Limits::default()
+    };
+    let listener = echo_listener(limits);
+    let mut stream = connect(&listener);
+    get(&mut stream, "/a");
+    assert!(read_response(&mut stream).ends_with("/a"));
+    std::thread::sleep(Duration::from_millis(900));
+    let _ = write!(stream, "GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+    assert!(read_response(&mut stream).ends_with("/b"));
+    // The limit of a head holds on a reused connection as well.
+    stream.write_all(b"GET /c HT").unwrap();
+    std::thread::sleep(Duration::from_millis(900));
+    assert_eq!(read_response(&mut stream), "");
+    assert_eq!(listener.connections(), 0);
+}
+
+/// Guards against a caller whose request crosses the end of a connection that was idle for too long
+/// and who gets no answer.
+#[test]
+fn requests_that_cross_the_idle_timeout_are_refused() {
+    let limits = Limits {
+        head_timeout: Duration::from_millis(300),
+        idle_timeout: Duration::from_millis(300),
+        ..Limits::default()
+    };
+    let listener = echo_listener(limits);
+    let mut stream = connect(&listener);
+    get(&mut stream, "/a");
+    assert!(read_response(&mut stream).ends_with("/a"));
+    std::thread::sleep(Duration::from_millis(330));
+    let _ = write!(stream, "GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+    let answer = read_response(&mut stream);
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer:?}");
+    assert_eq!(read_response(&mut stream), "");
+}
+
 /// A declared length over the limit must be refused before a buffer of that size is allocated.
 #[test]
 fn oversized_declared_body() {
