Answer operators before the product's daemon exits

Cause: the listener for operators was dropped without waiting for its responses, so a pending request ended with its connection.

Change: AdminListener::shut_down answers pending requests with unknown_outcome and waits until the responses are sent, as the listener for callers does; the VM closes both before it waits for one.

Conclusion: fixed for requests that have arrived; the outcome told is unknown, never "not run".

--- a/crates/http/src/admin.rs
+++ b/crates/http/src/admin.rs
@@ -71,6 +71,8 @@
     Unregister {
         id: RequestId,
     },
+    /// Answer all pending and further requests with `unknown_outcome`.
+    AnswerAll,
     Stop,
 }
 
@@ -106,6 +108,20 @@
     pub fn replies(&self) -> ReplySender {
         self.replies.clone()
     }
+
+    /// Stops listening and closes idle connections; others are closed after their next response.
+    pub fn close(&mut self) {
+        self.listener.close();
+    }
+
+    /// Stops listening, answers the pending requests with `unknown_outcome` and waits, for at most
+    /// `timeout`, until the responses are sent.
+    pub fn shut_down(&mut self, timeout: Duration) {
+        self.close();
+        // The send fails only if the thread has ended, and with it all pending requests.
+        let _ = self.replies.0.send(Message::AnswerAll);
+        self.listener.shut_down(timeout);
+    }
 }
 
 impl Drop for AdminListener {
@@ -168,8 +184,11 @@
 fn dispatch_replies(receiver: &Receiver<Message>) {
     // A B-tree, since ids are removed in any order.
     let mut pending: BTreeMap<RequestId, Sender<Reply>> = BTreeMap::new();
+    let mut closing = false;
     for message in receiver {
         match message {
+            // A handler whose channel is closed answers with `unknown_outcome`.
+            Message::Register { .. } if closing => {}
             Message::Register { id, reply_sender } => {
                 pending.insert(id, reply_sender);
             }
@@ -181,6 +200,10 @@
             Message::Unregister { id } => {
                 pending.remove(&id);
             }
+            Message::AnswerAll => {
+                closing = true;
+                pending.clear();
+            }
             Message::Stop => return,
         }
     }
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -134,7 +134,7 @@
         self.listener.connections()
     }
 
-    /// Stops listening; open connections are closed after their next response.
+    /// Stops listening and closes idle connections; others are closed after their next response.
     pub fn close(&mut self) {
         self.listener.close();
     }
--- a/crates/http/tests/admin.rs
+++ b/crates/http/tests/admin.rs
@@ -676,3 +676,22 @@
     assert!(sent.elapsed() < Duration::from_secs(1));
     drop(stalled);
 }
+
+/// Guards against a shutdown that closes operators' connections without an answer.
+#[test]
+fn shutdown_answers_pending_requests() {
+    let mut operator = operator(Duration::from_secs(30), Box::new(|_| None));
+    let mut stream = TcpStream::connect(operator.admin.address()).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(5)))
+        .unwrap();
+    write!(stream, "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+    while operator.received.lock().unwrap().is_empty() {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    operator.admin.shut_down(Duration::from_secs(5));
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    assert!(text.starts_with("HTTP/1.1 504 "), "{text:?}");
+    assert!(text.contains(r#""not_run":false"#), "{text}");
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -28,7 +28,7 @@
 /// Capacity of the event queue; when it is full, requests are refused and peers' messages dropped.
 const EVENT_QUEUE_CAPACITY: usize = 65_536;
 
-/// Limit on the delivery of the last responses to callers before the process exits.
+/// Limit on the delivery of the last responses of each listener before the process exits.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The threads of a running VM.
@@ -299,8 +299,10 @@
     fn shut_down(mut self) -> usize {
         let unanswered = self.pending.load(Ordering::Relaxed);
         self.front.close();
+        self.admin.close();
         drop(self.stop_guard);
         self.front.shut_down(RESPONSE_TIMEOUT);
+        self.admin.shut_down(RESPONSE_TIMEOUT);
         drop(self.front);
         drop(self.admin);
         drop(self.transport);
