End a VM of the product whose control thread has panicked

Cause: a panic ended the control thread and nothing else. The VM kept running, callers and operators waited, and further requests were refused for ever.

Change: the control thread reports its panic.

Conclusion: fixed for the control thread. Panics of traffic threads still only end their thread.

--- a/crates/ctl/src/trial.rs
+++ b/crates/ctl/src/trial.rs
@@ -240,7 +240,9 @@
             shutdown_handle.abort();
         }
         for node in self.nodes {
-            node.wait();
+            if let Err(error) = node.wait() {
+                eprintln!("a VM of the trial has failed: {error}");
+            }
         }
     }
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -102,7 +102,9 @@
             }
         })
         .wrap_err("cannot start the signal thread")?;
-    let aborted = node.wait();
+    let aborted = node
+        .wait()
+        .inspect_err(|error| log::error!("VM {vm} has failed: {error}"))?;
     log::info!("VM {vm} has shut down");
     Ok(aborted)
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -11,6 +11,7 @@
 use greengage_core::{RequestId, VmName};
 
 use crate::clock::Clock;
+use crate::node::PanicGuard;
 
 /// The channels to the threads that execute effects.
 pub(crate) struct EffectChannels {
@@ -31,31 +32,37 @@
     events: Receiver<Event>,
     stop_signal: Receiver<()>,
     channels: EffectChannels,
+    guard: PanicGuard,
 ) -> std::io::Result<JoinHandle<()>> {
     thread::Builder::new()
         .name("control".to_string())
-        .spawn(move || loop {
-            let timeout = clock.time_until(control.next_wake());
-            let event = select! {
-                recv(events) -> event => match event {
-                    Ok(event) => event,
-                    Err(_) => return,
-                },
-                recv(stop_signal) -> _ => return,
-                default(timeout) => Event::Tick,
-            };
-            if matches!(event, Event::DiskFailed) {
-                log::error!("the disk failed: this VM no longer votes or leads; replace the disk");
+        .spawn(move || {
+            let _guard = guard;
+            loop {
+                let timeout = clock.time_until(control.next_wake());
+                let event = select! {
+                    recv(events) -> event => match event {
+                        Ok(event) => event,
+                        Err(_) => return,
+                    },
+                    recv(stop_signal) -> _ => return,
+                    default(timeout) => Event::Tick,
+                };
+                if matches!(event, Event::DiskFailed) {
+                    log::error!(
+                        "the disk failed: this VM no longer votes or leads; replace the disk"
+                    );
+                }
+                metrics::counter!("greengage_events_total").increment(1);
+                for effect in control.step(clock.now(), event) {
+                    channels.send(effect);
+                }
+                metrics::gauge!("greengage_revision").set(control.revision().0 as f64);
+                channels
+                    .pending
+                    .store(control.open_requests(), Ordering::Relaxed);
+                metrics::gauge!("greengage_requests_waiting").set(control.open_requests() as f64);
             }
-            metrics::counter!("greengage_events_total").increment(1);
-            for effect in control.step(clock.now(), event) {
-                channels.send(effect);
-            }
-            metrics::gauge!("greengage_revision").set(control.revision().0 as f64);
-            channels
-                .pending
-                .store(control.open_requests(), Ordering::Relaxed);
-            metrics::gauge!("greengage_requests_waiting").set(control.open_requests() as f64);
         })
 }
 
--- a/crates/node/src/error.rs
+++ b/crates/node/src/error.rs
@@ -1,4 +1,4 @@
-//! Errors that prevent the start of a VM.
+//! Errors that prevent the start of a VM or end it.
 
 use std::fmt;
 use std::io;
@@ -13,7 +13,7 @@
 
 use crate::settings::SettingsError;
 
-/// Why a VM can't start.
+/// Why a VM can't start or has failed.
 #[derive(Debug)]
 pub enum NodeError {
     /// A setting is invalid.
@@ -51,6 +51,8 @@
     Thread(io::Error),
     /// `prepare_data_folder` needs a data folder and none is set.
     MissingDataFolder,
+    /// The control thread has panicked.
+    ControlPanicked,
 }
 
 impl fmt::Display for NodeError {
@@ -78,6 +80,10 @@
                 )
             }
             NodeError::MissingDataFolder => write!(f, "--init needs a data folder: set --data"),
+            NodeError::ControlPanicked => write!(
+                f,
+                "the control thread panicked: start the VM again and report the panic message"
+            ),
         }
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -56,6 +56,19 @@
     Abort,
     /// Draining has started.
     Draining,
+    /// The control thread has panicked.
+    Failed,
+}
+
+/// Reports a panic of the thread that owns it.
+pub(crate) struct PanicGuard(Sender<ShutdownEvent>);
+
+impl Drop for PanicGuard {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            let _ = self.0.send(ShutdownEvent::Failed);
+        }
+    }
 }
 
 /// Shuts down a running VM from another thread.
@@ -238,6 +251,7 @@
             event_rx,
             stop_signal,
             channels,
+            PanicGuard(shutdown_tx.clone()),
         )?);
         Ok(Node {
             events,
@@ -272,8 +286,9 @@
         }
     }
 
-    /// Blocks until the VM has ended; returns the number of requests that got no reply.
-    pub fn wait(self) -> usize {
+    /// Blocks until the VM has ended; returns the number of requests that got no reply. Fails if the
+    /// control thread has panicked; the outcome of the requests under way is then unknown.
+    pub fn wait(self) -> Result<usize, NodeError> {
         let mut deadline: Option<Instant> = None;
         loop {
             let event = match deadline {
@@ -284,13 +299,18 @@
                 Some(ShutdownEvent::Draining) => {
                     deadline.get_or_insert_with(|| Instant::now() + self.drain_limit);
                 }
-                Some(ShutdownEvent::Drained | ShutdownEvent::Abort) => return self.shut_down(),
+                Some(ShutdownEvent::Drained | ShutdownEvent::Abort) => return Ok(self.shut_down()),
+                Some(ShutdownEvent::Failed) => {
+                    log::error!("the control thread panicked; ending with work in flight");
+                    self.shut_down();
+                    return Err(NodeError::ControlPanicked);
+                }
                 None => {
                     log::warn!(
                         "drain limit of {:?} reached; ending with work in flight",
                         self.drain_limit
                     );
-                    return self.shut_down();
+                    return Ok(self.shut_down());
                 }
             }
         }
--- a/crates/node/tests/large.rs
+++ b/crates/node/tests/large.rs
@@ -153,6 +153,6 @@
     target.stop();
     for node in nodes.into_iter().chain([follower]) {
         node.shutdown_handle().abort();
-        node.wait();
+        node.wait().unwrap();
     }
 }
