--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -13,5 +13,5 @@
 
 pub use clock::Clock;
 pub use metrics::{record_answer, record_call, record_status, record_unanswered, Metrics};
-pub use runtime::{run, Frontend, Input};
+pub use runtime::{run, ControlPanicked, Frontend, Input};
 pub use settings::Settings;
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -1,6 +1,8 @@
 //! The loop of the control thread, which feeds inputs to the cluster state and applies its effects.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::time::Duration;
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
@@ -125,15 +127,42 @@
     })
 }
 
+/// Why [`run`] ended, if its control thread has panicked.
+#[derive(Debug)]
+pub struct ControlPanicked;
+
+impl fmt::Display for ControlPanicked {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the control thread panicked")
+    }
+}
+
+impl std::error::Error for ControlPanicked {}
+
 /// Runs a VM until it has shut down. `sender` and `inputs` are the two ends of one channel. All
 /// requests whose events were taken from it are answered before the function returns; the requests
 /// of events that remain in it have had no effect. Returns the time that is left until the grace
-/// period is over.
+/// period is over. After a panic the error is a [`ControlPanicked`], and the outcome of all
+/// unanswered requests is unknown.
 pub fn run(
     settings: &Settings,
     sender: Sender<Input>,
     inputs: &Receiver<Input>,
     frontend: &mut dyn Frontend,
+) -> Result<Duration, Report> {
+    // The state that a panic leaves behind is not used any more.
+    let control = AssertUnwindSafe(|| run_control(settings, sender, inputs, frontend));
+    catch_unwind(control).unwrap_or_else(|_| {
+        log::error!(event = "control-panicked"; "the control thread panicked");
+        Err(ControlPanicked.into())
+    })
+}
+
+fn run_control(
+    settings: &Settings,
+    sender: Sender<Input>,
+    inputs: &Receiver<Input>,
+    frontend: &mut dyn Frontend,
 ) -> Result<Duration, Report> {
     let clock = Clock;
     let mut folder = disk::open(settings, rand::random())?;
