--- a/crates/listener/src/stream.rs
+++ b/crates/listener/src/stream.rs
@@ -1,36 +1,201 @@
-//! A TCP stream that limits the time to write a response.
+//! A TCP stream that limits the times of an exchange and closes without losing answers.
 //!
 //! The kernel closes a connection whose peer acknowledges nothing (`TCP_USER_TIMEOUT`). A peer that
 //! reads a byte now and then never triggers that, so this stream limits the time for the whole
-//! response.
+//! response. It also limits the time to receive a head and the time between a response and the next
+//! request, for which hyper has only one limit together.
+//!
+//! The stream also records how far the current request has come, so that a connection that ends
+//! without a response can be logged with what was received.
+//!
+//! As its listener shuts down, the stream ends once no part of a request is in its socket. hyper's
+//! graceful shutdown doesn't look there: it closes an idle connection whose next request has
+//! arrived. A caller whose request is still on its way can't be told apart from an idle one, so an
+//! idle connection gets a refusal before it is closed, which answers that request. The same holds
+//! for a connection that was idle for too long.
+//!
+//! A socket that is closed with unread bytes is reset, and so is one that receives bytes later; a
+//! reset destroys a response that the caller hasn't received yet. Therefore the write side is shut
+//! down first, and the socket is read until the caller closes it.
 
-use std::io;
+use std::cell::Cell;
+use std::future::Future;
+use std::io::{self, Read, Write};
 use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
+
+use crate::Shared;
+
+/// How long a socket is read after its write side was shut down.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Limit on the bytes that are read and dropped in that time.
+const MAX_LINGER_BYTES: usize = 1 << 20;
+/// Size of a read whose bytes are dropped.
+const DISCARD_BYTES: usize = 4096;
+
+/// How far the current request of a connection has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// No complete head has been received.
+    Head,
+    /// The body is being received.
+    Body,
+    /// The request is waiting for its response.
+    Waiting,
+    /// The response is being written.
+    Response,
+}
+
+/// The current request of a connection, shared by its stream and its handler.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    /// Bytes received since the last response was written.
+    received: Cell<usize>,
+    /// How far the request has come.
+    phase: Cell<Phase>,
+    /// Responses that were written in full.
+    responses: Cell<usize>,
+    /// Whether the listener shuts down.
+    closing: Cell<bool>,
+    /// Whether the stream has refused all requests that it doesn't answer.
+    refused: Cell<bool>,
+    /// Bytes that arrived after the last response or refusal.
+    unread: Cell<usize>,
+}
+
+impl Exchange {
+    pub(crate) fn new() -> Rc<Exchange> {
+        Rc::new(Exchange {
+            received: Cell::new(0),
+            phase: Cell::new(Phase::Head),
+            responses: Cell::new(0),
+            closing: Cell::new(false),
+            refused: Cell::new(false),
+            unread: Cell::new(0),
+        })
+    }
+
+    /// Ends the connection once it is idle.
+    pub(crate) fn close(&self) {
+        self.closing.set(true);
+    }
+
+    /// Whether the connection ends once it is idle.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
+    /// Whether no part of a request has been received since the last response.
+    fn is_idle(&self) -> bool {
+        self.received.get() == 0 && self.phase.get() == Phase::Head
+    }
+
+    /// Sets how far the current request has come.
+    pub(crate) fn set_phase(&self, phase: Phase) {
+        self.phase.set(phase);
+    }
+
+    fn responded(&self) {
+        self.received.set(0);
+        self.phase.set(Phase::Head);
+        self.responses.set(self.responses.get() + 1);
+    }
+
+    /// Logs the end of a connection that leaves a request without a complete response.
+    pub(crate) fn log_end(&self, cause: &str) {
+        let (received, unread) = (self.received.get(), self.unread.get());
+        if received + unread > 0 {
+            log::info!(event = "connection-cut", received = received, unread = unread,
+                refused = self.refused.get(), phase:? = self.phase.get(),
+                responses = self.responses.get(), closing = self.closing.get(), cause = cause;
+                "a connection ended without a response to its last request");
+        }
+    }
+}
 
 pub(crate) struct TimedStream {
     tcp: TcpStream,
-    write_timeout: Duration,
+    exchange: Rc<Exchange>,
+    shared: Arc<Shared>,
+    /// Ends at the limit for the head, or for the first byte of the next request.
+    read_timer: Pin<Box<Sleep>>,
     /// When writing the current response started; `None` between responses.
     write_started: Option<Instant>,
+    /// Ends the reading of a socket whose write side is shut down; `None` before.
+    linger: Option<Pin<Box<Sleep>>>,
+    /// Whether the caller has closed the connection.
+    ended: bool,
 }
 
 impl TimedStream {
-    pub(crate) fn new(tcp: TcpStream, write_timeout: Duration) -> TimedStream {
+    pub(crate) fn new(tcp: TcpStream, exchange: Rc<Exchange>, shared: &Arc<Shared>) -> TimedStream {
         TimedStream {
             tcp,
-            write_timeout,
+            exchange,
+            shared: shared.clone(),
+            read_timer: Box::pin(tokio::time::sleep(shared.limits.head_timeout)),
             write_started: None,
+            linger: None,
+            ended: false,
         }
     }
 
+    /// Sends the refusal, of which the socket takes what its buffer has room for.
+    fn refuse(&mut self) {
+        let sent = (&*SockRef::from(&self.tcp)).write(&self.shared.refusal);
+        self.exchange.refused.set(sent.is_ok());
+    }
+
+    /// Reads what is in the socket. Tokio's own read reports nothing until its reactor has run.
+    fn read_now(&self, buf: &mut [u8]) -> io::Result<usize> {
+        (&*SockRef::from(&self.tcp)).read(buf)
+    }
+
+    fn start_read_timer(&mut self, timeout: Duration) {
+        let deadline = tokio::time::Instant::now() + timeout;
+        self.read_timer.as_mut().reset(deadline);
+    }
+
+    /// Ends the reading of a head that takes too long, and of an idle connection.
+    fn poll_read_timer(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.exchange.phase.get() != Phase::Head {
+            return Poll::Pending;
+        }
+        ready!(self.read_timer.as_mut().poll(cx));
+        if self.exchange.is_idle() && self.exchange.responses.get() > 0 {
+            self.refuse();
+            return Poll::Ready(Ok(()));
+        }
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
+    /// Reads until the caller closes the connection; drops what it reads.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut bytes = [0; DISCARD_BYTES];
+        while self.exchange.unread.get() < MAX_LINGER_BYTES {
+            let mut buf = ReadBuf::new(&mut bytes);
+            match ready!(Pin::new(&mut self.tcp).poll_read(cx, &mut buf)) {
+                Ok(()) if !buf.filled().is_empty() => {
+                    let unread = self.exchange.unread.get() + buf.filled().len();
+                    self.exchange.unread.set(unread);
+                }
+                Ok(()) | Err(_) => break,
+            }
+        }
+        Poll::Ready(())
+    }
+
     fn check_timeout(&mut self) -> io::Result<()> {
         let write_started = *self.write_started.get_or_insert_with(Instant::now);
-        match write_started.elapsed() > self.write_timeout {
+        match write_started.elapsed() > self.shared.limits.write_timeout {
             true => Err(io::ErrorKind::TimedOut.into()),
             false => Ok(()),
         }
@@ -43,7 +208,31 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_read(cx, buf)
+        let before = buf.filled().len();
+        if self.exchange.is_closing() && self.exchange.is_idle() {
+            match self.read_now(buf.initialize_unfilled()) {
+                Ok(read) => buf.advance(read),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.refuse();
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        } else if let Poll::Ready(read) = Pin::new(&mut self.tcp).poll_read(cx, buf) {
+            read?;
+        } else {
+            return self.poll_read_timer(cx);
+        }
+        let read = buf.filled().len() - before;
+        self.ended |= read == 0;
+        if self.exchange.is_idle() && self.exchange.responses.get() > 0 {
+            let timeout = self.shared.limits.head_timeout;
+            self.start_read_timer(timeout);
+        }
+        self.exchange
+            .received
+            .set(self.exchange.received.get() + read);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -54,6 +243,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.check_timeout()?;
+        self.exchange.set_phase(Phase::Response);
         Pin::new(&mut self.tcp).poll_write(cx, buf)
     }
 
@@ -63,6 +253,7 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.check_timeout()?;
+        self.exchange.set_phase(Phase::Response);
         Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
     }
 
@@ -73,11 +264,45 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // hyper flushes once the whole response is written.
         ready!(Pin::new(&mut self.tcp).poll_flush(cx))?;
-        self.write_started = None;
+        if self.write_started.take().is_some() {
+            self.exchange.responded();
+            let timeout = self.shared.limits.idle_timeout;
+            self.start_read_timer(timeout);
+            // hyper may have read before the response was written, and reads again once woken.
+            if self.read_timer.as_mut().poll(cx).is_ready() {
+                cx.waker().wake_by_ref();
+            }
+        }
         Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.tcp).poll_shutdown(cx)
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.tcp).poll_shutdown(cx))?;
+            self.linger = Some(Box::pin(tokio::time::sleep(LINGER_TIMEOUT)));
+        }
+        if self.poll_discard(cx).is_pending() {
+            if let Some(linger) = &mut self.linger {
+                ready!(linger.as_mut().poll(cx));
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Drop for TimedStream {
+    /// Refuses a request that wasn't received in full when the listener ends.
+    fn drop(&mut self) {
+        if self.linger.is_some() || self.ended {
+            return;
+        }
+        let receiving = matches!(self.exchange.phase.get(), Phase::Head | Phase::Body);
+        if self.exchange.is_closing() && receiving {
+            self.refuse();
+            let _ = SockRef::from(&self.tcp).shutdown(std::net::Shutdown::Write);
+        }
+        let mut bytes = [0; DISCARD_BYTES];
+        let unread = self.read_now(&mut bytes).unwrap_or(0);
+        self.exchange.unread.set(unread);
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -28,7 +28,7 @@
 /// Capacity of the event queue; when it is full, requests are refused and peers' messages dropped.
 const EVENT_QUEUE_CAPACITY: usize = 65_536;
 
-/// Limit on the delivery of the last responses to callers before the process exits.
+/// Limit on the delivery of the last responses of each listener before the process exits.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The threads of a running VM.
@@ -56,6 +56,19 @@
     Abort,
     /// Draining has started.
     Draining,
+    /// The control thread has panicked.
+    Failed,
+}
+
+/// Reports a panic of the thread that owns it.
+pub(crate) struct PanicGuard(Sender<ShutdownEvent>);
+
+impl Drop for PanicGuard {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            let _ = self.0.send(ShutdownEvent::Failed);
+        }
+    }
 }
 
 /// Shuts down a running VM from another thread.
@@ -238,6 +251,7 @@
             event_rx,
             stop_signal,
             channels,
+            PanicGuard(shutdown_tx.clone()),
         )?);
         Ok(Node {
             events,
@@ -272,8 +286,9 @@
         }
     }
 
-    /// Blocks until the VM has ended; returns the number of requests that got no reply.
-    pub fn wait(self) -> usize {
+    /// Blocks until the VM has ended; returns the number of requests that got no reply. Fails if the
+    /// control thread has panicked; the outcome of the requests under way is then unknown.
+    pub fn wait(self) -> Result<usize, NodeError> {
         let mut deadline: Option<Instant> = None;
         loop {
             let event = match deadline {
@@ -284,13 +299,18 @@
                 Some(ShutdownEvent::Draining) => {
                     deadline.get_or_insert_with(|| Instant::now() + self.drain_limit);
                 }
-                Some(ShutdownEvent::Drained | ShutdownEvent::Abort) => return self.shut_down(),
+                Some(ShutdownEvent::Drained | ShutdownEvent::Abort) => return Ok(self.shut_down()),
+                Some(ShutdownEvent::Failed) => {
+                    log::error!("the control thread panicked; ending with work in flight");
+                    self.shut_down();
+                    return Err(NodeError::ControlPanicked);
+                }
                 None => {
                     log::warn!(
                         "drain limit of {:?} reached; ending with work in flight",
                         self.drain_limit
                     );
-                    return self.shut_down();
+                    return Ok(self.shut_down());
                 }
             }
         }
@@ -299,8 +319,10 @@
     fn shut_down(mut self) -> usize {
         let unanswered = self.pending.load(Ordering::Relaxed);
         self.front.close();
+        self.admin.close();
         drop(self.stop_guard);
         self.front.shut_down(RESPONSE_TIMEOUT);
+        self.admin.shut_down(RESPONSE_TIMEOUT);
         drop(self.front);
         drop(self.admin);
         drop(self.transport);
