Wait until an edit is in force before a job needs it

Cause: large_worker_fills_its_capacity edits its template from executor to worker and submits right after the answer. That answer says that the edit is accepted (committed); a VM with a data folder puts a revision in force once it is durable there. A job submitted in between is one for executors, of which there are none, and waits until its deadline: each failed run closed it 20.0 s after its submission with "the deadline passed, not run", and "revision 4 is in force" comes within 35 ms of the submission. Ruled out: a lost begin or fence (the target was live and unused).

Change: the harness has wait_applied, which start used inline, and the test calls it.

Conclusion: no accepted job was forgotten; the test relied on an order that isn't promised.

--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -631,6 +631,44 @@
     assert!(harness.control.revision() > before);
 }
 
+/// Guards against a job that mixes two revisions: an edit is accepted before it is in force, and a
+/// job submitted in between follows the template in force.
+#[test]
+fn submission_before_an_accepted_edit_is_in_force_follows_the_previous_template() {
+    let mut harness = Harness::leader();
+    harness.hold_saves = true;
+    let worker = Template {
+        target: TargetKind::Worker,
+        demand: Demand {
+            milli_cores: 1000,
+            ..Demand::default()
+        },
+        ..test_template(false)
+    };
+    let edit = policy::Command::Edit {
+        op: OpId(Name::new("to-worker").unwrap()),
+        base_version: Version(1),
+        document: Document::Template {
+            name: TemplateName::new("job").unwrap(),
+            content: Some(worker),
+        },
+    };
+    let id = harness.request(0, Request::Edit(edit));
+    let reply = harness.take_reply(id);
+    let Some(Reply::Edit(policy::Outcome::Applied { revision, .. })) = reply else {
+        panic!("{reply:?}");
+    };
+    assert!(harness.control.revision() < revision);
+    harness.request(0, Request::Submit(job("j1", 1)));
+    harness.release_saves();
+    assert_eq!(harness.control.revision(), revision);
+    let token = harness.take_call(is_start);
+    harness.complete_call(token, b"1");
+    // No worker is known, so a job of the edited template waits.
+    harness.request(0, Request::Submit(job("j2", 1)));
+    assert_eq!(harness.try_take_call(is_start), None);
+}
+
 /// Guards against starts at a leaving target: it was sent the queue before the dispatcher knew its
 /// standing.
 #[test]
--- a/crates/daemon/tests/system/harness.rs
+++ b/crates/daemon/tests/system/harness.rs
@@ -141,11 +141,7 @@
         cluster.put_document(&path, "op-1", 0, &content);
         let path = format!("{path}/params/{ACCOUNT}");
         let revision = cluster.put_document(&path, "op-2", 0, &json!({"weight": 1}));
-        for (name, _, _) in specs {
-            cluster.wait_until("the template is in effect", STEP_TIMEOUT, || {
-                cluster.applied_revision(name) >= Some(revision)
-            });
-        }
+        cluster.wait_applied(revision);
         cluster
     }
 
@@ -306,6 +302,16 @@
         panic!("edit {op} of {path} not accepted within {STEP_TIMEOUT:?}: {last_answer:?}");
     }
 
+    /// Waits until every running VM decides by this revision of the configuration. The answer to an
+    /// edit says only that it is accepted.
+    pub(crate) fn wait_applied(&self, revision: u64) {
+        for vm in self.vms.iter().filter(|vm| vm.process.is_some()) {
+            self.wait_until("the configuration is in force", STEP_TIMEOUT, || {
+                self.applied_revision(&vm.name) >= Some(revision)
+            });
+        }
+    }
+
     /// Leader of a group and its term, as the leader itself reports them; the highest term wins.
     pub(crate) fn leader(&self, group: &str) -> Option<(String, u64)> {
         let running = self.vms.iter().filter(|vm| vm.process.is_some());
--- a/crates/daemon/tests/system/serve.rs
+++ b/crates/daemon/tests/system/serve.rs
@@ -165,12 +165,9 @@
         "deadline_ms": 20_000,
         "expected_ms": 400,
     });
-    cluster.put_document(
-        &format!("/v1/templates/{TEMPLATE}"),
-        "op-worker",
-        1,
-        &worker,
-    );
+    let path = format!("/v1/templates/{TEMPLATE}");
+    let revision = cluster.put_document(&path, "op-worker", 1, &worker);
+    cluster.wait_applied(revision);
     let mut settings = cluster.target_settings("worker-1", "a");
     settings.capacity = Capacity::Worker(Demand {
         milli_cores: 64_000,
