Send a request again to a leader in its next term

Cause: a leader that steps down forgets the requests of other VMs' callers. The VM that holds the caller routed it again only if another VM became leader; when the same VM is elected again, which is usual in a zone that is cut off from its witness and stalls for an election timeout, the request waited for the resend after 2 s, and after 4 s and 8 s if that happens again. Shown by two runs of zones_cut_off_serve_their_own_keys_and_agree_again in which the leader was deposed for 0.6 and 0.7 s: the submissions in question took 2.01 and 2.06 s. Ruled out there: the election (the leader dispatched again about 1.1 and 0.7 s before the answer) and requests at the leader itself, which were routed again before.

Change: a forwarded request keeps the leader's term and is routed again when the leader reports another one.

Conclusion: a wait that doubles with each election is gone.

--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use greengage_core::{JobKey, Outcome, Refusal, RequestId, Time, VmName, ZoneName};
+use greengage_core::{JobKey, Outcome, Refusal, RequestId, Term, Time, VmName, ZoneName};
 use greengage_membership as membership;
 use greengage_membership::Announcement;
 
@@ -44,8 +44,14 @@
     Unrouted,
     /// At this VM.
     Local,
-    /// Sent to another VM at this time.
-    Remote(VmName, Time),
+    /// Sent to another VM.
+    Remote {
+        vm: VmName,
+        /// The term in which that VM led the zone, for a request to a zone's leader. Its later terms
+        /// don't know the request.
+        term: Option<Term>,
+        since: Time,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -183,7 +189,11 @@
         let resend_delay = self.resend_after(caller.sends + 1);
         let (location, retry_delay) = match self.handler(&request) {
             Some(vm) if vm == self.site.vm => (Location::Local, None),
-            Some(vm) => (Location::Remote(vm, now), Some(resend_delay)),
+            Some(vm) => {
+                let term = self.zone_term(&request);
+                let since = now;
+                (Location::Remote { vm, term, since }, Some(resend_delay))
+            }
             None => (Location::Unrouted, Some(ROUTE_RETRY_DELAY)),
         };
         let caller = self.callers.get_mut(&id).expect("looked up above");
@@ -202,7 +212,7 @@
         };
         match location {
             Location::Local => self.handle(origin, wait, request),
-            Location::Remote(vm, _) => {
+            Location::Remote { vm, .. } => {
                 let incarnation = self.site.incarnation;
                 let body = Body::Forward {
                     incarnation,
@@ -225,6 +235,15 @@
         }
     }
 
+    /// The last reported term of the zone's leader that handles a request; `None` for other
+    /// requests.
+    fn zone_term(&self, request: &Request) -> Option<Term> {
+        match self.handler_kind(request) {
+            Handler::ZoneLeader(zone) => self.leaders.get(&zone).map(|(term, _)| *term),
+            Handler::AnyVm | Handler::ControlLeader => None,
+        }
+    }
+
     fn handler_kind(&self, request: &Request) -> Handler {
         match request {
             Request::Submit(job) => Handler::ZoneLeader(job_key(job).zone),
@@ -401,14 +420,17 @@
         }
     }
 
-    /// Routes all requests again whose handling VM has changed.
+    /// Routes all requests again whose handling VM has changed, or leads in another term.
     pub(crate) fn reroute(&mut self) {
         let moved = |(_, caller): &(&RequestId, &Caller)| {
             let handler = self.handler(&caller.request);
             match &caller.location {
                 Location::Unrouted => handler.is_some(),
                 Location::Local => handler.as_ref() != Some(&self.site.vm),
-                Location::Remote(vm, _) => handler.is_some() && handler.as_ref() != Some(vm),
+                Location::Remote { vm, term, .. } => {
+                    let same = handler.as_ref() == Some(vm);
+                    handler.is_some() && !(same && self.zone_term(&caller.request) == *term)
+                }
             }
         };
         let ids: Vec<RequestId> = self
@@ -445,7 +467,7 @@
         let due = match &caller.location {
             Location::Unrouted => true,
             Location::Local => false,
-            Location::Remote(_, since) => {
+            Location::Remote { since, .. } => {
                 self.now.time.since(*since) >= self.resend_after(caller.sends)
             }
         };
--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -412,6 +412,31 @@
     matches!(action, Action::Start(_))
 }
 
+/// Guards against a request that is lost with its leader's term until it is sent again after 2 s and
+/// more, because the same VM is elected again.
+#[test]
+fn request_is_sent_again_to_a_leader_in_its_next_term() {
+    let mut harness = Harness::new("a2", 2);
+    let forwards = |harness: &mut Harness| {
+        let is_forward = |effect: &Effect| match effect {
+            Effect::Send { envelope, .. } => matches!(envelope.body, Body::Forward { .. }),
+            _ => false,
+        };
+        let count = harness.effects.iter().filter(|e| is_forward(e)).count();
+        harness.effects.clear();
+        count
+    };
+    harness.receive_status(Some(Term(1)));
+    harness.request(1000, Request::Submit(job("j1", 1)));
+    assert_eq!(forwards(&mut harness), 1);
+    harness.receive_status(Some(Term(1)));
+    assert_eq!(forwards(&mut harness), 0);
+    harness.receive_status(None);
+    assert_eq!(forwards(&mut harness), 0);
+    harness.receive_status(Some(Term(2)));
+    assert_eq!(forwards(&mut harness), 1);
+}
+
 /// Guards against a late reply to a request of an earlier process reaching another caller: front
 /// ends count request ids from 1 again after a restart.
 #[test]
