Revoke a late start while its call goes on

Cause: the client sends a start on an idle connection; if that has fallen silent, nothing happens until the call ends after 2.25 s, which the kernel rounds up to 2.5 s. Ruled out: the revoke (5 ms), the second start (12 ms) and a suspect target.

Change: a start without an answer 0.6 s after twice the expected run time is revoked on a new connection, unless the target answers by itself before (2 s). Its own call goes on; the first answer that tells the outcome counts. The client drops idle connections after 0.5 s instead of 2 s, so that the next start isn't sent on an equally old one.

The three new fault tests of control fail before ("the call is made") and pass after.

A target that answers nothing at all keeps the four new connections busy earlier, so revokes after a broken call may start 0.8 s later there.

--- a/crates/control/src/ledgers.rs
+++ b/crates/control/src/ledgers.rs
@@ -132,6 +132,7 @@
             retention: self.site.limits.retention,
             fence_timeout: self.site.limits.fence_timeout,
             poll_interval: self.site.limits.poll_interval,
+            start_patience: self.site.limits.start_patience,
             tuning: self.site.limits.tuning.clone(),
         };
         let targets = self.membership.targets();
--- a/crates/control/src/site.rs
+++ b/crates/control/src/site.rs
@@ -54,6 +54,10 @@
     pub fence_timeout: Duration,
     /// Delay between two calls about an attempt or a fence that got no usable answer.
     pub poll_interval: Duration,
+    /// How long a start may stay unanswered beyond twice the expected run time before the target is
+    /// asked about it on a new connection. The client keeps idle connections for a shorter time, so
+    /// that the next start isn't sent on one that may have fallen silent at the same time.
+    pub start_patience: Duration,
     /// Number of applied entries after which a log is compacted.
     pub compact_after: u64,
     /// Maximum number of events in the time line.
@@ -77,6 +81,7 @@
             retention: Duration::from_secs(3600),
             fence_timeout: Duration::from_millis(3500),
             poll_interval: Duration::from_millis(200),
+            start_patience: Duration::from_millis(600),
             compact_after: 10_000,
             max_events: 50_000,
             max_edits: 1_000,
--- a/crates/control/src/timers.rs
+++ b/crates/control/src/timers.rs
@@ -21,6 +21,10 @@
         self.entries.insert((at, event));
     }
 
+    pub(crate) fn remove(&mut self, at: Time, event: T) {
+        self.entries.remove(&(at, event));
+    }
+
     /// Removes the earliest deadline that has passed and returns its event.
     pub(crate) fn pop(&mut self, now: Time) -> Option<T> {
         let first = self.entries.first()?;
--- a/crates/control/src/zone/attempts.rs
+++ b/crates/control/src/zone/attempts.rs
@@ -6,7 +6,8 @@
 use greengage_ledger::Command;
 
 use super::{
-    ActiveJob, Context, JobStage, OpenAttempt, Output, Phase, Timer, Zone, TOKEN_COUNTER_BITS,
+    ActiveJob, Context, JobStage, OpenAttempt, Output, Phase, Timer, Zone, START_HOLD,
+    TOKEN_COUNTER_BITS,
 };
 use crate::call::{Action, AttemptState, Call, CallResult, Start};
 
@@ -75,9 +76,67 @@
         );
         let token = self.next_token();
         self.track(token, attempt, id, &target, Phase::Starting);
+        self.schedule_check(cx.now.time, token, attempt);
         self.send_call(cx, token, &target, Action::Start(start));
     }
 
+    /// Sets the time at which an unanswered start counts as late, unless the target answers by
+    /// itself before that.
+    fn schedule_check(&mut self, now: Time, token: u64, attempt: Attempt) {
+        let expected = self.dispatch.expected_run_time(attempt.job);
+        let delay = expected.saturating_mul(2) + self.limits.start_patience;
+        if delay >= START_HOLD {
+            return;
+        }
+        if let Some(open_attempt) = self.open_attempts.get_mut(&token) {
+            open_attempt.check_at = Some(now + delay);
+            self.timers.set(now + delay, Timer::Check(token));
+        }
+    }
+
+    /// Revokes a late start on a new connection while its own call goes on, since the connection of
+    /// that call may have fallen silent.
+    pub(super) fn check_start(&mut self, cx: &mut Context<'_>, token: u64) {
+        let Some(open_attempt) = self.open_attempts.get_mut(&token) else {
+            return;
+        };
+        open_attempt.check_at = None;
+        let (attempt, target) = (open_attempt.id.clone(), open_attempt.target.clone());
+        if open_attempt.phase != Phase::Starting || !self.targets.contains(&target) {
+            return;
+        }
+        let check = self.next_token();
+        self.checks.insert(check, token);
+        self.send_call(cx, check, &target, Action::Revoke { attempt });
+    }
+
+    fn cancel_check(&mut self, token: u64) {
+        let open_attempt = self.open_attempts.get_mut(&token);
+        if let Some(at) = open_attempt.and_then(|open_attempt| open_attempt.check_at.take()) {
+            self.timers.remove(at, Timer::Check(token));
+        }
+    }
+
+    /// Handles the answer about a late start. The start's own call decides whatever this answer
+    /// leaves open.
+    fn check_ended(&mut self, cx: &mut Context<'_>, token: u64, result: CallResult) {
+        let Some(open_attempt) = self.open_attempts.get(&token) else {
+            return;
+        };
+        let phase = open_attempt.phase;
+        match result {
+            CallResult::State(AttemptState::Running)
+            | CallResult::State(AttemptState::Guard(greengage_core::GuardAction::Throttled)) => {}
+            CallResult::State(state) => self.apply_state(cx, token, phase, state),
+            // `Restarted` doesn't show whether the earlier incarnation got the start.
+            CallResult::NotRun { .. }
+            | CallResult::Broken { .. }
+            | CallResult::Restarted
+            | CallResult::Forgotten
+            | CallResult::Fenced { .. } => {}
+        }
+    }
+
     /// Tracks an attempt that an earlier leader started.
     pub(crate) fn adopt(&mut self, cx: &mut Context<'_>, attempt: Attempt, target: &TargetName) {
         let id = attempt_id(&self.active_jobs[&attempt.job], attempt);
@@ -115,6 +174,7 @@
                 incarnation,
                 phase,
                 new_connection: false,
+                check_at: None,
             },
         );
     }
@@ -189,6 +249,10 @@
         if let Some(target) = self.fences.remove(&token) {
             return self.fence_call_ended(cx, &target, result);
         }
+        if let Some(attempt) = self.checks.remove(&token) {
+            return self.check_ended(cx, attempt, result);
+        }
+        self.cancel_check(token);
         let Some(open_attempt) = self.open_attempts.get_mut(&token) else {
             return;
         };
@@ -267,6 +331,7 @@
     }
 
     pub(super) fn settle(&mut self, cx: &mut Context<'_>, token: u64, outcome: AttemptOutcome) {
+        self.cancel_check(token);
         let Some(open_attempt) = self.open_attempts.remove(&token) else {
             return;
         };
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -49,6 +49,8 @@
 const EXPIRE_BACKLOG_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay before a proposal or read that was refused during a leadership transfer is repeated.
 const REPROPOSE_DELAY: Duration = Duration::from_millis(50);
+/// How long a target holds a start before it answers that the task is running.
+const START_HOLD: Duration = Duration::from_secs(2);
 /// Low bits of a call token that count calls; the bits above hold the term.
 const TOKEN_COUNTER_BITS: u32 = 32;
 
@@ -170,6 +172,8 @@
     phase: Phase,
     /// Whether the next poll opens a new connection.
     new_connection: bool,
+    /// When the target is asked about the unanswered start; `None` if it isn't or was.
+    check_at: Option<Time>,
 }
 
 /// The leader's state of a target.
@@ -194,6 +198,7 @@
 enum Timer {
     Waiter(JobKey, Origin),
     Poll(u64),
+    Check(u64),
     Fence(TargetName),
     Recovery,
     Expire,
@@ -207,6 +212,7 @@
     pub(crate) retention: Duration,
     pub(crate) fence_timeout: Duration,
     pub(crate) poll_interval: Duration,
+    pub(crate) start_patience: Duration,
     pub(crate) tuning: dispatch::Tuning,
 }
 
@@ -229,6 +235,8 @@
     open_attempts: BTreeMap<u64, OpenAttempt>,
     attempt_tokens: BTreeMap<Attempt, u64>,
     fences: BTreeMap<u64, TargetName>,
+    /// Tokens of attempts with an unanswered start, by the token of the call that asks about them.
+    checks: BTreeMap<u64, u64>,
     waiters: BTreeMap<JobKey, Vec<Waiter>>,
     timers: Timers<Timer>,
     unconfirmed_replies: Vec<(Origin, Reply)>,
@@ -269,6 +277,7 @@
             open_attempts: BTreeMap::new(),
             attempt_tokens: BTreeMap::new(),
             fences: BTreeMap::new(),
+            checks: BTreeMap::new(),
             waiters: BTreeMap::new(),
             timers: Timers::new(),
             unconfirmed_replies: Vec::new(),
@@ -357,6 +366,7 @@
             match timer {
                 Timer::Waiter(key, origin) => self.waiter_due(cx, &key, &origin),
                 Timer::Poll(token) => self.send_poll(cx, token),
+                Timer::Check(token) => self.check_start(cx, token),
                 Timer::Fence(target) => self.send_fence(cx, &target),
                 Timer::Recovery => self.recovery_due(cx),
                 Timer::Expire => self.expire(cx),
--- a/crates/control/src/zone/targets.rs
+++ b/crates/control/src/zone/targets.rs
@@ -46,14 +46,17 @@
         token: u64,
         seen: &CallResult,
     ) -> Option<(TargetName, membership::AttemptResult)> {
-        let open_attempt = self.open_attempts.get(&token)?;
-        let revoking = open_attempt.phase == Phase::Revoking;
+        let check = self.checks.get(&token);
+        let open_attempt = self.open_attempts.get(check.unwrap_or(&token))?;
+        let revoking = check.is_some() || open_attempt.phase == Phase::Revoking;
         let result = match seen {
             CallResult::State(AttemptState::Done { .. }) => membership::AttemptResult::Success,
             CallResult::State(AttemptState::Failed { .. }) => membership::AttemptResult::Failure,
             CallResult::State(AttemptState::Never) if revoking => {
                 membership::AttemptResult::Failure
             }
+            // After a check that broke off, the start's own call is still to end.
+            CallResult::Broken { .. } if check.is_some() => return None,
             CallResult::Broken { .. } if revoking || open_attempt.new_connection => {
                 membership::AttemptResult::Unreachable
             }
--- a/crates/control/src/zone/verify.rs
+++ b/crates/control/src/zone/verify.rs
@@ -51,6 +51,7 @@
             ("jobs", self.active_jobs.len()),
             ("open attempts", self.open_attempts.len()),
             ("fences", self.fences.len()),
+            ("checks", self.checks.len()),
             ("waiters", self.waiters.len()),
             ("unconfirmed replies", self.unconfirmed_replies.len()),
             ("pending reads", self.pending_reads.len()),
--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -412,6 +412,59 @@
     matches!(action, Action::Start(_))
 }
 
+fn is_revoke(action: &Action) -> bool {
+    matches!(action, Action::Revoke { .. })
+}
+
+/// Guards against a start on a silent connection that holds its job up until the call's time limit
+/// of 2.25 s.
+#[test]
+fn start_on_a_silent_connection_is_revoked_before_its_call_ends() {
+    let mut harness = Harness::leader();
+    let id = harness.request(30_000, Request::Submit(job("j1", 1)));
+    let start = harness.take_call(is_start);
+    harness.advance(799);
+    assert_eq!(harness.try_take_call(is_revoke), None);
+    harness.advance(1);
+    let check = harness.take_call(is_revoke);
+    harness.call_ended(check, CallResult::State(AttemptState::Never));
+    harness.advance(100);
+    let second = harness.take_call(is_start);
+    let broken = CallResult::Broken {
+        reason: "timeout".to_string(),
+    };
+    harness.call_ended(start, broken);
+    assert_eq!(harness.try_take_call(is_revoke), None);
+    harness.complete_call(second, b"1");
+    let reply = harness.take_reply(id);
+    let Some(Reply::Job { progress, .. }) = reply else {
+        panic!("{reply:?}");
+    };
+    let outcome = Arc::new(Outcome::Complete(vec![Payload::new(*b"1")]));
+    assert_eq!(progress, Progress::Closed(outcome));
+}
+
+/// Guards against a second run, or a second series of polls, of a slow task whose start is asked
+/// about while its call goes on.
+#[test]
+fn slow_task_goes_on_after_its_start_is_asked_about() {
+    let mut harness = Harness::leader();
+    harness.request(30_000, Request::Submit(job("j1", 1)));
+    let start = harness.take_call(is_start);
+    harness.advance(800);
+    let check = harness.take_call(is_revoke);
+    harness.call_ended(check, CallResult::State(AttemptState::Running));
+    harness.advance(1000);
+    assert_eq!(harness.try_take_call(|action| !is_fence(action)), None);
+    harness.call_ended(start, CallResult::State(AttemptState::Running));
+    let poll = harness.take_call(|action| matches!(action, Action::Poll { .. }));
+    harness.advance(1000);
+    assert_eq!(harness.try_take_call(|action| !is_fence(action)), None);
+    harness.complete_call(poll, b"1");
+    harness.advance(1000);
+    assert_eq!(harness.try_take_call(|action| !is_fence(action)), None);
+}
+
 /// Guards against a request that is lost with its leader's term until it is sent again after 2 s and
 /// more, because the same VM is elected again.
 #[test]
@@ -437,6 +490,24 @@
     assert_eq!(forwards(&mut harness), 1);
 }
 
+/// Guards against "not run" for a task whose target restarted after it had received the start.
+#[test]
+fn restart_seen_by_a_question_about_a_start_decides_nothing() {
+    let mut harness = Harness::leader();
+    harness.request(30_000, Request::Submit(job("j1", 1)));
+    let start = harness.take_call(is_start);
+    harness.advance(800);
+    let check = harness.take_call(is_revoke);
+    harness.call_ended(check, CallResult::Restarted);
+    harness.advance(100);
+    assert_eq!(harness.try_take_call(is_start), None);
+    let broken = CallResult::Broken {
+        reason: "reset".to_string(),
+    };
+    harness.call_ended(start, broken);
+    harness.take_call(is_revoke);
+}
+
 /// Guards against a late reply to a request of an earlier process reaching another caller: front
 /// ends count request ids from 1 again after a restart.
 #[test]
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -1,6 +1,8 @@
 //! Counts for metrics.
 
-use greengage_core::{AccountName, TemplateName};
+use std::time::Duration;
+
+use greengage_core::{AccountName, JobNumber, TemplateName};
 
 use crate::dispatch::Dispatch;
 
@@ -38,6 +40,15 @@
         self.targets.free_slots
     }
 
+    /// The expected run time of one task of a job; zero if the job isn't known.
+    pub fn expected_run_time(&self, number: JobNumber) -> Duration {
+        let task_us = self
+            .jobs
+            .find(number)
+            .map_or(0, |id| self.jobs.get(id).task_us);
+        Duration::from_micros(task_us)
+    }
+
     /// The number of jobs that haven't ended.
     pub fn jobs(&self) -> usize {
         self.jobs.len()
--- a/crates/http/src/target.rs
+++ b/crates/http/src/target.rs
@@ -44,7 +44,8 @@
     pub call_timeout: Duration,
     /// How long a poll asks the target to hold its response.
     pub poll_wait: Duration,
-    /// How long an idle connection is kept for another call.
+    /// How long an idle connection is kept for another call; less than `Limits::start_patience` of
+    /// the control state, which says why.
     pub idle_timeout: Duration,
     /// Maximum number of threads, and so of concurrent calls.
     pub max_threads: usize,
@@ -65,7 +66,7 @@
             // rounds up, a start on a silent connection took 2.9 s, close to the goal of 3 s.
             call_timeout: Duration::from_millis(2250),
             poll_wait: Duration::from_secs(2),
-            idle_timeout: Duration::from_secs(2),
+            idle_timeout: Duration::from_millis(500),
             max_threads: 512,
             max_per_target: 16,
             max_fresh: 4,
