Count the silence of a VM from when its messages were sent

Ruled out: a check of the incarnation alone, as the receiver may not have heard of the new one yet.

Change: each message carries the time at which it was sent and echoes the time of a message of its receiver, with the time for which it was held. The receiver knows from its own clock at which time the message was sent at the earliest; heartbeats count from then, and one without a bound is answered and makes nobody live. Messages between schedulers without a bound, or of another incarnation than the known one, are refused. A test of stored reports now plays the whole first exchange, within the same time.

Conclusion: messages of an ended process start nothing. Tasks of a process that lives on still count from their arrival.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -6,9 +6,11 @@
 use greengage_config as config;
 use greengage_config::{Document, EditOutcome, Group};
 use greengage_core::{Address, NodeId, RequestId, SortedMap, Time, Version, VmName, WallTime};
-use greengage_gossip::{GossipMessage, Member, MemberList, Timing};
+use greengage_gossip::{GossipMessage, Member, MemberList, Stamp, Timing};
 use greengage_scheduler as scheduler;
-use greengage_scheduler::{Candidate, Peer, Reply, Scheduler, TargetReport, DEFAULT_WEIGHT};
+use greengage_scheduler::{
+    Candidate, Peer, PeerMessage, Reply, Scheduler, TargetReport, DEFAULT_WEIGHT,
+};
 
 use crate::event::{Effect, Event, Hints, Outcome};
 use crate::message::Message;
@@ -118,7 +120,7 @@
         let mut out = self.drop_group(now, wall);
         let effects = self.scheduler.as_mut().map(|s| s.answer_all(now));
         for effect in effects.unwrap_or_default() {
-            self.handle_scheduler_effect(effect, &mut out);
+            self.handle_scheduler_effect(now, effect, &mut out);
         }
         out
     }
@@ -168,15 +170,18 @@
         let mut out = Vec::new();
         match event {
             Event::Tick => self.tick(now, wall, &mut out),
-            Event::Receive { from, message } => self.receive(now, wall, from, message, &mut out),
+            Event::Receive {
+                from,
+                stamp,
+                message,
+            } => self.receive(now, wall, (from, stamp, message), &mut out),
             Event::Saved(seq) => self.step_group(now, wall, config::Event::Saved(seq), &mut out),
             Event::Scheduler(event) => self.step_scheduler(now, wall, event, &mut out),
             Event::Report(report) => self.handle_report(now, wall, report, &mut out),
             Event::TargetLeft(target) => {
                 self.reports.remove(&target);
                 for to in self.entry_addresses(now) {
-                    let message = Message::TargetLeft(target.clone());
-                    out.push(Effect::Send { to, message });
+                    out.push(self.send(now, to, Message::TargetLeft(target.clone())));
                 }
             }
             Event::Put { request, document } => {
@@ -204,10 +209,7 @@
             out.extend(peers.into_iter().map(Effect::Reconnect));
             for envelope in self.members.tick(now) {
                 let message = Message::Gossip(envelope.message, version);
-                out.push(Effect::Send {
-                    to: envelope.to,
-                    message,
-                });
+                out.push(self.send(now, envelope.to, message));
             }
         }
         if now >= self.liveness_due {
@@ -240,8 +242,7 @@
             return;
         }
         for to in self.entry_addresses(now) {
-            let message = Message::Reports(batch.clone());
-            out.push(Effect::Send { to, message });
+            out.push(self.send(now, to, Message::Reports(batch.clone())));
         }
     }
 
@@ -257,10 +258,7 @@
         for vm in new_members.filter(|vm| vm.roles.entry) {
             let recent = self.reports.recent(now);
             if !recent.is_empty() {
-                out.push(Effect::Send {
-                    to: vm.address.clone(),
-                    message: Message::Reports(recent),
-                });
+                out.push(self.send(now, vm.address.clone(), Message::Reports(recent)));
             }
         }
         if live.iter().any(|vm| !self.live.contains(&vm.vm)) {
@@ -287,21 +285,19 @@
         &mut self,
         now: Time,
         wall: WallTime,
-        from: VmName,
-        message: Message,
+        (from, stamp, message): (VmName, Stamp, Message),
         out: &mut Vec<Effect>,
     ) {
+        let sent = self.members.receive_stamp(now, &from, &stamp);
         match message {
             Message::Gossip(gossip, version) => {
                 if let GossipMessage::Hello { member, .. } = &gossip {
                     self.send_configuration(now, member, version, out);
                 }
                 let own = self.document.as_ref().map(|d| d.version);
-                for envelope in self.members.receive(now, gossip) {
-                    out.push(Effect::Send {
-                        to: envelope.to,
-                        message: Message::Gossip(envelope.message, own),
-                    });
+                for envelope in self.members.receive(now, sent, gossip) {
+                    let message = Message::Gossip(envelope.message, own);
+                    out.push(self.send(now, envelope.to, message));
                 }
             }
             Message::Group { from, to, message } => {
@@ -321,12 +317,42 @@
                 self.step_scheduler(now, wall, scheduler::Event::TargetLeft(target), out)
             }
             Message::Scheduler(message) => {
-                let event = scheduler::Event::Peer { from, message };
-                self.step_scheduler(now, wall, event, out);
+                self.receive_from_scheduler(now, wall, (from, stamp, sent), message, out);
             }
         }
     }
 
+    /// Passes on a message of another scheduler, unless its age has no bound or it is from an earlier
+    /// incarnation than the known one.
+    fn receive_from_scheduler(
+        &mut self,
+        now: Time,
+        wall: WallTime,
+        (from, stamp, sent): (VmName, Stamp, Option<Time>),
+        message: PeerMessage,
+        out: &mut Vec<Effect>,
+    ) {
+        let member = self.members.member(&from);
+        let current = member.is_none_or(|member| member.incarnation == stamp.incarnation);
+        let Some(sent) = sent.filter(|_| current) else {
+            log::info!(event = "message-outdated", vm = from.as_str(), current = current;
+                "refused a message of an earlier process, or to one");
+            return;
+        };
+        let event = scheduler::Event::Peer {
+            from,
+            sent,
+            message,
+        };
+        self.step_scheduler(now, wall, event, out);
+    }
+
+    /// A message with timestamps for its receiver.
+    fn send(&self, now: Time, to: Address, message: Message) -> Effect {
+        let stamp = self.members.stamp(now, &to);
+        Effect::Send { to, stamp, message }
+    }
+
     /// Sends the configuration to an entry VM whose version is outdated. Only the leader and the
     /// control VMs of the receiver's zone send it, so that a large document is not sent by all
     /// control VMs at once. A VM without a configuration can't serve callers, so all of them send
@@ -347,10 +373,8 @@
         let last = self.config_sent.get(&member.vm);
         if responsible && outdated && last.is_none_or(|at| now.since(*at) >= CONFIG_SEND_INTERVAL) {
             self.config_sent.insert(member.vm.clone(), now);
-            out.push(Effect::Send {
-                to: member.address.clone(),
-                message: Message::Configuration(document.clone()),
-            });
+            let message = Message::Configuration(document.clone());
+            out.push(self.send(now, member.address.clone(), message));
         }
     }
 
@@ -435,7 +459,7 @@
     ) {
         match effect {
             config::Effect::Save(save) => out.push(Effect::Save(save)),
-            config::Effect::Send { to, message } => self.send_group_message(to, message, out),
+            config::Effect::Send { to, message } => self.send_group_message(now, to, message, out),
             config::Effect::Edited { request, outcome } => {
                 let outcome = match outcome {
                     EditOutcome::Accepted => Outcome::Accepted,
@@ -461,7 +485,13 @@
         }
     }
 
-    fn send_group_message(&self, to: NodeId, message: config::GroupMessage, out: &mut Vec<Effect>) {
+    fn send_group_message(
+        &self,
+        now: Time,
+        to: NodeId,
+        message: config::GroupMessage,
+        out: &mut Vec<Effect>,
+    ) {
         let from = self.members.own().node();
         if let (Some(from), Some(member)) = (from, self.members.member(&to.vm)) {
             let address = member.address.clone();
@@ -470,10 +500,7 @@
                 to,
                 message: Box::new(message),
             };
-            out.push(Effect::Send {
-                to: address,
-                message,
-            });
+            out.push(self.send(now, address, message));
         }
     }
 
@@ -490,8 +517,7 @@
         self.adopt_configuration(now, wall, document.clone(), out);
         if self.group.as_ref().is_some_and(Group::is_leader) {
             for to in self.entry_addresses(now) {
-                let message = Message::Configuration(document.clone());
-                out.push(Effect::Send { to, message });
+                out.push(self.send(now, to, Message::Configuration(document.clone())));
             }
         }
     }
@@ -518,11 +544,11 @@
             return;
         };
         for effect in scheduler.step(now, wall, event) {
-            self.handle_scheduler_effect(effect, out);
+            self.handle_scheduler_effect(now, effect, out);
         }
     }
 
-    fn handle_scheduler_effect(&self, effect: scheduler::Effect, out: &mut Vec<Effect>) {
+    fn handle_scheduler_effect(&self, now: Time, effect: scheduler::Effect, out: &mut Vec<Effect>) {
         match effect {
             scheduler::Effect::Answer { request, reply } => {
                 let outcome = Outcome::Scheduler(reply);
@@ -541,10 +567,8 @@
             }),
             scheduler::Effect::Send { to, message } => {
                 if let Some(member) = self.members.member(&to) {
-                    out.push(Effect::Send {
-                        to: member.address.clone(),
-                        message: Message::Scheduler(message),
-                    });
+                    let message = Message::Scheduler(message);
+                    out.push(self.send(now, member.address.clone(), message));
                 }
             }
         }
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -5,6 +5,7 @@
 use greengage_agreement::SaveSeq;
 use greengage_config::{Document, GroupSave};
 use greengage_core::{value, Address, RequestId, TargetName, Time, VmName};
+use greengage_gossip::Stamp;
 use greengage_scheduler as scheduler;
 use greengage_scheduler::{Reply, TargetReport};
 
@@ -19,6 +20,8 @@
     Receive {
         /// The sender.
         from: VmName,
+        /// Its timestamps.
+        stamp: Stamp,
         /// The message.
         message: Message,
     },
@@ -83,6 +86,8 @@
     Send {
         /// The receiver.
         to: Address,
+        /// Timestamps that bound the message's age at the receiver.
+        stamp: Stamp,
         /// The message.
         message: Message,
     },
--- a/crates/cluster/tests/shutdown.rs
+++ b/crates/cluster/tests/shutdown.rs
@@ -157,7 +157,13 @@
     };
     let from = VmName::new("10.0.0.1").unwrap();
     let message = Message::Configuration(Arc::new(document));
-    cluster.step(at(0), WallTime(0), Event::Receive { from, message });
+    let stamp = support::stamp(at(0), None);
+    let received = Event::Receive {
+        from,
+        stamp,
+        message,
+    };
+    cluster.step(at(0), WallTime(0), received);
     cluster.step(at(1), WallTime(1), submission(1));
     let requested = at(2);
     cluster.step(at(2), WallTime(2), Event::Shutdown { requested });
--- a/crates/cluster/tests/stored.rs
+++ b/crates/cluster/tests/stored.rs
@@ -6,7 +6,7 @@
 use greengage_core::{Incarnation, Time, Version, VmName, WallTime};
 use greengage_scheduler::TargetReport;
 
-use support::{control_setup, document, entry_member, report};
+use support::{control_setup, document, entry_member, report, stamp};
 
 const START: u64 = 1000;
 
@@ -32,22 +32,37 @@
 }
 
 /// Guards against a deployment that must wait for new target reports after a power loss of all VMs:
-/// an entry VM receives the stored reports in its first exchange with a control VM.
+/// an entry VM receives the stored reports in its first exchange with a control VM, which answers
+/// its introduction and gets a message that echoes the answer.
 #[test]
 fn stored_reports_are_sent_to_new_entry_vms() {
     let now = Time::from_millis(START);
     let mut setup = control_setup(now);
     setup.hints.targets = vec![report("t-1", 7), report("t-2", 9)];
     let mut cluster = Cluster::new(now, setup);
-    let hello = gossip::GossipMessage::Hello {
-        member: entry_member(Incarnation(1)),
-        known: false,
-    };
-    let event = Event::Receive {
+    let hello = |known, sent, echoed| Event::Receive {
         from: VmName::new("10.0.0.9").unwrap(),
-        message: Message::Gossip(hello, None),
+        stamp: stamp(Time::from_millis(sent), echoed),
+        message: Message::Gossip(
+            gossip::GossipMessage::Hello {
+                member: entry_member(Incarnation(1)),
+                known,
+            },
+            None,
+        ),
     };
-    let mut effects = step(&mut cluster, START + 1, event);
+    let mut effects = step(&mut cluster, START + 1, hello(false, START, None));
+    let answered = effects.iter().find_map(|effect| match effect {
+        Effect::Send { to, stamp, .. } if *to == entry_member(Incarnation(1)).address => {
+            Some(stamp.sent)
+        }
+        _ => None,
+    });
+    effects.extend(step(
+        &mut cluster,
+        START + 3,
+        hello(true, START + 2, answered),
+    ));
     effects.extend(step(&mut cluster, START + 110, Event::Tick));
     let sent: Vec<_> = effects
         .iter()
@@ -101,6 +116,7 @@
     };
     let event = Event::Receive {
         from: VmName::new("10.0.0.9").unwrap(),
+        stamp: stamp(now, None),
         message: Message::Gossip(hello, None),
     };
     let sent = step(&mut cluster, START, event);
@@ -116,6 +132,7 @@
     let from = VmName::new("10.0.0.9").unwrap();
     let event = Event::Receive {
         from,
+        stamp: stamp(now, None),
         message: older,
     };
     step(&mut cluster, START, event);
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -90,6 +90,21 @@
     }
 }
 
+/// Timestamps of the first incarnation, whose clock is the receiver's one, with an echo of the
+/// receiver's message of `echoed`.
+pub(crate) fn stamp(sent: Time, echoed: Option<Time>) -> gossip::Stamp {
+    let echo = echoed.map(|time| gossip::Echo {
+        incarnation: Incarnation(1),
+        time,
+        held: sent.since(time),
+    });
+    gossip::Stamp {
+        incarnation: Incarnation(1),
+        sent,
+        echo,
+    }
+}
+
 pub(crate) fn document(version: u64) -> Arc<Document> {
     Arc::new(Document {
         version: Version(version),
--- a/crates/gossip/src/roster.rs
+++ b/crates/gossip/src/roster.rs
@@ -4,6 +4,8 @@
 
 use greengage_core::{value, Address, Incarnation, NodeId, SortedMap, Time, VmName, ZoneName};
 
+use crate::stamp::{Samples, Stamp};
+
 /// Roles of a VM; it may have both.
 #[value(copy)]
 pub struct Roles {
@@ -51,7 +53,8 @@
     Hello {
         /// The sender's record.
         member: Member,
-        /// Whether the sender already knows the receiver; if not, the receiver answers.
+        /// Whether the sender already knows the receiver; if not, the receiver answers. It also
+        /// answers a message whose age it can't bound, since the sender's next one echoes that.
         known: bool,
     },
     /// The sender's member list, including itself.
@@ -108,7 +111,7 @@
 
 struct Peer {
     member: Member,
-    /// When the last message from it arrived; `None` while it is known only from others.
+    /// When its latest message was sent at the earliest; `None` while it is known only from others.
     last_heard: Option<Time>,
     /// When it was added or last heard; the forget timeout counts from here.
     last_update: Time,
@@ -124,6 +127,7 @@
     /// Addresses known before the last restart, and until when introductions are sent to them.
     stored_peers: (Vec<Address>, Time),
     peers: SortedMap<VmName, Peer>,
+    samples: Samples,
     next_heartbeat: Time,
     next_join: Time,
     heartbeat_count: u64,
@@ -138,6 +142,7 @@
             seeds,
             stored_peers: (Vec::new(), now),
             peers: SortedMap::new(),
+            samples: Samples::default(),
             next_heartbeat: now,
             next_join: now,
             heartbeat_count: 0,
@@ -184,7 +189,7 @@
             .map(|peer| &peer.member)
     }
 
-    /// Each VM from which a message has arrived, with the time of the last one.
+    /// Each VM that was heard, with the time at which its latest message was sent at the earliest.
     pub fn last_heard(&self) -> impl Iterator<Item = (&Member, Time)> {
         let peers = self.peers.values();
         peers.filter_map(|peer| peer.last_heard.map(|time| (&peer.member, time)))
@@ -240,6 +245,7 @@
             let forget = self.timing.forget_timeout;
             self.peers
                 .retain(|_, peer| now.since(peer.last_update) < forget);
+            self.samples.forget(now, forget);
             for peer in self.peers.values() {
                 let hello = self.hello(peer.last_heard.is_some());
                 out.push(Envelope {
@@ -298,31 +304,64 @@
         GossipMessage::Members(others.chain([self.own.clone()]).collect())
     }
 
-    /// Handles a message and returns the answers.
-    pub fn receive(&mut self, now: Time, message: GossipMessage) -> Vec<Envelope> {
+    /// The timestamps of a message that is sent to an address now.
+    pub fn stamp(&self, now: Time, to: &Address) -> Stamp {
+        let receiver = self.peers.iter().find(|(_, p)| p.member.address == *to);
+        Stamp {
+            incarnation: self.own.incarnation,
+            sent: now,
+            echo: receiver.and_then(|(vm, _)| self.samples.echo(now, vm)),
+        }
+    }
+
+    /// Records the timestamps of a message that has arrived, and returns the earliest time at which
+    /// it may have been sent; `None` if its age has no bound.
+    pub fn receive_stamp(&mut self, now: Time, from: &VmName, stamp: &Stamp) -> Option<Time> {
+        let timeout = self.lost_timeout();
+        self.samples.record(now, from, stamp, timeout);
+        stamp.earliest_sent(now, self.own.incarnation)
+    }
+
+    /// Handles a message that was sent at `sent` at the earliest, and returns the answers.
+    pub fn receive(
+        &mut self,
+        now: Time,
+        sent: Option<Time>,
+        message: GossipMessage,
+    ) -> Vec<Envelope> {
         match message {
-            GossipMessage::Hello { member, known } => self.on_hello(now, member, known),
+            GossipMessage::Hello { member, known } => self.on_hello(now, sent, member, known),
             GossipMessage::Members(members) => self.on_members(now, members),
         }
     }
 
-    fn on_hello(&mut self, now: Time, member: Member, known: bool) -> Vec<Envelope> {
+    fn on_hello(
+        &mut self,
+        now: Time,
+        sent: Option<Time>,
+        member: Member,
+        known: bool,
+    ) -> Vec<Envelope> {
         let to = member.address.clone();
-        let was_known = self.peers.contains(&member.vm);
-        if member.vm == self.own.vm || !self.update_member(now, member, true) {
+        let timeout = self.lost_timeout();
+        let heard = sent.filter(|sent| now.since(*sent) < timeout);
+        if member.vm == self.own.vm || !self.update_member(now, member, heard) {
             return Vec::new();
         }
-        if known {
-            return Vec::new();
+        let mut out = Vec::new();
+        if !known || sent.is_none() {
+            // The sender's answer to this echoes it, which bounds the age of that answer. A bounded
+            // message needs no further one, so that slow VMs don't answer each other forever.
+            out.push(Envelope {
+                to: to.clone(),
+                message: self.hello(sent.is_some()),
+            });
         }
-        // The sender does not know this VM yet. If it was unknown here too, `known: false` in the
-        // introduction makes it answer with its own list.
-        let hello = Envelope {
-            to: to.clone(),
-            message: self.hello(was_known),
-        };
-        let message = self.list_message(now);
-        vec![hello, Envelope { to, message }]
+        if !known {
+            let message = self.list_message(now);
+            out.push(Envelope { to, message });
+        }
+        out
     }
 
     fn on_members(&mut self, now: Time, members: Vec<Member>) -> Vec<Envelope> {
@@ -330,7 +369,7 @@
         for member in members {
             let is_new = member.vm != self.own.vm && !self.peers.contains(&member.vm);
             let to = member.address.clone();
-            if member.vm != self.own.vm && self.update_member(now, member, false) && is_new {
+            if member.vm != self.own.vm && self.update_member(now, member, None) && is_new {
                 out.push(Envelope {
                     to,
                     message: self.hello(false),
@@ -340,38 +379,40 @@
         out
     }
 
-    /// Records a member and returns whether the record is of the VM's current incarnation.
-    /// `direct` tells that it came from the VM itself.
+    /// Records a member and returns whether the record is of the VM's current incarnation. `heard`
+    /// is the earliest time at which the VM itself may have sent it; `None` if that was too long ago
+    /// or is unknown, or if the record came from another VM.
     ///
     /// Incarnations are numbered by the wall clock, which may be set back. A lower number is
     /// therefore accepted directly from the VM once the incarnation with the higher one is silent.
-    fn update_member(&mut self, now: Time, member: Member, direct: bool) -> bool {
+    fn update_member(&mut self, now: Time, member: Member, heard: Option<Time>) -> bool {
         let vm = member.vm.clone();
         let timeout = self.lost_timeout();
         let Some(peer) = self.peers.get_mut(&vm) else {
-            log::info!(event = "vm-known", vm = vm.as_str(), direct = direct; "VM discovered");
-            let last_heard = direct.then_some(now);
+            log::info!(event = "vm-known", vm = vm.as_str(), direct = heard.is_some();
+                "VM discovered");
             let peer = Peer {
                 member,
-                last_heard,
+                last_heard: heard,
                 last_update: now,
                 last_reconnect: now,
             };
             self.peers.insert(vm, peer);
             return true;
         };
-        let older = member.incarnation < peer.member.incarnation;
+        let order = member.incarnation.cmp(&peer.member.incarnation);
         let recent = peer
             .last_heard
             .is_some_and(|last_heard| now.since(last_heard) < timeout);
-        if older && (recent || !direct) {
+        if order.is_lt() && (recent || heard.is_none()) {
             return false;
         }
-        if direct || member.incarnation > peer.member.incarnation {
+        if heard.is_some() || order.is_gt() {
             peer.member = member;
         }
-        if direct {
-            peer.last_heard = Some(now);
+        if heard.is_some() {
+            let earlier = peer.last_heard.filter(|_| order.is_eq());
+            peer.last_heard = earlier.max(heard);
             peer.last_update = now;
         }
         true
--- a/crates/gossip/tests/member_list.rs
+++ b/crates/gossip/tests/member_list.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use greengage_core::{Address, Incarnation, Time, VmName, ZoneName};
-use greengage_gossip::{GossipMessage, Member, MemberList, Roles, Timing};
+use greengage_gossip::{Envelope, GossipMessage, Member, MemberList, Roles, Timing};
 
 fn address(vm: usize) -> Address {
     Address::new(&format!("10.0.0.{vm}:7700")).unwrap()
@@ -50,17 +50,22 @@
             let mut messages = Vec::new();
             for (list, running) in &mut self.vms {
                 if *running && self.now >= list.next_wake() {
-                    messages.extend(list.tick(self.now));
+                    let envelopes = list.tick(self.now);
+                    messages.extend(envelopes.into_iter().map(|e| (list.own().vm.clone(), e)));
                 }
             }
-            while let Some(envelope) = messages.pop() {
+            while let Some((from, envelope)) = messages.pop() {
                 self.sent_messages += 1;
+                let sender = self.vms.iter().find(|(r, _)| r.own().vm == from).unwrap();
+                let stamp = sender.0.stamp(self.now, &envelope.to);
                 let to = self
                     .vms
                     .iter_mut()
                     .find(|(r, _)| r.own().address == envelope.to);
                 if let Some((list, true)) = to {
-                    messages.extend(list.receive(self.now, envelope.message));
+                    let sent = list.receive_stamp(self.now, &from, &stamp);
+                    let answers = list.receive(self.now, sent, envelope.message);
+                    messages.extend(answers.into_iter().map(|e| (list.own().vm.clone(), e)));
                 }
             }
         }
@@ -125,8 +130,8 @@
         },
         known: true,
     };
-    list.receive(now, hello(9, false));
-    list.receive(now, hello(8, true));
+    list.receive(now, Some(now), hello(9, false));
+    list.receive(now, Some(now), hello(8, true));
     assert!(!list.member(&member(1, 0).vm).unwrap().leaving);
 }
 
@@ -139,16 +144,17 @@
         member: member(1, incarnation),
         known: true,
     };
-    list.receive(now, hello(9));
+    list.receive(now, Some(now), hello(9));
     let later = now + Duration::from_millis(800);
     assert_eq!(list.live(later).count(), 0);
-    list.receive(later, GossipMessage::Members(vec![member(1, 8)]));
+    let list_message = GossipMessage::Members(vec![member(1, 8)]);
+    list.receive(later, Some(later), list_message);
     assert_eq!(
         list.live(later).count(),
         0,
         "a record from another VM does not make it live"
     );
-    list.receive(later, hello(8));
+    list.receive(later, Some(later), hello(8));
     assert_eq!(
         list.live(later)
             .map(|vm| vm.incarnation.0)
@@ -168,7 +174,7 @@
         member: member(1, 1),
         known: true,
     };
-    list.receive(start, hello);
+    list.receive(start, Some(start), hello);
     let reconnects_ms: Vec<u64> = (0..1500u64)
         .filter(|ms| {
             !list
@@ -194,3 +200,126 @@
     let (few, many) = (rate(13), rate(60));
     assert!(many < few * 1.5, "{few} and {many} messages per second");
 }
+
+/// Two VMs whose clocks differ by `CLOCK_OFFSET`, with a trip of `TRIP` each way.
+struct Pair {
+    lists: [MemberList; 2],
+}
+
+const CLOCK_OFFSET: Duration = Duration::from_secs(5000);
+const TRIP: Duration = Duration::from_millis(2);
+
+/// The time of a VM's clock at `ms` of VM 0's clock.
+fn clock(vm: usize, ms: u64) -> Time {
+    Time::from_millis(ms) + CLOCK_OFFSET * vm as u32
+}
+
+/// The bound of an age that VM 1 has found, from the time at which the message arrived.
+type Bound = Option<Duration>;
+
+impl Pair {
+    fn new(incarnation: u64) -> Pair {
+        let list = |vm: usize, seed, incarnation| {
+            let timing = Timing::default();
+            MemberList::new(clock(vm, 0), member(vm, incarnation), vec![seed], timing)
+        };
+        Pair {
+            lists: [list(0, address(1), 1), list(1, address(0), incarnation)],
+        }
+    }
+
+    /// Delivers a message that was sent at `sent_ms` after `held` and a trip; returns the answers.
+    fn deliver(
+        &mut self,
+        from: usize,
+        sent_ms: u64,
+        held: Duration,
+        message: GossipMessage,
+    ) -> (Bound, Vec<Envelope>) {
+        let to = 1 - from;
+        let stamp = self.lists[from].stamp(clock(from, sent_ms), &address(to));
+        let now = clock(to, sent_ms) + held + TRIP;
+        let sender = member(from, 0).vm;
+        let sent = self.lists[to].receive_stamp(now, &sender, &stamp);
+        let answers = self.lists[to].receive(now, sent, message);
+        (sent.map(|sent| now.since(sent)), answers)
+    }
+
+    fn hello(&self, from: usize) -> GossipMessage {
+        GossipMessage::Hello {
+            member: self.lists[from].own().clone(),
+            known: true,
+        }
+    }
+
+    fn is_live(&self, at: usize, ms: u64) -> bool {
+        self.lists[at].live(clock(at, ms)).count() > 0
+    }
+
+    /// Exchanges heartbeats until both VMs are live, and ends at 10 ms.
+    fn introduce(&mut self) {
+        for (ms, from) in [(0, 0), (3, 1), (6, 0)] {
+            let hello = self.hello(from);
+            self.deliver(from, ms, Duration::ZERO, hello);
+        }
+        assert!(self.is_live(0, 10) && self.is_live(1, 10));
+    }
+}
+
+/// Guards against heartbeats that a link held for seconds and that make their sender live when it
+/// lets go of them, although its process has ended.
+#[test]
+fn held_heartbeats_make_no_vm_live() {
+    for held_ms in [700, 1000, 1800, 2500, 4000] {
+        let mut pair = Pair::new(1);
+        pair.introduce();
+        let held = Duration::from_millis(held_ms);
+        let hello = pair.hello(0);
+        let (bound, _) = pair.deliver(0, 100, held, hello);
+        assert!(!pair.is_live(1, 100 + held_ms + 2), "held for {held:?}");
+        let bound = bound.expect("a bound");
+        assert!(bound >= held + TRIP, "{bound:?} of {held:?}");
+        assert!(bound <= held + TRIP * 2, "{bound:?} of {held:?}");
+    }
+}
+
+/// Guards against messages that were sent to an earlier incarnation, whose clock may have been
+/// another one, and against a VM that stays unknown since its messages have no bound.
+#[test]
+fn message_without_a_bound_is_answered_and_makes_no_vm_live() {
+    let mut pair = Pair::new(1);
+    pair.introduce();
+    pair.lists[1] = MemberList::new(clock(1, 20), member(1, 2), Vec::new(), Timing::default());
+    let hello = pair.hello(0);
+    let (bound, answers) = pair.deliver(0, 30, Duration::ZERO, hello);
+    assert_eq!(bound, None);
+    assert!(!pair.is_live(1, 32));
+    let [answer] = answers.as_slice() else {
+        panic!("one answer: {answers:?}");
+    };
+    let (_, answers) = pair.deliver(1, 33, Duration::ZERO, answer.message.clone());
+    let (bound, answers) = pair.deliver(0, 36, Duration::ZERO, answers[0].message.clone());
+    assert!(bound.is_some_and(|bound| bound <= TRIP * 3), "{bound:?}");
+    assert!(pair.is_live(1, 38));
+    assert!(answers.is_empty(), "the exchange ends: {answers:?}");
+}
+
+/// Guards against a VM that counts as lost after its peer's messages were held, since it echoes one
+/// of them: a message that took long isn't echoed while a better one is recent, and bounds that are
+/// too high last only until the next message.
+#[test]
+fn held_message_does_not_spoil_later_bounds() {
+    let mut pair = Pair::new(1);
+    pair.introduce();
+    let (held, hello) = (Duration::from_millis(500), pair.hello(1));
+    pair.deliver(1, 10, held, hello);
+    let hello = pair.hello(0);
+    let (bound, _) = pair.deliver(0, 520, Duration::ZERO, hello);
+    assert!(bound.is_some_and(|bound| bound <= TRIP * 2), "{bound:?}");
+    let (held, hello) = (Duration::from_millis(3000), pair.hello(1));
+    pair.deliver(1, 600, held, hello.clone());
+    pair.deliver(1, 3610, Duration::ZERO, hello);
+    let hello = pair.hello(0);
+    let (bound, _) = pair.deliver(0, 3620, Duration::ZERO, hello);
+    assert!(bound.is_some_and(|bound| bound <= TRIP * 2), "{bound:?}");
+}
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -149,10 +149,15 @@
         settings.vm.clone(),
         settings.listen_address,
         move |from, bytes| {
-            match decode::<Message>(&bytes) {
-                Ok(message) => {
+            match decode::<(gossip::Stamp, Message)>(&bytes) {
+                Ok((stamp, message)) => {
+                    let event = Event::Receive {
+                        from,
+                        stamp,
+                        message,
+                    };
                     // The send fails only while the process exits, after this loop has ended.
-                    let _ = sender.send(Input::Event(Event::Receive { from, message }));
+                    let _ = sender.send(Input::Event(event));
                 }
                 Err(error) => log::warn!(event = "message-unreadable", from = from.as_str(),
                     cause = error.to_string().as_str(); "cannot decode a message of another VM"),
@@ -265,9 +270,9 @@
 ) {
     for effect in effects {
         match effect {
-            Effect::Send { to, message } => {
+            Effect::Send { to, stamp, message } => {
                 if let Some(address) = socket_address(&to) {
-                    mesh.send(address, encode(&message));
+                    mesh.send(address, encode(&(stamp, message)));
                 }
             }
             Effect::Reconnect(to) => {
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -287,6 +287,8 @@
     Peer {
         /// The VM that sent it.
         from: VmName,
+        /// The earliest time at which it may have been sent.
+        sent: Time,
         /// The message.
         message: PeerMessage,
     },
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -211,7 +211,9 @@
             Event::TargetReported(report) => self.on_target_report(now, report, &mut out),
             Event::TargetLeft(target) => self.on_target_left(now, &target, &mut out),
             Event::Peers(peers) => self.set_peers(now, peers, &mut out),
-            Event::Peer { from, message } => self.on_peer_message(now, from, message, &mut out),
+            Event::Peer { from, message, .. } => {
+                self.on_peer_message(now, from, message, &mut out);
+            }
             Event::StartEnded {
                 target,
                 task,
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -307,6 +307,7 @@
             Event::Peer {
                 from,
                 message: PeerMessage::Run { .. },
+                ..
             } => Some(from.clone()),
             _ => None,
         };
@@ -367,10 +368,14 @@
         }
         let from = candidate(vm, 3).vm;
         let incarnation = self.vms[peer].incarnation;
-        self.schedule(
-            delay,
-            Action::Event(peer, incarnation, Event::Peer { from, message }),
-        );
+        // The receiver knows the time of sending except for one trip.
+        let sent = now - PEER_LATENCY;
+        let event = Event::Peer {
+            from,
+            sent,
+            message,
+        };
+        self.schedule(delay, Action::Event(peer, incarnation, event));
     }
 
     pub(crate) fn is_partitioned(&self, a: usize, b: usize) -> bool {
