Refuse offloaded tasks that are older than a renewal lasts

Cause: an offloaded task, a renewal and offers counted their times from their arrival. Ruled out: staleness of heartbeats alone, since new connections let both VMs find each other before the held task arrives.

Change: these times count from when the message was sent at the earliest. The world of the scheduler holds links for 1 to 4 s and checks that no offloaded task starts later than 0.45 s after its job has ended at its sender.

--- a/crates/cluster/tests/held.rs
+++ b/crates/cluster/tests/held.rs
@@ -422,6 +422,12 @@
     }
 }
 
+/// Guards against an offloaded task that the network held and that starts after its job has ended.
+#[test]
+fn held_offload_does_not_start_after_its_job() {
+    check_holds(false);
+}
+
 /// Guards against held heartbeats of an ended process that make it live, so that a task that it has
 /// offloaded starts beside a new run of the same task.
 #[test]
--- a/crates/gossip/src/stamp.rs
+++ b/crates/gossip/src/stamp.rs
@@ -9,8 +9,8 @@
 
 use greengage_core::{value, Incarnation, SortedMap, Time, VmName};
 
-/// Time after which a later message is echoed although it took longer. Shorter than the shortest
-/// hold of a link that was seen (1.8 s); clocks that differ by 2% add 20 ms in it.
+/// Time after which a later message is echoed although it took longer. Clocks whose rates differ by
+/// 2% add an error of 20 ms in it.
 const SAMPLE_LIFETIME: Duration = Duration::from_secs(1);
 
 /// A message of the receiver that its sender has received.
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -10,7 +10,7 @@
 use crate::job::TaskState;
 use crate::peer::{OffloadOutcome, OffloadedTask, PeerMessage, ResourceOffer};
 use crate::placement::{choose_slot, Locality, Slot};
-use crate::renewal::Renewal;
+use crate::renewal::{is_expired, Renewal};
 use crate::scheduler::{Peer, PeerView, Scheduler};
 use crate::target::{Origin, Run, RunParams};
 
@@ -99,7 +99,7 @@
     /// Stops offloading to VMs that are live but send no offers, and ends the jobs with tasks there.
     /// Such a VM doesn't count this one as live, since nothing that this one sends arrives.
     pub(crate) fn review_silent_peers(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let limit = self.broadcast_interval() * MISSED_BROADCASTS;
+        let limit = self.max_offer_age();
         let silent = self.peers.iter_mut();
         let silent = silent.filter(|(_, view)| now.since(view.last_offers) >= limit);
         let mut vms = Vec::new();
@@ -147,8 +147,7 @@
     pub(crate) fn on_peer_message(
         &mut self,
         now: Time,
-        from: VmName,
-        message: PeerMessage,
+        (from, sent, message): (VmName, Time, PeerMessage),
         out: &mut Vec<Effect>,
     ) {
         match message {
@@ -159,6 +158,7 @@
                 needed,
             } => {
                 let renewal = Renewal {
+                    sent,
                     sender,
                     receiver,
                     number,
@@ -171,11 +171,15 @@
                 offers,
                 shortage,
             } => {
+                // Offers that are older have been cleared, and owners may have changed since.
+                if now.since(sent) >= self.max_offer_age() {
+                    return;
+                }
                 if let Some(view) = self.peers.get_mut(&from) {
                     self.offers_changed |= shortage && !view.shortage;
                     let is_first = view.owned.is_none();
                     view.owned = Some(owned);
-                    view.last_offers = now;
+                    view.last_offers = view.last_offers.max(sent);
                     view.offers = offers;
                     view.shortage = shortage;
                     self.dispatch_due = true;
@@ -188,7 +192,7 @@
             }
             PeerMessage::Run { sender, tasks } => {
                 for task in tasks {
-                    self.run_offloaded(now, &from, sender, task, out);
+                    self.run_offloaded(now, (&from, sender, sent), task, out);
                 }
             }
             PeerMessage::Ended(ends) => {
@@ -208,17 +212,24 @@
         }
     }
 
+    /// Starts a task that another VM has offloaded in a message of `sent`, from which its times
+    /// count.
     fn run_offloaded(
         &mut self,
         now: Time,
-        from: &VmName,
-        sender: Incarnation,
+        (from, sender, sent): (&VmName, Incarnation, Time),
         offload: OffloadedTask,
         out: &mut Vec<Effect>,
     ) {
         let accepted = self.accepts_offload(now, from, sender, offload.offload_id);
-        let target = accepted
-            .then(|| self.offload_target(now, &offload))
+        let expired = is_expired(now, sent);
+        if expired {
+            log::info!(event = "offload-late", vm = from.as_str(), task = &*offload.task,
+                age_ms = now.since(sent).as_millis() as u64;
+                "refused a task whose message took too long");
+        }
+        let target = (accepted && !expired)
+            .then(|| self.offload_target(now, sent, &offload))
             .flatten();
         let Some(target) = target else {
             self.report_outcome(now, from, offload.offload_id, OffloadOutcome::NotRunning);
@@ -235,12 +246,14 @@
             queue: offload.queue,
             demand: offload.demand,
             declared: offload.declared,
-            deadline: now + offload.deadline,
+            deadline: sent + offload.deadline,
         };
-        self.start_run(now, &target, Run::new(now, params), offload.spec, out);
+        let mut run = Run::new(now, params);
+        run.renewed = sent;
+        self.start_run(now, &target, run, offload.spec, out);
     }
 
-    fn offload_target(&self, now: Time, offload: &OffloadedTask) -> Option<TargetName> {
+    fn offload_target(&self, now: Time, sent: Time, offload: &OffloadedTask) -> Option<TargetName> {
         let mut slots = Vec::new();
         let mut names = Vec::new();
         for (name, target) in self.targets.iter().filter(|(_, t)| t.accepts_tasks(now)) {
@@ -256,7 +269,7 @@
         let expected = self
             .estimates
             .expected_run_time(&offload.queue, offload.declared);
-        let objective = now + offload.objective;
+        let objective = sent + offload.objective;
         let (slot, _) = choose_slot(now, &slots, &offload.demand, expected, objective)?;
         Some(names[slot].clone())
     }
@@ -331,6 +344,11 @@
         BROADCAST_INTERVAL * self.peers.len().div_ceil(BROADCAST_INTERVAL_VMS) as u32
     }
 
+    /// Age at which offers aren't used any more.
+    fn max_offer_age(&self) -> Duration {
+        self.broadcast_interval() * MISSED_BROADCASTS
+    }
+
     fn offers_message(&self, now: Time) -> PeerMessage {
         let (owned, offers) = self.own_offers(now);
         PeerMessage::Offers {
--- a/crates/scheduler/src/peer.rs
+++ b/crates/scheduler/src/peer.rs
@@ -35,9 +35,9 @@
     pub declared: Duration,
     /// A label that the target must have; `None` if any target will do.
     pub label: Option<Arc<str>>,
-    /// Time left until the job counts as late.
+    /// Time left until the job counts as late, from when the message was sent.
     pub objective: Duration,
-    /// Time left until the run is stopped.
+    /// Time left until the run is stopped, from when the message was sent.
     pub deadline: Duration,
 }
 
--- a/crates/scheduler/src/renewal.rs
+++ b/crates/scheduler/src/renewal.rs
@@ -12,6 +12,10 @@
 //! - A run that isn't listed is stopped, since the message that stops it was lost.
 //! - A run that hasn't been listed for a while is stopped, since its VM may be lost.
 //!
+//! A run and a renewal count from the earliest time at which their message may have been sent, so
+//! that a link that holds messages lengthens nothing. A run that is older than the time for which a
+//! renewal lasts is refused: its VM may have ended the job since.
+//!
 //! A task is therefore started again only once its run has ended or can't start any more.
 
 use std::time::Duration;
@@ -60,8 +64,15 @@
     }
 }
 
+/// Whether a run that was last renewed at this time must end.
+pub(crate) fn is_expired(now: Time, renewed: Time) -> bool {
+    now.since(renewed) >= RENEWAL_TIMEOUT
+}
+
 /// A renewal as it was received.
 pub(crate) struct Renewal {
+    /// The earliest time at which it may have been sent.
+    pub(crate) sent: Time,
     /// Incarnation of the sender.
     pub(crate) sender: Incarnation,
     /// Incarnation of the receiver; another one doesn't know the runs of this one.
@@ -86,8 +97,7 @@
             self.send_renewals(out);
             self.review_silent_peers(now, out);
         }
-        let expired =
-            |run: &Run| run.origin.is_remote() && now.since(run.renewed) >= RENEWAL_TIMEOUT;
+        let expired = |run: &Run| run.origin.is_remote() && is_expired(now, run.renewed);
         self.stop_matching(now, expired, out);
         let peers = &self.peers;
         self.offload_records
@@ -190,7 +200,7 @@
         }
         (record.renewal, record.changed) = (renewal.number, now);
         record.outcomes.retain(|id, _| renewal.lists(*id));
-        let known = self.renew_runs(now, from, &renewal);
+        let known = self.renew_runs(from, &renewal);
         let needed = renewal.needed.iter();
         for offload_id in needed.filter(|id| known.binary_search(id).is_err()) {
             let record = self.offload_records.get(from);
@@ -213,12 +223,12 @@
 
     /// Renews the listed runs, and returns the ascending offload ids of those whose end hasn't been
     /// reported.
-    fn renew_runs(&mut self, now: Time, from: &VmName, renewal: &Renewal) -> Vec<u64> {
+    fn renew_runs(&mut self, from: &VmName, renewal: &Renewal) -> Vec<u64> {
         let mut known = Vec::new();
         for run in self.targets.values_mut().flat_map(|t| &mut t.runs) {
             let offload_id = run.origin.offload_id(from);
             if let Some(offload_id) = offload_id.filter(|id| renewal.lists(*id)) {
-                run.renewed = now;
+                run.renewed = run.renewed.max(renewal.sent);
                 if !run.notified {
                     known.push(offload_id);
                 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -47,7 +47,8 @@
     pub(crate) peer: Peer,
     /// When this incarnation became a peer.
     pub(crate) joined: Time,
-    /// When its last offers arrived; at first, when it became a peer.
+    /// The earliest time at which its last offers may have been sent; at first, when it became a
+    /// peer.
     pub(crate) last_offers: Time,
     /// The targets that it owns; `None` before its first message about them.
     pub(crate) owned: Option<Vec<TargetName>>,
@@ -211,9 +212,11 @@
             Event::TargetReported(report) => self.on_target_report(now, report, &mut out),
             Event::TargetLeft(target) => self.on_target_left(now, &target, &mut out),
             Event::Peers(peers) => self.set_peers(now, peers, &mut out),
-            Event::Peer { from, message, .. } => {
-                self.on_peer_message(now, from, message, &mut out);
-            }
+            Event::Peer {
+                from,
+                sent,
+                message,
+            } => self.on_peer_message(now, (from, sent, message), &mut out),
             Event::StartEnded {
                 target,
                 task,
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -102,7 +102,8 @@
     pub(crate) progressed: Time,
     /// When the target last listed the run.
     pub(crate) last_listed: Time,
-    /// When the VM that offloaded it last listed it as needed; at first, when it was started.
+    /// The earliest time at which the VM that offloaded it may have sent its latest message that
+    /// lists it as needed; at first, the one that offloaded it.
     pub(crate) renewed: Time,
     /// Whether it is stopped because it could not end before the deadline.
     pub(crate) too_long: bool,
--- a/crates/scheduler/tests/world/callers.rs
+++ b/crates/scheduler/tests/world/callers.rs
@@ -28,6 +28,8 @@
     pub(crate) answers: Vec<(Time, Reply)>,
     /// Whether the connection was closed by the caller or with the VM.
     pub(crate) closed: bool,
+    /// When it was answered or its VM was killed, whichever was first.
+    pub(crate) ended: Option<Time>,
 }
 
 /// A caller with its job and its answer.
@@ -114,6 +116,7 @@
             timeout: caller.timeout,
             answers: Vec::new(),
             closed: false,
+            ended: None,
         });
         let incarnation = self.vms[vm].incarnation;
         self.schedule(
@@ -126,6 +129,7 @@
         let now = self.now;
         let request = &mut self.requests[request.0 as usize - 1];
         request.answers.push((now, reply.clone()));
+        request.ended = request.ended.or(Some(now));
         if request.closed {
             return;
         }
--- a/crates/scheduler/tests/world/faults.rs
+++ b/crates/scheduler/tests/world/faults.rs
@@ -4,7 +4,7 @@
 
 use greengage_scheduler::Reply;
 
-use crate::support::Simulation;
+use crate::support::{Rng, Simulation};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -412,6 +412,41 @@
     }
 }
 
+/// Guards against an offloaded task that a link held for seconds and that starts after its job has
+/// ended, beside a new run of the task, in the same or a later incarnation of its VM.
+#[test]
+fn held_offloads_start_no_duplicate_runs() {
+    for seed in 0..40 {
+        let mut sim = Simulation::new(seed, 3, 9);
+        sim.resubmit_timeouts = true;
+        let span = millis(1000 + sim.rng.below(3001));
+        for peer in [1, 2] {
+            sim.hold_link(0, peer, span);
+        }
+        for _ in 0..6 {
+            sim.submit(0, 1, vec![millis(1500); 3]);
+            sim.run(millis(100));
+        }
+        if seed % 2 == 1 {
+            sim.run(millis(300));
+            sim.kill_vm(0);
+            sim.run(millis(10));
+            sim.restart_vm(0);
+        }
+        sim.run(span + 4 * SECOND);
+        assert!(
+            sim.duplicates.is_empty(),
+            "seed {seed}: {:?}",
+            sim.duplicates
+        );
+        assert!(
+            sim.late_offloads.is_empty(),
+            "seed {seed}: {:?}",
+            sim.late_offloads
+        );
+    }
+}
+
 pub(crate) fn env_number(name: &str, default: u64) -> u64 {
     match std::env::var(name) {
         Ok(value) => value.parse().expect("the variable holds a number"),
@@ -424,11 +459,27 @@
 /// `GREENGAGE_SEED` and `GREENGAGE_CASES` choose the cases.
 #[test]
 fn survives_random_faults() {
+    play_random_faults(false);
+}
+
+/// Guards against the same, and against offloaded tasks that start after their jobs have ended, when
+/// links between VMs also hold messages for 1 to 4 s.
+#[test]
+fn survives_random_faults_and_held_links() {
+    play_random_faults(true);
+}
+
+fn play_random_faults(hold_links: bool) {
     let first = env_number("GREENGAGE_SEED", 1);
     for seed in first..first + env_number("GREENGAGE_CASES", 60) {
         println!("GREENGAGE_SEED={seed} GREENGAGE_CASES=1");
         let mut sim = Simulation::new(seed, 4, 12);
+        let mut hold_rng = Rng(seed);
         for _ in 0..60 {
+            if hold_links && hold_rng.chance(25) {
+                let (a, b) = (hold_rng.below(4) as usize, hold_rng.below(4) as usize);
+                sim.hold_link(a, b, millis(1000 + hold_rng.below(3001)));
+            }
             let vm = sim.rng.below(4) as usize;
             let target = sim.rng.below(12) as usize;
             match sim.rng.below(16) {
@@ -467,6 +518,7 @@
             sim.duplicates
         );
         sim.partitions.clear();
+        sim.held_links.clear();
         for vm in 0..4 {
             sim.resume_vm(vm);
             sim.restart_vm(vm);
@@ -486,5 +538,10 @@
             "seed {seed}: {:?}",
             sim.duplicates
         );
+        assert!(
+            sim.late_offloads.is_empty(),
+            "seed {seed}: {:?}",
+            sim.late_offloads
+        );
     }
 }
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -26,6 +26,15 @@
 /// unacknowledged before their connection is closed.
 const LATE_MESSAGE_MS: u64 = 900;
 
+/// Limit on the time for which the held messages of a link arrive after it lets go of them, in
+/// milliseconds.
+const RELEASE_MS: u64 = 200;
+
+/// How long after the end of its job at the VM that has offloaded it a task may start: the time for
+/// which an offloaded run lasts without a renewal. With a lease of 650 ms it is shorter than
+/// `RESUBMIT_DELAY`.
+const LATE_START_BOUND: Duration = Duration::from_millis(450);
+
 /// Longest time that a target takes to stop a run.
 const STOP_LIMIT: Duration = Duration::from_millis(50);
 
@@ -85,6 +94,19 @@
     deferred: Vec<Event>,
 }
 
+/// A link that delivers messages only when it lets go of them. The VMs lose each other meanwhile.
+pub(crate) struct HeldLink {
+    vms: (usize, usize),
+    since: Time,
+    until: Time,
+}
+
+impl HeldLink {
+    fn connects(&self, a: usize, b: usize) -> bool {
+        self.vms == (a, b) || self.vms == (b, a)
+    }
+}
+
 pub(crate) enum Action {
     Event(usize, u64, Event),
     Call(Delivery),
@@ -121,6 +143,9 @@
     /// Connections that are about to be replaced, by sender, receiver and the time until which
     /// messages are lost or late. Both VMs stay live.
     pub(crate) failing_links: Vec<(usize, usize, Time)>,
+    pub(crate) held_links: Vec<HeldLink>,
+    /// Starts of offloaded tasks later than `LATE_START_BOUND` after the end of their jobs.
+    pub(crate) late_offloads: Vec<String>,
     /// Percentage of the messages on failing links that arrive late instead of being lost.
     pub(crate) late_message_percent: u64,
     /// The kind and number of the next messages between VMs that are lost.
@@ -189,6 +214,8 @@
             offloads: BTreeMap::new(),
             partitions: Vec::new(),
             failing_links: Vec::new(),
+            held_links: Vec::new(),
+            late_offloads: Vec::new(),
             late_message_percent: 0,
             lost_messages: None,
             queue: BTreeMap::new(),
@@ -313,23 +340,43 @@
         };
         let effects = state.scheduler.step(self.now, wall, event);
         if let Some(peer) = (0..self.vms.len()).find(|i| Some(candidate(*i, 3).vm) == sender) {
-            let is_start = |effect: &&Effect| {
-                matches!(
-                    effect,
-                    Effect::Call {
-                        call: TargetCall::Start(_),
-                        ..
-                    }
-                )
-            };
-            let starts = effects.iter().filter(is_start).count();
-            *self.offloads.entry((vm, peer)).or_default() += starts;
+            let tasks = effects.iter().filter_map(|effect| match effect {
+                Effect::Call {
+                    call: TargetCall::Start(start),
+                    ..
+                } => Some(start.task.clone()),
+                _ => None,
+            });
+            let tasks: Vec<Arc<str>> = tasks.collect();
+            *self.offloads.entry((vm, peer)).or_default() += tasks.len();
+            for task in tasks {
+                self.check_offload_start(peer, &task);
+            }
         }
         for effect in effects {
             self.effect(vm, effect);
         }
     }
 
+    /// Records a violation if the job of an offloaded task has ended long ago at the VM that has
+    /// offloaded it.
+    fn check_offload_start(&mut self, peer: usize, task: &str) {
+        let is_caller = |caller: &Caller| task.split('.').next() == Some(caller.id.as_str());
+        let caller = self.callers.iter().position(is_caller);
+        let requests = self.requests.iter();
+        let mut requests = requests.filter(|r| Some(r.caller) == caller && r.vm == peer);
+        // A job that its caller has left ends when its VM learns of that.
+        let ended = requests.try_fold(Time::default(), |end, request| {
+            request.ended.map(|time| end.max(time))
+        });
+        if let Some(ended) = ended.filter(|time| self.now.since(*time) > LATE_START_BOUND) {
+            self.late_offloads.push(format!(
+                "{task}, offloaded by VM {peer}, started {:?} after its job",
+                self.now.since(ended)
+            ));
+        }
+    }
+
     fn effect(&mut self, vm: usize, effect: Effect) {
         match effect {
             Effect::Answer { request, reply } => self.record_answer(vm, request, reply),
@@ -366,6 +413,10 @@
             }
             delay += Duration::from_millis(self.rng.below(LATE_MESSAGE_MS));
         }
+        self.held_links.retain(|link| now < link.until);
+        if let Some(link) = self.held_links.iter().find(|l| l.connects(vm, peer)) {
+            delay += link.until.since(now) + Duration::from_millis(self.rng.below(RELEASE_MS));
+        }
         let from = candidate(vm, 3).vm;
         let incarnation = self.vms[peer].incarnation;
         // The receiver knows the time of sending except for one trip.
@@ -382,6 +433,25 @@
         self.partitions.contains(&(a, b)) || self.partitions.contains(&(b, a))
     }
 
+    /// Whether two VMs count each other as lost, since the link between them holds their messages.
+    fn is_held(&self, a: usize, b: usize) -> bool {
+        let lost = |link: &HeldLink| self.now.since(link.since) >= PEER_TIMEOUT;
+        let mut links = self.held_links.iter();
+        links.any(|link| link.connects(a, b) && self.now < link.until && lost(link))
+    }
+
+    /// Lets the link between two VMs hold all messages for a time.
+    pub(crate) fn hold_link(&mut self, a: usize, b: usize, span: Duration) {
+        if self.held_links.iter().any(|link| link.connects(a, b)) {
+            return;
+        }
+        self.held_links.push(HeldLink {
+            vms: (a, b),
+            since: self.now,
+            until: self.now + span,
+        });
+    }
+
     fn peers(&mut self) {
         self.schedule(Duration::from_millis(100), Action::Peers);
         for vm in 0..self.vms.len() {
@@ -389,7 +459,8 @@
             for peer in 0..self.vms.len() {
                 let last_seen = self.now.since(self.vms[peer].last_seen) < PEER_TIMEOUT;
                 let ignored_peer = self.ignored_peer == Some((vm, peer));
-                if peer != vm && last_seen && !ignored_peer && !self.is_partitioned(vm, peer) {
+                let unreachable = self.is_partitioned(vm, peer) || self.is_held(vm, peer);
+                if peer != vm && last_seen && !ignored_peer && !unreachable {
                     peers.push(Peer {
                         candidate: candidate(peer, 3),
                         incarnation: Incarnation(self.vms[peer].incarnation),
@@ -411,6 +482,9 @@
         self.vms[vm].deferred.clear();
         self.vms[vm].incarnation += 1;
         let mut disconnected_callers = Vec::new();
+        for request in self.requests.iter_mut().filter(|r| r.vm == vm) {
+            request.ended = request.ended.or(Some(self.now));
+        }
         for request in self.requests.iter_mut().filter(|r| r.vm == vm && !r.closed) {
             request.closed = true;
             if request.answers.is_empty() && !disconnected_callers.contains(&request.caller) {
