--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -103,15 +103,24 @@
     }
 }
 
-/// Receives a message of VM `v2`, and returns the messages that are sent then.
+/// Receives a message that VM `v2` has just sent, and returns the messages that are sent then.
 fn receive(scheduler: &mut Scheduler, now: Time, message: PeerMessage) -> Vec<PeerMessage> {
     let from = VmName::new("v2").unwrap();
-    let effects = step(scheduler, now, Event::Peer { from, message });
-    let sent = effects.into_iter().filter_map(|effect| match effect {
+    let sent = now;
+    let effects = step(
+        scheduler,
+        now,
+        Event::Peer {
+            from,
+            sent,
+            message,
+        },
+    );
+    let replies = effects.into_iter().filter_map(|effect| match effect {
         Effect::Send { message, .. } => Some(message),
         _ => None,
     });
-    sent.collect()
+    replies.collect()
 }
 
 /// A job of one task that needs 8 cores.
