Restore the time limit of the test of a large worker

Bounds come from the target, not from a measured figure, and aren't adapted to a machine.

Change: tasks of 0.4 s and the limit of 0.8 s are back; the wait for the edit stays.

--- a/crates/daemon/tests/system/serve.rs
+++ b/crates/daemon/tests/system/serve.rs
@@ -158,16 +158,12 @@
 /// tasks than an executor has slots.
 #[test]
 fn large_worker_fills_its_capacity() {
-    // Busy machines ran threads of this test up to 1.0 s late. Targets hold an answer for 2 s.
-    const TASK: Duration = Duration::from_millis(1800);
     let cluster = TestCluster::start(&[("a1", "a", "control+ledger")], false);
     let worker = json!({
         "target": "worker",
         "demand": {"milli_cores": 1000},
         "deadline_ms": 20_000,
-        // From 1 s on the scheduler would keep some cores free for short tasks; for less than 0.7 s it
-        // would ask about each start before it is answered.
-        "expected_ms": 900,
+        "expected_ms": 400,
     });
     let path = format!("/v1/templates/{TEMPLATE}");
     let revision = cluster.put_document(&path, "op-worker", 1, &worker);
@@ -183,19 +179,13 @@
         let listed = cluster.admin_get("a1", "/v1/targets");
         listed.is_some_and(|listed| listed["targets"].as_array().map(Vec::len) == Some(1))
     });
-    let job = new_job("parallel", None, 60, TASK.as_millis() as u64);
+    // For longer tasks the scheduler would keep some cores free for short tasks.
+    let job = new_job("parallel", None, 60, 400);
     let started_at = Instant::now();
     let answer = cluster.caller(&["a1"]).run(&job, Duration::from_secs(20));
     let elapsed = started_at.elapsed();
     assert_complete(&job, &answer.expect("an answer"));
-    let starts = target.starts();
     assert_eq!(assert_started_once(&[target]), 60);
-    let first = starts.iter().map(|start| start.received_at).min();
-    let first = first.expect("a start");
-    let late: Vec<_> = starts
-        .iter()
-        .filter(|start| start.received_at - first >= TASK)
-        .collect();
-    assert!(late.is_empty(), "starts that waited for an end: {late:?}");
-    assert!(elapsed < 2 * TASK, "two rounds of tasks: {elapsed:?}");
+    // One round of concurrent tasks takes 0.4 s; two rounds would take 0.8 s.
+    assert!(elapsed < Duration::from_millis(800), "{elapsed:?}");
 }
