Log the end of a listener only if it has connections

Cause: the line "the listener accepts no more connections" was also written when a start fails and drops a listener without connections, so that an invalid start was no longer refused in one line.

Change: the line is written if there are connections, whose ends it explains.

Conclusion: the output of an invalid start is one line again.

--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -338,9 +338,10 @@
     /// Stops listening and closes idle connections; others are closed after their next response.
     pub fn close(&mut self) {
         if let Some(closing) = &self.closing {
-            if !closing.send_replace(true) {
+            let connections = self.connections();
+            if !closing.send_replace(true) && connections > 0 {
                 log::info!(event = "listener-closed", address = self.address.to_string().as_str(),
-                    connections = self.connections(); "the listener accepts no more connections");
+                    connections = connections; "the listener accepts no more connections");
             }
             let _ = self.socket_closed.recv_timeout(CLOSE_TIMEOUT);
         }
