--- a/crates/cluster/tests/leadership.rs
+++ b/crates/cluster/tests/leadership.rs
@@ -83,10 +83,15 @@
         let (now, wall) = (Time::from_millis(self.ms), WallTime(self.ms));
         for effect in self.vms[vm].step(now, wall, event) {
             match effect {
-                Effect::Send { to, message } => {
+                Effect::Send { to, stamp, message } => {
                     let from = vm_name(vm);
                     let to = (0..VMS).find(|vm| address(*vm) == to).unwrap();
-                    self.pending.push((to, Event::Receive { from, message }));
+                    let event = Event::Receive {
+                        from,
+                        stamp,
+                        message,
+                    };
+                    self.pending.push((to, event));
                 }
                 Effect::Save(save) => self.pending.push((vm, Event::Saved(save.seq))),
                 _ => {}
--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -412,6 +412,102 @@
     matches!(action, Action::Start(_))
 }
 
+fn is_revoke(action: &Action) -> bool {
+    matches!(action, Action::Revoke { .. })
+}
+
+/// Guards against a start on a silent connection that holds its job up until the call's time limit
+/// of 2.25 s.
+#[test]
+fn start_on_a_silent_connection_is_revoked_before_its_call_ends() {
+    let mut harness = Harness::leader();
+    let id = harness.request(30_000, Request::Submit(job("j1", 1)));
+    let start = harness.take_call(is_start);
+    harness.advance(799);
+    assert_eq!(harness.try_take_call(is_revoke), None);
+    harness.advance(1);
+    let check = harness.take_call(is_revoke);
+    harness.call_ended(check, CallResult::State(AttemptState::Never));
+    harness.advance(100);
+    let second = harness.take_call(is_start);
+    let broken = CallResult::Broken {
+        reason: "timeout".to_string(),
+    };
+    harness.call_ended(start, broken);
+    assert_eq!(harness.try_take_call(is_revoke), None);
+    harness.complete_call(second, b"1");
+    let reply = harness.take_reply(id);
+    let Some(Reply::Job { progress, .. }) = reply else {
+        panic!("{reply:?}");
+    };
+    let outcome = Arc::new(Outcome::Complete(vec![Payload::new(*b"1")]));
+    assert_eq!(progress, Progress::Closed(outcome));
+}
+
+/// Guards against a second run, or a second series of polls, of a slow task whose start is asked
+/// about while its call goes on.
+#[test]
+fn slow_task_goes_on_after_its_start_is_asked_about() {
+    let mut harness = Harness::leader();
+    harness.request(30_000, Request::Submit(job("j1", 1)));
+    let start = harness.take_call(is_start);
+    harness.advance(800);
+    let check = harness.take_call(is_revoke);
+    harness.call_ended(check, CallResult::State(AttemptState::Running));
+    harness.advance(1000);
+    assert_eq!(harness.try_take_call(|action| !is_fence(action)), None);
+    harness.call_ended(start, CallResult::State(AttemptState::Running));
+    let poll = harness.take_call(|action| matches!(action, Action::Poll { .. }));
+    harness.advance(1000);
+    assert_eq!(harness.try_take_call(|action| !is_fence(action)), None);
+    harness.complete_call(poll, b"1");
+    harness.advance(1000);
+    assert_eq!(harness.try_take_call(|action| !is_fence(action)), None);
+}
+
+/// Guards against a request that is lost with its leader's term until it is sent again after 2 s and
+/// more, because the same VM is elected again.
+#[test]
+fn request_is_sent_again_to_a_leader_in_its_next_term() {
+    let mut harness = Harness::new("a2", 2);
+    let forwards = |harness: &mut Harness| {
+        let is_forward = |effect: &Effect| match effect {
+            Effect::Send { envelope, .. } => matches!(envelope.body, Body::Forward { .. }),
+            _ => false,
+        };
+        let count = harness.effects.iter().filter(|e| is_forward(e)).count();
+        harness.effects.clear();
+        count
+    };
+    harness.receive_status(Some(Term(1)));
+    harness.request(1000, Request::Submit(job("j1", 1)));
+    assert_eq!(forwards(&mut harness), 1);
+    harness.receive_status(Some(Term(1)));
+    assert_eq!(forwards(&mut harness), 0);
+    harness.receive_status(None);
+    assert_eq!(forwards(&mut harness), 0);
+    harness.receive_status(Some(Term(2)));
+    assert_eq!(forwards(&mut harness), 1);
+}
+
+/// Guards against "not run" for a task whose target restarted after it had received the start.
+#[test]
+fn restart_seen_by_a_question_about_a_start_decides_nothing() {
+    let mut harness = Harness::leader();
+    harness.request(30_000, Request::Submit(job("j1", 1)));
+    let start = harness.take_call(is_start);
+    harness.advance(800);
+    let check = harness.take_call(is_revoke);
+    harness.call_ended(check, CallResult::Restarted);
+    harness.advance(100);
+    assert_eq!(harness.try_take_call(is_start), None);
+    let broken = CallResult::Broken {
+        reason: "reset".to_string(),
+    };
+    harness.call_ended(start, broken);
+    harness.take_call(is_revoke);
+}
+
 /// Guards against a late reply to a request of an earlier process reaching another caller: front
 /// ends count request ids from 1 again after a restart.
 #[test]
@@ -631,6 +727,44 @@
     assert!(harness.control.revision() > before);
 }
 
+/// Guards against a job that mixes two revisions: an edit is accepted before it is in force, and a
+/// job submitted in between follows the template in force.
+#[test]
+fn submission_before_an_accepted_edit_is_in_force_follows_the_previous_template() {
+    let mut harness = Harness::leader();
+    harness.hold_saves = true;
+    let worker = Template {
+        target: TargetKind::Worker,
+        demand: Demand {
+            milli_cores: 1000,
+            ..Demand::default()
+        },
+        ..test_template(false)
+    };
+    let edit = policy::Command::Edit {
+        op: OpId(Name::new("to-worker").unwrap()),
+        base_version: Version(1),
+        document: Document::Template {
+            name: TemplateName::new("job").unwrap(),
+            content: Some(worker),
+        },
+    };
+    let id = harness.request(0, Request::Edit(edit));
+    let reply = harness.take_reply(id);
+    let Some(Reply::Edit(policy::Outcome::Applied { revision, .. })) = reply else {
+        panic!("{reply:?}");
+    };
+    assert!(harness.control.revision() < revision);
+    harness.request(0, Request::Submit(job("j1", 1)));
+    harness.release_saves();
+    assert_eq!(harness.control.revision(), revision);
+    let token = harness.take_call(is_start);
+    harness.complete_call(token, b"1");
+    // No worker is known, so a job of the edited template waits.
+    harness.request(0, Request::Submit(job("j2", 1)));
+    assert_eq!(harness.try_take_call(is_start), None);
+}
+
 /// Guards against starts at a leaving target: it was sent the queue before the dispatcher knew its
 /// standing.
 #[test]
--- a/crates/listener/src/connection.rs
+++ b/crates/listener/src/connection.rs
@@ -1,5 +1,6 @@
 //! The thread that accepts connections and serves HTTP on all of them.
 
+use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,13 +12,16 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request as HttpRequest, Response as HttpResponse, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::task::LocalSet;
 
-use crate::stream::TimedStream;
-use crate::{Answer, Handler, Headers, Request, Responder, Shared, BODY_PERMIT_BYTES, NEXT_NUMBER};
+use crate::stream::{Exchange, Phase, TimedStream};
+use crate::{
+    Answer, Handler, Headers, Request, Responder, Shared, ACCEPT_BACKLOG, BODY_PERMIT_BYTES,
+    NEXT_NUMBER,
+};
 
 /// Delay after a failed accept, which would fail again at once while no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -27,6 +31,10 @@
 /// How long the rest of a rejected body is read.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// `Retry-After` of a 503 response that names no time, as are refusals by this crate, in
+/// milliseconds.
+const DEFAULT_RETRY_MS: u64 = 1000;
+
 /// Channels of a listener that are closed as it shuts down.
 pub(crate) struct OpenGuards {
     /// Closed once the listening socket is closed.
@@ -79,13 +87,35 @@
             },
         }
     }
-    drop(listener);
+    if let Ok(socket) = listener.into_std() {
+        accept_waiting(&socket, &shared, &closing, &guards);
+    }
     drop(guards.socket);
     drop(guards.connections);
     // Connections are served until the listener is dropped.
     while closing.changed().await.is_ok() {}
 }
 
+/// Accepts the connections that a listening socket would reset as it is closed. Tokio's own accept
+/// reports them only once its reactor has run.
+fn accept_waiting(
+    socket: &std::net::TcpListener,
+    shared: &Arc<Shared>,
+    closing: &watch::Receiver<bool>,
+    guards: &OpenGuards,
+) {
+    for _ in 0..ACCEPT_BACKLOG {
+        let Ok((stream, _)) = socket.accept() else {
+            return;
+        };
+        let stream = stream.set_nonblocking(true).map(|()| stream);
+        match stream.and_then(TcpStream::from_std) {
+            Ok(stream) => admit(stream, shared, closing, guards),
+            Err(error) => log::warn!("can't register an HTTP connection: {error}"),
+        }
+    }
+}
+
 fn admit(
     stream: TcpStream,
     shared: &Arc<Shared>,
@@ -121,27 +151,48 @@
     mut closing: watch::Receiver<bool>,
 ) {
     let shared = connection_count.shared.clone();
-    let stream = TimedStream::new(stream, shared.limits.write_timeout);
-    let service = service_fn(|request| handle(request, shared.clone()));
+    let exchange = Exchange::new();
+    // Declared before the connection, so that it logs after the socket is closed.
+    let mut end = ConnectionEnd {
+        exchange: exchange.clone(),
+        cause: String::from("aborted"),
+    };
+    let stream = TimedStream::new(stream, exchange.clone(), &shared);
+    let service = service_fn(|request| handle(request, shared.clone(), exchange.clone()));
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(shared.limits.head_timeout)
+        // The stream limits the time to receive a head.
+        .header_read_timeout(None)
         .max_buf_size(shared.limits.max_head_bytes.max(8192))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     if !*closing.borrow_and_update() {
         tokio::select! {
-            ended = connection.as_mut() => return log_end(ended),
+            ended = connection.as_mut() => return end.set_cause(ended),
             _ = closing.changed() => {}
         }
     }
-    connection.as_mut().graceful_shutdown();
-    log_end(connection.await);
+    exchange.close();
+    end.set_cause(connection.await);
+}
+
+/// Logs the end of a connection when dropped.
+struct ConnectionEnd {
+    exchange: Rc<Exchange>,
+    cause: String,
+}
+
+impl ConnectionEnd {
+    fn set_cause(&mut self, ended: Result<(), hyper::Error>) {
+        self.cause = match ended {
+            Ok(()) => String::from("closed"),
+            Err(error) => error.to_string(),
+        };
+    }
 }
 
-fn log_end(ended: Result<(), hyper::Error>) {
-    if let Err(error) = ended {
-        log::debug!("an HTTP connection ended with an error: {error}");
+impl Drop for ConnectionEnd {
+    fn drop(&mut self) {
+        self.exchange.log_end(&self.cause);
     }
 }
 
@@ -160,7 +211,9 @@
 async fn handle(
     request: HttpRequest<Incoming>,
     shared: Arc<Shared>,
+    exchange: Rc<Exchange>,
 ) -> Result<HttpResponse<Full<Bytes>>, RequestDropped> {
+    exchange.set_phase(Phase::Body);
     let (head, mut body) = request.into_parts();
     let read = tokio::time::timeout(shared.limits.body_timeout, read_body(&mut body, &shared));
     let body = match read.await {
@@ -183,6 +236,7 @@
         headers: Headers(Box::new(head.headers)),
         body,
     };
+    exchange.set_phase(Phase::Waiting);
     let (responder, answer) = oneshot::channel();
     let responder = Responder(responder);
     let mut guard = None;
@@ -208,7 +262,9 @@
     if let Some(guard) = &mut guard {
         guard.answered = true;
     }
-    outcome.map(response).map_err(|_| RequestDropped)
+    let mut answer = outcome.map_err(|_| RequestDropped)?;
+    answer.close |= exchange.is_closing();
+    Ok(response(answer))
 }
 
 /// Notifies the service that the caller has disconnected, if dropped before the response.
@@ -282,11 +338,26 @@
     response(answer)
 }
 
+/// The bytes of a response that refuses a request which wasn't received in full.
+pub(crate) fn refusal(reject: fn(u16, &str) -> Answer) -> Bytes {
+    let message = "the connection is being closed: send the request again on another one";
+    let answer = reject(503, message);
+    let retry_s = answer.retry_ms.unwrap_or(DEFAULT_RETRY_MS).div_ceil(1000);
+    let head = format!(
+        "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-type: {}\r\n\
+         retry-after: {retry_s}\r\ncontent-length: {}\r\n\r\n",
+        answer.content_type,
+        answer.body.len()
+    );
+    [head.into_bytes(), answer.body].concat().into()
+}
+
 fn response(answer: Answer) -> HttpResponse<Full<Bytes>> {
     let mut builder = HttpResponse::builder()
         .status(StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR))
         .header(CONTENT_TYPE, answer.content_type);
-    if let Some(ms) = answer.retry_ms {
+    let default_retry = (answer.status == 503).then_some(DEFAULT_RETRY_MS);
+    if let Some(ms) = answer.retry_ms.or(default_retry) {
         builder = builder.header(RETRY_AFTER, ms.div_ceil(1000));
     }
     if let Some(location) = answer.location {
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -10,6 +10,11 @@
 //! them, the time to write a response and the time that sent bytes may stay unacknowledged. A
 //! connection beyond the limit is closed at once.
 //!
+//! A listener that shuts down accepts the connections that wait for it, answers each request that
+//! has arrived and refuses those that it doesn't receive in full. A caller can't know that its idle
+//! connection is about to be closed, so this connection gets a refusal too: it answers a request
+//! that is on its way, and a caller without a request drops it with the connection.
+//!
 //! rouille and tiny_http, on which rouille is built, are not suitable. Both use a thread for each
 //! connection without a limit and set no read timeout: eight stalled bodies kept a pool of eight
 //! threads from serving `/healthz`. In tiny_http 0.12, dropping a request that declares a body of
@@ -27,6 +32,7 @@
 use std::time::Duration;
 
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
+use hyper::body::Bytes;
 use percent_encoding::percent_decode_str;
 use socket2::{Domain, Socket, Type};
 use tokio::sync::{oneshot, watch, Semaphore};
@@ -49,8 +55,11 @@
     pub handler_threads: usize,
     /// Maximum number of requests that wait for a handler; further ones are answered with 503.
     pub max_queued: usize,
-    /// Time to receive a head, counted from the accept or the previous response.
+    /// Time to receive a head, counted from the accept or, on a reused connection, from its first
+    /// byte.
     pub head_timeout: Duration,
+    /// Time for which a connection may be idle after a response.
+    pub idle_timeout: Duration,
     /// Time to receive a body; a slower one is answered with 408.
     pub body_timeout: Duration,
     /// How long sent bytes may stay unacknowledged before the kernel closes the connection.
@@ -69,6 +78,8 @@
             handler_threads: 4,
             max_queued: 4096,
             head_timeout: Duration::from_secs(10),
+            // Callers may reuse connections for 15 s, the idle time that operators configure.
+            idle_timeout: Duration::from_secs(30),
             body_timeout: Duration::from_secs(5),
             unacked_timeout: Duration::from_secs(5),
             write_timeout: Duration::from_secs(10),
@@ -164,7 +175,8 @@
     pub status: u16,
     /// The value of `Content-Type`.
     pub content_type: &'static str,
-    /// `Retry-After` in milliseconds, sent in whole seconds, rounded up; `None` omits the header.
+    /// `Retry-After` in milliseconds, sent in whole seconds, rounded up; `None` omits the header, or
+    /// sends one second with status 503.
     pub retry_ms: Option<u64>,
     /// The value of `Location`; `None` omits the header.
     pub location: Option<String>,
@@ -294,6 +306,7 @@
         body_permits: Semaphore::new(limits.max_buffered_bytes / BODY_PERMIT_BYTES),
         limits,
         reject,
+        refusal: connection::refusal(reject),
         handler,
         open_connections: open_connections.clone(),
     });
@@ -322,10 +335,14 @@
         self.open_connections.load(Ordering::Relaxed)
     }
 
-    /// Stops listening; open connections are closed after their next response.
+    /// Stops listening and closes idle connections; others are closed after their next response.
     pub fn close(&mut self) {
         if let Some(closing) = &self.closing {
-            closing.send_replace(true);
+            let connections = self.connections();
+            if !closing.send_replace(true) && connections > 0 {
+                log::info!(event = "listener-closed", address = self.address.to_string().as_str(),
+                    connections = connections; "the listener accepts no more connections");
+            }
             let _ = self.socket_closed.recv_timeout(CLOSE_TIMEOUT);
         }
     }
@@ -365,6 +382,8 @@
 struct Shared {
     limits: Limits,
     reject: fn(u16, &str) -> Answer,
+    /// Response to a request that was not received in full as its connection is closed.
+    refusal: Bytes,
     handler: Handler,
     open_connections: Arc<AtomicUsize>,
     /// The unused part of `Limits::max_buffered_bytes`, in units of `BODY_PERMIT_BYTES`.
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -1,6 +1,9 @@
 //! The loop of the control thread, which feeds inputs to the cluster state and applies its effects.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
@@ -125,16 +128,52 @@
     })
 }
 
+/// The end of a VM's control thread.
+#[derive(Clone, Debug, Default)]
+pub struct Exit {
+    /// Time until the grace period is over.
+    pub time_left: Duration,
+    /// Paths of the jobs that have ended with an unknown outcome since the shutdown began.
+    pub unfinished: Vec<Arc<str>>,
+}
+
+/// Why [`run`] ended, if its control thread has panicked.
+#[derive(Debug)]
+pub struct ControlPanicked;
+
+impl fmt::Display for ControlPanicked {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the control thread panicked")
+    }
+}
+
+impl std::error::Error for ControlPanicked {}
+
 /// Runs a VM until it has shut down. `sender` and `inputs` are the two ends of one channel. All
 /// requests whose events were taken from it are answered before the function returns; the requests
-/// of events that remain in it have had no effect. Returns the time that is left until the grace
-/// period is over.
+/// of events that remain in it have had no effect, but their jobs may have run for an earlier
+/// request if they are in `Exit::unfinished`. After a panic the error is a
+/// [`ControlPanicked`], and the outcome of all unanswered requests is unknown.
 pub fn run(
     settings: &Settings,
     sender: Sender<Input>,
     inputs: &Receiver<Input>,
     frontend: &mut dyn Frontend,
-) -> Result<Duration, Report> {
+) -> Result<Exit, Report> {
+    // The state that a panic leaves behind is not used any more.
+    let control = AssertUnwindSafe(|| run_control(settings, sender, inputs, frontend));
+    catch_unwind(control).unwrap_or_else(|_| {
+        log::error!(event = "control-panicked"; "the control thread panicked");
+        Err(ControlPanicked.into())
+    })
+}
+
+fn run_control(
+    settings: &Settings,
+    sender: Sender<Input>,
+    inputs: &Receiver<Input>,
+    frontend: &mut dyn Frontend,
+) -> Result<Exit, Report> {
     let clock = Clock;
     let mut folder = disk::open(settings, rand::random())?;
     let setup = cluster_setup(settings, folder.as_mut(), clock)?;
@@ -149,10 +188,15 @@
         settings.vm.clone(),
         settings.listen_address,
         move |from, bytes| {
-            match decode::<Message>(&bytes) {
-                Ok(message) => {
+            match decode::<(gossip::Stamp, Message)>(&bytes) {
+                Ok((stamp, message)) => {
+                    let event = Event::Receive {
+                        from,
+                        stamp,
+                        message,
+                    };
                     // The send fails only while the process exits, after this loop has ended.
-                    let _ = sender.send(Input::Event(Event::Receive { from, message }));
+                    let _ = sender.send(Input::Event(event));
                 }
                 Err(error) => log::warn!(event = "message-unreadable", from = from.as_str(),
                     cause = error.to_string().as_str(); "cannot decode a message of another VM"),
@@ -185,7 +229,12 @@
             let effects = cluster.answer_all(clock.now(), clock.wall());
             apply_effects(effects, &mesh, &mut *save, frontend);
             log::info!(event = "stopped", callers = status.callers; "the VM has shut down");
-            return Ok(cluster.time_left(clock.now()).unwrap_or_default());
+            // Sends the last messages to other VMs.
+            drop(mesh);
+            return Ok(Exit {
+                time_left: cluster.time_left(clock.now()).unwrap_or_default(),
+                unfinished: cluster.unfinished_jobs(),
+            });
         }
         if reported != Some(status) {
             if reported.is_some_and(|last| last.stage != status.stage) {
@@ -213,7 +262,7 @@
                     break;
                 }
                 Err(RecvTimeoutError::Timeout) => Event::Tick,
-                Err(RecvTimeoutError::Disconnected) => return Ok(Duration::ZERO),
+                Err(RecvTimeoutError::Disconnected) => return Ok(Exit::default()),
             };
             let is_tick = matches!(event, Event::Tick);
             let effects = cluster.step(clock.now(), clock.wall(), event);
@@ -239,6 +288,9 @@
 ) -> Result<(SaveFn, config::Setup), Report> {
     let folder = disk::open(settings, rand::random())?;
     let mut folder = folder.ok_or_else(|| eyre!("this VM has no data folder"))?;
+    if folder.journal.is_stopped() {
+        return Err(eyre!("the disk still refuses writes"));
+    }
     let setup = group_setup(settings, &mut folder, clock.now());
     let node = folder.node.to_string();
     let save = disk::start_writer(folder.journal, sender.clone())?;
@@ -264,9 +316,9 @@
 ) {
     for effect in effects {
         match effect {
-            Effect::Send { to, message } => {
+            Effect::Send { to, stamp, message } => {
                 if let Some(address) = socket_address(&to) {
-                    mesh.send(address, encode(&message));
+                    mesh.send(address, encode(&(stamp, message)));
                 }
             }
             Effect::Reconnect(to) => {
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -26,6 +26,16 @@
     TooLong,
 }
 
+/// A start or stop call that has ended.
+#[derive(Clone, Copy)]
+pub(crate) struct EndedCall<'a> {
+    pub(crate) target: &'a TargetName,
+    pub(crate) task: &'a str,
+    pub(crate) number: u32,
+    /// The generation that the call was sent with.
+    pub(crate) generation: u64,
+}
+
 /// Added to the time that a stop may take, for the trip of its confirmation.
 const STOP_MARGIN: Duration = Duration::from_millis(10);
 /// Added to a task's run number after a target had seen a number already.
@@ -44,12 +54,16 @@
     pub(crate) fn on_start_result(
         &mut self,
         now: Time,
-        name: &TargetName,
-        task: &str,
-        number: u32,
+        call: EndedCall<'_>,
         result: StartResult,
         out: &mut Vec<Effect>,
     ) {
+        let EndedCall {
+            target: name,
+            task,
+            number,
+            generation,
+        } = call;
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
@@ -85,7 +99,7 @@
             }
             StartResult::Fenced => {
                 self.end_run(now, name, index, RunOutcome::NotRunning, out);
-                self.on_fenced(now, name);
+                self.on_fenced(now, name, generation);
             }
             StartResult::OtherLife => self.remove_target(now, name, out),
             StartResult::Unknown => {
@@ -145,12 +159,16 @@
     pub(crate) fn on_stop_result(
         &mut self,
         now: Time,
-        name: &TargetName,
-        task: &str,
-        number: u32,
+        call: EndedCall<'_>,
         result: StopResult,
         out: &mut Vec<Effect>,
     ) {
+        let EndedCall {
+            target: name,
+            task,
+            number,
+            generation,
+        } = call;
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
@@ -160,7 +178,7 @@
                     target.runs[index].state = RunState::Stopped(now);
                 }
             }
-            StopResult::Fenced => self.on_fenced(now, name),
+            StopResult::Fenced => self.on_fenced(now, name, generation),
             StopResult::OtherLife => self.remove_target(now, name, out),
             StopResult::Unknown => {}
         }
@@ -369,6 +387,7 @@
     pub(crate) fn review_runs(&mut self, now: Time, out: &mut Vec<Effect>) {
         let mut stops = Vec::new();
         let mut expired = Vec::new();
+        let exit = self.leaving.map(|leaving| leaving.end);
         for (name, target) in self.targets.iter_mut() {
             let (speed, estimates) = (target.speed, &self.estimates);
             let mut stalled = false;
@@ -382,12 +401,19 @@
                 let is_stalled = run.state == RunState::Running && idle > limit;
                 let retry =
                     matches!(run.state, RunState::Stopping(sent) if now.since(sent) >= STOP_RETRY);
-                let too_late = run.state == RunState::Running
-                    && earliest_end(run.sent, run.last_listed, run.percent)
-                        .is_some_and(|e| e > run.deadline);
-                run.too_long |= too_late;
-                if now >= run.deadline || retry || is_stalled || too_late {
-                    stalled |= is_stalled && now < run.deadline;
+                let end = match run.state {
+                    RunState::Running => earliest_end(run.sent, run.last_listed, run.percent),
+                    _ => None,
+                };
+                run.too_long |= end.is_some_and(|end| end > run.deadline);
+                // The VM that offloaded a run learns of its end before this VM exits.
+                let limit = match exit.filter(|_| run.origin.is_remote()) {
+                    Some(exit) => run.deadline.min(exit),
+                    None => run.deadline,
+                };
+                let too_late = end.is_some_and(|end| end > limit);
+                if now >= limit || retry || is_stalled || too_late {
+                    stalled |= is_stalled && now < limit;
                     stops.push((name.clone(), run.task.clone(), run.number));
                 }
             }
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -287,6 +287,8 @@
     Peer {
         /// The VM that sent it.
         from: VmName,
+        /// The earliest time at which it may have been sent.
+        sent: Time,
         /// The message.
         message: PeerMessage,
     },
@@ -298,6 +300,8 @@
         task: Arc<str>,
         /// Number of the run.
         number: u32,
+        /// The generation that the call was sent with.
+        generation: u64,
         /// Result of the call.
         result: StartResult,
     },
@@ -309,6 +313,8 @@
         task: Arc<str>,
         /// Number of the run.
         number: u32,
+        /// The generation that the call was sent with.
+        generation: u64,
         /// Result of the call.
         result: StopResult,
     },
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -86,6 +86,9 @@
                 log::info!(event = "target-known", target = name.as_str(),
                     address = report.address.as_str(), life = report.incarnation.0;
                     "a target has reported for the first time");
+                if self.targets.is_empty() {
+                    self.first_target = Some(now);
+                }
                 self.targets.insert(name, Target::new(now, report));
                 self.reassign = true;
             }
@@ -337,7 +340,7 @@
                 self.offers_changed = true;
                 self.send_hold(now, name, out);
             }
-            HoldResult::Fenced => self.on_fenced(now, name),
+            HoldResult::Fenced => self.on_fenced(now, name, generation),
             HoldResult::OtherLife => self.remove_target(now, name, out),
             HoldResult::Lists {
                 clock,
@@ -376,12 +379,13 @@
         }
     }
 
-    /// Another VM has claimed the target with a higher generation and takes over its runs.
-    pub(crate) fn on_fenced(&mut self, now: Time, name: &TargetName) {
+    /// Another VM has claimed the target with a higher generation than that of a call, and takes over
+    /// its runs. A call of an earlier claim says nothing about the current one.
+    pub(crate) fn on_fenced(&mut self, now: Time, name: &TargetName, generation: u64) {
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
-        if target.ownership == Ownership::Unowned {
+        if target.generation != generation || target.ownership == Ownership::Unowned {
             return;
         }
         log::info!(event = "target-fenced", target = name.as_str(),
--- a/crates/scheduler/src/peer.rs
+++ b/crates/scheduler/src/peer.rs
@@ -35,9 +35,9 @@
     pub declared: Duration,
     /// A label that the target must have; `None` if any target will do.
     pub label: Option<Arc<str>>,
-    /// Time left until the job counts as late.
+    /// Time left until the job counts as late, from when the message was sent.
     pub objective: Duration,
-    /// Time left until the run is stopped.
+    /// Time left until the run is stopped, from when the message was sent.
     pub deadline: Duration,
 }
 
@@ -52,6 +52,8 @@
     NotRunning,
     /// The run was stopped because it could not end before the deadline.
     TooLong,
+    /// The VM exits before the end of the run is known. The run ends with its lease.
+    Unknown,
 }
 
 /// A message between entry VMs.
@@ -65,6 +67,9 @@
         offers: Vec<ResourceOffer>,
         /// Whether the sender recently lacked free resources and wants updates of offers.
         shortage: bool,
+        /// Time until the runs on the sender must have ended, because it shuts down; `None` if it
+        /// doesn't.
+        time_left: Option<Duration>,
     },
     /// Run these tasks.
     Run {
@@ -85,7 +90,7 @@
         receiver: Incarnation,
         /// Number of the renewal, from the same sequence as offload ids.
         number: u64,
-        /// Offload ids, ascending.
-        needed: Vec<u64>,
+        /// Offload ids, ascending, each with the time left until the run is stopped.
+        needed: Vec<(u64, Duration)>,
     },
 }
--- a/crates/scheduler/src/renewal.rs
+++ b/crates/scheduler/src/renewal.rs
@@ -10,8 +10,14 @@
 //!   connection; it is refused then, as its id isn't higher than the renewal's number, or since
 //!   its VM has restarted.
 //! - A run that isn't listed is stopped, since the message that stops it was lost.
+//! - A run is stopped at the latest deadline that a renewal has told, as a job lasts longer when it
+//!   is submitted again.
 //! - A run that hasn't been listed for a while is stopped, since its VM may be lost.
 //!
+//! A run and a renewal count from the earliest time at which their message may have been sent, so
+//! that a link that holds messages lengthens nothing. A run that is older than the time for which a
+//! renewal lasts is refused: its VM may have ended the job since.
+//!
 //! A task is therefore started again only once its run has ended or can't start any more.
 
 use std::time::Duration;
@@ -22,7 +28,7 @@
 use crate::job::TaskState;
 use crate::peer::{OffloadOutcome, PeerMessage};
 use crate::scheduler::Scheduler;
-use crate::target::Run;
+use crate::target::{Origin, Run};
 
 /// Interval between renewals of offloaded runs.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(120);
@@ -60,21 +66,34 @@
     }
 }
 
+/// Whether a run that was last renewed at this time must end.
+pub(crate) fn is_expired(now: Time, renewed: Time) -> bool {
+    now.since(renewed) >= RENEWAL_TIMEOUT
+}
+
 /// A renewal as it was received.
 pub(crate) struct Renewal {
+    /// The earliest time at which it may have been sent.
+    pub(crate) sent: Time,
     /// Incarnation of the sender.
     pub(crate) sender: Incarnation,
     /// Incarnation of the receiver; another one doesn't know the runs of this one.
     pub(crate) receiver: Incarnation,
     /// Number of the renewal, from the same sequence as offload ids.
     pub(crate) number: u64,
-    /// Offload ids, ascending.
-    pub(crate) needed: Vec<u64>,
+    /// Offload ids, ascending, each with the time left until the run is stopped.
+    pub(crate) needed: Vec<(u64, Duration)>,
 }
 
 impl Renewal {
+    /// The time left until a run is stopped; `None` if it isn't listed.
+    fn time_left(&self, offload_id: u64) -> Option<Duration> {
+        let index = self.needed.binary_search_by_key(&offload_id, |(id, _)| *id);
+        index.ok().map(|index| self.needed[index].1)
+    }
+
     fn lists(&self, offload_id: u64) -> bool {
-        self.needed.binary_search(&offload_id).is_ok()
+        self.time_left(offload_id).is_some()
     }
 }
 
@@ -83,11 +102,10 @@
     pub(crate) fn review_offloads(&mut self, now: Time, out: &mut Vec<Effect>) {
         if now.since(self.last_renewal) >= RENEWAL_INTERVAL {
             self.last_renewal = now;
-            self.send_renewals(out);
+            self.send_renewals(now, out);
             self.review_silent_peers(now, out);
         }
-        let expired =
-            |run: &Run| run.origin.is_remote() && now.since(run.renewed) >= RENEWAL_TIMEOUT;
+        let expired = |run: &Run| run.origin.is_remote() && is_expired(now, run.renewed);
         self.stop_matching(now, expired, out);
         let peers = &self.peers;
         self.offload_records
@@ -96,13 +114,16 @@
 
     /// Sends a renewal to each VM with offloaded runs, and one more when the last run has ended, so
     /// that the VM can drop the outcomes.
-    fn send_renewals(&mut self, out: &mut Vec<Effect>) {
-        let mut needed: SortedMap<VmName, Vec<u64>> = SortedMap::new();
-        for task in self.jobs.values().flat_map(|job| &job.tasks) {
-            if let TaskState::Remote { vm, offload_id } = &task.state {
-                needed
-                    .get_or_insert_with(vm.clone(), Vec::new)
-                    .push(*offload_id);
+    pub(crate) fn send_renewals(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let mut needed: SortedMap<VmName, Vec<(u64, Duration)>> = SortedMap::new();
+        for job in self.jobs.values() {
+            let time_left = job.deadline.since(now);
+            for task in &job.tasks {
+                if let TaskState::Remote { vm, offload_id } = &task.state {
+                    needed
+                        .get_or_insert_with(vm.clone(), Vec::new)
+                        .push((*offload_id, time_left));
+                }
             }
         }
         let due = self.peers.iter_mut().filter(|(_, view)| view.renewal_due);
@@ -171,6 +192,26 @@
             .push((offload_id, outcome));
     }
 
+    /// Reports the runs for other VMs whose end isn't known, stops them, and sends the outcomes that
+    /// may not have been received again, because this VM is about to exit.
+    pub(crate) fn report_remaining(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let mut outcomes: Vec<(VmName, u64, OffloadOutcome)> = Vec::new();
+        for (vm, record) in self.offload_records.iter() {
+            let sent = record.outcomes.iter();
+            outcomes.extend(sent.map(|(id, (outcome, _))| (vm.clone(), *id, *outcome)));
+        }
+        let runs = self.targets.values().flat_map(|target| &target.runs);
+        for run in runs.filter(|run| !run.notified) {
+            if let Origin::Peer { vm, offload_id } = &run.origin {
+                outcomes.push((vm.clone(), *offload_id, OffloadOutcome::Unknown));
+            }
+        }
+        for (vm, offload_id, outcome) in outcomes {
+            self.report_outcome(now, &vm, offload_id, outcome);
+        }
+        self.stop_matching(now, |run| run.origin.is_remote(), out);
+    }
+
     pub(crate) fn on_renewal(
         &mut self,
         now: Time,
@@ -190,8 +231,8 @@
         }
         (record.renewal, record.changed) = (renewal.number, now);
         record.outcomes.retain(|id, _| renewal.lists(*id));
-        let known = self.renew_runs(now, from, &renewal);
-        let needed = renewal.needed.iter();
+        let known = self.renew_runs(from, &renewal);
+        let needed = renewal.needed.iter().map(|(id, _)| id);
         for offload_id in needed.filter(|id| known.binary_search(id).is_err()) {
             let record = self.offload_records.get(from);
             let outcome = match record.and_then(|record| record.outcomes.get(offload_id)) {
@@ -211,14 +252,17 @@
         self.stop_matching(now, unneeded, out);
     }
 
-    /// Renews the listed runs, and returns the ascending offload ids of those whose end hasn't been
-    /// reported.
-    fn renew_runs(&mut self, now: Time, from: &VmName, renewal: &Renewal) -> Vec<u64> {
+    /// Renews the listed runs and extends their deadlines. Returns the ascending offload ids of those
+    /// whose end hasn't been reported.
+    fn renew_runs(&mut self, from: &VmName, renewal: &Renewal) -> Vec<u64> {
         let mut known = Vec::new();
         for run in self.targets.values_mut().flat_map(|t| &mut t.runs) {
-            let offload_id = run.origin.offload_id(from);
-            if let Some(offload_id) = offload_id.filter(|id| renewal.lists(*id)) {
-                run.renewed = now;
+            let Some(offload_id) = run.origin.offload_id(from) else {
+                continue;
+            };
+            if let Some(time_left) = renewal.time_left(offload_id) {
+                run.renewed = run.renewed.max(renewal.sent);
+                run.deadline = run.deadline.max(renewal.sent + time_left);
                 if !run.notified {
                     known.push(offload_id);
                 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::assignment::Candidate;
+use crate::ends::EndedCall;
 use crate::estimate::Estimates;
 use crate::event::{Effect, Event, Reply, TargetCall};
 use crate::job::{Job, JobCaller, TaskState};
@@ -47,11 +48,14 @@
     pub(crate) peer: Peer,
     /// When this incarnation became a peer.
     pub(crate) joined: Time,
-    /// When its last offers arrived; at first, when it became a peer.
+    /// The earliest time at which its last offers may have been sent; at first, when it became a
+    /// peer.
     pub(crate) last_offers: Time,
     /// The targets that it owns; `None` before its first message about them.
     pub(crate) owned: Option<Vec<TargetName>>,
     pub(crate) offers: Vec<ResourceOffer>,
+    /// When its shutdown ends, by its last offers; `None` if it doesn't shut down.
+    pub(crate) end: Option<Time>,
     /// Whether it recently lacked free resources.
     pub(crate) shortage: bool,
     /// Whether it gets a renewal: runs were offloaded to it, and no renewal has said since that
@@ -72,6 +76,8 @@
     pub(crate) setup: Setup,
     pub(crate) document: Option<Arc<Document>>,
     pub(crate) targets: SortedMap<TargetName, Target>,
+    /// When the first of the known targets became known; `None` before.
+    pub(crate) first_target: Option<Time>,
     pub(crate) peers: SortedMap<VmName, PeerView>,
     pub(crate) jobs: SortedMap<u64, Job>,
     /// Job id by the request of the caller that waits for it.
@@ -102,6 +108,8 @@
     next_review: Time,
     /// Whether waiting tasks may fit now.
     pub(crate) dispatch_due: bool,
+    /// Paths of the jobs that have ended with an unknown outcome since the shutdown began.
+    unfinished: Vec<Arc<str>>,
     /// Id of the job that was accepted in this step.
     pub(crate) accepted_job: Option<u64>,
 }
@@ -141,6 +149,7 @@
         Scheduler {
             document: None,
             targets: SortedMap::new(),
+            first_target: None,
             peers: SortedMap::new(),
             jobs: SortedMap::new(),
             requests: SortedMap::new(),
@@ -162,6 +171,7 @@
             offload_records: SortedMap::new(),
             next_review: now,
             dispatch_due: false,
+            unfinished: Vec::new(),
             accepted_job: None,
             setup,
         }
@@ -177,6 +187,11 @@
         self.requests.len()
     }
 
+    /// Paths of the jobs that have ended with an unknown outcome since the shutdown began.
+    pub fn unfinished(&self) -> &[Arc<str>] {
+        &self.unfinished
+    }
+
     /// Number of targets that this VM has claimed or owns.
     pub fn owned(&self) -> usize {
         let targets = self.targets.values();
@@ -211,19 +226,41 @@
             Event::TargetReported(report) => self.on_target_report(now, report, &mut out),
             Event::TargetLeft(target) => self.on_target_left(now, &target, &mut out),
             Event::Peers(peers) => self.set_peers(now, peers, &mut out),
-            Event::Peer { from, message } => self.on_peer_message(now, from, message, &mut out),
+            Event::Peer {
+                from,
+                sent,
+                message,
+            } => self.on_peer_message(now, (from, sent, message), &mut out),
             Event::StartEnded {
                 target,
                 task,
                 number,
+                generation,
                 result,
-            } => self.on_start_result(now, &target, &task, number, result, &mut out),
+            } => {
+                let call = EndedCall {
+                    target: &target,
+                    task: &task,
+                    number,
+                    generation,
+                };
+                self.on_start_result(now, call, result, &mut out)
+            }
             Event::StopEnded {
                 target,
                 task,
                 number,
+                generation,
                 result,
-            } => self.on_stop_result(now, &target, &task, number, result, &mut out),
+            } => {
+                let call = EndedCall {
+                    target: &target,
+                    task: &task,
+                    number,
+                    generation,
+                };
+                self.on_stop_result(now, call, result, &mut out)
+            }
             Event::HoldEnded {
                 target,
                 generation,
@@ -238,12 +275,16 @@
         if let Some(job) = self.accepted_job.take() {
             self.refuse_if_backlogged(now, job, &mut out);
         }
+        self.send_outcomes(&mut out);
+        self.send_offers(now, &mut out);
+        out
+    }
+
+    fn send_outcomes(&mut self, out: &mut Vec<Effect>) {
         for (to, ends) in std::mem::take(&mut self.offload_outcomes) {
             let message = PeerMessage::Ended(ends);
             out.push(Effect::Send { to, message });
         }
-        self.send_offers(now, &mut out);
-        out
     }
 
     fn leave(&mut self, now: Time, end: Time) {
@@ -252,12 +293,14 @@
         }
         self.leaving = Some(Leaving { since: now, end });
         self.reassign = true;
+        self.offers_changed = true;
         for job in self.jobs.values_mut() {
             job.limit_end(end);
         }
     }
 
-    /// Ends all jobs and answers their callers, because the process is about to exit.
+    /// Ends all jobs, answers their callers and reports the runs for other VMs, because the process
+    /// is about to exit.
     pub fn answer_all(&mut self, now: Time) -> Vec<Effect> {
         let mut out = Vec::new();
         let jobs: Vec<(u64, bool)> = self
@@ -272,6 +315,8 @@
             };
             self.finish(now, job_id, reply, &mut out);
         }
+        self.report_remaining(now, &mut out);
+        self.send_outcomes(&mut out);
         out
     }
 
@@ -282,6 +327,7 @@
         self.next_review = now + REVIEW_INTERVAL;
         self.review_ownership(now, wall, out);
         self.review_runs(now, out);
+        self.review_unplaceable(now, out);
         self.review_jobs(now, out);
         self.review_offloads(now, out);
         self.dispatch_due = true;
@@ -325,6 +371,9 @@
         if reply != Reply::Completed && job.started {
             log_unfinished(now, &job);
         }
+        if reply == Reply::TimedOut && job.started && self.leaving.is_some() {
+            self.unfinished.push(job.path.clone());
+        }
         for JobCaller { request, .. } in &job.callers {
             self.requests.remove(request);
             out.push(Effect::Answer {
