Tell callers of a closing VM that their job has begun

Cause: a VM in the last stage of its shutdown refused each job that isn't current as not run, also one that had begun for an earlier caller and ended unfinished since the signal. Only requests that arrive later, during the exit, were told that the outcome is unknown. Ruled out: jobs that are current, which take the new caller.

Change: a closing VM looks at the same list of unfinished jobs.

Conclusion: both stages give the same answer. A VM that still takes jobs may refuse such a job for want of time, which is open.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -569,12 +569,17 @@
     ) {
         if let scheduler::Event::Submit(job) = &event {
             let stage = self.status(now).stage;
-            let is_current = || self.scheduler.as_ref().is_some_and(|s| s.has_job(job));
+            let scheduler = self.scheduler.as_ref();
+            let is_current = || scheduler.is_some_and(|s| s.has_job(job));
             if matches!(stage, Stage::Closing | Stage::Done) && !is_current() {
-                let outcome = Outcome::Scheduler(Reply::Refused {
-                    after: SHUTDOWN_RETRY_AFTER,
-                });
-                let request = job.request;
+                let unfinished = scheduler.map_or(&[][..], Scheduler::unfinished);
+                let reply = match unfinished.contains(&job.path) {
+                    true => Reply::TimedOut,
+                    false => Reply::Refused {
+                        after: SHUTDOWN_RETRY_AFTER,
+                    },
+                };
+                let (request, outcome) = (job.request, Outcome::Scheduler(reply));
                 return out.push(Effect::Answer { request, outcome });
             }
         }
--- a/crates/cluster/tests/shutdown.rs
+++ b/crates/cluster/tests/shutdown.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use greengage_cluster::scheduler::{HoldResult, StartResult, StopResult, TargetCall};
 use greengage_cluster::{scheduler, Cluster, Effect, Event, Message, Outcome, Shutdown, Stage};
 use greengage_config::{Document, Queue};
-use greengage_core::{Demand, Name, RequestId, Time, VmName, WallTime};
+use greengage_core::{Demand, Name, RequestId, TargetName, Time, VmName, WallTime};
 
 const GRACE: Duration = Duration::from_secs(6);
 
@@ -147,23 +148,23 @@
     }
 }
 
+fn configuration(queue: Queue) -> Event {
+    let document = Document {
+        queues: vec![queue],
+        ..(*support::document(1)).clone()
+    };
+    Event::Receive {
+        from: VmName::new("10.0.0.1").unwrap(),
+        stamp: support::stamp(at(0), None),
+        message: Message::Configuration(Arc::new(document)),
+    }
+}
+
 /// Guards against telling a caller that a job has not run although it is current on this VM.
 #[test]
 fn closing_vm_does_not_refuse_a_current_job() {
     let mut cluster = Cluster::new(at(0), support::entry_setup());
-    let document = Document {
-        queues: vec![waiting_queue()],
-        ..(*support::document(1)).clone()
-    };
-    let from = VmName::new("10.0.0.1").unwrap();
-    let message = Message::Configuration(Arc::new(document));
-    let stamp = support::stamp(at(0), None);
-    let received = Event::Receive {
-        from,
-        stamp,
-        message,
-    };
-    cluster.step(at(0), WallTime(0), received);
+    cluster.step(at(0), WallTime(0), configuration(waiting_queue()));
     cluster.step(at(1), WallTime(1), submission(1));
     let requested = at(2);
     cluster.step(at(2), WallTime(2), Event::Shutdown { requested });
@@ -174,3 +175,80 @@
     assert_eq!(effects.iter().filter(is_answer).count(), 0);
     assert_eq!(cluster.status(now).callers, 2);
 }
+
+/// The answer of a target that has begun each run and lists none.
+fn target_answer(target: TargetName, generation: u64, call: TargetCall) -> scheduler::Event {
+    let clock = 0;
+    match call {
+        TargetCall::Start(call) => scheduler::Event::StartEnded {
+            target,
+            generation,
+            task: call.task,
+            number: call.number,
+            result: StartResult::Running { clock },
+        },
+        TargetCall::Stop(call) => scheduler::Event::StopEnded {
+            target,
+            generation,
+            task: call.task,
+            number: call.number,
+            result: StopResult::Done,
+        },
+        TargetCall::Hold(_) => scheduler::Event::HoldEnded {
+            target,
+            generation,
+            result: HoldResult::Lists {
+                clock,
+                incarnation: None,
+                running: Vec::new(),
+                ended: Vec::new(),
+            },
+        },
+    }
+}
+
+/// Guards against telling a caller that a job has not run although it ran for an earlier caller.
+#[test]
+fn closing_vm_does_not_refuse_a_job_that_has_begun() {
+    let mut cluster = Cluster::new(at(0), support::entry_setup());
+    let queue = Queue {
+        service: "desk".into(),
+        ..waiting_queue()
+    };
+    cluster.step(at(0), WallTime(0), configuration(queue));
+    let report = scheduler::Event::TargetReported(support::report("t-1", 1));
+    let mut events = vec![Event::Scheduler(report)];
+    let mut starts = 0;
+    for ms in 1..6000 {
+        match ms {
+            1000 => events.push(submission(1)),
+            2000 => events.push(Event::Shutdown { requested: at(ms) }),
+            3000 => events.push(Event::Scheduler(scheduler::Event::CallerGone(RequestId(1)))),
+            _ => {}
+        }
+        events.push(Event::Tick);
+        for event in std::mem::take(&mut events) {
+            for effect in cluster.step(at(ms), WallTime(ms), event) {
+                if let Effect::Call {
+                    target,
+                    generation,
+                    call,
+                    ..
+                } = effect
+                {
+                    starts += usize::from(matches!(call, TargetCall::Start(_)));
+                    let answer = target_answer(target, generation, call);
+                    events.push(Event::Scheduler(answer));
+                }
+            }
+        }
+    }
+    assert!(starts > 0, "the job has begun");
+    let effects = cluster.step(at(6000), WallTime(6000), submission(2));
+    let answers = effects.iter().filter_map(|effect| match effect {
+        Effect::Answer { outcome, .. } => Some(outcome.clone()),
+        _ => None,
+    });
+    let unknown = Outcome::Scheduler(scheduler::Reply::TimedOut);
+    assert_eq!(answers.collect::<Vec<_>>(), [unknown]);
+}
