Propose no membership change during a transfer of leadership

Cause: a leader that shuts down armed the transfer and proposed a change of the members in the same check; the change is always refused then, and was logged as proposed every 20 ms.

Change: the check ends after a transfer, and the next one follows at the usual interval.

Before and after: cargo test -p greengage-config, cargo test -p greengage-cluster: pass before and after; the log was not counted.

Conclusion: found by a review; without a successor changes are proposed as before.

--- a/crates/config/src/group.rs
+++ b/crates/config/src/group.rs
@@ -259,7 +259,9 @@
                 let ticket = self.add_pending(now, request, RequestKind::Read);
                 self.step_raft(now, agreement::Event::Read(ticket), &mut out);
             }
-            Event::TransferLeadership => self.transfer_leadership(now, peers, &mut out),
+            Event::TransferLeadership => {
+                self.transfer_leadership(now, peers, &mut out);
+            }
             Event::PeerLeaving => {
                 self.autopilot_due = now;
                 self.check_members(now, peers, &mut out);
@@ -291,8 +293,12 @@
         if now < self.autopilot_due || !self.is_leader() {
             return;
         }
-        if peers.iter().any(|p| p.node == self.node && p.leaving) {
-            self.transfer_leadership(now, peers, out);
+        if peers.iter().any(|p| p.node == self.node && p.leaving)
+            && self.transfer_leadership(now, peers, out)
+        {
+            // Changes are refused during a transfer.
+            self.autopilot_due = now + AUTOPILOT_INTERVAL;
+            return;
         }
         let status = self.raft.status();
         let change = next_change(now, &status, &self.node, peers, self.voters);
@@ -311,7 +317,8 @@
     }
 
     /// Transfers leadership to the live voter with the longest log that isn't shutting down itself.
-    fn transfer_leadership(&mut self, now: Time, peers: &[Peer], out: &mut Vec<Effect>) {
+    /// Returns whether there is one.
+    fn transfer_leadership(&mut self, now: Time, peers: &[Peer], out: &mut Vec<Effect>) -> bool {
         let status = self.raft.status();
         let can_lead = |peer: &&Peer| {
             let role = status.config.members.get(&peer.node);
@@ -325,10 +332,12 @@
             .iter()
             .filter(can_lead)
             .max_by_key(|peer| (status.match_index.get(&peer.node), peer.last_heard));
-        if let Some(peer) = successor {
-            let event = agreement::Event::Transfer(Some(peer.node.clone()));
-            self.step_raft(now, event, out);
-        }
+        let Some(peer) = successor else {
+            return false;
+        };
+        let event = agreement::Event::Transfer(Some(peer.node.clone()));
+        self.step_raft(now, event, out);
+        true
     }
 
     fn add_pending(&mut self, now: Time, request: RequestId, kind: RequestKind) -> Ticket {
