Take the interval of reports from the settings

Cause: a VM that has just started fails no job for good before each target has had time to report, and took the interval of reports to be 1.5 s. The platform's settings name it (heartbeat-ms), and targets that report rarely would have been taken for absent.

Change: the interval is a setting of the runtime and the scheduler.

Conclusion: found by a review; the interval of the known sites is 1.5 s.

--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -81,6 +81,7 @@
         candidate,
         incarnation: member.incarnation,
         stop_limit: Duration::from_millis(50),
+        report_interval: Duration::from_millis(1500),
     };
     Setup {
         member,
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -116,6 +116,7 @@
         candidate,
         incarnation: member.incarnation,
         stop_limit: settings.stop_delay,
+        report_interval: settings.report_interval,
     });
     Ok(Setup {
         member,
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -34,4 +34,6 @@
     pub grace_period: Duration,
     /// Longest time for which a run continues after its target has confirmed a stop.
     pub stop_delay: Duration,
+    /// Interval at which targets report.
+    pub report_interval: Duration,
 }
--- a/crates/runtime/tests/panic.rs
+++ b/crates/runtime/tests/panic.rs
@@ -35,6 +35,7 @@
         voter_count: 1,
         grace_period: Duration::from_secs(1),
         stop_delay: Duration::ZERO,
+        report_interval: Duration::from_secs(1),
     };
     let (sender, inputs) = unbounded();
     let error = run(&settings, sender, &inputs, &mut FaultyFrontend).unwrap_err();
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -30,6 +30,8 @@
     pub incarnation: Incarnation,
     /// Longest time for which a run continues after its target has confirmed a stop.
     pub stop_limit: Duration,
+    /// Interval at which targets report.
+    pub report_interval: Duration,
 }
 
 /// Another live entry VM.
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -18,9 +18,9 @@
 /// Limit on the tasks of one job; the largest expected jobs have 1,200.
 const MAX_TASKS: u64 = 10_000;
 
-/// Time from a VM's first report of a target until it has one of each target. Targets report every
-/// 1.5 s, and once more if the report isn't acknowledged within a second.
-const DISCOVERY_TIME: Duration = Duration::from_millis(2600);
+/// Time, besides the interval of reports, from a VM's first report of a target until it has one of
+/// each target. A target repeats a report that isn't acknowledged within a second.
+const DISCOVERY_MARGIN: Duration = Duration::from_millis(1100);
 
 /// Shortest run time that is considered possible, in percent of the expected one: estimates are off
 /// by two fifths, and the fastest targets take five eighths of the usual time.
@@ -190,10 +190,11 @@
         !targets().any(|target| target.serves(service, None)) || steps.all(fits)
     }
 
-    /// Whether this VM knows all targets: each has had time to report, and no other VM owns one that
-    /// this VM doesn't know.
+    /// Whether all targets have had time to report, and no other VM owns one that this VM doesn't
+    /// know.
     fn knows_targets(&self, now: Time) -> bool {
-        let is_settled = |since: Time| now.since(since) >= DISCOVERY_TIME;
+        let discovery_time = self.setup.report_interval + DISCOVERY_MARGIN;
+        let is_settled = |since: Time| now.since(since) >= discovery_time;
         let owned = self.peers.values().filter_map(|view| view.owned.as_ref());
         self.first_target.is_some_and(is_settled)
             && owned.flatten().all(|target| self.targets.contains(target))
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -63,8 +63,14 @@
     }
 }
 
+const REPORT_INTERVAL: Duration = Duration::from_millis(1500);
+
 /// A VM that has started now, with the configuration and the report of one target.
 fn started_vm(start: Time) -> Scheduler {
+    started_vm_with(start, REPORT_INTERVAL)
+}
+
+fn started_vm_with(start: Time, report_interval: Duration) -> Scheduler {
     let candidate = Candidate {
         vm: VmName::new("v1").unwrap(),
         zone: ZoneName::new("a").unwrap(),
@@ -74,6 +80,7 @@
         candidate,
         incarnation: Incarnation(1),
         stop_limit: Duration::from_millis(50),
+        report_interval,
     };
     let mut scheduler = Scheduler::new(start, setup);
     let document = document().validated().unwrap();
@@ -186,6 +193,16 @@
     assert!(has_failed(&effects, 2));
 }
 
+/// Guards against a job that is failed for good before targets that report rarely have reported.
+#[test]
+fn jobs_fail_later_if_targets_report_rarely() {
+    let start = Time::from_millis(1000);
+    let mut scheduler = started_vm_with(start, Duration::from_millis(3000));
+    step(&mut scheduler, start, submission(1));
+    let failed = failed_after(&mut scheduler, start, 1);
+    assert_eq!(failed, Some(Duration::from_millis(4100)));
+}
+
 /// Guards against a job that is failed although a target on which it fits has reported since its
 /// submission, or another VM owns a target that this one doesn't know.
 #[test]
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::callers::{Caller, Request, RESUBMIT_DELAY};
-use crate::targets::{Delivery, Target};
+use crate::targets::{Delivery, Target, REPORT_INTERVAL};
 
 /// One-way latency between VMs.
 pub(crate) const PEER_LATENCY: Duration = Duration::from_micros(1400);
@@ -236,6 +236,7 @@
                         candidate,
                         incarnation: Incarnation(1),
                         stop_limit: STOP_LIMIT,
+                        report_interval: REPORT_INTERVAL,
                     },
                 ),
                 up: true,
@@ -522,6 +523,7 @@
                 candidate,
                 incarnation: Incarnation(incarnation),
                 stop_limit: STOP_LIMIT,
+                report_interval: REPORT_INTERVAL,
             };
             state.scheduler = Scheduler::new(self.now, setup);
             state.up = true;
--- a/crates/scheduler/tests/world/targets.rs
+++ b/crates/scheduler/tests/world/targets.rs
@@ -20,7 +20,7 @@
 /// Longest lease that a target grants, in milliseconds.
 const MAX_LEASE_MS: u64 = 1000;
 /// Interval between the reports of a target.
-const REPORT_INTERVAL: Duration = Duration::from_millis(1500);
+pub(crate) const REPORT_INTERVAL: Duration = Duration::from_millis(1500);
 
 pub(crate) struct Run {
     pub(crate) task: Arc<str>,
