Word the bounds on message times as such

Cause: a review of the merged change found comments that a newcomer would stumble over: a time "at the earliest", a log line that names two causes as one, a broken line in a module head.

Change: comments and one log line, no behaviour.

Conclusion: wording only.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -367,7 +367,7 @@
         let current = member.is_none_or(|member| member.incarnation == stamp.incarnation);
         let Some(sent) = sent.filter(|_| current) else {
             log::info!(event = "message-outdated", vm = from.as_str(), current = current;
-                "refused a message of an earlier process, or to one");
+                "dropped a message whose age is unknown or whose sender has restarted");
             return;
         };
         let event = scheduler::Event::Peer {
--- a/crates/config/src/autopilot.rs
+++ b/crates/config/src/autopilot.rs
@@ -27,7 +27,7 @@
 pub struct Peer {
     /// The VM and its data folder.
     pub node: NodeId,
-    /// When a message from it was last received.
+    /// Lower bound of the time at which its latest message was sent.
     pub last_heard: Time,
     /// Whether it is shutting down.
     pub leaving: bool,
--- a/crates/gossip/src/roster.rs
+++ b/crates/gossip/src/roster.rs
@@ -111,7 +111,7 @@
 
 struct Peer {
     member: Member,
-    /// When its latest message was sent at the earliest; `None` while it is known only from others.
+    /// Lower bound of the time at which its latest message was sent; `None` while it is known only from others.
     last_heard: Option<Time>,
     /// When it was added or last heard; the forget timeout counts from here.
     last_update: Time,
@@ -189,7 +189,7 @@
             .map(|peer| &peer.member)
     }
 
-    /// Each VM that was heard, with the time at which its latest message was sent at the earliest.
+    /// Each VM that was heard, with the lower bound of the time at which its latest message was sent.
     pub fn last_heard(&self) -> impl Iterator<Item = (&Member, Time)> {
         let peers = self.peers.values();
         peers.filter_map(|peer| peer.last_heard.map(|time| (&peer.member, time)))
--- a/crates/listener/src/stream.rs
+++ b/crates/listener/src/stream.rs
@@ -1,4 +1,4 @@
-//! A TCP stream that limits the times of an exchange and closes without losing answers.
+//! A TCP stream that limits the times of an exchange and closes so that answers aren't reset.
 //!
 //! The kernel closes a connection whose peer acknowledges nothing (`TCP_USER_TIMEOUT`). A peer that
 //! reads a byte now and then never triggers that, so this stream limits the time for the whole
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -1,10 +1,9 @@
 //! Ownership of targets: claims, holds and hand-over.
 //!
 //! A VM claims a target that is assigned to it once each live VM has told which targets it owns, and
-//! none of them owns it. The generation of
-//! a claim is higher than all earlier ones: the time of day in milliseconds, raised if the target
-//! knows a higher generation. The VM stops the runs of earlier owners before it starts its first
-//! one, and doesn't renew their lease.
+//! none of them owns it. The generation of a claim is higher than all earlier ones: the time of day
+//! in milliseconds, raised if the target knows a higher generation. The VM stops the runs of earlier
+//! owners before it starts its first one, and doesn't renew their lease.
 //!
 //! A VM claims a target of another zone only if a VM of that zone is live, or after the target has
 //! reported for a while since its assignment. A live VM of that zone is shutting down, since the
