--- a/crates/config/src/group.rs
+++ b/crates/config/src/group.rs
@@ -31,7 +31,8 @@
 const AUTOPILOT_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time until the check after a change of the voters, which is part of a replacement: about the
-/// time that the change takes to be committed. Until then the loss of another voter can cost the majority.
+/// time that the change takes to be committed. Until then the loss of another voter can cost the
+/// majority.
 const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time after which an edit or a read that the group has not decided is answered as unknown.
--- a/crates/gossip/src/roster.rs
+++ b/crates/gossip/src/roster.rs
@@ -111,7 +111,8 @@
 
 struct Peer {
     member: Member,
-    /// Lower bound of the time at which its latest message was sent; `None` while it is known only from others.
+    /// Lower bound of the time at which its latest message was sent; `None` while it is known only
+    /// from others.
     last_heard: Option<Time>,
     /// When it was added or last heard; the forget timeout counts from here.
     last_update: Time,
