Log the distribution of the configuration and broken links

Change: log lines for each configuration sent and received, each connection between VMs that fails or is replaced, and a gauge of the inputs that wait for the control thread. No logic changes.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -333,7 +333,14 @@
                     self.step_group(now, wall, event, out);
                 }
             }
-            Message::Configuration(document) => self.adopt_configuration(now, wall, document, out),
+            Message::Configuration(document) => {
+                log::info!(event = "configuration-received", from = from.as_str(),
+                    version = document.version.0, bytes = document.source.len(),
+                    age_ms:? = sent.map(|sent| now.since(sent).as_millis()),
+                    known:? = self.document.as_ref().map(|d| d.version.0);
+                    "received a configuration");
+                self.adopt_configuration(now, wall, document, out);
+            }
             Message::Reports(reports) => {
                 for report in reports {
                     self.step_scheduler(now, wall, scheduler::Event::TargetReported(report), out);
@@ -401,9 +408,12 @@
         let responsible =
             member.zone == self.members.own().zone || group.is_leader() || version.is_none();
         let outdated = version < Some(document.version) && member.roles.entry;
-        let last = self.config_sent.get(&member.vm);
-        if responsible && outdated && last.is_none_or(|at| now.since(*at) >= CONFIG_SEND_INTERVAL) {
+        let last = self.config_sent.get(&member.vm).copied();
+        if responsible && outdated && last.is_none_or(|at| now.since(at) >= CONFIG_SEND_INTERVAL) {
             self.config_sent.insert(member.vm.clone(), now);
+            log::info!(event = "configuration-sent", vm = member.vm.as_str(),
+                version = document.version.0, known:? = version, bytes = document.source.len(),
+                repeated = last.is_some(); "sent the configuration to a VM that lacks it");
             let message = Message::Configuration(document.clone());
             out.push(self.send(now, member.address.clone(), message));
         }
--- a/crates/mesh/src/link.rs
+++ b/crates/mesh/src/link.rs
@@ -50,7 +50,9 @@
                 }
                 link_down = false;
                 if let Err(error) = send_queued(&local_vm, stream, first, &mut queue).await {
-                    log::debug!("connection to {address} failed: {error}");
+                    log::info!(event = "link-broken", address = address.to_string().as_str(),
+                        cause = error.to_string().as_str(), queued = queue.len();
+                        "the connection to a VM failed");
                 }
             }
             Err(error) => {
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -175,7 +175,11 @@
             Command::Send(address, message) => (address, message),
             Command::Reconnect(address) => {
                 // Dropping the sender closes the link's queue, which ends the link.
-                open_links.remove(&address);
+                if let Some(link) = open_links.remove(&address) {
+                    let queued = link.max_capacity() - link.capacity();
+                    log::info!(event = "link-replaced", address = address.to_string().as_str(),
+                        queued = queued; "nothing was received from a VM");
+                }
                 continue;
             }
         };
--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -94,3 +94,8 @@
         ::metrics::gauge!(name).set(value as f64);
     }
 }
+
+/// Sets the gauge of inputs that wait for the control thread.
+pub(crate) fn record_queued_inputs(inputs: usize) {
+    ::metrics::gauge!("greengage_inputs_queued").set(inputs as f64);
+}
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -20,7 +20,7 @@
 use crate::clock::Clock;
 use crate::disk;
 use crate::disk::SaveRequest;
-use crate::metrics::record_status;
+use crate::metrics::{record_queued_inputs, record_status};
 use crate::settings::Settings;
 
 /// Raft timing of the control group. A sync takes 9 ms and a control VM has half a core, so more
@@ -247,6 +247,7 @@
             frontend.status_changed(&status);
             reported = Some(status);
         }
+        record_queued_inputs(inputs.len());
         for _ in 0..MAX_BATCH_EVENTS {
             let timeout = cluster.next_wake().since(clock.now());
             let event = match inputs.recv_timeout(timeout) {
