--- /dev/null
+++ b/crates/cluster/tests/distribution.rs
@@ -0,0 +1,115 @@
+//! Distribution of the configuration to entry VMs.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use greengage_agreement::{Config, MemberRole};
+use greengage_cluster::{Event, Outcome, Setup};
+use greengage_config::{Document, Queue, Service};
+use greengage_core::{Address, NodeId, Payload, RequestId, Time, Version, VmName};
+
+use support::network::Network;
+use support::{control_setup, document, entry_setup};
+
+/// Time within which an acknowledged configuration must be in force.
+const APPLY_LIMIT: Duration = Duration::from_millis(2500);
+/// Bandwidth of the links of control VMs (1,000 Mbit/s) and of entry VMs (19 Mbit/s).
+const CONTROL_LINK: f64 = 125e6;
+const ENTRY_LINK: f64 = 2.375e6;
+const QUEUES: usize = 4200;
+/// Length of the operator's text for one queue.
+const QUEUE_TEXT_BYTES: usize = 206;
+
+fn large_document(version: u64) -> Arc<Document> {
+    let queue = |i| Queue {
+        name: format!("r-{i:07}").into(),
+        host: format!("host{}.example", i % 7).into(),
+        prefix: format!("/prefix{i}/").into(),
+        service: "desk".into(),
+        timeout: Duration::from_millis(1500),
+        latency: Duration::from_millis(60),
+        slack_percent: 160,
+        priority: 1,
+        max_attempts: 4,
+        uses_advisor: false,
+    };
+    let service = Service {
+        name: "desk".into(),
+        max_connections: 64,
+    };
+    let document = Document {
+        queues: (0..QUEUES).map(queue).collect(),
+        services: vec![service],
+        source: Payload::new(vec![b'x'; QUEUES * QUEUE_TEXT_BYTES]),
+        ..(*document(version)).clone()
+    };
+    Arc::new(document.validated().unwrap())
+}
+
+fn control_address(number: usize) -> Address {
+    Address::new(&format!("10.0.0.{number}:7700")).unwrap()
+}
+
+/// Three voters and one entry VM, which is the last one.
+fn setups(now: Time) -> Vec<(Setup, f64)> {
+    let node = |number: usize| NodeId {
+        vm: VmName::new(&format!("10.0.0.{number}")).unwrap(),
+        folder: 0,
+    };
+    let seeds: Vec<Address> = (1..=3).map(control_address).collect();
+    let members = (1..=3).map(|number| (node(number), MemberRole::Voter));
+    let config = Config {
+        members: members.collect(),
+    };
+    let control = |number: usize| {
+        let mut setup = control_setup(now);
+        setup.member.vm = node(number).vm;
+        setup.member.address = control_address(number);
+        setup.seeds = seeds.clone();
+        if let Some(group) = &mut setup.group {
+            group.node = node(number);
+            group.recovered.config = config.clone();
+            group.voters = 3;
+            group.seed = number as u64;
+        }
+        (setup, CONTROL_LINK)
+    };
+    let mut entry = entry_setup();
+    entry.seeds = seeds.clone();
+    let mut setups: Vec<_> = (1..=3).map(control).collect();
+    setups.push((entry, ENTRY_LINK));
+    setups
+}
+
+const ENTRY: usize = 3;
+
+fn start() -> (Network, usize) {
+    let now = Time::from_millis(1000);
+    let mut network = Network::new(now, setups(now));
+    network.run_until(Duration::from_secs(3), |_| false);
+    let leader = network.leader().expect("a leader is elected within 3 s");
+    (network, leader)
+}
+
+/// Sends an edit to the leader and runs until it is acknowledged.
+fn put(network: &mut Network, leader: usize, document: Arc<Document>) {
+    let request = RequestId(document.version.0);
+    network.step(leader, Event::Put { request, document });
+    let accepted = |n: &mut Network| n.take_answers() == [Outcome::Accepted];
+    assert!(network.run_until(Duration::from_secs(1), accepted));
+}
+
+/// Guards against copies of a large configuration that fill the link of an entry VM, so that a later
+/// configuration arrives seconds after its acknowledgement.
+#[test]
+fn large_configurations_are_in_force_in_time_over_a_slow_link() {
+    let (mut network, leader) = start();
+    put(&mut network, leader, large_document(1));
+    network.run_until(Duration::from_millis(700), |_| false);
+    put(&mut network, leader, large_document(2));
+    let in_force = |n: &mut Network| n.version(ENTRY) == Some(Version(2));
+    let in_time = network.run_until(APPLY_LIMIT, in_force);
+    assert!(in_time, "in force: {:?}", network.version(ENTRY));
+}
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses only some of the fixtures")]
 
+pub(crate) mod network;
+
 use std::sync::Arc;
 use std::time::Duration;
 
