Download configurations in parts at the receiver's pace

Cause: the leader and each control VM of an entry VM's zone pushed the whole document every 0.3 s for as long as the entry VM's heartbeats named an older version. On a link of 19 Mbit/s a document of 1.3 MB takes longer than that, so copies filled the link, delayed the heartbeats that would have stopped them, and ran into write time-outs and replaced connections, after which they started again. The class of fault is a retransmission without flow control whose repetitions cause the delay that triggers them. Ruled out: late application (VMs that received a document applied it in the same step).

Change: a crate of its own for the distribution. A VM with a newer document offers its version. The receiver requests one part of 64 KiB at a time from one VM, continues with another one if a part is late, and completes a download before it begins a newer version. Parts leave out the operator's text, which entry VMs never return. A document of one part is still pushed once by the leader.

Conclusion: copies can't fill a link any more.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -8,6 +8,7 @@
 use greengage_core::{
     Address, Incarnation, NodeId, RequestId, SortedMap, Time, Version, VmName, WallTime,
 };
+use greengage_distribution::{DistributionMessage, Download, PartRequest, Provider, Received};
 use greengage_gossip::{GossipMessage, Member, MemberList, Stamp, Timing};
 use greengage_scheduler as scheduler;
 use greengage_scheduler::{
@@ -21,8 +22,6 @@
 
 /// Time between two checks of which VMs are live.
 const LIVENESS_INTERVAL: Duration = Duration::from_millis(100);
-/// Minimum time between two transmissions of the configuration to a VM that lacks it.
-const CONFIG_SEND_INTERVAL: Duration = Duration::from_millis(300);
 /// Retry delay for callers that are refused because this VM is shutting down; kept short, since
 /// another VM can serve them immediately.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -78,8 +77,8 @@
     /// The live VMs and their incarnations at the last check.
     live: SortedMap<VmName, Incarnation>,
     liveness_due: Time,
-    /// Time of the last transmission of the configuration to each VM.
-    config_sent: SortedMap<VmName, Time>,
+    provider: Provider,
+    download: Download,
 }
 
 impl Cluster {
@@ -90,6 +89,10 @@
         let recovered = group.as_ref().and_then(|g| g.document().cloned());
         let candidates = recovered.into_iter().chain(setup.hints.document);
         let document = candidates.max_by_key(|document| document.version);
+        let mut provider = Provider::default();
+        if let Some(document) = &document {
+            provider.set_document(now, document.clone());
+        }
         let mut members = MemberList::new(now, setup.member, setup.seeds, setup.timing);
         members.set_stored_peers(now, setup.hints.vms);
         Cluster {
@@ -102,7 +105,8 @@
             grace_period: setup.grace_period,
             live: SortedMap::new(),
             liveness_due: now,
-            config_sent: SortedMap::new(),
+            provider,
+            download: Download::default(),
         }
     }
 
@@ -152,7 +156,8 @@
     pub fn next_wake(&self) -> Time {
         let group = self.group.as_ref().map(Group::next_wake);
         let scheduler = self.scheduler.as_ref().map(Scheduler::next_wake);
-        let wake_times = [group, scheduler, self.reports.next_wake()];
+        let download = self.download.next_wake();
+        let wake_times = [group, scheduler, download, self.reports.next_wake()];
         let own = self.liveness_due.min(self.members.next_wake());
         wake_times.into_iter().flatten().fold(own, Time::min)
     }
@@ -236,6 +241,8 @@
         }
         self.step_group(now, wall, config::Event::Tick, out);
         self.step_scheduler(now, wall, scheduler::Event::Tick, out);
+        let request = self.download.tick(now, version);
+        self.request_part(now, request, out);
         self.forward_reports(now, out);
         let due_reports = self.reports.take_for_storage(now);
         // A control VM without its group has no working disk.
@@ -314,7 +321,10 @@
         match message {
             Message::Gossip(gossip, version) => {
                 if let GossipMessage::Hello { member, .. } = &gossip {
-                    self.send_configuration(now, member, version, out);
+                    self.offer_configuration(now, member, version, out);
+                    if let Some(version) = version.filter(|_| member.roles.control) {
+                        self.consider_offer(now, member, version, out);
+                    }
                 }
                 let own = self.document.as_ref().map(|d| d.version);
                 let was_leaving = self.is_leaving(&from);
@@ -333,13 +343,8 @@
                     self.step_group(now, wall, event, out);
                 }
             }
-            Message::Configuration(document) => {
-                log::info!(event = "configuration-received", from = from.as_str(),
-                    version = document.version.0, bytes = document.source.len(),
-                    age_ms:? = sent.map(|sent| now.since(sent).as_millis()),
-                    known:? = self.document.as_ref().map(|d| d.version.0);
-                    "received a configuration");
-                self.adopt_configuration(now, wall, document, out);
+            Message::Configuration(message) => {
+                self.receive_configuration(now, wall, &from, message, out);
             }
             Message::Reports(reports) => {
                 for report in reports {
@@ -391,30 +396,90 @@
         Effect::Send { to, stamp, message }
     }
 
-    /// Sends the configuration to an entry VM whose version is outdated. Only the leader and the
-    /// control VMs of the receiver's zone send it, so that a large document is not sent by all
-    /// control VMs at once. A VM without a configuration can't serve callers, so all of them send
-    /// it one.
-    fn send_configuration(
-        &mut self,
+    /// Offers the configuration to an entry VM whose version is outdated.
+    fn offer_configuration(
+        &self,
         now: Time,
         member: &Member,
         version: Option<Version>,
         out: &mut Vec<Effect>,
     ) {
-        let (Some(group), Some(document)) = (&self.group, &self.document) else {
+        if member.roles.entry && self.members.own().roles.control {
+            let offer = self.provider.offer(version);
+            let message = offer.map(Message::Configuration);
+            out.extend(message.map(|message| self.send(now, member.address.clone(), message)));
+        }
+    }
+
+    /// Downloads the configuration of another VM if it is newer; the control group brings it to
+    /// control VMs.
+    fn consider_offer(
+        &mut self,
+        now: Time,
+        member: &Member,
+        version: Version,
+        out: &mut Vec<Effect>,
+    ) {
+        let in_force = self.document.as_ref().map(|d| d.version);
+        if self.members.own().roles.entry && Some(version) > in_force {
+            let in_zone = member.zone == self.members.own().zone;
+            let request = self
+                .download
+                .offered(now, in_force, &member.vm, in_zone, version);
+            self.request_part(now, request, out);
+        }
+    }
+
+    fn receive_configuration(
+        &mut self,
+        now: Time,
+        wall: WallTime,
+        from: &VmName,
+        message: DistributionMessage,
+        out: &mut Vec<Effect>,
+    ) {
+        let in_force = self.document.as_ref().map(|d| d.version);
+        match message {
+            DistributionMessage::Offer(version) => {
+                if let Some(member) = self.members.member(from).cloned() {
+                    self.consider_offer(now, &member, version, out);
+                }
+            }
+            DistributionMessage::Request { version, first } => {
+                let answer = self.provider.answer(now, version, first);
+                if let (Some(answer), Some(member)) = (answer, self.members.member(from)) {
+                    let message = Message::Configuration(answer);
+                    out.push(self.send(now, member.address.clone(), message));
+                }
+            }
+            DistributionMessage::Part(_) if !self.members.own().roles.entry => {}
+            DistributionMessage::Part(part) => {
+                match self.download.receive(now, in_force, from, part) {
+                    Received::Ignored => {}
+                    Received::Next(request) => self.request_part(now, Some(request), out),
+                    Received::Document(document) => {
+                        self.adopt_configuration(now, wall, document, out);
+                    }
+                }
+            }
+            DistributionMessage::Unavailable { requested, newest } => {
+                let request = self
+                    .download
+                    .refused(now, in_force, from, requested, newest);
+                self.request_part(now, request, out);
+            }
+        }
+    }
+
+    fn request_part(&self, now: Time, request: Option<PartRequest>, out: &mut Vec<Effect>) {
+        let Some(request) = request else {
             return;
         };
-        let responsible =
-            member.zone == self.members.own().zone || group.is_leader() || version.is_none();
-        let outdated = version < Some(document.version) && member.roles.entry;
-        let last = self.config_sent.get(&member.vm).copied();
-        if responsible && outdated && last.is_none_or(|at| now.since(at) >= CONFIG_SEND_INTERVAL) {
-            self.config_sent.insert(member.vm.clone(), now);
-            log::info!(event = "configuration-sent", vm = member.vm.as_str(),
-                version = document.version.0, known:? = version, bytes = document.source.len(),
-                repeated = last.is_some(); "sent the configuration to a VM that lacks it");
-            let message = Message::Configuration(document.clone());
+        if let Some(member) = self.members.member(&request.to) {
+            let message = Message::Configuration(DistributionMessage::Request {
+                version: request.version,
+                first: request.first,
+            });
             out.push(self.send(now, member.address.clone(), message));
         }
     }
@@ -430,6 +495,7 @@
         let version = self.document.as_ref().map(|d| d.version);
         if Some(document.version) > version {
             self.document = Some(document.clone());
+            self.provider.set_document(now, document.clone());
             self.reports.mark_dirty();
             self.step_scheduler(now, wall, scheduler::Event::Configuration(document), out);
         }
@@ -552,7 +618,8 @@
         }
     }
 
-    /// Applies a newly committed configuration; the leader sends it to all entry VMs.
+    /// Applies a newly committed configuration and announces it: the leader to all entry VMs, other
+    /// members to those of their zone.
     fn configuration_applied(
         &mut self,
         now: Time,
@@ -562,11 +629,19 @@
     ) {
         log::info!(event = "configuration-applied", version = document.version.0;
             "configuration applied");
-        self.adopt_configuration(now, wall, document.clone(), out);
-        if self.group.as_ref().is_some_and(Group::is_leader) {
-            for to in self.entry_addresses(now) {
-                out.push(self.send(now, to, Message::Configuration(document.clone())));
-            }
+        self.adopt_configuration(now, wall, document, out);
+        let leads = self.group.as_ref().is_some_and(Group::is_leader);
+        let message = match leads {
+            true => self.provider.announcement(),
+            false => self.provider.offer(None),
+        };
+        let Some(message) = message.map(Message::Configuration) else {
+            return;
+        };
+        let zone = &self.members.own().zone;
+        let live = self.members.live(now).filter(|vm| vm.roles.entry);
+        for vm in live.filter(|vm| leads || vm.zone == *zone) {
+            out.push(self.send(now, vm.address.clone(), message.clone()));
         }
     }
 
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `cluster`: the state machine itself.
 //! - `shutdown`: the stages of a graceful shutdown.
 
+pub use greengage_distribution as distribution;
 pub use greengage_gossip as gossip;
 pub use greengage_scheduler as scheduler;
 
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -1,9 +1,8 @@
 //! Messages between VMs.
 
-use std::sync::Arc;
-
-use greengage_config::{Document, GroupMessage};
+use greengage_config::GroupMessage;
 use greengage_core::{value, NodeId, TargetName, Version};
+use greengage_distribution::DistributionMessage;
 use greengage_gossip::GossipMessage;
 use greengage_scheduler::{PeerMessage, TargetReport};
 
@@ -21,8 +20,8 @@
         /// The message.
         message: Box<GroupMessage>,
     },
-    /// A committed configuration.
-    Configuration(Arc<Document>),
+    /// A message about the distribution of the configuration.
+    Configuration(DistributionMessage),
     /// A batch of target reports.
     Reports(Vec<TargetReport>),
     /// A target left the deployment.
--- a/crates/cluster/tests/held.rs
+++ b/crates/cluster/tests/held.rs
@@ -168,7 +168,7 @@
         let event = Event::Receive {
             from: VmName::new("10.0.0.9").unwrap(),
             stamp: support::stamp(Time::default(), None),
-            message: Message::Configuration(document()),
+            message: support::configuration_message(document()),
         };
         self.schedule(1, vm, event);
     }
--- a/crates/cluster/tests/shutdown.rs
+++ b/crates/cluster/tests/shutdown.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use greengage_cluster::scheduler::{HoldResult, StartResult, StopResult, TargetCall};
-use greengage_cluster::{scheduler, Cluster, Effect, Event, Message, Outcome, Shutdown, Stage};
+use greengage_cluster::{scheduler, Cluster, Effect, Event, Outcome, Shutdown, Stage};
 use greengage_config::{Document, Queue};
 use greengage_core::{Demand, Name, RequestId, TargetName, Time, VmName, WallTime};
 
@@ -156,7 +156,7 @@
     Event::Receive {
         from: VmName::new("10.0.0.1").unwrap(),
         stamp: support::stamp(at(0), None),
-        message: Message::Configuration(Arc::new(document)),
+        message: support::configuration_message(Arc::new(document)),
     }
 }
 
--- a/crates/cluster/tests/stored.rs
+++ b/crates/cluster/tests/stored.rs
@@ -2,11 +2,12 @@
 
 mod support;
 
+use greengage_cluster::distribution::DistributionMessage;
 use greengage_cluster::{gossip, Cluster, Effect, Event, Message};
 use greengage_core::{Incarnation, Time, Version, VmName, WallTime};
 use greengage_scheduler::TargetReport;
 
-use support::{control_setup, document, entry_member, report, stamp};
+use support::{configuration_message, control_setup, document, entry_member, report, stamp};
 
 const START: u64 = 1000;
 
@@ -120,15 +121,30 @@
         message: Message::Gossip(hello, None),
     };
     let sent = step(&mut cluster, START, event);
-    let is_stored_document = |effect: &Effect| match effect {
-        Effect::Send {
-            message: Message::Configuration(document),
-            ..
-        } => document.version == Version(7),
-        _ => false,
+    let configuration = |effects: &[Effect]| {
+        effects.iter().find_map(|effect| match effect {
+            Effect::Send {
+                message: Message::Configuration(message),
+                ..
+            } => Some(message.clone()),
+            _ => None,
+        })
+    };
+    let offer = DistributionMessage::Offer(Version(7));
+    assert_eq!(configuration(&sent), Some(offer));
+    let request = DistributionMessage::Request {
+        version: Version(7),
+        first: 0,
+    };
+    let event = Event::Receive {
+        from: VmName::new("10.0.0.9").unwrap(),
+        stamp: stamp(now, None),
+        message: Message::Configuration(request),
     };
-    assert!(sent.iter().any(is_stored_document));
-    let older = Message::Configuration(document(6));
+    let sent = step(&mut cluster, START, event).pop();
+    let stored = configuration_message(document(7));
+    assert!(matches!(sent, Some(Effect::Send { message, .. }) if message == stored));
+    let older = configuration_message(document(6));
     let from = VmName::new("10.0.0.9").unwrap();
     let event = Event::Receive {
         from,
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use greengage_agreement::{Config, MemberRole, Timing};
-use greengage_cluster::{gossip, Hints, Setup};
+use greengage_cluster::distribution::Provider;
+use greengage_cluster::{gossip, Hints, Message, Setup};
 use greengage_config as config;
 use greengage_config::{Document, Limits, RecoveredState};
 use greengage_core::{
@@ -118,6 +119,13 @@
     })
 }
 
+/// The message with which a control VM sends a small document.
+pub(crate) fn configuration_message(document: Arc<Document>) -> Message {
+    let mut provider = Provider::default();
+    provider.set_document(Time::default(), document);
+    Message::Configuration(provider.announcement().unwrap())
+}
+
 pub(crate) fn report(target: &str, sequence: u64) -> TargetReport {
     TargetReport {
         target: TargetName::new(target).unwrap(),
