Take configurations before other inputs of the control thread

Cause: the control thread takes callers' requests, target answers and messages of other VMs from one queue in order. When it falls behind, a configuration waits behind all that came before it, though it decides how these are handled; its parts are then requested again and connections are replaced. The class of fault is state that steers the work queueing behind the work.

Change: messages about the configuration have a channel of their own, which is taken first.

Conclusion: a VM under load obeys a new configuration as soon as it has arrived.

--- a/crates/runtime/src/disk.rs
+++ b/crates/runtime/src/disk.rs
@@ -17,7 +17,7 @@
 use greengage_journal::{Batch, Journal, JournalError, RealDisk};
 use greengage_wire::{decode, encode};
 
-use crate::runtime::Input;
+use crate::inputs::Input;
 use crate::settings::Settings;
 
 /// Journal group of the control group's log, which holds the configuration.
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -1,17 +1,19 @@
 //! Runs the control state of one VM: its control thread, its disk and its connections to other VMs.
 //!
-//! The control thread owns the state. It waits on one channel until the next deadline and does no
+//! The control thread owns the state. It waits on its channels until the next deadline and does no
 //! I/O, except to open the data folder; the mesh, the journal, the listeners and the outbound calls
 //! have threads of their own and send it events. A [`Frontend`] answers callers and calls targets;
 //! it is the only trait of this crate.
 
 mod clock;
 mod disk;
+mod inputs;
 mod metrics;
 mod runtime;
 mod settings;
 
 pub use clock::Clock;
+pub use inputs::{is_urgent, Input, Inputs};
 pub use metrics::{record_answer, record_call, record_status, record_unanswered, Metrics};
-pub use runtime::{run, ControlPanicked, Exit, Frontend, Input};
+pub use runtime::{run, ControlPanicked, Exit, Frontend};
 pub use settings::Settings;
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam_channel::{unbounded, Receiver, RecvTimeoutError, Sender};
 use eyre::{eyre, Report};
 use greengage_agreement::Timing;
 use greengage_cluster::{
@@ -20,6 +20,7 @@
 use crate::clock::Clock;
 use crate::disk;
 use crate::disk::SaveRequest;
+use crate::inputs::{is_urgent, Input, Inputs};
 use crate::metrics::{record_queued_inputs, record_status};
 use crate::settings::Settings;
 
@@ -37,15 +38,6 @@
 /// Interval between attempts to open the data folder after a disk failure.
 const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
 
-/// An input of the control thread.
-#[derive(Debug)]
-pub enum Input {
-    /// An event for the cluster state.
-    Event(Event),
-    /// A write failed with this error; all later writes to the same journal fail as well.
-    DiskFailed(String),
-}
-
 /// Answers callers and calls targets. Its methods run on the control thread and must not block.
 pub trait Frontend {
     /// Answers the caller of a request.
@@ -185,19 +177,29 @@
     };
     let disk_sender = sender.clone();
     let mut reopen_at: Option<Time> = None;
+    let (urgent_sender, urgent) = unbounded();
+    let inputs = Inputs {
+        urgent,
+        others: inputs,
+    };
+    let mesh_sender = urgent_sender.clone();
     let mesh = Mesh::start(
         settings.vm.clone(),
         settings.listen_address,
         move |from, bytes| {
             match decode::<(gossip::Stamp, Message)>(&bytes) {
                 Ok((stamp, message)) => {
+                    let channel = match is_urgent(&message) {
+                        true => &mesh_sender,
+                        false => &sender,
+                    };
                     let event = Event::Receive {
                         from,
                         stamp,
                         message,
                     };
                     // The send fails only while the process exits, after this loop has ended.
-                    let _ = sender.send(Input::Event(event));
+                    let _ = channel.send(Input::Event(event));
                 }
                 Err(error) => log::warn!(event = "message-unreadable", from = from.as_str(),
                     cause = error.to_string().as_str(); "cannot decode a message of another VM"),
