Send one configuration per message to a lagging member

What operators would see: a control VM that was away for many changes, or one that is added, never catches up, so a later loss of another one leaves the group without a majority.

The control group sent up to 64 entries in one message. Entries hold whole documents, the mesh drops messages of more than 16 MiB, and the leader sent the same batch again, so a member that lacks 16 MB of documents received nothing. The class of fault is a limit on a count where bytes decide.

Change: the limit of entries in a message is a parameter of a Raft node; the control group uses 1, others 64 as before.

--- a/crates/agreement/src/lib.rs
+++ b/crates/agreement/src/lib.rs
@@ -51,4 +51,5 @@
     HardState, InstallSnapshotReply, MemberRole, Message, RefusalReason, Role, Save, SaveSeq,
     Setup, Snapshot, Status, Ticket, Timing, VoteReply, VoteRequest,
 };
+pub use progress::DEFAULT_BATCH_ENTRIES;
 pub use raft::Raft;
--- a/crates/agreement/src/message.rs
+++ b/crates/agreement/src/message.rs
@@ -411,6 +411,8 @@
     pub entries: Vec<Entry<C>>,
     /// Heartbeat interval and election timeout.
     pub timing: Timing,
+    /// Limit of entries in one message, not 0.
+    pub batch_entries: usize,
     /// Seed of the random election timeouts; the node's id is mixed in.
     pub seed: u64,
     /// The current time.
--- a/crates/agreement/src/progress.rs
+++ b/crates/agreement/src/progress.rs
@@ -7,10 +7,10 @@
 /// Limit of unacknowledged batches per member; later entries wait and form larger batches.
 pub(crate) const MAX_INFLIGHT_BATCHES: usize = 16;
 
-/// Limit of entries in one message. With `MAX_INFLIGHT_BATCHES` this allows 1024 unacknowledged
-/// entries per member: over 100,000 entries per second if a round trip and a synced write take
-/// 10 ms together.
-pub(crate) const MAX_BATCH_ENTRIES: usize = 64;
+/// Limit of entries in one message, for groups with small entries. With `MAX_INFLIGHT_BATCHES` this
+/// allows 1024 unacknowledged entries per member: over 100,000 entries per second if a round trip and
+/// a synced write take 10 ms together.
+pub const DEFAULT_BATCH_ENTRIES: usize = 64;
 
 /// Election timeouts after which an unacknowledged snapshot is resent. Exponential backoff instead
 /// left a group of three without a commit for over 2 s after the faults had ended.
--- a/crates/agreement/src/raft.rs
+++ b/crates/agreement/src/raft.rs
@@ -25,6 +25,7 @@
 pub struct Raft<C, S> {
     pub(crate) node: NodeId,
     pub(crate) timing: Timing,
+    pub(crate) batch_entries: usize,
     pub(crate) random: Random,
     pub(crate) now: Time,
     pub(crate) hard_state: HardState,
@@ -53,6 +54,7 @@
             random: Random::new(setup.seed, &setup.node),
             node: setup.node,
             timing: setup.timing,
+            batch_entries: setup.batch_entries,
             now: setup.now,
             outbox: Outbox::new(setup.hard_state.term),
             hard_state: setup.hard_state,
--- a/crates/agreement/src/replication.rs
+++ b/crates/agreement/src/replication.rs
@@ -6,8 +6,7 @@
 use crate::log::index_before;
 use crate::outbox::SendAfter;
 use crate::progress::{
-    majority_value, Mode, Progress, MAX_BATCH_ENTRIES, MAX_INFLIGHT_BATCHES,
-    SNAPSHOT_RETRY_TIMEOUTS,
+    majority_value, Mode, Progress, MAX_INFLIGHT_BATCHES, SNAPSHOT_RETRY_TIMEOUTS,
 };
 use crate::raft::{Raft, State};
 use crate::read::PendingRead;
@@ -71,7 +70,7 @@
                 progress.mode = Mode::Snapshot { sent_at: None };
                 break;
             };
-            let entries = self.log.slice(progress.next_index, MAX_BATCH_ENTRIES);
+            let entries = self.log.slice(progress.next_index, self.batch_entries);
             let last = Index(prev_index.0 + entries.len() as u64);
             progress.inflight.push_back(last);
             progress.next_index = last.next();
--- a/crates/agreement/tests/group/node.rs
+++ b/crates/agreement/tests/group/node.rs
@@ -3,7 +3,7 @@
 use greengage_agreement::{
     AppendReply, AppendRequest, Change, ChangeError, Effect, Entry, EntryKind, Event, HardState,
     MemberRole, Message, Raft, RefusalReason, Role, SaveSeq, Setup, Snapshot, Ticket, Timing,
-    VoteReply, VoteRequest,
+    VoteReply, VoteRequest, DEFAULT_BATCH_ENTRIES,
 };
 use greengage_core::{Index, Term, Time};
 
@@ -35,6 +35,7 @@
             pre_vote: false,
             ..Timing::default()
         },
+        batch_entries: DEFAULT_BATCH_ENTRIES,
         seed: 1,
         now: Time(0),
     }
--- a/crates/agreement/tests/group/support.rs
+++ b/crates/agreement/tests/group/support.rs
@@ -5,7 +5,7 @@
 
 use greengage_agreement::{
     Config, Effect, Entry, EntryKind, Event, HardState, MemberRole, Message, Raft, RefusalReason,
-    Role, Save, Setup, Snapshot, Ticket, Timing,
+    Role, Save, Setup, Snapshot, Ticket, Timing, DEFAULT_BATCH_ENTRIES,
 };
 use greengage_core::{Index, NodeId, Term, Time, VmName};
 
@@ -155,6 +155,7 @@
             snapshot: disk.snapshot.clone(),
             entries: disk.entries.clone(),
             timing: self.timing.clone(),
+            batch_entries: DEFAULT_BATCH_ENTRIES,
             seed: self.rng.below(u64::MAX >> 33),
             now: self.now,
         });
--- a/crates/cluster/tests/distribution.rs
+++ b/crates/cluster/tests/distribution.rs
@@ -113,3 +113,21 @@
     let in_time = network.run_until(APPLY_LIMIT, in_force);
     assert!(in_time, "in force: {:?}", network.version(ENTRY));
 }
+
+/// Guards against a voter that never catches up because the configurations that it lacks are too
+/// large for one message.
+#[test]
+fn voter_catches_up_on_many_large_configurations() {
+    const VERSIONS: u64 = 16;
+    let (mut network, leader) = start();
+    let follower = (leader + 1) % ENTRY;
+    network.cut(follower, Duration::from_secs(20));
+    for version in 1..=VERSIONS {
+        put(&mut network, leader, large_document(version));
+    }
+    network.cut(follower, Duration::ZERO);
+    let newest = Some(Version(VERSIONS));
+    let caught_up = |n: &mut Network| n.version(follower) == newest;
+    let in_time = network.run_until(APPLY_LIMIT, caught_up);
+    assert!(in_time, "in force: {:?}", network.version(follower));
+}
--- a/crates/cluster/tests/support/network.rs
+++ b/crates/cluster/tests/support/network.rs
@@ -9,6 +9,8 @@
 
 /// Delay of each link, one way.
 const LINK_DELAY: Duration = Duration::from_millis(2);
+/// Larger messages are dropped, as by the mesh.
+const MAX_MESSAGE_BYTES: usize = 16 << 20;
 /// Duration of a synced write.
 const SYNC_TIME: Duration = Duration::from_millis(9);
 
@@ -156,7 +158,7 @@
                 let length = greengage_wire::encode(&(&stamp, &message)).len();
                 self.bytes[to] += length as u64;
                 let node = &mut self.nodes[to];
-                if self.now < node.cut_until {
+                if self.now < node.cut_until || length > MAX_MESSAGE_BYTES {
                     return;
                 }
                 let time = Duration::from_secs_f64(length as f64 / node.bandwidth);
--- a/crates/config/src/group.rs
+++ b/crates/config/src/group.rs
@@ -27,6 +27,10 @@
 /// up to some hundred kilobytes, and a data folder may have only 128 MB.
 pub const COMPACTION_ENTRIES: u64 = 24;
 
+/// Number of entries in one message. Each holds a whole document, and the mesh drops messages of more
+/// than 16 MiB: a member could never receive a batch that is larger.
+const BATCH_ENTRIES: usize = 1;
+
 /// Time between two checks for a membership change.
 const AUTOPILOT_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -186,6 +190,7 @@
             snapshot: recovered.snapshot,
             entries: recovered.entries,
             timing: setup.timing,
+            batch_entries: BATCH_ENTRIES,
             seed: setup.seed,
             now: setup.now,
         });
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -2,6 +2,7 @@
 
 use greengage_agreement::{
     Change, Effect, Event, Raft, RefusalReason, Role, Setup as RaftSetup, Status, Ticket, Timing,
+    DEFAULT_BATCH_ENTRIES,
 };
 use greengage_core::{Index, NodeId, Term, Time};
 
@@ -40,6 +41,7 @@
             snapshot: start.restored.snapshot,
             entries: start.restored.entries,
             timing: start.timing,
+            batch_entries: DEFAULT_BATCH_ENTRIES,
             seed: start.seed,
             now: start.now,
         });
