Start a download at the first contact with a control VM

What callers would see: 503 for up to 0.4 s longer after the start of an entry VM.

Cause: found in the review of the downloads. The version in a heartbeat was considered before the heartbeat's sender was added to the member list, so the request to it was not sent and was only repeated after its time-out.

Change: versions are compared once the member list knows the sender; a request that can't be sent for want of an address is logged.

Conclusion: a first contact costs one round trip, as the push did.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -320,12 +320,7 @@
         let sent = self.members.receive_stamp(now, &from, &stamp);
         match message {
             Message::Gossip(gossip, version) => {
-                if let GossipMessage::Hello { member, .. } = &gossip {
-                    self.offer_configuration(now, member, version, out);
-                    if let Some(version) = version.filter(|_| member.roles.control) {
-                        self.consider_offer(now, member, version, out);
-                    }
-                }
+                let is_hello = matches!(gossip, GossipMessage::Hello { .. });
                 let own = self.document.as_ref().map(|d| d.version);
                 let was_leaving = self.is_leaving(&from);
                 for envelope in self.members.receive(now, sent, gossip) {
@@ -335,6 +330,9 @@
                 if self.is_leaving(&from) && !was_leaving {
                     self.step_group(now, wall, config::Event::PeerLeaving, out);
                 }
+                if let Some(member) = self.members.member(&from).filter(|_| is_hello).cloned() {
+                    self.compare_versions(now, &member, version, out);
+                }
             }
             Message::Group { from, to, message } => {
                 if self.members.own().node() == Some(to) {
@@ -396,6 +394,21 @@
         Effect::Send { to, stamp, message }
     }
 
+    /// Compares the versions of this VM's and another VM's configuration: the newer one is offered, or
+    /// its offer considered.
+    fn compare_versions(
+        &mut self,
+        now: Time,
+        member: &Member,
+        version: Option<Version>,
+        out: &mut Vec<Effect>,
+    ) {
+        self.offer_configuration(now, member, version, out);
+        if let Some(version) = version.filter(|_| member.roles.control) {
+            self.consider_offer(now, member, version, out);
+        }
+    }
+
     /// Offers the configuration to an entry VM whose version is outdated.
     fn offer_configuration(
         &self,
@@ -475,13 +488,15 @@
         let Some(request) = request else {
             return;
         };
-        if let Some(member) = self.members.member(&request.to) {
-            let message = Message::Configuration(DistributionMessage::Request {
-                version: request.version,
-                first: request.first,
-            });
-            out.push(self.send(now, member.address.clone(), message));
-        }
+        let Some(member) = self.members.member(&request.to) else {
+            return log::info!(event = "configuration-source-forgotten", vm = request.to.as_str();
+                "the VM that offered a configuration is no longer known");
+        };
+        let message = Message::Configuration(DistributionMessage::Request {
+            version: request.version,
+            first: request.first,
+        });
+        out.push(self.send(now, member.address.clone(), message));
     }
 
     /// Applies a committed configuration on this VM, unless its version is not newer.
--- a/crates/cluster/tests/distribution.rs
+++ b/crates/cluster/tests/distribution.rs
@@ -6,12 +6,14 @@
 use std::time::Duration;
 
 use greengage_agreement::{Config, MemberRole};
-use greengage_cluster::{Event, Outcome, Setup};
+use greengage_cluster::distribution::DistributionMessage;
+use greengage_cluster::gossip::GossipMessage;
+use greengage_cluster::{Cluster, Effect, Event, Message, Outcome, Setup};
 use greengage_config::{Document, Queue, Service};
-use greengage_core::{Address, NodeId, Payload, RequestId, Time, Version, VmName};
+use greengage_core::{Address, NodeId, Payload, RequestId, Time, Version, VmName, WallTime};
 
 use support::network::Network;
-use support::{control_setup, document, entry_setup};
+use support::{control_setup, document, entry_setup, stamp};
 
 /// Time within which an acknowledged configuration must be in force.
 const APPLY_LIMIT: Duration = Duration::from_millis(2500);
@@ -114,6 +116,36 @@
     assert!(in_time, "in force: {:?}", network.version(ENTRY));
 }
 
+/// Guards against an entry VM that refuses callers for longer than necessary after its start: the
+/// first message of a control VM leads to a request, though the VM was unknown until then.
+#[test]
+fn first_contact_starts_a_download() {
+    let now = Time::from_millis(1000);
+    let mut entry = Cluster::new(now, entry_setup());
+    let member = control_setup(now).member;
+    let hello = GossipMessage::Hello {
+        member: member.clone(),
+        known: true,
+    };
+    let event = Event::Receive {
+        from: member.vm,
+        stamp: stamp(now, None),
+        message: Message::Gossip(hello, Some(Version(7))),
+    };
+    let effects = entry.step(now, WallTime(1000), event);
+    let request = DistributionMessage::Request {
+        version: Version(7),
+        first: 0,
+    };
+    let is_request = |effect: &Effect| match effect {
+        Effect::Send { to, message, .. } => {
+            *to == member.address && *message == Message::Configuration(request.clone())
+        }
+        _ => false,
+    };
+    assert!(effects.iter().any(is_request), "{effects:?}");
+}
+
 /// Guards against a voter that never catches up because the configurations that it lacks are too
 /// large for one message.
 #[test]
