Keep room in the log queue for rare lines

Cause: an overloaded VM writes more lines for each request than its log thread can write.

Change: kinds with more than 20 lines in a second use three quarters of the queue.

Figures: cargo test -p greengage-logs: frequent_lines_leave_room_for_rare_ones failed before (100 of 100 places taken by one kind) and passes.

Conclusion: changes of what a VM believes stay in the log of a busy VM.

--- a/crates/logs/src/sink.rs
+++ b/crates/logs/src/sink.rs
@@ -87,6 +87,13 @@
 
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
+/// Number of lines of one kind per second up to which the kind is rare. A changed configuration or a
+/// lost VM writes few lines; without them the lines of single requests can't be explained.
+const RARE_LINES: u32 = 20;
+
+/// Percentage of the queue that is kept for rare lines.
+const RARE_PERCENT: usize = 25;
+
 impl Sink {
     /// Creates a sink and the output of its lines.
     pub fn new(level: LevelFilter, limits: Limits) -> (Sink, Output) {
@@ -111,7 +118,8 @@
         (sink, output)
     }
 
-    /// Counts a line of this kind and returns whether it is within the rate limit.
+    /// Counts a line of this kind and returns whether it is within the rate limit and the part of the
+    /// queue that its kind may use.
     fn admit(&self, kind: &str) -> bool {
         let Ok(mut window) = self.window.lock() else {
             return true;
@@ -131,7 +139,10 @@
             }
         };
         window.counts[index].1 += 1;
-        window.counts[index].1 <= self.limits.lines_per_second
+        let count = window.counts[index].1;
+        let shared_lines = self.limits.queued_lines * (100 - RARE_PERCENT) / 100;
+        count <= self.limits.lines_per_second
+            && (count <= RARE_LINES || self.lines.len() < shared_lines)
     }
 }
 
--- a/crates/logs/tests/sink.rs
+++ b/crates/logs/tests/sink.rs
@@ -57,6 +57,23 @@
         .ends_with("dropped_before=3"));
 }
 
+/// Guards against a change of what a VM believes that is missing from the log of an overloaded VM.
+#[test]
+fn frequent_lines_leave_room_for_rare_ones() {
+    let limits = Limits {
+        queued_lines: 100,
+        lines_per_second: 200,
+    };
+    let (sink, output) = Sink::new(LevelFilter::Info, limits);
+    for _ in 0..200 {
+        log(&sink, "job-ended");
+    }
+    log(&sink, "configuration");
+    let lines: Vec<String> = output.lines.try_iter().collect();
+    assert_eq!(lines.len(), 76);
+    assert!(lines[75].contains("event=configuration"), "{}", lines[75]);
+}
+
 /// Guards against one frequent event crowding out all other lines.
 #[test]
 fn rate_limit_applies_per_event() {
