Push a configuration again only after a pause

What operators would see: an edit that reaches a VM behind a slow link or with a slow disk late, or after its connection was replaced.

The control leader of the product, and each VM with a higher revision for one that has lost contact to the leader, pushed all missing edits or the whole configuration at each status report, every 0.5 s, until the VM reported that it had stored them: a retransmission that doesn't wait for the one before it.

Change: a push that leads to the same revision is repeated after 1 s, 2 s, 4 s and then every 8 s; an empty push in between renews the contact to the leader.

--- a/crates/control/src/configuration.rs
+++ b/crates/control/src/configuration.rs
@@ -9,7 +9,7 @@
 
 use greengage_agreement as agreement;
 use greengage_agreement::{EntryKind, Role, Ticket};
-use greengage_core::{Index, Revision, VmName};
+use greengage_core::{Index, Revision, Time, VmName};
 use greengage_membership::VmStatus;
 use greengage_policy as policy;
 
@@ -23,6 +23,23 @@
 /// Status intervals without a push after which the control leader counts as unreachable.
 const LEADER_TIMEOUT_INTERVALS: u32 = 4;
 
+/// Status intervals after which a push is repeated; doubles with each repetition. A VM reports its old
+/// revision until it has received and stored a push.
+const PUSH_RETRY_INTERVALS: u32 = 2;
+/// Maximum number of status intervals between two repetitions.
+const MAX_PUSH_RETRY_INTERVALS: u32 = 16;
+
+/// The latest push to a VM that was behind.
+pub(crate) struct Push {
+    /// Revision of the VM at that time.
+    after: Revision,
+    /// Revision to which the push leads.
+    revision: Revision,
+    at: Time,
+    /// Status intervals until it is repeated.
+    retry: u32,
+}
+
 /// The most recent edits, for VMs that are a few revisions behind.
 pub(crate) struct EditLog {
     edits: VecDeque<(Revision, policy::Command)>,
@@ -312,7 +329,14 @@
         }
     }
 
+    /// Pushes the edits after a revision, or the whole configuration. While an earlier push of the same
+    /// may be on its way, only the contact is renewed: repetitions on a slow link would delay it.
     fn push(&mut self, vm: &VmName, after: Revision) {
+        let revision = self.committed_policy.revision();
+        let after = match after < revision && !self.push_due(vm, after, revision) {
+            true => revision,
+            false => after,
+        };
         let leading = self.is_control_leader();
         let body = match self.edit_log.edits_after(after) {
             Some(edits) => Body::Edits {
@@ -328,6 +352,27 @@
         self.send(vm, body);
     }
 
+    /// Whether a VM that is behind gets another push, which is then recorded.
+    fn push_due(&mut self, vm: &VmName, after: Revision, revision: Revision) -> bool {
+        let now = self.now.time;
+        let interval = self.site.limits.status_interval;
+        let last = self.pushes.get(vm);
+        let same = last.filter(|push| push.revision == revision && push.after <= after);
+        let retry = match same {
+            Some(push) if now.since(push.at) < interval * push.retry => return false,
+            Some(push) => (push.retry * 2).min(MAX_PUSH_RETRY_INTERVALS),
+            None => PUSH_RETRY_INTERVALS,
+        };
+        let push = Push {
+            after,
+            revision,
+            at: now,
+            retry,
+        };
+        self.pushes.insert(vm.clone(), push);
+        true
+    }
+
     /// Records contact to the control leader, on a VM that is not a member of the group.
     pub(crate) fn record_push(&mut self, from: &VmName, leading: bool) {
         if leading {
--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -15,7 +15,7 @@
 use greengage_timeline::Timeline;
 
 use crate::api::{Group, NotReady, Reply, Request};
-use crate::configuration::EditLog;
+use crate::configuration::{EditLog, Push};
 use crate::message::{Body, DurableSave, Effect, Envelope, Event, Now, StoredGroup};
 use crate::replica::{self, Replica};
 use crate::routing::{Caller, RouteTimer};
@@ -84,6 +84,8 @@
     /// Control leader and the time of its last push, on a VM that is not a member of the group.
     pub(crate) last_push: Option<(VmName, Time)>,
     pub(crate) edit_log: EditLog,
+    /// The latest push to each VM that was behind.
+    pub(crate) pushes: SortedMap<VmName, Push>,
     pub(crate) next_status: Time,
     /// End of the grace period of a graceful shutdown; `None` until one is requested.
     pub(crate) draining: Option<Time>,
@@ -124,6 +126,7 @@
             folders: SortedMap::new(),
             last_push: None,
             edit_log,
+            pushes: SortedMap::new(),
             next_status: now.time,
             draining: None,
             drained: false,
--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -40,6 +40,22 @@
     VmName::new(text).unwrap()
 }
 
+/// A status report in which VM a1 leads the zone in this term, or does not lead.
+fn status(leading_term: Option<Term>) -> VmStatus {
+    VmStatus {
+        vm: vm("a1"),
+        zone: zone(),
+        incarnation: Incarnation(1),
+        revision: Revision(0),
+        control_reachable: true,
+        leading_term,
+        weight: 1,
+        load: 0,
+        draining: false,
+        disk_failed: false,
+    }
+}
+
 fn zone() -> ZoneName {
     ZoneName::new("a").unwrap()
 }
@@ -228,18 +244,7 @@
 
     /// Delivers a status report in which VM a1 leads the zone in this term, or does not lead.
     fn receive_status(&mut self, leading_term: Option<Term>) {
-        let status = VmStatus {
-            vm: vm("a1"),
-            zone: zone(),
-            incarnation: Incarnation(1),
-            revision: Revision(0),
-            control_reachable: true,
-            leading_term,
-            weight: 1,
-            load: 0,
-            draining: false,
-            disk_failed: false,
-        };
+        let status = status(leading_term);
         self.receive(
             "a1",
             Body::Status {
@@ -416,6 +421,41 @@
     matches!(action, Action::Revoke { .. })
 }
 
+/// Guards against pushes of the same configuration at each status report of a VM that has not stored it
+/// yet: on a slow link they delay the one that is on its way.
+#[test]
+fn configuration_on_its_way_is_not_pushed_at_each_report() {
+    let mut harness = Harness::leader();
+    harness.effects.clear();
+    let mut pushed_ms = Vec::new();
+    for ms in (0..8000).step_by(500) {
+        let status = VmStatus {
+            vm: vm("a2"),
+            incarnation: Incarnation(1),
+            ..status(None)
+        };
+        harness.receive(
+            "a2",
+            Body::Status {
+                status,
+                folder: None,
+            },
+        );
+        let is_push = |effect: &Effect| match effect {
+            Effect::Send { envelope, .. } => match &envelope.body {
+                Body::Edits { edits, .. } => !edits.is_empty(),
+                Body::Policy { .. } => true,
+                _ => false,
+            },
+            _ => false,
+        };
+        pushed_ms.extend(harness.effects.iter().filter(|e| is_push(e)).map(|_| ms));
+        harness.effects.clear();
+        harness.advance(500);
+    }
+    assert_eq!(pushed_ms, [0, 1000, 3000, 7000]);
+}
+
 /// Guards against a start on a silent connection that holds its job up until the call's time limit
 /// of 2.25 s.
 #[test]
--- a/crates/distribution/tests/download.rs
+++ b/crates/distribution/tests/download.rs
@@ -87,7 +87,7 @@
 fn document_arrives_whole_in_bounded_parts() {
     let now = Time::from_millis(1);
     let original = document(3, QUEUES);
-    let mut provider = provider(&[original.clone()]);
+    let mut provider = provider(std::slice::from_ref(&original));
     let mut download = Download::default();
     let request = download.offered(now, None, &vm("c-1"), true, Version(3));
     let (received, parts) = finish(&mut download, &mut provider, now, None, request.unwrap());
@@ -142,7 +142,7 @@
 fn download_continues_with_another_vm() {
     let now = Time::from_millis(1);
     let original = document(3, QUEUES);
-    let mut provider = provider(&[original.clone()]);
+    let mut provider = provider(std::slice::from_ref(&original));
     let mut download = Download::default();
     let request = download.offered(now, None, &vm("c-1"), true, Version(3));
     let first = part(&mut provider, now, &request.unwrap());
