Repeat offers of a configuration until it is reported

What callers would see: requests handled by an older configuration until the next heartbeat after a lost announcement, which is 0.4 s away with 42 VMs and 3 s with 300, and later under load.

Cause: found in the review of the downloads. An announcement was sent once, and only to VMs that count as live; an overloaded VM may count as lost.

Change: a control VM repeats its offer every 0.3 s to each entry VM that it has heard of and that hasn't reported the version: the leader to all, other members to those of their zone. An offer is a message of a few bytes, and a VM that downloads or has the version already doesn't answer it.

Conclusion: the time to notice a new version no longer depends on heartbeats.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -238,6 +238,7 @@
         if now >= self.liveness_due {
             self.liveness_due = now + LIVENESS_INTERVAL;
             self.update_live(now, wall, out);
+            self.repeat_offers(now, out);
         }
         self.step_group(now, wall, config::Event::Tick, out);
         self.step_scheduler(now, wall, scheduler::Event::Tick, out);
@@ -403,6 +404,9 @@
         version: Option<Version>,
         out: &mut Vec<Effect>,
     ) {
+        if member.roles.entry {
+            self.provider.report(&member.vm, version);
+        }
         self.offer_configuration(now, member, version, out);
         if let Some(version) = version.filter(|_| member.roles.control) {
             self.consider_offer(now, member, version, out);
@@ -645,18 +649,42 @@
         log::info!(event = "configuration-applied", version = document.version.0;
             "configuration applied");
         self.adopt_configuration(now, wall, document, out);
-        let leads = self.group.as_ref().is_some_and(Group::is_leader);
-        let message = match leads {
+        let message = match self.leads_group() {
             true => self.provider.announcement(),
             false => self.provider.offer(None),
         };
-        let Some(message) = message.map(Message::Configuration) else {
+        if let Some(message) = message.map(Message::Configuration) {
+            for vm in self.receivers() {
+                out.push(self.send(now, vm.address.clone(), message.clone()));
+            }
+        }
+    }
+
+    fn leads_group(&self) -> bool {
+        self.group.as_ref().is_some_and(Group::is_leader)
+    }
+
+    /// The entry VMs to which this VM offers its configuration: all for the leader, those of the zone
+    /// for another member. Overloaded VMs may count as lost, so VMs needn't be live.
+    fn receivers(&self) -> impl Iterator<Item = &Member> {
+        let zone = (!self.leads_group()).then_some(&self.members.own().zone);
+        let known = self.members.last_heard().map(|(member, _)| member);
+        known.filter(move |vm| vm.roles.entry && zone.is_none_or(|zone| vm.zone == *zone))
+    }
+
+    /// Offers the configuration again to entry VMs that haven't reported its version.
+    fn repeat_offers(&mut self, now: Time, out: &mut Vec<Effect>) {
+        if !self.members.own().roles.control {
             return;
-        };
-        let zone = &self.members.own().zone;
-        let live = self.members.live(now).filter(|vm| vm.roles.entry);
-        for vm in live.filter(|vm| leads || vm.zone == *zone) {
-            out.push(self.send(now, vm.address.clone(), message.clone()));
+        }
+        let receivers: Vec<VmName> = self.receivers().map(|vm| vm.vm.clone()).collect();
+        for vm in self.provider.offers_due(now, &receivers) {
+            if let (Some(offer), Some(member)) =
+                (self.provider.offer(None), self.members.member(&vm))
+            {
+                let message = Message::Configuration(offer);
+                out.push(self.send(now, member.address.clone(), message));
+            }
         }
     }
 
--- a/crates/cluster/tests/distribution.rs
+++ b/crates/cluster/tests/distribution.rs
@@ -146,6 +146,25 @@
     assert!(effects.iter().any(is_request), "{effects:?}");
 }
 
+/// Guards against an announcement that is lost and then made up for only by the next heartbeat, which
+/// is seconds away in a large deployment.
+#[test]
+fn lost_announcement_is_repeated() {
+    const IN_FORCE_GOAL: Duration = Duration::from_secs(1);
+    let now = Time::from_millis(1000);
+    let mut setups = setups(now);
+    for (setup, _) in &mut setups {
+        setup.timing.heartbeat_interval = Duration::from_secs(4);
+    }
+    let mut network = Network::new(now, setups);
+    network.run_until(Duration::from_millis(4500), |_| false);
+    let leader = network.leader().expect("a leader is elected");
+    network.cut(ENTRY, Duration::from_millis(200));
+    put(&mut network, leader, document(1));
+    let in_force = |n: &mut Network| n.version(ENTRY) == Some(Version(1));
+    assert!(network.run_until(IN_FORCE_GOAL, in_force));
+}
+
 /// Guards against a voter that never catches up because the configurations that it lacks are too
 /// large for one message.
 #[test]
--- a/crates/distribution/src/provider.rs
+++ b/crates/distribution/src/provider.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use greengage_config::Document;
-use greengage_core::{Time, Version};
+use greengage_core::{SortedMap, Time, Version, VmName};
 
 use crate::message::{DistributionMessage, Part};
 
@@ -18,11 +18,17 @@
     last_request: Option<Time>,
 }
 
+/// Time between two offers to a VM that has not reported the newest version.
+const OFFER_INTERVAL: Duration = Duration::from_millis(300);
+
 /// The newest document of a VM, and replaced ones that others are downloading.
 #[derive(Default)]
 pub struct Provider {
     newest: Option<Held>,
     replaced: Vec<Held>,
+    /// The version that each receiver reported last.
+    reported: SortedMap<VmName, Option<Version>>,
+    offers_due: Time,
 }
 
 impl Provider {
@@ -34,6 +40,7 @@
         };
         self.replaced.extend(self.newest.replace(held));
         self.drop_unused(now);
+        self.offers_due = now + OFFER_INTERVAL;
     }
 
     /// Drops replaced documents that nobody downloads.
@@ -55,6 +62,26 @@
         })
     }
 
+    /// Records the version in force on another VM.
+    pub fn report(&mut self, vm: &VmName, version: Option<Version>) {
+        self.reported.insert(vm.clone(), version);
+    }
+
+    /// The VMs among `receivers` to which the newest document is to be offered again. Offers may be
+    /// lost, and under load the reports of versions are late.
+    pub fn offers_due(&mut self, now: Time, receivers: &[VmName]) -> Vec<VmName> {
+        if now < self.offers_due {
+            return Vec::new();
+        }
+        self.offers_due = now + OFFER_INTERVAL;
+        self.reported.retain(|vm, _| receivers.contains(vm));
+        let version = |vm: &VmName| self.reported.get(vm).copied().flatten();
+        let outdated = receivers
+            .iter()
+            .filter(|vm| self.offer(version(vm)).is_some());
+        outdated.cloned().collect()
+    }
+
     /// The offer of the newest document to a VM with an older version or none.
     pub fn offer(&self, version: Option<Version>) -> Option<DistributionMessage> {
         let newest = self.newest.as_ref()?.document.version;
--- a/crates/distribution/tests/download.rs
+++ b/crates/distribution/tests/download.rs
@@ -11,6 +11,7 @@
 
 const QUEUES: usize = 4000;
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
+const OFFER_INTERVAL: Duration = Duration::from_millis(300);
 const ZONE_WAIT: Duration = Duration::from_millis(100);
 
 fn queue(i: usize) -> Queue {
@@ -238,6 +239,24 @@
     ));
 }
 
+/// Guards against offers without end to VMs that have the newest version, and against none to the
+/// others.
+#[test]
+fn offers_are_repeated_until_the_version_is_reported() {
+    let mut provider = provider(&[document(3, 1)]);
+    let vms = [vm("e-1"), vm("e-2"), vm("e-3")];
+    provider.report(&vms[0], Some(Version(3)));
+    provider.report(&vms[1], Some(Version(2)));
+    let due = Time(0) + OFFER_INTERVAL;
+    assert!(provider
+        .offers_due(due - Duration::from_micros(1), &vms)
+        .is_empty());
+    assert_eq!(provider.offers_due(due, &vms), vms[1..]);
+    assert!(provider.offers_due(due, &vms).is_empty());
+    provider.report(&vms[1], Some(Version(3)));
+    assert_eq!(provider.offers_due(due + OFFER_INTERVAL, &vms), vms[2..]);
+}
+
 /// Guards against a version that goes back: an older document is neither requested nor taken, and a
 /// download ends once its version is in force.
 #[test]
