Move the configuration's part of Cluster to a module

Cause: cluster.rs had grown to 747 lines with the downloads.

Change: offers, downloads and the application of configurations are in a module of their own; nothing else changes.

Conclusion: no change of behaviour.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -8,7 +8,7 @@
 use greengage_core::{
     Address, Incarnation, NodeId, RequestId, SortedMap, Time, Version, VmName, WallTime,
 };
-use greengage_distribution::{DistributionMessage, Download, PartRequest, Provider, Received};
+use greengage_distribution::{Download, Provider};
 use greengage_gossip::{GossipMessage, Member, MemberList, Stamp, Timing};
 use greengage_scheduler as scheduler;
 use greengage_scheduler::{
@@ -67,18 +67,18 @@
 
 /// Control state of one VM.
 pub struct Cluster {
-    members: MemberList,
-    group: Option<Group>,
+    pub(crate) members: MemberList,
+    pub(crate) group: Option<Group>,
     scheduler: Option<Scheduler>,
-    reports: Reports,
-    document: Option<Arc<Document>>,
+    pub(crate) reports: Reports,
+    pub(crate) document: Option<Arc<Document>>,
     shutdown: Shutdown,
     grace_period: Duration,
     /// The live VMs and their incarnations at the last check.
     live: SortedMap<VmName, Incarnation>,
     liveness_due: Time,
-    provider: Provider,
-    download: Download,
+    pub(crate) provider: Provider,
+    pub(crate) download: Download,
 }
 
 impl Cluster {
@@ -390,136 +390,11 @@
     }
 
     /// A message with timestamps for its receiver.
-    fn send(&self, now: Time, to: Address, message: Message) -> Effect {
+    pub(crate) fn send(&self, now: Time, to: Address, message: Message) -> Effect {
         let stamp = self.members.stamp(now, &to);
         Effect::Send { to, stamp, message }
     }
 
-    /// Compares the versions of this VM's and another VM's configuration: the newer one is offered, or
-    /// its offer considered.
-    fn compare_versions(
-        &mut self,
-        now: Time,
-        member: &Member,
-        version: Option<Version>,
-        out: &mut Vec<Effect>,
-    ) {
-        if member.roles.entry {
-            self.provider.report(&member.vm, version);
-        }
-        self.offer_configuration(now, member, version, out);
-        if let Some(version) = version.filter(|_| member.roles.control) {
-            self.consider_offer(now, member, version, out);
-        }
-    }
-
-    /// Offers the configuration to an entry VM whose version is outdated.
-    fn offer_configuration(
-        &self,
-        now: Time,
-        member: &Member,
-        version: Option<Version>,
-        out: &mut Vec<Effect>,
-    ) {
-        if member.roles.entry && self.members.own().roles.control {
-            let offer = self.provider.offer(version);
-            let message = offer.map(Message::Configuration);
-            out.extend(message.map(|message| self.send(now, member.address.clone(), message)));
-        }
-    }
-
-    /// Downloads the configuration of another VM if it is newer; the control group brings it to
-    /// control VMs.
-    fn consider_offer(
-        &mut self,
-        now: Time,
-        member: &Member,
-        version: Version,
-        out: &mut Vec<Effect>,
-    ) {
-        let in_force = self.document.as_ref().map(|d| d.version);
-        if self.members.own().roles.entry && Some(version) > in_force {
-            let in_zone = member.zone == self.members.own().zone;
-            let request = self
-                .download
-                .offered(now, in_force, &member.vm, in_zone, version);
-            self.request_part(now, request, out);
-        }
-    }
-
-    fn receive_configuration(
-        &mut self,
-        now: Time,
-        wall: WallTime,
-        from: &VmName,
-        message: DistributionMessage,
-        out: &mut Vec<Effect>,
-    ) {
-        let in_force = self.document.as_ref().map(|d| d.version);
-        match message {
-            DistributionMessage::Offer(version) => {
-                if let Some(member) = self.members.member(from).cloned() {
-                    self.consider_offer(now, &member, version, out);
-                }
-            }
-            DistributionMessage::Request { version, first } => {
-                let answer = self.provider.answer(now, version, first);
-                if let (Some(answer), Some(member)) = (answer, self.members.member(from)) {
-                    let message = Message::Configuration(answer);
-                    out.push(self.send(now, member.address.clone(), message));
-                }
-            }
-            DistributionMessage::Part(_) if !self.members.own().roles.entry => {}
-            DistributionMessage::Part(part) => {
-                match self.download.receive(now, in_force, from, part) {
-                    Received::Ignored => {}
-                    Received::Next(request) => self.request_part(now, Some(request), out),
-                    Received::Document(document) => {
-                        self.adopt_configuration(now, wall, document, out);
-                    }
-                }
-            }
-            DistributionMessage::Unavailable { requested, newest } => {
-                let request = self
-                    .download
-                    .refused(now, in_force, from, requested, newest);
-                self.request_part(now, request, out);
-            }
-        }
-    }
-
-    fn request_part(&self, now: Time, request: Option<PartRequest>, out: &mut Vec<Effect>) {
-        let Some(request) = request else {
-            return;
-        };
-        let Some(member) = self.members.member(&request.to) else {
-            return log::info!(event = "configuration-source-forgotten", vm = request.to.as_str();
-                "the VM that offered a configuration is no longer known");
-        };
-        let message = Message::Configuration(DistributionMessage::Request {
-            version: request.version,
-            first: request.first,
-        });
-        out.push(self.send(now, member.address.clone(), message));
-    }
-
-    /// Applies a committed configuration on this VM, unless its version is not newer.
-    fn adopt_configuration(
-        &mut self,
-        now: Time,
-        wall: WallTime,
-        document: Arc<Document>,
-        out: &mut Vec<Effect>,
-    ) {
-        let version = self.document.as_ref().map(|d| d.version);
-        if Some(document.version) > version {
-            self.document = Some(document.clone());
-            self.provider.set_document(now, document.clone());
-            self.reports.mark_dirty();
-            self.step_scheduler(now, wall, scheduler::Event::Configuration(document), out);
-        }
-    }
-
     fn handle_report(
         &mut self,
         now: Time,
@@ -637,58 +512,7 @@
         }
     }
 
-    /// Applies a newly committed configuration and announces it: the leader to all entry VMs, other
-    /// members to those of their zone.
-    fn configuration_applied(
-        &mut self,
-        now: Time,
-        wall: WallTime,
-        document: Arc<Document>,
-        out: &mut Vec<Effect>,
-    ) {
-        log::info!(event = "configuration-applied", version = document.version.0;
-            "configuration applied");
-        self.adopt_configuration(now, wall, document, out);
-        let message = match self.leads_group() {
-            true => self.provider.announcement(),
-            false => self.provider.offer(None),
-        };
-        if let Some(message) = message.map(Message::Configuration) {
-            for vm in self.receivers() {
-                out.push(self.send(now, vm.address.clone(), message.clone()));
-            }
-        }
-    }
-
-    fn leads_group(&self) -> bool {
-        self.group.as_ref().is_some_and(Group::is_leader)
-    }
-
-    /// The entry VMs to which this VM offers its configuration: all for the leader, those of the zone
-    /// for another member. Overloaded VMs may count as lost, so VMs needn't be live.
-    fn receivers(&self) -> impl Iterator<Item = &Member> {
-        let zone = (!self.leads_group()).then_some(&self.members.own().zone);
-        let known = self.members.last_heard().map(|(member, _)| member);
-        known.filter(move |vm| vm.roles.entry && zone.is_none_or(|zone| vm.zone == *zone))
-    }
-
-    /// Offers the configuration again to entry VMs that haven't reported its version.
-    fn repeat_offers(&mut self, now: Time, out: &mut Vec<Effect>) {
-        if !self.members.own().roles.control {
-            return;
-        }
-        let receivers: Vec<VmName> = self.receivers().map(|vm| vm.vm.clone()).collect();
-        for vm in self.provider.offers_due(now, &receivers) {
-            if let (Some(offer), Some(member)) =
-                (self.provider.offer(None), self.members.member(&vm))
-            {
-                let message = Message::Configuration(offer);
-                out.push(self.send(now, member.address.clone(), message));
-            }
-        }
-    }
-
-    fn step_scheduler(
+    pub(crate) fn step_scheduler(
         &mut self,
         now: Time,
         wall: WallTime,
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -8,6 +8,7 @@
 //! - `event`: inputs and outputs of the state machine.
 //! - `reports`: target reports at a control VM, and how they are forwarded and stored.
 //! - `cluster`: the state machine itself.
+//! - `configuration`: offers and downloads of the configuration.
 //! - `shutdown`: the stages of a graceful shutdown.
 
 pub use greengage_distribution as distribution;
@@ -15,6 +16,7 @@
 pub use greengage_scheduler as scheduler;
 
 mod cluster;
+mod configuration;
 mod event;
 mod message;
 mod reports;
