Name the parts of a download as its messages do

Cause: reading the diff as a newcomer. unavailable() was called refused(), the order in which sources are chosen wasn't told, and each entry VM recorded the versions of all others, which only control VMs use.

Change: names and comments; versions are recorded on control VMs only.

Conclusion: no change of what is sent.

--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -14,37 +14,24 @@
 use crate::message::Message;
 
 impl Cluster {
-    /// Compares the versions of this VM's and another VM's configuration: the newer one is offered, or
-    /// its offer considered.
+    /// Compares the versions of this VM's and another VM's configuration. A control VM offers its
+    /// newer one to an entry VM, which downloads it.
     pub(crate) fn compare_versions(
         &mut self,
         now: Time,
         member: &Member,
         version: Option<Version>,
         out: &mut Vec<Effect>,
-    ) {
-        if member.roles.entry {
-            self.provider.report(&member.vm, version);
-        }
-        self.offer_configuration(now, member, version, out);
-        if let Some(version) = version.filter(|_| member.roles.control) {
-            self.consider_offer(now, member, version, out);
-        }
-    }
-
-    /// Offers the configuration to an entry VM whose version is outdated.
-    fn offer_configuration(
-        &self,
-        now: Time,
-        member: &Member,
-        version: Option<Version>,
-        out: &mut Vec<Effect>,
     ) {
         if member.roles.entry && self.members.own().roles.control {
+            self.provider.report(&member.vm, version);
             let offer = self.provider.offer(version);
             let message = offer.map(Message::Configuration);
             out.extend(message.map(|message| self.send(now, member.address.clone(), message)));
         }
+        if let Some(version) = version.filter(|_| member.roles.control) {
+            self.consider_offer(now, member, version, out);
+        }
     }
 
     /// Downloads the configuration of another VM if it is newer; the control group brings it to
@@ -101,7 +88,7 @@
             DistributionMessage::Unavailable { requested, newest } => {
                 let request = self
                     .download
-                    .refused(now, in_force, from, requested, newest);
+                    .unavailable(now, in_force, from, requested, newest);
                 self.request_part(now, request, out);
             }
         }
--- a/crates/distribution/src/download.rs
+++ b/crates/distribution/src/download.rs
@@ -74,7 +74,7 @@
 /// The effect of a part that has arrived.
 #[value]
 pub enum Received {
-    /// None; the part was not waited for.
+    /// The part was not waited for.
     Ignored,
     /// The next part is to be requested.
     Next(PartRequest),
@@ -114,7 +114,7 @@
     }
 
     /// Handles the answer of a VM that doesn't have the requested version, but another one.
-    pub fn refused(
+    pub fn unavailable(
         &mut self,
         now: Time,
         in_force: Option<Version>,
@@ -198,8 +198,9 @@
         Some(self.request(now, source, version))
     }
 
-    /// The VM to request from and its version: one that has the document that is being downloaded,
-    /// else the newest one; one that has answered, of this VM's zone, and the first to offer it.
+    /// The VM to request from and its version. Of the VMs with the fewest unanswered requests, one with
+    /// the document that is being downloaded, else with the newest one, goes first; then one of this
+    /// VM's zone, and the one that made its offer first.
     fn best_offer(&self, now: Time, in_force: Option<Version>) -> Option<(VmName, Version)> {
         let current = self.progress.as_ref().map(|p| p.version);
         let may_wait = current.is_none() && in_force.is_some();
--- a/crates/distribution/tests/download.rs
+++ b/crates/distribution/tests/download.rs
@@ -217,7 +217,7 @@
         newest: Version(2),
     };
     assert_eq!(answer, Some(unavailable));
-    let request = download.refused(now, None, &vm("c-1"), Version(1), Version(2));
+    let request = download.unavailable(now, None, &vm("c-1"), Version(1), Version(2));
     let (received, _) = finish(&mut download, &mut provider, now, None, request.unwrap());
     assert_eq!(received.version, Version(2));
 }
