Shorten the comments of the new tests

Change: comments of tests, and one that told less than the code does.

Figures: none; no code changes.

--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -34,8 +34,8 @@
         }
     }
 
-    /// Downloads the configuration of another VM if it is newer; the control group brings it to
-    /// control VMs.
+    /// Downloads the configuration of another VM if it is newer, unless this is a control VM, which
+    /// receives it from the control group.
     fn consider_offer(
         &mut self,
         now: Time,
--- a/crates/cluster/tests/distribution.rs
+++ b/crates/cluster/tests/distribution.rs
@@ -103,8 +103,7 @@
     assert!(network.run_until(Duration::from_secs(1), accepted));
 }
 
-/// Guards against copies of a large configuration that fill the link of an entry VM, so that a later
-/// configuration arrives seconds after its acknowledgement.
+/// Guards against copies of a large configuration that fill a link and delay the next one.
 #[test]
 fn large_configurations_are_in_force_in_time_over_a_slow_link() {
     let (mut network, leader) = start();
@@ -116,8 +115,7 @@
     assert!(in_time, "in force: {:?}", network.version(ENTRY));
 }
 
-/// Guards against an entry VM that refuses callers for longer than necessary after its start: the
-/// first message of a control VM leads to a request, though the VM was unknown until then.
+/// Guards against an offer that is ignored because the VM that makes it was unknown until then.
 #[test]
 fn first_contact_starts_a_download() {
     let now = Time::from_millis(1000);
@@ -146,8 +144,7 @@
     assert!(effects.iter().any(is_request), "{effects:?}");
 }
 
-/// Guards against an announcement that is lost and then made up for only by the next heartbeat, which
-/// is seconds away in a large deployment.
+/// Guards against a lost announcement that is made up for only by a heartbeat seconds later.
 #[test]
 fn lost_announcement_is_repeated() {
     const IN_FORCE_GOAL: Duration = Duration::from_secs(1);
@@ -165,8 +162,7 @@
     assert!(network.run_until(IN_FORCE_GOAL, in_force));
 }
 
-/// Guards against a voter that never catches up because the configurations that it lacks are too
-/// large for one message.
+/// Guards against a voter whose missing configurations are too large for one message.
 #[test]
 fn voter_catches_up_on_many_large_configurations() {
     const VERSIONS: u64 = 16;
--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -421,8 +421,7 @@
     matches!(action, Action::Revoke { .. })
 }
 
-/// Guards against pushes of the same configuration at each status report of a VM that has not stored it
-/// yet: on a slow link they delay the one that is on its way.
+/// Guards against repeated pushes that delay the one on its way to a VM with a slow link or disk.
 #[test]
 fn configuration_on_its_way_is_not_pushed_at_each_report() {
     let mut harness = Harness::leader();
--- a/crates/distribution/tests/download.rs
+++ b/crates/distribution/tests/download.rs
@@ -100,8 +100,7 @@
     assert_eq!(parts, bytes.div_ceil(MAX_PART_BYTES));
 }
 
-/// Guards against a second copy of a document that is on its way: further offers of it lead to no
-/// request, whoever makes them.
+/// Guards against a second copy of a document that is on its way.
 #[test]
 fn offers_during_a_download_lead_to_no_further_request() {
     let now = Time::from_millis(1);
@@ -161,8 +160,7 @@
     assert_eq!(received.queues, original.queues);
 }
 
-/// Guards against a download that is given up, or repeated without pause, while its only source
-/// doesn't answer.
+/// Guards against a download that ends, or asks without pause, while its only source is silent.
 #[test]
 fn only_source_is_asked_again_with_growing_pauses() {
     let mut download = Download::default();
@@ -179,8 +177,7 @@
     assert_eq!(pauses, [400, 800, 1600, 1600, 1600]);
 }
 
-/// Guards against a VM that receives no configuration while versions follow one another faster than
-/// it can download one.
+/// Guards against a VM that receives nothing while versions change faster than a download takes.
 #[test]
 fn frequent_changes_do_not_keep_a_download_from_its_end() {
     let mut now = Time::from_millis(1);
@@ -239,8 +236,7 @@
     ));
 }
 
-/// Guards against offers without end to VMs that have the newest version, and against none to the
-/// others.
+/// Guards against offers without end, and against none to VMs that have not reported.
 #[test]
 fn offers_are_repeated_until_the_version_is_reported() {
     let mut provider = provider(&[document(3, 1)]);
@@ -257,8 +253,7 @@
     assert_eq!(provider.offers_due(due + OFFER_INTERVAL, &vms), vms[2..]);
 }
 
-/// Guards against a version that goes back: an older document is neither requested nor taken, and a
-/// download ends once its version is in force.
+/// Guards against a version that goes back.
 #[test]
 fn older_documents_are_ignored() {
     let now = Time::from_millis(1);
@@ -282,8 +277,7 @@
     assert_eq!(download.next_wake(), None);
 }
 
-/// Guards against all VMs downloading from the leader: a VM of the own zone is preferred for a short
-/// time, unless there is no configuration yet.
+/// Guards against all VMs downloading from the leader, and against waiting for another VM too long.
 #[test]
 fn sources_of_the_own_zone_are_preferred_for_a_limited_time() {
     let now = Time::from_millis(1);
