--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -34,8 +34,8 @@
         }
     }
 
-    /// Downloads the configuration of another VM if it is newer, unless this is a control VM, which
-    /// receives it from the control group.
+    /// Downloads the configuration of another VM if it is newer. A VM without the entry role receives
+    /// it from the control group.
     fn consider_offer(
         &mut self,
         now: Time,
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -177,6 +177,7 @@
     };
     let disk_sender = sender.clone();
     let mut reopen_at: Option<Time> = None;
+    // The sender is kept here, since the end of the mesh thread must not close the channel.
     let (urgent_sender, urgent) = unbounded();
     let inputs = Inputs {
         urgent,
