Look up the receiver of a message by its address

Cause: the timestamps of each message need the receiver's samples, and the receiver was searched by its address among all VMs, so a round of heartbeats cost the square of their number.

Change: an index by address in the member list.

--- a/crates/gossip/src/roster.rs
+++ b/crates/gossip/src/roster.rs
@@ -128,6 +128,8 @@
     /// Addresses known before the last restart, and until when introductions are sent to them.
     stored_peers: (Vec<Address>, Time),
     peers: SortedMap<VmName, Peer>,
+    /// The VM at each address of `peers`.
+    by_address: SortedMap<Address, VmName>,
     samples: Samples,
     next_heartbeat: Time,
     next_join: Time,
@@ -143,6 +145,7 @@
             seeds,
             stored_peers: (Vec::new(), now),
             peers: SortedMap::new(),
+            by_address: SortedMap::new(),
             samples: Samples::default(),
             next_heartbeat: now,
             next_join: now,
@@ -246,6 +249,8 @@
             let forget = self.timing.forget_timeout;
             self.peers
                 .retain(|_, peer| now.since(peer.last_update) < forget);
+            let peers = &self.peers;
+            self.by_address.retain(|_, vm| peers.contains(vm));
             self.samples.forget(now, forget);
             for peer in self.peers.values() {
                 let hello = self.hello(peer.last_heard.is_some());
@@ -279,10 +284,9 @@
         addresses.sort_unstable();
         addresses.dedup();
         for address in addresses {
-            let known = self
-                .peers
-                .values()
-                .any(|peer| peer.member.address == *address && peer.last_heard.is_some());
+            let vm = self.by_address.get(address);
+            let peer = vm.and_then(|vm| self.peers.get(vm));
+            let known = peer.is_some_and(|peer| peer.last_heard.is_some());
             if *address != self.own.address && !known {
                 out.push(Envelope {
                     to: address.clone(),
@@ -307,11 +311,11 @@
 
     /// The timestamps of a message that is sent to an address now.
     pub fn stamp(&self, now: Time, to: &Address) -> Stamp {
-        let receiver = self.peers.iter().find(|(_, p)| p.member.address == *to);
+        let receiver = self.by_address.get(to);
         Stamp {
             incarnation: self.own.incarnation,
             sent: now,
-            echo: receiver.and_then(|(vm, _)| self.samples.echo(now, vm)),
+            echo: receiver.and_then(|vm| self.samples.echo(now, vm)),
         }
     }
 
@@ -392,6 +396,7 @@
         let Some(peer) = self.peers.get_mut(&vm) else {
             log::info!(event = "vm-known", vm = vm.as_str(), direct = heard.is_some();
                 "VM discovered");
+            self.by_address.insert(member.address.clone(), vm.clone());
             let peer = Peer {
                 member,
                 last_heard: heard,
@@ -409,6 +414,10 @@
             return false;
         }
         if heard.is_some() || order.is_gt() {
+            if peer.member.address != member.address {
+                self.by_address.remove(&peer.member.address);
+                self.by_address.insert(member.address.clone(), vm);
+            }
             peer.member = member;
         }
         if heard.is_some() {
