Work out the assignment of targets only when it changes

Cause: each VM worked out the owners of all targets at least five times a second, and summed the weights of all VMs and the targets of all zones again for each target, with a string hash for each pair.

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -46,8 +46,8 @@
 /// Pause after the second and further consecutive holds without an answer. The first one is
 /// repeated at once, since only its answer may be lost.
 const MISSED_HOLD_BACKOFF: Duration = Duration::from_millis(100);
-/// Interval between assignments of targets to VMs.
-const ASSIGN_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval between checks for silent targets.
+const SILENCE_REVIEW_INTERVAL: Duration = Duration::from_millis(200);
 /// Divisor of a VM's targets: the part that may be in release at a time.
 const RELEASE_DIVISOR: usize = 4;
 /// Time after the start of a shutdown at which all targets are released, so that it ends in time:
@@ -102,6 +102,7 @@
                             draining = report.draining; "a target has changed its draining state");
                         self.offers_changed = true;
                     }
+                    self.reassign |= report.zone != target.report.zone;
                     target.report = report;
                     target.last_report = now;
                     if target.assigned_since.is_some_and(|since| now > since) {
@@ -132,9 +133,11 @@
 
     /// Assigns, claims, hands over and removes targets, and sends the holds that are due.
     pub(crate) fn review_ownership(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
-        if self.reassign || now.since(self.last_assignment) >= ASSIGN_INTERVAL {
-            (self.reassign, self.last_assignment) = (false, now);
+        if std::mem::take(&mut self.reassign) {
             self.assign_targets(now);
+        }
+        if now.since(self.silence_reviewed) >= SILENCE_REVIEW_INTERVAL {
+            self.silence_reviewed = now;
             self.remove_silent(now, out);
         }
         self.release_some(now);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -91,7 +91,9 @@
     pub(crate) estimates: Estimates,
     /// The shutdown of this VM; `None` before it begins.
     pub(crate) leaving: Option<Leaving>,
-    pub(crate) last_assignment: Time,
+    /// When silent targets were last looked for.
+    pub(crate) silence_reviewed: Time,
+    /// Whether the targets or the VMs to which they are assigned have changed.
     pub(crate) reassign: bool,
     /// When a peer was last added.
     pub(crate) last_join: Time,
@@ -160,7 +162,7 @@
             last_offload_id: first_offload_id(setup.incarnation),
             estimates: Estimates::default(),
             leaving: None,
-            last_assignment: now,
+            silence_reviewed: now,
             reassign: true,
             last_join: now,
             offers_sent: now,
