Keep the generations of claims by different VMs apart

Cause: the generation of a claim is the time of day in milliseconds. Two VMs with different lists of peers that claimed a target in the same millisecond got the same one, so the target obeyed both, and each lost ends of its runs to the other's holds.

Change: the low 12 bits of a generation are a hash of the VM's name. Generations stay below 2^53 until 2039.

The new test fails before the change (one generation for all VMs).

A target that knows generations of an earlier build accepts these, which are higher.

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -2,8 +2,9 @@
 //!
 //! A VM claims a target that is assigned to it once each live VM has told which targets it owns, and
 //! none of them owns it. The generation of a claim is higher than all earlier ones: the time of day
-//! in milliseconds, raised if the target knows a higher generation. The VM stops the runs of earlier
-//! owners before it starts its first one, and doesn't renew their lease.
+//! in milliseconds, raised if the target knows a higher generation, and a hash of the VM's name that
+//! keeps the generations of two VMs apart. The VM stops the runs of earlier owners before it starts
+//! its first one, and doesn't renew their lease.
 //!
 //! A VM claims a target of another zone only if a VM of that zone is live, or after the target has
 //! reported for a while since its assignment. A live VM of that zone is shutting down, since the
@@ -15,9 +16,9 @@
 
 use std::time::Duration;
 
-use greengage_core::{Incarnation, TargetName, Time, WallTime, ZoneName};
+use greengage_core::{Incarnation, TargetName, Time, VmName, WallTime, ZoneName};
 
-use crate::assignment::{assign, Candidate};
+use crate::assignment::{assign, name_hash, Candidate};
 use crate::event::{Effect, HoldCall, HoldResult, RunListing, StopCall, TargetCall, TargetReport};
 use crate::scheduler::{PeerView, Scheduler};
 use crate::target::{Ownership, Target};
@@ -35,6 +36,11 @@
 const FENCED_BACKOFF: Duration = Duration::from_millis(500);
 /// Added to the generation of a claim after a fenced one; it doubles each time.
 const GENERATION_BUMP_MS: u64 = 8_000;
+/// Number of generations in a millisecond, one of which belongs to each VM by the hash of its name.
+/// Two VMs with different lists of peers may claim a target in the same millisecond, and both would
+/// start tasks under an equal generation. JSON readers are exact up to 2^53, which generations
+/// reach in 2039.
+const GENERATIONS_PER_MS: u64 = 1 << 12;
 /// How long a target may wait for an end before it answers a hold. Each hold renews the lease,
 /// which must last for several of them; stalled runs show only in the answers.
 const HOLD_WAIT: Duration = Duration::from_millis(200);
@@ -256,7 +262,7 @@
             (Ownership::Unowned, _) if claim => {
                 target.mark_runs_stopping();
                 target.ownership = Ownership::Claiming;
-                target.generation = (wall.0 + target.generation_bump).max(target.generation + 1);
+                target.generation = next_generation(wall, target, &self.setup.candidate.vm);
                 target.hold.next = now;
                 log::info!(event = "target-claimed", target = name.as_str(),
                     generation = target.generation; "claiming a target");
@@ -396,6 +402,13 @@
     }
 }
 
+/// The generation of a VM's claim: by the time of day, and higher than all that it knows.
+fn next_generation(wall: WallTime, target: &Target, vm: &VmName) -> u64 {
+    let time = wall.0 + target.generation_bump;
+    let time = time.max(target.generation / GENERATIONS_PER_MS + 1);
+    time * GENERATIONS_PER_MS + name_hash(vm.as_str()) % GENERATIONS_PER_MS
+}
+
 /// Stop calls for the runs of earlier owners.
 fn foreign_runs(target: &Target, running: &[RunListing]) -> Vec<StopCall> {
     let others = running
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -71,8 +71,12 @@
 }
 
 fn started_vm_with(start: Time, report_interval: Duration) -> Scheduler {
+    named_vm("v1", start, report_interval)
+}
+
+fn named_vm(vm: &str, start: Time, report_interval: Duration) -> Scheduler {
     let candidate = Candidate {
-        vm: VmName::new("v1").unwrap(),
+        vm: VmName::new(vm).unwrap(),
         zone: ZoneName::new("a").unwrap(),
         weight: DEFAULT_WEIGHT,
     };
@@ -282,3 +286,35 @@
         assert_eq!(sent.contains(&refused), repeated, "after {ms} ms");
     }
 }
+
+/// The generation of the first call to a target by a VM that knows no other VM.
+fn claim_generation(vm: &str) -> u64 {
+    let start = Time::from_millis(1000);
+    let mut scheduler = named_vm(vm, start, REPORT_INTERVAL);
+    let mut now = start;
+    loop {
+        now = now + Duration::from_millis(20);
+        let effects = step(&mut scheduler, now, Event::Tick);
+        let call = effects.into_iter().find_map(|effect| match effect {
+            Effect::Call { generation, .. } => Some(generation),
+            _ => None,
+        });
+        if let Some(generation) = call {
+            return generation;
+        }
+    }
+}
+
+/// Guards against two VMs with different lists of peers that claim a target in the same millisecond
+/// under one generation, so that the target obeys both.
+#[test]
+fn claims_of_different_vms_differ_in_their_generation() {
+    let mut generations: Vec<u64> = (0..40)
+        .map(|i| claim_generation(&format!("10.0.0.{i}")))
+        .collect();
+    generations.sort_unstable();
+    generations.dedup();
+    assert_eq!(generations.len(), 40);
+    let largest_exact_in_json = 1u64 << 53;
+    assert!(generations.iter().all(|g| *g < largest_exact_in_json));
+}
