Detect lost VMs in the same time at any size

Cause: each VM sent a heartbeat to every other one, at an interval that grew with their number, and the lost timeout with it: 0.45 s and 1.6 s with 42 VMs, 1.6 s and 5.7 s with 152. A dead VM's targets stayed without an owner for that long, while leases of tasks end after 0.65 s and callers return after 1.3 s.

Change: with more than 14 other VMs a heartbeat goes to eight VMs of the zone and one of another, in turn, every 0.15 s, and tells how long ago its sender has heard of others. Ages count from the earliest time at which the message may have been sent, so they stay lower bounds when they are passed on. A VM of the zone is lost after 0.73 to 0.8 s, one of another zone after 2 s. VMs that exchange tasks, and control VMs among themselves, send each other every heartbeat, so that silent connections are still noticed; a replaced connection gets one at once; a VM that shuts down tells all others. The list of members is sent on request of a starting VM, not in each answer, which at 150 VMs was 1.7 MB for each VM that starts. An offer of a configuration that is in force is answered with a heartbeat, since the regular one may be seconds away. Small deployments work as before.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -381,6 +381,9 @@
                 "dropped a message whose age is unknown or whose sender has restarted");
             return;
         };
+        if !matches!(message, PeerMessage::Offers { .. }) {
+            self.members.mark_active(now, &from);
+        }
         let event = scheduler::Event::Peer {
             from,
             sent,
@@ -543,7 +546,12 @@
         }
     }
 
-    fn handle_scheduler_effect(&self, now: Time, effect: scheduler::Effect, out: &mut Vec<Effect>) {
+    fn handle_scheduler_effect(
+        &mut self,
+        now: Time,
+        effect: scheduler::Effect,
+        out: &mut Vec<Effect>,
+    ) {
         match effect {
             scheduler::Effect::Answer { request, reply } => {
                 let outcome = Outcome::Scheduler(reply);
@@ -561,6 +569,9 @@
                 call,
             }),
             scheduler::Effect::Send { to, message } => {
+                if !matches!(message, PeerMessage::Offers { .. }) {
+                    self.members.mark_active(now, &to);
+                }
                 if let Some(member) = self.members.member(&to) {
                     let message = Message::Scheduler(message);
                     out.push(self.send(now, member.address.clone(), message));
--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -66,6 +66,11 @@
             DistributionMessage::Offer(version) => {
                 if let Some(member) = self.members.member(from).cloned() {
                     self.consider_offer(now, &member, version, out);
+                    if in_force >= Some(version) {
+                        // The heartbeat that tells it of the version is on its way, or not due yet.
+                        let message = Message::Gossip(self.members.greeting(), in_force);
+                        out.push(self.send(now, member.address, message));
+                    }
                 }
             }
             DistributionMessage::Request { version, first } => {
--- a/crates/cluster/tests/distribution.rs
+++ b/crates/cluster/tests/distribution.rs
@@ -124,6 +124,8 @@
     let hello = GossipMessage::Hello {
         member: member.clone(),
         known: true,
+        list_wanted: false,
+        sightings: Vec::new(),
     };
     let event = Event::Receive {
         from: member.vm,
--- a/crates/cluster/tests/stored.rs
+++ b/crates/cluster/tests/stored.rs
@@ -48,6 +48,8 @@
             gossip::GossipMessage::Hello {
                 member: entry_member(Incarnation(1)),
                 known,
+                list_wanted: !known,
+                sightings: Vec::new(),
             },
             None,
         ),
@@ -114,6 +116,8 @@
     let hello = gossip::GossipMessage::Hello {
         member: entry_member(Incarnation(1)),
         known: true,
+        list_wanted: false,
+        sightings: Vec::new(),
     };
     let event = Event::Receive {
         from: VmName::new("10.0.0.9").unwrap(),
@@ -219,6 +223,8 @@
                 gossip::GossipMessage::Hello {
                     member: member.clone(),
                     known: echoed.is_some(),
+                    list_wanted: false,
+                    sightings: Vec::new(),
                 },
                 None,
             ),
--- a/crates/cluster/tests/support/fleet.rs
+++ b/crates/cluster/tests/support/fleet.rs
@@ -130,6 +130,8 @@
     pub(crate) completed: Vec<Duration>,
     /// Answers other than a completion, by their text.
     pub(crate) failed: BTreeMap<String, u64>,
+    /// Number of connections that VMs have replaced.
+    pub(crate) reconnects: u64,
     /// Costs by role (whether it is an entry VM) and kind of input.
     pub(crate) costs: BTreeMap<(bool, Kind), Cost>,
 }
@@ -277,6 +279,7 @@
             submitted: BTreeMap::new(),
             completed: Vec::new(),
             failed: BTreeMap::new(),
+            reconnects: 0,
             costs: BTreeMap::new(),
         };
         for i in 0..size.targets {
@@ -296,6 +299,7 @@
     /// Clears all counts.
     pub(crate) fn reset_counts(&mut self) {
         self.costs.clear();
+        self.reconnects = 0;
         self.nodes.iter_mut().for_each(|node| node.sent.clear());
     }
 
@@ -419,13 +423,19 @@
                     Outcome::Scheduler(Reply::Completed) => {
                         self.completed.push(self.now.since(submitted));
                     }
-                    other => *self.failed.entry(format!("{other:?}")).or_default() += 1,
+                    Outcome::Scheduler(Reply::Refused { .. }) => self.count_failure("refused"),
+                    other => self.count_failure(&format!("{other:?}")),
                 }
             }
-            Effect::Reconnect(_) | Effect::Save(_) | Effect::Store(_) => {}
+            Effect::Reconnect(_) => self.reconnects += 1,
+            Effect::Save(_) | Effect::Store(_) => {}
         }
     }
 
+    fn count_failure(&mut self, reply: &str) {
+        *self.failed.entry(reply.to_string()).or_default() += 1;
+    }
+
     fn deliver(&mut self, delivery: Delivery) {
         match delivery {
             Delivery::Input(to, kind, event) => self.step(to, kind, event),
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -19,5 +19,5 @@
 mod roster;
 mod stamp;
 
-pub use roster::{Envelope, GossipMessage, Member, MemberList, Roles, Timing};
+pub use roster::{Envelope, GossipMessage, Member, MemberList, Roles, Sighting, Timing};
 pub use stamp::{Echo, Stamp};
--- a/crates/gossip/tests/member_list.rs
+++ b/crates/gossip/tests/member_list.rs
@@ -129,6 +129,8 @@
             ..member(1, incarnation)
         },
         known: true,
+        list_wanted: false,
+        sightings: Vec::new(),
     };
     list.receive(now, Some(now), hello(9, false));
     list.receive(now, Some(now), hello(8, true));
@@ -143,6 +145,8 @@
     let hello = |incarnation| GossipMessage::Hello {
         member: member(1, incarnation),
         known: true,
+        list_wanted: false,
+        sightings: Vec::new(),
     };
     list.receive(now, Some(now), hello(9));
     let later = now + Duration::from_millis(800);
@@ -173,6 +177,8 @@
     let hello = GossipMessage::Hello {
         member: member(1, 1),
         known: true,
+        list_wanted: false,
+        sightings: Vec::new(),
     };
     list.receive(start, Some(start), hello);
     let reconnects_ms: Vec<u64> = (0..1500u64)
@@ -249,6 +255,8 @@
         GossipMessage::Hello {
             member: self.lists[from].own().clone(),
             known: true,
+            list_wanted: false,
+            sightings: Vec::new(),
         }
     }
 
