Take heartbeats before other inputs of the control thread

Under load the inputs of the control thread wait for over a second, so heartbeats that have arrived would be seen too late and live VMs would be given up together.

Change: gossip messages go through the channel of urgent messages, as those of the configuration do. They may overtake other messages of the same VM; those are told apart by incarnation, number and time.

--- a/crates/runtime/src/inputs.rs
+++ b/crates/runtime/src/inputs.rs
@@ -17,9 +17,10 @@
 /// Whether the control thread takes a message before everything else that waits.
 ///
 /// The configuration decides how all other inputs are handled. Under load these wait for longer than
-/// a configuration may take until it is in force.
+/// a configuration may take until it is in force, and than a VM may be silent before it counts as
+/// lost.
 pub fn is_urgent(message: &Message) -> bool {
-    matches!(message, Message::Configuration(_))
+    matches!(message, Message::Configuration(_) | Message::Gossip(..))
 }
 
 /// The two channels of the control thread. Each is taken in order, the urgent one first.
--- a/crates/runtime/tests/inputs.rs
+++ b/crates/runtime/tests/inputs.rs
@@ -4,13 +4,15 @@
 
 use crossbeam_channel::{unbounded, RecvTimeoutError};
 use greengage_cluster::distribution::DistributionMessage;
+use greengage_cluster::gossip::GossipMessage;
 use greengage_cluster::{Event, Message};
 use greengage_core::{RequestId, Version};
 use greengage_runtime::{is_urgent, Input, Inputs};
 
-/// Guards against a configuration that is late because it waits behind the requests of callers.
+/// Guards against a configuration that is late, and a VM that counts as lost, because a message waits
+/// behind the requests of callers.
 #[test]
-fn configuration_does_not_wait_behind_other_inputs() {
+fn configuration_and_heartbeats_do_not_wait_behind_other_inputs() {
     let (urgent_sender, urgent) = unbounded();
     let (sender, others) = unbounded();
     let inputs = Inputs {
@@ -24,6 +26,8 @@
     }
     let offer = Message::Configuration(DistributionMessage::Offer(Version(2)));
     assert!(is_urgent(&offer));
+    let heartbeat = Message::Gossip(GossipMessage::Members(Vec::new()), None);
+    assert!(is_urgent(&heartbeat));
     assert!(!is_urgent(&Message::Reports(Vec::new())));
     urgent_sender
         .send(Input::DiskFailed("urgent".into()))
