Survive messages with the longest possible times

Cause: a task that another VM offloads carries a declared run time. With the longest value that the encoding can hold, as in a damaged message or one of another build, the calculation of its expected end overflowed, the control thread panicked and the process ended. Times that overflow when they are added to a clock wrapped around.

--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -27,11 +27,16 @@
     }
 }
 
+/// Microseconds of a duration; those of the longest ones have no exact number.
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 impl Add<Duration> for Time {
     type Output = Time;
 
     fn add(self, duration: Duration) -> Time {
-        Time(self.0.saturating_add(duration.as_micros() as u64))
+        Time(self.0.saturating_add(micros(duration)))
     }
 }
 
@@ -39,7 +44,7 @@
     type Output = Time;
 
     fn sub(self, duration: Duration) -> Time {
-        Time(self.0.saturating_sub(duration.as_micros() as u64))
+        Time(self.0.saturating_sub(micros(duration)))
     }
 }
 
--- a/crates/scheduler/src/estimate.rs
+++ b/crates/scheduler/src/estimate.rs
@@ -40,6 +40,10 @@
     }
 }
 
+/// Limit on run times that are declared or expected. A message of another VM may be damaged, and
+/// calculations with its longest time would overflow.
+const LONGEST_RUN_TIME: Duration = Duration::from_secs(24 * 3600);
+
 /// Learned run time factors by queue.
 #[derive(Default)]
 pub struct Estimates {
@@ -50,7 +54,8 @@
     /// Expected run time of a task on a target of usual speed.
     pub fn expected_run_time(&self, queue: &str, declared: Duration) -> Duration {
         let factor = self.queues.get(queue).map_or(1.0, LearnedFactor::factor);
-        declared.mul_f64(factor)
+        let expected = declared.min(LONGEST_RUN_TIME).mul_f64(factor);
+        expected.min(LONGEST_RUN_TIME)
     }
 
     /// Updates the queue's factor and the target's speed from a completed run.
