Ignore reports of targets that have left

Cause: only the control VM that a target told of its departure forgot it. Another one kept earlier reports for 5 to 10 s and gave them to entry VMs that started, and a batch of reports that it was about to send arrived after the notice, so a target that had left was claimed and used again. A notice had no incarnation, so a late one of an earlier process removed its successor, and the runs there were started again elsewhere while they went on.

Change: a notice names the incarnation if the target tells it, and goes to all live VMs.

Open: reports on the disk of a control VM that restarts within the 2 s between two writes may still name a target that has left.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -12,7 +12,7 @@
 use greengage_gossip::{GossipMessage, Member, MemberList, Stamp, Timing};
 use greengage_scheduler as scheduler;
 use greengage_scheduler::{
-    Candidate, Peer, PeerMessage, Reply, Scheduler, TargetReport, DEFAULT_WEIGHT,
+    Candidate, Departure, Peer, PeerMessage, Reply, Scheduler, TargetReport, DEFAULT_WEIGHT,
 };
 
 use crate::event::{Effect, Event, Hints, Outcome};
@@ -201,10 +201,15 @@
             Event::Saved(seq) => self.step_group(now, wall, config::Event::Saved(seq), &mut out),
             Event::Scheduler(event) => self.step_scheduler(now, wall, event, &mut out),
             Event::Report(report) => self.handle_report(now, wall, report, &mut out),
-            Event::TargetLeft(target) => {
-                self.reports.remove(&target);
-                for to in self.entry_addresses(now) {
-                    out.push(self.send(now, to, Message::TargetLeft(target.clone())));
+            Event::TargetLeft(departure) => {
+                self.target_left(now, wall, departure.clone(), &mut out);
+                let live: Vec<Address> = self
+                    .members
+                    .live(now)
+                    .map(|vm| vm.address.clone())
+                    .collect();
+                for to in live {
+                    out.push(self.send(now, to, Message::TargetLeft(departure.clone())));
                 }
             }
             Event::Put { request, document } => {
@@ -350,15 +355,26 @@
                     self.step_scheduler(now, wall, scheduler::Event::TargetReported(report), out);
                 }
             }
-            Message::TargetLeft(target) => {
-                self.step_scheduler(now, wall, scheduler::Event::TargetLeft(target), out)
-            }
+            Message::TargetLeft(departure) => self.target_left(now, wall, departure, out),
             Message::Scheduler(message) => {
                 self.receive_from_scheduler(now, wall, (from, stamp, sent), message, out);
             }
         }
     }
 
+    /// Forgets a target that has left. Other control VMs do so too, since they forward the reports that
+    /// they hold to entry VMs that start.
+    fn target_left(
+        &mut self,
+        now: Time,
+        wall: WallTime,
+        departure: Departure,
+        out: &mut Vec<Effect>,
+    ) {
+        self.reports.remove(now, &departure);
+        self.step_scheduler(now, wall, scheduler::Event::TargetLeft(departure), out);
+    }
+
     /// Whether another VM has announced that it shuts down.
     fn is_leaving(&self, vm: &VmName) -> bool {
         self.members.member(vm).is_some_and(|member| member.leaving)
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -7,7 +7,7 @@
 use greengage_core::{value, Address, RequestId, TargetName, Time, VmName};
 use greengage_gossip::Stamp;
 use greengage_scheduler as scheduler;
-use greengage_scheduler::{Reply, TargetReport};
+use greengage_scheduler::{Departure, Reply, TargetReport};
 
 use crate::message::Message;
 
@@ -32,7 +32,7 @@
     /// A target reported to this VM.
     Report(TargetReport),
     /// A target told this VM that it leaves the deployment.
-    TargetLeft(TargetName),
+    TargetLeft(Departure),
     /// An operator submits a configuration.
     Put {
         /// The request to answer.
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -1,10 +1,10 @@
 //! Messages between VMs.
 
 use greengage_config::GroupMessage;
-use greengage_core::{value, NodeId, TargetName, Version};
+use greengage_core::{value, NodeId, Version};
 use greengage_distribution::DistributionMessage;
 use greengage_gossip::GossipMessage;
-use greengage_scheduler::{PeerMessage, TargetReport};
+use greengage_scheduler::{Departure, PeerMessage, TargetReport};
 
 /// A message between VMs.
 #[value]
@@ -25,7 +25,7 @@
     /// A batch of target reports.
     Reports(Vec<TargetReport>),
     /// A target left the deployment.
-    TargetLeft(TargetName),
+    TargetLeft(Departure),
     /// A message between schedulers.
     Scheduler(PeerMessage),
 }
--- a/crates/cluster/src/reports.rs
+++ b/crates/cluster/src/reports.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use greengage_core::{SortedMap, TargetName, Time};
-use greengage_scheduler::TargetReport;
+use greengage_scheduler::{Departure, Departures, TargetReport};
 
 /// Minimum time between two batches. Reports are not urgent, except those of a draining target,
 /// which are sent immediately.
@@ -28,6 +28,7 @@
 /// Latest report of each target, with the state of forwarding and storing.
 pub(crate) struct Reports {
     latest: SortedMap<TargetName, (TargetReport, Time)>,
+    departures: Departures,
     pending: Vec<TargetReport>,
     batch_due: Time,
     /// Whether the reports on disk are out of date.
@@ -50,6 +51,7 @@
         let stored = stored.into_iter();
         Reports {
             latest: stored.map(|r| (r.target.clone(), (r, now))).collect(),
+            departures: Departures::default(),
             pending: Vec::new(),
             batch_due: now,
             dirty: false,
@@ -59,6 +61,9 @@
 
     /// Records a report, unless the same or a later one is known.
     pub(crate) fn add(&mut self, now: Time, report: TargetReport) {
+        if self.departures.covers(now, &report) {
+            return;
+        }
         let order = |r: &TargetReport| (r.incarnation, r.sequence);
         let known = self.latest.get(&report.target);
         if known.is_some_and(|(latest, _)| order(latest) >= order(&report)) {
@@ -72,8 +77,17 @@
         self.latest.insert(report.target.clone(), (report, now));
     }
 
-    /// Drops the reports of a target that has left.
-    pub(crate) fn remove(&mut self, target: &TargetName) {
+    /// Drops the reports of a target that has left, unless they are of a later incarnation.
+    pub(crate) fn remove(&mut self, now: Time, departure: &Departure) {
+        let target = &departure.target;
+        let known = self
+            .latest
+            .get(target)
+            .map(|(report, _)| report.incarnation);
+        if known.is_some() && departure.incarnation.is_some_and(|left| Some(left) < known) {
+            return;
+        }
+        self.departures.record(now, departure, known);
         self.dirty |= self.latest.remove(target).is_some();
         self.pending.retain(|report| report.target != *target);
     }
--- a/crates/cluster/tests/malformed.rs
+++ b/crates/cluster/tests/malformed.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use greengage_cluster::scheduler::{
-    Event as SchedulerEvent, HoldResult, OffloadOutcome, OffloadedTask, PeerMessage, ResourceOffer,
-    StartResult, StopResult, TargetCall,
+    Departure, Event as SchedulerEvent, HoldResult, OffloadOutcome, OffloadedTask, PeerMessage,
+    ResourceOffer, StartResult, StopResult, TargetCall,
 };
 use greengage_cluster::{gossip, Cluster, Effect, Event, Message};
 use greengage_core::{Address, Demand, Incarnation, TargetName, Time, Version, VmName, WallTime};
@@ -88,7 +88,10 @@
     report.sequence = u64::MAX;
     report.incarnation = Incarnation(u64::MAX);
     messages.push(Message::Reports(vec![report]));
-    messages.push(Message::TargetLeft(TargetName::new("t").unwrap()));
+    messages.push(Message::TargetLeft(Departure {
+        target: TargetName::new("t").unwrap(),
+        incarnation: Some(Incarnation(u64::MAX)),
+    }));
     let member = gossip::Member {
         vm: VmName::new("10.0.0.8").unwrap(),
         ..support::entry_member(Incarnation(u64::MAX))
--- a/crates/cluster/tests/stored.rs
+++ b/crates/cluster/tests/stored.rs
@@ -5,7 +5,7 @@
 use greengage_cluster::distribution::DistributionMessage;
 use greengage_cluster::{gossip, Cluster, Effect, Event, Message};
 use greengage_core::{Incarnation, Time, Version, VmName, WallTime};
-use greengage_scheduler::TargetReport;
+use greengage_scheduler::{Departure, TargetReport};
 
 use support::{configuration_message, control_setup, document, entry_member, report, stamp};
 
@@ -96,7 +96,10 @@
     step(&mut cluster, START + 100, Event::Report(report("t-1", 20)));
     assert!(stored_reports(&mut cluster, START + 100, START + 3000).is_empty());
     step(&mut cluster, START + 3000, Event::Report(report("t-2", 1)));
-    let removed = report("t-1", 20).target;
+    let removed = Departure {
+        target: report("t-1", 20).target,
+        incarnation: None,
+    };
     let copies = stored_reports(&mut cluster, START + 3000, START + 3100);
     assert_eq!(copies, [[report("t-1", 20), report("t-2", 1)]]);
     step(&mut cluster, START + 3100, Event::TargetLeft(removed));
@@ -105,6 +108,34 @@
     assert_eq!(copies, [[report("t-2", 1)]]);
 }
 
+/// Guards against a target that has left and is given to an entry VM that starts: another control VM
+/// was told of the departure, and this one holds or receives earlier reports of the target.
+#[test]
+fn departed_target_is_not_forwarded_by_another_control_vm() {
+    let now = Time::from_millis(START);
+    let mut cluster = Cluster::new(now, control_setup(now));
+    step(&mut cluster, START, Event::Report(report("t-1", 7)));
+    let departure = Departure {
+        target: report("t-1", 7).target,
+        incarnation: Some(report("t-1", 7).incarnation),
+    };
+    let event = Event::Receive {
+        from: VmName::new("10.0.0.2").unwrap(),
+        stamp: stamp(now, None),
+        message: Message::TargetLeft(departure),
+    };
+    step(&mut cluster, START + 10, event);
+    step(&mut cluster, START + 20, Event::Report(report("t-1", 8)));
+    step(&mut cluster, START + 20, Event::Report(report("t-2", 1)));
+    let copies = stored_reports(&mut cluster, START + 20, START + 3000);
+    assert_eq!(copies.last(), Some(&vec![report("t-2", 1)]));
+    let mut restarted = report("t-1", 1);
+    restarted.incarnation = Incarnation(2);
+    step(&mut cluster, START + 3000, Event::Report(restarted.clone()));
+    let copies = stored_reports(&mut cluster, START + 3000, START + 6000);
+    assert_eq!(copies.last(), Some(&vec![restarted, report("t-2", 1)]));
+}
+
 /// Guards against entry VMs that refuse callers until a leader is elected: the stored configuration
 /// is sent to them immediately, and an older one does not replace it.
 #[test]
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -73,6 +73,15 @@
     pub sequence: u64,
 }
 
+/// A target's notice that it has left the deployment.
+#[value]
+pub struct Departure {
+    /// The target's name.
+    pub target: TargetName,
+    /// Incarnation of the process that has left; `None` if the notice doesn't tell.
+    pub incarnation: Option<Incarnation>,
+}
+
 /// Call that starts a run.
 #[value(local)]
 pub struct StartCall {
@@ -280,7 +289,7 @@
     /// A report of a target has arrived.
     TargetReported(TargetReport),
     /// A target has deregistered.
-    TargetLeft(TargetName),
+    TargetLeft(Departure),
     /// The live entry VMs, without this one.
     Peers(Vec<Peer>),
     /// A message of another entry VM has arrived.
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -19,7 +19,9 @@
 use greengage_core::{Incarnation, TargetName, Time, VmName, WallTime, ZoneName};
 
 use crate::assignment::{assign, name_hash, Candidate};
-use crate::event::{Effect, HoldCall, HoldResult, RunListing, StopCall, TargetCall, TargetReport};
+use crate::event::{
+    Departure, Effect, HoldCall, HoldResult, RunListing, StopCall, TargetCall, TargetReport,
+};
 use crate::scheduler::{PeerView, Scheduler};
 use crate::target::{Ownership, Target};
 
@@ -69,6 +71,9 @@
         report: TargetReport,
         out: &mut Vec<Effect>,
     ) {
+        if self.departures.covers(now, &report) {
+            return;
+        }
         let name = report.target.clone();
         let is_stale = |target: &Target| {
             (report.incarnation, report.sequence)
@@ -129,8 +134,21 @@
         self.offers_changed = true;
     }
 
-    pub(crate) fn on_target_left(&mut self, now: Time, name: &TargetName, out: &mut Vec<Effect>) {
-        if self.targets.contains(name) {
+    /// Removes a target that has left. The notice of an earlier incarnation may arrive after the first
+    /// report of a later one, which it doesn't concern.
+    pub(crate) fn on_target_left(
+        &mut self,
+        now: Time,
+        departure: &Departure,
+        out: &mut Vec<Effect>,
+    ) {
+        let name = &departure.target;
+        let known = self.targets.get(name).map(|t| t.report.incarnation);
+        if known.is_some() && departure.incarnation.is_some_and(|left| Some(left) < known) {
+            return;
+        }
+        self.departures.record(now, departure, known);
+        if known.is_some() {
             self.remove_target(now, name, out);
         }
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -27,6 +27,7 @@
 
 mod admission;
 mod assignment;
+mod departures;
 mod dispatch;
 mod ends;
 mod estimate;
@@ -45,9 +46,10 @@
 mod targets;
 
 pub use assignment::{assign, Candidate, DEFAULT_WEIGHT};
+pub use departures::Departures;
 pub use estimate::Estimates;
 pub use event::{
-    Effect, EndKind, Event, HoldCall, HoldResult, Reply, RunEnd, RunListing, StartCall,
+    Departure, Effect, EndKind, Event, HoldCall, HoldResult, Reply, RunEnd, RunListing, StartCall,
     StartResult, Step, StopCall, StopResult, Submission, TargetCall, TargetReport,
 };
 pub use peer::{OffloadOutcome, OffloadedTask, PeerMessage, ResourceOffer};
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::assignment::Candidate;
+use crate::departures::Departures;
 use crate::ends::EndedCall;
 use crate::estimate::Estimates;
 use crate::event::{Effect, Event, Reply, TargetCall};
@@ -79,6 +80,7 @@
     pub(crate) setup: Setup,
     pub(crate) document: Option<Arc<Document>>,
     pub(crate) targets: Targets,
+    pub(crate) departures: Departures,
     /// When the first of the known targets became known; `None` before.
     pub(crate) first_target: Option<Time>,
     pub(crate) peers: SortedMap<VmName, PeerView>,
@@ -154,6 +156,7 @@
         Scheduler {
             document: None,
             targets: Targets::default(),
+            departures: Departures::default(),
             first_target: None,
             peers: SortedMap::new(),
             jobs: SortedMap::new(),
@@ -229,7 +232,7 @@
             } => self.count_pending(request, &host, &path, &mut out),
             Event::CallerGone(request) => self.on_caller_gone(now, request, &mut out),
             Event::TargetReported(report) => self.on_target_report(now, report, &mut out),
-            Event::TargetLeft(target) => self.on_target_left(now, &target, &mut out),
+            Event::TargetLeft(departure) => self.on_target_left(now, &departure, &mut out),
             Event::Peers(peers) => self.set_peers(now, peers, &mut out),
             Event::Peer {
                 from,
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -8,8 +8,8 @@
     WallTime, ZoneName,
 };
 use greengage_scheduler::{
-    Candidate, Effect, Event, OffloadOutcome, OffloadedTask, Peer, PeerMessage, Reply, Scheduler,
-    Setup, Step, Submission, TargetReport, DEFAULT_WEIGHT,
+    Candidate, Departure, Effect, Event, OffloadOutcome, OffloadedTask, Peer, PeerMessage, Reply,
+    Scheduler, Setup, Step, Submission, TargetReport, DEFAULT_WEIGHT,
 };
 
 fn document() -> Document {
@@ -318,3 +318,42 @@
     let largest_exact_in_json = 1u64 << 53;
     assert!(generations.iter().all(|g| *g < largest_exact_in_json));
 }
+
+/// The departure of an incarnation of the target "small".
+fn departure(incarnation: u64) -> Event {
+    Event::TargetLeft(Departure {
+        target: report("small", 0).target,
+        incarnation: Some(Incarnation(incarnation)),
+    })
+}
+
+/// Guards against a target that has left and is used again, because a report that it sent before
+/// arrives over another control VM.
+#[test]
+fn late_report_of_a_departed_target_is_ignored() {
+    let start = Time::from_millis(1000);
+    let mut scheduler = started_vm(start);
+    step(&mut scheduler, start, departure(1));
+    let mut late = report("small", 4000);
+    late.sequence = 2;
+    step(&mut scheduler, start, Event::TargetReported(late.clone()));
+    assert_eq!(scheduler.known(), 0);
+    late.incarnation = Incarnation(2);
+    step(&mut scheduler, start, Event::TargetReported(late));
+    assert_eq!(scheduler.known(), 1, "a later incarnation is used");
+}
+
+/// Guards against tasks that are started again elsewhere while they run, because the notice that an
+/// earlier incarnation of their target has left arrives late.
+#[test]
+fn late_departure_of_an_earlier_incarnation_is_ignored() {
+    let start = Time::from_millis(1000);
+    let mut scheduler = started_vm(start);
+    let mut restarted = report("small", 4000);
+    restarted.incarnation = Incarnation(2);
+    step(&mut scheduler, start, Event::TargetReported(restarted));
+    step(&mut scheduler, start, departure(1));
+    assert_eq!(scheduler.known(), 1);
+    step(&mut scheduler, start, departure(2));
+    assert_eq!(scheduler.known(), 0);
+}
