Tell the VMs of a zone at once who owns its targets

Cause: a VM claims a target only once every live VM has told that it doesn't own it. Claims and releases were told with the periodic offers, which go out every 2.8 s among 147 VMs, so a target that was handed over stayed without an owner for up to that long. A VM that ran short of free resources told all VMs, although only those of its zone send it updates.

Change: after a claim or release, and when it runs short, a VM sends its targets and offers to the VMs of its zone, to all in a small deployment, at most every 50 ms.

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -282,6 +282,7 @@
                 target.ownership = Ownership::Claiming;
                 target.generation = next_generation(wall, target, &self.setup.candidate.vm);
                 target.hold.next = now;
+                self.owners_changed = true;
                 log::info!(event = "target-claimed", target = name.as_str(),
                     generation = target.generation; "claiming a target");
             }
@@ -290,7 +291,7 @@
                 log::info!(event = "target-released", target = name.as_str();
                     "released a target to its next owner");
                 target.release();
-                self.offers_changed = true;
+                (self.offers_changed, self.owners_changed) = (true, true);
                 return;
             }
             (Ownership::Claiming | Ownership::Owned, _) => {}
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -26,6 +26,9 @@
 const BROADCAST_INTERVAL_VMS: usize = 16;
 /// Interval between broadcasts of offers, for up to [`BROADCAST_INTERVAL_VMS`] peers.
 const BROADCAST_INTERVAL: Duration = Duration::from_millis(300);
+/// Shortest interval between updates after this VM has claimed or released targets. No other VM
+/// claims a target before it knows that this one doesn't own it.
+const OWNERS_INTERVAL: Duration = Duration::from_millis(50);
 /// Number of broadcasts without which a live VM doesn't count this one as live.
 const MISSED_BROADCASTS: u32 = 4;
 
@@ -314,32 +317,34 @@
         self.task_ended(now, job_id, task, outcome, None, out);
     }
 
-    /// Sends this VM's targets and offers to its peers: updates to those with a shortage, and a
-    /// periodic broadcast to all.
+    /// Sends this VM's targets and offers to its peers: updates to those with a shortage, changes of
+    /// owners to those that are near, and a periodic broadcast to all.
     pub(crate) fn send_offers(&mut self, now: Time, out: &mut Vec<Effect>) {
         if self.peers.is_empty() {
             return;
         }
         let shortage = now < self.shortage_until;
-        let broadcast_due = now.since(self.offers_broadcast) >= self.broadcast_interval()
-            || shortage && !self.shortage_sent;
+        let broadcast_due = now.since(self.offers_broadcast) >= self.broadcast_interval();
+        let owners_due = self.owners_changed && now.since(self.offers_sent) >= OWNERS_INTERVAL;
+        let near_due = owners_due || shortage && !self.shortage_sent;
         let receivers = self.peers.values().filter(|view| self.wants_updates(view));
         let interval =
             OFFER_INTERVAL * receivers.count().div_ceil(OFFER_INTERVAL_VMS).max(1) as u32;
         let update_due = self.offers_changed && now.since(self.offers_sent) >= interval;
-        if !broadcast_due && !update_due {
+        if !broadcast_due && !near_due && !update_due {
             return;
         }
         (self.offers_sent, self.offers_changed) = (now, false);
         if broadcast_due {
-            (self.offers_broadcast, self.shortage_sent) = (now, shortage);
+            self.offers_broadcast = now;
+        }
+        if broadcast_due || near_due {
+            (self.shortage_sent, self.owners_changed) = (shortage, false);
         }
         let message = self.offers_message(now);
-        for (vm, _) in self
-            .peers
-            .iter()
-            .filter(|(_, other)| broadcast_due || self.wants_updates(other))
-        {
+        for (vm, _) in self.peers.iter().filter(|(_, other)| {
+            broadcast_due || near_due && self.is_near(other) || self.wants_updates(other)
+        }) {
             out.push(Effect::Send {
                 to: vm.clone(),
                 message: message.clone(),
@@ -366,11 +371,14 @@
         }
     }
 
+    /// Whether a VM may claim a target of this zone, or gets updates of offers while it is short.
+    fn is_near(&self, view: &PeerView) -> bool {
+        self.peers.len() <= BROADCAST_INTERVAL_VMS || view.peer.candidate.zone == *self.zone()
+    }
+
     /// Whether a VM gets updates as soon as offers change.
     fn wants_updates(&self, view: &PeerView) -> bool {
-        let near =
-            view.peer.candidate.zone == *self.zone() || self.peers.len() <= BROADCAST_INTERVAL_VMS;
-        near && view.shortage
+        view.shortage && self.is_near(view)
     }
 
     fn own_offers(&self, now: Time) -> (Vec<TargetName>, Vec<ResourceOffer>) {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -107,6 +107,8 @@
     pub(crate) shortage_until: Time,
     pub(crate) shortage_sent: bool,
     pub(crate) offers_changed: bool,
+    /// Whether targets were claimed or released since the VMs of this zone were told.
+    pub(crate) owners_changed: bool,
     pub(crate) last_renewal: Time,
     /// Outcomes of runs for other VMs, which are sent at the end of this step.
     pub(crate) offload_outcomes: SortedMap<VmName, Vec<(u64, OffloadOutcome)>>,
@@ -174,6 +176,7 @@
             shortage_until: now,
             shortage_sent: false,
             offers_changed: true,
+            owners_changed: false,
             last_renewal: now,
             offload_outcomes: SortedMap::new(),
             offload_records: SortedMap::new(),
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -8,8 +8,8 @@
     WallTime, ZoneName,
 };
 use greengage_scheduler::{
-    Candidate, Departure, Effect, Event, OffloadOutcome, OffloadedTask, Peer, PeerMessage, Reply,
-    Scheduler, Setup, Step, Submission, TargetReport, DEFAULT_WEIGHT,
+    Candidate, Departure, Effect, Event, HoldResult, OffloadOutcome, OffloadedTask, Peer,
+    PeerMessage, Reply, Scheduler, Setup, Step, Submission, TargetReport, DEFAULT_WEIGHT,
 };
 
 fn document() -> Document {
@@ -357,3 +357,55 @@
     step(&mut scheduler, start, departure(2));
     assert_eq!(scheduler.known(), 0);
 }
+
+/// Guards against targets that stay without an owner in a large deployment, because their next owner
+/// learns of their release only from a periodic broadcast.
+#[test]
+fn release_of_a_target_is_told_to_its_zone_at_once() {
+    let mut now = Time::from_millis(1000);
+    let mut scheduler = started_vm(now);
+    let mut peers: Vec<Peer> = (0..60).map(|i| peer(&format!("v2-{i}"))).collect();
+    for near in &mut peers[..20] {
+        near.candidate.zone = ZoneName::new("a").unwrap();
+    }
+    let mut claimed = None;
+    for i in 0..200 {
+        now = now + Duration::from_millis(20);
+        if i == 100 {
+            step(&mut scheduler, now, Event::Peers(peers.clone()));
+            let end = now + Duration::from_secs(6);
+            step(&mut scheduler, now, Event::Leave { end });
+        }
+        for effect in step(&mut scheduler, now, Event::Tick) {
+            match effect {
+                Effect::Call {
+                    target, generation, ..
+                } => {
+                    claimed.get_or_insert(generation);
+                    let result = HoldResult::Lists {
+                        clock: now.0 / 1000,
+                        incarnation: None,
+                        running: Vec::new(),
+                        ended: Vec::new(),
+                    };
+                    let event = Event::HoldEnded {
+                        target,
+                        generation,
+                        result,
+                    };
+                    step(&mut scheduler, now, event);
+                }
+                Effect::Send { to, message } if i > 100 && scheduler.owned() == 0 => {
+                    let PeerMessage::Offers { owned, .. } = message else {
+                        panic!("unexpected message to {to:?}");
+                    };
+                    assert!(claimed.is_some() && owned.is_empty());
+                    assert!(i <= 105, "told after {} ms", (i - 100) * 20);
+                    return;
+                }
+                Effect::Send { .. } | Effect::Answer { .. } => {}
+            }
+        }
+    }
+    panic!("the release was not told");
+}
