Choose slots once for the equal tasks of a step

Cause: each waiting task of a job marked the slots that it may use, with a lookup of its VM for each of up to a thousand offers, and searched them, also after an equal task of the same step had found none. Under overload every waiting job did so at each end of a run.

Change: tasks of a step that avoid no target share the marks, and the search ends with the first one that finds no slot. The choices are the same.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -189,23 +189,31 @@
         };
         let waiting = job.waiting_tasks();
         let mut placed = Vec::new();
+        // Tasks of a step that avoid no target differ in nothing: they may use the same slots, and if
+        // there is none for one of them, there is none for the next.
+        let (mut marked, mut exhausted) = (None, None);
         for i in &waiting {
             let task = &job.tasks[*i];
             let step = &job.steps[task.step];
-            let expected = self.estimates.expected_run_time(&job.queue, step.declared);
-            self.mark_excluded(now, job, *i, pool);
-            let Some((slot, in_time)) =
-                choose_slot(now, &pool.slots, &step.demand, expected, job.objective)
-            else {
-                continue;
-            };
-            if !in_time && rule == PlacementRule::InTime {
+            let step_key = task.avoid_target.is_none().then_some(task.step);
+            if step_key.is_some() && step_key == exhausted {
                 continue;
             }
+            let expected = self.estimates.expected_run_time(&job.queue, step.declared);
+            if step_key.is_none() || step_key != marked {
+                self.mark_excluded(now, job, *i, pool);
+                marked = step_key;
+            }
+            let choice = choose_slot(now, &pool.slots, &step.demand, expected, job.objective);
             let best_case = expected * BEST_CASE_PERCENT / 100;
-            if finish_time(now, &pool.slots[slot], best_case) > job.deadline {
+            let choice = choice.filter(|(slot, in_time)| {
+                (*in_time || rule == PlacementRule::AnyTime)
+                    && finish_time(now, &pool.slots[*slot], best_case) <= job.deadline
+            });
+            let Some((slot, _)) = choice else {
+                exhausted = step_key.or(exhausted);
                 continue;
-            }
+            };
             pool.slots[slot].free = pool.slots[slot].free.saturating_sub(&step.demand);
             placed.push((*i, slot));
         }
