--- a/crates/gossip/tests/member_list.rs
+++ b/crates/gossip/tests/member_list.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use greengage_core::{Address, Incarnation, Time, VmName, ZoneName};
-use greengage_gossip::{Envelope, GossipMessage, Member, MemberList, Roles, Timing};
+use greengage_gossip::{Envelope, GossipMessage, Member, MemberList, Roles, Sighting, Timing};
 
 fn address(vm: usize) -> Address {
     Address::new(&format!("10.0.0.{vm}:7700")).unwrap()
@@ -331,3 +331,38 @@
     let (bound, _) = pair.deliver(0, 3620, Duration::ZERO, hello);
     assert!(bound.is_some_and(|bound| bound <= TRIP * 2), "{bound:?}");
 }
+
+/// A heartbeat of VM 1, sent at `sent`, that tells of an incarnation of VM 2.
+fn sighting(incarnation: u64, age_ms: u32) -> GossipMessage {
+    GossipMessage::Hello {
+        member: member(1, 1),
+        known: true,
+        list_wanted: false,
+        sightings: vec![Sighting {
+            vm: member(2, 1).vm,
+            incarnation: Incarnation(incarnation),
+            age_ms,
+        }],
+    }
+}
+
+/// Guards against a VM that counts as live because of old news of it, or of news of a process that
+/// has ended, and against a VM that is given up although another one hears it.
+#[test]
+fn only_recent_sightings_of_the_current_incarnation_make_a_vm_live() {
+    let now = Time::from_millis(10_000);
+    let mut list = MemberList::new(now, member(0, 1), vec![address(1)], Timing::default());
+    list.receive(now, None, GossipMessage::Members(vec![member(2, 5)]));
+    let is_live = |list: &MemberList| list.live(now).any(|vm| vm.vm == member(2, 1).vm);
+    list.receive(now, Some(now), sighting(5, 700));
+    assert!(!is_live(&list), "too old");
+    list.receive(now, Some(now), sighting(4, 10));
+    assert!(!is_live(&list), "of an ended process");
+    list.receive(now, None, sighting(5, 10));
+    assert!(!is_live(&list), "in a message without a bound");
+    let held = now - Duration::from_millis(900);
+    list.receive(now, Some(held), sighting(5, 10));
+    assert!(!is_live(&list), "in a message that was held");
+    list.receive(now, Some(now), sighting(5, 100));
+    assert!(is_live(&list));
+}
