Split the member list into messages, peers and the list

Change: records and messages are in message.rs, what a VM knows of another one and when that one counts as lost in peer.rs; the list and its protocol stay in roster.rs. Nothing else changes.

--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -18,8 +18,11 @@
 //!   a large deployment) is not live, even if others list it.
 //! - The time at which a VM was heard of is never later than the time at which it sent a message.
 
+mod message;
+mod peer;
 mod roster;
 mod stamp;
 
-pub use roster::{Envelope, GossipMessage, Member, MemberList, Roles, Sighting, Timing};
+pub use message::{Envelope, GossipMessage, Member, Roles, Sighting};
+pub use roster::{MemberList, Timing};
 pub use stamp::{Echo, Stamp};
--- a/crates/gossip/src/roster.rs
+++ b/crates/gossip/src/roster.rs
@@ -12,90 +12,12 @@
 
 use std::time::Duration;
 
-use greengage_core::{value, Address, Incarnation, NodeId, SortedMap, Time, VmName, ZoneName};
+use greengage_core::{value, Address, SortedMap, Time, VmName};
 
+use crate::message::{Envelope, GossipMessage, Member, Sighting};
+use crate::peer::{is_near, name_hash, turn, Peer, Timeouts};
 use crate::stamp::{Samples, Stamp};
 
-/// Roles of a VM; it may have both.
-#[value(copy)]
-pub struct Roles {
-    /// Whether it accepts jobs and owns targets.
-    pub entry: bool,
-    /// Whether it stores the configuration and receives target reports.
-    pub control: bool,
-}
-
-/// Record of a VM, as the VM announces it.
-#[value]
-pub struct Member {
-    /// Name of the VM.
-    pub vm: VmName,
-    /// Its availability zone.
-    pub zone: ZoneName,
-    /// Address for messages from other VMs.
-    pub address: Address,
-    /// Address for operators and targets; `None` unless it is a control VM.
-    pub api: Option<Address>,
-    /// Incarnation of its process; a later start normally has a higher number.
-    pub incarnation: Incarnation,
-    /// Its roles.
-    pub roles: Roles,
-    /// Id of its data folder; `None` unless it is a control VM.
-    pub folder_id: Option<u64>,
-    /// Whether it is shutting down.
-    pub leaving: bool,
-}
-
-impl Member {
-    /// Its node in the control group; `None` unless it is a control VM.
-    pub fn node(&self) -> Option<NodeId> {
-        self.folder_id.map(|folder| NodeId {
-            vm: self.vm.clone(),
-            folder,
-        })
-    }
-}
-
-/// What a VM tells of another one that it has heard of.
-#[value]
-pub struct Sighting {
-    /// The VM.
-    pub vm: VmName,
-    /// Incarnation of its process.
-    pub incarnation: Incarnation,
-    /// Milliseconds since the earliest time at which the VM's latest message may have been sent,
-    /// rounded up.
-    pub age_ms: u32,
-}
-
-/// A message of the gossip protocol.
-#[value]
-pub enum GossipMessage {
-    /// Introduction or heartbeat with the sender's own record.
-    Hello {
-        /// The sender's record.
-        member: Member,
-        /// Whether the sender already knows the receiver; if not, the receiver answers. It also
-        /// answers a message whose age it can't bound, since the sender's next one echoes that.
-        known: bool,
-        /// Whether the sender asks for the receiver's member list.
-        list_wanted: bool,
-        /// When the sender has last heard of other VMs.
-        sightings: Vec<Sighting>,
-    },
-    /// The sender's member list, including itself.
-    Members(Vec<Member>),
-}
-
-/// A message and its destination.
-#[value]
-pub struct Envelope {
-    /// The receiver.
-    pub to: Address,
-    /// The message.
-    pub message: GossipMessage,
-}
-
 /// Intervals and timeouts of the gossip protocol.
 #[value]
 pub struct Timing {
@@ -161,73 +83,6 @@
 /// larger one the list is longer and sent less often.
 const HEARTBEATS_PER_LIST: u64 = 5;
 
-struct Peer {
-    member: Member,
-    /// Lower bound of the time at which its latest message was sent; `None` while it is known only
-    /// from others.
-    last_heard: Option<Time>,
-    /// When it was added or last heard; the forget timeout counts from here.
-    last_update: Time,
-    /// When the connection to it was last replaced; at first, when it was added.
-    last_reconnect: Time,
-    /// When a message of the VM itself last arrived; `None` before the first one.
-    last_direct: Option<Time>,
-    /// When it was last sent a heartbeat.
-    last_sent: Time,
-    /// Since when, and until when, it gets every heartbeat.
-    active: Option<(Time, Time)>,
-    /// Whether it gets a heartbeat at once, over a new connection.
-    hello_due: bool,
-}
-
-impl Peer {
-    fn is_active(&self, now: Time) -> bool {
-        self.active.is_some_and(|(_, until)| now < until)
-    }
-
-    /// Whether the VM exchanges tasks with this one, and nothing has arrived from it for `limit`.
-    fn is_silent_partner(&self, now: Time, limit: Duration) -> bool {
-        let active_for = self.active.map(|(since, _)| now.since(since));
-        let recent = |last: Time| now.since(last) < limit;
-        self.is_active(now) && active_for >= Some(limit) && !self.last_direct.is_some_and(recent)
-    }
-}
-
-/// After which silence VMs count as lost.
-struct Timeouts {
-    near: Duration,
-    distant: Duration,
-}
-
-impl Timeouts {
-    fn of(&self, own: &Member, other: &Member) -> Duration {
-        match is_near(own, other) {
-            true => self.near,
-            false => self.distant,
-        }
-    }
-}
-
-/// Whether a VM is heard of often: it is of the same zone, or both are control VMs.
-fn is_near(own: &Member, other: &Member) -> bool {
-    own.zone == other.zone || own.roles.control && other.roles.control
-}
-
-/// Order in which a VM sends heartbeats to others. It differs between VMs, so that not all of them
-/// send theirs to the same ones.
-fn turn(from: &VmName, to: &VmName) -> u64 {
-    name_hash(name_hash(0, from), to)
-}
-
-/// Hash of a name by FNV-1a with a seed, whose bits are mixed.
-fn name_hash(seed: u64, name: &VmName) -> u64 {
-    let bytes = name.as_str().bytes();
-    bytes.fold(0xcbf2_9ce4_8422_2325 ^ seed, |hash, byte| {
-        let hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-        hash ^ (hash >> 32)
-    })
-}
-
 /// The VMs known to this VM.
 pub struct MemberList {
     own: Member,
