Keep the runs of a lost target until their lease expires

Cause: callers' tasks ran twice at a time, for up to 0.6 s. A notice of departure, a report of another target with the same address and an answer of another process led to `remove_target`, which reported all runs of the target as not running, so their tasks were started elsewhere at once. None of these is the end of a run: a target whose notice isn't acknowledged goes on for seconds, and a run lasts until its lease has expired. A silent target, a fenced one and an unconfirmed stop are ruled out: no such line, and these paths wait for a confirmed stop or for the end of the lease.

Change: such a target is marked as lost. It gets no more tasks and is assigned to no VM, but is kept until its runs have ended. While it answers holds, its lease is renewed and its runs go on; once it doesn't, they count as ended when the last lease has expired. A later target at the same address no longer loses its entry in the index by address when the earlier one is removed. An answer of another process to a start still ends that run at once, since the call had no effect.

A run on a target that ends at once after its notice now waits for up to 0.72 s, the time that a crash costs as well.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -101,7 +101,10 @@
                 self.end_run(now, name, index, RunOutcome::NotRunning, out);
                 self.on_fenced(now, name, generation);
             }
-            StartResult::OtherLife => self.remove_target(now, name, out),
+            StartResult::OtherLife => {
+                self.end_run(now, name, index, RunOutcome::NotRunning, out);
+                self.target_lost(now, name, out);
+            }
             StartResult::Unknown => {
                 log::info!(event = "start-unknown", task = task, run = number,
                     target = name.as_str(); "a start got no answer; the run is stopped");
@@ -179,7 +182,7 @@
                 }
             }
             StopResult::Fenced => self.on_fenced(now, name, generation),
-            StopResult::OtherLife => self.remove_target(now, name, out),
+            StopResult::OtherLife => self.target_lost(now, name, out),
             StopResult::Unknown => {}
         }
     }
@@ -449,9 +452,39 @@
         }
     }
 
-    /// Removes a target whose process has ended or was replaced, or that has been silent for long,
-    /// and ends all its runs.
-    pub(crate) fn remove_target(&mut self, now: Time, name: &TargetName, out: &mut Vec<Effect>) {
+    /// Handles a target that is said to have left or to have been replaced. That isn't the end of its
+    /// runs: a process whose notice isn't acknowledged goes on for a while. No task is started on it,
+    /// and it is removed once its runs have ended or their lease has expired.
+    pub(crate) fn target_lost(&mut self, now: Time, name: &TargetName, out: &mut Vec<Effect>) {
+        let Some(target) = self.targets.get_mut(name) else {
+            return;
+        };
+        if target.lost {
+            return;
+        }
+        target.lost = true;
+        log::info!(event = "target-lost", target = name.as_str(), runs = target.runs.len(),
+            lease_ms = target.lease_end.since(now).as_millis() as u64;
+            "a target has left or was replaced; it gets no more tasks");
+        self.reassign = true;
+        self.offers_changed = true;
+        if target.has_ended(now) {
+            self.remove_target(now, name, out);
+        }
+    }
+
+    /// Removes the lost targets whose runs have ended. While a target answers holds, its lease is
+    /// renewed and its runs go on.
+    pub(crate) fn review_lost_targets(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let used = self.targets.used();
+        let ended = used.filter(|(_, target)| target.lost && target.has_ended(now));
+        let ended: Vec<TargetName> = ended.map(|(name, _)| name.clone()).collect();
+        for name in ended {
+            self.remove_target(now, &name, out);
+        }
+    }
+
+    fn remove_target(&mut self, now: Time, name: &TargetName, out: &mut Vec<Effect>) {
         log::info!(event = "target-gone", target = name.as_str();
             "removing a target and its runs");
         self.drop_runs(now, name, out);
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -79,14 +79,14 @@
             (report.incarnation, report.sequence)
                 <= (target.report.incarnation, target.report.sequence)
         };
-        // If two targets report the same address, the older one has ended.
+        // If two targets report the same address, the older one has been replaced.
         let same_address = self.targets.at_address(&report.address);
         if let Some(other) = same_address.filter(|other| **other != name).cloned() {
             let incarnation = self.targets.get(&other).map(|t| t.report.incarnation);
             if incarnation >= Some(report.incarnation) {
                 return;
             }
-            self.remove_target(now, &other, out);
+            self.target_lost(now, &other, out);
         }
         match self.targets.get_mut(&name) {
             None => {
@@ -100,6 +100,7 @@
                 self.reassign = true;
             }
             Some(target) if is_stale(target) => {}
+            Some(target) if target.lost && report.incarnation == target.report.incarnation => {}
             Some(target) => {
                 if report.incarnation > target.report.incarnation {
                     self.target_restarted(&name, report.incarnation);
@@ -134,7 +135,7 @@
         self.offers_changed = true;
     }
 
-    /// Removes a target that has left. The notice of an earlier incarnation may arrive after the first
+    /// Handles the notice of a target that leaves. The notice of an earlier incarnation may arrive after the first
     /// report of a later one, which it doesn't concern.
     pub(crate) fn on_target_left(
         &mut self,
@@ -149,7 +150,7 @@
         }
         self.departures.record(now, departure, known);
         if known.is_some() {
-            self.remove_target(now, name, out);
+            self.target_lost(now, name, out);
         }
     }
 
@@ -181,13 +182,16 @@
             vms.push(self.setup.candidate.clone());
         }
         vms.sort_by(|a, b| a.vm.cmp(&b.vm));
-        let targets: Vec<(&TargetName, &ZoneName)> = self
-            .targets
-            .iter()
+        let present = self.targets.iter().filter(|(_, target)| !target.lost);
+        let targets: Vec<(&TargetName, &ZoneName)> = present
             .map(|(name, target)| (name, &target.report.zone))
             .collect();
-        let owners = assign(&targets, &vms);
-        for (target, owner) in self.targets.values_mut().zip(owners) {
+        let mut owners = assign(&targets, &vms).into_iter();
+        for target in self.targets.values_mut() {
+            let owner = match target.lost {
+                true => None,
+                false => owners.next().flatten(),
+            };
             let assigned = owner.is_some_and(|i| vms[i].vm == self.setup.candidate.vm);
             target.assigned_since = match (assigned, target.assigned_since) {
                 (true, since) => Some(since.unwrap_or(now)),
@@ -213,7 +217,8 @@
         };
         let mut outgoing: Vec<(bool, usize, TargetName)> = Vec::new();
         self.targets.for_each_used(|name, target| {
-            if target.ownership != Ownership::Unowned && target.assigned_since.is_none() {
+            let is_owned = target.ownership != Ownership::Unowned;
+            if is_owned && target.assigned_since.is_none() && !target.lost {
                 outgoing.push((!target.releasing, target.runs.len(), name.clone()));
             }
         });
@@ -238,7 +243,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in expired {
-            self.remove_target(now, &name, out);
+            self.target_lost(now, &name, out);
         }
     }
 
@@ -362,7 +367,11 @@
                 self.send_hold(now, name, out);
             }
             HoldResult::Fenced => self.on_fenced(now, name, generation),
-            HoldResult::OtherLife => self.remove_target(now, name, out),
+            HoldResult::OtherLife => {
+                target.hold.misses += 1;
+                target.hold.next = now + MISSED_HOLD_BACKOFF;
+                self.target_lost(now, name, out);
+            }
             HoldResult::Lists {
                 clock,
                 incarnation,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -336,6 +336,7 @@
             return;
         }
         self.next_review = now + REVIEW_INTERVAL;
+        self.review_lost_targets(now, out);
         self.review_ownership(now, wall, out);
         self.review_runs(now, out);
         self.review_unplaceable(now, out);
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -192,6 +192,9 @@
     pub(crate) first_report: Option<Time>,
     /// Whether no more tasks are started on it because it will be handed over.
     pub(crate) releasing: bool,
+    /// Whether it is said to have left or to have been replaced. It is kept until its runs have ended
+    /// and is assigned to no VM.
+    pub(crate) lost: bool,
     pub(crate) generation: u64,
     /// Added to the time of day in the next claim's generation, in milliseconds, after a claim was
     /// fenced.
@@ -220,6 +223,7 @@
             assigned_since: None,
             first_report: None,
             releasing: false,
+            lost: false,
             generation: 0,
             generation_bump: 0,
             claim_after: now,
@@ -238,6 +242,7 @@
     pub(crate) fn restart(&mut self, incarnation: Incarnation) {
         self.report.incarnation = incarnation;
         self.report.sequence = 0;
+        self.lost = false;
         self.release();
         self.mark_runs_stopping();
         self.speed = LearnedFactor::default();
@@ -267,6 +272,11 @@
         *self.report.service == *service && label.is_none_or(|label| labels.contains(label))
     }
 
+    /// Whether none of its runs can be running any more.
+    pub(crate) fn has_ended(&self, now: Time) -> bool {
+        self.runs.is_empty() || now >= self.lease_end
+    }
+
     /// Whether a requested stop hasn't been confirmed for `STOP_RETRY`. The lease isn't
     /// renewed then, so that it ends before a caller that has lost its VM submits its job again.
     pub(crate) fn has_overdue_stop(&self, now: Time) -> bool {
@@ -290,6 +300,7 @@
     pub(crate) fn accepts_tasks(&self, now: Time) -> bool {
         self.ownership == Ownership::Owned
             && !self.releasing
+            && !self.lost
             && !self.report.draining
             && !self.has_overdue_stop(now)
             && self.hold.misses == 0
--- a/crates/scheduler/src/targets.rs
+++ b/crates/scheduler/src/targets.rs
@@ -13,7 +13,7 @@
     all: SortedMap<TargetName, Target>,
     /// Names of the targets in use, and of some that no longer are, ascending.
     used: Vec<TargetName>,
-    /// The target at each address.
+    /// The target that has last reported each address.
     by_address: SortedMap<Address, TargetName>,
 }
 
@@ -59,15 +59,22 @@
     /// Records that a target has another address than the one in its last report.
     pub(crate) fn set_address(&mut self, name: &TargetName, address: &Address) {
         let earlier = self.all.get(name).map(|target| &target.report.address);
-        if let Some(earlier) = earlier.filter(|earlier| *earlier != address) {
-            self.by_address.remove(earlier);
+        if let Some(earlier) = earlier.filter(|earlier| *earlier != address).cloned() {
+            self.clear_address(name, &earlier);
             self.by_address.insert(address.clone(), name.clone());
         }
     }
 
     pub(crate) fn remove(&mut self, name: &TargetName) {
         if let Some(target) = self.all.remove(name) {
-            self.by_address.remove(&target.report.address);
+            self.clear_address(name, &target.report.address);
+        }
+    }
+
+    /// Forgets the address of a target, unless another one has reported it since.
+    fn clear_address(&mut self, name: &TargetName, address: &Address) {
+        if self.at_address(address) == Some(name) {
+            self.by_address.remove(address);
         }
     }
 
--- a/crates/scheduler/tests/world/main.rs
+++ b/crates/scheduler/tests/world/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod faults;
 mod load;
+mod lost_targets;
 mod owners;
 mod shutdown;
 mod support;
--- a/crates/scheduler/tests/world/targets.rs
+++ b/crates/scheduler/tests/world/targets.rs
@@ -9,7 +9,7 @@
 
 use greengage_core::{Address, Demand, Incarnation, TargetName, Time, ZoneName};
 use greengage_scheduler::{
-    EndKind, Event, HoldResult, RunEnd, RunListing, StartResult, StopResult, TargetCall,
+    Departure, EndKind, Event, HoldResult, RunEnd, RunListing, StartResult, StopResult, TargetCall,
     TargetReport,
 };
 
@@ -434,12 +434,10 @@
         }
         target.sequence += 1;
         let report = self.target_report(index);
-        for vm in 0..self.vms.len() {
-            self.forward_report(vm, report.clone());
-        }
+        self.broadcast_report(&report);
     }
 
-    fn target_report(&self, index: usize) -> TargetReport {
+    pub(crate) fn target_report(&self, index: usize) -> TargetReport {
         let target = &self.targets[index];
         TargetReport {
             target: target.name.clone(),
@@ -467,6 +465,38 @@
         }
     }
 
+    /// Sends a report to all VMs.
+    pub(crate) fn broadcast_report(&mut self, report: &TargetReport) {
+        for vm in 0..self.vms.len() {
+            self.forward_report(vm, report.clone());
+        }
+    }
+
+    /// Tells all VMs that a target has left, which goes on until it is crashed.
+    pub(crate) fn announce_departure(&mut self, index: usize) {
+        let target = &self.targets[index];
+        let departure = Departure {
+            target: target.name.clone(),
+            incarnation: Some(Incarnation(target.incarnation)),
+        };
+        for vm in 0..self.vms.len() {
+            let incarnation = self.vms[vm].incarnation;
+            let event = Event::TargetLeft(departure.clone());
+            self.schedule(PEER_LATENCY, Action::Event(vm, incarnation, event));
+        }
+    }
+
+    /// The index of a target that runs a task.
+    pub(crate) fn busy_target(&self) -> usize {
+        let busy = |target: &Target| target.up && !target.runs.is_empty();
+        self.targets.iter().position(busy).expect("a busy target")
+    }
+
+    /// Number of tasks that targets have started.
+    pub(crate) fn total_starts(&self) -> u64 {
+        self.targets.iter().map(|target| target.starts).sum()
+    }
+
     fn forward_report(&mut self, vm: usize, report: TargetReport) {
         let inside = |zone: usize| report.zone == candidate(zone, 3).zone;
         if self
