Ignore reports for services that aren't configured

Cause: a report of any service could replace a target.

Change: the scheduler ignores a report whose service isn't configured, unless it is a known target's own service, which may have been removed while its tasks run. A target of such a service doesn't hold an address against others: it may have been accepted before the first configuration arrived. A target whose service is added to the configuration is used from its next report on.

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -74,6 +74,11 @@
         if self.departures.covers(now, &report) {
             return;
         }
+        if self.is_foreign(&report) {
+            log::info!(event = "report-ignored", target = report.target.as_str(),
+                service = &*report.service; "a report names a service that isn't configured");
+            return;
+        }
         let name = report.target.clone();
         let is_stale = |target: &Target| {
             (report.incarnation, report.sequence)
@@ -82,8 +87,9 @@
         // If two targets report the same address, the older one has been replaced.
         let same_address = self.targets.at_address(&report.address);
         if let Some(other) = same_address.filter(|other| **other != name).cloned() {
-            let incarnation = self.targets.get(&other).map(|t| t.report.incarnation);
-            if incarnation >= Some(report.incarnation) {
+            let holder = self.targets.get(&other).map(|target| &target.report);
+            let holder = holder.filter(|holder| self.is_configured(&holder.service));
+            if holder.is_some_and(|holder| holder.incarnation >= report.incarnation) {
                 return;
             }
             self.target_lost(now, &other, out);
@@ -123,6 +129,21 @@
         }
     }
 
+    /// Whether a service is configured, as far as this VM knows.
+    fn is_configured(&self, service: &str) -> bool {
+        let document = self.document.as_ref();
+        document.is_none_or(|document| document.service(service).is_some())
+    }
+
+    /// Whether a report comes from a program that isn't a target of this deployment, although its
+    /// address may be that of one. A target whose service was removed from the configuration goes on
+    /// to report.
+    fn is_foreign(&self, report: &TargetReport) -> bool {
+        let known = self.targets.get(&report.target);
+        let has_served = known.is_some_and(|target| target.report.service == report.service);
+        !has_served && !self.is_configured(&report.service)
+    }
+
     /// Handles a restart of a target. The runs of its earlier incarnation have ended, but a recent
     /// start may have reached the new one, so each run is stopped there before its task may start
     /// elsewhere.
--- a/crates/scheduler/tests/world/lost_targets.rs
+++ b/crates/scheduler/tests/world/lost_targets.rs
@@ -116,3 +116,19 @@
         assert_eq!(sim.total_starts(), 1, "seed {seed}: starts");
     }
 }
+
+/// Guards against a target that is given up, with its run, because another program reports its
+/// address for a service that isn't configured.
+#[test]
+fn report_for_an_unknown_service_takes_no_target_out_of_use() {
+    for seed in 0..10 {
+        let (mut sim, busy) = busy_simulation(seed);
+        report_other_at(&mut sim, busy, "other");
+        sim.run(millis(3));
+        let starts = sim.targets[busy].starts;
+        submit_short_jobs(&mut sim);
+        assert!(sim.targets[busy].starts > starts, "seed {seed}: in use");
+        sim.run(10 * SECOND);
+        assert_completed(&sim, seed);
+    }
+}
