--- a/crates/scheduler/tests/world/lost_targets.rs
+++ b/crates/scheduler/tests/world/lost_targets.rs
@@ -19,9 +19,13 @@
 
 /// A simulation in which one task of 3 s runs, and the index of its target.
 fn busy_simulation(seed: u64) -> (Simulation, usize) {
+    busy_simulation_for(seed, 3 * SECOND)
+}
+
+fn busy_simulation_for(seed: u64, work: Duration) -> (Simulation, usize) {
     let mut sim = Simulation::new(seed, 3, 9);
     sim.caller_timeout = Some(PATIENCE);
-    sim.submit(0, 1, vec![3 * SECOND]);
+    sim.submit(0, 1, vec![work]);
     sim.run(millis(500));
     let busy = sim.busy_target();
     (sim, busy)
@@ -132,3 +136,16 @@
         assert_completed(&sim, seed);
     }
 }
+
+/// Guards against a task that is started elsewhere while it runs, because no report of its target
+/// arrives for longer than the time after which a silent target is removed.
+#[test]
+fn run_on_a_target_that_stops_reporting_goes_on() {
+    for seed in 0..10 {
+        let (mut sim, busy) = busy_simulation_for(seed, 12 * SECOND);
+        sim.targets[busy].unreported = true;
+        sim.run(25 * SECOND);
+        assert_completed(&sim, seed);
+        assert_eq!(sim.total_starts(), 1, "seed {seed}: starts");
+    }
+}
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -261,6 +261,7 @@
                 sequence: 0,
                 up: true,
                 disconnected: false,
+                unreported: false,
                 hangs: false,
                 fails: false,
                 late_order_percent: 0,
--- a/crates/scheduler/tests/world/targets.rs
+++ b/crates/scheduler/tests/world/targets.rs
@@ -39,6 +39,8 @@
     pub(crate) sequence: u64,
     pub(crate) up: bool,
     pub(crate) disconnected: bool,
+    /// Whether it reports no more, but answers calls.
+    pub(crate) unreported: bool,
     pub(crate) hangs: bool,
     pub(crate) fails: bool,
     /// Percentage of start and stop calls that get no answer and are carried out late.
@@ -429,7 +431,7 @@
     pub(crate) fn report(&mut self, index: usize) {
         self.schedule(REPORT_INTERVAL, Action::Report(index));
         let target = &mut self.targets[index];
-        if !target.up || target.disconnected {
+        if !target.up || target.disconnected || target.unreported {
             return;
         }
         target.sequence += 1;
