Give the shutdown tests a configuration with its service

Change: the configuration of these tests names the service of its queue. What they check is unchanged.

--- a/crates/cluster/tests/shutdown.rs
+++ b/crates/cluster/tests/shutdown.rs
@@ -7,7 +7,7 @@
 
 use greengage_cluster::scheduler::{HoldResult, StartResult, StopResult, TargetCall};
 use greengage_cluster::{scheduler, Cluster, Effect, Event, Outcome, Shutdown, Stage};
-use greengage_config::{Document, Queue};
+use greengage_config::{Document, Queue, Service};
 use greengage_core::{Demand, Name, RequestId, TargetName, Time, VmName, WallTime};
 
 const GRACE: Duration = Duration::from_secs(6);
@@ -149,7 +149,12 @@
 }
 
 fn configuration(queue: Queue) -> Event {
+    let service = Service {
+        name: queue.service.clone(),
+        max_connections: 64,
+    };
     let document = Document {
+        services: vec![service],
         queues: vec![queue],
         ..(*support::document(1)).clone()
     };
