--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -468,7 +468,7 @@
             "a target has left or was replaced; it gets no more tasks");
         self.reassign = true;
         self.offers_changed = true;
-        if target.has_ended(now) {
+        if target.runs_have_ended(now) {
             self.remove_target(now, name, out);
         }
     }
@@ -477,7 +477,7 @@
     /// renewed and its runs go on.
     pub(crate) fn review_lost_targets(&mut self, now: Time, out: &mut Vec<Effect>) {
         let used = self.targets.used();
-        let ended = used.filter(|(_, target)| target.lost && target.has_ended(now));
+        let ended = used.filter(|(_, target)| target.lost && target.runs_have_ended(now));
         let ended: Vec<TargetName> = ended.map(|(name, _)| name.clone()).collect();
         for name in ended {
             self.remove_target(now, &name, out);
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -156,8 +156,8 @@
         self.offers_changed = true;
     }
 
-    /// Handles the notice of a target that leaves. The notice of an earlier incarnation may arrive after the first
-    /// report of a later one, which it doesn't concern.
+    /// Handles the notice of a target that leaves. The notice of an earlier incarnation may arrive
+    /// after the first report of a later one, which it doesn't concern.
     pub(crate) fn on_target_left(
         &mut self,
         now: Time,
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -273,7 +273,7 @@
     }
 
     /// Whether none of its runs can be running any more.
-    pub(crate) fn has_ended(&self, now: Time) -> bool {
+    pub(crate) fn runs_have_ended(&self, now: Time) -> bool {
         self.runs.is_empty() || now >= self.lease_end
     }
 
--- a/crates/scheduler/tests/world/lost_targets.rs
+++ b/crates/scheduler/tests/world/lost_targets.rs
@@ -22,6 +22,7 @@
     busy_simulation_for(seed, 3 * SECOND)
 }
 
+/// The same with a task of another length.
 fn busy_simulation_for(seed: u64, work: Duration) -> (Simulation, usize) {
     let mut sim = Simulation::new(seed, 3, 9);
     sim.caller_timeout = Some(PATIENCE);
