Test a foreign report that arrives before the configuration

Read as a newcomer, three places gave no reason, and the tests of lost targets had longer comments than one line.

Change: the test, the reasons, shorter comments. The program behaves as before.

Figures: `foreign_report_before_the_configuration_holds_no_address` fails with the filter of the address's holder taken out (the first claim is of "foreign"), and passes with it.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -102,6 +102,7 @@
                 self.on_fenced(now, name, generation);
             }
             StartResult::OtherLife => {
+                // The call had no effect, so this run need not wait for the lease.
                 self.end_run(now, name, index, RunOutcome::NotRunning, out);
                 self.target_lost(now, name, out);
             }
@@ -452,9 +453,9 @@
         }
     }
 
-    /// Handles a target that is said to have left or to have been replaced. That isn't the end of its
-    /// runs: a process whose notice isn't acknowledged goes on for a while. No task is started on it,
-    /// and it is removed once its runs have ended or their lease has expired.
+    /// Handles a target that is said to have left or to have been replaced. That isn't the end of
+    /// its runs: a process whose notice isn't acknowledged goes on for a while. No task is started
+    /// on it, and it is removed once its runs have ended or their lease has expired.
     pub(crate) fn target_lost(&mut self, now: Time, name: &TargetName, out: &mut Vec<Effect>) {
         let Some(target) = self.targets.get_mut(name) else {
             return;
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -88,6 +88,7 @@
         let same_address = self.targets.at_address(&report.address);
         if let Some(other) = same_address.filter(|other| **other != name).cloned() {
             let holder = self.targets.get(&other).map(|target| &target.report);
+            // A foreign report may have been accepted before the first configuration arrived.
             let holder = holder.filter(|holder| self.is_configured(&holder.service));
             if holder.is_some_and(|holder| holder.incarnation >= report.incarnation) {
                 return;
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -74,19 +74,22 @@
     named_vm("v1", start, report_interval)
 }
 
-fn named_vm(vm: &str, start: Time, report_interval: Duration) -> Scheduler {
+fn setup(vm: &str, report_interval: Duration) -> Setup {
     let candidate = Candidate {
         vm: VmName::new(vm).unwrap(),
         zone: ZoneName::new("a").unwrap(),
         weight: DEFAULT_WEIGHT,
     };
-    let setup = Setup {
+    Setup {
         candidate,
         incarnation: Incarnation(1),
         stop_limit: Duration::from_millis(50),
         report_interval,
-    };
-    let mut scheduler = Scheduler::new(start, setup);
+    }
+}
+
+fn named_vm(vm: &str, start: Time, report_interval: Duration) -> Scheduler {
+    let mut scheduler = Scheduler::new(start, setup(vm, report_interval));
     let document = document().validated().unwrap();
     step(&mut scheduler, start, Event::Configuration(document.into()));
     step(
@@ -409,3 +412,28 @@
     }
     panic!("the release was not told");
 }
+
+/// Guards against a foreign report, accepted before the configuration, that keeps a target out.
+#[test]
+fn foreign_report_before_the_configuration_holds_no_address() {
+    let start = Time::from_millis(1000);
+    let mut scheduler = Scheduler::new(start, setup("v1", REPORT_INTERVAL));
+    let mut foreign = report("foreign", 4000);
+    foreign.service = "other".into();
+    foreign.address = report("small", 4000).address;
+    foreign.incarnation = Incarnation(2);
+    step(&mut scheduler, start, Event::TargetReported(foreign));
+    let document = document().validated().unwrap();
+    step(&mut scheduler, start, Event::Configuration(document.into()));
+    let target = report("small", 4000);
+    step(&mut scheduler, start, Event::TargetReported(target));
+    let mut ticks = (1..50).map(|i| start + Duration::from_millis(20 * i));
+    let called = ticks.find_map(|now| {
+        let effects = step(&mut scheduler, now, Event::Tick);
+        effects.into_iter().find_map(|effect| match effect {
+            Effect::Call { target, .. } => Some(target),
+            _ => None,
+        })
+    });
+    assert_eq!(called, Some(report("small", 0).target));
+}
--- a/crates/scheduler/tests/world/lost_targets.rs
+++ b/crates/scheduler/tests/world/lost_targets.rs
@@ -50,8 +50,7 @@
     assert_eq!(answer, Some(&Reply::Completed), "seed {seed}");
 }
 
-/// Guards against a task that is started elsewhere while it runs on a target that has given notice
-/// of its departure, gets no answer and goes on for some seconds.
+/// Guards against a second run of a task whose target gives notice of departure and goes on.
 #[test]
 fn run_on_a_departing_target_goes_on_while_the_target_answers() {
     for seed in 0..10 {
@@ -66,8 +65,7 @@
     }
 }
 
-/// Guards against a task that is lost with a target that leaves, and against a departed target that
-/// stays known once its runs have ended.
+/// Guards against a task that is lost with its target, and a departed target that stays known.
 #[test]
 fn task_on_a_departed_target_starts_elsewhere_after_the_lease() {
     for seed in 0..10 {
@@ -109,8 +107,7 @@
     sim.broadcast_report(&report);
 }
 
-/// Guards against a task that is started elsewhere while it runs, because another target reports
-/// the address of its target.
+/// Guards against a second run of a task while another target reports its target's address.
 #[test]
 fn run_on_a_replaced_target_goes_on_while_the_target_answers() {
     for seed in 0..10 {
@@ -122,8 +119,7 @@
     }
 }
 
-/// Guards against a target that is given up, with its run, because another program reports its
-/// address for a service that isn't configured.
+/// Guards against a live target that is given up for a foreign report of its address.
 #[test]
 fn report_for_an_unknown_service_takes_no_target_out_of_use() {
     for seed in 0..10 {
@@ -138,8 +134,7 @@
     }
 }
 
-/// Guards against a task that is started elsewhere while it runs, because no report of its target
-/// arrives for longer than the time after which a silent target is removed.
+/// Guards against a second run of a task whose target answers but doesn't report for 8 s and more.
 #[test]
 fn run_on_a_target_that_stops_reporting_goes_on() {
     for seed in 0..10 {
