Log which VM starts a run, by which right, and who left

The lines of an accepted job and of a start were debug lines, nothing told where an offloaded task went or on whose behalf it was started, and a job that ended because its caller had gone looked like one that had reached its deadline.

Change: job-accepted and start are info lines; start has generation, lease and the offloading VM. New are offload, stop and caller-gone. The sink bounds the lines of each kind, as before.

Conclusion: grep for the id of a job gives its VMs, starts, orders and stops. No logic is changed.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -313,7 +313,12 @@
         let Some(lease) = target.grant_lease(now) else {
             return;
         };
-        log::debug!(event = "start", task = &*run.task, run = run.number, target = name.as_str();
+        let (vm, offload_id) = match &run.origin {
+            Origin::Local(_) => ("", 0),
+            Origin::Peer { vm, offload_id } => (vm.as_str(), *offload_id),
+        };
+        log::info!(event = "start", task = &*run.task, run = run.number, target = name.as_str(),
+            generation = target.generation, lease = lease, vm = vm, id = offload_id;
             "starting a task");
         let call = StartCall {
             task: run.task.clone(),
@@ -358,6 +363,8 @@
             objective: job.objective.since(now),
             deadline: job.deadline.since(now),
         };
+        log::info!(event = "offload", task = &*offload.task, run = offload.number,
+            vm = vm.as_str(), id = offload_id; "offloading a task to another VM");
         self.offloaded.insert(offload_id, job_id);
         if let Some(view) = self.peers.get_mut(vm) {
             view.renewal_due = true;
--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -150,6 +150,11 @@
             RunState::Starting | RunState::Running => true,
         };
         if must_send {
+            if run.stop_requested.is_none() {
+                log::info!(event = "stop", task = &*run.task, run = run.number,
+                    target = name.as_str(), age_ms = now.since(run.sent).as_millis() as u64;
+                    "stopping a run");
+            }
             run.state = RunState::Stopping(now);
             run.stop_requested = run.stop_requested.or(Some(now));
             let call = StopCall {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -423,6 +423,9 @@
             return;
         };
         job.remove_caller(request);
+        log::info!(event = "caller-gone", job = job.id.as_str(), request = request.0,
+            age_ms = now.since(job.arrival).as_millis() as u64, others = job.callers.len();
+            "a caller has closed its connection");
         if job.callers.is_empty() {
             self.finish(now, job_id, Reply::TimedOut, out);
         }
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -47,8 +47,9 @@
         match self.admit(now, &job) {
             Ok(accepted) => {
                 self.last_job_id += 1;
-                log::debug!(event = "job-accepted", job = job.id.as_str(),
-                    queue = &*accepted.queue; "a job was accepted");
+                log::info!(event = "job-accepted", job = job.id.as_str(), request = request.0,
+                    queue = &*accepted.queue, tasks = accepted.tasks.len(),
+                    patience_ms = job.timeout.as_millis() as u64; "a job was accepted");
                 self.requests.insert(request, self.last_job_id);
                 self.jobs.insert(self.last_job_id, accepted);
                 self.accepted_job = Some(self.last_job_id);
