Show that a resumed VM starts tasks of callers that have left

Cause: a VM that was paused goes on with what it knew before. It hears that its runs have lapsed and starts their tasks again, or takes a submission that waited in its socket, before it learns that the callers have left and submitted elsewhere. Callers saw the work done twice at once.

Change: the simulation lets a resumed VM learn up to 40 ms after its other inputs which callers have left, since its threads get a CPU in any order.

--- a/crates/scheduler/tests/world/main.rs
+++ b/crates/scheduler/tests/world/main.rs
@@ -6,6 +6,7 @@
 mod load;
 mod lost_targets;
 mod owners;
+mod pauses;
 mod shutdown;
 mod support;
 mod targets;
--- /dev/null
+++ b/crates/scheduler/tests/world/pauses.rs
@@ -0,0 +1,91 @@
+//! Entry VMs that are paused, or late, while their callers leave and submit their jobs elsewhere.
+
+use std::time::Duration;
+
+use crate::support::Simulation;
+
+const SECOND: Duration = Duration::from_secs(1);
+const SEEDS: u64 = 40;
+/// Number of callers of the paused VM.
+const CALLERS: usize = 4;
+
+fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn assert_no_duplicates(sim: &Simulation, seed: u64) {
+    assert!(
+        sim.duplicates.is_empty(),
+        "seed {seed}: {:?}",
+        sim.duplicates
+    );
+}
+
+fn run_for(sim: &mut Simulation, shortest_ms: u64, spread_ms: u64) {
+    let span = millis(shortest_ms + sim.rng.below(spread_ms));
+    sim.run(span);
+}
+
+/// A simulation in which the callers of VM 0 leave it while it is paused, and have submitted their
+/// jobs elsewhere.
+fn simulation_with_abandoned_jobs(seed: u64) -> Simulation {
+    let mut sim = Simulation::new(seed, 3, 9);
+    sim.caller_timeout = Some(30 * SECOND);
+    for _ in 0..CALLERS {
+        sim.submit(0, 1, vec![3 * SECOND; 2]);
+    }
+    sim.run(millis(400));
+    sim.vms[0].paused = true;
+    sim.run(millis(50));
+    (0..CALLERS).for_each(|caller| sim.close_caller(caller));
+    run_for(&mut sim, 1600, 600);
+    sim
+}
+
+/// Guards against a paused VM that starts the tasks of its jobs again although their callers have
+/// left meanwhile.
+#[test]
+fn resumed_vm_starts_nothing_for_callers_that_have_left() {
+    for seed in 0..SEEDS {
+        let mut sim = simulation_with_abandoned_jobs(seed);
+        sim.resume_vm(0);
+        sim.run(4 * SECOND);
+        assert_no_duplicates(&sim, seed);
+    }
+}
+
+/// Guards against the same if the VM is lost before it learns that its callers have left, so that
+/// nothing stops its runs.
+#[test]
+fn vm_lost_after_a_pause_leaves_no_runs_for_callers_that_have_left() {
+    for seed in 0..SEEDS {
+        let mut sim = simulation_with_abandoned_jobs(seed);
+        sim.vms[0].drop_caller_events();
+        sim.resume_vm(0);
+        run_for(&mut sim, 0, 30);
+        sim.kill_vm(0);
+        sim.run(4 * SECOND);
+        assert_no_duplicates(&sim, seed);
+    }
+}
+
+/// Guards against a job that waits in the socket of a paused VM and is started after its caller has
+/// given up and submitted it elsewhere.
+#[test]
+fn submission_read_after_a_pause_starts_nothing_for_a_caller_that_has_left() {
+    for seed in 0..SEEDS {
+        let mut sim = Simulation::new(seed, 3, 9);
+        sim.caller_timeout = Some(millis(1500));
+        run_for(&mut sim, 0, 300);
+        sim.vms[0].paused = true;
+        for _ in 0..CALLERS {
+            sim.submit(0, 2, vec![millis(400); 2]);
+        }
+        sim.run(millis(1500));
+        (0..CALLERS).for_each(|caller| sim.close_caller(caller));
+        run_for(&mut sim, 1350, 100);
+        sim.resume_vm(0);
+        sim.run(4 * SECOND);
+        assert_no_duplicates(&sim, seed);
+    }
+}
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -30,6 +30,9 @@
 /// milliseconds.
 const RELEASE_MS: u64 = 200;
 
+/// Limit on the delay until the listener of a resumed VM runs, in milliseconds.
+const LISTENER_DELAY_MS: u64 = 40;
+
 /// How long after the end of its job at the VM that has offloaded it a task may start: the time for
 /// which an offloaded run lasts without a renewal. With a lease of 650 ms it is shorter than
 /// `RESUBMIT_DELAY`.
@@ -96,6 +99,14 @@
     deferred: Vec<Event>,
 }
 
+impl Vm {
+    /// Drops the notices of callers that have left, as if the process ended before it reads them.
+    pub(crate) fn drop_caller_events(&mut self) {
+        self.deferred
+            .retain(|event| !matches!(event, Event::CallerGone(_)));
+    }
+}
+
 /// A link that delivers messages only when it lets go of them. The VMs lose each other meanwhile.
 pub(crate) struct HeldLink {
     vms: (usize, usize),
@@ -537,12 +548,19 @@
         }
     }
 
-    /// Resumes a paused VM and delivers the deferred events.
+    /// Resumes a paused VM and delivers the deferred events. Its threads get a CPU in any order, so
+    /// it may learn only later which callers have left.
     pub(crate) fn resume_vm(&mut self, vm: usize) {
         self.vms[vm].paused = false;
         let incarnation = self.vms[vm].incarnation;
+        let listener_delay = Duration::from_millis(self.rng.below(LISTENER_DELAY_MS));
         for event in std::mem::take(&mut self.vms[vm].deferred) {
-            self.event(vm, incarnation, event);
+            match event {
+                Event::CallerGone(_) => {
+                    self.schedule(listener_delay, Action::Event(vm, incarnation, event));
+                }
+                event => self.event(vm, incarnation, event),
+            }
         }
     }
 
