--- a/crates/cluster/tests/held.rs
+++ b/crates/cluster/tests/held.rs
@@ -310,6 +310,9 @@
                 self.step(vm, event);
             }
             for vm in [SENDER, OWNER] {
+                let until = Time::from_millis(self.clock_offsets[vm] + self.ms);
+                let checked = SchedulerEvent::CallersChecked { until };
+                self.step(vm, Event::Scheduler(checked));
                 self.step(vm, Event::Tick);
             }
         }
@@ -348,6 +351,7 @@
                 label: None,
             }],
             body_bytes: 1,
+            received: Time::from_millis(self.clock_offsets[SENDER] + self.ms),
             timeout,
             unsupported: None,
         };
--- a/crates/cluster/tests/malformed.rs
+++ b/crates/cluster/tests/malformed.rs
@@ -58,12 +58,17 @@
         let sender = Incarnation(1);
         messages.extend(
             [
-                PeerMessage::Run { sender, tasks },
+                PeerMessage::Run {
+                    sender,
+                    callers_age: time,
+                    tasks,
+                },
                 PeerMessage::Ended(vec![(u64::MAX, OffloadOutcome::Done)]),
                 PeerMessage::Stop(vec![0, u64::MAX]),
                 PeerMessage::Renew {
                     sender,
                     receiver: sender,
+                    callers_age: time,
                     number: u64::MAX,
                     needed: vec![(u64::MAX, time), (0, time)],
                 },
--- a/crates/cluster/tests/shutdown.rs
+++ b/crates/cluster/tests/shutdown.rs
@@ -112,7 +112,7 @@
 }
 
 /// A job of one task of 1 s in a queue without targets, in which it may wait for long.
-fn submission(request: u64) -> Event {
+fn submission(ms: u64, request: u64) -> Event {
     let step = scheduler::Step {
         count: 1,
         demand: Demand::default(),
@@ -128,6 +128,7 @@
         spec: "".into(),
         steps: vec![step],
         body_bytes: 1,
+        received: at(ms),
         timeout: Duration::from_secs(30),
         unsupported: None,
     }))
@@ -170,12 +171,12 @@
 fn closing_vm_does_not_refuse_a_current_job() {
     let mut cluster = Cluster::new(at(0), support::entry_setup());
     cluster.step(at(0), WallTime(0), configuration(waiting_queue()));
-    cluster.step(at(1), WallTime(1), submission(1));
+    cluster.step(at(1), WallTime(1), submission(1, 1));
     let requested = at(2);
     cluster.step(at(2), WallTime(2), Event::Shutdown { requested });
     let now = at(4200);
     assert_eq!(cluster.status(now).stage, Stage::Closing);
-    let effects = cluster.step(now, WallTime(4200), submission(2));
+    let effects = cluster.step(now, WallTime(4200), submission(4200, 2));
     let is_answer = |effect: &&Effect| matches!(effect, Effect::Answer { .. });
     assert_eq!(effects.iter().filter(is_answer).count(), 0);
     assert_eq!(cluster.status(now).callers, 2);
@@ -226,12 +227,13 @@
     let mut starts = 0;
     for ms in 1..6000 {
         match ms {
-            1000 => events.push(submission(1)),
+            1000 => events.push(submission(ms, 1)),
             2000 => events.push(Event::Shutdown { requested: at(ms) }),
             3000 => events.push(Event::Scheduler(scheduler::Event::CallerGone(RequestId(1)))),
             _ => {}
         }
-        events.push(Event::Tick);
+        let checked = scheduler::Event::CallersChecked { until: at(ms) };
+        events.extend([Event::Scheduler(checked), Event::Tick]);
         for event in std::mem::take(&mut events) {
             for effect in cluster.step(at(ms), WallTime(ms), event) {
                 if let Effect::Call {
@@ -249,7 +251,7 @@
         }
     }
     assert!(starts > 0, "the job has begun");
-    let effects = cluster.step(at(6000), WallTime(6000), submission(2));
+    let effects = cluster.step(at(6000), WallTime(6000), submission(6000, 2));
     let answers = effects.iter().filter_map(|effect| match effect {
         Effect::Answer { outcome, .. } => Some(outcome.clone()),
         _ => None,
--- a/crates/cluster/tests/support/fleet.rs
+++ b/crates/cluster/tests/support/fleet.rs
@@ -25,6 +25,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(1500);
 /// Incarnation and wall clock of all processes at the start, in milliseconds.
 const START_MS: u64 = 1_000_000;
+/// Interval at which a VM learns until when all callers that have left were reported.
+const CALLER_CHECK_INTERVAL: Duration = Duration::from_millis(30);
 /// How long a caller waits for its answer.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -78,6 +80,8 @@
     pub(crate) entry: bool,
     pub(crate) running: bool,
     wake: Time,
+    /// When the listener reports next until when all callers that have left were reported.
+    check: Time,
     /// Messages that this VM has sent, by kind.
     pub(crate) sent: BTreeMap<Kind, u64>,
 }
@@ -208,6 +212,7 @@
     };
     let cluster = Cluster::new(now, setup);
     Node {
+        check: now,
         wake: cluster.next_wake(),
         cluster,
         vm,
@@ -346,6 +351,7 @@
                 }
                 (_, Some((at, index))) if at <= end => {
                     self.now = self.now.max(at);
+                    self.check_callers(index);
                     self.step(index, Kind::Tick, Event::Tick);
                 }
                 _ => break,
@@ -359,6 +365,16 @@
         self.queue.insert((at, self.last_id), delivery);
     }
 
+    /// Reports that no caller of an entry VM has left.
+    fn check_callers(&mut self, index: usize) {
+        let (now, node) = (self.now, &mut self.nodes[index]);
+        if node.entry && now >= node.check {
+            node.check = now + CALLER_CHECK_INTERVAL;
+            let checked = SchedulerEvent::CallersChecked { until: now };
+            self.step(index, Kind::Job, Event::Scheduler(checked));
+        }
+    }
+
     fn step(&mut self, index: usize, kind: Kind, event: Event) {
         let (now, wall) = (self.now, WallTime(START_MS + self.now.0 / 1000));
         let node = &mut self.nodes[index];
@@ -498,6 +514,7 @@
                 label: None,
             }],
             body_bytes: 100,
+            received: self.now,
             timeout: CALLER_TIMEOUT,
             unsupported: None,
         };
--- a/crates/listener/src/connection.rs
+++ b/crates/listener/src/connection.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Sender, TrySendError};
 use http_body_util::{BodyExt, Full};
@@ -26,6 +26,9 @@
 /// Delay after a failed accept, which would fail again at once while no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
+/// Interval of a check that follows a late one, for instance after the process was paused.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Bytes of a rejected body that are read and dropped so that the caller receives the response.
 const MAX_DISCARD_BYTES: usize = 64 << 20;
 /// How long the rest of a rejected body is read.
@@ -72,6 +75,7 @@
     mut closing: watch::Receiver<bool>,
     guards: OpenGuards,
 ) {
+    tokio::task::spawn_local(report_checks(shared.clone()));
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
@@ -96,6 +100,30 @@
     while closing.changed().await.is_ok() {}
 }
 
+/// Tells the service until when all disconnects have been reported. Between two calls the reactor has
+/// looked at all sockets, and the connections that it found ready have run before this task.
+async fn report_checks(shared: Arc<Shared>) {
+    let Handler::Direct(service) = &shared.handler else {
+        return;
+    };
+    let Some(interval) = service.check_interval() else {
+        return;
+    };
+    let mut last = Instant::now();
+    loop {
+        service.connections_checked();
+        let now = Instant::now();
+        let is_late = now.duration_since(last) > interval * 2;
+        last = now;
+        tokio::time::sleep(if is_late {
+            MIN_CHECK_INTERVAL
+        } else {
+            interval
+        })
+        .await;
+    }
+}
+
 /// Accepts the connections that a listening socket would reset as it is closed. Tokio's own accept
 /// reports them only once its reactor has run.
 fn accept_waiting(
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -220,6 +220,12 @@
     fn call(&self, number: u64, request: Request, responder: Responder);
     /// The caller of request `number` disconnected before the response.
     fn disconnected(&self, number: u64);
+    /// How often [`Service::connections_checked`] is called; `None` if never.
+    fn check_interval(&self) -> Option<Duration> {
+        None
+    }
+    /// All disconnects that the kernel knew of at the previous call have been reported.
+    fn connections_checked(&self) {}
 }
 
 /// Where a listener passes its requests.
--- /dev/null
+++ b/crates/listener/tests/checks.rs
@@ -0,0 +1,121 @@
+//! Checks that tell until when all disconnects have been reported.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use greengage_listener::{start_direct, Answer, Limits, Listener, Request, Responder, Service};
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Connections of each kind; together more than the tasks that the runtime runs at a time.
+const CONNECTIONS: usize = 80;
+
+#[derive(Debug, PartialEq, Eq)]
+enum Event {
+    Call(u64),
+    Disconnected(u64),
+    Checked,
+}
+
+/// Records what it is told. A request for `/block` blocks the listener's thread until the test lets it
+/// go on, as a pause of the process does.
+struct Recorder {
+    events: Mutex<Sender<Event>>,
+    resume: Mutex<Receiver<()>>,
+    waiting: Mutex<Vec<Responder>>,
+}
+
+impl Recorder {
+    fn record(&self, event: Event) {
+        let _ = self.events.lock().unwrap().send(event);
+    }
+}
+
+impl Service for Recorder {
+    fn call(&self, number: u64, request: Request, responder: Responder) {
+        self.record(Event::Call(number));
+        if request.path == "/block" {
+            let _ = self.resume.lock().unwrap().recv_timeout(TIMEOUT);
+        }
+        self.waiting.lock().unwrap().push(responder);
+    }
+
+    fn disconnected(&self, number: u64) {
+        self.record(Event::Disconnected(number));
+    }
+
+    fn check_interval(&self) -> Option<Duration> {
+        Some(CHECK_INTERVAL)
+    }
+
+    fn connections_checked(&self) {
+        self.record(Event::Checked);
+    }
+}
+
+fn send(listener: &Listener, path: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(listener.address()).unwrap();
+    write!(stream, "GET {path} HTTP/1.1\r\nHost: h\r\n\r\n").unwrap();
+    stream
+}
+
+/// Receives events until a call arrives.
+fn next_call(events: &Receiver<Event>) -> u64 {
+    loop {
+        match events.recv_timeout(TIMEOUT).expect("a call") {
+            Event::Call(number) => return number,
+            Event::Disconnected(_) | Event::Checked => {}
+        }
+    }
+}
+
+/// Guards against a service that takes a caller for waiting although it has left while the thread was
+/// paused, or before its request was read.
+#[test]
+fn check_follows_the_disconnects_of_a_paused_thread() {
+    let (sender, events) = channel();
+    let (resume, resumed) = channel();
+    let service = Recorder {
+        events: Mutex::new(sender),
+        resume: Mutex::new(resumed),
+        waiting: Mutex::new(Vec::new()),
+    };
+    let reject = |status, message: &str| Answer::json(status, message);
+    let address = "127.0.0.1:0".parse().unwrap();
+    let listener = start_direct(
+        "test",
+        address,
+        Limits::default(),
+        reject,
+        Box::new(service),
+    )
+    .unwrap();
+    let mut left = Vec::new();
+    let mut streams = Vec::new();
+    for _ in 0..CONNECTIONS {
+        streams.push(send(&listener, "/wait"));
+        left.push(next_call(&events));
+    }
+    let blocked = send(&listener, "/block");
+    next_call(&events);
+    for _ in 0..CONNECTIONS {
+        streams.push(send(&listener, "/late"));
+    }
+    drop(streams);
+    thread::sleep(CHECK_INTERVAL * 3);
+    resume.send(()).unwrap();
+    let mut checks = 0;
+    while checks < 2 {
+        match events.recv_timeout(TIMEOUT).expect("a check") {
+            Event::Checked => checks += 1,
+            Event::Call(number) => left.push(number),
+            Event::Disconnected(number) => left.retain(|other| *other != number),
+        }
+    }
+    assert!(left.is_empty(), "not reported: {left:?}");
+    drop(blocked);
+}
--- a/crates/runtime/src/disk.rs
+++ b/crates/runtime/src/disk.rs
@@ -7,7 +7,7 @@
 
 use std::num::NonZeroU64;
 
-use crossbeam_channel::{unbounded, Sender};
+use crossbeam_channel::unbounded;
 use eyre::{Report, WrapErr};
 use greengage_agreement::{Config, Entry, MemberRole, SaveSeq};
 use greengage_cluster::Hints;
@@ -17,7 +17,7 @@
 use greengage_journal::{Batch, Journal, JournalError, RealDisk};
 use greengage_wire::{decode, encode};
 
-use crate::inputs::Input;
+use crate::inputs::{Input, InputSender};
 use crate::settings::Settings;
 
 /// Journal group of the control group's log, which holds the configuration.
@@ -161,7 +161,7 @@
 /// that function is dropped.
 pub(crate) fn start_writer(
     journal: Journal,
-    events: Sender<Input>,
+    events: InputSender,
 ) -> Result<impl FnMut(SaveRequest<'_>), Report> {
     let (saves, batches) = unbounded::<(Batch, Option<SaveSeq>)>();
     journal::start(journal, batches, move |result| {
--- a/crates/runtime/src/inputs.rs
+++ b/crates/runtime/src/inputs.rs
@@ -1,9 +1,10 @@
 //! The inputs of the control thread.
 
+use std::fmt;
 use std::time::Duration;
 
-use crossbeam_channel::{select_biased, Receiver, RecvTimeoutError};
-use greengage_cluster::{Event, Message};
+use crossbeam_channel::{select_biased, unbounded, Receiver, RecvTimeoutError, Sender};
+use greengage_cluster::{scheduler, Event, Message};
 
 /// An input of the control thread.
 #[derive(Debug)]
@@ -14,25 +15,78 @@
     DiskFailed(String),
 }
 
-/// Whether the control thread takes a message before everything else that waits.
+/// Whether the control thread takes an input before everything else that waits.
 ///
-/// The configuration decides how all other inputs are handled. Under load these wait for longer than
-/// a configuration may take until it is in force, and than a VM may be silent before it counts as
-/// lost.
-pub fn is_urgent(message: &Message) -> bool {
-    matches!(message, Message::Configuration(_) | Message::Gossip(..))
+/// The configuration decides how all other inputs are handled, and a job may be worked on only while
+/// its caller waits. Under load the other inputs wait for longer than a configuration may take until
+/// it is in force, than a VM may be silent before it counts as lost, and than a caller waits before
+/// it submits a job again.
+pub fn is_urgent(input: &Input) -> bool {
+    let Input::Event(event) = input else {
+        return false;
+    };
+    match event {
+        Event::Receive { message, .. } => {
+            matches!(message, Message::Configuration(_) | Message::Gossip(..))
+        }
+        Event::Scheduler(event) => matches!(
+            event,
+            scheduler::Event::CallerGone(_) | scheduler::Event::CallersChecked { .. }
+        ),
+        _ => false,
+    }
+}
+
+/// Creates the channels of the control thread.
+pub fn inputs() -> (InputSender, Inputs) {
+    let (urgent_sender, urgent) = unbounded();
+    let (sender, others) = unbounded();
+    let sender = InputSender {
+        urgent: urgent_sender,
+        others: sender,
+    };
+    (sender, Inputs { urgent, others })
+}
+
+/// Why an input can't be sent.
+#[derive(Clone, Copy, Debug)]
+pub struct ControlEnded;
+
+impl fmt::Display for ControlEnded {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the control thread has ended; start the process again")
+    }
+}
+
+impl std::error::Error for ControlEnded {}
+
+/// The sending end of the channels of the control thread.
+#[derive(Clone, Debug)]
+pub struct InputSender {
+    urgent: Sender<Input>,
+    others: Sender<Input>,
+}
+
+impl InputSender {
+    /// Sends an input over its channel. Fails once the control thread has ended.
+    pub fn send(&self, input: Input) -> Result<(), ControlEnded> {
+        let channel = match is_urgent(&input) {
+            true => &self.urgent,
+            false => &self.others,
+        };
+        channel.send(input).map_err(|_| ControlEnded)
+    }
 }
 
 /// The two channels of the control thread. Each is taken in order, the urgent one first.
-pub struct Inputs<'a> {
-    /// Urgent messages of other VMs.
-    pub urgent: Receiver<Input>,
-    /// All other inputs.
-    pub others: &'a Receiver<Input>,
+#[derive(Debug)]
+pub struct Inputs {
+    urgent: Receiver<Input>,
+    others: Receiver<Input>,
 }
 
-impl Inputs<'_> {
-    /// Waits for the next input. Fails after `timeout`, or once either channel is closed.
+impl Inputs {
+    /// Waits for the next input. Fails after `timeout`, or once all senders are dropped.
     pub fn recv_timeout(&self, timeout: Duration) -> Result<Input, RecvTimeoutError> {
         select_biased! {
             recv(self.urgent) -> input => input.map_err(RecvTimeoutError::from),
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -13,7 +13,7 @@
 mod settings;
 
 pub use clock::Clock;
-pub use inputs::{is_urgent, Input, Inputs};
+pub use inputs::{inputs, is_urgent, ControlEnded, Input, InputSender, Inputs};
 pub use metrics::{record_answer, record_call, record_status, record_unanswered, Metrics};
 pub use runtime::{run, ControlPanicked, Exit, Frontend};
 pub use settings::Settings;
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crossbeam_channel::{unbounded, Receiver, RecvTimeoutError, Sender};
+use crossbeam_channel::RecvTimeoutError;
 use eyre::{eyre, Report};
 use greengage_agreement::Timing;
 use greengage_cluster::{
@@ -20,7 +20,7 @@
 use crate::clock::Clock;
 use crate::disk;
 use crate::disk::SaveRequest;
-use crate::inputs::{is_urgent, Input, Inputs};
+use crate::inputs::{Input, InputSender, Inputs};
 use crate::metrics::{record_queued_inputs, record_status};
 use crate::settings::Settings;
 
@@ -50,6 +50,8 @@
         generation: u64,
         call: scheduler::TargetCall,
     );
+    /// Whether the caller of a request still waits for its answer.
+    fn is_waiting(&self, request: RequestId) -> bool;
     /// Reports a change of this VM's status.
     fn status_changed(&mut self, status: &Status);
 }
@@ -142,15 +144,15 @@
 
 impl std::error::Error for ControlPanicked {}
 
-/// Runs a VM until it has shut down. `sender` and `inputs` are the two ends of one channel. All
+/// Runs a VM until it has shut down. `sender` and `inputs` are from one call of [`inputs()`]. All
 /// requests whose events were taken from it are answered before the function returns; the requests
 /// of events that remain in it have had no effect, but their jobs may have run for an earlier
 /// request if they are in `Exit::unfinished`. After a panic the error is a
 /// [`ControlPanicked`], and the outcome of all unanswered requests is unknown.
 pub fn run(
     settings: &Settings,
-    sender: Sender<Input>,
-    inputs: &Receiver<Input>,
+    sender: InputSender,
+    inputs: &Inputs,
     frontend: &mut dyn Frontend,
 ) -> Result<Exit, Report> {
     // The state that a panic leaves behind is not used any more.
@@ -163,8 +165,8 @@
 
 fn run_control(
     settings: &Settings,
-    sender: Sender<Input>,
-    inputs: &Receiver<Input>,
+    sender: InputSender,
+    inputs: &Inputs,
     frontend: &mut dyn Frontend,
 ) -> Result<Exit, Report> {
     let clock = Clock;
@@ -177,30 +179,19 @@
     };
     let disk_sender = sender.clone();
     let mut reopen_at: Option<Time> = None;
-    // The sender is kept here, since the end of the mesh thread must not close the channel.
-    let (urgent_sender, urgent) = unbounded();
-    let inputs = Inputs {
-        urgent,
-        others: inputs,
-    };
-    let mesh_sender = urgent_sender.clone();
     let mesh = Mesh::start(
         settings.vm.clone(),
         settings.listen_address,
         move |from, bytes| {
             match decode::<(gossip::Stamp, Message)>(&bytes) {
                 Ok((stamp, message)) => {
-                    let channel = match is_urgent(&message) {
-                        true => &mesh_sender,
-                        false => &sender,
-                    };
                     let event = Event::Receive {
                         from,
                         stamp,
                         message,
                     };
                     // The send fails only while the process exits, after this loop has ended.
-                    let _ = channel.send(Input::Event(event));
+                    let _ = sender.send(Input::Event(event));
                 }
                 Err(error) => log::warn!(event = "message-unreadable", from = from.as_str(),
                     cause = error.to_string().as_str(); "cannot decode a message of another VM"),
@@ -269,6 +260,11 @@
                 Err(RecvTimeoutError::Timeout) => Event::Tick,
                 Err(RecvTimeoutError::Disconnected) => return Ok(Exit::default()),
             };
+            if let Some(request) = abandoned_request(&event, frontend) {
+                log::info!(event = "job-abandoned", request = request.0;
+                    "dropped a job whose caller has left before it was taken");
+                continue;
+            }
             let is_tick = matches!(event, Event::Tick);
             let effects = cluster.step(clock.now(), clock.wall(), event);
             apply_effects(effects, &mesh, &mut *save, frontend);
@@ -284,11 +280,22 @@
     }
 }
 
+/// The request of a submission whose caller has left while it waited for the control thread. The
+/// notice that the caller has left may have come before it.
+fn abandoned_request(event: &Event, frontend: &dyn Frontend) -> Option<RequestId> {
+    match event {
+        Event::Scheduler(scheduler::Event::Submit(job)) => {
+            Some(job.request).filter(|request| !frontend.is_waiting(*request))
+        }
+        _ => None,
+    }
+}
+
 /// Opens the data folder again, for a member of the control group with the state recovered from it.
 /// State that was not durable is lost, as after a restart.
 fn reopen_folder(
     settings: &Settings,
-    sender: &Sender<Input>,
+    sender: &InputSender,
     clock: Clock,
 ) -> Result<(SaveFn, config::Setup), Report> {
     let folder = disk::open(settings, rand::random())?;
--- a/crates/runtime/tests/inputs.rs
+++ b/crates/runtime/tests/inputs.rs
@@ -2,55 +2,74 @@
 
 use std::time::Duration;
 
-use crossbeam_channel::{unbounded, RecvTimeoutError};
+use crossbeam_channel::RecvTimeoutError;
 use greengage_cluster::distribution::DistributionMessage;
-use greengage_cluster::gossip::GossipMessage;
-use greengage_cluster::{Event, Message};
-use greengage_core::{RequestId, Version};
-use greengage_runtime::{is_urgent, Input, Inputs};
+use greengage_cluster::gossip::{GossipMessage, Stamp};
+use greengage_cluster::{scheduler, Event, Message};
+use greengage_core::{Incarnation, RequestId, Time, Version, VmName};
+use greengage_runtime::{inputs, is_urgent, Input};
 
-/// Guards against a configuration that is late, and a VM that counts as lost, because a message waits
-/// behind the requests of callers.
-#[test]
-fn configuration_and_heartbeats_do_not_wait_behind_other_inputs() {
-    let (urgent_sender, urgent) = unbounded();
-    let (sender, others) = unbounded();
-    let inputs = Inputs {
-        urgent,
-        others: &others,
+fn receive(message: Message) -> Input {
+    let stamp = Stamp {
+        incarnation: Incarnation(1),
+        sent: Time::default(),
+        echo: None,
     };
-    for request in 0..1000 {
-        sender
-            .send(Input::Event(Event::Get(RequestId(request))))
-            .unwrap();
-    }
+    Input::Event(Event::Receive {
+        from: VmName::new("v").unwrap(),
+        stamp,
+        message,
+    })
+}
+
+fn scheduler_input(event: scheduler::Event) -> Input {
+    Input::Event(Event::Scheduler(event))
+}
+
+/// Inputs that don't wait behind others.
+fn urgent_inputs() -> Vec<Input> {
     let offer = Message::Configuration(DistributionMessage::Offer(Version(2)));
-    assert!(is_urgent(&offer));
     let heartbeat = Message::Gossip(GossipMessage::Members(Vec::new()), None);
-    assert!(is_urgent(&heartbeat));
-    assert!(!is_urgent(&Message::Reports(Vec::new())));
-    urgent_sender
-        .send(Input::DiskFailed("urgent".into()))
-        .unwrap();
-    let first = inputs.recv_timeout(Duration::ZERO).unwrap();
-    assert!(matches!(first, Input::DiskFailed(_)), "{first:?}");
-    assert_eq!(inputs.len(), 1000);
-    let second = inputs.recv_timeout(Duration::ZERO).unwrap();
+    let until = Time::from_millis(1);
+    vec![
+        receive(offer),
+        receive(heartbeat),
+        scheduler_input(scheduler::Event::CallerGone(RequestId(1))),
+        scheduler_input(scheduler::Event::CallersChecked { until }),
+    ]
+}
+
+/// Guards against a configuration that is late, a VM that counts as lost, and a job that goes on after
+/// its caller has left, because a message waits behind the requests of callers.
+#[test]
+fn configuration_heartbeats_and_departures_do_not_wait_behind_other_inputs() {
+    let (sender, inputs) = inputs();
+    for request in 0..1000 {
+        let input = Input::Event(Event::Get(RequestId(request)));
+        sender.send(input).unwrap();
+    }
+    assert!(!is_urgent(&receive(Message::Reports(Vec::new()))));
+    let count = urgent_inputs().len();
+    for input in urgent_inputs() {
+        assert!(is_urgent(&input), "{input:?}");
+        sender.send(input).unwrap();
+    }
+    assert_eq!(inputs.len(), 1000 + count);
+    for expected in urgent_inputs() {
+        let input = inputs.recv_timeout(Duration::ZERO).unwrap();
+        assert_eq!(format!("{input:?}"), format!("{expected:?}"));
+    }
+    let next = inputs.recv_timeout(Duration::ZERO).unwrap();
     assert!(
-        matches!(second, Input::Event(Event::Get(RequestId(0)))),
-        "{second:?}"
+        matches!(next, Input::Event(Event::Get(RequestId(0)))),
+        "{next:?}"
     );
 }
 
-/// Guards against a control thread that runs on after its channel was closed.
+/// Guards against a control thread that runs on after its channels were closed.
 #[test]
-fn closed_channel_ends_the_inputs() {
-    let (_urgent_sender, urgent) = unbounded();
-    let (sender, others) = unbounded();
-    let inputs = Inputs {
-        urgent,
-        others: &others,
-    };
+fn closed_channels_end_the_inputs() {
+    let (sender, inputs) = inputs();
     let timeout = Duration::from_millis(1);
     assert!(matches!(
         inputs.recv_timeout(timeout),
--- a/crates/runtime/tests/panic.rs
+++ b/crates/runtime/tests/panic.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use crossbeam_channel::unbounded;
 use greengage_cluster::{scheduler, Outcome, Status};
 use greengage_core::{Address, RequestId, TargetName, VmName, ZoneName};
-use greengage_runtime::{run, ControlPanicked, Frontend, Settings};
+use greengage_runtime::{inputs, run, ControlPanicked, Frontend, Settings};
 
 struct FaultyFrontend;
 
@@ -13,6 +12,10 @@
     fn answer(&mut self, _: RequestId, _: Outcome) {}
     fn call(&mut self, _: TargetName, _: Address, _: u64, _: scheduler::TargetCall) {}
 
+    fn is_waiting(&self, _: RequestId) -> bool {
+        true
+    }
+
     fn status_changed(&mut self, _: &Status) {
         panic!("fault of the test");
     }
@@ -37,7 +40,7 @@
         stop_delay: Duration::ZERO,
         report_interval: Duration::from_secs(1),
     };
-    let (sender, inputs) = unbounded();
+    let (sender, inputs) = inputs();
     let error = run(&settings, sender, &inputs, &mut FaultyFrontend).unwrap_err();
     assert!(error.is::<ControlPanicked>(), "{error:#}");
 }
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -59,7 +59,7 @@
             .filter(|(_, job)| job.tasks.iter().any(|t| t.state == TaskState::Waiting))
             .map(|(job_id, job)| (!job.started, self.latest_start(job), *job_id))
             .collect();
-        if order.is_empty() {
+        if order.is_empty() || !self.knows_callers(now) {
             return;
         }
         order.sort_unstable();
@@ -81,12 +81,15 @@
         if !offloads.is_empty() || self.jobs.values().any(waits) {
             self.shortage_until = now + SHORTAGE_PERIOD;
         }
-        self.send_offloads(offloads, out);
+        self.send_offloads(now, offloads, out);
     }
 
     /// Starts a job that has reached its longest wait, even if it will end late, where slots are
     /// free. Returns whether it was started.
     pub(crate) fn start_late(&mut self, now: Time, job_id: u64, out: &mut Vec<Effect>) -> bool {
+        if !self.knows_callers(now) {
+            return false;
+        }
         let mut pool = self.slot_pool(now);
         let mut offloads = Vec::new();
         let started = self.place_job(
@@ -97,11 +100,16 @@
             &mut offloads,
             out,
         );
-        self.send_offloads(offloads, out);
+        self.send_offloads(now, offloads, out);
         started
     }
 
-    fn send_offloads(&self, offloads: Vec<(VmName, OffloadedTask)>, out: &mut Vec<Effect>) {
+    fn send_offloads(
+        &self,
+        now: Time,
+        offloads: Vec<(VmName, OffloadedTask)>,
+        out: &mut Vec<Effect>,
+    ) {
         let mut by_vm: Vec<(VmName, Vec<OffloadedTask>)> = Vec::new();
         for (vm, offload) in offloads {
             match by_vm.iter_mut().find(|(v, _)| *v == vm) {
@@ -111,7 +119,11 @@
         }
         let sender = self.setup.incarnation;
         for (to, tasks) in by_vm {
-            let message = PeerMessage::Run { sender, tasks };
+            let message = PeerMessage::Run {
+                sender,
+                callers_age: self.callers_age(now),
+                tasks,
+            };
             out.push(Effect::Send { to, message });
         }
     }
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -43,7 +43,9 @@
     pub steps: Vec<Step>,
     /// Length of the request's body in bytes.
     pub body_bytes: u64,
-    /// How long the caller waits for the answer.
+    /// The earliest time at which the request may have arrived at this VM.
+    pub received: Time,
+    /// How long the caller waits for the answer, from when it has sent the request.
     pub timeout: Duration,
     /// A requested feature that isn't supported, for which the job is refused; `None` if there is
     /// none.
@@ -286,6 +288,12 @@
     },
     /// A caller has disconnected, so its job ends.
     CallerGone(RequestId),
+    /// All callers that had disconnected by a time have been reported. Unless this event keeps
+    /// coming, no task is started.
+    CallersChecked {
+        /// That time.
+        until: Time,
+    },
     /// A report of a target has arrived.
     TargetReported(TargetReport),
     /// A target has deregistered.
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -327,6 +327,7 @@
     }
 
     fn send_hold(&mut self, now: Time, name: &TargetName, out: &mut Vec<Effect>) {
+        let knows_callers = self.knows_callers(now);
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
@@ -340,7 +341,8 @@
         // A target that doesn't answer gets no new lease, so that its runs count as ended once the
         // last one has expired.
         let stop_overdue = target.has_overdue_stop(now);
-        let renew = owned && target.hold.misses == 0 && !target.runs.is_empty() && !stop_overdue;
+        let needed = !target.runs.is_empty() && (knows_callers || !target.has_local_runs());
+        let renew = owned && target.hold.misses == 0 && needed && !stop_overdue;
         let lease = match renew {
             true => target.grant_lease(now),
             false => None,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -14,6 +14,7 @@
 //! - `placement`: choice of a slot for a task.
 //! - `progress`: lower bound on the end of a run from its reported progress.
 //! - `job`: a job and its tasks.
+//! - `callers`: until when the callers of the jobs are known to wait.
 //! - `renewal`: which offloaded runs are still needed, and which outcomes were received.
 //! - `admission`: limits on the queueing time of jobs.
 //! - `scheduler`, `submit`, `dispatch`, `ends`, `leases`, `offload`: the state machine.
@@ -23,10 +24,13 @@
 //! - A task has at most one run at a time: the next one starts only after the previous one has
 //!   ended, was refused, was confirmed as stopped, or its lease has expired.
 //! - A VM starts nothing on a target unless it is sure that it owns the target.
+//! - A task is started, and its run goes on, only while its caller is known to wait, or was shorter
+//!   ago than callers wait before they submit a job again.
 //! - A job is refused only while none of its tasks has been sent to a target.
 
 mod admission;
 mod assignment;
+mod callers;
 mod departures;
 mod dispatch;
 mod ends;
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -32,6 +32,17 @@
 /// Number of broadcasts without which a live VM doesn't count this one as live.
 const MISSED_BROADCASTS: u32 = 4;
 
+/// The message by which another VM has offloaded tasks.
+struct OffloadOrigin<'a> {
+    from: &'a VmName,
+    /// Incarnation of that VM.
+    sender: Incarnation,
+    /// The earliest time at which it may have been sent, from which its times count.
+    sent: Time,
+    /// The earliest time at which the callers of the tasks may have waited last.
+    callers_checked: Time,
+}
+
 impl Scheduler {
     pub(crate) fn set_peers(&mut self, now: Time, peers: Vec<Peer>, out: &mut Vec<Effect>) {
         let mut live: Vec<&VmName> = peers.iter().map(|peer| &peer.candidate.vm).collect();
@@ -158,11 +169,13 @@
             PeerMessage::Renew {
                 sender,
                 receiver,
+                callers_age,
                 number,
                 needed,
             } => {
                 let renewal = Renewal {
                     sent,
+                    callers_age,
                     sender,
                     receiver,
                     number,
@@ -196,9 +209,19 @@
                     }
                 }
             }
-            PeerMessage::Run { sender, tasks } => {
+            PeerMessage::Run {
+                sender,
+                callers_age,
+                tasks,
+            } => {
+                let origin = OffloadOrigin {
+                    from: &from,
+                    sender,
+                    sent,
+                    callers_checked: sent - callers_age,
+                };
                 for task in tasks {
-                    self.run_offloaded(now, (&from, sender, sent), task, out);
+                    self.run_offloaded(now, &origin, task, out);
                 }
             }
             PeerMessage::Ended(ends) => {
@@ -218,21 +241,22 @@
         }
     }
 
-    /// Starts a task that another VM has offloaded in a message of `sent`, from which its times
-    /// count.
+    /// Starts a task that another VM has offloaded.
     fn run_offloaded(
         &mut self,
         now: Time,
-        (from, sender, sent): (&VmName, Incarnation, Time),
+        origin: &OffloadOrigin<'_>,
         offload: OffloadedTask,
         out: &mut Vec<Effect>,
     ) {
-        let accepted = self.accepts_offload(now, from, sender, offload.offload_id);
-        let expired = is_expired(now, sent);
+        let (from, sent) = (origin.from, origin.sent);
+        let accepted = self.accepts_offload(now, from, origin.sender, offload.offload_id);
+        let expired = is_expired(now, origin.callers_checked);
         if expired {
             log::info!(event = "offload-late", vm = from.as_str(), task = &*offload.task,
-                age_ms = now.since(sent).as_millis() as u64;
-                "refused a task whose message took too long");
+                age_ms = now.since(sent).as_millis() as u64,
+                callers_ms = now.since(origin.callers_checked).as_millis() as u64;
+                "refused a task whose caller may have left");
         }
         let target = (accepted && !expired)
             .then(|| self.offload_target(now, sent, &offload))
@@ -255,7 +279,7 @@
             deadline: sent + offload.deadline,
         };
         let mut run = Run::new(now, params);
-        run.renewed = sent;
+        run.renewed = origin.callers_checked;
         self.start_run(now, &target, run, offload.spec, out);
     }
 
--- a/crates/scheduler/src/peer.rs
+++ b/crates/scheduler/src/peer.rs
@@ -75,6 +75,8 @@
     Run {
         /// Incarnation of the sender.
         sender: Incarnation,
+        /// Time since the callers of the tasks were last known to wait.
+        callers_age: Duration,
         /// The tasks.
         tasks: Vec<OffloadedTask>,
     },
@@ -88,6 +90,8 @@
         sender: Incarnation,
         /// Incarnation of the receiver to which the runs were offloaded.
         receiver: Incarnation,
+        /// Time since the callers of the tasks were last known to wait.
+        callers_age: Duration,
         /// Number of the renewal, from the same sequence as offload ids.
         number: u64,
         /// Offload ids, ascending, each with the time left until the run is stopped.
--- a/crates/scheduler/src/renewal.rs
+++ b/crates/scheduler/src/renewal.rs
@@ -14,8 +14,9 @@
 //!   is submitted again.
 //! - A run that hasn't been listed for a while is stopped, since its VM may be lost.
 //!
-//! A run and a renewal count from the earliest time at which their message may have been sent, so
-//! that a link that holds messages lengthens nothing. A run that is older than the time for which a
+//! A run and a renewal count from the earliest time at which their message may have been sent, less
+//! the time since the sender last knew that its callers wait. So neither a link that holds messages
+//! nor a sender that was paused lengthens anything. A run that is older than the time for which a
 //! renewal lasts is refused: its VM may have ended the job since.
 //!
 //! A task is therefore started again only once its run has ended or can't start any more.
@@ -32,7 +33,8 @@
 
 /// Interval between renewals of offloaded runs.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(120);
-/// Time without a renewal after which an offloaded run is stopped: more than three intervals.
+/// Time without a renewal after which an offloaded run is stopped: more than three intervals. Counts
+/// from when the caller was last known to wait, as does the time for which tasks are started for it.
 /// Together with a lease, it is shorter than the time after which callers submit their jobs again.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(450);
 /// Time after which an outcome is sent again: several round trips, as a renewal may have been sent
@@ -66,7 +68,7 @@
     }
 }
 
-/// Whether a run that was last renewed at this time must end.
+/// Whether the right to a run that was last renewed at this time has ended.
 pub(crate) fn is_expired(now: Time, renewed: Time) -> bool {
     now.since(renewed) >= RENEWAL_TIMEOUT
 }
@@ -75,6 +77,8 @@
 pub(crate) struct Renewal {
     /// The earliest time at which it may have been sent.
     pub(crate) sent: Time,
+    /// Time, before that, since the callers were last known to wait.
+    pub(crate) callers_age: Duration,
     /// Incarnation of the sender.
     pub(crate) sender: Incarnation,
     /// Incarnation of the receiver; another one doesn't know the runs of this one.
@@ -86,6 +90,11 @@
 }
 
 impl Renewal {
+    /// The earliest time at which the callers may have waited last.
+    fn callers_checked(&self) -> Time {
+        self.sent - self.callers_age
+    }
+
     /// The time left until a run is stopped; `None` if it isn't listed.
     fn time_left(&self, offload_id: u64) -> Option<Duration> {
         let index = self.needed.binary_search_by_key(&offload_id, |(id, _)| *id);
@@ -126,6 +135,7 @@
                 }
             }
         }
+        let callers_age = self.callers_age(now);
         let due = self.peers.iter_mut().filter(|(_, view)| view.renewal_due);
         for (vm, view) in due {
             let mut needed = needed.remove(vm).unwrap_or_default();
@@ -137,6 +147,7 @@
                 message: PeerMessage::Renew {
                     sender: self.setup.incarnation,
                     receiver: view.peer.incarnation,
+                    callers_age,
                     number: self.last_offload_id,
                     needed,
                 },
@@ -262,7 +273,7 @@
                     continue;
                 };
                 if let Some(time_left) = renewal.time_left(offload_id) {
-                    run.renewed = run.renewed.max(renewal.sent);
+                    run.renewed = run.renewed.max(renewal.callers_checked());
                     run.deadline = run.deadline.max(renewal.sent + time_left);
                     if !run.notified {
                         known.push(offload_id);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -89,6 +89,10 @@
     pub(crate) requests: SortedMap<RequestId, u64>,
     /// Job id of each offloaded run, by offload id.
     pub(crate) offloaded: SortedMap<u64, u64>,
+    /// Until when all callers that have left are known to have been reported.
+    pub(crate) callers_checked: Time,
+    /// Whether that was too long ago for the current jobs, as last logged.
+    pub(crate) callers_unknown: bool,
     pub(crate) last_job_id: u64,
     pub(crate) last_offload_id: u64,
     pub(crate) estimates: Estimates,
@@ -164,6 +168,8 @@
             jobs: SortedMap::new(),
             requests: SortedMap::new(),
             offloaded: SortedMap::new(),
+            callers_checked: now,
+            callers_unknown: false,
             last_job_id: 0,
             last_offload_id: first_offload_id(setup.incarnation),
             estimates: Estimates::default(),
@@ -234,6 +240,7 @@
                 path,
             } => self.count_pending(request, &host, &path, &mut out),
             Event::CallerGone(request) => self.on_caller_gone(now, request, &mut out),
+            Event::CallersChecked { until } => self.on_callers_checked(until),
             Event::TargetReported(report) => self.on_target_report(now, report, &mut out),
             Event::TargetLeft(departure) => self.on_target_left(now, &departure, &mut out),
             Event::Peers(peers) => self.set_peers(now, peers, &mut out),
@@ -336,6 +343,7 @@
             return;
         }
         self.next_review = now + REVIEW_INTERVAL;
+        self.review_callers(now);
         self.review_lost_targets(now, out);
         self.review_ownership(now, wall, out);
         self.review_runs(now, out);
@@ -415,22 +423,6 @@
         self.dispatch_due = true;
     }
 
-    fn on_caller_gone(&mut self, now: Time, request: RequestId, out: &mut Vec<Effect>) {
-        let Some(job_id) = self.requests.remove(&request) else {
-            return;
-        };
-        let Some(job) = self.jobs.get_mut(&job_id) else {
-            return;
-        };
-        job.remove_caller(request);
-        log::info!(event = "caller-gone", job = job.id.as_str(), request = request.0,
-            age_ms = now.since(job.arrival).as_millis() as u64, others = job.callers.len();
-            "a caller has closed its connection");
-        if job.callers.is_empty() {
-            self.finish(now, job_id, Reply::TimedOut, out);
-        }
-    }
-
     /// Ends jobs that have reached their deadline or weren't started in time, and answers callers
     /// that wait no longer for a job that goes on for others.
     fn review_jobs(&mut self, now: Time, out: &mut Vec<Effect>) {
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -49,6 +49,7 @@
                 self.last_job_id += 1;
                 log::info!(event = "job-accepted", job = job.id.as_str(), request = request.0,
                     queue = &*accepted.queue, tasks = accepted.tasks.len(),
+                    received_ms = now.since(job.received).as_millis() as u64,
                     patience_ms = job.timeout.as_millis() as u64; "a job was accepted");
                 self.requests.insert(request, self.last_job_id);
                 self.jobs.insert(self.last_job_id, accepted);
@@ -78,7 +79,7 @@
         let Some((job_id, found)) = self.jobs.iter_mut().find(|(_, j)| j.matches(job)) else {
             return false;
         };
-        let answer_due = answer_time(now, job.timeout);
+        let answer_due = answer_time(job);
         let answer_due = self.leaving.map_or(answer_due, |l| answer_due.min(l.end));
         let earlier = found.callers.first().map_or(0, |caller| caller.request.0);
         log::info!(event = "job-resubmitted", job = job.id.as_str(), earlier = earlier,
@@ -267,15 +268,15 @@
     now + work * SHUTDOWN_RUN_TIMES > end
 }
 
-/// When a caller that waits this long is answered at the latest.
-fn answer_time(now: Time, timeout: Duration) -> Time {
-    now + timeout.saturating_sub(ANSWER_MARGIN)
+/// When the caller of a submission is answered at the latest.
+fn answer_time(job: &Submission) -> Time {
+    job.received + job.timeout.saturating_sub(ANSWER_MARGIN)
 }
 
 /// Creates a waiting job; `work` is the expected run time of its longest chain of steps.
 fn new_job(now: Time, job: &Submission, queue: &Queue, work: Duration) -> Job {
     let objective = work * queue.slack_percent / 100 + queue.latency;
-    let deadline = answer_time(now, job.timeout);
+    let deadline = answer_time(job);
     let mut tasks = Vec::new();
     for (i, step) in job.steps.iter().enumerate() {
         for index in 0..step.count {
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -102,8 +102,8 @@
     pub(crate) progressed: Time,
     /// When the target last listed the run.
     pub(crate) last_listed: Time,
-    /// The earliest time at which the VM that offloaded it may have sent its latest message that
-    /// lists it as needed; at first, the one that offloaded it.
+    /// The earliest time at which the caller may have waited last, by the latest message that lists
+    /// an offloaded run as needed; at first, by the one that offloaded it.
     pub(crate) renewed: Time,
     /// Whether it is stopped because it could not end before the deadline.
     pub(crate) too_long: bool,
@@ -277,6 +277,11 @@
         self.runs.is_empty() || now >= self.lease_end
     }
 
+    /// Whether it runs tasks of this VM's own jobs.
+    pub(crate) fn has_local_runs(&self) -> bool {
+        self.runs.iter().any(|run| !run.origin.is_remote())
+    }
+
     /// Whether a requested stop hasn't been confirmed for `STOP_RETRY`. The lease isn't
     /// renewed then, so that it ends before a caller that has lost its VM submits its job again.
     pub(crate) fn has_overdue_stop(&self, now: Time) -> bool {
--- a/crates/scheduler/tests/extremes.rs
+++ b/crates/scheduler/tests/extremes.rs
@@ -64,7 +64,8 @@
     }
 }
 
-fn job(request: u64, demand: Demand, declared: Duration, timeout: Duration) -> Submission {
+fn job(request: u64, received: Time, demand: Demand, times: [Duration; 2]) -> Submission {
+    let [declared, timeout] = times;
     Submission {
         request: RequestId(request),
         host: "h".into(),
@@ -79,6 +80,7 @@
             label: None,
         }],
         body_bytes: u64::MAX,
+        received,
         timeout,
         unsupported: None,
     }
@@ -158,6 +160,7 @@
         let end = self.now + Duration::from_millis(millis);
         while self.now < end {
             self.now = self.now + Duration::from_millis(10);
+            self.step(Event::CallersChecked { until: self.now });
             self.step(Event::Tick);
         }
     }
@@ -181,7 +184,7 @@
                 for declared in [Duration::from_millis(1), Duration::from_secs(86_400)] {
                     request += 1;
                     let timeout = Duration::from_millis(timeout);
-                    let job = job(request, demand(number), declared, timeout);
+                    let job = job(request, vm.now, demand(number), [declared, timeout]);
                     vm.step(Event::Submit(job));
                 }
             }
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -100,8 +100,13 @@
     scheduler
 }
 
+/// Processes an event while all callers are known to wait.
 fn step(scheduler: &mut Scheduler, now: Time, event: Event) -> Vec<Effect> {
-    scheduler.step(now, WallTime(1_000_000), event)
+    let wall = WallTime(1_000_000);
+    let checked = Event::CallersChecked { until: now };
+    let mut effects = scheduler.step(now, wall, checked);
+    effects.extend(scheduler.step(now, wall, event));
+    effects
 }
 
 /// Another live VM, of another zone.
@@ -138,7 +143,7 @@
 }
 
 /// A job of one task that needs 8 cores.
-fn submission(request: u64) -> Event {
+fn submission(received: Time, request: u64) -> Event {
     Event::Submit(Submission {
         request: RequestId(request),
         host: "h".into(),
@@ -153,6 +158,7 @@
             label: None,
         }],
         body_bytes: 100,
+        received,
         timeout: Duration::from_secs(30),
         unsupported: None,
     })
@@ -171,7 +177,7 @@
 fn started_vm_fails_no_job_before_it_knows_the_targets() {
     let start = Time::from_millis(1000);
     let mut scheduler = started_vm(start);
-    let effects = step(&mut scheduler, start, submission(1));
+    let effects = step(&mut scheduler, start, submission(start, 1));
     let failed = has_failed(&effects, 1);
     assert!(!failed, "answered as failed 0 ms after the start");
 }
@@ -192,11 +198,11 @@
 fn job_that_fits_nowhere_fails_once_the_targets_are_known() {
     let start = Time::from_millis(1000);
     let mut scheduler = started_vm(start);
-    step(&mut scheduler, start, submission(1));
+    step(&mut scheduler, start, submission(start, 1));
     let failed = failed_after(&mut scheduler, start, 1);
     assert_eq!(failed, Some(Duration::from_millis(2600)));
     let now = start + Duration::from_secs(3);
-    let effects = step(&mut scheduler, now, submission(2));
+    let effects = step(&mut scheduler, now, submission(now, 2));
     assert!(has_failed(&effects, 2));
 }
 
@@ -205,7 +211,7 @@
 fn jobs_fail_later_if_targets_report_rarely() {
     let start = Time::from_millis(1000);
     let mut scheduler = started_vm_with(start, Duration::from_millis(3000));
-    step(&mut scheduler, start, submission(1));
+    step(&mut scheduler, start, submission(start, 1));
     let failed = failed_after(&mut scheduler, start, 1);
     assert_eq!(failed, Some(Duration::from_millis(4100)));
 }
@@ -216,7 +222,7 @@
 fn job_that_may_fit_elsewhere_does_not_fail() {
     let start = Time::from_millis(1000);
     let mut scheduler = started_vm(start);
-    let effects = step(&mut scheduler, start, submission(1));
+    let effects = step(&mut scheduler, start, submission(start, 1));
     assert!(!has_failed(&effects, 1));
     let large = Event::TargetReported(report("large", 16_000));
     step(&mut scheduler, start + Duration::from_millis(1500), large);
@@ -231,7 +237,7 @@
         time_left: None,
     };
     receive(&mut scheduler, start, message);
-    let effects = step(&mut scheduler, start, submission(1));
+    let effects = step(&mut scheduler, start, submission(start, 1));
     assert!(!has_failed(&effects, 1));
     assert_eq!(failed_after(&mut scheduler, start, 1), None);
 }
@@ -274,6 +280,7 @@
     };
     let run = PeerMessage::Run {
         sender: Incarnation(1),
+        callers_age: Duration::ZERO,
         tasks: vec![task],
     };
     let refused = PeerMessage::Ended(vec![(1, OffloadOutcome::NotRunning)]);
@@ -282,6 +289,7 @@
         let renewal = PeerMessage::Renew {
             sender: Incarnation(1),
             receiver: Incarnation(1),
+            callers_age: Duration::ZERO,
             number,
             needed: vec![(1, Duration::from_secs(1))],
         };
--- a/crates/scheduler/tests/world/callers.rs
+++ b/crates/scheduler/tests/world/callers.rs
@@ -106,6 +106,7 @@
                 label: None,
             }],
             body_bytes: self.bytes,
+            received: self.now + SUBMIT_LATENCY,
             timeout: caller.timeout,
             unsupported: None,
         };
--- a/crates/scheduler/tests/world/pauses.rs
+++ b/crates/scheduler/tests/world/pauses.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::faults::env_number;
 use crate::support::Simulation;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -89,3 +90,64 @@
         assert_no_duplicates(&sim, seed);
     }
 }
+
+/// Guards against duplicate runs when VMs are paused, resumed and killed at random while callers leave
+/// them and links between VMs hold messages. `GREENGAGE_SEED` and `GREENGAGE_CASES` choose the cases.
+#[test]
+fn survives_random_pauses_and_callers_that_leave() {
+    let first = env_number("GREENGAGE_SEED", 1);
+    for seed in first..first + env_number("GREENGAGE_CASES", 30) {
+        println!("GREENGAGE_SEED={seed} GREENGAGE_CASES=1");
+        let mut sim = Simulation::new(seed, 4, 12);
+        sim.resubmit_timeouts = true;
+        for _ in 0..60 {
+            play_random_pause(&mut sim);
+        }
+        sim.held_links.clear();
+        for vm in 0..4 {
+            sim.resume_vm(vm);
+            sim.restart_vm(vm);
+        }
+        sim.run(10 * SECOND);
+        assert_no_duplicates(&sim, seed);
+        assert!(
+            sim.late_offloads.is_empty(),
+            "seed {seed}: {:?}",
+            sim.late_offloads
+        );
+    }
+}
+
+/// Injects a fault, lets some callers leave and submits new jobs.
+fn play_random_pause(sim: &mut Simulation) {
+    let vm = sim.rng.below(4) as usize;
+    match sim.rng.below(8) {
+        0 if sim.vms.iter().filter(|v| v.up).count() > 2 => sim.kill_vm(vm),
+        1 => sim.restart_vm(vm),
+        2 | 3 => sim.vms[vm].paused = sim.vms[vm].up,
+        4 => {
+            let other = sim.rng.below(4) as usize;
+            let span = millis(500 + sim.rng.below(2000));
+            sim.hold_link(vm, other, span);
+        }
+        _ => sim.resume_vm(vm),
+    }
+    for _ in 0..2 {
+        let caller = sim
+            .callers
+            .len()
+            .saturating_sub(1 + sim.rng.below(8) as usize);
+        if caller < sim.callers.len() && sim.rng.chance(40) {
+            sim.close_caller(caller);
+        }
+    }
+    for _ in 0..2 {
+        let (vm, queue) = (sim.rng.below(4) as usize, sim.rng.below(3) as usize);
+        let work = millis([50, 700, 1500][queue]);
+        let tasks = 1 + sim.rng.below(4);
+        let work = (0..tasks).map(|_| work.mul_f64(sim.rng.spread(40)));
+        let work = work.collect();
+        sim.submit(vm, queue, work);
+    }
+    run_for(sim, 0, 300);
+}
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -30,6 +30,8 @@
 /// milliseconds.
 const RELEASE_MS: u64 = 200;
 
+/// Interval at which a listener reports until when it has reported all callers that have left.
+const CALLER_CHECK_INTERVAL: Duration = Duration::from_millis(30);
 /// Limit on the delay until the listener of a resumed VM runs, in milliseconds.
 const LISTENER_DELAY_MS: u64 = 40;
 
@@ -97,6 +99,10 @@
     pub(crate) incarnation: u64,
     last_seen: Time,
     deferred: Vec<Event>,
+    /// When the listener last looked for callers that have left.
+    callers_checked: Time,
+    /// When the listener runs again after a pause.
+    listener_resumes: Time,
 }
 
 impl Vm {
@@ -125,6 +131,7 @@
     Call(Delivery),
     FinishDue(usize, usize),
     Tick(usize),
+    CheckCallers(usize),
     Report(usize),
     Peers,
     Submit(usize),
@@ -256,12 +263,15 @@
                 incarnation: 1,
                 last_seen: now,
                 deferred: Vec::new(),
+                callers_checked: now,
+                listener_resumes: now,
             });
             sim.schedule(
                 Duration::ZERO,
                 Action::Event(i, 1, Event::Configuration(document(1))),
             );
             sim.schedule(Duration::from_millis(i as u64), Action::Tick(i));
+            sim.schedule(CALLER_CHECK_INTERVAL, Action::CheckCallers(i));
         }
         for i in 0..targets {
             sim.targets.push(Target {
@@ -326,6 +336,7 @@
                 self.event(vm, incarnation, Event::Tick);
                 self.schedule(Duration::from_millis(20), Action::Tick(vm));
             }
+            Action::CheckCallers(vm) => self.check_callers(vm),
             Action::Report(target) => self.report(target),
             Action::Peers => self.peers(),
             Action::Submit(caller) => self.submit_now(caller),
@@ -333,6 +344,18 @@
         }
     }
 
+    /// Lets the listener of a VM report until when it has reported all callers that have left.
+    fn check_callers(&mut self, vm: usize) {
+        self.schedule(CALLER_CHECK_INTERVAL, Action::CheckCallers(vm));
+        let state = &mut self.vms[vm];
+        if !state.up || state.paused || self.now < state.listener_resumes {
+            return;
+        }
+        let until = std::mem::replace(&mut state.callers_checked, self.now);
+        let incarnation = state.incarnation;
+        self.event(vm, incarnation, Event::CallersChecked { until });
+    }
+
     pub(crate) fn event(&mut self, vm: usize, incarnation: u64, event: Event) {
         let state = &mut self.vms[vm];
         if !state.up || state.incarnation != incarnation {
@@ -540,6 +563,7 @@
             state.scheduler = Scheduler::new(self.now, setup);
             state.up = true;
             state.leaving = false;
+            (state.callers_checked, state.listener_resumes) = (self.now, self.now);
             self.schedule(
                 Duration::ZERO,
                 Action::Event(vm, incarnation, Event::Configuration(document(1))),
@@ -554,6 +578,7 @@
         self.vms[vm].paused = false;
         let incarnation = self.vms[vm].incarnation;
         let listener_delay = Duration::from_millis(self.rng.below(LISTENER_DELAY_MS));
+        self.vms[vm].listener_resumes = self.now + listener_delay;
         for event in std::mem::take(&mut self.vms[vm].deferred) {
             match event {
                 Event::CallerGone(_) => {
