Grant no lease while a run outlasts the right to it

A lease holds for all runs of a target. Starts for other VMs, and the first holds after a pause, extended it also for runs whose callers had left, or whose renewals had ended, and whose stops were not sent or not confirmed yet. Such a run could go on beside the second submission of its job.

Change: each run has the time at which its caller was last known to wait. A target gets no lease and no task once that is 0.6 s ago for a run that isn't confirmed as stopped.

--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -8,10 +8,11 @@
 //! Each right to run a task is therefore bounded by the time at which its caller was last known to
 //! wait, and not by the time at which the VM acts:
 //!
-//! - A task is started, and the lease of a run of this VM's own jobs is renewed, only for
-//!   `RENEWAL_TIMEOUT` after that time.
+//! - A task is started or offloaded only for `RENEWAL_TIMEOUT` after that time.
 //! - An offloaded run and its renewals tell how long ago that was; the VM that runs it counts
-//!   `RENEWAL_TIMEOUT` from then.
+//!   `RENEWAL_TIMEOUT` from then, and stops the run.
+//! - A lease holds for all runs of a target, so a target gets none while it may have a run whose time
+//!   is over for longer than a stop may take (`Target::has_expired_run`).
 //!
 //! A run ends with its lease, so none outlasts its caller by more than callers wait before they
 //! submit their jobs again.
@@ -23,11 +24,19 @@
 use crate::event::{Effect, Reply};
 use crate::renewal::is_expired;
 use crate::scheduler::Scheduler;
+use crate::target::Run;
 
 impl Scheduler {
     /// Records that all callers that had left by `until` have been reported.
     pub(crate) fn on_callers_checked(&mut self, until: Time) {
         self.callers_checked = self.callers_checked.max(until);
+        let checked = self.callers_checked;
+        self.targets.for_each_used(|_, target| {
+            let current = |run: &&mut Run| !run.origin.is_remote() && run.stop_requested.is_none();
+            for run in target.runs.iter_mut().filter(current) {
+                run.renewed = run.renewed.max(checked);
+            }
+        });
         self.dispatch_due = true;
     }
 
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -307,7 +307,9 @@
             deadline: job.deadline,
         };
         let spec = job.spec.clone();
-        self.start_run(now, target, Run::new(now, params), spec, out);
+        let mut run = Run::new(now, params);
+        run.renewed = self.callers_checked;
+        self.start_run(now, target, run, spec, out);
     }
 
     /// Sends a start call to a target of this VM.
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -327,7 +327,6 @@
     }
 
     fn send_hold(&mut self, now: Time, name: &TargetName, out: &mut Vec<Effect>) {
-        let knows_callers = self.knows_callers(now);
         let Some(target) = self.targets.get_mut(name) else {
             return;
         };
@@ -340,9 +339,9 @@
         let owned = target.ownership == Ownership::Owned;
         // A target that doesn't answer gets no new lease, so that its runs count as ended once the
         // last one has expired.
-        let stop_overdue = target.has_overdue_stop(now);
-        let needed = !target.runs.is_empty() && (knows_callers || !target.has_local_runs());
-        let renew = owned && target.hold.misses == 0 && needed && !stop_overdue;
+        let overdue = target.has_overdue_stop(now) || target.has_expired_run(now);
+        let needed = !target.runs.is_empty();
+        let renew = owned && target.hold.misses == 0 && needed && !overdue;
         let lease = match renew {
             true => target.grant_lease(now),
             false => None,
--- a/crates/scheduler/src/renewal.rs
+++ b/crates/scheduler/src/renewal.rs
@@ -36,7 +36,7 @@
 /// Time without a renewal after which an offloaded run is stopped: more than three intervals. Counts
 /// from when the caller was last known to wait, as does the time for which tasks are started for it.
 /// Together with a lease, it is shorter than the time after which callers submit their jobs again.
-const RENEWAL_TIMEOUT: Duration = Duration::from_millis(450);
+pub(crate) const RENEWAL_TIMEOUT: Duration = Duration::from_millis(450);
 /// Time after which an outcome is sent again: several round trips, as a renewal may have been sent
 /// before the outcome arrived.
 const REPEAT_DELAY: Duration = Duration::from_millis(50);
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -12,6 +12,7 @@
 use crate::estimate::LearnedFactor;
 use crate::event::TargetReport;
 use crate::health::Health;
+use crate::renewal::RENEWAL_TIMEOUT;
 
 /// Lease of the runs on a target. A caller that loses its VM submits its job again 1.3 s later, and
 /// no run of the first submission may exist by then, even if a VM that runs offloaded tasks of the
@@ -102,8 +103,8 @@
     pub(crate) progressed: Time,
     /// When the target last listed the run.
     pub(crate) last_listed: Time,
-    /// The earliest time at which the caller may have waited last, by the latest message that lists
-    /// an offloaded run as needed; at first, by the one that offloaded it.
+    /// The earliest time at which the caller may have waited last: by the latest check of the callers
+    /// of this VM's own job, or the latest message that lists an offloaded run as needed.
     pub(crate) renewed: Time,
     /// Whether it is stopped because it could not end before the deadline.
     pub(crate) too_long: bool,
@@ -277,9 +278,13 @@
         self.runs.is_empty() || now >= self.lease_end
     }
 
-    /// Whether it runs tasks of this VM's own jobs.
-    pub(crate) fn has_local_runs(&self) -> bool {
-        self.runs.iter().any(|run| !run.origin.is_remote())
+    /// Whether a run may go on although the right to it ended so long ago that its stop should be
+    /// confirmed. A lease holds for all runs of a target, so none is granted then.
+    pub(crate) fn has_expired_run(&self, now: Time) -> bool {
+        self.runs.iter().any(|run| {
+            let stopped = matches!(run.state, RunState::Stopped(_));
+            !stopped && now.since(run.renewed) >= RENEWAL_TIMEOUT + STOP_RETRY
+        })
     }
 
     /// Whether a requested stop hasn't been confirmed for `STOP_RETRY`. The lease isn't
@@ -308,6 +313,7 @@
             && !self.lost
             && !self.report.draining
             && !self.has_overdue_stop(now)
+            && !self.has_expired_run(now)
             && self.hold.misses == 0
             && now >= self.full_until
             && self.clock.is_some()
--- a/crates/scheduler/tests/world/pauses.rs
+++ b/crates/scheduler/tests/world/pauses.rs
@@ -91,6 +91,57 @@
     }
 }
 
+/// Guards against tasks of other VMs whose starts extend the lease of runs of callers that have left.
+#[test]
+fn starts_for_other_vms_renew_no_run_while_callers_are_unknown() {
+    for seed in 0..SEEDS {
+        let mut sim = Simulation::new(seed, 3, 9);
+        sim.caller_timeout = Some(30 * SECOND);
+        sim.submit(0, 1, vec![5 * SECOND; 3]);
+        sim.run(millis(400));
+        sim.pause_listener(0, 3 * SECOND);
+        sim.close_caller(0);
+        for _ in 0..30 {
+            sim.submit(1, 0, vec![millis(150); 8]);
+            sim.run(millis(100));
+        }
+        sim.run(6 * SECOND);
+        assert_no_duplicates(&sim, seed);
+    }
+}
+
+/// Guards against a VM that resumes and renews offloaded runs whose time is over, since it hasn't sent
+/// their stops yet, of which the first ones are lost.
+#[test]
+fn resumed_vm_renews_no_offloaded_run_whose_time_is_over() {
+    for seed in 0..SEEDS {
+        let mut sim = Simulation::new(seed, 3, 9);
+        sim.caller_timeout = Some(30 * SECOND);
+        sim.late_order_delay = SECOND;
+        sim.submit(0, 1, vec![20 * SECOND; 6]);
+        sim.run(millis(50));
+        (0..3).for_each(|_| drop(sim.submit(0, 1, vec![5 * SECOND])));
+        sim.run(millis(400));
+        sim.vms[0].paused = true;
+        let left = sim.now;
+        (0..4).for_each(|caller| sim.close_caller(caller));
+        run_for(&mut sim, 150, 250);
+        (1..3).for_each(|vm| sim.vms[vm].paused = true);
+        run_for(&mut sim, 400, 200);
+        sim.targets.iter_mut().for_each(|t| t.late_stops = true);
+        (1..3).for_each(|vm| sim.resume_vm(vm));
+        for _ in 0..10 {
+            (1..3).for_each(|vm| drop(sim.submit(vm, 0, vec![millis(20); 3])));
+            sim.run(millis(10));
+        }
+        let rest = millis(1280) - sim.now.since(left);
+        sim.run(rest);
+        sim.targets.iter_mut().for_each(|t| t.late_stops = false);
+        sim.run(4 * SECOND);
+        assert_no_duplicates(&sim, seed);
+    }
+}
+
 /// Guards against duplicate runs when VMs are paused, resumed and killed at random while callers leave
 /// them and links between VMs hold messages. `GREENGAGE_SEED` and `GREENGAGE_CASES` choose the cases.
 #[test]
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -287,6 +287,7 @@
                 fails: false,
                 late_order_percent: 0,
                 late_starts: false,
+                late_stops: false,
                 lost_holds: 0,
                 generation: 0,
                 lease: 0,
@@ -367,6 +368,10 @@
             }
             return;
         }
+        let listener_delay = state.listener_resumes.since(self.now);
+        if matches!(event, Event::CallerGone(_)) && !listener_delay.is_zero() {
+            return self.schedule(listener_delay, Action::Event(vm, incarnation, event));
+        }
         let wall = WallTime(1_000_000 + self.now.0 / 1000);
         let sender = match &event {
             Event::Peer {
@@ -589,6 +594,11 @@
         }
     }
 
+    /// Pauses the listener of a VM, whose other threads go on.
+    pub(crate) fn pause_listener(&mut self, vm: usize, span: Duration) {
+        self.vms[vm].listener_resumes = self.now + span;
+    }
+
     /// Number of starts that `vm` has sent for tasks offloaded by `peer`.
     pub(crate) fn offload_starts(&self, vm: usize, peer: usize) -> usize {
         self.offloads.get(&(vm, peer)).copied().unwrap_or(0)
--- a/crates/scheduler/tests/world/targets.rs
+++ b/crates/scheduler/tests/world/targets.rs
@@ -47,6 +47,8 @@
     pub(crate) late_order_percent: u64,
     /// Whether this applies to all start calls.
     pub(crate) late_starts: bool,
+    /// Whether it applies to all stop calls.
+    pub(crate) late_stops: bool,
     /// Number of next holds that get no answer.
     pub(crate) lost_holds: u32,
     pub(crate) generation: u64,
@@ -87,7 +89,10 @@
                 Action::Event(vm, incarnation, unanswered_event),
             );
         }
-        let lost = late_start || order && self.rng.chance(self.targets[target].late_order_percent);
+        let late_stop = self.targets[target].late_stops && matches!(call, TargetCall::Stop(_));
+        let lost = late_start
+            || late_stop
+            || order && self.rng.chance(self.targets[target].late_order_percent);
         let limit = call.timeout();
         let unreachable = self.targets[target].disconnected || !self.targets[target].up;
         if lost || unreachable {
