End a job that was submitted again with its latest request

A job with several requests lasted until all of them had ended. A caller submits again only once its earlier request has ended for it, which the VM may not notice; when it then left and submitted elsewhere, the job went on for the dead request.

Change: the job ends once its latest request has.

Conclusion: a dead connection that this VM hasn't noticed keeps no job alive.

--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -68,11 +68,14 @@
         let Some(job) = self.jobs.get_mut(&job_id) else {
             return;
         };
+        // A caller submits a job again only once its earlier request has ended for it, which this VM may
+        // not have noticed.
+        let is_latest = job.callers.last().is_some_and(|c| c.request == request);
         job.remove_caller(request);
         log::info!(event = "caller-gone", job = job.id.as_str(), request = request.0,
             age_ms = now.since(job.arrival).as_millis() as u64, others = job.callers.len();
             "a caller has closed its connection");
-        if job.callers.is_empty() {
+        if is_latest {
             self.finish(now, job_id, Reply::TimedOut, out);
         }
     }
--- a/crates/scheduler/tests/world/pauses.rs
+++ b/crates/scheduler/tests/world/pauses.rs
@@ -142,6 +142,25 @@
     }
 }
 
+/// Guards against a job that goes on for an earlier request of its caller, whose end the VM hasn't
+/// noticed, although the latest request has ended.
+#[test]
+fn resubmitted_job_ends_with_its_latest_request() {
+    for seed in 0..SEEDS {
+        let mut sim = Simulation::new(seed, 3, 9);
+        sim.caller_timeout = Some(30 * SECOND);
+        sim.submit(0, 1, vec![6 * SECOND; 2]);
+        sim.run(millis(400));
+        // The end of the first connection never arrives.
+        sim.submit_now(0);
+        sim.run(millis(400));
+        sim.requests[0].closed = true;
+        sim.close_caller(0);
+        sim.run(4 * SECOND);
+        assert_no_duplicates(&sim, seed);
+    }
+}
+
 /// Guards against duplicate runs when VMs are paused, resumed and killed at random while callers leave
 /// them and links between VMs hold messages. `GREENGAGE_SEED` and `GREENGAGE_CASES` choose the cases.
 #[test]
