Look at all sockets of a listener at a time

The reactor takes 1,024 events at a time, so a check that follows a late one by 1 ms could run before it had looked at the other sockets, and callers that had left counted as known to wait.

Change: one look takes as many events as a listener has connections. The test needs 12,200 file descriptors and raises its own soft limit if that is lower.

Conclusion: the check holds for as many connections as the listener accepts.

--- a/crates/listener/src/connection.rs
+++ b/crates/listener/src/connection.rs
@@ -29,6 +29,10 @@
 /// Interval of a check that follows a late one, for instance after the process was paused.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
+/// Sources of events besides connections: the listening socket and the runtime's own wake-ups, with
+/// room for a connection that is closed at once.
+const OTHER_SOURCES: usize = 8;
+
 /// Bytes of a rejected body that are read and dropped so that the caller receives the response.
 const MAX_DISCARD_BYTES: usize = 64 << 20;
 /// How long the rest of a rejected body is read.
@@ -55,6 +59,8 @@
 ) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
+        // `report_checks` relies on one look at the sockets for all that are ready.
+        .max_io_events_per_tick(shared.limits.max_connections + OTHER_SOURCES)
         .build();
     let runtime = match runtime {
         Ok(runtime) => runtime,
--- a/crates/listener/tests/checks.rs
+++ b/crates/listener/tests/checks.rs
@@ -2,12 +2,14 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
 use greengage_listener::{start_direct, Answer, Limits, Listener, Request, Responder, Service};
+use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -119,3 +121,103 @@
     assert!(left.is_empty(), "not reported: {left:?}");
     drop(blocked);
 }
+
+/// Connections that end at a time; more than the 1,024 events that the reactor takes in one look.
+const MANY_CONNECTIONS: usize = 6000;
+
+/// Descriptors that the test needs: two for each connection, and some others.
+const DESCRIPTORS: u64 = 2 * MANY_CONNECTIONS as u64 + 200;
+
+/// Raises the limit of open descriptors, which is 1,024 by default on many machines.
+fn allow_descriptors() {
+    let limit = getrlimit(Resource::Nofile);
+    if limit.current.is_some_and(|current| current < DESCRIPTORS) {
+        let raised = Rlimit {
+            current: Some(DESCRIPTORS),
+            ..limit
+        };
+        setrlimit(Resource::Nofile, raised).expect("a hard limit of enough descriptors");
+    }
+}
+
+/// Pauses the listener's thread at the start of a check, once it is told to.
+struct PausedCheck {
+    recorder: Recorder,
+    pause: AtomicBool,
+    paused: Mutex<Sender<()>>,
+}
+
+struct PausedService(Arc<PausedCheck>);
+
+impl Service for PausedService {
+    fn call(&self, number: u64, request: Request, responder: Responder) {
+        self.0.recorder.call(number, request, responder);
+    }
+
+    fn disconnected(&self, number: u64) {
+        self.0.recorder.disconnected(number);
+    }
+
+    fn check_interval(&self) -> Option<Duration> {
+        Some(CHECK_INTERVAL)
+    }
+
+    fn connections_checked(&self) {
+        if self.0.pause.swap(false, Ordering::SeqCst) {
+            let _ = self.0.paused.lock().unwrap().send(());
+            let _ = self.0.recorder.resume.lock().unwrap().recv_timeout(TIMEOUT);
+        }
+        self.0.recorder.connections_checked();
+    }
+}
+
+/// Guards against a check that is reported although the reactor hasn't looked at all connections since
+/// the previous one.
+#[test]
+fn check_follows_more_disconnects_than_one_look_at_the_sockets_finds() {
+    allow_descriptors();
+    let (sender, events) = channel();
+    let (resume, resumed) = channel();
+    let (paused_sender, paused) = channel();
+    let service = Arc::new(PausedCheck {
+        recorder: Recorder {
+            events: Mutex::new(sender),
+            resume: Mutex::new(resumed),
+            waiting: Mutex::new(Vec::new()),
+        },
+        pause: AtomicBool::new(false),
+        paused: Mutex::new(paused_sender),
+    });
+    let reject = |status, message: &str| Answer::json(status, message);
+    let address = "127.0.0.1:0".parse().unwrap();
+    let limits = Limits::default();
+    let listener = start_direct(
+        "test",
+        address,
+        limits,
+        reject,
+        Box::new(PausedService(service.clone())),
+    )
+    .unwrap();
+    let mut left = Vec::new();
+    let mut streams = Vec::new();
+    for _ in 0..MANY_CONNECTIONS {
+        streams.push(send(&listener, "/wait"));
+        left.push(next_call(&events));
+    }
+    service.pause.store(true, Ordering::SeqCst);
+    paused.recv_timeout(TIMEOUT).unwrap();
+    while events.try_recv().is_ok() {}
+    drop(streams);
+    thread::sleep(CHECK_INTERVAL * 3);
+    resume.send(()).unwrap();
+    let mut checks = 0;
+    while checks < 2 {
+        match events.recv_timeout(TIMEOUT).expect("a check") {
+            Event::Checked => checks += 1,
+            Event::Call(number) => left.push(number),
+            Event::Disconnected(number) => left.retain(|other| *other != number),
+        }
+    }
+    assert!(left.is_empty(), "{} were not reported", left.len());
+}
