Cancel a job whichever entry VM has it

Cause: a DELETE was handled as a question about the path, without a look at the jobs, and answered with 410. At a VM that doesn't have the job the same answer was as untrue, as another one may have it.

Change: the asked VM ends its own job: its callers are answered with the state `cancelled`, its runs are stopped. All live entry VMs are told by messages of their own, which need no age; a VM without the job answers 200 or 410 once all have confirmed, or 503 after 1 s. Each VM keeps cancelled jobs for a minute, 4,096 at most, and runs no submission of them. A VM that closes answers such a submission as cancelled too.

Trials: without the end of the job, without the check of submissions, with DELETE handled like GET, without the other VMs' part, and without the check while closing, the matching tests fail.

A cancelled job costs one message and its answer for each entry VM; a VM that is cut off isn't reached. GET still answers 410 for a running job.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -15,6 +15,7 @@
     Candidate, Departure, Peer, PeerMessage, Reply, Scheduler, TargetReport, DEFAULT_WEIGHT,
 };
 
+use crate::cancels::Cancels;
 use crate::event::{Effect, Event, Hints, Outcome};
 use crate::message::Message;
 use crate::reports::Reports;
@@ -69,7 +70,8 @@
 pub struct Cluster {
     pub(crate) members: MemberList,
     pub(crate) group: Option<Group>,
-    scheduler: Option<Scheduler>,
+    pub(crate) scheduler: Option<Scheduler>,
+    pub(crate) cancels: Cancels,
     pub(crate) reports: Reports,
     pub(crate) document: Option<Arc<Document>>,
     shutdown: Shutdown,
@@ -99,6 +101,7 @@
             members,
             group,
             scheduler,
+            cancels: Cancels::default(),
             reports: Reports::new(now, setup.hints.targets),
             document,
             shutdown: Shutdown::default(),
@@ -125,6 +128,7 @@
     /// Answers all callers and operators that still wait, because the process is about to exit.
     pub fn answer_all(&mut self, now: Time, wall: WallTime) -> Vec<Effect> {
         let mut out = self.drop_group(now, wall);
+        self.answer_cancels(&mut out);
         let effects = self.scheduler.as_mut().map(|s| s.answer_all(now));
         for effect in effects.unwrap_or_default() {
             self.handle_scheduler_effect(now, effect, &mut out);
@@ -157,7 +161,9 @@
         let group = self.group.as_ref().map(Group::next_wake);
         let scheduler = self.scheduler.as_ref().map(Scheduler::next_wake);
         let download = self.download.next_wake();
-        let wake_times = [group, scheduler, download, self.reports.next_wake()];
+        let cancels = self.cancels.next_wake();
+        let reports = self.reports.next_wake();
+        let wake_times = [group, scheduler, download, cancels, reports];
         let own = self.liveness_due.min(self.members.next_wake());
         wake_times.into_iter().flatten().fold(own, Time::min)
     }
@@ -171,7 +177,7 @@
     pub fn status(&mut self, now: Time) -> Status {
         let scheduler = self.scheduler.as_ref();
         let operators = self.group.as_ref().map_or(0, Group::pending_requests);
-        let callers = scheduler.map_or(0, Scheduler::callers) + operators;
+        let callers = scheduler.map_or(0, Scheduler::callers) + self.cancels.callers() + operators;
         let owned = scheduler.map_or(0, Scheduler::owned);
         let targets = scheduler.map_or(0, Scheduler::known);
         let is_leader = self.group.as_ref().is_some_and(Group::is_leader);
@@ -200,6 +206,7 @@
             } => self.receive(now, wall, (from, stamp, message), &mut out),
             Event::Saved(seq) => self.step_group(now, wall, config::Event::Saved(seq), &mut out),
             Event::Scheduler(event) => self.step_scheduler(now, wall, event, &mut out),
+            Event::Cancel { request, job } => self.cancel(now, request, job, &mut out),
             Event::Report(report) => self.handle_report(now, wall, report, &mut out),
             Event::TargetLeft(departure) => {
                 self.target_left(now, wall, departure.clone(), &mut out);
@@ -249,6 +256,7 @@
         self.step_scheduler(now, wall, scheduler::Event::Tick, out);
         let request = self.download.tick(now, version);
         self.request_part(now, request, out);
+        self.review_cancels(now, out);
         self.forward_reports(now, out);
         let due_reports = self.reports.take_for_storage(now);
         // A control VM without its group has no working disk.
@@ -359,6 +367,8 @@
             Message::Scheduler(message) => {
                 self.receive_from_scheduler(now, wall, (from, stamp, sent), message, out);
             }
+            Message::Cancel(job) => self.cancel_for(now, &from, job, out),
+            Message::Cancelled { job, held } => self.cancel_confirmed(&from, &job, held, out),
         }
     }
 
@@ -541,7 +551,7 @@
         if let scheduler::Event::Submit(job) = &event {
             let stage = self.status(now).stage;
             let scheduler = self.scheduler.as_ref();
-            let is_current = || scheduler.is_some_and(|s| s.has_job(job));
+            let is_current = || scheduler.is_some_and(|s| s.has_job(now, job));
             if matches!(stage, Stage::Closing | Stage::Done) && !is_current() {
                 let unfinished = scheduler.map_or(&[][..], Scheduler::unfinished);
                 let reply = match unfinished.contains(&job.path) {
@@ -562,7 +572,7 @@
         }
     }
 
-    fn handle_scheduler_effect(
+    pub(crate) fn handle_scheduler_effect(
         &mut self,
         now: Time,
         effect: scheduler::Effect,
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -7,7 +7,7 @@
 use greengage_core::{value, Address, RequestId, TargetName, Time, VmName};
 use greengage_gossip::Stamp;
 use greengage_scheduler as scheduler;
-use greengage_scheduler::{Departure, Reply, TargetReport};
+use greengage_scheduler::{Departure, JobKey, Reply, TargetReport};
 
 use crate::message::Message;
 
@@ -29,6 +29,13 @@
     Saved(SaveSeq),
     /// An event from a caller or a target for the scheduler.
     Scheduler(scheduler::Event),
+    /// A caller cancels a job, which may be at another VM.
+    Cancel {
+        /// The request to answer.
+        request: RequestId,
+        /// The job.
+        job: JobKey,
+    },
     /// A target reported to this VM.
     Report(TargetReport),
     /// A target told this VM that it leaves the deployment.
@@ -64,6 +71,8 @@
     Redirect(Address),
     /// The outcome or the newest configuration is unknown; the request may be retried.
     Unknown,
+    /// It isn't known whether another VM has the job and has cancelled it; the request may be retried.
+    Unconfirmed,
 }
 
 /// State that a control VM stores outside its Raft log, so that it serves sooner after a restart.
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -8,6 +8,7 @@
 //! - `event`: inputs and outputs of the state machine.
 //! - `reports`: target reports at a control VM, and how they are forwarded and stored.
 //! - `cluster`: the state machine itself.
+//! - `cancels`: cancelling of jobs at all entry VMs.
 //! - `configuration`: offers and downloads of the configuration.
 //! - `shutdown`: the stages of a graceful shutdown.
 
@@ -15,6 +16,7 @@
 pub use greengage_gossip as gossip;
 pub use greengage_scheduler as scheduler;
 
+mod cancels;
 mod cluster;
 mod configuration;
 mod event;
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -4,7 +4,7 @@
 use greengage_core::{value, NodeId, Version};
 use greengage_distribution::DistributionMessage;
 use greengage_gossip::GossipMessage;
-use greengage_scheduler::{Departure, PeerMessage, TargetReport};
+use greengage_scheduler::{Departure, JobKey, PeerMessage, TargetReport};
 
 /// A message between VMs.
 #[value]
@@ -28,4 +28,13 @@
     TargetLeft(Departure),
     /// A message between schedulers.
     Scheduler(PeerMessage),
+    /// A caller cancels a job, which the receiver may have.
+    Cancel(JobKey),
+    /// The sender has cancelled a job and runs no submission of it that arrives later.
+    Cancelled {
+        /// The job.
+        job: JobKey,
+        /// Whether the sender had it.
+        held: bool,
+    },
 }
--- a/crates/cluster/tests/malformed.rs
+++ b/crates/cluster/tests/malformed.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use greengage_cluster::scheduler::{
-    Departure, Event as SchedulerEvent, HoldResult, OffloadOutcome, OffloadedTask, PeerMessage,
-    ResourceOffer, StartResult, StopResult, TargetCall,
+    Departure, Event as SchedulerEvent, HoldResult, JobKey, OffloadOutcome, OffloadedTask,
+    PeerMessage, ResourceOffer, StartResult, StopResult, TargetCall,
 };
 use greengage_cluster::{gossip, Cluster, Effect, Event, Message};
 use greengage_core::{Address, Demand, Incarnation, TargetName, Time, Version, VmName, WallTime};
@@ -97,6 +97,14 @@
         target: TargetName::new("t").unwrap(),
         incarnation: Some(Incarnation(u64::MAX)),
     }));
+    for path in ["/q/0000000000000001", "", "/"] {
+        let job = JobKey {
+            host: "h".into(),
+            path: path.into(),
+        };
+        messages.push(Message::Cancel(job.clone()));
+        messages.push(Message::Cancelled { job, held: true });
+    }
     let member = gossip::Member {
         vm: VmName::new("10.0.0.8").unwrap(),
         ..support::entry_member(Incarnation(u64::MAX))
--- a/crates/cluster/tests/support/network.rs
+++ b/crates/cluster/tests/support/network.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use greengage_cluster::{Cluster, Effect, Event, Message, Outcome, Setup};
-use greengage_core::{Address, SortedMap, Time, Version, VmName, WallTime};
+use greengage_core::{Address, RequestId, SortedMap, Time, Version, VmName, WallTime};
 use greengage_gossip::Stamp;
 
 /// Delay of each link, one way.
@@ -41,7 +41,7 @@
     addresses: SortedMap<Address, usize>,
     deliveries: BTreeMap<(Time, u64), (usize, Delivery)>,
     last_id: u64,
-    answers: Vec<Outcome>,
+    answers: Vec<(RequestId, Outcome)>,
     /// Bytes sent to each VM.
     pub(crate) bytes: Vec<u64>,
 }
@@ -92,9 +92,23 @@
 
     /// Takes the answers to operators and callers so far.
     pub(crate) fn take_answers(&mut self) -> Vec<Outcome> {
+        let answers = self.take_replies().into_iter();
+        answers.map(|(_, outcome)| outcome).collect()
+    }
+
+    /// Takes the answers so far with their requests.
+    pub(crate) fn take_replies(&mut self) -> Vec<(RequestId, Outcome)> {
         std::mem::take(&mut self.answers)
     }
 
+    /// Answers all callers of a VM, as before its exit.
+    pub(crate) fn answer_all(&mut self, index: usize) {
+        let (now, wall) = (self.now, WallTime(self.now.0 / 1_000_000));
+        for effect in self.nodes[index].cluster.answer_all(now, wall) {
+            self.apply(index, effect);
+        }
+    }
+
     pub(crate) fn step(&mut self, index: usize, event: Event) {
         let (now, wall) = (self.now, WallTime(self.now.0 / 1_000_000));
         let effects = self.nodes[index].cluster.step(now, wall, event);
@@ -185,7 +199,7 @@
             Effect::Save(save) => {
                 self.schedule(self.now + SYNC_TIME, from, Delivery::Saved(save.seq));
             }
-            Effect::Answer { outcome, .. } => self.answers.push(outcome),
+            Effect::Answer { request, outcome } => self.answers.push((request, outcome)),
             Effect::Store(_) | Effect::Call { .. } => {}
         }
     }
--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -50,11 +50,13 @@
         Outcome::Scheduler(Reply::NoQueue) => "no_queue",
         Outcome::Scheduler(Reply::TooLarge { .. }) => "too_large",
         Outcome::Scheduler(Reply::NoJob) => "no_job",
+        Outcome::Scheduler(Reply::Cancelled) => "cancelled",
         Outcome::Scheduler(Reply::Pending(_)) => "pending",
         Outcome::Accepted => "accepted",
         Outcome::Configuration(_) => "configuration",
         Outcome::Redirect(_) => "elsewhere",
         Outcome::Unknown => "unknown",
+        Outcome::Unconfirmed => "unconfirmed",
     };
     ::metrics::counter!("greengage_answers_total", "outcome" => label).increment(1);
     ::metrics::histogram!("greengage_answer_seconds", "outcome" => label)
--- /dev/null
+++ b/crates/scheduler/src/cancel.rs
@@ -0,0 +1,124 @@
+//! Cancelling of jobs.
+//!
+//! A copy of a submission may arrive seconds after its job was cancelled, or be on its way while it is.
+//! Cancelled jobs are therefore kept for a while, whether this VM had them or not, and are not run
+//! again. Their number is bounded.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use greengage_core::{value, Name, SortedMap, Time};
+
+use crate::event::{Effect, Reply, Submission};
+use crate::scheduler::Scheduler;
+
+/// Time for which a cancelled job is kept: longer than links hold submissions and than callers repeat
+/// them.
+const CANCEL_LIFETIME: Duration = Duration::from_secs(60);
+/// Limit on the cancelled jobs that are kept, in about 1 MB.
+const MAX_CANCELLED: usize = 4096;
+
+/// Identifies a job among the submissions of all callers.
+#[value(key)]
+pub struct JobKey {
+    /// The host of the submission.
+    pub host: Arc<str>,
+    /// The path of the submission: a queue's prefix followed by the job's id.
+    pub path: Arc<str>,
+}
+
+impl JobKey {
+    /// The key of a submitted job.
+    pub(crate) fn of(job: &Submission) -> JobKey {
+        JobKey {
+            host: job.host.clone(),
+            path: job.path.clone(),
+        }
+    }
+}
+
+/// A cancelled job.
+#[derive(Debug)]
+struct Cancelled {
+    /// Whether this VM had the job.
+    held: bool,
+    at: Time,
+}
+
+/// The jobs that were cancelled lately.
+#[derive(Debug, Default)]
+pub(crate) struct Cancellations {
+    by_job: SortedMap<JobKey, Cancelled>,
+}
+
+impl Cancellations {
+    /// Records that a job is cancelled. If there are too many, the oldest one is dropped.
+    fn record(&mut self, now: Time, job: &JobKey, held: bool) {
+        self.by_job
+            .retain(|_, cancelled| now.since(cancelled.at) < CANCEL_LIFETIME);
+        if self.by_job.len() >= MAX_CANCELLED && !self.by_job.contains(job) {
+            let oldest = self.by_job.iter().min_by_key(|(_, cancelled)| cancelled.at);
+            if let Some(job) = oldest.map(|(job, _)| job.clone()) {
+                self.by_job.remove(&job);
+            }
+        }
+        let held = held || self.by_job.get(job).is_some_and(|c| c.held);
+        self.by_job.insert(job.clone(), Cancelled { held, at: now });
+    }
+
+    fn get(&self, now: Time, job: &JobKey) -> Option<&Cancelled> {
+        let cancelled = self.by_job.get(job)?;
+        (now.since(cancelled.at) < CANCEL_LIFETIME).then_some(cancelled)
+    }
+}
+
+impl Scheduler {
+    /// Whether this VM has a job, or had it when it was cancelled.
+    pub fn holds(&self, now: Time, job: &JobKey) -> bool {
+        let cancelled = self.cancellations.get(now, job);
+        cancelled.is_some_and(|c| c.held) || self.find_job(job).is_some()
+    }
+
+    /// Checks that a job with this key can exist in the configuration in force. If none can, returns
+    /// the answer to a caller that cancels it.
+    pub fn check_key(&self, job: &JobKey) -> Result<(), Reply> {
+        let document = self.document.as_ref();
+        let Some(queue) = document.and_then(|d| d.queue(&job.host, &job.path)) else {
+            return Err(Reply::NoQueue);
+        };
+        let id = job.path.strip_prefix(&*queue.prefix);
+        match id.is_some_and(|id| Name::new(id).is_ok()) {
+            true => Ok(()),
+            false => Err(Reply::NoJob),
+        }
+    }
+
+    /// Cancels a job: answers its callers, stops its runs, and runs none of its submissions that
+    /// arrive later.
+    pub fn cancel(&mut self, now: Time, job: &JobKey) -> Vec<Effect> {
+        let mut out = Vec::new();
+        let found = self.find_job(job);
+        self.cancellations.record(now, job, found.is_some());
+        if let Some(job_id) = found {
+            self.finish(now, job_id, Reply::Cancelled, &mut out);
+        }
+        out
+    }
+
+    fn find_job(&self, key: &JobKey) -> Option<u64> {
+        let mut jobs = self.jobs.iter();
+        let found = jobs.find(|(_, job)| job.path == key.path && job.host == key.host);
+        found.map(|(job_id, _)| *job_id)
+    }
+
+    /// Whether a job was cancelled lately, whether this VM had it or not.
+    pub fn is_cancelled(&self, now: Time, job: &JobKey) -> bool {
+        self.cancellations.get(now, job).is_some()
+    }
+
+    /// Number of cancelled jobs that are kept.
+    pub fn cancelled(&self, now: Time) -> usize {
+        let jobs = self.cancellations.by_job.keys();
+        jobs.filter(|job| self.is_cancelled(now, job)).count()
+    }
+}
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -264,6 +264,8 @@
     },
     /// No such job; the state of jobs isn't stored.
     NoJob,
+    /// The job was cancelled; nothing of it is started any more.
+    Cancelled,
     /// Number of jobs in the queue of which no task was started.
     Pending(u64),
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -15,6 +15,7 @@
 //! - `progress`: lower bound on the end of a run from its reported progress.
 //! - `job`: a job and its tasks.
 //! - `callers`: until when the callers of the jobs are known to wait.
+//! - `cancel`: cancelled jobs.
 //! - `renewal`: which offloaded runs are still needed, and which outcomes were received.
 //! - `admission`: limits on the queueing time of jobs.
 //! - `scheduler`, `submit`, `dispatch`, `ends`, `leases`, `offload`: the state machine.
@@ -31,6 +32,7 @@
 mod admission;
 mod assignment;
 mod callers;
+mod cancel;
 mod departures;
 mod dispatch;
 mod ends;
@@ -50,6 +52,7 @@
 mod targets;
 
 pub use assignment::{assign, Candidate, DEFAULT_WEIGHT};
+pub use cancel::JobKey;
 pub use departures::Departures;
 pub use estimate::Estimates;
 pub use event::{
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::assignment::Candidate;
+use crate::cancel::Cancellations;
 use crate::departures::Departures;
 use crate::ends::EndedCall;
 use crate::estimate::Estimates;
@@ -93,6 +94,7 @@
     pub(crate) callers_checked: Time,
     /// Whether that was too long ago for the current jobs, as last logged.
     pub(crate) callers_unknown: bool,
+    pub(crate) cancellations: Cancellations,
     pub(crate) last_job_id: u64,
     pub(crate) last_offload_id: u64,
     pub(crate) estimates: Estimates,
@@ -170,6 +172,7 @@
             offloaded: SortedMap::new(),
             callers_checked: now,
             callers_unknown: false,
+            cancellations: Cancellations::default(),
             last_job_id: 0,
             last_offload_id: first_offload_id(setup.incarnation),
             estimates: Estimates::default(),
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -7,6 +7,7 @@
 use greengage_core::{Demand, Time};
 
 use crate::admission::{backlog, max_wait, retry_delay};
+use crate::cancel::JobKey;
 use crate::event::{Effect, Reply, Step, Submission};
 use crate::job::{Job, JobCaller, StepInfo, Task, TaskState};
 use crate::scheduler::Scheduler;
@@ -41,6 +42,12 @@
 impl Scheduler {
     pub(crate) fn submit(&mut self, now: Time, job: Submission, out: &mut Vec<Effect>) {
         let request = job.request;
+        if self.is_cancelled(now, &JobKey::of(&job)) {
+            log::info!(event = "job-cancelled-before", job = job.id.as_str(), request = request.0;
+                "a cancelled job was submitted again");
+            let reply = Reply::Cancelled;
+            return out.push(Effect::Answer { request, reply });
+        }
         if self.attach(now, &job, out) {
             return;
         }
@@ -68,9 +75,10 @@
         }
     }
 
-    /// Whether the submitted job is current, so that its tasks may have run.
-    pub fn has_job(&self, job: &Submission) -> bool {
-        self.jobs.values().any(|current| current.matches(job))
+    /// Whether the submitted job is current or was cancelled, so that its tasks may have run.
+    pub fn has_job(&self, now: Time, job: &Submission) -> bool {
+        let current = self.jobs.values().any(|current| current.matches(job));
+        current || self.is_cancelled(now, &JobKey::of(job))
     }
 
     /// Attaches a caller that submits a current job again to that job. The earlier request is still
--- a/crates/scheduler/tests/world/main.rs
+++ b/crates/scheduler/tests/world/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod callers;
+mod cancel;
 mod faults;
 mod load;
 mod lost_targets;
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -420,7 +420,7 @@
         }
     }
 
-    fn effect(&mut self, vm: usize, effect: Effect) {
+    pub(crate) fn effect(&mut self, vm: usize, effect: Effect) {
         match effect {
             Effect::Answer { request, reply } => self.record_answer(vm, request, reply),
             Effect::Call {
