Bound the memory of the replicated log by bytes too

Change: a group is told how much memory a command takes. The random runs of both crates are played with large commands too.

Logs of the ledger and the policy count only the size of a command itself, so their bound is as before.

--- a/crates/agreement/src/log.rs
+++ b/crates/agreement/src/log.rs
@@ -1,7 +1,8 @@
 //! The log in memory: snapshot, entries, configurations, and which entries are durable.
 //!
 //! Entries start after `base_index`, which is at or below the snapshot's index: some older entries
-//! stay in memory so that a member that lags slightly needs no snapshot.
+//! stay in memory so that a member that lags slightly needs no snapshot. Their number and their
+//! bytes are bounded; a member that lags further gets the snapshot.
 
 use std::collections::VecDeque;
 
@@ -13,15 +14,28 @@
 /// by 10 ms misses fewer entries than this.
 const RETAINED_ENTRIES: u64 = 256;
 
+/// Bytes of commands kept in memory below the snapshot. A command of more than this isn't kept: the
+/// snapshot then costs a member that lags about as much as the entries.
+const RETAINED_BYTES: u64 = 4 << 20;
+
 pub(crate) fn index_before(index: Index) -> Index {
     Index(index.0 - 1)
 }
 
+/// An entry, and the bytes of all commands up to it since the log was created.
+struct Stored<C> {
+    entry: Entry<C>,
+    end_bytes: u64,
+}
+
 pub(crate) struct Log<C, S> {
     snapshot: Option<Snapshot<S>>,
     base_index: Index,
     base_term: Term,
-    entries: VecDeque<Entry<C>>,
+    /// The bytes of all commands up to `base_index`.
+    base_bytes: u64,
+    entries: VecDeque<Stored<C>>,
+    command_bytes: fn(&C) -> usize,
     /// Configurations with the index at which each takes effect; the last one is in effect.
     configs: Vec<(Index, Config)>,
     commit_index: Index,
@@ -39,6 +53,7 @@
         initial: Config,
         snapshot: Option<Snapshot<S>>,
         entries: Vec<Entry<C>>,
+        command_bytes: fn(&C) -> usize,
     ) -> Log<C, S> {
         let (base_index, base_term, config) = match &snapshot {
             Some(s) => (s.index, s.term, s.config.clone()),
@@ -48,7 +63,9 @@
             snapshot,
             base_index,
             base_term,
+            base_bytes: 0,
             entries: VecDeque::new(),
+            command_bytes,
             configs: vec![(base_index, config)],
             commit_index: base_index,
             applied_index: base_index,
@@ -69,7 +86,7 @@
     }
 
     pub(crate) fn last_term(&self) -> Term {
-        self.entries.back().map_or(self.base_term, |e| e.term)
+        self.entries.back().map_or(self.base_term, |s| s.entry.term)
     }
 
     pub(crate) fn commit_index(&self) -> Index {
@@ -114,14 +131,29 @@
         if index < self.base_index || index > self.last_index() {
             return None;
         }
-        Some(self.entries[self.offset(index)].term)
+        Some(self.entries[self.offset(index)].entry.term)
     }
 
     /// Up to `limit` entries starting at `from`, which must be above `base_index`.
     pub(crate) fn slice(&self, from: Index, limit: usize) -> Vec<Entry<C>> {
         let start = self.offset(from);
         let end = start.saturating_add(limit).min(self.entries.len());
-        self.entries.range(start..end).cloned().collect()
+        let stored = self.entries.range(start..end);
+        stored.map(|s| s.entry.clone()).collect()
+    }
+
+    /// The bytes of all commands up to `index`, counted from an arbitrary start.
+    fn end_bytes(&self, index: Index) -> u64 {
+        let index = index.min(self.last_index());
+        match index > self.base_index {
+            true => self.entries[self.offset(index)].end_bytes,
+            false => self.base_bytes,
+        }
+    }
+
+    /// The bytes of the commands in memory after index `after` up to index `last`.
+    pub(crate) fn bytes_between(&self, after: Index, last: Index) -> u64 {
+        self.end_bytes(last).saturating_sub(self.end_bytes(after))
     }
 
     pub(crate) fn append(&mut self, entry: Entry<C>) {
@@ -138,7 +170,12 @@
         if let EntryKind::Config(config) = &entry.kind {
             self.configs.push((entry.index, config.clone()));
         }
-        self.entries.push_back(entry);
+        let bytes = match &entry.kind {
+            EntryKind::Command(command) => (self.command_bytes)(command) as u64,
+            EntryKind::Noop | EntryKind::Config(_) => 0,
+        };
+        let end_bytes = self.end_bytes(self.last_index()) + bytes;
+        self.entries.push_back(Stored { entry, end_bytes });
     }
 
     /// Removes all entries from `from` on.
@@ -201,16 +238,37 @@
         };
         self.configs.drain(..position);
         self.snapshot = Some(snapshot.clone());
-        let base_index = Index(index.0.saturating_sub(RETAINED_ENTRIES)).max(self.base_index);
-        if let Some(term) = self.term(base_index) {
-            let dropped = (base_index.0 - self.base_index.0) as usize;
-            self.entries.drain(..dropped);
-            self.base_index = base_index;
-            self.base_term = term;
-        }
+        self.drop_entries(self.retained_from(index));
         Some(snapshot)
     }
 
+    /// The lowest base index that keeps the entries below a snapshot within their limits.
+    fn retained_from(&self, snapshot_index: Index) -> Index {
+        let by_number = Index(snapshot_index.0.saturating_sub(RETAINED_ENTRIES));
+        let end = self.end_bytes(snapshot_index);
+        let exceeds = |bytes: u64| end.saturating_sub(bytes) > RETAINED_BYTES;
+        let by_bytes = match exceeds(self.base_bytes) {
+            true => {
+                let dropped = self.entries.partition_point(|s| exceeds(s.end_bytes));
+                Index(self.base_index.0 + dropped as u64 + 1)
+            }
+            false => self.base_index,
+        };
+        by_number.max(by_bytes).max(self.base_index)
+    }
+
+    /// Drops the entries up to `base_index`.
+    fn drop_entries(&mut self, base_index: Index) {
+        let Some(term) = self.term(base_index) else {
+            return;
+        };
+        self.base_bytes = self.end_bytes(base_index);
+        self.entries
+            .drain(..(base_index.0 - self.base_index.0) as usize);
+        self.base_index = base_index;
+        self.base_term = term;
+    }
+
     /// Replaces the whole log with a leader's snapshot.
     pub(crate) fn install(&mut self, snapshot: Snapshot<S>) {
         assert!(
--- a/crates/agreement/src/message.rs
+++ b/crates/agreement/src/message.rs
@@ -396,7 +396,6 @@
 }
 
 /// The configuration and durable state from which a node starts.
-#[value]
 pub struct Setup<C, S> {
     /// This node.
     pub node: NodeId,
@@ -413,6 +412,8 @@
     pub timing: Timing,
     /// Limit of entries in one message, not 0.
     pub batch_entries: usize,
+    /// The memory that a command takes, in bytes; bounds what is kept of the log.
+    pub command_bytes: fn(&C) -> usize,
     /// Seed of the random election timeouts; the node's id is mixed in.
     pub seed: u64,
     /// The current time.
--- a/crates/agreement/src/raft.rs
+++ b/crates/agreement/src/raft.rs
@@ -58,7 +58,12 @@
             now: setup.now,
             outbox: Outbox::new(setup.hard_state.term),
             hard_state: setup.hard_state,
-            log: Log::new(setup.config, setup.snapshot, setup.entries),
+            log: Log::new(
+                setup.config,
+                setup.snapshot,
+                setup.entries,
+                setup.command_bytes,
+            ),
             state: State::Follower,
             leader: None,
             term_leader: None,
@@ -143,6 +148,13 @@
         self.log.last_index().0 - self.log.snapshot_index().0
     }
 
+    /// The bytes of the applied commands after the snapshot, from which the caller decides when to
+    /// compact.
+    pub fn applied_bytes(&self) -> u64 {
+        self.log
+            .bytes_between(self.log.snapshot_index(), self.log.applied_index())
+    }
+
     pub(crate) fn role(&self) -> Role {
         match self.state {
             State::Follower => Role::Follower,
--- a/crates/agreement/tests/group/faults.rs
+++ b/crates/agreement/tests/group/faults.rs
@@ -65,10 +65,10 @@
 }
 
 impl Case {
-    fn new(seed: u64) -> Case {
+    fn new(seed: u64, large_commands: bool) -> Case {
         let mut rng = Rng(seed);
         let members = INITIAL_MEMBERS[rng.below(INITIAL_MEMBERS.len() as u64) as usize];
-        let mut group = Group::new(members, seed);
+        let mut group = Group::with_commands(members, seed, large_commands);
         group.compact_entries = [8, 50, u64::MAX][rng.below(3) as usize];
         group.timing.pre_vote = rng.below(4) > 0;
         Case {
@@ -281,13 +281,23 @@
 /// lost disks, snapshots, membership changes and transfers.
 #[test]
 fn survives_random_faults() {
+    play_cases(false, env("GREENGAGE_CASES", 300));
+}
+
+/// Guards against the same where bytes bound the entries that nodes keep and send.
+#[test]
+fn survives_random_faults_with_large_commands() {
+    play_cases(true, env("GREENGAGE_CASES", 100));
+}
+
+fn play_cases(large_commands: bool, count: u64) {
     let first = env("GREENGAGE_SEED", 1);
     let mut times = Vec::new();
     let (mut applied, mut reads, mut leaders, mut lost_disks) = (0, 0, 0, 0);
-    let cases = first..first + env("GREENGAGE_CASES", 300);
+    let cases = first..first + count;
     for seed in cases.chain(REGRESSION_SEEDS) {
         println!("GREENGAGE_SEED={seed} GREENGAGE_CASES=1");
-        let mut case = Case::new(seed);
+        let mut case = Case::new(seed, large_commands);
         for _ in 0..80 {
             case.inject_event();
             let pause = case.rng.below(300);
--- a/crates/agreement/tests/group/node.rs
+++ b/crates/agreement/tests/group/node.rs
@@ -1,5 +1,7 @@
 //! Single-node tests with hand-written events: durability order, and requests to be ignored.
 
+use std::mem::size_of_val;
+
 use greengage_agreement::{
     AppendReply, AppendRequest, Change, ChangeError, Effect, Entry, EntryKind, Event, HardState,
     MemberRole, Message, Raft, RefusalReason, Role, SaveSeq, Setup, Snapshot, Ticket, Timing,
@@ -36,6 +38,7 @@
             ..Timing::default()
         },
         batch_entries: DEFAULT_BATCH_ENTRIES,
+        command_bytes: size_of_val,
         seed: 1,
         now: Time(0),
     }
--- a/crates/agreement/tests/group/support.rs
+++ b/crates/agreement/tests/group/support.rs
@@ -1,6 +1,7 @@
 //! Single-threaded simulation of nodes, disks and a network.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::mem::size_of_val;
 use std::time::Duration;
 
 use greengage_agreement::{
@@ -33,6 +34,10 @@
     ("c", MemberRole::Voter),
 ];
 
+fn large_command_bytes(command: &Command) -> usize {
+    (*command % 5) as usize * (1 << 20)
+}
+
 /// A seeded linear congruential generator.
 #[derive(Default)]
 pub(crate) struct Rng(pub u64);
@@ -108,6 +113,8 @@
     pub(crate) max_sync_us: u64,
     /// Number of entries after the snapshot above which a node compacts its log.
     pub(crate) compact_entries: u64,
+    /// Whether commands count as up to 4 MiB each, so that bytes bound what nodes keep and send.
+    large_commands: bool,
     in_flight: BTreeMap<(Time, u64), (NodeId, NodeId, Msg)>,
     last_id: u64,
     pub(crate) messages_sent: u64,
@@ -128,7 +135,16 @@
 
 impl Group {
     pub(crate) fn new(members: &[(&str, MemberRole)], seed: u64) -> Group {
+        Group::with_commands(members, seed, false)
+    }
+
+    pub(crate) fn with_commands(
+        members: &[(&str, MemberRole)],
+        seed: u64,
+        large_commands: bool,
+    ) -> Group {
         let mut group = Group {
+            large_commands,
             rng: Rng(seed),
             initial: config(members),
             max_delay_us: 1000,
@@ -156,6 +172,10 @@
             entries: disk.entries.clone(),
             timing: self.timing.clone(),
             batch_entries: DEFAULT_BATCH_ENTRIES,
+            command_bytes: match self.large_commands {
+                true => large_command_bytes,
+                false => size_of_val,
+            },
             seed: self.rng.below(u64::MAX >> 33),
             now: self.now,
         });
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -4,6 +4,7 @@
 //! document keeps the operator's text, so that it is returned exactly as it was submitted.
 
 use std::fmt;
+use std::mem::size_of;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -106,6 +107,11 @@
 
 impl std::error::Error for DocumentError {}
 
+/// The memory of a string with its reference counts.
+fn string_bytes(string: &Arc<str>) -> usize {
+    string.len() + 2 * size_of::<usize>()
+}
+
 impl Document {
     /// Sorts the queues and services and validates the document.
     pub fn validated(mut self) -> Result<Document, DocumentError> {
@@ -134,6 +140,19 @@
         Ok(self)
     }
 
+    /// The memory that the document takes with its text, in bytes. Strings count for each use.
+    pub fn memory_bytes(&self) -> usize {
+        let queues = self.queues.iter().map(|queue| {
+            let strings = [&queue.name, &queue.host, &queue.prefix, &queue.service];
+            size_of::<Queue>() + strings.map(string_bytes).iter().sum::<usize>()
+        });
+        let services = self
+            .services
+            .iter()
+            .map(|service| size_of::<Service>() + string_bytes(&service.name));
+        self.source.len() + queues.sum::<usize>() + services.sum::<usize>()
+    }
+
     /// The service with this name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         let found = self
--- a/crates/config/src/group.rs
+++ b/crates/config/src/group.rs
@@ -27,6 +27,10 @@
 /// up to some hundred kilobytes, and a data folder may have only 128 MB.
 pub const COMPACTION_ENTRIES: u64 = 24;
 
+/// Memory of applied documents above which the log is compacted before it has
+/// `COMPACTION_ENTRIES`. All of them stay in memory until then.
+const COMPACTION_BYTES: u64 = 8 << 20;
+
 /// Number of entries in one message. Each holds a whole document, and the mesh drops messages of more
 /// than 16 MiB: a member could never receive a batch that is larger.
 const BATCH_ENTRIES: usize = 1;
@@ -191,6 +195,7 @@
             entries: recovered.entries,
             timing: setup.timing,
             batch_entries: BATCH_ENTRIES,
+            command_bytes: |edit: &Edit| edit.0.memory_bytes(),
             seed: setup.seed,
             now: setup.now,
         });
@@ -498,7 +503,9 @@
     }
 
     fn compact(&mut self, now: Time, out: &mut Vec<Effect>) {
-        if self.applied.0 < self.snapshot_index.0 + COMPACTION_ENTRIES {
+        let is_due = self.applied.0 >= self.snapshot_index.0 + COMPACTION_ENTRIES
+            || self.raft.applied_bytes() > COMPACTION_BYTES;
+        if !is_due {
             return;
         }
         self.snapshot_index = self.applied;
--- a/crates/config/tests/group/faults.rs
+++ b/crates/config/tests/group/faults.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use greengage_core::Payload;
+
 use crate::support::Simulation;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -326,12 +328,26 @@
 /// shutdowns, and concurrent operators.
 #[test]
 fn survives_random_faults() {
+    play_random_faults(0, env("GREENGAGE_CASES", 40));
+}
+
+/// Guards against the same where each compaction keeps no or one older entry in memory.
+#[test]
+fn survives_random_faults_with_large_documents() {
+    for source_bytes in [3 << 20, 9 << 20] {
+        play_random_faults(source_bytes, env("GREENGAGE_CASES", 20));
+    }
+}
+
+fn play_random_faults(source_bytes: usize, cases: u64) {
     let first = env("GREENGAGE_SEED", 1);
+    let source = Payload::new(vec![0; source_bytes]);
     let (mut acks, mut reads) = (0, 0);
-    for seed in first..first + env("GREENGAGE_CASES", 40) {
+    for seed in first..first + cases {
         println!("GREENGAGE_SEED={seed} GREENGAGE_CASES=1");
         let vms = 3 + seed as usize % 2;
         let mut sim = Simulation::new(seed, vms, 3, 3);
+        sim.source = source.clone();
         sim.run(3 * SECOND);
         let mut version = 0;
         for _ in 0..80 {
--- a/crates/config/tests/group/support.rs
+++ b/crates/config/tests/group/support.rs
@@ -114,6 +114,8 @@
     queue: BTreeMap<(Time, u64), Action>,
     seq: u64,
     requests: BTreeMap<RequestId, Request>,
+    /// The text of all documents.
+    pub(crate) source: Payload,
     /// Highest acknowledged version.
     pub(crate) acked_version: u64,
     /// Content of each version that was read.
@@ -122,7 +124,7 @@
     pub(crate) acks: u64,
 }
 
-fn document(version: u64, content: u64) -> Arc<Document> {
+fn document(version: u64, content: u64, source: Payload) -> Arc<Document> {
     Arc::new(Document {
         version: Version(version),
         queues: Vec::new(),
@@ -130,7 +132,7 @@
         limits: Limits {
             max_body_bytes: content,
         },
-        source: Payload::new(Vec::new()),
+        source,
     })
 }
 
@@ -161,6 +163,7 @@
             queue: BTreeMap::new(),
             seq: 0,
             requests: BTreeMap::new(),
+            source: Payload::new(Vec::new()),
             acked_version: 0,
             contents: BTreeMap::new(),
             reads: 0,
@@ -500,7 +503,7 @@
         self.seq += 1;
         let request = RequestId(self.seq);
         self.requests.insert(request, Request::Edit(version));
-        let document = document(version, content);
+        let document = document(version, content, self.source.clone());
         self.step(vm, Event::Edit { request, document });
     }
 
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -1,5 +1,7 @@
 //! This VM's replica of one Raft group.
 
+use std::mem::size_of_val;
+
 use greengage_agreement::{
     Change, Effect, Event, Raft, RefusalReason, Role, Setup as RaftSetup, Status, Ticket, Timing,
     DEFAULT_BATCH_ENTRIES,
@@ -42,6 +44,8 @@
             entries: start.restored.entries,
             timing: start.timing,
             batch_entries: DEFAULT_BATCH_ENTRIES,
+            // What a command refers to isn't counted: only the number of entries bounds this log.
+            command_bytes: size_of_val,
             seed: start.seed,
             now: start.now,
         });
