Bound the unacknowledged bytes of a member

Cause: a leader sends a member up to 16 batches without an acknowledgement. In the control group each is an encoded copy of a whole configuration (1.02 MB with 3,500 routes, up to 16 MiB), and they wait in memory while the member's connection has stalled: 16 MB for a member, more with larger configurations.

Change: no further batch is sent from 8 MiB of unacknowledged commands on; one batch is always allowed.

Measured: `unacknowledged_bytes_are_bounded`, commands of 4 MiB to a silent member: 67,108,864 bytes sent before, which fails the bound of 16 MiB, and it passes now.

--- a/crates/agreement/src/progress.rs
+++ b/crates/agreement/src/progress.rs
@@ -5,7 +5,11 @@
 use greengage_core::{Index, Time};
 
 /// Limit of unacknowledged batches per member; later entries wait and form larger batches.
-pub(crate) const MAX_INFLIGHT_BATCHES: usize = 16;
+const MAX_INFLIGHT_BATCHES: usize = 16;
+
+/// Bytes of unacknowledged commands per member from which no further batch is sent. Each message is
+/// an encoded copy of its entries, which waits in memory while a connection has stalled.
+const MAX_INFLIGHT_BYTES: u64 = 8 << 20;
 
 /// Limit of entries in one message, for groups with small entries. With `MAX_INFLIGHT_BATCHES` this
 /// allows 1024 unacknowledged entries per member: over 100,000 entries per second if a round trip and
@@ -21,7 +25,7 @@
 pub(crate) enum Mode {
     /// Searches the last matching entry with empty requests, one at a time.
     Probe,
-    /// Pipelines entries, up to `MAX_INFLIGHT_BATCHES` unacknowledged batches.
+    /// Pipelines entries while `Progress::accepts_batch`.
     Replicate,
     /// Waits for the member to acknowledge a snapshot.
     Snapshot {
@@ -30,14 +34,22 @@
     },
 }
 
+/// An unacknowledged batch of entries.
+pub(crate) struct Batch {
+    /// The index of its last entry.
+    pub(crate) last: Index,
+    /// The bytes of its commands.
+    pub(crate) bytes: u64,
+}
+
 pub(crate) struct Progress {
     /// The last index known to be durable at the member.
     pub(crate) match_index: Index,
     /// The index of the next entry to send.
     pub(crate) next_index: Index,
     pub(crate) mode: Mode,
-    /// The last index of each unacknowledged batch.
-    pub(crate) inflight: VecDeque<Index>,
+    /// The unacknowledged batches.
+    pub(crate) inflight: VecDeque<Batch>,
     /// When the member last replied in this term; initially when tracking began.
     pub(crate) last_active: Time,
     /// The last heartbeat round that the member acknowledged.
@@ -57,6 +69,12 @@
         }
     }
 
+    /// Whether the member may be sent a batch before it acknowledges another one.
+    pub(crate) fn accepts_batch(&self) -> bool {
+        let bytes: u64 = self.inflight.iter().map(|batch| batch.bytes).sum();
+        self.inflight.len() < MAX_INFLIGHT_BATCHES && bytes < MAX_INFLIGHT_BYTES
+    }
+
     /// Records that all entries up to `index` are durable at the member.
     pub(crate) fn record_match(&mut self, index: Index) {
         self.match_index = self.match_index.max(index);
@@ -64,7 +82,7 @@
         while self
             .inflight
             .front()
-            .is_some_and(|i| *i <= self.match_index)
+            .is_some_and(|batch| batch.last <= self.match_index)
         {
             self.inflight.pop_front();
         }
--- a/crates/agreement/src/replication.rs
+++ b/crates/agreement/src/replication.rs
@@ -5,9 +5,7 @@
 use crate::election::Transfer;
 use crate::log::index_before;
 use crate::outbox::SendAfter;
-use crate::progress::{
-    majority_value, Mode, Progress, MAX_INFLIGHT_BATCHES, SNAPSHOT_RETRY_TIMEOUTS,
-};
+use crate::progress::{majority_value, Batch, Mode, Progress, SNAPSHOT_RETRY_TIMEOUTS};
 use crate::raft::{Raft, State};
 use crate::read::PendingRead;
 use crate::{AppendReply, AppendRequest, InstallSnapshotReply, Message, Snapshot};
@@ -53,7 +51,7 @@
         }
     }
 
-    /// Sends entries up to `MAX_INFLIGHT_BATCHES`, or the snapshot if it is due.
+    /// Sends entries while the member accepts batches, or the snapshot if it is due.
     pub(crate) fn replicate(&mut self, to: &NodeId) {
         let State::Leader(leader) = &mut self.state else {
             return;
@@ -62,7 +60,7 @@
             return;
         };
         while progress.mode == Mode::Replicate
-            && progress.inflight.len() < MAX_INFLIGHT_BATCHES
+            && progress.accepts_batch()
             && progress.next_index <= self.log.last_index()
         {
             let prev_index = index_before(progress.next_index);
@@ -72,7 +70,8 @@
             };
             let entries = self.log.slice(progress.next_index, self.batch_entries);
             let last = Index(prev_index.0 + entries.len() as u64);
-            progress.inflight.push_back(last);
+            let bytes = self.log.bytes_between(prev_index, last);
+            progress.inflight.push_back(Batch { last, bytes });
             progress.next_index = last.next();
             let append = AppendRequest {
                 term: self.hard_state.term,
--- a/crates/agreement/tests/group/support.rs
+++ b/crates/agreement/tests/group/support.rs
@@ -34,6 +34,9 @@
     ("c", MemberRole::Voter),
 ];
 
+/// A command that counts as 4 MiB in a group with large commands.
+pub(crate) const LARGE_COMMAND: Command = 4;
+
 fn large_command_bytes(command: &Command) -> usize {
     (*command % 5) as usize * (1 << 20)
 }
@@ -120,6 +123,8 @@
     pub(crate) messages_sent: u64,
     pub(crate) sent_to: BTreeMap<NodeId, u64>,
     pub(crate) snapshots_sent: u64,
+    /// Bytes of commands sent to each node, by `large_command_bytes`.
+    bytes_sent_to: BTreeMap<NodeId, usize>,
     /// The leader of each term.
     pub(crate) leaders: BTreeMap<Term, NodeId>,
     /// The term and content of the entry applied at each index.
@@ -319,9 +324,20 @@
         }
     }
 
+    pub(crate) fn bytes_sent_to(&self, node: &NodeId) -> usize {
+        self.bytes_sent_to.get(node).copied().unwrap_or(0)
+    }
+
     fn send_message(&mut self, from: NodeId, to: NodeId, message: Msg) {
         self.messages_sent += 1;
         *self.sent_to.entry(to.clone()).or_default() += 1;
+        if let Message::AppendRequest(append) = &message {
+            let commands = append.entries.iter().filter_map(|entry| match &entry.kind {
+                EntryKind::Command(command) => Some(large_command_bytes(command)),
+                EntryKind::Noop | EntryKind::Config(_) => None,
+            });
+            *self.bytes_sent_to.entry(to.clone()).or_default() += commands.sum::<usize>();
+        }
         self.snapshots_sent += u64::from(matches!(message, Message::InstallSnapshot { .. }));
         let copies = 1 + u64::from(self.rng.below(100) < self.duplicate_percent);
         for _ in 0..copies {
--- a/crates/agreement/tests/group/traffic.rs
+++ b/crates/agreement/tests/group/traffic.rs
@@ -2,7 +2,10 @@
 
 use greengage_agreement::Event;
 
-use crate::support::{Group, THREE_VOTERS};
+use crate::support::{Group, LARGE_COMMAND, THREE_VOTERS};
+
+/// Four commands of 4 MiB; more would fill the memory of a leader with several members.
+const MAX_UNACKNOWLEDGED_BYTES: usize = 16 << 20;
 
 /// Guards against unbounded messages to unresponsive members, and against timers that are due again
 /// at once (`Group` checks this at each tick).
@@ -36,6 +39,28 @@
     );
 }
 
+/// Guards against a member whose connection has stalled and that is sent one large command after
+/// another while the other members go on.
+#[test]
+fn unacknowledged_bytes_are_bounded() {
+    let mut group = Group::with_commands(&THREE_VOTERS, 14, true);
+    group.compact_entries = 2;
+    let leader = group.elect();
+    let silent = group.follower();
+    group.crash(&silent);
+    let before = group.bytes_sent_to(&silent);
+    for _ in 0..20 {
+        group.propose(&leader, LARGE_COMMAND);
+        group.run(10);
+    }
+    assert!(group.max_applied.0 >= 20);
+    let sent = group.bytes_sent_to(&silent) - before;
+    assert!(
+        sent <= MAX_UNACKNOWLEDGED_BYTES,
+        "{sent} bytes of commands were sent without an acknowledgement"
+    );
+}
+
 /// Guards against a snapshot that is resent with each heartbeat while it is in flight.
 #[test]
 fn in_flight_snapshot_is_not_resent() {
