Take no edit while too many wait to be committed

Cause: a leader stays the leader while the disks of its followers hang, since heartbeats need no write, and it appended each edit to its log. Nothing bounded them: an edit is answered as unknown after 2.5 s, but its entry stays until it is committed, and operators send again.

A refused edit isn't in the log.

The test also sees that all edits that were not refused are accepted once the disks go on.

A document of any size can still be committed, one at a time.

--- a/crates/agreement/src/raft.rs
+++ b/crates/agreement/src/raft.rs
@@ -155,6 +155,13 @@
             .bytes_between(self.log.snapshot_index(), self.log.applied_index())
     }
 
+    /// The bytes of the commands that aren't committed, from which the caller decides whether to
+    /// propose another one.
+    pub fn uncommitted_bytes(&self) -> u64 {
+        self.log
+            .bytes_between(self.log.commit_index(), self.log.last_index())
+    }
+
     pub(crate) fn role(&self) -> Role {
         match self.state {
             State::Follower => Role::Follower,
--- a/crates/config/src/group.rs
+++ b/crates/config/src/group.rs
@@ -31,6 +31,10 @@
 /// `COMPACTION_ENTRIES`. All of them stay in memory until then.
 const COMPACTION_BYTES: u64 = 8 << 20;
 
+/// Memory of documents that wait to be committed above which a leader takes no further edit. A leader
+/// whose followers' disks hang stays the leader, and operators send their edits again.
+const MAX_UNCOMMITTED_BYTES: u64 = 8 << 20;
+
 /// Number of entries in one message. Each holds a whole document, and the mesh drops messages of more
 /// than 16 MiB: a member could never receive a batch that is larger.
 const BATCH_ENTRIES: usize = 1;
@@ -140,7 +144,8 @@
         /// The document in force; `None` if there is none or the newest one could not be confirmed.
         document: Option<Arc<Document>>,
     },
-    /// This member could not take the request, usually because it is not the leader.
+    /// This member could not take the request, usually because it is not the leader. A leader that
+    /// takes no further edit for now names none.
     Redirect {
         /// The request to answer.
         request: RequestId,
@@ -377,6 +382,11 @@
             out.push(Effect::Edited { request, outcome });
             return;
         }
+        if self.is_leader() && self.raft.uncommitted_bytes() > MAX_UNCOMMITTED_BYTES {
+            let leader = None;
+            out.push(Effect::Redirect { request, leader });
+            return;
+        }
         let ticket = self.add_pending(now, request, RequestKind::Edit);
         let command = Edit(document);
         self.step_raft(now, agreement::Event::Propose { ticket, command }, out);
--- a/crates/config/tests/retention.rs
+++ b/crates/config/tests/retention.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
-use greengage_agreement::{Config, MemberRole, Timing};
+use greengage_agreement::{Config, MemberRole, SaveSeq, Timing};
 use greengage_config::{
     Document, EditOutcome, Effect, Event, Group, Limits, Queue, RecoveredState, Service, Setup,
 };
@@ -48,9 +48,14 @@
     queue: VecDeque<(usize, Event)>,
     /// Whether no message reaches or leaves a member.
     cut: Vec<bool>,
+    /// Whether a member's disk completes no write.
+    disk_stuck: Vec<bool>,
     queues: Vec<Queue>,
     documents: Vec<Weak<Document>>,
+    /// Writes that the stuck disks have not completed.
+    unsaved: Vec<(usize, SaveSeq)>,
     accepted: u64,
+    refused: u64,
     peak_bytes: usize,
 }
 
@@ -86,9 +91,12 @@
             groups: (0..count).map(group).collect(),
             queue: VecDeque::new(),
             cut: vec![false; count],
+            disk_stuck: vec![false; count],
             queues: queues(routes),
             documents: Vec::new(),
+            unsaved: Vec::new(),
             accepted: 0,
+            refused: 0,
             peak_bytes: 0,
         };
         members.run(Duration::from_secs(2));
@@ -152,7 +160,7 @@
 
     fn execute(&mut self, member: usize, effect: Effect) {
         match effect {
-            Effect::Save(save) => {
+            Effect::Save(save) if !self.disk_stuck[member] => {
                 self.queue.push_back((member, Event::Saved(save.seq)));
             }
             Effect::Send { to, message } => {
@@ -165,7 +173,12 @@
             Effect::Edited { outcome, .. } => {
                 self.accepted += u64::from(outcome == EditOutcome::Accepted);
             }
-            Effect::Redirect { .. } | Effect::Read { .. } | Effect::DocumentApplied(_) => {}
+            Effect::Redirect { leader, .. } => {
+                assert_eq!(leader, None, "the leader sent an operator elsewhere");
+                self.refused += 1;
+            }
+            Effect::Save(save) => self.unsaved.push((member, save.seq)),
+            Effect::Read { .. } | Effect::DocumentApplied(_) => {}
         }
     }
 }
@@ -200,3 +213,33 @@
     let peak = members.peak_bytes;
     assert!(peak <= MEMORY_LIMIT, "{peak} bytes were held");
 }
+
+#[test]
+fn edits_do_not_accumulate_while_the_disks_of_a_majority_hang() {
+    let mut members = Members::new(3, ROUTES);
+    members.put();
+    let leader = members.leader();
+    members.disk_stuck = (0..3).map(|member| member != leader).collect();
+    for change in 1..CHANGES {
+        members.put();
+        if change % 4 == 0 {
+            members.run(TICK);
+        }
+    }
+    assert_eq!(members.leader(), leader);
+    assert_eq!(members.accepted, 1);
+    let peak = members.peak_bytes;
+    assert!(peak <= MEMORY_LIMIT, "{peak} bytes were held");
+
+    members.disk_stuck = vec![false; 3];
+    for (member, seq) in std::mem::take(&mut members.unsaved) {
+        members.queue.push_back((member, Event::Saved(seq)));
+    }
+    members.run(Duration::from_secs(1));
+    assert!(members.accepted > 1);
+    assert_eq!(members.accepted + members.refused, CHANGES);
+    assert_eq!(members.version(leader), Some(members.accepted));
+    members.put();
+    members.run(TICK);
+    assert_eq!(members.version(leader), Some(CHANGES + 1));
+}
