--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -350,6 +350,11 @@
         group.is_some_and(|g| g.snapshot_index < index && index <= g.last_index())
     }
 
+    /// Whether a deferred snapshot of the group is being written.
+    pub fn is_writing_snapshot(&self, group: &Name) -> bool {
+        self.deferred.contains(group)
+    }
+
     /// Whether a failed write has stopped the journal.
     pub fn is_stopped(&self) -> bool {
         self.failure.is_some()
--- a/crates/journal/src/thread.rs
+++ b/crates/journal/src/thread.rs
@@ -2,9 +2,10 @@
 //!
 //! A snapshot without `clear` whose index the log reaches is deferred: one slice is written after
 //! each sync, and further slices while no batch waits. Its batch is reported once the rest of the
-//! batch is durable, since the log still holds the entries that the snapshot covers. All other
-//! snapshots are durable before their batch is reported; one with `clear` replaces the log. When
-//! the channel is closed, deferred snapshots are abandoned.
+//! batch is durable, since the log still holds the entries that the snapshot covers. While one is
+//! being written, further ones of its group are dropped, or frequent snapshots would keep one
+//! another from being completed. All other snapshots are durable before their batch is reported; one
+//! with `clear` replaces the log. When the channel is closed, deferred snapshots are abandoned.
 
 use std::io;
 use std::thread::{Builder, JoinHandle};
@@ -98,10 +99,10 @@
         };
         // A later snapshot of the group supersedes an earlier one.
         deferred.remove(&batch.group);
-        if !batch.clear && journal.can_defer_snapshot(&batch.group, index) {
-            deferred.insert(batch.group.clone(), (index, payload));
-        } else {
+        if batch.clear || !journal.can_defer_snapshot(&batch.group, index) {
             batch.snapshot = Some((index, payload));
+        } else if !journal.is_writing_snapshot(&batch.group) {
+            deferred.insert(batch.group.clone(), (index, payload));
         }
     }
     journal.write(batches)?;
--- a/crates/journal/tests/thread.rs
+++ b/crates/journal/tests/thread.rs
@@ -73,6 +73,44 @@
     assert_eq!(g.entries.len() as u64, last - 1);
 }
 
+/// Guards against snapshots that replace one another before one is complete, while the log grows.
+#[test]
+fn frequent_snapshots_are_completed() {
+    const SLICES: usize = 3;
+    let disk = FakeDisk::with_folder(&folder());
+    let (mut journal, _) = open(&disk).unwrap();
+    journal.write(&[entries("g", 1, &["a"])]).unwrap();
+    let with_snapshot = |index: u64| {
+        let mut batch = entries("g", index, &["later"]);
+        batch.snapshot = Some((Index(index - 1), vec![7; SLICES * SNAPSHOT_SLICE_BYTES]));
+        batch
+    };
+    let (batches, receiver) = unbounded();
+    batches.send((with_snapshot(2), 2)).unwrap();
+    let mut sender = Some(batches);
+    // Each report sends the next batch, so that a batch is always waiting.
+    let done = move |result: Result<u64, JournalError>| {
+        let index = result.unwrap();
+        match index {
+            ..20 => {
+                let next = (with_snapshot(index + 1), index + 1);
+                sender.as_ref().unwrap().send(next).unwrap();
+            }
+            _ => sender = None,
+        }
+    };
+    start(journal, receiver, done).unwrap().join().unwrap();
+    let (_, found) = open(&disk).unwrap();
+    let g = found.get(&name("g")).unwrap();
+    let (index, _) = g.snapshot.as_ref().expect("a snapshot is stored");
+    assert_eq!(index.0 + g.entries.len() as u64, 20);
+    assert!(
+        g.entries.len() <= 10,
+        "{} entries are left",
+        g.entries.len()
+    );
+}
+
 /// Guards against a snapshot that replaces the log and is reported before it is current: the old
 /// entries would be recovered after a crash.
 #[test]
