--- a/crates/agreement/tests/group/support.rs
+++ b/crates/agreement/tests/group/support.rs
@@ -1,6 +1,7 @@
 //! Single-threaded simulation of nodes, disks and a network.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::mem::size_of_val;
 use std::time::Duration;
 
 use greengage_agreement::{
@@ -33,6 +34,13 @@
     ("c", MemberRole::Voter),
 ];
 
+/// A command that counts as 4 MiB in a group with large commands.
+pub(crate) const LARGE_COMMAND: Command = 4;
+
+fn large_command_bytes(command: &Command) -> usize {
+    (*command % 5) as usize * (1 << 20)
+}
+
 /// A seeded linear congruential generator.
 #[derive(Default)]
 pub(crate) struct Rng(pub u64);
@@ -108,11 +116,15 @@
     pub(crate) max_sync_us: u64,
     /// Number of entries after the snapshot above which a node compacts its log.
     pub(crate) compact_entries: u64,
+    /// Whether commands count as up to 4 MiB each, so that bytes bound what nodes keep and send.
+    large_commands: bool,
     in_flight: BTreeMap<(Time, u64), (NodeId, NodeId, Msg)>,
     last_id: u64,
     pub(crate) messages_sent: u64,
     pub(crate) sent_to: BTreeMap<NodeId, u64>,
     pub(crate) snapshots_sent: u64,
+    /// Bytes of commands sent to each node, by `large_command_bytes`.
+    bytes_sent_to: BTreeMap<NodeId, usize>,
     /// The leader of each term.
     pub(crate) leaders: BTreeMap<Term, NodeId>,
     /// The term and content of the entry applied at each index.
@@ -128,7 +140,16 @@
 
 impl Group {
     pub(crate) fn new(members: &[(&str, MemberRole)], seed: u64) -> Group {
+        Group::with_commands(members, seed, false)
+    }
+
+    pub(crate) fn with_commands(
+        members: &[(&str, MemberRole)],
+        seed: u64,
+        large_commands: bool,
+    ) -> Group {
         let mut group = Group {
+            large_commands,
             rng: Rng(seed),
             initial: config(members),
             max_delay_us: 1000,
@@ -156,6 +177,10 @@
             entries: disk.entries.clone(),
             timing: self.timing.clone(),
             batch_entries: DEFAULT_BATCH_ENTRIES,
+            command_bytes: match self.large_commands {
+                true => large_command_bytes,
+                false => size_of_val,
+            },
             seed: self.rng.below(u64::MAX >> 33),
             now: self.now,
         });
@@ -299,9 +324,20 @@
         }
     }
 
+    pub(crate) fn bytes_sent_to(&self, node: &NodeId) -> usize {
+        self.bytes_sent_to.get(node).copied().unwrap_or(0)
+    }
+
     fn send_message(&mut self, from: NodeId, to: NodeId, message: Msg) {
         self.messages_sent += 1;
         *self.sent_to.entry(to.clone()).or_default() += 1;
+        if let Message::AppendRequest(append) = &message {
+            let commands = append.entries.iter().filter_map(|entry| match &entry.kind {
+                EntryKind::Command(command) => Some(large_command_bytes(command)),
+                EntryKind::Noop | EntryKind::Config(_) => None,
+            });
+            *self.bytes_sent_to.entry(to.clone()).or_default() += commands.sum::<usize>();
+        }
         self.snapshots_sent += u64::from(matches!(message, Message::InstallSnapshot { .. }));
         let copies = 1 + u64::from(self.rng.below(100) < self.duplicate_percent);
         for _ in 0..copies {
--- a/crates/config/src/group.rs
+++ b/crates/config/src/group.rs
@@ -27,6 +27,14 @@
 /// up to some hundred kilobytes, and a data folder may have only 128 MB.
 pub const COMPACTION_ENTRIES: u64 = 24;
 
+/// Memory of applied documents above which the log is compacted before it has
+/// `COMPACTION_ENTRIES`. All of them stay in memory until then.
+const COMPACTION_BYTES: u64 = 8 << 20;
+
+/// Memory of documents that wait to be committed above which a leader takes no further edit. A leader
+/// whose followers' disks hang stays the leader, and operators send their edits again.
+const MAX_UNCOMMITTED_BYTES: u64 = 8 << 20;
+
 /// Number of entries in one message. Each holds a whole document, and the mesh drops messages of more
 /// than 16 MiB: a member could never receive a batch that is larger.
 const BATCH_ENTRIES: usize = 1;
@@ -136,7 +144,8 @@
         /// The document in force; `None` if there is none or the newest one could not be confirmed.
         document: Option<Arc<Document>>,
     },
-    /// This member could not take the request, usually because it is not the leader.
+    /// This member could not take the request, usually because it is not the leader. A leader that
+    /// takes no further edit for now names none.
     Redirect {
         /// The request to answer.
         request: RequestId,
@@ -191,6 +200,7 @@
             entries: recovered.entries,
             timing: setup.timing,
             batch_entries: BATCH_ENTRIES,
+            command_bytes: |edit: &Edit| edit.0.memory_bytes(),
             seed: setup.seed,
             now: setup.now,
         });
@@ -372,6 +382,11 @@
             out.push(Effect::Edited { request, outcome });
             return;
         }
+        if self.is_leader() && self.raft.uncommitted_bytes() > MAX_UNCOMMITTED_BYTES {
+            let leader = None;
+            out.push(Effect::Redirect { request, leader });
+            return;
+        }
         let ticket = self.add_pending(now, request, RequestKind::Edit);
         let command = Edit(document);
         self.step_raft(now, agreement::Event::Propose { ticket, command }, out);
@@ -498,7 +513,9 @@
     }
 
     fn compact(&mut self, now: Time, out: &mut Vec<Effect>) {
-        if self.applied.0 < self.snapshot_index.0 + COMPACTION_ENTRIES {
+        let is_due = self.applied.0 >= self.snapshot_index.0 + COMPACTION_ENTRIES
+            || self.raft.applied_bytes() > COMPACTION_BYTES;
+        if !is_due {
             return;
         }
         self.snapshot_index = self.applied;
