Send requests again when a connection is replaced

Cause: a request that is forwarded over a connection that has fallen silent, or its reply, is lost with that connection. It was sent again after 2 s, and after 4 s more. The connection is replaced after 1.5 to 2 s, so the first repetition could still go to the silent connection, or its reply to the other direction's, and a request that was routed again meanwhile waited for 4 s at once.

Change: the transport reports a replaced connection to both VMs, and the control thread then sends the unanswered requests at that VM again, as it does for a leader's next term. Idle timeout, intervals and the test's limit are as they were.

Measured: fault test request_is_sent_again_when_a_connection_is_replaced 0 forwards without the new call, 1 with it; transport test a_replaced_connection_is_reported_to_both_vms passes; all tests of greengage-transport, -control and -node pass.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -189,6 +189,7 @@
             Event::Tick => {}
             Event::Request { id, wait, request } => self.request(id, wait, request),
             Event::Peer { from, envelope } => self.receive_peer(&from, &envelope),
+            Event::Reconnected { vm } => self.resend_requests(&vm),
             Event::SaveDone(saved) => self.save_completed(saved),
             Event::DiskFailed => self.on_disk_failure(),
             Event::CallEnded { token, result } => self.call_ended(token, result),
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -218,6 +218,11 @@
         /// Received message.
         envelope: Arc<Envelope>,
     },
+    /// A connection to or from another VM was replaced; messages may be lost.
+    Reconnected {
+        /// The other VM.
+        vm: VmName,
+    },
     /// A save has become durable.
     SaveDone(DurableSave),
     /// The disk failed; no further save becomes durable.
--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -2,7 +2,7 @@
 //!
 //! Each request of a front end is kept here until it gets its one reply. Requests that carry a key
 //! or an operation id are idempotent and are sent again when the handling VM changes or does not
-//! answer. When a request can't be handled in time, its caller is told that the outcome is unknown;
+//! answer, or a connection to or from it is replaced. When a request can't be handled in time, its caller is told that the outcome is unknown;
 //! only the handling VM may say "not run".
 
 use std::time::Duration;
@@ -444,6 +444,19 @@
         }
     }
 
+    /// Sends all requests at `vm` again: a replaced connection may have lost them or their replies.
+    pub(crate) fn resend_requests(&mut self, vm: &VmName) {
+        let waiting = |caller: &Caller| match &caller.location {
+            Location::Remote { vm: handler, .. } => handler == vm,
+            Location::Unrouted | Location::Local => false,
+        };
+        let callers = self.callers.iter().filter(|(_, caller)| waiting(caller));
+        let ids: Vec<RequestId> = callers.map(|(id, _)| *id).collect();
+        for id in ids {
+            self.route(id);
+        }
+    }
+
     pub(crate) fn tick_routes(&mut self) {
         while let Some(timer) = self.route_timers.pop(self.now.time) {
             match timer {
--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -242,6 +242,17 @@
         });
     }
 
+    /// Drops the effects; returns the number of requests that they forward.
+    fn take_forwards(&mut self) -> usize {
+        let is_forward = |effect: &&Effect| match effect {
+            Effect::Send { envelope, .. } => matches!(envelope.body, Body::Forward { .. }),
+            _ => false,
+        };
+        let count = self.effects.iter().filter(is_forward).count();
+        self.effects.clear();
+        count
+    }
+
     /// Delivers a status report in which VM a1 leads the zone in this term, or does not lead.
     fn receive_status(&mut self, leading_term: Option<Term>) {
         let status = status(leading_term);
@@ -509,24 +520,29 @@
 #[test]
 fn request_is_sent_again_to_a_leader_in_its_next_term() {
     let mut harness = Harness::new("a2", 2);
-    let forwards = |harness: &mut Harness| {
-        let is_forward = |effect: &Effect| match effect {
-            Effect::Send { envelope, .. } => matches!(envelope.body, Body::Forward { .. }),
-            _ => false,
-        };
-        let count = harness.effects.iter().filter(|e| is_forward(e)).count();
-        harness.effects.clear();
-        count
-    };
     harness.receive_status(Some(Term(1)));
     harness.request(1000, Request::Submit(job("j1", 1)));
-    assert_eq!(forwards(&mut harness), 1);
+    assert_eq!(harness.take_forwards(), 1);
     harness.receive_status(Some(Term(1)));
-    assert_eq!(forwards(&mut harness), 0);
+    assert_eq!(harness.take_forwards(), 0);
     harness.receive_status(None);
-    assert_eq!(forwards(&mut harness), 0);
+    assert_eq!(harness.take_forwards(), 0);
     harness.receive_status(Some(Term(2)));
-    assert_eq!(forwards(&mut harness), 1);
+    assert_eq!(harness.take_forwards(), 1);
+}
+
+/// Guards against a request, or its reply, that is lost with a silent connection and sent again only
+/// 2 or 4 s later, although the connection has been replaced.
+#[test]
+fn request_is_sent_again_when_a_connection_is_replaced() {
+    let mut harness = Harness::new("a2", 2);
+    harness.receive_status(Some(Term(1)));
+    harness.request(1000, Request::Submit(job("j1", 1)));
+    assert_eq!(harness.take_forwards(), 1);
+    harness.step(Event::Reconnected { vm: vm("a3") });
+    assert_eq!(harness.take_forwards(), 0);
+    harness.step(Event::Reconnected { vm: vm("a1") });
+    assert_eq!(harness.take_forwards(), 1);
 }
 
 /// Guards against "not run" for a task whose target restarted after it had received the start.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -6,7 +6,7 @@
 use greengage_control::{Body, Envelope, Event, LedgerMessage, PolicyMessage};
 use greengage_core::VmName;
 use greengage_transport as transport;
-use greengage_transport::Class;
+use greengage_transport::{Class, Received};
 
 use crate::bulk::{is_part, LargeMessage, LARGE_MESSAGE_BYTES};
 use crate::control::peer_event;
@@ -72,13 +72,23 @@
     }
 }
 
-/// The transport's handler of received messages: decodes a message and passes it to the control
-/// thread. Parts of large messages are passed to the thread that reassembles them.
+/// The transport's handler: decodes a message and passes it to the control thread, as replaced
+/// connections. Parts of large messages are passed to the thread that reassembles them.
 pub(crate) fn message_handler(
     events: Sender<Event>,
     parts: Sender<(VmName, Vec<u8>)>,
-) -> impl FnMut(VmName, Vec<u8>) + Send + 'static {
-    move |from, bytes| {
+) -> impl FnMut(VmName, Received) + Send + 'static {
+    move |from, received| {
+        let bytes = match received {
+            Received::Message(bytes) => bytes,
+            Received::Reconnected => {
+                let event = Event::Reconnected { vm: from };
+                if events.try_send(event).is_err() {
+                    metrics::counter!("greengage_peer_drops_total").increment(1);
+                }
+                return;
+            }
+        };
         if is_part(&bytes) {
             let _ = parts.send((from, bytes));
             return;
--- a/crates/transport/examples/measure.rs
+++ b/crates/transport/examples/measure.rs
@@ -16,7 +16,7 @@
 
 use common::{send_until_received, settings, start_node, vm, Node, TIMEOUT};
 use greengage_transport::keys::create_authority;
-use greengage_transport::{start, Class};
+use greengage_transport::{start, Class, Received};
 use relay::{Direction, Relay};
 
 const MESSAGE_BYTES: usize = 200;
@@ -46,10 +46,11 @@
     let mut echo_sender = None;
     let b = start(
         settings(&authority, "b", &[("a", address_a)]),
-        move |from, bytes| {
-            if bytes.len() > MESSAGE_BYTES {
-                return;
-            }
+        move |from, received| {
+            let bytes = match received {
+                Received::Message(bytes) if bytes.len() <= MESSAGE_BYTES => bytes,
+                Received::Message(_) | Received::Reconnected => return,
+            };
             let sender = echo_sender.get_or_insert_with(|| echo_inbox.recv().expect("a sender"));
             sender.send(&from, Class::Control, bytes);
         },
@@ -91,8 +92,10 @@
     let authority = create_authority().expect("an authority");
     let received = Arc::new(AtomicUsize::new(0));
     let received_by_b = received.clone();
-    let b = start(settings(&authority, "b", &[]), move |_, _| {
-        received_by_b.fetch_add(1, Ordering::Relaxed);
+    let b = start(settings(&authority, "b", &[]), move |_, received| {
+        if matches!(received, Received::Message(_)) {
+            received_by_b.fetch_add(1, Ordering::Relaxed);
+        }
     })
     .expect("a transport");
     let mut settings_a = settings(&authority, "a", &[("b", b.local_addr())]);
--- a/crates/transport/src/accept.rs
+++ b/crates/transport/src/accept.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use greengage_core::VmName;
+use greengage_core::{SortedMap, VmName};
 use quinn::{Connection, Endpoint, Incoming, RecvStream};
 use rustls::pki_types::CertificateDer;
 use tokio::task::spawn_local;
@@ -16,6 +16,7 @@
 use crate::link::{CLOSE_MALFORMED, CLOSE_REFUSED};
 use crate::queue::Class;
 use crate::tls;
+use crate::Received;
 
 /// Maximum number of open connections, including those in a handshake.
 const MAX_CONNECTIONS: usize = 2048;
@@ -28,11 +29,13 @@
 /// Maximum number of bytes per read from a stream.
 const MAX_CHUNK_BYTES: usize = 256 << 10;
 
-pub(crate) type Deliver = Box<dyn FnMut(VmName, Vec<u8>)>;
+pub(crate) type Deliver = Rc<RefCell<dyn FnMut(VmName, Received)>>;
 
 /// State shared by all incoming connections.
 pub(crate) struct Receiver {
-    deliver: RefCell<Deliver>,
+    deliver: Deliver,
+    /// The VMs of which a connection was accepted.
+    senders: RefCell<SortedMap<VmName, ()>>,
     counters: Arc<Counters>,
     idle_timeout: Duration,
     handshakes: Cell<usize>,
@@ -47,7 +50,8 @@
         idle_timeout: Duration,
     ) -> Receiver {
         Receiver {
-            deliver: RefCell::new(deliver),
+            deliver,
+            senders: RefCell::default(),
             counters,
             idle_timeout,
             handshakes: Cell::new(0),
@@ -101,21 +105,32 @@
             return self.reject_peer(&address, "no certificate");
         };
         let certificate = Rc::new(certificate);
+        let announced = Rc::new(Cell::new(false));
         // The sender opens one stream per class, and an empty stream for each probe.
         while let Ok(stream) = connection.accept_uni().await {
             spawn_local(self.clone().receive_stream(
                 connection.clone(),
                 certificate.clone(),
+                announced.clone(),
                 stream,
             ));
         }
     }
 
+    /// Reports a connection that replaces an earlier one of the same VM.
+    fn record_connection(&self, vm: &VmName) {
+        let earlier = self.senders.borrow_mut().insert(vm.clone(), ());
+        if earlier.is_some() {
+            (self.deliver.borrow_mut())(vm.clone(), Received::Reconnected);
+        }
+    }
+
     /// Delivers the messages of one stream.
     async fn receive_stream(
         self: Rc<Receiver>,
         connection: Connection,
         certificate: Rc<CertificateDer<'static>>,
+        announced: Rc<Cell<bool>>,
         mut stream: RecvStream,
     ) {
         let mut decoder = FrameDecoder::default();
@@ -130,11 +145,14 @@
                 };
                 if let Some((class, vm)) = &sender {
                     self.counters.record_received(*class, message.len());
-                    (self.deliver.borrow_mut())(vm.clone(), message);
+                    (self.deliver.borrow_mut())(vm.clone(), Received::Message(message));
                     continue;
                 }
                 match decode_header(&message) {
                     Ok((class, vm)) if tls::is_issued_for(&certificate, &vm) => {
+                        if !announced.replace(true) {
+                            self.record_connection(&vm);
+                        }
                         sender = Some((class, vm))
                     }
                     Ok((_, vm)) => {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -1,7 +1,7 @@
 //! Byte messages between VMs over QUIC with mutual TLS.
 //!
 //! Messages may be lost, and each is delivered at most once. Messages of one class from one VM
-//! are delivered in order, except while a connection is replaced.
+//! are delivered in order, except while a connection is replaced, which is reported to both VMs.
 //!
 //! - `keys`: certificate authority of the deployment and key pairs of the VMs.
 //! - `queue`: outgoing messages per peer and class.
@@ -21,6 +21,7 @@
 mod queue;
 mod tls;
 
+use std::cell::RefCell;
 use std::fmt;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -185,11 +186,20 @@
     queue_bytes: usize,
 }
 
-/// Starts listening and connecting to the peers. `deliver` receives the sender and the bytes of
-/// each message; it is called on the transport thread and must not block.
+/// What the transport delivers of another VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Received {
+    /// The bytes of a message from it.
+    Message(Vec<u8>),
+    /// A connection to or from it was replaced; what was sent on the previous one may be lost.
+    Reconnected,
+}
+
+/// Starts listening and connecting to the peers. `deliver` receives the name of a VM and what was
+/// received of it; it is called on the transport thread and must not block.
 pub fn start(
     settings: Settings,
-    deliver: impl FnMut(VmName, Vec<u8>) + Send + 'static,
+    deliver: impl FnMut(VmName, Received) + Send + 'static,
 ) -> Result<Transport, TransportError> {
     let tls = Tls::new(&settings.vm, &settings.keys, settings.idle_timeout)?;
     let address = settings.listen;
@@ -224,7 +234,8 @@
     let thread = thread::Builder::new()
         .name("transport".to_owned())
         .spawn(move || {
-            transport_thread.run(runtime, endpoint, new_peer_receiver, Box::new(deliver))
+            let deliver = Rc::new(RefCell::new(deliver));
+            transport_thread.run(runtime, endpoint, new_peer_receiver, deliver)
         })
         .map_err(TransportError::Thread)?;
     let transport = Transport {
@@ -345,11 +356,12 @@
     ) {
         let tasks = LocalSet::new();
         tasks.block_on(&runtime, async {
-            let receiver = Receiver::new(deliver, self.counters.clone(), self.idle_timeout);
+            let receiver = Receiver::new(deliver.clone(), self.counters.clone(), self.idle_timeout);
             spawn_local(Rc::new(receiver).run(endpoint.clone()));
             let mut links = JoinSet::new();
             while let Some(peer) = new_peer_receiver.recv().await {
-                links.spawn_local(self.new_link(peer.vm, peer.address).run(peer.queues));
+                let link = self.new_link(peer.vm, peer.address, deliver.clone());
+                links.spawn_local(link.run(peer.queues));
                 while links.try_join_next().is_some() {}
             }
             // Best effort: messages lost here count as lost on the network, and a peer that does
@@ -363,7 +375,7 @@
         });
     }
 
-    fn new_link(&self, peer: VmName, address: SocketAddr) -> Link {
+    fn new_link(&self, peer: VmName, address: SocketAddr, deliver: accept::Deliver) -> Link {
         Link {
             vm: self.vm.clone(),
             peer,
@@ -372,6 +384,7 @@
             client: self.client.clone(),
             idle_timeout: self.idle_timeout,
             counters: self.counters.clone(),
+            deliver,
         }
     }
 }
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -11,10 +11,12 @@
 use quinn::{ClientConfig, Connection, Endpoint, VarInt};
 use tokio::time::{sleep, timeout};
 
+use crate::accept::Deliver;
 use crate::counter::Counters;
 use crate::frame;
 use crate::keys::dns_name;
 use crate::queue::{Queue, CLASS_COUNT};
+use crate::Received;
 
 const MIN_BACKOFF: Duration = Duration::from_millis(50);
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
@@ -40,6 +42,7 @@
     pub(crate) client: ClientConfig,
     pub(crate) idle_timeout: Duration,
     pub(crate) counters: Arc<Counters>,
+    pub(crate) deliver: Deliver,
 }
 
 impl Link {
@@ -54,6 +57,9 @@
                 Ok(connection) => {
                     log::info!("connected to VM {} at {}", self.peer, self.address);
                     self.counters.record_connected(connected_before);
+                    if connected_before {
+                        (self.deliver.borrow_mut())(self.peer.clone(), Received::Reconnected);
+                    }
                     connected_before = true;
                     let connected_at = Instant::now();
                     let error = self.run_connection(&connection, &mut queues).await;
--- a/crates/transport/tests/transport/common.rs
+++ b/crates/transport/tests/transport/common.rs
@@ -7,7 +7,7 @@
 use greengage_core::VmName;
 use greengage_transport::keys::{create_authority, issue, Authority, Keys};
 use greengage_transport::{
-    start, Class, Settings, Transport, DEFAULT_IDLE_TIMEOUT, DEFAULT_QUEUE_BYTES,
+    start, Class, Received, Settings, Transport, DEFAULT_IDLE_TIMEOUT, DEFAULT_QUEUE_BYTES,
 };
 
 /// Limit for events that must happen.
@@ -28,6 +28,8 @@
 pub(crate) struct Node {
     pub(crate) transport: Transport,
     pub(crate) inbox: Receiver<(VmName, Vec<u8>)>,
+    /// The VMs of which a replaced connection was reported.
+    pub(crate) reconnected: Receiver<VmName>,
 }
 
 pub(crate) fn settings(
@@ -47,12 +49,17 @@
 
 pub(crate) fn start_node(settings: Settings) -> Node {
     let (deliveries, inbox) = channel();
-    let deliver = move |from, bytes| {
-        let _ = deliveries.send((from, bytes));
+    let (reconnections, reconnected) = channel();
+    let deliver = move |vm, received| {
+        let _ = match received {
+            Received::Message(bytes) => deliveries.send((vm, bytes)).is_ok(),
+            Received::Reconnected => reconnections.send(vm).is_ok(),
+        };
     };
     Node {
         transport: start(settings, deliver).unwrap(),
         inbox,
+        reconnected,
     }
 }
 
--- a/crates/transport/tests/transport/messages.rs
+++ b/crates/transport/tests/transport/messages.rs
@@ -176,7 +176,9 @@
         "{error}"
     );
     let sender = a.transport.sender();
-    let Node { transport, inbox } = a;
+    let Node {
+        transport, inbox, ..
+    } = a;
     drop(transport);
     // The end of the thread drops `deliver` and with it the channel.
     assert!(inbox.recv().is_err());
--- a/crates/transport/tests/transport/reconnect.rs
+++ b/crates/transport/tests/transport/reconnect.rs
@@ -66,6 +66,17 @@
     assert_eq!(relay.flow_count(), 2);
 }
 
+/// Guards against a VM that doesn't learn that messages to it, or its own, may be lost.
+#[test]
+fn a_replaced_connection_is_reported_to_both_vms() {
+    let (a, b, relay) = connected_over_relay();
+    relay.block(Direction::Both);
+    assert_eq!(a.reconnected.recv_timeout(TIMEOUT), Ok(vm("b")));
+    assert_eq!(b.reconnected.recv_timeout(TIMEOUT), Ok(vm("a")));
+    send_until_received(&a, &b, "b", TIMEOUT);
+    assert!(a.reconnected.try_recv().is_err() && b.reconnected.try_recv().is_err());
+}
+
 /// Guards against stale heartbeats being delivered after an outage, and requests being lost in it.
 #[test]
 fn late_control_messages_are_dropped_and_traffic_is_kept() {
