Prepare large responses cheaply in the test of slow readers

Cause: slow_readers_do_not_block_others submits three jobs of 7 MB that the listener parses and digests in a debug build before it answers. Its threads were sampled (/proc schedstat, load average 40 to 47): after 10 s each of the three handlers had run for 0.9 to 1.1 s and waited 9.3 to 9.8 s for a CPU, and no response had begun, which is the caller's limit of 10 s. The exchange beside the "slow readers" took place after 0.5 s, before any response was being written, so it checked nothing. "1 remain" and the read error were not traced in the old test.

Change: the listener answers small jobs with a result of 7 MB. Checks and limits are unchanged; the exchange is stricter, since three responses now wait for their readers.

--- a/crates/http/tests/front.rs
+++ b/crates/http/tests/front.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use greengage_control::api::{ApiError, Progress, Reply, Request};
+use greengage_control::api::{ApiError, NewJob, Progress, Reply, Request};
 use greengage_core::{JobKey, Outcome, Payload, RequestId, VmName, ZoneName};
 use greengage_http::front::{self, CallerListener, Limits, ReplySender, Settings};
 
@@ -33,16 +33,24 @@
 
 /// A listener that answers each job at once with its tasks as results and ignores other requests.
 fn echo_front(settings: Settings) -> CallerListener {
+    answering_front(settings, |job| job.tasks.clone())
+}
+
+/// A listener that answers each job at once with the `results` of it and ignores other requests.
+fn answering_front(
+    settings: Settings,
+    results: impl Fn(&NewJob) -> Vec<Payload> + Send + Sync + 'static,
+) -> CallerListener {
     let replies: Arc<OnceLock<ReplySender>> = Arc::default();
     let reply_sender = replies.clone();
     let front = front::start(settings, move |id, _, request| {
         if let Request::Submit(job) = request {
+            let progress = Progress::Closed(Arc::new(Outcome::Complete(results(&job))));
             let key = JobKey {
                 account: job.account,
                 zone: job.zone.unwrap_or(ZoneName::new("a").unwrap()),
                 id: job.id,
             };
-            let progress = Progress::Closed(Arc::new(Outcome::Complete(job.tasks)));
             reply_sender.wait().reply(id, Reply::Job { key, progress });
         }
         true
@@ -542,14 +550,19 @@
     settings.limits.listener.write_timeout = Duration::from_millis(2200);
     settings.limits.listener.head_timeout = Duration::from_secs(1);
     settings.limits.listener.idle_timeout = Duration::from_secs(1);
-    let front = echo_front(settings);
     // Larger than the socket buffers.
-    let task = format!("\"{}\"", "x".repeat(7_000_000));
-    let body = JOB.replace("[1]", &format!("[{task}]"));
+    let result = format!("\"{}\"", "x".repeat(7_000_000));
+    let large = Payload::new(result.as_bytes());
+    let front = answering_front(settings, move |job| match job.id.as_str() {
+        "large" => vec![large.clone()],
+        _ => job.tasks.clone(),
+    });
     let mut slow: Vec<TcpStream> = (0..3)
         .map(|_| {
             let mut stream = connect(front.address());
-            send(&mut stream, "POST", "/v1/jobs", &body);
+            send(&mut stream, "POST", "/v1/jobs", &JOB.replace("j1", "large"));
+            // A response that isn't being written yet delays nobody.
+            assert_eq!(stream.peek(&mut [0]).unwrap(), 1);
             stream
         })
         .collect();
@@ -557,13 +570,13 @@
     let sent = Instant::now();
     assert_eq!(exchange(front.address(), "POST", "/v1/jobs", JOB).0, 200);
     assert!(sent.elapsed() < Duration::from_secs(1));
-    let expected = format!(r#"{{"key":"a/acme/j1","state":"complete","results":[{task}]}}"#);
+    let expected = format!(r#"{{"key":"a/acme/large","state":"complete","results":[{result}]}}"#);
     assert!(
-        read_response(&mut slow[0]).2 == expected,
+        read_response(&mut slow[2]).2 == expected,
         "the response is truncated"
     );
     // Reading a byte now and then must not keep the other connections open. The write timeout is
-    // 2.2 s; a debug build on a busy machine needs seconds to prepare the responses.
+    // 2.2 s.
     let end = Instant::now() + Duration::from_secs(8);
     while front.connections() > 0 {
         assert!(Instant::now() < end, "{} remain", front.connections());
