Wrap a comment of the request routes

Cause: a merged comment had a line that is longer than the others, which the formatter leaves.

Change: the comment is wrapped; no code is changed.

--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -2,8 +2,8 @@
 //!
 //! Each request of a front end is kept here until it gets its one reply. Requests that carry a key
 //! or an operation id are idempotent and are sent again when the handling VM changes or does not
-//! answer, or a connection to or from it is replaced. When a request can't be handled in time, its caller is told that the outcome is unknown;
-//! only the handling VM may say "not run".
+//! answer, or a connection to or from it is replaced. When a request can't be handled in time, its
+//! caller is told that the outcome is unknown; only the handling VM may say "not run".
 
 use std::time::Duration;
 
