Show that bytes after a request hide that its caller has left

The caller may have submitted its job elsewhere by then.

Callers that send one request at a time aren't affected.

--- a/crates/listener/tests/checks.rs
+++ b/crates/listener/tests/checks.rs
@@ -221,3 +221,31 @@
     }
     assert!(left.is_empty(), "{} were not reported", left.len());
 }
+
+/// Guards against a caller that counts as waiting after it has left, because bytes follow its request.
+#[test]
+fn caller_that_sends_an_empty_line_after_its_request_is_reported_when_it_leaves() {
+    let (sender, events) = channel();
+    let (_resume, resumed) = channel();
+    let service = Recorder {
+        events: Mutex::new(sender),
+        resume: Mutex::new(resumed),
+        waiting: Mutex::new(Vec::new()),
+    };
+    let reject = |status, message: &str| Answer::json(status, message);
+    let address = "127.0.0.1:0".parse().unwrap();
+    let limits = Limits::default();
+    let listener = start_direct("test", address, limits, reject, Box::new(service)).unwrap();
+    let mut stream = send(&listener, "/wait");
+    let call = next_call(&events);
+    stream.write_all(b"\r\n").unwrap();
+    thread::sleep(CHECK_INTERVAL);
+    drop(stream);
+    for _ in 0..10 {
+        let event = events.recv_timeout(TIMEOUT).expect("an event");
+        if event == Event::Disconnected(call) {
+            return;
+        }
+    }
+    panic!("the caller has left, but counts as waiting");
+}
