--- a/crates/scheduler/tests/world/pauses.rs
+++ b/crates/scheduler/tests/world/pauses.rs
@@ -221,3 +221,36 @@
     }
     run_for(sim, 0, 300);
 }
+
+/// Guards against duplicate runs when listeners are late, stops are lost and targets lose their holds
+/// besides.
+#[test]
+fn survives_random_pauses_of_listeners_and_lost_stops() {
+    let first = env_number("GREENGAGE_SEED", 1);
+    for seed in first..first + env_number("GREENGAGE_CASES", 30) {
+        println!("GREENGAGE_SEED={seed} GREENGAGE_CASES=1");
+        let mut sim = Simulation::new(seed, 4, 12);
+        sim.resubmit_timeouts = true;
+        for _ in 0..60 {
+            let (vm, target) = (sim.rng.below(4) as usize, sim.rng.below(12) as usize);
+            match sim.rng.below(4) {
+                0 => {
+                    let span = millis(sim.rng.below(2000));
+                    sim.pause_listener(vm, span);
+                }
+                1 => sim.targets[target].late_stops ^= true,
+                2 => sim.targets[target].lost_holds = sim.rng.below(3) as u32,
+                _ => {}
+            }
+            play_random_pause(&mut sim);
+        }
+        sim.held_links.clear();
+        sim.targets.iter_mut().for_each(|t| t.late_stops = false);
+        for vm in 0..4 {
+            sim.resume_vm(vm);
+            sim.restart_vm(vm);
+        }
+        sim.run(10 * SECOND);
+        assert_no_duplicates(&sim, seed);
+    }
+}
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -583,7 +583,8 @@
         self.vms[vm].paused = false;
         let incarnation = self.vms[vm].incarnation;
         let listener_delay = Duration::from_millis(self.rng.below(LISTENER_DELAY_MS));
-        self.vms[vm].listener_resumes = self.now + listener_delay;
+        let resumes = &mut self.vms[vm].listener_resumes;
+        *resumes = (*resumes).max(self.now + listener_delay);
         for event in std::mem::take(&mut self.vms[vm].deferred) {
             match event {
                 Event::CallerGone(_) => {
@@ -596,7 +597,8 @@
 
     /// Pauses the listener of a VM, whose other threads go on.
     pub(crate) fn pause_listener(&mut self, vm: usize, span: Duration) {
-        self.vms[vm].listener_resumes = self.now + span;
+        let resumes = &mut self.vms[vm].listener_resumes;
+        *resumes = (*resumes).max(self.now + span);
     }
 
     /// Number of starts that `vm` has sent for tasks offloaded by `peer`.
