Let the loss of a simulated VM show only after its time-out

The peers of a lost VM heard of its next process within 100 ms, although it wasn't started.

The other tests of the simulation were not run with it.

--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -506,7 +506,10 @@
                 if peer != vm && last_seen && !ignored_peer && !unreachable {
                     peers.push(Peer {
                         candidate: candidate(peer, 3),
-                        incarnation: Incarnation(self.vms[peer].incarnation),
+                        // The loss of a VM shows only after its time-out.
+                        incarnation: Incarnation(
+                            self.vms[peer].incarnation - u64::from(!self.vms[peer].up),
+                        ),
                         leaving: self.vms[peer].leaving,
                     });
                 }
