--- a/crates/scheduler/tests/world/pauses.rs
+++ b/crates/scheduler/tests/world/pauses.rs
@@ -254,3 +254,21 @@
         assert_no_duplicates(&sim, seed);
     }
 }
+
+/// Guards against renewals that keep offloaded runs going although the listener of their VM is late and
+/// their callers have left.
+#[test]
+fn offloaded_runs_end_while_callers_are_unknown() {
+    for seed in 0..SEEDS {
+        let mut sim = Simulation::new(seed, 3, 9);
+        sim.caller_timeout = Some(30 * SECOND);
+        sim.submit(0, 1, vec![20 * SECOND; 6]);
+        sim.run(millis(50));
+        (0..3).for_each(|_| drop(sim.submit(0, 1, vec![5 * SECOND])));
+        sim.run(millis(400));
+        sim.pause_listener(0, 3 * SECOND);
+        (1..4).for_each(|caller| sim.close_caller(caller));
+        sim.run(6 * SECOND);
+        assert_no_duplicates(&sim, seed);
+    }
+}
