--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -24,20 +24,24 @@
 use crate::event::{Effect, Reply};
 use crate::renewal::is_expired;
 use crate::scheduler::Scheduler;
-use crate::target::Run;
+use crate::target::{Run, RunState};
 
 impl Scheduler {
     /// Records that all callers that had left by `until` have been reported.
-    pub(crate) fn on_callers_checked(&mut self, until: Time) {
+    pub(crate) fn on_callers_checked(&mut self, now: Time, until: Time) {
+        // Tasks may have waited for this news.
+        self.dispatch_due |= !self.knows_callers(now);
         self.callers_checked = self.callers_checked.max(until);
         let checked = self.callers_checked;
+        let needed = |run: &&mut Run| {
+            let is_stopped = matches!(run.state, RunState::Stopping(_) | RunState::Stopped(_));
+            !run.origin.is_remote() && !is_stopped
+        };
         self.targets.for_each_used(|_, target| {
-            let current = |run: &&mut Run| !run.origin.is_remote() && run.stop_requested.is_none();
-            for run in target.runs.iter_mut().filter(current) {
+            for run in target.runs.iter_mut().filter(needed) {
                 run.renewed = run.renewed.max(checked);
             }
         });
-        self.dispatch_due = true;
     }
 
     /// Whether the callers of this VM's jobs are known to wait.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -243,7 +243,7 @@
                 path,
             } => self.count_pending(request, &host, &path, &mut out),
             Event::CallerGone(request) => self.on_caller_gone(now, request, &mut out),
-            Event::CallersChecked { until } => self.on_callers_checked(until),
+            Event::CallersChecked { until } => self.on_callers_checked(now, until),
             Event::TargetReported(report) => self.on_target_report(now, report, &mut out),
             Event::TargetLeft(departure) => self.on_target_left(now, &departure, &mut out),
             Event::Peers(peers) => self.set_peers(now, peers, &mut out),
--- a/crates/scheduler/tests/world/pauses.rs
+++ b/crates/scheduler/tests/world/pauses.rs
@@ -120,7 +120,9 @@
         sim.late_order_delay = SECOND;
         sim.submit(0, 1, vec![20 * SECOND; 6]);
         sim.run(millis(50));
-        (0..3).for_each(|_| drop(sim.submit(0, 1, vec![5 * SECOND])));
+        for _ in 0..3 {
+            sim.submit(0, 1, vec![5 * SECOND]);
+        }
         sim.run(millis(400));
         sim.vms[0].paused = true;
         let left = sim.now;
@@ -131,7 +133,9 @@
         sim.targets.iter_mut().for_each(|t| t.late_stops = true);
         (1..3).for_each(|vm| sim.resume_vm(vm));
         for _ in 0..10 {
-            (1..3).for_each(|vm| drop(sim.submit(vm, 0, vec![millis(20); 3])));
+            for vm in 1..3 {
+                sim.submit(vm, 0, vec![millis(20); 3]);
+            }
             sim.run(millis(10));
         }
         let rest = millis(1280) - sim.now.since(left);
@@ -264,7 +268,9 @@
         sim.caller_timeout = Some(30 * SECOND);
         sim.submit(0, 1, vec![20 * SECOND; 6]);
         sim.run(millis(50));
-        (0..3).for_each(|_| drop(sim.submit(0, 1, vec![5 * SECOND])));
+        for _ in 0..3 {
+            sim.submit(0, 1, vec![5 * SECOND]);
+        }
         sim.run(millis(400));
         sim.pause_listener(0, 3 * SECOND);
         (1..4).for_each(|caller| sim.close_caller(caller));
