Count encoding and idle inputs in the fleet example

Cause: the example showed the wall time of steps only, which other load on the machine multiplied by four, and neither encoding nor decoding nor how many inputs do nothing.

Change: times are processor times of the thread; each kind has its inputs, those without an effect, and the costs of decoding and encoding.

--- a/crates/cluster/examples/fleet.rs
+++ b/crates/cluster/examples/fleet.rs
@@ -10,7 +10,7 @@
 #[path = "../tests/support/fleet.rs"]
 mod fleet;
 
-use fleet::{Fleet, Size};
+use fleet::{Cost, Fleet, Size};
 
 /// Time for the VMs to discover one another and to claim the targets.
 const START_TIME: Duration = Duration::from_secs(8);
@@ -44,25 +44,31 @@
     fleet.completed.clear();
     fleet.failed.clear();
     fleet.run(Duration::from_secs(u64::from(MEASURED_S)));
-    println!("role     input            inputs/s  microseconds/s  bytes/s   (for each VM)");
+    println!("per VM and second, times in microseconds of the processor:");
+    println!("role     input          inputs  idle   step  decode  bytes   sent  encode");
     for (is_entry, role) in [(true, "entry"), (false, "control")] {
         let vms = fleet.nodes.iter().filter(|node| node.entry == is_entry);
         let seconds = (vms.count() as u32 * MEASURED_S) as f64;
-        let mut total = Duration::ZERO;
-        for ((_, kind), cost) in fleet.costs.iter().filter(|((e, _), _)| *e == is_entry) {
-            total += cost.time;
+        let rate = |count: u64| count as f64 / seconds;
+        let micros = |time: Duration| time.as_secs_f64() * 1e6 / seconds;
+        let print = |input: &str, cost: &Cost| {
             println!(
-                "{role:8} {:14} {:10.1} {:15.0} {:8.0}",
-                format!("{kind:?}"),
-                cost.inputs as f64 / seconds,
-                cost.time.as_secs_f64() * 1e6 / seconds,
-                cost.bytes as f64 / seconds
+                "{role:8} {input:13} {:7.1} {:5.1} {:6.0} {:7.0} {:6.0} {:6.1} {:7.0}",
+                rate(cost.inputs),
+                rate(cost.idle),
+                micros(cost.time),
+                micros(cost.decode),
+                rate(cost.bytes),
+                rate(cost.sent),
+                micros(cost.encode)
             );
+        };
+        let mut total = Cost::default();
+        for ((_, kind), cost) in fleet.costs.iter().filter(|((e, _), _)| *e == is_entry) {
+            total.add(cost);
+            print(&format!("{kind:?}"), cost);
         }
-        println!(
-            "{role:8} all                       {:15.0}",
-            total.as_secs_f64() * 1e6 / seconds
-        );
+        print("all", &total);
     }
     fleet.completed.sort();
     let at = |percent: usize| fleet.completed.get(fleet.completed.len() * percent / 100);
--- a/crates/cluster/tests/support/fleet.rs
+++ b/crates/cluster/tests/support/fleet.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use greengage_cluster::scheduler::{
     Candidate, EndKind, Event as SchedulerEvent, HoldResult, PeerMessage, Reply, RunEnd,
@@ -70,8 +70,34 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Cost {
     pub(crate) inputs: u64,
+    /// Inputs without an effect.
+    pub(crate) idle: u64,
     pub(crate) time: Duration,
+    /// Size of the received messages, and the time for decoding them.
     pub(crate) bytes: u64,
+    pub(crate) decode: Duration,
+    /// Number of sent messages, and the time for encoding them.
+    pub(crate) sent: u64,
+    pub(crate) encode: Duration,
+}
+
+impl Cost {
+    /// Adds the cost of another kind of input.
+    pub(crate) fn add(&mut self, other: &Cost) {
+        self.inputs += other.inputs;
+        self.idle += other.idle;
+        self.time += other.time;
+        self.bytes += other.bytes;
+        self.decode += other.decode;
+        self.sent += other.sent;
+        self.encode += other.encode;
+    }
+}
+
+/// Processor time of this thread, which other load on the machine affects little.
+fn processor_time() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
 }
 
 pub(crate) struct Node {
@@ -382,9 +408,9 @@
         if !node.running {
             return;
         }
-        let started = Instant::now();
+        let started = processor_time();
         let effects = node.cluster.step(now, wall, event);
-        let time = started.elapsed();
+        let time = processor_time() - started;
         self.wakes.remove(&(node.wake, index));
         // A VM that is due at once is stepped again only after time has passed.
         node.wake = node
@@ -394,6 +420,7 @@
         self.wakes.insert((node.wake, index));
         let cost = self.costs.entry((node.entry, kind)).or_default();
         cost.inputs += 1;
+        cost.idle += u64::from(effects.is_empty());
         cost.time += time;
         for effect in effects {
             self.apply(index, effect);
@@ -408,9 +435,19 @@
                 let Some(to) = self.addresses.get(&to).copied() else {
                     return;
                 };
-                let bytes = greengage_wire::encode(&(&stamp, &message)).len() as u64;
-                let entry = self.nodes[to].entry;
-                self.costs.entry((entry, kind)).or_default().bytes += bytes;
+                let started = processor_time();
+                let bytes = greengage_wire::encode(&(&stamp, &message));
+                let encoded = processor_time();
+                let decoded = greengage_wire::decode::<(gossip::Stamp, Message)>(&bytes);
+                let decode = processor_time() - encoded;
+                assert!(decoded.is_ok(), "a VM sent an unreadable message");
+                let sender = (self.nodes[from].entry, kind);
+                let cost = self.costs.entry(sender).or_default();
+                cost.sent += 1;
+                cost.encode += encoded - started;
+                let cost = self.costs.entry((self.nodes[to].entry, kind)).or_default();
+                cost.bytes += bytes.len() as u64;
+                cost.decode += decode;
                 let from = self.nodes[from].vm.clone();
                 let event = Event::Receive {
                     from,
