Write accepted jobs and offloads at the level debug again

Change: job-accepted and offload, half of these lines, are debug lines again. The lines start and job-ended tell which VMs had a job and for whom a run was started.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -377,7 +377,7 @@
             objective: job.objective.since(now),
             deadline: job.deadline.since(now),
         };
-        log::info!(event = "offload", task = &*offload.task, run = offload.number,
+        log::debug!(event = "offload", task = &*offload.task, run = offload.number,
             vm = vm.as_str(), id = offload_id; "offloading a task to another VM");
         self.offloaded.insert(offload_id, job_id);
         if let Some(view) = self.peers.get_mut(vm) {
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -54,7 +54,7 @@
         match self.admit(now, &job) {
             Ok(accepted) => {
                 self.last_job_id += 1;
-                log::info!(event = "job-accepted", job = job.id.as_str(), request = request.0,
+                log::debug!(event = "job-accepted", job = job.id.as_str(), request = request.0,
                     queue = &*accepted.queue, tasks = accepted.tasks.len(),
                     received_ms = now.since(job.received).as_millis() as u64,
                     patience_ms = job.timeout.as_millis() as u64; "a job was accepted");
