--- a/review/lib-2/cases.rs
+++ b/review/lib-2/cases.rs
@@ -19,6 +19,8 @@
 const CANCEL: f64 = 3.0;
 const ACK_TIMEOUT: f64 = 4.0;
 const DRAIN: f64 = 2.0;
+/// Time after which a client sends a job again, in seconds, as in `retransmit-ms`.
+const RETRANSMIT: f64 = 1.3;
 const CONFIG_APPLY: f64 = 2.0;
 /// Slack for the delays of real sockets, added to each bound.
 const SLACK: f64 = 0.3;
@@ -29,6 +31,7 @@
     record.line(&format!("case {case}, disruption {trouble}"));
     let mut verdict = match case {
         "frozen-cancel" => frozen_cancel(folder, record, trouble),
+        "pipelined" => pipelined(folder, record, trouble),
         "removed-route" => removed_route(folder, record, trouble),
         "restart-copy" => restart_copy(folder, record, trouble),
         "new-kind" => new_kind(folder, record, trouble),
@@ -180,6 +183,63 @@
         .collect())
 }
 
+/// The channel of a client is reset that has sent the next request behind its submission.
+fn pipelined(folder: &Path, record: Arc<Record>, trouble: bool) -> Verdict {
+    let deployment = small(folder, &record, 12, 4)?;
+    let (first, second) = (deployment.entry(0), deployment.entry(1));
+    let (id, body) = ("7de4015b9ac2f863", job(2, &[5000], None));
+    let path = format!("{PREFIX}{id}");
+    let deadline = Duration::from_secs(20);
+    let submission = format!(
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nGreengageproxy-Deadline-Ms: {}\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        deadline.as_millis(),
+        body.len()
+    );
+    let count = format!("GET {PREFIX} HTTP/1.1\r\nHost: {HOST}\r\n\r\n");
+    let to = deployment.vms[first].address(8161);
+    let mut channel = http::Channel::open(to)?;
+    record.line(&format!(
+        "POST {path} and GET {PREFIX} on one channel to {}",
+        to.ip()
+    ));
+    channel.send(&(submission + &count))?;
+    sleep(1.0);
+    if late_starts(&record, id, 0.0).is_empty() {
+        return Err("the job didn't begin".to_string());
+    }
+    if trouble {
+        record.line("the channel is reset");
+        channel.reset();
+        sleep(RETRANSMIT);
+        let to = deployment.vms[second].address(8161);
+        let _ = request(&record, to, ("POST", &path), deadline, &body);
+    } else {
+        for what in ["POST", "GET"] {
+            let answer = channel.receive(deadline)?;
+            record.line(&format!("{what}: {} {}", answer.status, answer.body));
+        }
+    }
+    sleep(1.0);
+    let runs = record.runs();
+    let mut broken = Vec::new();
+    for (i, a) in runs.iter().enumerate() {
+        for b in runs[i + 1..].iter().filter(|b| b.task == a.task) {
+            let until = a.to.unwrap_or(f64::MAX).min(b.to.unwrap_or(record.now()));
+            if b.from < until {
+                broken.push(format!(
+                    "TWICE: {} ran on {} and on {} for {:.2} s at the same time",
+                    a.task,
+                    a.target,
+                    b.target,
+                    until - b.from
+                ));
+            }
+        }
+    }
+    Ok(broken)
+}
+
 /// A job is cancelled at another VM after a change of the configuration has removed its route.
 fn removed_route(folder: &Path, record: Arc<Record>, trouble: bool) -> Verdict {
     let deployment = small(folder, &record, 12, 4)?;
--- a/review/lib-2/http.rs
+++ b/review/lib-2/http.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -65,6 +66,59 @@
     })
 }
 
+extern "C" {
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
+}
+
+#[repr(C)]
+struct Linger {
+    on: i32,
+    seconds: i32,
+}
+
+const SOL_SOCKET: i32 = 1;
+const SO_LINGER: i32 = 13;
+
+/// A client's channel on which requests are sent without waiting for responses.
+pub struct Channel(TcpStream);
+
+impl Channel {
+    pub fn open(address: SocketAddr) -> Result<Channel, String> {
+        let stream = TcpStream::connect(address).map_err(|e| format!("connect: {e}"))?;
+        let _ = stream.set_nodelay(true);
+        Ok(Channel(stream))
+    }
+
+    pub fn send(&mut self, bytes: &str) -> Result<(), String> {
+        let sent = self.0.write_all(bytes.as_bytes());
+        sent.map_err(|e| format!("write: {e}"))
+    }
+
+    /// Reads the next response; fails if the channel ends or nothing arrives in time.
+    pub fn receive(&mut self, timeout: Duration) -> Result<Response, String> {
+        let set = self.0.set_read_timeout(Some(timeout));
+        set.map_err(|e| e.to_string())?;
+        // Responses come one after the other, so no byte of the next one is read.
+        let mut reader = BufReader::with_capacity(1, &mut self.0);
+        let (first, fields) = read_head(&mut reader).ok_or("no response")?;
+        let status = first.split(' ').nth(1).and_then(|s| s.parse().ok());
+        let body = read_body(&mut reader, &fields).ok_or("incomplete response")?;
+        Ok(Response {
+            status: status.ok_or("no status")?,
+            location: field(&fields, "location"),
+            body,
+        })
+    }
+
+    /// Resets the channel.
+    pub fn reset(self) {
+        let linger = Linger { on: 1, seconds: 0 };
+        let length = std::mem::size_of::<Linger>() as u32;
+        // SAFETY: the socket is open, and the value is of the size that is passed.
+        unsafe { setsockopt(self.0.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, length) };
+    }
+}
+
 fn read_head(reader: &mut impl BufRead) -> Option<(String, Vec<(String, String)>)> {
     let mut first = String::new();
     reader.read_line(&mut first).ok().filter(|n| *n > 0)?;
--- a/review/lib-2/record.rs
+++ b/review/lib-2/record.rs
@@ -19,10 +19,21 @@
     pub job: String,
 }
 
+/// A run of a task on a target.
+#[derive(Clone, Debug)]
+pub struct Ran {
+    pub task: String,
+    pub target: String,
+    pub from: f64,
+    /// `None` while it runs.
+    pub to: Option<f64>,
+}
+
 pub struct Record {
     begun: Instant,
     file: Mutex<File>,
     starts: Mutex<Vec<Start>>,
+    runs: Mutex<Vec<Ran>>,
 }
 
 impl Record {
@@ -31,6 +42,7 @@
             begun: Instant::now(),
             file: Mutex::new(File::create(path)?),
             starts: Mutex::new(Vec::new()),
+            runs: Mutex::new(Vec::new()),
         })
     }
 
@@ -50,9 +62,29 @@
             "start of {} run {} on {} (kind {})",
             start.task, start.run, start.target, start.kind
         ));
+        self.runs.lock().unwrap().push(Ran {
+            task: start.task.clone(),
+            target: start.target.clone(),
+            from: start.at,
+            to: None,
+        });
         self.starts.lock().unwrap().push(start);
     }
 
+    /// Records the end of a task's run on a target.
+    pub fn end(&self, task: &str, target: &str) {
+        let now = self.now();
+        let mut runs = self.runs.lock().unwrap();
+        let open = |run: &&mut Ran| run.to.is_none() && run.task == task && run.target == target;
+        if let Some(run) = runs.iter_mut().find(open) {
+            run.to = Some(now);
+        }
+    }
+
+    pub fn runs(&self) -> Vec<Ran> {
+        self.runs.lock().unwrap().clone()
+    }
+
     pub fn starts(&self) -> Vec<Start> {
         self.starts.lock().unwrap().clone()
     }
--- a/review/lib-2/target.rs
+++ b/review/lib-2/target.rs
@@ -145,7 +145,9 @@
     pub fn crash(&self) {
         let mut life = self.life.lock().unwrap();
         life.up = false;
-        life.runs.clear();
+        for task in std::mem::take(&mut life.runs).keys() {
+            self.record.end(task, &self.id);
+        }
         self.record.line(&format!("crash of {}", self.id));
         self.changed.notify_all();
         drop(life);
@@ -268,6 +270,7 @@
             "end of {task} run {} on {}: {how}",
             run.number, self.id
         ));
+        self.record.end(task, &self.id);
         self.changed.notify_all();
     }
 
