--- a/crates/cluster/src/cancels.rs
+++ b/crates/cluster/src/cancels.rs
@@ -73,7 +73,8 @@
         job: JobKey,
         out: &mut Vec<Effect>,
     ) {
-        let Some(scheduler) = self.scheduler.as_ref().filter(|_| self.document.is_some()) else {
+        let scheduler = self.scheduler.as_ref();
+        let Some(scheduler) = scheduler.filter(|s| s.document().is_some()) else {
             return out.push(answer(request, Outcome::Unconfirmed));
         };
         let held = scheduler.holds(now, &job);
--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -6,7 +6,7 @@
 use greengage_config as config;
 use greengage_config::{Document, EditOutcome, Group};
 use greengage_core::{
-    Address, Incarnation, NodeId, RequestId, SortedMap, Time, Version, VmName, WallTime,
+    Address, Incarnation, NodeId, RequestId, Revision, SortedMap, Time, Version, VmName, WallTime,
 };
 use greengage_distribution::{Download, Provider};
 use greengage_gossip::{GossipMessage, Member, MemberList, Stamp, Timing};
@@ -16,8 +16,9 @@
 };
 
 use crate::cancels::Cancels;
+use crate::evacuations::EvacuationState;
 use crate::event::{Effect, Event, Hints, Outcome};
-use crate::message::Message;
+use crate::message::{Message, Versions};
 use crate::reports::Reports;
 use crate::shutdown::{Shutdown, Stage};
 
@@ -54,6 +55,10 @@
     pub stage: Stage,
     /// Version of its configuration; `None` before it has one.
     pub version: Option<Version>,
+    /// Revision of its evacuated zones; `None` before it knows them.
+    pub revision: Option<Revision>,
+    /// Number of evacuated zones.
+    pub evacuated: usize,
     /// Number of targets that it owns.
     pub owned: usize,
     /// Number of targets that it knows.
@@ -74,6 +79,7 @@
     pub(crate) cancels: Cancels,
     pub(crate) reports: Reports,
     pub(crate) document: Option<Arc<Document>>,
+    pub(crate) evacuations: EvacuationState,
     shutdown: Shutdown,
     grace_period: Duration,
     /// The live VMs and their incarnations at the last check.
@@ -89,8 +95,13 @@
         let scheduler = setup.scheduler.map(|s| Scheduler::new(now, s));
         let group = setup.group.map(Group::new);
         let recovered = group.as_ref().and_then(|g| g.document().cloned());
+        let hinted_zones = setup.hints.document.as_ref();
+        let hinted_zones = hinted_zones.map(|_| setup.hints.evacuations);
         let candidates = recovered.into_iter().chain(setup.hints.document);
         let document = candidates.max_by_key(|document| document.version);
+        let recovered = group.as_ref().and_then(|g| g.evacuations().cloned());
+        let candidates = recovered.into_iter().chain(hinted_zones);
+        let evacuations = candidates.max_by_key(|zones| zones.revision);
         let mut provider = Provider::default();
         if let Some(document) = &document {
             provider.set_document(now, document.clone());
@@ -104,6 +115,7 @@
             cancels: Cancels::default(),
             reports: Reports::new(now, setup.hints.targets),
             document,
+            evacuations: EvacuationState::new(now, evacuations),
             shutdown: Shutdown::default(),
             grace_period: setup.grace_period,
             live: SortedMap::new(),
@@ -129,6 +141,7 @@
     pub fn answer_all(&mut self, now: Time, wall: WallTime) -> Vec<Effect> {
         let mut out = self.drop_group(now, wall);
         self.answer_cancels(&mut out);
+        self.answer_orders(&mut out);
         let effects = self.scheduler.as_mut().map(|s| s.answer_all(now));
         for effect in effects.unwrap_or_default() {
             self.handle_scheduler_effect(now, effect, &mut out);
@@ -163,7 +176,8 @@
         let download = self.download.next_wake();
         let cancels = self.cancels.next_wake();
         let reports = self.reports.next_wake();
-        let wake_times = [group, scheduler, download, cancels, reports];
+        let orders = self.evacuations.next_wake();
+        let wake_times = [group, scheduler, download, cancels, reports, orders];
         let own = self.liveness_due.min(self.members.next_wake());
         wake_times.into_iter().flatten().fold(own, Time::min)
     }
@@ -176,16 +190,19 @@
     /// Status of this VM at `now`.
     pub fn status(&mut self, now: Time) -> Status {
         let scheduler = self.scheduler.as_ref();
-        let operators = self.group.as_ref().map_or(0, Group::pending_requests);
+        let operators =
+            self.group.as_ref().map_or(0, Group::pending_requests) + self.evacuations.operators();
         let callers = scheduler.map_or(0, Scheduler::callers) + self.cancels.callers() + operators;
         let owned = scheduler.map_or(0, Scheduler::owned);
         let targets = scheduler.map_or(0, Scheduler::known);
         let is_leader = self.group.as_ref().is_some_and(Group::is_leader);
         let stage = self.shutdown.stage(now, callers, owned > 0 || is_leader);
         Status {
-            ready: stage == Stage::Serving && self.document.is_some() && targets > 0,
+            ready: stage == Stage::Serving && self.knows_state() && targets > 0,
             stage,
             version: self.document.as_ref().map(|d| d.version),
+            revision: self.evacuations.revision(),
+            evacuated: self.evacuations.current().map_or(0, |e| e.zones.len()),
             owned,
             targets,
             vms: self.live.len(),
@@ -194,9 +211,23 @@
         }
     }
 
+    /// Whether this VM knows a configuration and the evacuated zones.
+    fn knows_state(&self) -> bool {
+        self.document.is_some() && self.evacuations.current().is_some()
+    }
+
+    /// What this VM has in force.
+    pub(crate) fn versions(&self) -> Versions {
+        Versions {
+            document: self.document.as_ref().map(|d| d.version),
+            evacuations: self.evacuations.revision(),
+        }
+    }
+
     /// Handles one event and returns its effects.
     pub fn step(&mut self, now: Time, wall: WallTime, event: Event) -> Vec<Effect> {
         let mut out = Vec::new();
+        self.evacuations.begin_step(now);
         match event {
             Event::Tick => self.tick(now, wall, &mut out),
             Event::Receive {
@@ -226,6 +257,16 @@
             Event::Get(request) => {
                 self.request_group(now, wall, request, config::Event::Read(request), &mut out);
             }
+            Event::Evacuate {
+                request,
+                order,
+                received,
+            } => self.order_evacuation(now, wall, (request, received), order, &mut out),
+            Event::GetEvacuations(request) => {
+                let outcome = Outcome::Evacuations(self.evacuations.current().cloned());
+                out.push(Effect::Answer { request, outcome });
+            }
+            Event::OperatorGone(request) => self.evacuations.operator_gone(request),
             Event::SetSeeds(seeds) => self.members.set_seeds(seeds),
             Event::Shutdown { requested } => {
                 let end = self.shutdown.begin(requested, self.grace_period);
@@ -238,12 +279,12 @@
     }
 
     fn tick(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
-        let version = self.document.as_ref().map(|d| d.version);
+        let versions = self.versions();
         if now >= self.members.next_wake() {
             let peers = self.members.peers_to_reconnect(now);
             out.extend(peers.into_iter().map(Effect::Reconnect));
             for envelope in self.members.tick(now) {
-                let message = Message::Gossip(envelope.message, version);
+                let message = Message::Gossip(envelope.message, versions);
                 out.push(self.send(now, envelope.to, message));
             }
         }
@@ -251,10 +292,12 @@
             self.liveness_due = now + LIVENESS_INTERVAL;
             self.update_live(now, wall, out);
             self.repeat_offers(now, out);
+            self.repeat_evacuations(now, out);
         }
+        self.propose_orders(now, wall, out);
         self.step_group(now, wall, config::Event::Tick, out);
         self.step_scheduler(now, wall, scheduler::Event::Tick, out);
-        let request = self.download.tick(now, version);
+        let request = self.download.tick(now, versions.document);
         self.request_part(now, request, out);
         self.review_cancels(now, out);
         self.forward_reports(now, out);
@@ -271,6 +314,7 @@
                 document,
                 targets,
                 vms,
+                evacuations: self.evacuations.current().cloned().unwrap_or_default(),
             }));
         }
     }
@@ -333,9 +377,9 @@
     ) {
         let sent = self.members.receive_stamp(now, &from, &stamp);
         match message {
-            Message::Gossip(gossip, version) => {
+            Message::Gossip(gossip, versions) => {
                 let is_hello = matches!(gossip, GossipMessage::Hello { .. });
-                let own = self.document.as_ref().map(|d| d.version);
+                let own = self.versions();
                 let was_leaving = self.is_leaving(&from);
                 for envelope in self.members.receive(now, sent, gossip) {
                     let message = Message::Gossip(envelope.message, own);
@@ -345,7 +389,8 @@
                     self.step_group(now, wall, config::Event::PeerLeaving, out);
                 }
                 if let Some(member) = self.members.member(&from).filter(|_| is_hello).cloned() {
-                    self.compare_versions(now, &member, version, out);
+                    self.compare_versions(now, &member, versions.document, out);
+                    self.compare_revisions(now, wall, &member, versions.evacuations, out);
                 }
             }
             Message::Group { from, to, message } => {
@@ -358,6 +403,7 @@
             Message::Configuration(message) => {
                 self.receive_configuration(now, wall, &from, message, out);
             }
+            Message::Evacuations(zones) => self.adopt_evacuations(now, wall, zones, out),
             Message::Reports(reports) => {
                 for report in reports {
                     self.step_scheduler(now, wall, scheduler::Event::TargetReported(report), out);
@@ -442,7 +488,7 @@
     }
 
     /// Passes an operator's request to the control group; without one the outcome is unknown.
-    fn request_group(
+    pub(crate) fn request_group(
         &mut self,
         now: Time,
         wall: WallTime,
@@ -519,6 +565,9 @@
             config::Effect::DocumentApplied(document) => {
                 self.configuration_applied(now, wall, document, out)
             }
+            config::Effect::EvacuationsApplied(zones) => {
+                self.evacuations_applied(now, wall, zones, out)
+            }
         }
     }
 
--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -68,7 +68,7 @@
                     self.consider_offer(now, &member, version, out);
                     if in_force >= Some(version) {
                         // The heartbeat that tells it of the version is on its way, or not due yet.
-                        let message = Message::Gossip(self.members.greeting(), in_force);
+                        let message = Message::Gossip(self.members.greeting(), self.versions());
                         out.push(self.send(now, member.address, message));
                     }
                 }
@@ -132,7 +132,10 @@
             self.document = Some(document.clone());
             self.provider.set_document(now, document.clone());
             self.reports.mark_dirty();
-            self.step_scheduler(now, wall, scheduler::Event::Configuration(document), out);
+            // The scheduler starts nothing before it knows where it may.
+            if self.evacuations.current().is_some() {
+                self.step_scheduler(now, wall, scheduler::Event::Configuration(document), out);
+            }
         }
     }
 
@@ -148,6 +151,10 @@
         log::info!(event = "configuration-applied", version = document.version.0;
             "configuration applied");
         self.adopt_configuration(now, wall, document, out);
+        let evacuations = self.group.as_ref().and_then(Group::evacuations);
+        if let Some(zones) = evacuations.cloned() {
+            self.evacuations_applied(now, wall, zones, out);
+        }
         let message = match self.leads_group() {
             true => self.provider.announcement(),
             false => self.provider.offer(None),
@@ -163,9 +170,9 @@
         self.group.as_ref().is_some_and(Group::is_leader)
     }
 
-    /// The entry VMs to which this VM offers its configuration: all for the leader, those of the zone
+    /// The entry VMs to which this VM offers what its group has applied: all for the leader, those of the zone
     /// for another member. Overloaded VMs may count as lost, so VMs needn't be live.
-    fn receivers(&self) -> impl Iterator<Item = &Member> {
+    pub(crate) fn receivers(&self) -> impl Iterator<Item = &Member> {
         let zone = (!self.leads_group()).then_some(&self.members.own().zone);
         let known = self.members.last_heard().map(|(member, _)| member);
         known.filter(move |vm| vm.roles.entry && zone.is_none_or(|zone| vm.zone == *zone))
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use greengage_agreement::SaveSeq;
-use greengage_config::{Document, GroupSave};
+use greengage_config::{Document, EvacuationOrder, Evacuations, GroupSave};
 use greengage_core::{value, Address, RequestId, TargetName, Time, VmName};
 use greengage_gossip::Stamp;
 use greengage_scheduler as scheduler;
@@ -49,6 +49,19 @@
     },
     /// An operator reads the configuration; the request to answer.
     Get(RequestId),
+    /// An operator evacuates a zone or takes that back.
+    Evacuate {
+        /// The request to answer.
+        request: RequestId,
+        /// The order.
+        order: EvacuationOrder,
+        /// When the request was read.
+        received: Time,
+    },
+    /// An operator asks which zones are evacuated as far as this VM knows; the request to answer.
+    GetEvacuations(RequestId),
+    /// An operator has disconnected before the answer to this request.
+    OperatorGone(RequestId),
     /// The settings were reloaded with these seeds.
     SetSeeds(Vec<Address>),
     /// Starts a graceful shutdown.
@@ -63,13 +76,15 @@
 pub enum Outcome {
     /// The scheduler's reply to a job or a query.
     Scheduler(Reply),
-    /// The configuration was accepted.
+    /// The configuration or the order was accepted.
     Accepted,
     /// The configuration in force, in answer to a read.
     Configuration(Arc<Document>),
+    /// The evacuated zones in force at this VM; `None` before it knows them.
+    Evacuations(Option<Evacuations>),
     /// The request must be sent to the VM at this address, which leads the control group.
     Redirect(Address),
-    /// The outcome or the newest configuration is unknown; the request may be retried.
+    /// The outcome or the newest state is unknown; the request may be retried.
     Unknown,
     /// It isn't known whether another VM has the job and has cancelled it; the request may be retried.
     Unconfirmed,
@@ -86,6 +101,8 @@
     pub targets: Vec<TargetReport>,
     /// The addresses of the VMs that were live.
     pub vms: Vec<Address>,
+    /// The evacuated zones that were in force, if there was a configuration.
+    pub evacuations: Evacuations,
 }
 
 /// An output, to be carried out by the caller of [`Cluster::step`](crate::Cluster::step).
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `cluster`: the state machine itself.
 //! - `cancels`: cancelling of jobs at all entry VMs.
 //! - `configuration`: offers and downloads of the configuration.
+//! - `evacuations`: orders about evacuated zones, and how the zones reach all VMs.
 //! - `shutdown`: the stages of a graceful shutdown.
 
 pub use greengage_distribution as distribution;
@@ -19,6 +20,7 @@
 mod cancels;
 mod cluster;
 mod configuration;
+mod evacuations;
 mod event;
 mod message;
 mod reports;
@@ -26,5 +28,5 @@
 
 pub use cluster::{Cluster, Setup, Status};
 pub use event::{Effect, Event, Hints, Outcome};
-pub use message::Message;
+pub use message::{Message, Versions};
 pub use shutdown::{Shutdown, Stage};
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -1,16 +1,26 @@
 //! Messages between VMs.
 
-use greengage_config::GroupMessage;
-use greengage_core::{value, NodeId, Version};
+use greengage_config::{Evacuations, GroupMessage};
+use greengage_core::{value, NodeId, Revision, Version};
 use greengage_distribution::DistributionMessage;
 use greengage_gossip::GossipMessage;
 use greengage_scheduler::{Departure, JobKey, PeerMessage, TargetReport};
 
+/// What a VM has in force; `None` before it knows.
+#[value(copy)]
+#[derive(Default)]
+pub struct Versions {
+    /// Version of its configuration.
+    pub document: Option<Version>,
+    /// Revision of its evacuated zones.
+    pub evacuations: Option<Revision>,
+}
+
 /// A message between VMs.
 #[value]
 pub enum Message {
-    /// A gossip message, with the version of the sender's configuration.
-    Gossip(GossipMessage, Option<Version>),
+    /// A gossip message, with what its sender has in force.
+    Gossip(GossipMessage, Versions),
     /// A Raft message of the control group.
     Group {
         /// VM and data folder of the sender.
@@ -22,6 +32,8 @@
     },
     /// A message about the distribution of the configuration.
     Configuration(DistributionMessage),
+    /// The evacuated zones in force at the sender.
+    Evacuations(Evacuations),
     /// A batch of target reports.
     Reports(Vec<TargetReport>),
     /// A target left the deployment.
--- a/crates/cluster/tests/cancel.rs
+++ b/crates/cluster/tests/cancel.rs
@@ -103,6 +103,7 @@
     let setups = (0..VMS).map(|i| (setup(i), 1e9)).collect();
     let mut network = Network::new(Time::from_millis(10_000), setups);
     for vm in 0..VMS {
+        network.step(vm, support::no_evacuations());
         network.step(vm, configuration());
     }
     run(&mut network, 2 * SECOND);
@@ -251,6 +252,7 @@
 fn closing_vm_does_not_refuse_a_cancelled_job() {
     let at = |ms: u64| Time::from_millis(10_000 + ms);
     let mut cluster = greengage_cluster::Cluster::new(at(0), support::entry_setup());
+    cluster.step(at(0), WallTime(0), support::no_evacuations());
     cluster.step(at(0), WallTime(0), configuration());
     cluster.step(at(1), WallTime(1), submission(1, "j"));
     cluster.step(at(2), WallTime(2), cancel(2, "/q/j"));
--- a/crates/cluster/tests/distribution.rs
+++ b/crates/cluster/tests/distribution.rs
@@ -5,21 +5,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use greengage_agreement::{Config, MemberRole};
 use greengage_cluster::distribution::DistributionMessage;
 use greengage_cluster::gossip::GossipMessage;
-use greengage_cluster::{Cluster, Effect, Event, Message, Outcome, Setup};
+use greengage_cluster::{Cluster, Effect, Event, Message, Outcome, Versions};
 use greengage_config::{Document, Queue, Service};
-use greengage_core::{Address, NodeId, Payload, RequestId, Time, Version, VmName, WallTime};
+use greengage_core::{Payload, RequestId, Time, Version, WallTime};
 
 use support::network::Network;
-use support::{control_setup, document, entry_setup, stamp};
+use support::{control_setup, deployment, document, entry_setup, stamp};
 
 /// Time within which an acknowledged configuration must be in force.
 const APPLY_LIMIT: Duration = Duration::from_millis(2500);
-/// Bandwidth of the links of control VMs (1,000 Mbit/s) and of entry VMs (19 Mbit/s).
-const CONTROL_LINK: f64 = 125e6;
-const ENTRY_LINK: f64 = 2.375e6;
 const QUEUES: usize = 4200;
 /// Length of the operator's text for one queue.
 const QUEUE_TEXT_BYTES: usize = 206;
@@ -50,46 +46,12 @@
     Arc::new(document.validated().unwrap())
 }
 
-fn control_address(number: usize) -> Address {
-    Address::new(&format!("10.0.0.{number}:7700")).unwrap()
-}
-
-/// Three voters and one entry VM, which is the last one.
-fn setups(now: Time) -> Vec<(Setup, f64)> {
-    let node = |number: usize| NodeId {
-        vm: VmName::new(&format!("10.0.0.{number}")).unwrap(),
-        folder: 0,
-    };
-    let seeds: Vec<Address> = (1..=3).map(control_address).collect();
-    let members = (1..=3).map(|number| (node(number), MemberRole::Voter));
-    let config = Config {
-        members: members.collect(),
-    };
-    let control = |number: usize| {
-        let mut setup = control_setup(now);
-        setup.member.vm = node(number).vm;
-        setup.member.address = control_address(number);
-        setup.seeds = seeds.clone();
-        if let Some(group) = &mut setup.group {
-            group.node = node(number);
-            group.recovered.config = config.clone();
-            group.voters = 3;
-            group.seed = number as u64;
-        }
-        (setup, CONTROL_LINK)
-    };
-    let mut entry = entry_setup();
-    entry.seeds = seeds.clone();
-    let mut setups: Vec<_> = (1..=3).map(control).collect();
-    setups.push((entry, ENTRY_LINK));
-    setups
-}
-
+/// Index of the entry VM.
 const ENTRY: usize = 3;
 
 fn start() -> (Network, usize) {
     let now = Time::from_millis(1000);
-    let mut network = Network::new(now, setups(now));
+    let mut network = Network::new(now, deployment(now, 1));
     network.run_until(Duration::from_secs(3), |_| false);
     let leader = network.leader().expect("a leader is elected within 3 s");
     (network, leader)
@@ -127,10 +89,14 @@
         list_wanted: false,
         sightings: Vec::new(),
     };
+    let versions = Versions {
+        document: Some(Version(7)),
+        ..Versions::default()
+    };
     let event = Event::Receive {
         from: member.vm,
         stamp: stamp(now, None),
-        message: Message::Gossip(hello, Some(Version(7))),
+        message: Message::Gossip(hello, versions),
     };
     let effects = entry.step(now, WallTime(1000), event);
     let request = DistributionMessage::Request {
@@ -151,7 +117,7 @@
 fn lost_announcement_is_repeated() {
     const IN_FORCE_GOAL: Duration = Duration::from_secs(1);
     let now = Time::from_millis(1000);
-    let mut setups = setups(now);
+    let mut setups = deployment(now, 1);
     for (setup, _) in &mut setups {
         setup.timing.heartbeat_interval = Duration::from_secs(4);
     }
--- a/crates/cluster/tests/held.rs
+++ b/crates/cluster/tests/held.rs
@@ -165,6 +165,7 @@
     }
 
     fn configure(&mut self, vm: usize) {
+        self.schedule(1, vm, support::no_evacuations());
         let event = Event::Receive {
             from: VmName::new("10.0.0.9").unwrap(),
             stamp: support::stamp(Time::default(), None),
--- a/crates/cluster/tests/malformed.rs
+++ b/crates/cluster/tests/malformed.rs
@@ -8,8 +8,10 @@
     Departure, Event as SchedulerEvent, HoldResult, JobKey, OffloadOutcome, OffloadedTask,
     PeerMessage, ResourceOffer, StartResult, StopResult, TargetCall,
 };
-use greengage_cluster::{gossip, Cluster, Effect, Event, Message};
-use greengage_core::{Address, Demand, Incarnation, TargetName, Time, Version, VmName, WallTime};
+use greengage_cluster::{gossip, Cluster, Effect, Event, Message, Versions};
+use greengage_core::{
+    Address, Demand, Incarnation, Revision, TargetName, Time, Version, VmName, WallTime,
+};
 use greengage_wire::{decode, encode};
 
 /// Seeded generator (splitmix64).
@@ -121,10 +123,13 @@
             list_wanted: true,
             sightings: vec![sighting; 3],
         },
-        Some(Version(u64::MAX)),
+        Versions {
+            document: Some(Version(u64::MAX)),
+            evacuations: Some(Revision(u64::MAX)),
+        },
     ));
     let list = gossip::GossipMessage::Members(vec![member; 3]);
-    messages.push(Message::Gossip(list, None));
+    messages.push(Message::Gossip(list, Versions::default()));
     messages.push(support::configuration_message(support::document(1)));
     messages
 }
@@ -189,7 +194,7 @@
             list_wanted: false,
             sightings: Vec::new(),
         };
-        self.receive(Message::Gossip(heartbeat, None));
+        self.receive(Message::Gossip(heartbeat, Versions::default()));
         for _ in 0..2 {
             self.now = self.now + Duration::from_millis(60);
             self.step(Event::Tick);
--- a/crates/cluster/tests/shutdown.rs
+++ b/crates/cluster/tests/shutdown.rs
@@ -170,6 +170,7 @@
 #[test]
 fn closing_vm_does_not_refuse_a_current_job() {
     let mut cluster = Cluster::new(at(0), support::entry_setup());
+    cluster.step(at(0), WallTime(0), support::no_evacuations());
     cluster.step(at(0), WallTime(0), configuration(waiting_queue()));
     cluster.step(at(1), WallTime(1), submission(1, 1));
     let requested = at(2);
@@ -221,6 +222,7 @@
         service: "desk".into(),
         ..waiting_queue()
     };
+    cluster.step(at(0), WallTime(0), support::no_evacuations());
     cluster.step(at(0), WallTime(0), configuration(queue));
     let report = scheduler::Event::TargetReported(support::report("t-1", 1));
     let mut events = vec![Event::Scheduler(report)];
--- a/crates/cluster/tests/stored.rs
+++ b/crates/cluster/tests/stored.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use greengage_cluster::distribution::DistributionMessage;
-use greengage_cluster::{gossip, Cluster, Effect, Event, Message};
+use greengage_cluster::{gossip, Cluster, Effect, Event, Message, Versions};
 use greengage_core::{Incarnation, Time, Version, VmName, WallTime};
 use greengage_scheduler::{Departure, TargetReport};
 
@@ -51,7 +51,7 @@
                 list_wanted: !known,
                 sightings: Vec::new(),
             },
-            None,
+            Versions::default(),
         ),
     };
     let mut effects = step(&mut cluster, START + 1, hello(false, START, None));
@@ -153,7 +153,7 @@
     let event = Event::Receive {
         from: VmName::new("10.0.0.9").unwrap(),
         stamp: stamp(now, None),
-        message: Message::Gossip(hello, None),
+        message: Message::Gossip(hello, Versions::default()),
     };
     let sent = step(&mut cluster, START, event);
     let configuration = |effects: &[Effect]| {
@@ -257,7 +257,7 @@
                     list_wanted: false,
                     sightings: Vec::new(),
                 },
-                None,
+                Versions::default(),
             ),
         };
         let mut effects = step(&mut cluster, START + ms, hello(ms, None));
--- a/crates/cluster/tests/support/fleet.rs
+++ b/crates/cluster/tests/support/fleet.rs
@@ -61,7 +61,9 @@
         Message::Reports(_) | Message::TargetLeft(_) => Kind::Reports,
         Message::Scheduler(PeerMessage::Offers { .. }) => Kind::Offers,
         Message::Scheduler(_) => Kind::Offload,
-        Message::Group { .. } | Message::Configuration(_) => Kind::Configuration,
+        Message::Group { .. } | Message::Configuration(_) | Message::Evacuations(_) => {
+            Kind::Configuration
+        }
         Message::Cancel(_) | Message::Cancelled { .. } => Kind::Job,
     }
 }
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -9,9 +9,9 @@
 
 use greengage_agreement::{Config, MemberRole, Timing};
 use greengage_cluster::distribution::Provider;
-use greengage_cluster::{gossip, Hints, Message, Setup};
+use greengage_cluster::{gossip, Event, Hints, Message, Setup};
 use greengage_config as config;
-use greengage_config::{Document, Limits, RecoveredState};
+use greengage_config::{Document, Evacuations, Limits, RecoveredState};
 use greengage_core::{
     Address, Demand, Incarnation, NodeId, Payload, TargetName, Time, Version, VmName, ZoneName,
 };
@@ -94,6 +94,46 @@
     }
 }
 
+/// Bandwidth of the links of control VMs (1,000 Mbit/s) and of entry VMs (19 Mbit/s).
+const CONTROL_LINK: f64 = 125e6;
+const ENTRY_LINK: f64 = 2.375e6;
+
+/// Three voters, followed by entry VMs, each with the bandwidth of its link.
+pub(crate) fn deployment(now: Time, entries: usize) -> Vec<(Setup, f64)> {
+    let address = |vm: &str| Address::new(&format!("{vm}:7700")).unwrap();
+    let node = |number: usize| NodeId {
+        vm: VmName::new(&format!("10.0.0.{number}")).unwrap(),
+        folder: 0,
+    };
+    let seeds: Vec<Address> = (1..=3).map(|n| address(node(n).vm.as_str())).collect();
+    let members = (1..=3).map(|number| (node(number), MemberRole::Voter));
+    let config = Config {
+        members: members.collect(),
+    };
+    let control = |number: usize| {
+        let mut setup = control_setup(now);
+        setup.member = member(node(number).vm.as_str(), false, Incarnation(1));
+        setup.seeds = seeds.clone();
+        if let Some(group) = &mut setup.group {
+            group.node = node(number);
+            group.recovered.config = config.clone();
+            group.voters = 3;
+            group.seed = number as u64;
+        }
+        (setup, CONTROL_LINK)
+    };
+    let entry = |number: usize| {
+        let mut setup = entry_setup();
+        setup.member = member(&format!("10.0.0.{}", 9 + number), true, Incarnation(1));
+        setup.seeds = seeds.clone();
+        (setup, ENTRY_LINK)
+    };
+    (1..=3)
+        .map(control)
+        .chain((0..entries).map(entry))
+        .collect()
+}
+
 /// Timestamps of the first incarnation, whose clock is the receiver's one, with an echo of the
 /// receiver's message of `echoed`.
 pub(crate) fn stamp(sent: Time, echoed: Option<Time>) -> gossip::Stamp {
@@ -126,6 +166,15 @@
     Message::Configuration(provider.announcement().unwrap())
 }
 
+/// A control VM's message that no zone is evacuated, without which an entry VM starts nothing.
+pub(crate) fn no_evacuations() -> Event {
+    Event::Receive {
+        from: node().vm,
+        stamp: stamp(Time::default(), None),
+        message: Message::Evacuations(Evacuations::default()),
+    }
+}
+
 pub(crate) fn report(target: &str, sequence: u64) -> TargetReport {
     TargetReport {
         target: TargetName::new(target).unwrap(),
--- a/crates/cluster/tests/support/network.rs
+++ b/crates/cluster/tests/support/network.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use greengage_cluster::{Cluster, Effect, Event, Message, Outcome, Setup};
+use greengage_cluster::{Cluster, Effect, Event, Message, Outcome, Setup, Status};
 use greengage_core::{Address, RequestId, SortedMap, Time, Version, VmName, WallTime};
 use greengage_gossip::Stamp;
 
@@ -30,7 +30,7 @@
     Message {
         from: usize,
         stamp: Stamp,
-        message: Message,
+        message: Box<Message>,
     },
     Saved(greengage_agreement::SaveSeq),
 }
@@ -74,9 +74,13 @@
         network
     }
 
-    pub(crate) fn version(&mut self, index: usize) -> Option<Version> {
+    pub(crate) fn status(&mut self, index: usize) -> Status {
         let now = self.now;
-        self.nodes[index].cluster.status(now).version
+        self.nodes[index].cluster.status(now)
+    }
+
+    pub(crate) fn version(&mut self, index: usize) -> Option<Version> {
+        self.status(index).version
     }
 
     pub(crate) fn leader(&mut self) -> Option<usize> {
@@ -157,7 +161,7 @@
             } => Event::Receive {
                 from: self.nodes[from].vm.clone(),
                 stamp,
-                message,
+                message: *message,
             },
         };
         self.step(to, event);
@@ -181,7 +185,7 @@
                 let delivery = Delivery::Message {
                     from,
                     stamp,
-                    message,
+                    message: Box::new(message),
                 };
                 self.schedule(at, to, delivery);
             }
--- a/crates/config/src/group.rs
+++ b/crates/config/src/group.rs
@@ -1,8 +1,12 @@
-//! The Raft group that stores the configuration.
+//! The Raft group that stores the configuration and the evacuated zones.
 //!
 //! An edit is answered once it is applied, which means that a majority has it on disk. A read is
 //! answered once a majority has confirmed that this node is still the leader. A node that is not
 //! the leader redirects edits and reads to the leader if it knows one; it does not forward them.
+//!
+//! Orders about evacuations have no version, so one that is proposed after a later one would undo it.
+//! An order is therefore proposed only while its operator still waits for the answer, and before it
+//! can have sent a later one.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,11 +16,12 @@
     Change, Config, Entry, EntryKind, HardState, MemberRole, Message, Raft, Role, Save, SaveSeq,
     Snapshot, Ticket, Timing,
 };
-use greengage_core::{value, Index, NodeId, RequestId, SortedMap, Time};
+use greengage_core::{value, Index, NodeId, RequestId, Revision, SortedMap, Time};
 
 use crate::autopilot::{next_change, Peer, VOTER_TIMEOUT};
 use crate::document::Document;
-use crate::state::{Edit, State};
+use crate::evacuation::{EvacuationOrder, Evacuations};
+use crate::state::{Edit, State, StateChange};
 
 /// A Raft message between members.
 pub type GroupMessage = Message<Edit, State>;
@@ -50,6 +55,10 @@
 /// Time after which an edit or a read that the group has not decided is answered as unknown.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// Time since an order was received after which it isn't proposed any more. Operators wait a second
+/// for an answer before they turn to another VM.
+pub const MAX_ORDER_AGE: Duration = Duration::from_millis(800);
+
 /// State recovered from disk.
 #[value]
 #[derive(Default)]
@@ -110,6 +119,15 @@
         /// The document.
         document: Arc<Document>,
     },
+    /// An operator's order about an evacuation.
+    Order {
+        /// The request to answer.
+        request: RequestId,
+        /// The order.
+        order: EvacuationOrder,
+        /// The earliest time at which it may have arrived.
+        received: Time,
+    },
     /// An operator's read; the request to answer.
     Read(RequestId),
     /// Transfers leadership to another member, if this one leads.
@@ -130,7 +148,7 @@
         /// The message.
         message: GroupMessage,
     },
-    /// An edit has completed.
+    /// An edit or an order has completed.
     Edited {
         /// The request to answer.
         request: RequestId,
@@ -154,9 +172,11 @@
     },
     /// A newer document was applied and is in force.
     DocumentApplied(Arc<Document>),
+    /// The evacuated zones have changed.
+    EvacuationsApplied(Evacuations),
 }
 
-/// An edit or a read that waits for the group.
+/// An edit, an order or a read that waits for the group.
 struct PendingRequest {
     request: RequestId,
     deadline: Time,
@@ -200,7 +220,7 @@
             entries: recovered.entries,
             timing: setup.timing,
             batch_entries: BATCH_ENTRIES,
-            command_bytes: |edit: &Edit| edit.0.memory_bytes(),
+            command_bytes: Edit::memory_bytes,
             seed: setup.seed,
             now: setup.now,
         });
@@ -227,7 +247,14 @@
 
     /// The document that this member has applied; `None` before the first edit.
     pub fn document(&self) -> Option<&Arc<Document>> {
-        self.state.0.as_ref()
+        self.state.document.as_ref()
+    }
+
+    /// The evacuated zones that this member has applied; `None` before the first edit.
+    pub fn evacuations(&self) -> Option<&Evacuations> {
+        let evacuations = &self.state.evacuations;
+        let is_known = self.state.document.is_some() || evacuations.revision > Revision(0);
+        is_known.then_some(evacuations)
     }
 
     /// Whether this member is the leader.
@@ -271,6 +298,11 @@
             }
             Event::Saved(seq) => self.step_raft(now, agreement::Event::Saved(seq), &mut out),
             Event::Edit { request, document } => self.edit(now, request, document, &mut out),
+            Event::Order {
+                request,
+                order,
+                received,
+            } => self.order(now, (request, received), order, &mut out),
             Event::Read(request) => {
                 let ticket = self.add_pending(now, request, RequestKind::Read);
                 self.step_raft(now, agreement::Event::Read(ticket), &mut out);
@@ -382,13 +414,37 @@
             out.push(Effect::Edited { request, outcome });
             return;
         }
+        self.propose(now, request, Edit::Document(document), out);
+    }
+
+    /// Proposes an order, also one that changes nothing in the applied state: a leader that has been
+    /// replaced may not know yet what was committed since.
+    fn order(
+        &mut self,
+        now: Time,
+        (request, received): (RequestId, Time),
+        order: EvacuationOrder,
+        out: &mut Vec<Effect>,
+    ) {
+        let age = now.since(received);
+        if age > MAX_ORDER_AGE {
+            log::info!(event = "order-late", request = request.0, zone = order.zone.as_str(),
+                action:? = order.action, age_ms = age.as_millis() as u64;
+                "dropped an order whose operator may have sent a later one");
+            let outcome = EditOutcome::Unknown;
+            out.push(Effect::Edited { request, outcome });
+            return;
+        }
+        self.propose(now, request, Edit::Evacuation(order), out);
+    }
+
+    fn propose(&mut self, now: Time, request: RequestId, command: Edit, out: &mut Vec<Effect>) {
         if self.is_leader() && self.raft.uncommitted_bytes() > MAX_UNCOMMITTED_BYTES {
             let leader = None;
             out.push(Effect::Redirect { request, leader });
             return;
         }
         let ticket = self.add_pending(now, request, RequestKind::Edit);
-        let command = Edit(document);
         self.step_raft(now, agreement::Event::Propose { ticket, command }, out);
     }
 
@@ -425,7 +481,9 @@
                     self.applied = snapshot.index;
                     self.snapshot_index = snapshot.index;
                     self.state = snapshot.state;
-                    out.extend(self.state.0.clone().map(Effect::DocumentApplied));
+                    out.extend(self.state.document.clone().map(Effect::DocumentApplied));
+                    let evacuations = self.evacuations().cloned();
+                    out.extend(evacuations.map(Effect::EvacuationsApplied));
                 }
                 agreement::Effect::Appended { ticket, index, .. }
                 | agreement::Effect::ReadReady { ticket, index } => {
@@ -481,9 +539,16 @@
         for entry in entries {
             self.applied = entry.index;
             if let EntryKind::Command(edit) = entry.kind {
-                let document = edit.0.clone();
-                if self.state.apply(edit) {
-                    out.push(Effect::DocumentApplied(document));
+                match self.state.apply(edit) {
+                    StateChange::None => {}
+                    StateChange::Document => {
+                        let document = self.state.document.clone();
+                        out.extend(document.map(Effect::DocumentApplied));
+                    }
+                    StateChange::Evacuations => {
+                        let evacuations = self.state.evacuations.clone();
+                        out.push(Effect::EvacuationsApplied(evacuations));
+                    }
                 }
             }
         }
@@ -492,7 +557,7 @@
 
     /// Answers the pending requests whose log index has been applied.
     fn answer_applied(&mut self, out: &mut Vec<Effect>) {
-        let (applied, document) = (self.applied, self.state.0.clone());
+        let (applied, document) = (self.applied, self.state.document.clone());
         self.pending.retain(|_, pending| {
             let done = pending.index.is_some_and(|index| index <= applied);
             let request = pending.request;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,19 +1,22 @@
 //! The configuration of a deployment as one document, and the Raft group that replicates it.
 //!
 //! - `document`: the versioned document of queues and services, and its validation.
-//! - `state`: the replicated state machine; the highest version wins.
+//! - `evacuation`: the evacuated zones, and the orders that change them.
+//! - `state`: the replicated state machine; the highest version of the document wins.
 //! - `group`: the Raft group with its pending edits and reads.
 //! - `autopilot`: automatic membership changes.
 
 mod autopilot;
 mod document;
+mod evacuation;
 mod group;
 mod state;
 
 pub use autopilot::{next_change, Peer, VOTER_TIMEOUT};
 pub use document::{Document, DocumentError, Limits, Queue, Service};
+pub use evacuation::{EvacuatedZone, EvacuationAction, EvacuationOrder, Evacuations};
 pub use group::{
     EditOutcome, Effect, Event, Group, GroupMessage, GroupSave, RecoveredState, Setup,
-    COMPACTION_ENTRIES,
+    COMPACTION_ENTRIES, MAX_ORDER_AGE,
 };
-pub use state::{Edit, State};
+pub use state::{Edit, State, StateChange};
--- a/crates/config/tests/document.rs
+++ b/crates/config/tests/document.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use greengage_config::{Document, DocumentError, Edit, Limits, Queue, Service, State};
+use greengage_config::{Document, DocumentError, Edit, Limits, Queue, Service, State, StateChange};
 use greengage_core::{Payload, Version};
 
 fn queue(name: &str, host: &str, prefix: &str) -> Queue {
@@ -72,13 +72,15 @@
 /// Guards against a state whose version decreases or whose content changes under the same version.
 #[test]
 fn highest_version_and_its_first_content_win() {
-    let edit =
-        |version, name: &str| Edit(Arc::new(document(version, vec![queue(name, "one", "/x/")])));
+    let edit = |version, name: &str| {
+        let queues = vec![queue(name, "one", "/x/")];
+        Edit::Document(Arc::new(document(version, queues)))
+    };
     let mut state = State::default();
     let applied: Vec<bool> = [(5, "a"), (5, "b"), (4, "c"), (9, "d"), (9, "d")]
         .into_iter()
-        .map(|(version, name)| state.apply(edit(version, name)))
+        .map(|(version, name)| state.apply(edit(version, name)) == StateChange::Document)
         .collect();
     assert_eq!(applied, [true, false, false, true, false]);
-    assert_eq!(&*state.0.unwrap().queues[0].name, "d");
+    assert_eq!(&*state.document.unwrap().queues[0].name, "d");
 }
--- a/crates/config/tests/group/main.rs
+++ b/crates/config/tests/group/main.rs
@@ -2,5 +2,6 @@
 //! configuration under faults.
 
 mod autopilot;
+mod evacuations;
 mod faults;
 mod support;
--- a/crates/config/tests/group/support.rs
+++ b/crates/config/tests/group/support.rs
@@ -1,13 +1,13 @@
 //! Simulation of members, their disks and the network in virtual time.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use greengage_agreement::{Config, Entry, HardState, MemberRole, Snapshot, Timing};
 use greengage_config::{
-    Document, Edit, EditOutcome, Effect, Event, Group, GroupMessage, GroupSave, Limits, Peer,
-    RecoveredState, Setup, State,
+    Document, Edit, EditOutcome, Effect, EvacuationOrder, Evacuations, Event, Group, GroupMessage,
+    GroupSave, Limits, Peer, RecoveredState, Setup, State,
 };
 use greengage_core::{NodeId, Payload, RequestId, Time, Version, VmName};
 
@@ -102,6 +102,8 @@
     Edit(u64),
     /// A read, with the highest version acknowledged before it was sent.
     Read(u64),
+    /// An order about an evacuation.
+    Order,
 }
 
 pub(crate) struct Simulation {
@@ -122,6 +124,8 @@
     contents: BTreeMap<u64, u64>,
     pub(crate) reads: u64,
     pub(crate) acks: u64,
+    /// Acknowledged orders.
+    pub(crate) acked_orders: BTreeSet<RequestId>,
 }
 
 fn document(version: u64, content: u64, source: Payload) -> Arc<Document> {
@@ -168,6 +172,7 @@
             contents: BTreeMap::new(),
             reads: 0,
             acks: 0,
+            acked_orders: BTreeSet::new(),
         };
         for vm in 0..vms {
             let folder = if vm < seeds { 0 } else { 100 + vm as u64 };
@@ -464,20 +469,50 @@
                 Effect::Redirect { request, .. } => {
                     self.requests.remove(&request);
                 }
-                Effect::DocumentApplied(_) => {}
+                Effect::DocumentApplied(_) | Effect::EvacuationsApplied(_) => {}
             }
         }
     }
 
     fn finish_edit(&mut self, request: RequestId, outcome: EditOutcome) {
-        if let (Some(Request::Edit(version)), EditOutcome::Accepted) =
-            (self.requests.remove(&request), outcome)
-        {
-            self.acked_version = self.acked_version.max(version);
-            self.acks += 1;
+        match (self.requests.remove(&request), outcome) {
+            (Some(Request::Edit(version)), EditOutcome::Accepted) => {
+                self.acked_version = self.acked_version.max(version);
+                self.acks += 1;
+            }
+            (Some(Request::Order), EditOutcome::Accepted) => {
+                self.acked_orders.insert(request);
+            }
+            _ => {}
         }
     }
 
+    /// Sends an order that was received at some time to a VM.
+    pub(crate) fn order(&mut self, vm: usize, order: EvacuationOrder, received: Time) -> RequestId {
+        self.seq += 1;
+        let request = RequestId(self.seq);
+        self.requests.insert(request, Request::Order);
+        let event = Event::Order {
+            request,
+            order,
+            received,
+        };
+        self.step(vm, event);
+        request
+    }
+
+    /// The evacuated zones that a VM has applied.
+    pub(crate) fn evacuations(&self, vm: usize) -> Option<&Evacuations> {
+        self.vms[vm].group.as_ref()?.evacuations()
+    }
+
+    /// The VM that leads in the highest term.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let leads = |vm: &usize| self.vms[*vm].group.as_ref().is_some_and(Group::is_leader);
+        let term = |vm: &usize| self.vms[*vm].group.as_ref().map(|g| g.status().term);
+        (0..self.vms.len()).filter(leads).max_by_key(term)
+    }
+
     fn finish_read(&mut self, request: RequestId, document: Option<Arc<Document>>) {
         let Some(Request::Read(acked_version)) = self.requests.remove(&request) else {
             return;
--- a/crates/config/tests/retention.rs
+++ b/crates/config/tests/retention.rs
@@ -178,7 +178,7 @@
                 self.refused += 1;
             }
             Effect::Save(save) => self.unsaved.push((member, save.seq)),
-            Effect::Read { .. } | Effect::DocumentApplied(_) => {}
+            Effect::Read { .. } | Effect::DocumentApplied(_) | Effect::EvacuationsApplied(_) => {}
         }
     }
 }
--- a/crates/runtime/src/disk.rs
+++ b/crates/runtime/src/disk.rs
@@ -9,15 +9,16 @@
 
 use crossbeam_channel::unbounded;
 use eyre::{Report, WrapErr};
-use greengage_agreement::{Config, Entry, MemberRole, SaveSeq};
+use greengage_agreement::{Config, MemberRole, SaveSeq};
 use greengage_cluster::Hints;
-use greengage_config::{Edit, GroupSave, RecoveredState};
+use greengage_config::{GroupSave, RecoveredState};
 use greengage_core::{Address, Index, Name, NodeId, VmName};
 use greengage_journal as journal;
 use greengage_journal::{Batch, Journal, JournalError, RealDisk};
 use greengage_wire::{decode, encode};
 
 use crate::inputs::{Input, InputSender};
+use crate::records::{decode_entry, decode_snapshot, encode_entry, encode_snapshot};
 use crate::settings::Settings;
 
 /// Journal group of the control group's log, which holds the configuration.
@@ -92,10 +93,10 @@
         restored.hard_state = decode(&bytes)?;
     }
     if let Some((_, bytes)) = group.snapshot {
-        restored.snapshot = Some(decode(&bytes)?);
+        restored.snapshot = Some(decode_snapshot(&bytes)?);
     }
     for (_, bytes) in group.entries {
-        restored.entries.push(decode::<Entry<Edit>>(&bytes)?);
+        restored.entries.push(decode_entry(&bytes)?);
     }
     restored.config = match recovered
         .remove(FIRST_MEMBERS_GROUP)
@@ -135,13 +136,13 @@
 
 /// Encodes state of the control group as a batch of the journal.
 fn group_batch(group: &Name, save: &GroupSave) -> Batch {
-    let entries = save.entries.iter();
+    let (entries, snapshot) = (save.entries.iter(), save.snapshot.as_ref());
     Batch {
         group: group.clone(),
         hard_state: save.hard_state.as_ref().map(encode),
         clear: save.clear,
-        entries: entries.map(|e| (e.index, encode(e))).collect(),
-        snapshot: save.snapshot.as_ref().map(|s| (s.index, encode(s))),
+        entries: entries.map(|e| (e.index, encode_entry(e))).collect(),
+        snapshot: snapshot.map(|s| (s.index, encode_snapshot(s))),
     }
 }
 
--- a/crates/runtime/src/inputs.rs
+++ b/crates/runtime/src/inputs.rs
@@ -17,9 +17,9 @@
 
 /// Whether the control thread takes an input before everything else that waits.
 ///
-/// The configuration decides how all other inputs are handled, and a job may be worked on only while
-/// its caller waits. Under load the other inputs wait for longer than a configuration may take until
-/// it is in force, than a VM may be silent before it counts as lost, and than a caller waits before
+/// The configuration and the evacuated zones decide how all other inputs are handled, and a job may be
+/// worked on only while its caller waits. Under load the other inputs wait for longer than a
+/// configuration may take until it is in force, than a VM may be silent before it counts as lost, and than a caller waits before
 /// it submits a job again.
 pub fn is_urgent(input: &Input) -> bool {
     let Input::Event(event) = input else {
@@ -27,7 +27,10 @@
     };
     match event {
         Event::Receive { message, .. } => {
-            matches!(message, Message::Configuration(_) | Message::Gossip(..))
+            matches!(
+                message,
+                Message::Configuration(_) | Message::Evacuations(_) | Message::Gossip(..)
+            )
         }
         Event::Scheduler(event) => matches!(
             event,
--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -54,6 +54,7 @@
         Outcome::Scheduler(Reply::Pending(_)) => "pending",
         Outcome::Accepted => "accepted",
         Outcome::Configuration(_) => "configuration",
+        Outcome::Evacuations(_) => "evacuations",
         Outcome::Redirect(_) => "elsewhere",
         Outcome::Unknown => "unknown",
         Outcome::Unconfirmed => "unconfirmed",
@@ -83,10 +84,13 @@
 /// Sets the gauges to a VM's status.
 pub fn record_status(status: &Status) {
     let version = status.version.map_or(0, |version| version.0);
+    let revision = status.revision.map_or(0, |revision| revision.0);
     let gauges = [
         ("greengage_ready", u64::from(status.ready)),
         ("greengage_leads", u64::from(status.is_leader)),
         ("greengage_configuration_version", version),
+        ("greengage_evacuations_revision", revision),
+        ("greengage_zones_evacuated", status.evacuated as u64),
         ("greengage_targets_owned", status.owned as u64),
         ("greengage_targets_known", status.targets as u64),
         ("greengage_vms_live", status.vms as u64),
--- a/crates/runtime/tests/inputs.rs
+++ b/crates/runtime/tests/inputs.rs
@@ -5,7 +5,8 @@
 use crossbeam_channel::RecvTimeoutError;
 use greengage_cluster::distribution::DistributionMessage;
 use greengage_cluster::gossip::{GossipMessage, Stamp};
-use greengage_cluster::{scheduler, Event, Message};
+use greengage_cluster::{scheduler, Event, Message, Versions};
+use greengage_config::Evacuations;
 use greengage_core::{Incarnation, RequestId, Time, Version, VmName};
 use greengage_runtime::{inputs, is_urgent, Input};
 
@@ -29,10 +30,12 @@
 /// Inputs that don't wait behind others.
 fn urgent_inputs() -> Vec<Input> {
     let offer = Message::Configuration(DistributionMessage::Offer(Version(2)));
-    let heartbeat = Message::Gossip(GossipMessage::Members(Vec::new()), None);
+    let heartbeat = Message::Gossip(GossipMessage::Members(Vec::new()), Versions::default());
     let until = Time::from_millis(1);
+    let zones = Message::Evacuations(Evacuations::default());
     vec![
         receive(offer),
+        receive(zones),
         receive(heartbeat),
         scheduler_input(scheduler::Event::CallerGone(RequestId(1))),
         scheduler_input(scheduler::Event::CallersChecked { until }),
--- a/crates/scheduler/src/assignment.rs
+++ b/crates/scheduler/src/assignment.rs
@@ -44,6 +44,11 @@
     mix(target ^ vm.rotate_left(32))
 }
 
+/// A hash of two VMs that doesn't depend on their order.
+pub(crate) fn pair_hash(a: &VmName, b: &VmName) -> u64 {
+    mix(name_hash(a.as_str()) ^ name_hash(b.as_str()))
+}
+
 /// VMs that share a set of targets.
 #[derive(Default)]
 struct Group {
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -277,6 +277,8 @@
     Tick,
     /// A configuration was received; it is applied if it is newer than the current one.
     Configuration(Arc<Document>),
+    /// The evacuated zones have changed to these, which are sorted. No zone is evacuated at first.
+    Evacuations(Vec<ZoneName>),
     /// A caller submits a job.
     Submit(Submission),
     /// A caller asks for the number of pending jobs in a queue.
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -95,6 +95,7 @@
             }
             self.target_lost(now, &other, out);
         }
+        let evacuated = self.is_evacuated(&report.zone);
         match self.targets.get_mut(&name) {
             None => {
                 log::info!(event = "target-known", target = name.as_str(),
@@ -103,7 +104,11 @@
                 if self.targets.is_empty() {
                     self.first_target = Some(now);
                 }
-                self.targets.insert(name, Target::new(now, report));
+                let target = Target {
+                    evacuated,
+                    ..Target::new(now, report)
+                };
+                self.targets.insert(name, target);
                 self.reassign = true;
             }
             Some(target) if is_stale(target) => {}
@@ -121,6 +126,7 @@
                     }
                     self.reassign |= report.zone != target.report.zone;
                     target.report = report;
+                    target.evacuated = evacuated;
                     target.last_report = now;
                     if target.assigned_since.is_some_and(|since| now > since) {
                         target.first_report = target.first_report.or(Some(now));
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -17,6 +17,7 @@
 //! - `callers`: until when the callers of the jobs are known to wait.
 //! - `cancel`: cancelled jobs.
 //! - `renewal`: which offloaded runs are still needed, and which outcomes were received.
+//! - `evacuation`: evacuated zones, on whose targets nothing is started.
 //! - `admission`: limits on the queueing time of jobs.
 //! - `scheduler`, `submit`, `dispatch`, `ends`, `leases`, `offload`: the state machine.
 //!
@@ -37,6 +38,7 @@
 mod dispatch;
 mod ends;
 mod estimate;
+mod evacuation;
 mod event;
 mod health;
 mod job;
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -87,6 +87,7 @@
                         offers: Vec::new(),
                         end: None,
                         shortage: false,
+                        partner: false,
                         renewal_due: false,
                     };
                     joined.push(vm.clone());
@@ -94,6 +95,9 @@
                 }
             }
         }
+        if !self.evacuated.is_empty() {
+            self.review_partners();
+        }
         // They claim no target before they know the owners.
         if !joined.is_empty() {
             let message = self.offers_message(now);
@@ -299,7 +303,8 @@
         let expected = self
             .estimates
             .expected_run_time(&offload.queue, offload.declared);
-        if self.leaving.is_some_and(|l| outlasts(now, expected, l.end)) {
+        let is_leaving = self.leaving.is_some_and(|l| outlasts(now, expected, l.end));
+        if is_leaving || self.document.is_none() {
             return None;
         }
         let objective = sent + offload.objective;
@@ -397,7 +402,8 @@
 
     /// Whether a VM may claim a target of this zone, or gets updates of offers while it is short.
     fn is_near(&self, view: &PeerView) -> bool {
-        self.peers.len() <= BROADCAST_INTERVAL_VMS || view.peer.candidate.zone == *self.zone()
+        let in_zone = view.peer.candidate.zone == *self.zone();
+        self.peers.len() <= BROADCAST_INTERVAL_VMS || in_zone || view.partner
     }
 
     /// Whether a VM gets updates as soon as offers change.
@@ -413,7 +419,7 @@
                 owned.push(name.clone());
             }
             let free = target.free();
-            if target.accepts_tasks(now) && free.milli_cores > 0 {
+            if self.document.is_some() && target.accepts_tasks(now) && free.milli_cores > 0 {
                 offers.push(ResourceOffer {
                     free,
                     speed: (target.speed.factor() * 100.0) as u32,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -63,6 +63,8 @@
     pub(crate) end: Option<Time>,
     /// Whether it recently lacked free resources.
     pub(crate) shortage: bool,
+    /// Whether it exchanges updates of offers with this VM although it is of another zone.
+    pub(crate) partner: bool,
     /// Whether it gets a renewal: runs were offloaded to it, and no renewal has said since that
     /// none of them is needed any more.
     pub(crate) renewal_due: bool,
@@ -80,6 +82,8 @@
 pub struct Scheduler {
     pub(crate) setup: Setup,
     pub(crate) document: Option<Arc<Document>>,
+    /// The evacuated zones, sorted.
+    pub(crate) evacuated: Vec<ZoneName>,
     pub(crate) targets: Targets,
     pub(crate) departures: Departures,
     /// When the first of the known targets became known; `None` before.
@@ -163,6 +167,7 @@
     pub fn new(now: Time, setup: Setup) -> Scheduler {
         Scheduler {
             document: None,
+            evacuated: Vec::new(),
             targets: Targets::default(),
             departures: Departures::default(),
             first_target: None,
@@ -236,6 +241,7 @@
         match event {
             Event::Tick => self.tick(now, wall, &mut out),
             Event::Configuration(document) => self.on_configuration(document),
+            Event::Evacuations(zones) => self.on_evacuations(zones),
             Event::Submit(submission) => self.submit(now, submission, &mut out),
             Event::Count {
                 request,
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -196,6 +196,8 @@
     /// Whether it is said to have left or to have been replaced. It is kept until its runs have ended
     /// and is assigned to no VM.
     pub(crate) lost: bool,
+    /// Whether its zone is evacuated.
+    pub(crate) evacuated: bool,
     pub(crate) generation: u64,
     /// Added to the time of day in the next claim's generation, in milliseconds, after a claim was
     /// fenced.
@@ -225,6 +227,7 @@
             first_report: None,
             releasing: false,
             lost: false,
+            evacuated: false,
             generation: 0,
             generation_bump: 0,
             claim_after: now,
@@ -311,6 +314,7 @@
         self.ownership == Ownership::Owned
             && !self.releasing
             && !self.lost
+            && !self.evacuated
             && !self.report.draining
             && !self.has_overdue_stop(now)
             && !self.has_expired_run(now)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -18,7 +18,7 @@
 pub enum WireError {
     /// The input is empty.
     Empty,
-    /// The input has this format version, which isn't [`FORMAT_VERSION`].
+    /// The input has this format version, which isn't the expected one.
     UnsupportedVersion(u8),
     /// The bytes after the version aren't a valid encoding of the type.
     Malformed(postcard::Error),
@@ -32,8 +32,8 @@
             WireError::Empty => write!(f, "the message is empty: update the sender"),
             WireError::UnsupportedVersion(version) => write!(
                 f,
-                "the message has format version {version}, this VM reads {FORMAT_VERSION}: run the \
-                 same version of greengageproxy on all VMs"
+                "the message has format version {version}, which this VM can't read: run the same \
+                 version of greengageproxy on all VMs"
             ),
             WireError::Malformed(error) => write!(
                 f,
@@ -51,14 +51,23 @@
 
 /// Encodes a message or record.
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
-    let buffer = vec![FORMAT_VERSION];
-    postcard::to_extend(value, buffer).expect("values of this workspace can be encoded")
+    encode_as(FORMAT_VERSION, value)
+}
+
+/// Encodes a record whose type has a version of its own.
+pub fn encode_as<T: Serialize>(version: u8, value: &T) -> Vec<u8> {
+    postcard::to_extend(value, vec![version]).expect("values of this workspace can be encoded")
 }
 
 /// Decodes a message or record.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, WireError> {
+    decode_as(FORMAT_VERSION, bytes)
+}
+
+/// Decodes a record whose type has a version of its own.
+pub fn decode_as<T: DeserializeOwned>(expected: u8, bytes: &[u8]) -> Result<T, WireError> {
     let (version, rest) = bytes.split_first().ok_or(WireError::Empty)?;
-    if *version != FORMAT_VERSION {
+    if *version != expected {
         return Err(WireError::UnsupportedVersion(*version));
     }
     let (value, rest) = postcard::take_from_bytes(rest).map_err(WireError::Malformed)?;
