--- a/crates/cluster/src/evacuations.rs
+++ b/crates/cluster/src/evacuations.rs
@@ -187,8 +187,9 @@
         }
         let names: Vec<ZoneName> = zones.zones.iter().map(|z| z.zone.clone()).collect();
         if !is_first || zones.revision > Revision(0) {
-            log::info!(event = "evacuations", revision = zones.revision.0, zones:? = names,
-                age_ms = wall.0.saturating_sub(zones.changed.0); "the evacuated zones have changed");
+            let list: Vec<&str> = names.iter().map(ZoneName::as_str).collect();
+            log::info!(event = "evacuations", revision = zones.revision.0,
+                zones = list.join(",").as_str(), age_ms = wall.0.saturating_sub(zones.changed.0); "the evacuated zones have changed");
         }
         (self.evacuations.current, self.evacuations.since) = (Some(zones), now);
         self.reports.mark_dirty();
