scheduler: start a job when its last task is expected in time

Cause: a job started once an eighth of its tasks fitted, so under overload most started jobs waited for their last tasks while they used targets. Each waiting task also cost processor time in each round of placement: for every job the exclusion of all slots looked up the VM of each offer by name, and all offers were copied and scanned. Ruled out by trials on untouched code: a fixed part of the tasks (a small site loses), order by priority alone.

Change: a job starts when each of its waiting tasks has a place in time, free now or expected to become free on this VM's targets (forecast of room with claims, crate contention). Room that is kept is not offered to peers. A job wider than the service goes in waves as before. Offers of peers are looked at only after the own targets, and only those that fit the least demand. Placement moves to the crate contention, with its tests.

--- a/crates/scheduler/src/placement.rs
+++ b/crates/contention/src/placement.rs
@@ -9,6 +9,8 @@
 
 use greengage_core::{value, Demand, Time};
 
+use crate::forecast::Room;
+
 /// Safety margin on the expected run time for a slot to count as in time, since declared run times
 /// are off by two fifths on average.
 const MARGIN_PERCENT: u32 = 60;
@@ -25,11 +27,11 @@
     OtherZone,
 }
 
-/// Free resources on a target.
+/// A target, or an offer of another VM, as a place for tasks.
 #[value(float)]
 pub struct Slot {
-    /// Free resources.
-    pub free: Demand,
+    /// Free resources over time.
+    pub room: Room,
     /// Speed of the target, relative to a usual one.
     pub speed: f64,
     /// Time that the calls to the target and back take.
@@ -41,7 +43,7 @@
 }
 
 /// End time of a task in a slot.
-pub(crate) fn finish_time(now: Time, slot: &Slot, expected: Duration) -> Time {
+pub fn finish_time(now: Time, slot: &Slot, expected: Duration) -> Time {
     now + slot.delay + expected.div_f64(slot.speed.max(0.01))
 }
 
@@ -57,7 +59,12 @@
     let margin = expected * MARGIN_PERCENT / 100;
     let fitting = || {
         let slots = slots.iter().enumerate();
-        slots.filter(|(_, slot)| !slot.excluded && demand.fits(&slot.free))
+        slots.filter(|(_, slot)| {
+            let fits = !slot.excluded && demand.fits(slot.room.free());
+            fits && slot
+                .room
+                .fits(now, finish_time(now, slot, expected), demand)
+        })
     };
     let in_time = fitting().filter(|(_, s)| finish_time(now, s, expected + margin) <= objective);
     let best = in_time.min_by(|(_, a), (_, b)| {
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -1,26 +1,25 @@
 //! Placement of waiting tasks.
 //!
 //! Started jobs are placed first, since their completed runs are wasted if they end late; the
-//! others follow in the order of their latest start. A job starts only when part of its tasks fit
-//! at once. Its remaining tasks wait for targets on which they end in time, as long as there can be
-//! one.
+//! others follow by rank. A job starts when all of its tasks are expected to start in time, by what
+//! is free and by the expected ends of the runs on this VM's targets; see
+//! `greengage_contention`. The remaining tasks of a started job wait for targets on which they end
+//! in time, as long as there can be one.
 
 use std::time::Duration;
 
-use greengage_core::{TargetName, Time, VmName};
+use greengage_contention::{
+    decide, place_later, place_now, Claim, Decision, Locality, Need, Rank, Room, Slot,
+};
+use greengage_core::{Demand, TargetName, Time, VmName};
 
 use crate::event::{Effect, StartCall, TargetCall};
 use crate::job::{Job, TaskState};
 use crate::peer::{OffloadedTask, PeerMessage};
-use crate::placement::{choose_slot, finish_time, Locality, Slot};
 use crate::scheduler::Scheduler;
 use crate::submit::{outlasts, BEST_CASE_PERCENT};
 use crate::target::{Origin, Run, RunParams, Target};
 
-/// Divisor of a job's waiting tasks: the part that has to fit at once when the job starts. The
-/// others start as resources become free, within milliseconds under load.
-const START_DIVISOR: usize = 8;
-
 /// Round trip to a target of another VM: two trips between zones and that VM's processing time.
 const REMOTE_ROUND_TRIP: Duration = Duration::from_millis(5);
 /// Round trip to a target of this VM.
@@ -44,31 +43,44 @@
     AnyTime,
 }
 
-/// All known free resources; `places` holds what each slot stands for.
+/// Known resources; `places` holds what each slot stands for.
 struct SlotPool {
     slots: Vec<Slot>,
     places: Vec<Place>,
+    /// For each slot, when its VM's shutdown ends.
+    exits: Vec<Option<Time>>,
+    /// The offers of peers that fit this demand are added once a task has no place on this VM's own
+    /// targets that are free; `None` afterwards.
+    least: Option<Demand>,
+}
+
+/// The smaller amount of each resource.
+fn least_demand(a: Demand, b: &Demand) -> Demand {
+    Demand {
+        milli_cores: a.milli_cores.min(b.milli_cores),
+        memory_mib: a.memory_mib.min(b.memory_mib),
+        accelerators: a.accelerators.min(b.accelerators),
+    }
 }
 
 impl Scheduler {
-    /// Starts the waiting tasks for which there are slots.
+    /// Starts the waiting tasks for which there is room, and keeps room for others.
     pub(crate) fn dispatch(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let mut order: Vec<(bool, Time, u64)> = self
+        self.targets
+            .for_each_used(|_, target| target.reserved = Demand::default());
+        let mut order: Vec<(bool, Rank, u64)> = self
             .jobs
             .iter()
             .filter(|(_, job)| job.tasks.iter().any(|t| t.state == TaskState::Waiting))
-            .map(|(job_id, job)| (!job.started, self.latest_start(job), *job_id))
+            .map(|(job_id, job)| (!job.started, self.claim(job).rank(), *job_id))
             .collect();
         if order.is_empty() || !self.knows_callers(now) {
             return;
         }
         order.sort_unstable();
-        let mut pool = self.slot_pool(now);
+        let mut pool = self.slot_pool(now, order.iter().map(|(.., job_id)| *job_id));
         let mut offloads = Vec::new();
         for (_, _, job_id) in order {
-            if pool.slots.is_empty() {
-                break;
-            }
             let rule = match self.jobs.get(&job_id) {
                 Some(job) if job.started && now >= self.latest_useful_start(job, &pool) => {
                     PlacementRule::AnyTime
@@ -77,6 +89,14 @@
             };
             self.place_job(now, job_id, rule, &mut pool, &mut offloads, out);
         }
+        for (place, slot) in pool.places.iter().zip(&pool.slots) {
+            let Place::Local(name) = place else {
+                continue;
+            };
+            if let Some(target) = self.targets.get_mut(name) {
+                target.reserved = slot.room.free().saturating_sub(&slot.room.least());
+            }
+        }
         let waits = |job: &Job| job.tasks.iter().any(|t| t.state == TaskState::Waiting);
         if !offloads.is_empty() || self.jobs.values().any(waits) {
             self.shortage_until = now + SHORTAGE_PERIOD;
@@ -84,24 +104,38 @@
         self.send_offloads(now, offloads, out);
     }
 
-    /// Starts a job that has reached its longest wait, even if it will end late, where slots are
-    /// free. Returns whether it was started.
+    /// What a job asks for, for its place in the order.
+    fn claim(&self, job: &Job) -> Claim {
+        let waiting = job.tasks.iter().filter(|t| t.state == TaskState::Waiting);
+        let work = waiting.map(|task| {
+            let step = &job.steps[task.step];
+            let expected = self.estimates.expected_run_time(&job.queue, step.declared);
+            expected.mul_f64(f64::from(step.demand.milli_cores) / 1000.0)
+        });
+        Claim {
+            priority: 0,
+            latest_start: self.latest_start(job),
+            work: work.sum(),
+            arrival: job.arrival,
+        }
+    }
+
+    /// Reviews a job that has reached its longest wait: it waits on if room is kept for it, and
+    /// starts, even if it will end late, if there is room for all of its tasks. Returns whether it
+    /// was started or waits on.
     pub(crate) fn start_late(&mut self, now: Time, job_id: u64, out: &mut Vec<Effect>) -> bool {
         if !self.knows_callers(now) {
             return false;
         }
-        let mut pool = self.slot_pool(now);
+        let mut pool = self.slot_pool(now, std::iter::once(job_id));
         let mut offloads = Vec::new();
-        let started = self.place_job(
-            now,
-            job_id,
-            PlacementRule::AnyTime,
-            &mut pool,
-            &mut offloads,
-            out,
-        );
+        let rules = [PlacementRule::InTime, PlacementRule::AnyTime];
+        let found = rules.into_iter().any(|rule| {
+            let decision = self.place_job(now, job_id, rule, &mut pool, &mut offloads, out);
+            decision != Decision::Wait
+        });
         self.send_offloads(now, offloads, out);
-        started
+        found
     }
 
     fn send_offloads(
@@ -146,47 +180,62 @@
         job.objective - self.longest_run_time(job).div_f64(fastest)
     }
 
-    /// Collects the free resources of this VM's targets and the offers of its peers.
-    fn slot_pool(&self, now: Time) -> SlotPool {
+    /// Collects the resources of this VM's targets, for the waiting tasks of some jobs.
+    fn slot_pool(&self, now: Time, jobs: impl Iterator<Item = u64>) -> SlotPool {
+        let jobs = jobs.filter_map(|job_id| self.jobs.get(&job_id));
+        let demands = jobs.flat_map(|job| job.steps.iter().filter(|s| s.remaining > 0));
+        let least = demands
+            .map(|step| step.demand)
+            .reduce(|a, b| least_demand(a, &b));
         let mut pool = SlotPool {
             slots: Vec::new(),
             places: Vec::new(),
+            exits: Vec::new(),
+            least,
         };
         for (name, target) in self.targets.used().filter(|(_, t)| t.accepts_tasks(now)) {
-            let free = target.free();
-            if free.milli_cores > 0 {
-                pool.slots.push(Slot {
-                    free,
-                    speed: target.speed.factor(),
-                    delay: LOCAL_ROUND_TRIP,
-                    locality: Locality::Local,
-                    excluded: false,
-                });
-                pool.places.push(Place::Local(name.clone()));
-            }
+            pool.slots.push(Slot {
+                room: target.forecast(now, &self.estimates),
+                speed: target.speed.factor(),
+                delay: LOCAL_ROUND_TRIP,
+                locality: Locality::Local,
+                excluded: false,
+            });
+            pool.places.push(Place::Local(name.clone()));
+            pool.exits.push(None);
         }
+        pool
+    }
+
+    /// Adds the offers of peers that fit the least demand. Returns whether there are new slots.
+    fn add_offers(&self, pool: &mut SlotPool) -> bool {
+        let Some(least) = pool.least.take() else {
+            return false;
+        };
+        let known = pool.slots.len();
         for (vm, view) in self.peers.iter() {
             let locality = match view.peer.candidate.zone == *self.zone() {
                 true => Locality::SameZone,
                 false => Locality::OtherZone,
             };
             for (i, offer) in view.offers.iter().enumerate() {
-                if offer.free.milli_cores > 0 {
+                if offer.free.milli_cores > 0 && least.fits(&offer.free) {
                     pool.slots.push(Slot {
-                        free: offer.free,
+                        room: Room::new(offer.free),
                         speed: f64::from(offer.speed) / 100.0,
                         delay: REMOTE_ROUND_TRIP,
                         locality,
                         excluded: false,
                     });
                     pool.places.push(Place::Remote(vm.clone(), i));
+                    pool.exits.push(view.end);
                 }
             }
         }
-        pool
+        pool.slots.len() > known
     }
 
-    /// Places the waiting tasks of a job. Returns whether any was placed.
+    /// Places the waiting tasks of a job, and starts those whose place is free if the job starts.
     fn place_job(
         &mut self,
         now: Time,
@@ -195,50 +244,71 @@
         pool: &mut SlotPool,
         offloads: &mut Vec<(VmName, OffloadedTask)>,
         out: &mut Vec<Effect>,
-    ) -> bool {
+    ) -> Decision {
         let Some(job) = self.jobs.get(&job_id) else {
-            return false;
+            return Decision::Wait;
         };
         let waiting = job.waiting_tasks();
-        let mut placed = Vec::new();
+        let mut tasks = Vec::new();
+        let mut placements = Vec::new();
         // Tasks of a step that avoid no target differ in nothing: they may use the same slots, and if
         // there is none for one of them, there is none for the next.
         let (mut marked, mut exhausted) = (None, None);
+        let mut waves = false;
         for i in &waiting {
             let task = &job.tasks[*i];
-            let step = &job.steps[task.step];
             let step_key = task.avoid_target.is_none().then_some(task.step);
             if step_key.is_some() && step_key == exhausted {
                 continue;
             }
-            let expected = self.estimates.expected_run_time(&job.queue, step.declared);
+            let need = self.need(job, task.step, rule);
             if step_key.is_none() || step_key != marked {
                 self.mark_excluded(now, job, *i, pool);
                 marked = step_key;
             }
-            let choice = choose_slot(now, &pool.slots, &step.demand, expected, job.objective);
-            let best_case = expected * BEST_CASE_PERCENT / 100;
-            let choice = choice.filter(|(slot, in_time)| {
-                (*in_time || rule == PlacementRule::AnyTime)
-                    && finish_time(now, &pool.slots[*slot], best_case) <= job.deadline
+            let mut found = place_now(now, &pool.slots, &need);
+            if found.is_none() && self.add_offers(pool) {
+                self.mark_excluded(now, job, *i, pool);
+                found = place_now(now, &pool.slots, &need);
+            }
+            let may_wait = job.started || rule == PlacementRule::InTime;
+            let found = found.or_else(|| {
+                let later = may_wait.then(|| place_later(now, &pool.slots, &need));
+                later.flatten()
             });
-            let Some((slot, _)) = choice else {
+            let Some(placement) = found else {
+                waves = waves || !job.started && self.is_wide(job, &waiting);
+                if !job.started && !waves {
+                    break;
+                }
                 exhausted = step_key.or(exhausted);
                 continue;
             };
-            pool.slots[slot].free = pool.slots[slot].free.saturating_sub(&step.demand);
-            placed.push((*i, slot));
+            placement.claim(now, &mut pool.slots);
+            tasks.push(*i);
+            placements.push(placement);
         }
-        if !job.started && placed.len() * START_DIVISOR < waiting.len().max(1) || placed.is_empty()
-        {
-            let demand = |i: usize| job.steps[job.tasks[i].step].demand;
-            for (i, slot) in placed {
-                pool.slots[slot].free = pool.slots[slot].free.saturating_add(&demand(i));
+        let decision = decide(now, (job.started, waves), waiting.len(), &placements);
+        match decision {
+            Decision::Start => {}
+            Decision::Keep(start) => {
+                log::debug!(event = "job-waits", job = job.id.as_str(),
+                    tasks = waiting.len(), start_ms = start.since(now).as_millis() as u64;
+                    "room is kept for a job");
+                return decision;
+            }
+            Decision::Wait => {
+                for placement in &placements {
+                    placement.withdraw(now, &mut pool.slots);
+                }
+                return decision;
             }
-            return false;
         }
-        for (i, slot) in placed {
-            match &pool.places[slot] {
+        for (i, placement) in tasks.into_iter().zip(placements) {
+            if placement.start > now {
+                continue;
+            }
+            match &pool.places[placement.slot] {
                 Place::Local(target) => self.start_local(now, job_id, i, &target.clone(), out),
                 Place::Remote(vm, index) => {
                     let (vm, index) = (vm.clone(), *index);
@@ -247,6 +317,39 @@
                 }
             }
         }
+        decision
+    }
+
+    /// What a task of a step needs.
+    fn need(&self, job: &Job, step: usize, rule: PlacementRule) -> Need {
+        let step = &job.steps[step];
+        let expected = self.estimates.expected_run_time(&job.queue, step.declared);
+        Need {
+            demand: step.demand,
+            expected,
+            best_case: expected * BEST_CASE_PERCENT / 100,
+            objective: job.objective,
+            deadline: job.deadline,
+            any_time: rule == PlacementRule::AnyTime,
+        }
+    }
+
+    /// Whether a job has more waiting tasks than all targets of its service can run at once.
+    fn is_wide(&self, job: &Job, waiting: &[usize]) -> bool {
+        let Some(first) = waiting.first() else {
+            return false;
+        };
+        let step = &job.steps[job.tasks[*first].step];
+        let serving = self.targets.iter().map(|(_, target)| target);
+        let serving = serving.filter(|t| t.serves(&job.service, step.label.as_ref()));
+        let mut slots = 0;
+        for target in serving {
+            let cores = target.report.capacity.milli_cores;
+            slots += (cores / step.demand.milli_cores.max(1)) as usize;
+            if slots >= waiting.len() {
+                return false;
+            }
+        }
         true
     }
 
@@ -262,12 +365,9 @@
                 && step.demand.fits(&target.report.capacity)
         };
         let expected = self.estimates.expected_run_time(&job.queue, step.declared);
-        let exits = |vm: &VmName| {
-            let end = self.peers.get(vm).and_then(|view| view.end);
-            end.is_some_and(|end| outlasts(now, expected, end))
-        };
         let avoided = avoided.filter(|_| self.targets.iter().any(|(n, t)| is_other(n, t)));
-        for (slot, place) in pool.slots.iter_mut().zip(&pool.places) {
+        let places = pool.places.iter().zip(&pool.exits);
+        for (slot, (place, exit)) in pool.slots.iter_mut().zip(places) {
             slot.excluded = match place {
                 Place::Local(name) => {
                     let target = self.targets.get(name);
@@ -275,7 +375,7 @@
                         target.is_some_and(|t| t.serves(&job.service, step.label.as_ref()));
                     avoided == Some(name) || !serves
                 }
-                Place::Remote(vm, _) => exits(vm),
+                Place::Remote(..) => exit.is_some_and(|end| outlasts(now, expected, end)),
             };
         }
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -11,7 +11,6 @@
 //! - `health`: exclusion of targets that fail or stall their tasks.
 //! - `target`: a target, its owner, its lease and its runs.
 //! - `assignment`: assignment of targets to entry VMs.
-//! - `placement`: choice of a slot for a task.
 //! - `progress`: lower bound on the end of a run from its reported progress.
 //! - `job`: a job and its tasks.
 //! - `callers`: until when the callers of the jobs are known to wait.
@@ -43,7 +42,6 @@
 mod leases;
 mod offload;
 mod peer;
-mod placement;
 mod progress;
 mod renewal;
 mod scheduler;
@@ -60,6 +58,5 @@
     StartResult, Step, StopCall, StopResult, Submission, TargetCall, TargetReport,
 };
 pub use peer::{OffloadOutcome, OffloadedTask, PeerMessage, ResourceOffer};
-pub use placement::{choose_slot, Locality, Slot};
 pub use progress::earliest_end;
 pub use scheduler::{Peer, Scheduler, Setup};
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -3,13 +3,13 @@
 
 use std::time::Duration;
 
+use greengage_contention::{choose_slot, Locality, Room, Slot};
 use greengage_core::{Incarnation, TargetName, Time, VmName};
 
 use crate::ends::RunOutcome;
 use crate::event::{Effect, Reply};
 use crate::job::TaskState;
 use crate::peer::{OffloadOutcome, OffloadedTask, PeerMessage, ResourceOffer};
-use crate::placement::{choose_slot, Locality, Slot};
 use crate::renewal::{is_expired, Renewal};
 use crate::scheduler::{Peer, PeerView, Scheduler};
 use crate::submit::outlasts;
@@ -288,7 +288,7 @@
         let mut names = Vec::new();
         for (name, target) in self.targets.used().filter(|(_, t)| t.accepts_tasks(now)) {
             slots.push(Slot {
-                free: target.free(),
+                room: Room::new(target.unreserved()),
                 speed: target.speed.factor(),
                 delay: Duration::ZERO,
                 locality: Locality::Local,
@@ -412,7 +412,7 @@
             if target.ownership != crate::target::Ownership::Unowned {
                 owned.push(name.clone());
             }
-            let free = target.free();
+            let free = target.unreserved();
             if target.accepts_tasks(now) && free.milli_cores > 0 {
                 offers.push(ResourceOffer {
                     free,
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -6,10 +6,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use greengage_contention::{expected_end, Progress, Room};
 use greengage_core::{Demand, Incarnation, Time, VmName};
 
 use crate::ends::RunOutcome;
-use crate::estimate::LearnedFactor;
+use crate::estimate::{Estimates, LearnedFactor};
 use crate::event::TargetReport;
 use crate::health::Health;
 use crate::renewal::RENEWAL_TIMEOUT;
@@ -211,6 +212,8 @@
     /// No start before this time, since the last one had no effect.
     pub(crate) full_until: Time,
     pub(crate) runs: Vec<Run>,
+    /// Free resources that are kept for waiting jobs of this VM.
+    pub(crate) reserved: Demand,
     pub(crate) speed: LearnedFactor,
     pub(crate) health: Health,
 }
@@ -234,6 +237,7 @@
             lease_end: now,
             full_until: now,
             runs: Vec::new(),
+            reserved: Demand::default(),
             speed: LearnedFactor::default(),
             health: Health::default(),
         }
@@ -306,6 +310,27 @@
         })
     }
 
+    /// Free resources that aren't kept for waiting jobs of this VM.
+    pub(crate) fn unreserved(&self) -> Demand {
+        self.free().saturating_sub(&self.reserved)
+    }
+
+    /// Free resources now and at the expected ends of its runs.
+    pub(crate) fn forecast(&self, now: Time, estimates: &Estimates) -> Room {
+        let mut room = Room::new(self.free());
+        for run in &self.runs {
+            let expected = estimates.expected_run_time(&run.queue, run.declared);
+            let progress = Progress {
+                sent: run.sent,
+                expected: expected.div_f64(self.speed.factor().max(0.01)),
+                percent: run.percent,
+                listed: run.progressed,
+            };
+            room.release(expected_end(now, &progress), &run.demand);
+        }
+        room
+    }
+
     /// Whether tasks may be started on it.
     pub(crate) fn accepts_tasks(&self, now: Time) -> bool {
         self.ownership == Ownership::Owned
