Notice a caller that leaves behind bytes of its next request

Cause: hyper looks for the end of a connection only while its buffer holds nothing behind the current request. Holding such bytes in the stream was ruled out: it needs a limit, beyond which the end is hidden again, and changes what a shutdown finds in the socket.

Change: a request that waits for its response also waits for the read side of its socket to be closed, which the kernel reports whatever is unread. The stream shares its socket with the handler for that. Reads and shutdown are as before, and an answer that is ready is sent first. Bytes beyond the socket's buffer still hide the end of a caller that leaves without a reset, since the kernel doesn't receive it; a reset is seen.

--- a/crates/listener/src/connection.rs
+++ b/crates/listener/src/connection.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{oneshot, watch};
 use tokio::task::LocalSet;
 
-use crate::stream::{Exchange, Phase, TimedStream};
+use crate::stream::{read_closed, Exchange, Phase, TimedStream};
 use crate::{
     Answer, Handler, Headers, Request, Responder, Shared, ACCEPT_BACKLOG, BODY_PERMIT_BYTES,
     NEXT_NUMBER,
@@ -191,8 +191,11 @@
         exchange: exchange.clone(),
         cause: String::from("aborted"),
     };
-    let stream = TimedStream::new(stream, exchange.clone(), &shared);
-    let service = service_fn(|request| handle(request, shared.clone(), exchange.clone()));
+    let tcp = Rc::new(stream);
+    let stream = TimedStream::new(tcp.clone(), exchange.clone(), &shared);
+    let (state, current) = (shared.clone(), exchange.clone());
+    let service =
+        service_fn(move |request| handle(request, state.clone(), current.clone(), tcp.clone()));
     let connection = http1::Builder::new()
         // The stream limits the time to receive a head.
         .header_read_timeout(None)
@@ -246,6 +249,7 @@
     request: HttpRequest<Incoming>,
     shared: Arc<Shared>,
     exchange: Rc<Exchange>,
+    tcp: Rc<TcpStream>,
 ) -> Result<HttpResponse<Full<Bytes>>, RequestDropped> {
     exchange.set_phase(Phase::Body);
     let (head, mut body) = request.into_parts();
@@ -292,7 +296,11 @@
             });
         }
     }
-    let outcome = answer.await;
+    let outcome = tokio::select! {
+        biased;
+        outcome = answer => outcome,
+        () = read_closed(&tcp) => return Err(RequestDropped),
+    };
     if let Some(guard) = &mut guard {
         guard.answered = true;
     }
--- a/crates/listener/src/stream.rs
+++ b/crates/listener/src/stream.rs
@@ -28,7 +28,7 @@
 use std::time::{Duration, Instant};
 
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
@@ -121,8 +121,15 @@
     }
 }
 
+/// Waits until the caller has closed its side of the connection or reset it. Unlike a read, this isn't
+/// held up by bytes behind the current request.
+pub(crate) async fn read_closed(tcp: &TcpStream) {
+    // Interest in priority data stands for a closed read side alone, as no priority data is reported.
+    let _ = tcp.ready(Interest::PRIORITY).await;
+}
+
 pub(crate) struct TimedStream {
-    tcp: TcpStream,
+    tcp: Rc<TcpStream>,
     exchange: Rc<Exchange>,
     shared: Arc<Shared>,
     /// Ends at the limit for the head, or for the first byte of the next request.
@@ -136,7 +143,11 @@
 }
 
 impl TimedStream {
-    pub(crate) fn new(tcp: TcpStream, exchange: Rc<Exchange>, shared: &Arc<Shared>) -> TimedStream {
+    pub(crate) fn new(
+        tcp: Rc<TcpStream>,
+        exchange: Rc<Exchange>,
+        shared: &Arc<Shared>,
+    ) -> TimedStream {
         TimedStream {
             tcp,
             exchange,
@@ -150,13 +161,40 @@
 
     /// Sends the refusal, of which the socket takes what its buffer has room for.
     fn refuse(&mut self) {
-        let sent = (&*SockRef::from(&self.tcp)).write(&self.shared.refusal);
+        let sent = (&*SockRef::from(&*self.tcp)).write(&self.shared.refusal);
         self.exchange.refused.set(sent.is_ok());
     }
 
     /// Reads what is in the socket. Tokio's own read reports nothing until its reactor has run.
     fn read_now(&self, buf: &mut [u8]) -> io::Result<usize> {
-        (&*SockRef::from(&self.tcp)).read(buf)
+        (&*SockRef::from(&*self.tcp)).read(buf)
+    }
+
+    fn poll_tcp_read(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.tcp.poll_read_ready(cx))?;
+            match self.tcp.try_read(buf.initialize_unfilled()) {
+                Ok(read) => buf.advance(read),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+            return Poll::Ready(Ok(()));
+        }
+    }
+
+    /// Writes with `write` once the socket has room.
+    fn poll_tcp_write(
+        &self,
+        cx: &mut Context<'_>,
+        mut write: impl FnMut(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.tcp.poll_write_ready(cx))?;
+            match write(&self.tcp) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
     }
 
     fn start_read_timer(&mut self, timeout: Duration) {
@@ -182,7 +220,7 @@
         let mut bytes = [0; DISCARD_BYTES];
         while self.exchange.unread.get() < MAX_LINGER_BYTES {
             let mut buf = ReadBuf::new(&mut bytes);
-            match ready!(Pin::new(&mut self.tcp).poll_read(cx, &mut buf)) {
+            match ready!(self.poll_tcp_read(cx, &mut buf)) {
                 Ok(()) if !buf.filled().is_empty() => {
                     let unread = self.exchange.unread.get() + buf.filled().len();
                     self.exchange.unread.set(unread);
@@ -218,7 +256,7 @@
                 }
                 Err(error) => return Poll::Ready(Err(error)),
             }
-        } else if let Poll::Ready(read) = Pin::new(&mut self.tcp).poll_read(cx, buf) {
+        } else if let Poll::Ready(read) = self.poll_tcp_read(cx, buf) {
             read?;
         } else {
             return self.poll_read_timer(cx);
@@ -244,7 +282,7 @@
     ) -> Poll<io::Result<usize>> {
         self.check_timeout()?;
         self.exchange.set_phase(Phase::Response);
-        Pin::new(&mut self.tcp).poll_write(cx, buf)
+        self.poll_tcp_write(cx, |tcp| tcp.try_write(buf))
     }
 
     fn poll_write_vectored(
@@ -254,16 +292,15 @@
     ) -> Poll<io::Result<usize>> {
         self.check_timeout()?;
         self.exchange.set_phase(Phase::Response);
-        Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+        self.poll_tcp_write(cx, |tcp| tcp.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.tcp.is_write_vectored()
+        true
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        // hyper flushes once the whole response is written.
-        ready!(Pin::new(&mut self.tcp).poll_flush(cx))?;
+        // hyper flushes once the whole response is written, and the socket has nothing to flush.
         if self.write_started.take().is_some() {
             self.exchange.responded();
             let timeout = self.shared.limits.idle_timeout;
@@ -278,7 +315,8 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.linger.is_none() {
-            ready!(Pin::new(&mut self.tcp).poll_shutdown(cx))?;
+            // Fails if the caller has reset the connection, which leaves nothing to read.
+            let _ = SockRef::from(&*self.tcp).shutdown(std::net::Shutdown::Write);
             self.linger = Some(Box::pin(tokio::time::sleep(LINGER_TIMEOUT)));
         }
         if self.poll_discard(cx).is_pending() {
@@ -299,7 +337,7 @@
         let receiving = matches!(self.exchange.phase.get(), Phase::Head | Phase::Body);
         if self.exchange.is_closing() && receiving {
             self.refuse();
-            let _ = SockRef::from(&self.tcp).shutdown(std::net::Shutdown::Write);
+            let _ = SockRef::from(&*self.tcp).shutdown(std::net::Shutdown::Write);
         }
         let mut bytes = [0; DISCARD_BYTES];
         let unread = self.read_now(&mut bytes).unwrap_or(0);
--- a/crates/listener/tests/checks.rs
+++ b/crates/listener/tests/checks.rs
@@ -10,6 +10,7 @@
 
 use greengage_listener::{start_direct, Answer, Limits, Listener, Request, Responder, Service};
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
+use socket2::SockRef;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -249,3 +250,45 @@
     }
     panic!("the caller has left, but counts as waiting");
 }
+
+/// Guards against a caller that counts as waiting after its connection was reset, because its next
+/// request, of any size, was sent before the response.
+#[test]
+fn caller_that_sends_its_next_request_early_is_reported_when_it_is_reset() {
+    for (next_bytes, reset) in [
+        (100, true),
+        (100, false),
+        (64 << 10, true),
+        (64 << 10, false),
+    ] {
+        let (sender, events) = channel();
+        let (_resume, resumed) = channel();
+        let service = Recorder {
+            events: Mutex::new(sender),
+            resume: Mutex::new(resumed),
+            waiting: Mutex::new(Vec::new()),
+        };
+        let reject = |status, message: &str| Answer::json(status, message);
+        let address = "127.0.0.1:0".parse().unwrap();
+        let limits = Limits::default();
+        let listener = start_direct("test", address, limits, reject, Box::new(service)).unwrap();
+        let mut stream = TcpStream::connect(listener.address()).unwrap();
+        let next = format!("POST /next HTTP/1.1\r\nContent-Length: {next_bytes}\r\n\r\n");
+        let requests = ["GET /wait HTTP/1.1\r\nHost: h\r\n\r\n", &next].concat();
+        stream.write_all(requests.as_bytes()).unwrap();
+        stream.write_all(&vec![b'x'; next_bytes]).unwrap();
+        let call = next_call(&events);
+        thread::sleep(CHECK_INTERVAL);
+        if reset {
+            SockRef::from(&stream)
+                .set_linger(Some(Duration::ZERO))
+                .unwrap();
+        }
+        drop(stream);
+        let mut events = std::iter::from_fn(|| events.recv_timeout(TIMEOUT).ok()).take(10);
+        assert!(
+            events.any(|event| event == Event::Disconnected(call)),
+            "the caller counts as waiting; {next_bytes} bytes behind its request, reset {reset}"
+        );
+    }
+}
