Tell VMs that were out of touch which jobs were cancelled

Cause: only the entry VMs that were live when a job was cancelled were told, and those that ceased to be live while they were waited for were dropped. The same holds for a VM that has just started and answers a DELETE with 410 before it knows the others. Waiting for VMs that aren't live was ruled out: a lost one would hold up each DELETE.

Change: a VM tells each VM that it finds live, in a new incarnation or again, the jobs that were cancelled within the last minute, and repeats this until they are confirmed, at 0.1 s and after a second at 1 s. It does so for those that it was itself told, since the VM that was asked may be gone. Who is waited for and who is told later follows from the same list of live VMs, so that none falls between the two. Messages carry the age of the cancelling: without it, VMs that are restarted in turn would keep a job cancelled for ever.

A VM gets one message for each cancelled job of the last minute from each VM that finds it again; that grows with the number of VMs, and only where jobs are cancelled.

--- a/crates/cluster/src/cancels.rs
+++ b/crates/cluster/src/cancels.rs
@@ -4,15 +4,17 @@
 //! another, or have submitted it to several. The VM that is asked to cancel a job therefore tells all
 //! live entry VMs, each of which ends the job if it has it and confirms in any case that it runs no
 //! submission of the job any more. If the VM has the job itself, its caller is answered at once, else
-//! once all have confirmed. VMs that are no longer live aren't waited for: the runs of a lost VM end with
-//! their leases, and a VM that is cut off ends the job once its caller has left.
+//! once all have confirmed. VMs that aren't live aren't waited for: the runs of a lost VM end with their
+//! leases, and a VM that was paused, cut off or restarted is told as soon as it is live, by each VM that
+//! knows of the cancelling.
 //!
-//! Cancelling is final, so messages about it are valid at any age and may be repeated.
+//! Cancelling is final, so messages about it are valid at any age and may be repeated. They tell how old
+//! it is, so that it is forgotten in time although VMs tell one another.
 
 use std::time::Duration;
 
 use greengage_core::{RequestId, Time, VmName};
-use greengage_scheduler::{JobKey, Reply};
+use greengage_scheduler::{JobKey, Reply, CANCEL_LIFETIME};
 
 use crate::cluster::Cluster;
 use crate::event::{Effect, Outcome};
@@ -21,6 +23,8 @@
 /// Interval at which a VM that hasn't confirmed is told again, as a message is lost when a connection is
 /// replaced.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(100);
+/// The same once the caller has been answered.
+const LATE_REPEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after which the caller is answered although a live VM hasn't confirmed: longer than it takes
 /// until a lost VM of a small deployment, or of the same zone, doesn't count as live.
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(1);
@@ -36,11 +40,24 @@
     held: bool,
     /// The live entry VMs that haven't confirmed.
     waiting: Vec<VmName>,
+    /// When the job was cancelled.
+    asked: Time,
     begun: Time,
     /// When they were last told.
     told: Time,
 }
 
+impl Pending {
+    /// When the VMs that haven't confirmed are told again.
+    fn next_wake(&self) -> Time {
+        let interval = match self.told.since(self.begun) < CONFIRM_TIMEOUT {
+            true => REPEAT_INTERVAL,
+            false => LATE_REPEAT_INTERVAL,
+        };
+        self.told + interval
+    }
+}
+
 /// The cancelled jobs that not all VMs have confirmed.
 #[derive(Default)]
 pub(crate) struct Cancels {
@@ -56,7 +73,16 @@
 
     /// When a VM has to be told again; `None` if all have confirmed.
     pub(crate) fn next_wake(&self) -> Option<Time> {
-        self.pending.iter().map(|p| p.told + REPEAT_INTERVAL).min()
+        self.pending.iter().map(Pending::next_wake).min()
+    }
+
+    /// Whether another job can wait for confirmations. Jobs whose callers wait for them go first.
+    fn make_room(&mut self) -> bool {
+        if self.pending.len() >= MAX_PENDING {
+            let answered = self.pending.iter().position(|p| p.request.is_none());
+            answered.map(|index| self.pending.remove(index));
+        }
+        self.pending.len() < MAX_PENDING
     }
 }
 
@@ -80,22 +106,25 @@
         if let Some(reply) = scheduler.check_key(&job).err().filter(|_| !held) {
             return out.push(answer(request, Outcome::Scheduler(reply)));
         }
-        self.cancel_own(now, &job, out);
+        self.cancel_own(now, &job, now, out);
         if held {
             out.push(answer(request, Outcome::Scheduler(Reply::Cancelled)));
         }
         let request = (!held).then_some(request);
-        if self.cancels.pending.len() >= MAX_PENDING {
+        if !self.cancels.make_room() {
             out.extend(request.map(|request| answer(request, Outcome::Unconfirmed)));
             return;
         }
-        let live = self.members.live(now).filter(|vm| vm.roles.entry);
-        let waiting: Vec<VmName> = live.map(|vm| vm.vm.clone()).collect();
+        // VMs that have become live since the last check are told at the next one.
+        let members = self.live.keys().filter_map(|vm| self.members.member(vm));
+        let entry = members.filter(|member| member.roles.entry);
+        let waiting = entry.map(|member| member.vm.clone()).collect();
         let pending = Pending {
             request,
             job,
             held,
             waiting,
+            asked: now,
             begun: now,
             told: now,
         };
@@ -104,12 +133,36 @@
         self.answer_confirmed(out);
     }
 
+    /// Tells a VM that has become live which jobs were cancelled lately. It may not know of them, as it
+    /// was paused, cut off or restarted.
+    pub(crate) fn tell_cancelled(&mut self, now: Time, vm: &VmName, out: &mut Vec<Effect>) {
+        let scheduler = self.scheduler.as_ref();
+        let jobs = scheduler.map_or(Vec::new(), |s| s.cancelled_jobs(now));
+        for (job, asked) in jobs {
+            if self.cancels.pending.len() >= MAX_PENDING {
+                return log::warn!(event = "cancels-untold", vm = vm.as_str();
+                    "too many cancelled jobs to tell a VM of all of them");
+            }
+            let pending = Pending {
+                request: None,
+                job,
+                held: false,
+                waiting: vec![vm.clone()],
+                asked,
+                begun: now,
+                told: now,
+            };
+            self.tell(now, &pending, out);
+            self.cancels.pending.push(pending);
+        }
+    }
+
     /// Cancels a job of this VM. Returns whether it had the job.
-    fn cancel_own(&mut self, now: Time, job: &JobKey, out: &mut Vec<Effect>) -> bool {
+    fn cancel_own(&mut self, now: Time, job: &JobKey, asked: Time, out: &mut Vec<Effect>) -> bool {
         let Some(scheduler) = &mut self.scheduler else {
             return false;
         };
-        let effects = scheduler.cancel(now, job);
+        let effects = scheduler.cancel(now, job, asked);
         let held = scheduler.holds(now, job);
         log::info!(event = "job-cancelled", path = &*job.path, held = held; "a job was cancelled");
         for effect in effects {
@@ -122,7 +175,10 @@
     fn tell(&self, now: Time, pending: &Pending, out: &mut Vec<Effect>) {
         let members = pending.waiting.iter();
         for member in members.filter_map(|vm| self.members.member(vm)) {
-            let message = Message::Cancel(pending.job.clone());
+            let message = Message::Cancel {
+                job: pending.job.clone(),
+                age: now.since(pending.asked),
+            };
             out.push(self.send(now, member.address.clone(), message));
         }
     }
@@ -132,10 +188,10 @@
         &mut self,
         now: Time,
         from: &VmName,
-        job: JobKey,
+        (job, age): (JobKey, Duration),
         out: &mut Vec<Effect>,
     ) {
-        let held = self.cancel_own(now, &job, out);
+        let held = self.cancel_own(now, &job, now - age, out);
         if let Some(to) = self.members.member(from).map(|m| m.address.clone()) {
             out.push(self.send(now, to, Message::Cancelled { job, held }));
         }
@@ -178,20 +234,22 @@
         if self.cancels.next_wake().is_none_or(|wake| now < wake) {
             return;
         }
-        let live: Vec<VmName> = self.members.live(now).map(|vm| vm.vm.clone()).collect();
+        // One that isn't live at the last check is told once it is.
         for pending in &mut self.cancels.pending {
-            pending.waiting.retain(|vm| live.contains(vm));
+            pending.waiting.retain(|vm| self.live.contains(vm));
         }
         self.answer_confirmed(out);
         for mut pending in std::mem::take(&mut self.cancels.pending) {
-            if now.since(pending.begun) >= CONFIRM_TIMEOUT {
+            let late = now.since(pending.begun) >= CONFIRM_TIMEOUT;
+            if let Some(request) = pending.request.take_if(|_| late) {
                 log::info!(event = "cancel-unconfirmed", path = &*pending.job.path,
                     vms:? = pending.waiting; "VMs have not confirmed that a job is cancelled");
-                let request = pending.request;
-                out.extend(request.map(|request| answer(request, Outcome::Unconfirmed)));
+                out.push(answer(request, Outcome::Unconfirmed));
+            }
+            if now.since(pending.asked) >= CANCEL_LIFETIME {
                 continue;
             }
-            if now.since(pending.told) >= REPEAT_INTERVAL {
+            if now >= pending.next_wake() {
                 pending.told = now;
                 self.tell(now, &pending, out);
             }
--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -77,7 +77,7 @@
     shutdown: Shutdown,
     grace_period: Duration,
     /// The live VMs and their incarnations at the last check.
-    live: SortedMap<VmName, Incarnation>,
+    pub(crate) live: SortedMap<VmName, Incarnation>,
     liveness_due: Time,
     pub(crate) provider: Provider,
     pub(crate) download: Download,
@@ -306,8 +306,13 @@
         if !started.is_empty() {
             self.reports.mark_dirty();
         }
+        let started = started.iter().filter(|vm| vm.roles.entry);
+        let started: Vec<VmName> = started.map(|vm| vm.vm.clone()).collect();
         let incarnations = live.iter().map(|vm| (vm.vm.clone(), vm.incarnation));
         self.live = incarnations.collect();
+        for vm in started {
+            self.tell_cancelled(now, &vm, out);
+        }
         let peers = live
             .iter()
             .filter(|vm| vm.roles.entry)
@@ -367,7 +372,7 @@
             Message::Scheduler(message) => {
                 self.receive_from_scheduler(now, wall, (from, stamp, sent), message, out);
             }
-            Message::Cancel(job) => self.cancel_for(now, &from, job, out),
+            Message::Cancel { job, age } => self.cancel_for(now, &from, (job, age), out),
             Message::Cancelled { job, held } => self.cancel_confirmed(&from, &job, held, out),
         }
     }
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -1,5 +1,7 @@
 //! Messages between VMs.
 
+use std::time::Duration;
+
 use greengage_config::GroupMessage;
 use greengage_core::{value, NodeId, Version};
 use greengage_distribution::DistributionMessage;
@@ -28,8 +30,13 @@
     TargetLeft(Departure),
     /// A message between schedulers.
     Scheduler(PeerMessage),
-    /// A caller cancels a job, which the receiver may have.
-    Cancel(JobKey),
+    /// A caller has cancelled a job, which the receiver may have.
+    Cancel {
+        /// The job.
+        job: JobKey,
+        /// Time since the caller asked for it.
+        age: Duration,
+    },
     /// The sender has cancelled a job and runs no submission of it that arrives later.
     Cancelled {
         /// The job.
--- a/crates/cluster/tests/cancel.rs
+++ b/crates/cluster/tests/cancel.rs
@@ -10,7 +10,7 @@
 };
 use greengage_cluster::{Effect, Event, Outcome, Setup, Stage};
 use greengage_config::{Document, Limits, Queue, Service};
-use greengage_core::{Address, Demand, Name, RequestId, Time, VmName, WallTime};
+use greengage_core::{Address, Demand, Incarnation, Name, RequestId, Time, VmName, WallTime};
 
 use support::network::Network;
 
@@ -269,3 +269,54 @@
     let is_start = |effect: &Effect| matches!(effect, Effect::Call { call, .. } if matches!(call, TargetCall::Start(_)));
     assert!(!effects.iter().any(is_start));
 }
+
+/// Guards against a VM that goes on with a job that was cancelled while it was out of touch, also if
+/// the first message after that is lost.
+#[test]
+fn job_that_was_cancelled_while_its_vm_was_out_of_touch_is_cancelled_there() {
+    for lost in [Duration::ZERO, SECOND] {
+        let mut network = network();
+        network.step(2, submission(1, "j"));
+        network.cut(0, 3 * SECOND);
+        network.cut(1, 3 * SECOND);
+        network.cut(2, 3 * SECOND + lost);
+        run(&mut network, 2 * SECOND);
+        network.step(1, cancel(2, "/q/j"));
+        assert_eq!(network.take_replies(), [reply(2, Reply::NoJob)]);
+        run(&mut network, SECOND + lost);
+        assert!(network.take_replies().is_empty());
+        run(&mut network, SECOND);
+        assert_eq!(network.take_replies(), [reply(1, Reply::Cancelled)]);
+    }
+}
+
+/// Guards against a copy of a cancelled job that is run at a VM which was restarted meanwhile, and
+/// against a job that counts as cancelled for ever, as VMs that are restarted in turn tell one another.
+#[test]
+fn restarted_vms_know_of_cancelled_jobs_for_a_limited_time() {
+    let mut network = network();
+    network.step(1, cancel(1, "/q/j"));
+    run(&mut network, 5 * SECOND);
+    network.take_replies();
+    let restart = |network: &mut Network, vm: usize, incarnation| {
+        let mut setup = setup(vm);
+        setup.member.incarnation = Incarnation(incarnation);
+        setup.scheduler.as_mut().unwrap().incarnation = setup.member.incarnation;
+        network.restart(vm, setup);
+        network.step(vm, configuration());
+        run(network, 2 * SECOND);
+    };
+    for vm in [0, 1, 2] {
+        restart(&mut network, vm, 2);
+        network.step(vm, submission(2, "j"));
+        assert_eq!(network.take_replies(), [reply(2, Reply::Cancelled)]);
+    }
+    for incarnation in 3..12 {
+        run(&mut network, 3 * SECOND);
+        for vm in 0..VMS {
+            restart(&mut network, vm, incarnation);
+        }
+    }
+    network.step(1, submission(3, "j"));
+    assert!(!network.take_replies().contains(&reply(3, Reply::Cancelled)));
+}
--- a/crates/cluster/tests/malformed.rs
+++ b/crates/cluster/tests/malformed.rs
@@ -102,7 +102,11 @@
             host: "h".into(),
             path: path.into(),
         };
-        messages.push(Message::Cancel(job.clone()));
+        let age = Duration::from_secs(1);
+        messages.push(Message::Cancel {
+            job: job.clone(),
+            age,
+        });
         messages.push(Message::Cancelled { job, held: true });
     }
     let member = gossip::Member {
--- a/crates/cluster/tests/support/fleet.rs
+++ b/crates/cluster/tests/support/fleet.rs
@@ -62,7 +62,7 @@
         Message::Scheduler(PeerMessage::Offers { .. }) => Kind::Offers,
         Message::Scheduler(_) => Kind::Offload,
         Message::Group { .. } | Message::Configuration(_) => Kind::Configuration,
-        Message::Cancel(_) | Message::Cancelled { .. } => Kind::Job,
+        Message::Cancel { .. } | Message::Cancelled { .. } => Kind::Job,
     }
 }
 
--- a/crates/cluster/tests/support/network.rs
+++ b/crates/cluster/tests/support/network.rs
@@ -90,6 +90,11 @@
         self.nodes[index].cut_until = self.now + time;
     }
 
+    /// Replaces the process of a VM by one that knows nothing.
+    pub(crate) fn restart(&mut self, index: usize, setup: Setup) {
+        self.nodes[index].cluster = Cluster::new(self.now, setup);
+    }
+
     /// Takes the answers to operators and callers so far.
     pub(crate) fn take_answers(&mut self) -> Vec<Outcome> {
         let answers = self.take_replies().into_iter();
--- a/crates/scheduler/src/cancel.rs
+++ b/crates/scheduler/src/cancel.rs
@@ -12,12 +12,11 @@
 use crate::event::{Effect, Reply, Submission};
 use crate::scheduler::Scheduler;
 
-/// Time for which a cancelled job is kept: longer than links hold submissions and than callers repeat
-/// them.
-const CANCEL_LIFETIME: Duration = Duration::from_secs(60);
+/// Time for which a cancelled job is kept: longer than links hold submissions, than callers repeat
+/// them, and than a VM is paused or cut off before it is told.
+pub const CANCEL_LIFETIME: Duration = Duration::from_secs(60);
 /// Limit on the cancelled jobs that are kept, in about 1 MB.
 const MAX_CANCELLED: usize = 4096;
-
 /// Identifies a job among the submissions of all callers.
 #[value(key)]
 pub struct JobKey {
@@ -52,8 +51,8 @@
 }
 
 impl Cancellations {
-    /// Records that a job is cancelled. If there are too many, the oldest one is dropped.
-    fn record(&mut self, now: Time, job: &JobKey, held: bool) {
+    /// Records that a job was cancelled at `at`. If there are too many, the oldest one is dropped.
+    fn record(&mut self, now: Time, job: &JobKey, held: bool, at: Time) {
         self.by_job
             .retain(|_, cancelled| now.since(cancelled.at) < CANCEL_LIFETIME);
         if self.by_job.len() >= MAX_CANCELLED && !self.by_job.contains(job) {
@@ -62,8 +61,10 @@
                 self.by_job.remove(&job);
             }
         }
-        let held = held || self.by_job.get(job).is_some_and(|c| c.held);
-        self.by_job.insert(job.clone(), Cancelled { held, at: now });
+        let known = self.by_job.get(job);
+        let held = held || known.is_some_and(|c| c.held);
+        let at = known.map_or(at, |c| c.at.max(at));
+        self.by_job.insert(job.clone(), Cancelled { held, at });
     }
 
     fn get(&self, now: Time, job: &JobKey) -> Option<&Cancelled> {
@@ -93,12 +94,12 @@
         }
     }
 
-    /// Cancels a job: answers its callers, stops its runs, and runs none of its submissions that
-    /// arrive later.
-    pub fn cancel(&mut self, now: Time, job: &JobKey) -> Vec<Effect> {
+    /// Cancels a job for a caller who asked for it at `asked`: answers its callers, stops its runs, and
+    /// runs none of its submissions that arrive later.
+    pub fn cancel(&mut self, now: Time, job: &JobKey, asked: Time) -> Vec<Effect> {
         let mut out = Vec::new();
         let found = self.find_job(job);
-        self.cancellations.record(now, job, found.is_some());
+        self.cancellations.record(now, job, found.is_some(), asked);
         if let Some(job_id) = found {
             self.finish(now, job_id, Reply::Cancelled, &mut out);
         }
@@ -116,6 +117,13 @@
         self.cancellations.get(now, job).is_some()
     }
 
+    /// The jobs that were cancelled lately, and when.
+    pub fn cancelled_jobs(&self, now: Time) -> Vec<(JobKey, Time)> {
+        let jobs = self.cancellations.by_job.iter();
+        let recent = jobs.filter(|(_, c)| now.since(c.at) < CANCEL_LIFETIME);
+        recent.map(|(job, c)| (job.clone(), c.at)).collect()
+    }
+
     /// Number of cancelled jobs that are kept.
     pub fn cancelled(&self, now: Time) -> usize {
         let jobs = self.cancellations.by_job.keys();
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -52,7 +52,7 @@
 mod targets;
 
 pub use assignment::{assign, Candidate, DEFAULT_WEIGHT};
-pub use cancel::JobKey;
+pub use cancel::{JobKey, CANCEL_LIFETIME};
 pub use departures::Departures;
 pub use estimate::Estimates;
 pub use event::{
--- a/crates/scheduler/tests/world/cancel.rs
+++ b/crates/scheduler/tests/world/cancel.rs
@@ -16,7 +16,7 @@
         host: "h".into(),
         path: format!("/q{}/{}", caller.queue, caller.id).into(),
     };
-    let effects = sim.vms[vm].scheduler.cancel(sim.now, &job);
+    let effects = sim.vms[vm].scheduler.cancel(sim.now, &job, sim.now);
     assert!(sim.vms[vm].scheduler.holds(sim.now, &job));
     for effect in effects {
         sim.effect(vm, effect);
@@ -108,7 +108,8 @@
     };
     let count = 10_000;
     for i in 0..count {
-        scheduler.cancel(sim.now + millis(i / 100), &key(i));
+        let at = sim.now + millis(i / 100);
+        scheduler.cancel(at, &key(i), at);
     }
     let now = sim.now + millis(count / 100);
     let kept = scheduler.cancelled(now);
