Cancel a job at any VM after its queue was removed

Cause: a VM answered a DELETE by its configuration before it asked the others.

Change: a path that no queue matches is passed on to the other VMs if it ends in a valid id and is no longer than 1,024 bytes with its host. It is answered 404 once they have confirmed that none has the job. Remembering the queues that were removed was ruled out: a VM that was started since doesn't know them. Not covered: a job whose queue was removed while a queue with a shorter prefix matches its path is still answered 410 at once, as the existing test `paths_of_no_job_are_answered_at_once` wants it.

--- a/crates/cluster/src/cancels.rs
+++ b/crates/cluster/src/cancels.rs
@@ -38,6 +38,8 @@
     job: JobKey,
     /// Whether a VM had the job.
     held: bool,
+    /// The answer if none had it.
+    absent: Reply,
     /// The live entry VMs that haven't confirmed.
     waiting: Vec<VmName>,
     /// When the job was cancelled.
@@ -103,9 +105,10 @@
             return out.push(answer(request, Outcome::Unconfirmed));
         };
         let held = scheduler.holds(now, &job);
-        if let Some(reply) = scheduler.check_key(&job).err().filter(|_| !held) {
-            return out.push(answer(request, Outcome::Scheduler(reply)));
-        }
+        let absent = match scheduler.absent_reply(&job) {
+            Err(reply) if !held => return out.push(answer(request, Outcome::Scheduler(reply))),
+            Ok(reply) | Err(reply) => reply,
+        };
         self.cancel_own(now, &job, now, out);
         if held {
             out.push(answer(request, Outcome::Scheduler(Reply::Cancelled)));
@@ -123,6 +126,7 @@
             request,
             job,
             held,
+            absent,
             waiting,
             asked: now,
             begun: now,
@@ -147,6 +151,7 @@
                 request: None,
                 job,
                 held: false,
+                absent: Reply::NoJob,
                 waiting: vec![vm.clone()],
                 asked,
                 begun: now,
@@ -220,7 +225,7 @@
             }
             let reply = match pending.held {
                 true => Reply::Cancelled,
-                false => Reply::NoJob,
+                false => pending.absent.clone(),
             };
             let request = pending.request;
             out.extend(request.map(|request| answer(request, Outcome::Scheduler(reply))));
--- a/crates/cluster/tests/cancel.rs
+++ b/crates/cluster/tests/cancel.rs
@@ -59,6 +59,10 @@
         },
         ..(*support::document(1)).clone()
     };
+    document_event(document)
+}
+
+fn document_event(document: Document) -> Event {
     Event::Receive {
         from: VmName::new("10.0.0.1").unwrap(),
         stamp: support::stamp(Time::default(), None),
@@ -320,3 +324,27 @@
     network.step(1, submission(3, "j"));
     assert!(!network.take_replies().contains(&reply(3, Reply::Cancelled)));
 }
+
+/// Guards against a job that can be cancelled only at its own VM once its queue was removed.
+#[test]
+fn job_is_cancelled_after_its_queue_was_removed() {
+    let mut network = network();
+    network.step(2, submission(1, "j"));
+    for vm in 0..VMS {
+        network.step(vm, document_event((*support::document(2)).clone()));
+    }
+    network.step(1, cancel(2, "/q/j"));
+    run(&mut network, TRIP);
+    let mut replies = network.take_replies();
+    replies.sort_by_key(|(request, _)| *request);
+    let expected = [reply(1, Reply::Cancelled), reply(2, Reply::Cancelled)];
+    assert_eq!(replies, expected);
+    network.step(1, cancel(3, "/q/j2"));
+    run(&mut network, TRIP);
+    assert_eq!(network.take_replies(), [reply(3, Reply::NoQueue)]);
+    // None of these can be the path of a job.
+    for path in ["/q/", "/", "", &format!("/{}/j", "q".repeat(2000))] {
+        network.step(1, cancel(4, path));
+        assert_eq!(network.take_replies(), [reply(4, Reply::NoQueue)]);
+    }
+}
--- a/crates/scheduler/src/cancel.rs
+++ b/crates/scheduler/src/cancel.rs
@@ -15,8 +15,11 @@
 /// Time for which a cancelled job is kept: longer than links hold submissions, than callers repeat
 /// them, and than a VM is paused or cut off before it is told.
 pub const CANCEL_LIFETIME: Duration = Duration::from_secs(60);
-/// Limit on the cancelled jobs that are kept, in about 1 MB.
+/// Limit on the cancelled jobs that are kept, in about 1 MB if their keys are of common size.
 const MAX_CANCELLED: usize = 4096;
+/// Limit on the size of the key of a job that is cancelled without a queue.
+const MAX_KEY_BYTES: usize = 1024;
+
 /// Identifies a job among the submissions of all callers.
 #[value(key)]
 pub struct JobKey {
@@ -80,17 +83,22 @@
         cancelled.is_some_and(|c| c.held) || self.find_job(job).is_some()
     }
 
-    /// Checks that a job with this key can exist in the configuration in force. If none can, returns
-    /// the answer to a caller that cancels it.
-    pub fn check_key(&self, job: &JobKey) -> Result<(), Reply> {
+    /// The answer to a caller that cancels a job which no VM has; an error if none can have it. A job
+    /// outlives its queue, so one that no queue matches may exist.
+    pub fn absent_reply(&self, job: &JobKey) -> Result<Reply, Reply> {
         let document = self.document.as_ref();
-        let Some(queue) = document.and_then(|d| d.queue(&job.host, &job.path)) else {
-            return Err(Reply::NoQueue);
+        let queue = document.and_then(|d| d.queue(&job.host, &job.path));
+        let (id, reply) = match queue {
+            Some(queue) => (job.path.strip_prefix(&*queue.prefix), Reply::NoJob),
+            None => {
+                let is_short = job.host.len() + job.path.len() <= MAX_KEY_BYTES;
+                let id = job.path.rsplit_once('/').map(|(_, id)| id);
+                (id.filter(|_| is_short), Reply::NoQueue)
+            }
         };
-        let id = job.path.strip_prefix(&*queue.prefix);
         match id.is_some_and(|id| Name::new(id).is_ok()) {
-            true => Ok(()),
-            false => Err(Reply::NoJob),
+            true => Ok(reply),
+            false => Err(reply),
         }
     }
 
