Order the reports of a target by the service that they name

Cause: a control VM kept one report for each target. Only entry VMs check the service. Checking it at the control VM was ruled out: the configuration that names a new service may arrive there after its targets' reports. The same cause acts in two more places. The notice that the target leaves was taken for an outdated one; and an entry VM that has no configuration yet took the foreign report for the target's, so that the target stayed out of use after the configuration had arrived.

Change: a control VM keeps and orders the reports of a target for each service that they name, four at most. A notice of departure removes those of the incarnation that has left and of earlier ones. An entry VM drops the targets whose service isn't in its first configuration; they are known again from their next report.

--- a/crates/cluster/src/reports.rs
+++ b/crates/cluster/src/reports.rs
@@ -8,6 +8,10 @@
 //! or changed. After a power loss of the whole deployment, entry VMs can claim the known targets
 //! without waiting for them to report. A stored report is only a hint: a target that has ended
 //! since does not answer the claim, and a report with a higher sequence number replaces it.
+//!
+//! A report may come from another program that uses the name of a target. It names a service that isn't
+//! configured, which only the VMs that use targets can tell, since a configuration may be on its way. So
+//! the reports of one name are kept and ordered for each service that they name.
 
 use std::time::Duration;
 
@@ -25,9 +29,14 @@
 /// Reports older than this are not stored: a running target reports every few seconds.
 const STORE_MAX_AGE: Duration = Duration::from_secs(10);
 
-/// Latest report of each target, with the state of forwarding and storing.
+/// Limit on the services for which reports of one name are kept. Beyond it, the report that was received
+/// first is dropped.
+const MAX_SERVICES: usize = 4;
+
+/// The latest reports of each target, with the state of forwarding and storing.
 pub(crate) struct Reports {
-    latest: SortedMap<TargetName, (TargetReport, Time)>,
+    /// One report for each service that is named, and when it was received.
+    latest: SortedMap<TargetName, Vec<(TargetReport, Time)>>,
     departures: Departures,
     pending: Vec<TargetReport>,
     batch_due: Time,
@@ -48,9 +57,13 @@
 impl Reports {
     /// Creates the state from the reports on disk, which count as received at `now`.
     pub(crate) fn new(now: Time, stored: Vec<TargetReport>) -> Reports {
-        let stored = stored.into_iter();
+        let mut latest: SortedMap<TargetName, Vec<(TargetReport, Time)>> = SortedMap::new();
+        for report in stored {
+            let known = latest.get_or_insert_with(report.target.clone(), Vec::new);
+            known.push((report, now));
+        }
         Reports {
-            latest: stored.map(|r| (r.target.clone(), (r, now))).collect(),
+            latest,
             departures: Departures::default(),
             pending: Vec::new(),
             batch_due: now,
@@ -65,31 +78,51 @@
             return;
         }
         let order = |r: &TargetReport| (r.incarnation, r.sequence);
-        let known = self.latest.get(&report.target);
-        if known.is_some_and(|(latest, _)| order(latest) >= order(&report)) {
+        let reports = self
+            .latest
+            .get_or_insert_with(report.target.clone(), Vec::new);
+        let mut known = reports.iter();
+        let known = known.position(|(latest, _)| latest.service == report.service);
+        if known.is_some_and(|i| order(&reports[i].0) >= order(&report)) {
             return;
         }
-        self.dirty |= known.is_none_or(|(latest, _)| content_differs(latest, &report));
+        self.dirty |= known.is_none_or(|i| content_differs(&reports[i].0, &report));
         if report.draining {
             self.batch_due = now;
         }
         self.pending.push(report.clone());
-        self.latest.insert(report.target.clone(), (report, now));
+        match known {
+            Some(i) => reports[i] = (report, now),
+            None => {
+                if reports.len() >= MAX_SERVICES {
+                    let oldest = (0..reports.len()).min_by_key(|i| reports[*i].1);
+                    oldest.map(|i| reports.swap_remove(i));
+                }
+                reports.push((report, now));
+            }
+        }
     }
 
-    /// Drops the reports of a target that has left, unless they are of a later incarnation.
+    /// Drops the reports of a target that has left, except those of a later incarnation.
     pub(crate) fn remove(&mut self, now: Time, departure: &Departure) {
-        let target = &departure.target;
-        let known = self
-            .latest
-            .get(target)
-            .map(|(report, _)| report.incarnation);
-        if known.is_some() && departure.incarnation.is_some_and(|left| Some(left) < known) {
-            return;
+        let has_left = |report: &TargetReport| {
+            report.target == departure.target
+                && departure
+                    .incarnation
+                    .is_none_or(|left| report.incarnation <= left)
+        };
+        let reports = self.latest.get_mut(&departure.target);
+        let mut known = None;
+        if let Some(reports) = reports {
+            reports.retain(|(report, _)| {
+                known = known.max(has_left(report).then_some(report.incarnation));
+                !has_left(report)
+            });
         }
         self.departures.record(now, departure, known);
-        self.dirty |= self.latest.remove(target).is_some();
-        self.pending.retain(|report| report.target != *target);
+        self.dirty |= known.is_some();
+        self.latest.retain(|_, reports| !reports.is_empty());
+        self.pending.retain(|report| !has_left(report));
     }
 
     /// When the next batch or write to disk is due; `None` while neither is pending.
@@ -129,7 +162,7 @@
     }
 
     fn received_within(&self, now: Time, age: Duration) -> Vec<TargetReport> {
-        let latest = self.latest.values();
+        let latest = self.latest.values().flatten();
         let within = latest.filter(|(_, received)| now.since(*received) < age);
         within.map(|(report, _)| report.clone()).collect()
     }
--- a/crates/cluster/tests/stored.rs
+++ b/crates/cluster/tests/stored.rs
@@ -279,3 +279,45 @@
     }
     assert_eq!(received, [2, 2], "reports for each incarnation");
 }
+
+/// Guards against reports of a target that are dropped for those of another program with its name.
+#[test]
+fn report_of_another_service_hides_no_later_report_of_a_target() {
+    let now = Time::from_millis(START);
+    let mut cluster = Cluster::new(now, control_setup(now));
+    step(&mut cluster, START, Event::Report(report("t-1", 7)));
+    for service in 0..10 {
+        let foreign = TargetReport {
+            service: format!("other-{service}").into(),
+            incarnation: Incarnation(9),
+            ..report("t-1", 1)
+        };
+        step(&mut cluster, START + service, Event::Report(foreign));
+    }
+    let draining = TargetReport {
+        draining: true,
+        ..report("t-1", 8)
+    };
+    step(&mut cluster, START + 20, Event::Report(draining.clone()));
+    let copies = stored_reports(&mut cluster, START + 20, START + 3000);
+    let stored = copies.last().unwrap();
+    assert!(stored.contains(&draining), "{stored:?}");
+    assert!(stored.len() <= 4, "{stored:?}");
+
+    let departure = Departure {
+        target: draining.target.clone(),
+        incarnation: Some(draining.incarnation),
+    };
+    step(&mut cluster, START + 3000, Event::TargetLeft(departure));
+    let late = Event::Report(report("t-1", 9));
+    step(&mut cluster, START + 3010, late);
+    let restarted = TargetReport {
+        incarnation: Incarnation(2),
+        ..report("t-1", 1)
+    };
+    step(&mut cluster, START + 3020, Event::Report(restarted.clone()));
+    let copies = stored_reports(&mut cluster, START + 3020, START + 6000);
+    let own = copies.last().unwrap().iter();
+    let own: Vec<_> = own.filter(|r| r.service == draining.service).collect();
+    assert_eq!(own, [&restarted]);
+}
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -145,6 +145,17 @@
         !has_served && !self.is_configured(&report.service)
     }
 
+    /// Drops the targets whose reports were accepted before a configuration told that they are foreign.
+    /// The name may be that of a target, whose own reports would count as those of an earlier process.
+    pub(crate) fn drop_foreign(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let targets = self.targets.iter();
+        let foreign = targets.filter(|(_, t)| !self.is_configured(&t.report.service));
+        let foreign: Vec<TargetName> = foreign.map(|(name, _)| name.clone()).collect();
+        for name in foreign {
+            self.target_lost(now, &name, out);
+        }
+    }
+
     /// Handles a restart of a target. The runs of its earlier incarnation have ended, but a recent
     /// start may have reached the new one, so each run is stopped there before its task may start
     /// elsewhere.
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -235,7 +235,7 @@
         let mut out = Vec::new();
         match event {
             Event::Tick => self.tick(now, wall, &mut out),
-            Event::Configuration(document) => self.on_configuration(document),
+            Event::Configuration(document) => self.on_configuration(now, document, &mut out),
             Event::Submit(submission) => self.submit(now, submission, &mut out),
             Event::Count {
                 request,
@@ -356,13 +356,16 @@
         self.dispatch_due = true;
     }
 
-    fn on_configuration(&mut self, document: Arc<Document>) {
+    fn on_configuration(&mut self, now: Time, document: Arc<Document>, out: &mut Vec<Effect>) {
         let version = self.document.as_ref().map(|d| d.version);
         if Some(document.version) > version {
             log::info!(event = "configuration", version = document.version.0,
                 queues = document.queues.len(); "a configuration was applied");
             self.document = Some(document);
         }
+        if version.is_none() {
+            self.drop_foreign(now, out);
+        }
     }
 
     fn count_pending(&self, request: RequestId, host: &str, path: &str, out: &mut Vec<Effect>) {
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -445,3 +445,29 @@
     });
     assert_eq!(called, Some(report("small", 0).target));
 }
+
+/// Guards against a target that stays unused, because a foreign report with its name and a later
+/// incarnation was accepted before the configuration.
+#[test]
+fn foreign_report_before_the_configuration_hides_no_target() {
+    let start = Time::from_millis(1000);
+    let mut scheduler = Scheduler::new(start, setup("v1", REPORT_INTERVAL));
+    let mut foreign = report("small", 4000);
+    foreign.service = "other".into();
+    foreign.incarnation = Incarnation(2);
+    step(
+        &mut scheduler,
+        start,
+        Event::TargetReported(report("small", 4000)),
+    );
+    step(&mut scheduler, start, Event::TargetReported(foreign));
+    let document = document().validated().unwrap();
+    step(&mut scheduler, start, Event::Configuration(document.into()));
+    assert_eq!(scheduler.known(), 0);
+    step(
+        &mut scheduler,
+        start,
+        Event::TargetReported(report("small", 4000)),
+    );
+    assert_eq!(scheduler.known(), 1);
+}
