Start nothing on a restarted target before its first report

Cause: the answer of a hold may tell of a target's restart before its first report arrives. Clearing the labels instead was ruled out: jobs that need them would be answered as impossible.

Change: a target accepts no tasks from the time at which its restart is known until a report of the new incarnation has arrived, whatever its sequence. What is known of it still counts for the question whether a job can ever run.

A target whose reports are all late stays out of use for as long.

--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -81,8 +81,9 @@
         }
         let name = report.target.clone();
         let is_stale = |target: &Target| {
-            (report.incarnation, report.sequence)
-                <= (target.report.incarnation, target.report.sequence)
+            let known = (target.report.incarnation, target.report.sequence);
+            let is_first = !target.reported && report.incarnation == target.report.incarnation;
+            (report.incarnation, report.sequence) <= known && !is_first
         };
         // If two targets report the same address, the older one has been replaced.
         let same_address = self.targets.at_address(&report.address);
@@ -120,7 +121,10 @@
                         self.offers_changed = true;
                     }
                     self.reassign |= report.zone != target.report.zone;
+                    self.dispatch_due |= !target.reported;
+                    self.offers_changed |= !target.reported;
                     target.report = report;
+                    target.reported = true;
                     target.last_report = now;
                     if target.assigned_since.is_some_and(|since| now > since) {
                         target.first_report = target.first_report.or(Some(now));
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -184,6 +184,8 @@
 #[derive(Debug)]
 pub(crate) struct Target {
     pub(crate) report: TargetReport,
+    /// Whether the report is one of its current incarnation.
+    pub(crate) reported: bool,
     /// Time of its last report or hold answer.
     pub(crate) last_report: Time,
     pub(crate) ownership: Ownership,
@@ -219,6 +221,7 @@
     pub(crate) fn new(now: Time, report: TargetReport) -> Target {
         Target {
             report,
+            reported: true,
             last_report: now,
             ownership: Ownership::Unowned,
             assigned_since: None,
@@ -239,10 +242,12 @@
         }
     }
 
-    /// Starts a new incarnation of the target, which has no runs and no state of the earlier one.
+    /// Starts a new incarnation of the target, which has no runs and no state of the earlier one. Its
+    /// kind isn't known before its first report.
     pub(crate) fn restart(&mut self, incarnation: Incarnation) {
         self.report.incarnation = incarnation;
         self.report.sequence = 0;
+        self.reported = false;
         self.lost = false;
         self.release();
         self.mark_runs_stopping();
@@ -309,6 +314,7 @@
     /// Whether tasks may be started on it.
     pub(crate) fn accepts_tasks(&self, now: Time) -> bool {
         self.ownership == Ownership::Owned
+            && self.reported
             && !self.releasing
             && !self.lost
             && !self.report.draining
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -9,7 +9,8 @@
 };
 use greengage_scheduler::{
     Candidate, Departure, Effect, Event, HoldResult, OffloadOutcome, OffloadedTask, Peer,
-    PeerMessage, Reply, Scheduler, Setup, Step, Submission, TargetReport, DEFAULT_WEIGHT,
+    PeerMessage, Reply, Scheduler, Setup, Step, Submission, TargetCall, TargetReport,
+    DEFAULT_WEIGHT,
 };
 
 fn document() -> Document {
@@ -471,3 +472,73 @@
     );
     assert_eq!(scheduler.known(), 1);
 }
+
+/// Ticks a VM for 2 s, answers the holds of its target as a process of `incarnation` without runs, and
+/// returns the number of starts.
+fn serve_target(scheduler: &mut Scheduler, from: Time, incarnation: u64) -> usize {
+    let mut starts = 0;
+    for i in 1..100 {
+        let now = from + Duration::from_millis(20 * i);
+        for effect in step(scheduler, now, Event::Tick) {
+            match effect {
+                Effect::Call {
+                    target,
+                    generation,
+                    call: TargetCall::Hold(_),
+                    ..
+                } => {
+                    let result = HoldResult::Lists {
+                        clock: now.0 / 1000,
+                        incarnation: Some(Incarnation(incarnation)),
+                        running: Vec::new(),
+                        ended: Vec::new(),
+                    };
+                    let event = Event::HoldEnded {
+                        target,
+                        generation,
+                        result,
+                    };
+                    let effects = step(scheduler, now, event);
+                    starts += effects.iter().filter(|effect| is_start(effect)).count();
+                }
+                effect => starts += usize::from(is_start(&effect)),
+            }
+        }
+    }
+    starts
+}
+
+fn is_start(effect: &Effect) -> bool {
+    matches!(
+        effect,
+        Effect::Call {
+            call: TargetCall::Start(_),
+            ..
+        }
+    )
+}
+
+/// Guards against a target of another kind that gets tasks by the labels of its earlier process, as
+/// the answer of a hold tells of its restart before its first report does.
+#[test]
+fn restarted_target_gets_no_task_before_its_report() {
+    let mut now = Time::from_millis(1000);
+    let mut scheduler = started_vm(now);
+    assert_eq!(serve_target(&mut scheduler, now, 2), 0);
+    now = now + 2 * Duration::from_secs(1);
+    let Event::Submit(mut job) = submission(now, 1) else {
+        panic!("not a submission");
+    };
+    job.steps[0].demand = demand(1000);
+    let effects = step(&mut scheduler, now, Event::Submit(job));
+    assert!(!effects.iter().any(is_start));
+    assert_eq!(serve_target(&mut scheduler, now, 2), 0);
+    now = now + 2 * Duration::from_secs(1);
+    let restarted = TargetReport {
+        incarnation: Incarnation(2),
+        sequence: 0,
+        ..report("small", 4000)
+    };
+    let effects = step(&mut scheduler, now, Event::TargetReported(restarted));
+    assert!(effects.iter().any(is_start));
+}
