Take a job's id from behind the prefix of its queue

Cause: the id of a job was taken from the last segment of its path.

Change: the scheduler takes the id from behind the prefix of the queue that matches. A submission belongs to a current job by host and path alone: the id follows from the path, and the queue may have been removed meanwhile.

Conclusion: jobs of such routes run, under the ids that their callers chose.

--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -35,7 +35,7 @@
     pub host: Arc<str>,
     /// The path of the caller's request: a queue's prefix followed by the job's id.
     pub path: Arc<str>,
-    /// The caller's id of the job.
+    /// The caller's id of the job, or the last segment of the path, which ends in it.
     pub id: Name,
     /// Input of the tasks, which is passed on unchanged.
     pub spec: Arc<str>,
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -88,7 +88,7 @@
 impl Job {
     /// Whether it is the job that was submitted.
     pub(crate) fn matches(&self, job: &Submission) -> bool {
-        self.id == job.id && self.path == job.path && self.host == job.host
+        self.path == job.path && self.host == job.host
     }
 
     /// Makes the job end, and answer its callers, by `end` at the latest.
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use greengage_config::Queue;
-use greengage_core::{Demand, Time};
+use greengage_core::{Demand, Name, Time};
 
 use crate::admission::{backlog, max_wait, retry_delay};
 use crate::cancel::JobKey;
@@ -40,8 +40,11 @@
 const SLOWEST_TASK_PERCENT: [(u32, u32); 4] = [(1, 100), (3, 112), (8, 124), (u32::MAX, 136)];
 
 impl Scheduler {
-    pub(crate) fn submit(&mut self, now: Time, job: Submission, out: &mut Vec<Effect>) {
+    pub(crate) fn submit(&mut self, now: Time, mut job: Submission, out: &mut Vec<Effect>) {
         let request = job.request;
+        if let Some(id) = self.id_in_queue(&job) {
+            job.id = id;
+        }
         if self.is_cancelled(now, &JobKey::of(&job)) {
             log::info!(event = "job-cancelled-before", job = job.id.as_str(), request = request.0;
                 "a cancelled job was submitted again");
@@ -112,6 +115,12 @@
         true
     }
 
+    /// The id of a job: what follows the prefix of its queue, which may be part of a segment of the path.
+    fn id_in_queue(&self, job: &Submission) -> Option<Name> {
+        let queue = self.document.as_ref()?.queue(&job.host, &job.path)?;
+        Name::new(job.path.strip_prefix(&*queue.prefix)?).ok()
+    }
+
     /// Returns the accepted job, or the answer and the logged reason of its refusal.
     fn admit(&self, now: Time, job: &Submission) -> Result<Job, (Reply, &'static str)> {
         let retry_later = || Reply::Refused { after: RETRY_AFTER };
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -542,3 +542,36 @@
     let effects = step(&mut scheduler, now, Event::TargetReported(restarted));
     assert!(effects.iter().any(is_start));
 }
+
+/// Guards against a job that is refused, or whose tasks have other names, because the prefix of its
+/// queue doesn't end with a slash.
+#[test]
+fn job_of_a_queue_whose_prefix_has_no_final_slash_is_run() {
+    let mut now = Time::from_millis(1000);
+    let mut scheduler = started_vm(now);
+    let mut other = document();
+    other.version = Version(2);
+    other.queues[0].prefix = "/q/desk-".into();
+    let other = other.validated().unwrap();
+    step(&mut scheduler, now, Event::Configuration(other.into()));
+    assert_eq!(serve_target(&mut scheduler, now, 1), 0);
+    now = now + Duration::from_secs(2);
+    let Event::Submit(mut job) = submission(now, 1) else {
+        panic!("not a submission");
+    };
+    job.path = "/q/desk-j1".into();
+    job.id = Name::new("desk-j1").unwrap();
+    job.steps[0].demand = demand(1000);
+    let effects = step(&mut scheduler, now, Event::Submit(job.clone()));
+    let started = effects.iter().find_map(|effect| match effect {
+        Effect::Call {
+            call: TargetCall::Start(start),
+            ..
+        } => Some(start.task.clone()),
+        _ => None,
+    });
+    assert_eq!(started.as_deref(), Some("j1.0.0.0"));
+    job.request = RequestId(2);
+    assert!(step(&mut scheduler, now, Event::Submit(job)).is_empty());
+    assert_eq!(scheduler.callers(), 2);
+}
