--- a/crates/cluster/tests/support/fleet.rs
+++ b/crates/cluster/tests/support/fleet.rs
@@ -64,7 +64,7 @@
         Message::Group { .. } | Message::Configuration(_) | Message::Evacuations(_) => {
             Kind::Configuration
         }
-        Message::Cancel(_) | Message::Cancelled { .. } => Kind::Job,
+        Message::Cancel { .. } | Message::Cancelled { .. } => Kind::Job,
     }
 }
 
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -81,8 +81,9 @@
         }
         let name = report.target.clone();
         let is_stale = |target: &Target| {
-            (report.incarnation, report.sequence)
-                <= (target.report.incarnation, target.report.sequence)
+            let known = (target.report.incarnation, target.report.sequence);
+            let is_first = !target.reported && report.incarnation == target.report.incarnation;
+            (report.incarnation, report.sequence) <= known && !is_first
         };
         // If two targets report the same address, the older one has been replaced.
         let same_address = self.targets.at_address(&report.address);
@@ -125,8 +126,11 @@
                         self.offers_changed = true;
                     }
                     self.reassign |= report.zone != target.report.zone;
+                    self.dispatch_due |= !target.reported;
+                    self.offers_changed |= !target.reported;
                     target.report = report;
                     target.evacuated = evacuated;
+                    target.reported = true;
                     target.last_report = now;
                     if target.assigned_since.is_some_and(|since| now > since) {
                         target.first_report = target.first_report.or(Some(now));
@@ -151,6 +155,17 @@
         !has_served && !self.is_configured(&report.service)
     }
 
+    /// Drops the targets whose reports were accepted before a configuration told that they are foreign.
+    /// The name may be that of a target, whose own reports would count as those of an earlier process.
+    pub(crate) fn drop_foreign(&mut self, now: Time, out: &mut Vec<Effect>) {
+        let targets = self.targets.iter();
+        let foreign = targets.filter(|(_, t)| !self.is_configured(&t.report.service));
+        let foreign: Vec<TargetName> = foreign.map(|(name, _)| name.clone()).collect();
+        for name in foreign {
+            self.target_lost(now, &name, out);
+        }
+    }
+
     /// Handles a restart of a target. The runs of its earlier incarnation have ended, but a recent
     /// start may have reached the new one, so each run is stopped there before its task may start
     /// elsewhere.
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -9,7 +9,8 @@
 };
 use greengage_scheduler::{
     Candidate, Departure, Effect, Event, HoldResult, OffloadOutcome, OffloadedTask, Peer,
-    PeerMessage, Reply, Scheduler, Setup, Step, Submission, TargetReport, DEFAULT_WEIGHT,
+    PeerMessage, Reply, Scheduler, Setup, Step, Submission, TargetCall, TargetReport,
+    DEFAULT_WEIGHT,
 };
 
 fn document() -> Document {
@@ -445,3 +446,132 @@
     });
     assert_eq!(called, Some(report("small", 0).target));
 }
+
+/// Guards against a target that stays unused, because a foreign report with its name and a later
+/// incarnation was accepted before the configuration.
+#[test]
+fn foreign_report_before_the_configuration_hides_no_target() {
+    let start = Time::from_millis(1000);
+    let mut scheduler = Scheduler::new(start, setup("v1", REPORT_INTERVAL));
+    let mut foreign = report("small", 4000);
+    foreign.service = "other".into();
+    foreign.incarnation = Incarnation(2);
+    step(
+        &mut scheduler,
+        start,
+        Event::TargetReported(report("small", 4000)),
+    );
+    step(&mut scheduler, start, Event::TargetReported(foreign));
+    let document = document().validated().unwrap();
+    step(&mut scheduler, start, Event::Configuration(document.into()));
+    assert_eq!(scheduler.known(), 0);
+    step(
+        &mut scheduler,
+        start,
+        Event::TargetReported(report("small", 4000)),
+    );
+    assert_eq!(scheduler.known(), 1);
+}
+
+/// Ticks a VM for 2 s, answers the holds of its target as a process of `incarnation` without runs, and
+/// returns the number of starts.
+fn serve_target(scheduler: &mut Scheduler, from: Time, incarnation: u64) -> usize {
+    let mut starts = 0;
+    for i in 1..100 {
+        let now = from + Duration::from_millis(20 * i);
+        for effect in step(scheduler, now, Event::Tick) {
+            match effect {
+                Effect::Call {
+                    target,
+                    generation,
+                    call: TargetCall::Hold(_),
+                    ..
+                } => {
+                    let result = HoldResult::Lists {
+                        clock: now.0 / 1000,
+                        incarnation: Some(Incarnation(incarnation)),
+                        running: Vec::new(),
+                        ended: Vec::new(),
+                    };
+                    let event = Event::HoldEnded {
+                        target,
+                        generation,
+                        result,
+                    };
+                    let effects = step(scheduler, now, event);
+                    starts += effects.iter().filter(|effect| is_start(effect)).count();
+                }
+                effect => starts += usize::from(is_start(&effect)),
+            }
+        }
+    }
+    starts
+}
+
+fn is_start(effect: &Effect) -> bool {
+    matches!(
+        effect,
+        Effect::Call {
+            call: TargetCall::Start(_),
+            ..
+        }
+    )
+}
+
+/// Guards against a target of another kind that gets tasks by the labels of its earlier process, as
+/// the answer of a hold tells of its restart before its first report does.
+#[test]
+fn restarted_target_gets_no_task_before_its_report() {
+    let mut now = Time::from_millis(1000);
+    let mut scheduler = started_vm(now);
+    assert_eq!(serve_target(&mut scheduler, now, 2), 0);
+    now = now + 2 * Duration::from_secs(1);
+    let Event::Submit(mut job) = submission(now, 1) else {
+        panic!("not a submission");
+    };
+    job.steps[0].demand = demand(1000);
+    let effects = step(&mut scheduler, now, Event::Submit(job));
+    assert!(!effects.iter().any(is_start));
+    assert_eq!(serve_target(&mut scheduler, now, 2), 0);
+    now = now + 2 * Duration::from_secs(1);
+    let restarted = TargetReport {
+        incarnation: Incarnation(2),
+        sequence: 0,
+        ..report("small", 4000)
+    };
+    let effects = step(&mut scheduler, now, Event::TargetReported(restarted));
+    assert!(effects.iter().any(is_start));
+}
+
+/// Guards against a job that is refused, or whose tasks have other names, because the prefix of its
+/// queue doesn't end with a slash.
+#[test]
+fn job_of_a_queue_whose_prefix_has_no_final_slash_is_run() {
+    let mut now = Time::from_millis(1000);
+    let mut scheduler = started_vm(now);
+    let mut other = document();
+    other.version = Version(2);
+    other.queues[0].prefix = "/q/desk-".into();
+    let other = other.validated().unwrap();
+    step(&mut scheduler, now, Event::Configuration(other.into()));
+    assert_eq!(serve_target(&mut scheduler, now, 1), 0);
+    now = now + Duration::from_secs(2);
+    let Event::Submit(mut job) = submission(now, 1) else {
+        panic!("not a submission");
+    };
+    job.path = "/q/desk-j1".into();
+    job.id = Name::new("desk-j1").unwrap();
+    job.steps[0].demand = demand(1000);
+    let effects = step(&mut scheduler, now, Event::Submit(job.clone()));
+    let started = effects.iter().find_map(|effect| match effect {
+        Effect::Call {
+            call: TargetCall::Start(start),
+            ..
+        } => Some(start.task.clone()),
+        _ => None,
+    });
+    assert_eq!(started.as_deref(), Some("j1.0.0.0"));
+    job.request = RequestId(2);
+    assert!(step(&mut scheduler, now, Event::Submit(job)).is_empty());
+    assert_eq!(scheduler.callers(), 2);
+}
