Test evacuated zones under load, ignore offers sent before them

Cause: offers of an evacuated zone that were on their way led to tasks that their VM refused, and a job whose tasks were once offered elsewhere waits until its deadline; seen in world/evacuations.rs (504 in place of 503). A lost message was ruled out: the offers were 1.4 ms old. Change: offers of a VM of an evacuated zone are ignored for a second.

--- a/crates/scheduler/src/evacuation.rs
+++ b/crates/scheduler/src/evacuation.rs
@@ -9,7 +9,9 @@
 //! updates of offers within their zone only; those of an evacuated zone exchange them with some of each
 //! other zone as well.
 
-use greengage_core::{SortedMap, ZoneName};
+use std::time::Duration;
+
+use greengage_core::{SortedMap, Time, ZoneName};
 
 use crate::assignment::pair_hash;
 use crate::scheduler::Scheduler;
@@ -18,9 +20,13 @@
 /// average.
 const PARTNERS: u64 = 8;
 
+/// Time from a change within which a VM of an evacuated zone may not know of it yet, so that its offers
+/// are ignored. Later ones are of targets in other zones.
+const SPREAD_TIME: Duration = Duration::from_secs(1);
+
 impl Scheduler {
     /// Applies the evacuated zones, which are sorted.
-    pub(crate) fn on_evacuations(&mut self, zones: Vec<ZoneName>) {
+    pub(crate) fn on_evacuations(&mut self, now: Time, zones: Vec<ZoneName>) {
         let is_evacuated = |zone: &ZoneName| zones.binary_search(zone).is_ok();
         for target in self.targets.values_mut() {
             target.evacuated = is_evacuated(&target.report.zone);
@@ -31,7 +37,7 @@
                 view.offers.clear();
             }
         }
-        self.evacuated = zones;
+        (self.evacuated, self.evacuated_at) = (zones, now);
         self.review_partners();
         self.offers_changed = true;
         self.dispatch_due = true;
@@ -42,6 +48,11 @@
         self.evacuated.binary_search(zone).is_ok()
     }
 
+    /// Whether offers that a VM of a zone has sent at a time may be of targets in its evacuated zone.
+    pub(crate) fn ignores_offers(&self, zone: &ZoneName, sent: Time) -> bool {
+        self.is_evacuated(zone) && sent < self.evacuated_at + SPREAD_TIME
+    }
+
     /// Chooses the VMs of other zones that exchange updates of offers with this one, because either zone
     /// is evacuated. Two VMs that know the same VMs choose each other.
     pub(crate) fn review_partners(&mut self) {
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -197,12 +197,14 @@
                 if now.since(sent) >= self.max_offer_age() {
                     return;
                 }
+                let zone = self.peers.get(&from).map(|view| &view.peer.candidate.zone);
+                let ignored = zone.is_some_and(|zone| self.ignores_offers(zone, sent));
                 if let Some(view) = self.peers.get_mut(&from) {
                     self.offers_changed |= shortage && !view.shortage;
                     let is_first = view.owned.is_none();
                     view.owned = Some(owned);
                     view.last_offers = view.last_offers.max(sent);
-                    view.offers = offers;
+                    view.offers = if ignored { Vec::new() } else { offers };
                     view.end = time_left.map(|left| sent + left);
                     view.shortage = shortage;
                     self.dispatch_due = true;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -84,6 +84,8 @@
     pub(crate) document: Option<Arc<Document>>,
     /// The evacuated zones, sorted.
     pub(crate) evacuated: Vec<ZoneName>,
+    /// When they changed last.
+    pub(crate) evacuated_at: Time,
     pub(crate) targets: Targets,
     pub(crate) departures: Departures,
     /// When the first of the known targets became known; `None` before.
@@ -168,6 +170,7 @@
         Scheduler {
             document: None,
             evacuated: Vec::new(),
+            evacuated_at: now,
             targets: Targets::default(),
             departures: Departures::default(),
             first_target: None,
@@ -241,7 +244,7 @@
         match event {
             Event::Tick => self.tick(now, wall, &mut out),
             Event::Configuration(document) => self.on_configuration(now, document, &mut out),
-            Event::Evacuations(zones) => self.on_evacuations(zones),
+            Event::Evacuations(zones) => self.on_evacuations(now, zones),
             Event::Submit(submission) => self.submit(now, submission, &mut out),
             Event::Count {
                 request,
--- a/crates/scheduler/tests/world/load.rs
+++ b/crates/scheduler/tests/world/load.rs
@@ -12,7 +12,7 @@
     [(0, 51, 8, 0.63), (1, 760, 4, 0.115), (2, 170, 2, 1.83)];
 
 /// Submits the mix of requests for `seconds`, at `rate` times the ordinary rate.
-fn run_load(sim: &mut Simulation, rate: f64, seconds: u64) {
+pub(crate) fn run_load(sim: &mut Simulation, rate: f64, seconds: u64) {
     let targets = sim.targets.len() as f64;
     let vms = sim.vms.len() as u64;
     for _ in 0..seconds * 100 {
--- a/crates/scheduler/tests/world/main.rs
+++ b/crates/scheduler/tests/world/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod callers;
 mod cancel;
+mod evacuations;
 mod faults;
 mod load;
 mod lost_targets;
