Add evacuate and restore to greengagectl, and a status

Cause: operators had no command of the product's own for evacuations, and no view of what each VM believes.

--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -5,6 +5,7 @@
 //! process, and `load` runs a load test.
 
 mod admin;
+mod evacuation;
 mod keys;
 mod submit;
 mod target;
@@ -39,6 +40,16 @@
     )]
     entries: String,
 
+    /// Control addresses (IP:PORT) of the VMs of a deployment on the users' platform, separated by
+    /// commas.
+    #[arg(
+        long,
+        env = "GREENGAGE_CONTROLS",
+        default_value = "127.0.0.1:8166",
+        global = true
+    )]
+    controls: String,
+
     #[command(subcommand)]
     command: Command,
 }
@@ -50,8 +61,12 @@
     Keys(keys::Command),
     /// Submit a job and print the answer.
     Submit(submit::Submit),
-    /// Print the state of a job.
-    Status(submit::JobRef),
+    /// Print the state of a job, or without one the evacuated zones as each control VM knows them.
+    Status(submit::Status),
+    /// Start nothing more on the targets of a zone.
+    Evacuate(evacuation::Zone),
+    /// Take the evacuation of a zone back.
+    Restore(evacuation::Zone),
     /// Cancel a job and print its outcome.
     Cancel(submit::JobRef),
     /// Read and edit templates.
@@ -96,11 +111,17 @@
 
 fn run(args: &Args) -> Result<(), Report> {
     let admins = || client::Client::new(&args.admins, "--admins");
+    let controls = || evacuation::ControlVms::new(&args.controls);
     let entries = || client::Client::new(&args.entries, "--entries");
     match &args.command {
         Command::Keys(command) => command.run(),
         Command::Submit(submit) => submit.run(&entries()?),
-        Command::Status(job) => job.status(&entries()?),
+        Command::Status(status) => match status.job() {
+            Some(job) => job.status(&entries()?),
+            None => controls()?.status(),
+        },
+        Command::Evacuate(zone) => controls()?.evacuate(zone),
+        Command::Restore(zone) => controls()?.restore(zone),
         Command::Cancel(job) => job.cancel(&entries()?),
         Command::Template(command) => command.run(&admins()?),
         Command::Params(command) => command.run(&admins()?),
--- a/crates/ctl/src/submit.rs
+++ b/crates/ctl/src/submit.rs
@@ -73,6 +73,32 @@
     }
 }
 
+#[derive(Debug, Args)]
+pub(crate) struct Status {
+    /// Home zone of the job.
+    #[arg(requires = "id")]
+    zone: Option<ZoneName>,
+    /// Client account that submitted the job.
+    account: Option<AccountName>,
+    /// Id under which the job was submitted.
+    id: Option<Name>,
+    /// Longest time to wait for the job to end, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    wait_ms: u64,
+}
+
+impl Status {
+    /// The job whose state is asked for; `None` if none is named.
+    pub(crate) fn job(&self) -> Option<JobRef> {
+        Some(JobRef {
+            zone: self.zone.clone()?,
+            account: self.account.clone()?,
+            id: self.id.clone()?,
+            wait_ms: self.wait_ms,
+        })
+    }
+}
+
 #[derive(Debug, Args)]
 pub(crate) struct JobRef {
     /// Home zone of the job.
