Believe a single run only in part

Cause: the first run of a queue on a target was believed in full, as the queue's factor and the target's speed took half of it each, and a run of 10 ms counted like a long one. A limit on the factor by itself was ruled out: targets may be that slow for long.

Change: a run is trusted by its length, half at 25 ms, since an end is noticed late by a time that doesn't depend on the task. The first observations weigh 1/5 and less in place of 1/2, so that one run, however late, less than doubles what is expected.

--- a/crates/scheduler/src/estimate.rs
+++ b/crates/scheduler/src/estimate.rs
@@ -4,6 +4,10 @@
 //! the speed of its target. Both factors are learned from completed runs, as logarithms, so that
 //! twice and half the expected time weigh the same. Speeds are learned faster than queue factors,
 //! since a target may become slow at any moment.
+//!
+//! An end is noticed late by a time that doesn't depend on the task, so a short run tells less about
+//! the longer runs of its queue, and no single run is believed in full: a long job would be refused
+//! for one late end.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,8 +21,11 @@
 const SPEED_WEIGHT: f64 = 0.18;
 /// Limit on the logarithmic error of one observation: a factor of 4.5.
 const MAX_LOG_ERROR: f64 = 1.5;
-/// The first observations weigh 1 / (earlier observations + this number).
-const PRIOR_SAMPLES: f64 = 2.0;
+/// The first observations weigh 1 / (earlier observations + this number). Queue and target learn from
+/// each, so that the first one is believed by two fifths.
+const PRIOR_SAMPLES: f64 = 5.0;
+/// Time by which the end of a run is often noticed late. A run of this length weighs half.
+const LATE_NOTICE: Duration = Duration::from_millis(25);
 
 /// A factor that is learned as a logarithm.
 #[derive(Clone, Copy, Debug, Default)]
@@ -28,9 +35,10 @@
 }
 
 impl LearnedFactor {
-    fn observe(&mut self, error: f64, weight: f64) {
+    /// Learns from an error of the logarithm; `trust` is the weight of the run, up to 1.
+    fn observe(&mut self, error: f64, weight: f64, trust: f64) {
         let early = 1.0 / (f64::from(self.samples) + PRIOR_SAMPLES);
-        self.log += error.clamp(-MAX_LOG_ERROR, MAX_LOG_ERROR) * weight.max(early);
+        self.log += error.clamp(-MAX_LOG_ERROR, MAX_LOG_ERROR) * weight.max(early) * trust;
         self.samples = self.samples.saturating_add(1);
     }
 
@@ -71,7 +79,9 @@
             .get_or_insert_with(queue.clone(), LearnedFactor::default);
         let ratio = elapsed.as_secs_f64().max(1e-4) / declared.as_secs_f64().max(1e-4);
         let error = ratio.ln() - (factor.log - speed.log);
-        factor.observe(error, QUEUE_WEIGHT);
-        speed.observe(-error, SPEED_WEIGHT);
+        let length = declared.as_secs_f64();
+        let trust = length / (length + LATE_NOTICE.as_secs_f64());
+        factor.observe(error, QUEUE_WEIGHT, trust);
+        speed.observe(-error, SPEED_WEIGHT, trust);
     }
 }
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -8,8 +8,8 @@
     WallTime, ZoneName,
 };
 use greengage_scheduler::{
-    Candidate, Departure, Effect, Event, HoldResult, OffloadOutcome, OffloadedTask, Peer,
-    PeerMessage, Reply, Scheduler, Setup, Step, Submission, TargetCall, TargetReport,
+    Candidate, Departure, Effect, EndKind, Event, HoldResult, OffloadOutcome, OffloadedTask, Peer,
+    PeerMessage, Reply, RunEnd, Scheduler, Setup, Step, Submission, TargetCall, TargetReport,
     DEFAULT_WEIGHT,
 };
 
@@ -575,3 +575,60 @@
     assert!(step(&mut scheduler, now, Event::Submit(job)).is_empty());
     assert_eq!(scheduler.callers(), 2);
 }
+
+/// Guards against a long job that isn't started on a free target, because a short run of its queue
+/// ended late there.
+#[test]
+fn long_job_is_started_after_a_short_run_that_ended_late() {
+    let mut now = Time::from_millis(1000);
+    let mut scheduler = started_vm(now);
+    assert_eq!(serve_target(&mut scheduler, now, 1), 0);
+    now = now + Duration::from_secs(2);
+    let job = |received: Time, request, declared| {
+        let Event::Submit(mut job) = submission(received, request) else {
+            panic!("not a submission");
+        };
+        job.steps[0].demand = demand(1000);
+        job.steps[0].declared = declared;
+        Event::Submit(job)
+    };
+    let effects = step(&mut scheduler, now, job(now, 1, Duration::from_millis(10)));
+    let start = effects.into_iter().find_map(|effect| match effect {
+        Effect::Call {
+            target,
+            generation,
+            call: TargetCall::Start(start),
+            ..
+        } => Some((target, generation, start)),
+        _ => None,
+    });
+    let (target, generation, start) = start.expect("the short task starts");
+    now = now + Duration::from_millis(29);
+    let end = RunEnd {
+        number: 1,
+        task: start.task,
+        run: start.number,
+        kind: EndKind::Done,
+    };
+    let result = HoldResult::Lists {
+        clock: now.0 / 1000,
+        incarnation: Some(Incarnation(1)),
+        running: Vec::new(),
+        ended: vec![end],
+    };
+    let event = Event::HoldEnded {
+        target,
+        generation,
+        result,
+    };
+    let effects = step(&mut scheduler, now, event);
+    assert!(effects.iter().any(|effect| matches!(
+        effect,
+        Effect::Answer {
+            reply: Reply::Completed,
+            ..
+        }
+    )));
+    let effects = step(&mut scheduler, now, job(now, 2, Duration::from_secs(15)));
+    assert!(effects.iter().any(is_start), "{effects:?}");
+}
--- a/crates/scheduler/tests/rules.rs
+++ b/crates/scheduler/tests/rules.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use greengage_core::{TargetName, Time, VmName, ZoneName};
-use greengage_scheduler::{assign, earliest_end, Candidate, DEFAULT_WEIGHT};
+use greengage_scheduler::{assign, earliest_end, Candidate, Estimates, DEFAULT_WEIGHT};
 
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -96,3 +96,40 @@
         "nearly exact once much is done"
     );
 }
+
+/// Guards against a long job that is refused or held back, because one run ended late.
+#[test]
+fn one_late_run_does_not_double_the_expected_time() {
+    for (declared, elapsed) in [(10, 29), (10, 400), (100, 250), (100, 1000), (1000, 8000)] {
+        let mut estimates = Estimates::default();
+        let mut speed = Default::default();
+        estimates.observe(&"q".into(), &mut speed, millis(declared), millis(elapsed));
+        let expected = estimates.expected_run_time("q", millis(15_000));
+        let expected = expected.div_f64(speed.factor());
+        assert!(
+            expected < millis(30_000),
+            "{expected:?} after a run of {declared} ms that took {elapsed} ms"
+        );
+    }
+}
+
+/// Guards against estimates that don't follow a target which is slow or fast.
+#[test]
+fn speed_of_a_target_is_learned_from_twenty_runs() {
+    for declared in [10, 100, 900] {
+        for percent in [60, 160] {
+            let mut estimates = Estimates::default();
+            let mut speed = Default::default();
+            let elapsed = millis(declared) * 100 / percent;
+            for _ in 0..20 {
+                estimates.observe(&"q".into(), &mut speed, millis(declared), elapsed);
+            }
+            let expected = estimates.expected_run_time("q", millis(declared));
+            let ratio = expected.div_f64(speed.factor()).as_secs_f64() / elapsed.as_secs_f64();
+            assert!(
+                (0.8..1.25).contains(&ratio),
+                "{declared} ms, {percent}%: {ratio}"
+            );
+        }
+    }
+}
