Cancel jobs of a queue that gave way to a shorter prefix

If a queue with a shorter prefix matches the path of the job, the rest of the path is no id of that queue, and a VM without the job answered 410 at once, while the job went on. Asking all VMs about such paths was ruled out: they are those of no job as long as no such queue was there, and paths_of_no_job_are_answered_at_once guards against messages for them.

Change: the scheduler keeps the queues, 256 at most, that a configuration removes while another one matches their prefix. A path that could be that of one of their jobs is passed on to the other VMs.

Conclusion: a VM that was started after the removal doesn't know of it and still answers 410 for such a path; with a path that no queue matches, it asks.

--- a/crates/cluster/tests/cancel.rs
+++ b/crates/cluster/tests/cancel.rs
@@ -36,10 +36,15 @@
 
 /// A configuration with a queue in which a job may wait for long.
 fn configuration() -> Event {
-    let queue = Queue {
-        name: "q".into(),
+    document_event(document(1, &["/q/"]))
+}
+
+/// The same with queues of these prefixes.
+fn document(version: u64, prefixes: &[&str]) -> Document {
+    let queue = |prefix: &&str| Queue {
+        name: (*prefix).into(),
         host: "h".into(),
-        prefix: "/q/".into(),
+        prefix: (*prefix).into(),
         service: "s".into(),
         timeout: 30 * SECOND,
         latency: Duration::ZERO,
@@ -53,13 +58,13 @@
             name: "s".into(),
             max_connections: 64,
         }],
-        queues: vec![queue],
+        queues: prefixes.iter().map(queue).collect(),
         limits: Limits {
             max_body_bytes: 1000,
         },
-        ..(*support::document(1)).clone()
+        ..(*support::document(version)).clone()
     };
-    document_event(document)
+    document.validated().unwrap()
 }
 
 fn document_event(document: Document) -> Event {
@@ -82,7 +87,7 @@
         request: RequestId(request),
         host: "h".into(),
         path: format!("/q/{id}").into(),
-        id: Name::new(id).unwrap(),
+        id: Name::new(id.rsplit('/').next().unwrap()).unwrap(),
         spec: "".into(),
         steps: vec![step],
         body_bytes: 1,
@@ -350,3 +355,22 @@
         assert_eq!(network.take_replies(), [reply(4, Reply::NoQueue)]);
     }
 }
+
+/// Guards against the same if a queue with a shorter prefix matches the job's path.
+#[test]
+fn job_is_cancelled_after_its_queue_gave_way_to_one_with_a_shorter_prefix() {
+    let mut network = network();
+    for vm in 0..VMS {
+        network.step(vm, document_event(document(2, &["/q/", "/q/a/"])));
+    }
+    network.step(2, submission(1, "a/j"));
+    for vm in 0..VMS {
+        network.step(vm, document_event(document(3, &["/q/"])));
+    }
+    network.step(1, cancel(2, "/q/a/j"));
+    run(&mut network, TRIP);
+    let mut replies = network.take_replies();
+    replies.sort_by_key(|(request, _)| *request);
+    let expected = [reply(1, Reply::Cancelled), reply(2, Reply::Cancelled)];
+    assert_eq!(replies, expected);
+}
--- a/crates/scheduler/src/cancel.rs
+++ b/crates/scheduler/src/cancel.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use greengage_config::Document;
 use greengage_core::{value, Name, SortedMap, Time};
 
 use crate::event::{Effect, Reply, Submission};
@@ -20,6 +21,9 @@
 /// Limit on the size of the key of a job that is cancelled without a queue.
 const MAX_KEY_BYTES: usize = 1024;
 
+/// Limit on the removed queues that are kept.
+const MAX_REMOVED: usize = 256;
+
 /// Identifies a job among the submissions of all callers.
 #[value(key)]
 pub struct JobKey {
@@ -76,6 +80,39 @@
     }
 }
 
+/// Queues that were removed while one with a shorter prefix matches the paths of their jobs.
+#[derive(Debug, Default)]
+pub(crate) struct RemovedQueues {
+    /// Host and prefix, in the order of their removal.
+    queues: Vec<(Arc<str>, Arc<str>)>,
+}
+
+impl RemovedQueues {
+    /// Records which queues a new configuration removes.
+    pub(crate) fn update(&mut self, old: &Document, new: &Document) {
+        for queue in &old.queues {
+            let key = (&queue.host, &queue.prefix);
+            let found = new
+                .queues
+                .binary_search_by(|q| (&q.host, &q.prefix).cmp(&key));
+            if found.is_err() && new.queue(&queue.host, &queue.prefix).is_some() {
+                self.queues.push((queue.host.clone(), queue.prefix.clone()));
+            }
+        }
+        let excess = self.queues.len().saturating_sub(MAX_REMOVED);
+        self.queues.drain(..excess);
+    }
+
+    /// Whether a job with this key may have been accepted for one of them.
+    fn may_have(&self, job: &JobKey) -> bool {
+        let mut prefixes = self.queues.iter().filter(|(host, _)| *host == job.host);
+        prefixes.any(|(_, prefix)| {
+            let id = job.path.strip_prefix(&**prefix);
+            id.is_some_and(|id| Name::new(id).is_ok())
+        })
+    }
+}
+
 impl Scheduler {
     /// Whether this VM has a job, or had it when it was cancelled.
     pub fn holds(&self, now: Time, job: &JobKey) -> bool {
@@ -96,7 +133,7 @@
                 (id.filter(|_| is_short), Reply::NoQueue)
             }
         };
-        match id.is_some_and(|id| Name::new(id).is_ok()) {
+        match id.is_some_and(|id| Name::new(id).is_ok()) || self.removed_queues.may_have(job) {
             true => Ok(reply),
             false => Err(reply),
         }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::assignment::Candidate;
-use crate::cancel::Cancellations;
+use crate::cancel::{Cancellations, RemovedQueues};
 use crate::departures::Departures;
 use crate::ends::EndedCall;
 use crate::estimate::Estimates;
@@ -99,6 +99,7 @@
     /// Whether that was too long ago for the current jobs, as last logged.
     pub(crate) callers_unknown: bool,
     pub(crate) cancellations: Cancellations,
+    pub(crate) removed_queues: RemovedQueues,
     pub(crate) last_job_id: u64,
     pub(crate) last_offload_id: u64,
     pub(crate) estimates: Estimates,
@@ -178,6 +179,7 @@
             callers_checked: now,
             callers_unknown: false,
             cancellations: Cancellations::default(),
+            removed_queues: RemovedQueues::default(),
             last_job_id: 0,
             last_offload_id: first_offload_id(setup.incarnation),
             estimates: Estimates::default(),
@@ -367,6 +369,9 @@
         if Some(document.version) > version {
             log::info!(event = "configuration", version = document.version.0,
                 queues = document.queues.len(); "a configuration was applied");
+            if let Some(old) = &self.document {
+                self.removed_queues.update(old, &document);
+            }
             self.document = Some(document);
         }
         if version.is_none() {
