Refuse jobs that need more work than the targets can do in time

Cause: a short body can ask for 10,000 tasks of 9 s that one target would have to run within 30 s. Such a job was taken, kept its place until its deadline and was placed before newcomers. Ruled out: a limit on the runs of one target, which keeps short jobs out until such tasks end.

Change: a job is refused at once if its tasks, at their shortest run times, need more of the processors than all known targets of its service have until the caller's deadline. Only once all targets are known.

Result: `cargo test -p greengage-scheduler`: the new test fails without the change and passes with it; the others pass.

Conclusion: only jobs that can't end in time are refused earlier.

--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -163,6 +163,12 @@
             // No target of the service, whoever owns it, has the capacity or the label.
             return Err((Reply::Failed, "a task fits on no target of the service"));
         }
+        if !unplaceable && self.knows_targets(now) && self.exceeds_targets(now, job, queue) {
+            return Err((
+                retry_later(),
+                "the targets can't do the job's work before the caller's deadline",
+            ));
+        }
         let work = self.critical_path(&job.steps, &queue.name);
         let mut accepted = new_job(now, job, queue, work);
         accepted.unplaceable = unplaceable;
@@ -210,6 +216,28 @@
         !targets().any(|target| target.serves(service, None)) || steps.all(fits)
     }
 
+    /// Whether a job needs more of the processors than all targets of its service have until the
+    /// caller's deadline, even if it runs as fast as possible and alone.
+    fn exceeds_targets(&self, now: Time, job: &Submission, queue: &Queue) -> bool {
+        let step_work = |step: &Step| {
+            let time = self.estimates.expected_run_time(&queue.name, step.declared);
+            let best = time * BEST_CASE_PERCENT / 100;
+            best.as_secs_f64() * f64::from(step.count) * f64::from(step.demand.milli_cores)
+        };
+        let time = answer_time(job).since(now).as_secs_f64();
+        let mut work: f64 = job.steps.iter().map(step_work).sum();
+        let targets = self.targets.iter().map(|(_, target)| target);
+        let mut any = false;
+        for target in targets.filter(|t| t.serves(&queue.service, None)) {
+            any = true;
+            work -= time * f64::from(target.report.capacity.milli_cores);
+            if work <= 0.0 {
+                return false;
+            }
+        }
+        any
+    }
+
     /// Whether all targets have had time to report, and no other VM owns one that this VM doesn't
     /// know.
     fn knows_targets(&self, now: Time) -> bool {
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -575,3 +575,26 @@
     assert!(step(&mut scheduler, now, Event::Submit(job)).is_empty());
     assert_eq!(scheduler.callers(), 2);
 }
+
+/// Guards against runs of a job that can't end in time, which leave no room for others.
+#[test]
+fn job_with_more_work_than_the_targets_can_do_in_time_is_refused_at_once() {
+    let start = Time::from_millis(1000);
+    let mut scheduler = started_vm(start);
+    let now = start + Duration::from_secs(3);
+    // The target has 4 cores for half a second; a task takes 40 ms or more of all of them.
+    for (request, count, refused) in [(1, 20, true), (2, 10, false)] {
+        let Event::Submit(mut job) = submission(now, request) else {
+            unreachable!();
+        };
+        job.steps[0].count = count;
+        job.steps[0].demand = demand(4000);
+        job.timeout = Duration::from_millis(500);
+        let effects = step(&mut scheduler, now, Event::Submit(job));
+        let is_refusal = |effect: &Effect| {
+            matches!(effect, Effect::Answer { request: answered, reply: Reply::Refused { .. } }
+                if answered.0 == request)
+        };
+        assert_eq!(effects.iter().any(is_refusal), refused, "{count} tasks");
+    }
+}
