Bound what stalled clients may hold at a listener

Cause: a listener reserved the declared length of each body, held answers without a bound, and refused newcomers once a crowd that stops half-way had its connections.

Change: a crate for the decisions: shares of a VM's memory and descriptors, and the connection that has made the least progress. The listener counts bytes of heads and bodies as they arrive and of answers until they are read. Where its limits say so, a stalled connection gives way, with a 503 for a request that wasn't received in full; one whose request is being run never does. Requests sent ahead let other connections run first. Each limit counts and logs what it turns away. The default still refuses newcomers, as the project's own interface does.

--- a/crates/listener/src/connection.rs
+++ b/crates/listener/src/connection.rs
@@ -18,10 +18,8 @@
 use tokio::task::LocalSet;
 
 use crate::stream::{read_closed, Exchange, Phase, TimedStream};
-use crate::{
-    Answer, Handler, Headers, Request, Responder, Shared, ACCEPT_BACKLOG, BODY_PERMIT_BYTES,
-    NEXT_NUMBER,
-};
+use crate::table::{record_refusal, Reason, Table};
+use crate::{Answer, Handler, Headers, Request, Responder, Shared, ACCEPT_BACKLOG, NEXT_NUMBER};
 
 /// Delay after a failed accept, which would fail again at once while no file descriptor is free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -29,6 +27,12 @@
 /// Interval of a check that follows a late one, for instance after the process was paused.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
+/// Times that other tasks run before the next connection is accepted.
+const MAX_YIELDS: usize = 64;
+
+/// Message of a request for which there is no room.
+const NO_ROOM: &str = "too many bodies are being received: send the request again with the same id";
+
 /// Sources of events besides connections: the listening socket and the runtime's own wake-ups, with
 /// room for a connection that is closed at once.
 const OTHER_SOURCES: usize = 8;
@@ -82,10 +86,14 @@
     guards: OpenGuards,
 ) {
     tokio::task::spawn_local(report_checks(shared.clone()));
+    let table = Table::new(&shared);
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => admit(stream, &shared, &closing, &guards),
+                Ok((stream, _)) => {
+                    admit(stream, &shared, &table, &closing, &guards);
+                    wait_for_place(&shared).await;
+                }
                 Err(error) => {
                     log::warn!("can't accept an HTTP connection: {error}");
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -98,7 +106,7 @@
         }
     }
     if let Ok(socket) = listener.into_std() {
-        accept_waiting(&socket, &shared, &closing, &guards);
+        accept_waiting(&socket, &shared, &table, &closing, &guards);
     }
     drop(guards.socket);
     drop(guards.connections);
@@ -135,6 +143,7 @@
 fn accept_waiting(
     socket: &std::net::TcpListener,
     shared: &Arc<Shared>,
+    table: &Rc<Table>,
     closing: &watch::Receiver<bool>,
     guards: &OpenGuards,
 ) {
@@ -144,27 +153,39 @@
         };
         let stream = stream.set_nonblocking(true).map(|()| stream);
         match stream.and_then(TcpStream::from_std) {
-            Ok(stream) => admit(stream, shared, closing, guards),
+            Ok(stream) => admit(stream, shared, table, closing, guards),
             Err(error) => log::warn!("can't register an HTTP connection: {error}"),
         }
     }
 }
 
+/// Lets the connections that gave way close before another one is accepted.
+async fn wait_for_place(shared: &Shared) {
+    let open = || shared.open_connections.load(Ordering::Relaxed);
+    for _ in 0..MAX_YIELDS {
+        if open() <= shared.limits.max_connections {
+            return;
+        }
+        tokio::task::yield_now().await;
+    }
+}
+
 fn admit(
     stream: TcpStream,
     shared: &Arc<Shared>,
+    table: &Rc<Table>,
     closing: &watch::Receiver<bool>,
     guards: &OpenGuards,
 ) {
-    let previously_open = shared.open_connections.fetch_add(1, Ordering::Relaxed);
+    let Some(exchange) = table.open(Instant::now(), shared) else {
+        return;
+    };
+    shared.open_connections.fetch_add(1, Ordering::Relaxed);
     let connection_count = ConnectionCount {
         shared: shared.clone(),
         _guard: guards.connections.clone(),
     };
-    if previously_open >= shared.limits.max_connections {
-        return;
-    }
-    tokio::task::spawn_local(serve(stream, connection_count, closing.clone()));
+    tokio::task::spawn_local(serve(stream, exchange, connection_count, closing.clone()));
 }
 
 /// Decrements the number of open connections when dropped.
@@ -181,11 +202,11 @@
 
 async fn serve(
     stream: TcpStream,
+    exchange: Rc<Exchange>,
     connection_count: ConnectionCount,
     mut closing: watch::Receiver<bool>,
 ) {
     let shared = connection_count.shared.clone();
-    let exchange = Exchange::new();
     // Declared before the connection, so that it logs after the socket is closed.
     let mut end = ConnectionEnd {
         exchange: exchange.clone(),
@@ -205,11 +226,15 @@
     if !*closing.borrow_and_update() {
         tokio::select! {
             ended = connection.as_mut() => return end.set_cause(ended),
+            () = exchange.wait_shed() => return end.shed(),
             _ = closing.changed() => {}
         }
     }
     exchange.close();
-    end.set_cause(connection.await);
+    tokio::select! {
+        ended = connection.as_mut() => end.set_cause(ended),
+        () = exchange.wait_shed() => end.shed(),
+    }
 }
 
 /// Logs the end of a connection when dropped.
@@ -225,10 +250,17 @@
             Err(error) => error.to_string(),
         };
     }
+
+    /// Makes the stream refuse a request that it hasn't received in full.
+    fn shed(&mut self) {
+        self.exchange.close();
+        self.cause = String::from("closed to make room");
+    }
 }
 
 impl Drop for ConnectionEnd {
     fn drop(&mut self) {
+        self.exchange.end();
         self.exchange.log_end(&self.cause);
     }
 }
@@ -252,21 +284,33 @@
     tcp: Rc<TcpStream>,
 ) -> Result<HttpResponse<Full<Bytes>>, RequestDropped> {
     exchange.set_phase(Phase::Body);
+    if exchange.is_pipelined() {
+        // Requests sent ahead don't delay those of other connections.
+        tokio::task::yield_now().await;
+    }
     let (head, mut body) = request.into_parts();
-    let read = tokio::time::timeout(shared.limits.body_timeout, read_body(&mut body, &shared));
+    let read = tokio::time::timeout(
+        shared.limits.body_timeout,
+        read_body(&mut body, &shared, &exchange),
+    );
     let body = match read.await {
         Ok(Ok(bytes)) => bytes,
         Ok(Err(BodyError::Disconnected)) => return Err(RequestDropped),
         Ok(Err(BodyError::Rejected(status, message))) => {
+            exchange.hold_body(0, &shared);
             // A caller that is still sending would get a reset instead of the response.
             let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard(&mut body)).await;
             return Ok(closing_response((shared.reject)(status, &message)));
         }
         Err(_) => {
+            record_refusal(&shared, Reason::BodyTimeout);
             let message = "the body was not received in time: send the request again";
             return Ok(closing_response((shared.reject)(408, message)));
         }
     };
+    if exchange.is_shed() {
+        return Ok(closing_response((shared.reject)(503, NO_ROOM)));
+    }
     let request = Request {
         method: head.method.as_str().to_string(),
         path: head.uri.path().to_string(),
@@ -274,7 +318,7 @@
         headers: Headers(Box::new(head.headers)),
         body,
     };
-    exchange.set_phase(Phase::Waiting);
+    exchange.start_request(Instant::now(), &shared);
     let (responder, answer) = oneshot::channel();
     let responder = Responder(responder);
     let mut guard = None;
@@ -306,6 +350,7 @@
     }
     let mut answer = outcome.map_err(|_| RequestDropped)?;
     answer.close |= exchange.is_closing();
+    exchange.start_answer(Instant::now(), answer.body.len(), &shared);
     Ok(response(answer))
 }
 
@@ -332,28 +377,37 @@
     Rejected(u16, String),
 }
 
-async fn read_body(body: &mut Incoming, shared: &Shared) -> Result<Vec<u8>, BodyError> {
+async fn read_body(
+    body: &mut Incoming,
+    shared: &Shared,
+    exchange: &Exchange,
+) -> Result<Vec<u8>, BodyError> {
     let limit = shared.limits.max_body_bytes;
-    let too_large =
-        || BodyError::Rejected(413, format!("the body exceeds {limit} bytes: shorten it"));
+    let too_large = || {
+        record_refusal(shared, Reason::Body);
+        BodyError::Rejected(413, format!("the body exceeds {limit} bytes: shorten it"))
+    };
     let size = body.size_hint();
     if size.lower() > limit as u64 {
         return Err(too_large());
     }
     let max_bytes = size.upper().map_or(limit, |upper| upper as usize);
-    let permits = max_bytes.div_ceil(BODY_PERMIT_BYTES) as u32;
-    let Ok(_permits) = shared.body_permits.try_acquire_many(permits) else {
-        let message = "too many bodies are being received: send the request again with the same id";
-        return Err(BodyError::Rejected(503, message.to_string()));
-    };
-    let mut bytes = Vec::with_capacity(size.lower() as usize);
+    let mut bytes = Vec::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.map_err(|_| BodyError::Disconnected)?.into_data() else {
             continue;
         };
-        if bytes.len() + data.len() > limit {
+        let length = bytes.len() + data.len();
+        if length > limit {
             return Err(too_large());
         }
+        if length > bytes.capacity() {
+            let capacity = (2 * bytes.capacity()).min(max_bytes).max(length);
+            if !exchange.hold_body(capacity, shared) {
+                return Err(BodyError::Rejected(503, NO_ROOM.to_string()));
+            }
+            bytes.reserve_exact(capacity - bytes.len());
+        }
         bytes.extend_from_slice(&data);
     }
     Ok(bytes)
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -7,8 +7,8 @@
 //! used on any thread.
 //!
 //! [`Limits`] bounds the number of connections, the size of heads and bodies, the time to receive
-//! them, the time to write a response and the time that sent bytes may stay unacknowledged. A
-//! connection beyond the limit is closed at once.
+//! them, the time to write a response and the time that sent bytes may stay unacknowledged. When
+//! places or bytes are short, a connection is refused or a stalled one is closed ([`Shortage`]).
 //!
 //! A listener that shuts down accepts the connections that wait for it, answers each request that
 //! has arrived and refuses those that it doesn't receive in full. A caller can't know that its idle
@@ -22,6 +22,7 @@
 
 mod connection;
 mod stream;
+mod table;
 
 use std::fmt;
 use std::io;
@@ -35,7 +36,9 @@
 use hyper::body::Bytes;
 use percent_encoding::percent_decode_str;
 use socket2::{Domain, Socket, Type};
-use tokio::sync::{oneshot, watch, Semaphore};
+use tokio::sync::{oneshot, watch};
+
+pub use greengage_budget::Shortage;
 
 use connection::OpenGuards;
 
@@ -44,9 +47,14 @@
 pub struct Limits {
     /// Maximum size of a request body in bytes; larger ones are answered with 413.
     pub max_body_bytes: usize,
-    /// Maximum size in bytes of all bodies that are being received; further ones are answered with
-    /// 503.
+    /// Maximum size in bytes of all heads and bodies that are being received, counted as they arrive.
     pub max_buffered_bytes: usize,
+    /// Maximum size in bytes of all answers that haven't been read; those of stalled readers give way.
+    pub max_answer_bytes: usize,
+    /// Bytes of each body that aren't counted.
+    pub uncounted_bytes: usize,
+    /// What happens when places or bytes are short.
+    pub shortage: Shortage,
     /// Maximum size of a request head in bytes; values below 8,192 count as 8,192.
     pub max_head_bytes: usize,
     /// Maximum number of open connections, including those that wait for a response.
@@ -73,6 +81,9 @@
         Limits {
             max_body_bytes: 8 << 20,
             max_buffered_bytes: 256 << 20,
+            max_answer_bytes: 256 << 20,
+            uncounted_bytes: 0,
+            shortage: Shortage::RefuseNew,
             max_head_bytes: 16 << 10,
             max_connections: 8192,
             handler_threads: 4,
@@ -309,7 +320,7 @@
         connections: connections_guard,
     };
     let shared = Arc::new(Shared {
-        body_permits: Semaphore::new(limits.max_buffered_bytes / BODY_PERMIT_BYTES),
+        name: name.to_string(),
         limits,
         reject,
         refusal: connection::refusal(reject),
@@ -386,22 +397,19 @@
 
 /// State that all connections of a listener share.
 struct Shared {
+    /// Name of the listener in metrics and log lines.
+    name: String,
     limits: Limits,
     reject: fn(u16, &str) -> Answer,
     /// Response to a request that was not received in full as its connection is closed.
     refusal: Bytes,
     handler: Handler,
     open_connections: Arc<AtomicUsize>,
-    /// The unused part of `Limits::max_buffered_bytes`, in units of `BODY_PERMIT_BYTES`.
-    body_permits: Semaphore,
 }
 
 /// How long `close` waits for the thread to close the listening socket.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Bytes of a body per permit of `body_permits`, since a number of permits is limited to 32 bits.
-const BODY_PERMIT_BYTES: usize = 1 << 10;
-
 /// Maximum number of connections that wait to be accepted.
 const ACCEPT_BACKLOG: i32 = 1024;
 
--- a/crates/listener/src/stream.rs
+++ b/crates/listener/src/stream.rs
@@ -27,13 +27,18 @@
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 
+use greengage_budget::Held;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::Sleep;
 
+use crate::table::{record_refusal, Reason, Table};
 use crate::Shared;
 
+/// Size of the read buffer that each connection has. Longer heads are counted.
+const READ_BUFFER_BYTES: usize = 8 << 10;
 /// How long a socket is read after its write side was shut down.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Limit on the bytes that are read and dropped in that time.
@@ -55,8 +60,16 @@
 }
 
 /// The current request of a connection, shared by its stream and its handler.
-#[derive(Debug)]
 pub(crate) struct Exchange {
+    /// Number of the connection in `table`.
+    id: u64,
+    table: Rc<Table>,
+    /// Whether the connection has to end to make room.
+    is_shed: Cell<bool>,
+    /// Notified when it has to.
+    shed: Notify,
+    /// Bytes held for the current head.
+    head_bytes: Cell<usize>,
     /// Bytes received since the last response was written.
     received: Cell<usize>,
     /// How far the request has come.
@@ -72,8 +85,13 @@
 }
 
 impl Exchange {
-    pub(crate) fn new() -> Rc<Exchange> {
+    pub(crate) fn new(id: u64, table: Rc<Table>) -> Rc<Exchange> {
         Rc::new(Exchange {
+            id,
+            table,
+            is_shed: Cell::new(false),
+            shed: Notify::new(),
+            head_bytes: Cell::new(0),
             received: Cell::new(0),
             phase: Cell::new(Phase::Head),
             responses: Cell::new(0),
@@ -83,6 +101,11 @@
         })
     }
 
+    /// Whether the request was sent ahead, behind an earlier one.
+    pub(crate) fn is_pipelined(&self) -> bool {
+        self.received.get() == 0 && self.responses.get() > 0
+    }
+
     /// Ends the connection once it is idle.
     pub(crate) fn close(&self) {
         self.closing.set(true);
@@ -103,7 +126,65 @@
         self.phase.set(phase);
     }
 
-    fn responded(&self) {
+    /// Removes the connection, which has ended, from the table.
+    pub(crate) fn end(&self) {
+        self.table.close(self.id);
+    }
+
+    /// Ends the connection to make room.
+    pub(crate) fn shed(&self) {
+        self.is_shed.set(true);
+        self.shed.notify_one();
+    }
+
+    /// Whether the connection has to end to make room.
+    pub(crate) fn is_shed(&self) -> bool {
+        self.is_shed.get()
+    }
+
+    /// Waits until the connection has to end.
+    pub(crate) async fn wait_shed(&self) {
+        self.shed.notified().await;
+    }
+
+    /// Sets the size of the body that is being received; returns whether there is room for it.
+    pub(crate) fn hold_body(&self, bytes: usize, shared: &Shared) -> bool {
+        let counted = bytes.saturating_sub(shared.limits.uncounted_bytes);
+        let bytes = self.head_bytes.get() + counted;
+        self.table.hold(self.id, Held::Incoming, bytes, shared)
+    }
+
+    /// Marks the request as complete. Its connection isn't closed until it is answered.
+    pub(crate) fn start_request(&self, now: Instant, shared: &Shared) {
+        self.set_phase(Phase::Waiting);
+        self.table.progress(now, self.id, true);
+        self.hold_body(0, shared);
+    }
+
+    /// Marks the request as answered with this many bytes.
+    pub(crate) fn start_answer(&self, now: Instant, bytes: usize, shared: &Shared) {
+        self.table.progress(now, self.id, false);
+        self.table.hold(self.id, Held::Answer, bytes, shared);
+    }
+
+    /// Counts bytes that were read; returns whether there is room for them.
+    fn arrived(&self, now: Instant, bytes: usize, shared: &Shared) -> bool {
+        self.received.set(self.received.get() + bytes);
+        self.table.received(now, self.id, bytes);
+        let limits = &shared.limits;
+        if self.phase.get() != Phase::Head || self.received.get() <= READ_BUFFER_BYTES {
+            return true;
+        }
+        let read = self.received.get().min(limits.max_head_bytes);
+        self.head_bytes.set(read.saturating_sub(READ_BUFFER_BYTES));
+        self.hold_body(0, shared)
+    }
+
+    fn responded(&self, now: Instant, shared: &Shared) {
+        self.table.progress(now, self.id, false);
+        self.head_bytes.set(0);
+        self.hold_body(0, shared);
+        self.table.hold(self.id, Held::Answer, 0, shared);
         self.received.set(0);
         self.phase.set(Phase::Head);
         self.responses.set(self.responses.get() + 1);
@@ -212,6 +293,7 @@
             self.refuse();
             return Poll::Ready(Ok(()));
         }
+        record_refusal(&self.shared, Reason::HeadTimeout);
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
@@ -234,10 +316,22 @@
     fn check_timeout(&mut self) -> io::Result<()> {
         let write_started = *self.write_started.get_or_insert_with(Instant::now);
         match write_started.elapsed() > self.shared.limits.write_timeout {
-            true => Err(io::ErrorKind::TimedOut.into()),
+            true => {
+                record_refusal(&self.shared, Reason::WriteTimeout);
+                Err(io::ErrorKind::TimedOut.into())
+            }
             false => Ok(()),
         }
     }
+
+    /// Records the progress of a write.
+    fn wrote(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(written, Poll::Ready(Ok(1..))) {
+            let exchange = &self.exchange;
+            exchange.table.progress(Instant::now(), exchange.id, false);
+        }
+        written
+    }
 }
 
 impl AsyncRead for TimedStream {
@@ -267,9 +361,12 @@
             let timeout = self.shared.limits.head_timeout;
             self.start_read_timer(timeout);
         }
-        self.exchange
-            .received
-            .set(self.exchange.received.get() + read);
+        let now = Instant::now();
+        if read > 0 && !self.exchange.arrived(now, read, &self.shared) {
+            // Refused as the stream is dropped.
+            self.exchange.close();
+            return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+        }
         Poll::Ready(Ok(()))
     }
 }
@@ -282,7 +379,8 @@
     ) -> Poll<io::Result<usize>> {
         self.check_timeout()?;
         self.exchange.set_phase(Phase::Response);
-        self.poll_tcp_write(cx, |tcp| tcp.try_write(buf))
+        let written = self.poll_tcp_write(cx, |tcp| tcp.try_write(buf));
+        self.wrote(written)
     }
 
     fn poll_write_vectored(
@@ -292,7 +390,8 @@
     ) -> Poll<io::Result<usize>> {
         self.check_timeout()?;
         self.exchange.set_phase(Phase::Response);
-        self.poll_tcp_write(cx, |tcp| tcp.try_write_vectored(bufs))
+        let written = self.poll_tcp_write(cx, |tcp| tcp.try_write_vectored(bufs));
+        self.wrote(written)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -302,7 +401,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // hyper flushes once the whole response is written, and the socket has nothing to flush.
         if self.write_started.take().is_some() {
-            self.exchange.responded();
+            self.exchange.responded(Instant::now(), &self.shared);
             let timeout = self.shared.limits.idle_timeout;
             self.start_read_timer(timeout);
             // hyper may have read before the response was written, and reads again once woken.
--- a/crates/listener/tests/direct.rs
+++ b/crates/listener/tests/direct.rs
@@ -6,7 +6,9 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use greengage_listener::{start_direct, Answer, Limits, Listener, Request, Responder, Service};
+use greengage_listener::{
+    start_direct, Answer, Limits, Listener, Request, Responder, Service, Shortage,
+};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -334,3 +336,51 @@
         assert!(text.ends_with("xxx") && error.is_none(), "{error:?}");
     }
 }
+
+/// Guards against callers that stop half-way and keep others out, or cost a waiting one its answer.
+#[test]
+fn stalled_callers_give_way_to_others_but_waiting_ones_do_not() {
+    let (listener, events) = start_with(Limits {
+        max_connections: 4,
+        max_buffered_bytes: 100_000,
+        shortage: Shortage::CloseStalled,
+        ..Limits::default()
+    });
+    let send = |bytes: &[u8]| {
+        let mut stream = TcpStream::connect(listener.address()).unwrap();
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+        stream.write_all(bytes).unwrap();
+        stream
+    };
+    let answer = |mut stream: TcpStream| {
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        text
+    };
+    let mut waiting = send(REQUEST);
+    let Ok(Event::Call(_, _, responder)) = events.recv_timeout(TIMEOUT) else {
+        panic!("no call");
+    };
+    let head = b"POST /a HTTP/1.1\r\nHost: one\r\nContent-Length: 60000\r\n\r\n";
+    let stalled = [head.as_slice(), &[b' '; 59_999]].concat();
+    let bodies = [send(&stalled), send(&stalled)];
+    let [first, second] = bodies.map(answer_of_one);
+    assert!(first.is_some() != second.is_some(), "{first:?} {second:?}");
+    let heads: Vec<TcpStream> = (0..8).map(|_| send(b"POST /a")).collect();
+    for (i, stream) in heads.into_iter().enumerate().take(5) {
+        assert!(answer(stream).starts_with("HTTP/1.1 503"), "head {i}");
+    }
+    responder.send(Answer::json(200, "{}"));
+    let mut status = [0; 12];
+    waiting.read_exact(&mut status).unwrap();
+    assert_eq!(&status, b"HTTP/1.1 200");
+}
+
+/// The answer of a stalled request within half a second.
+fn answer_of_one(mut stream: TcpStream) -> Option<String> {
+    let limit = Duration::from_millis(500);
+    stream.set_read_timeout(Some(limit)).unwrap();
+    let mut status = [0; 12];
+    stream.read_exact(&mut status).ok()?;
+    Some(String::from_utf8_lossy(&status).to_string())
+}
