Bound what clients may hold at a VM by its settings

Cause: the platform's listeners had the defaults of their crate whatever memory and descriptors the settings name; decoding kept a multiple of a body; connections from other VMs, messages, waiting requests and calls to targets were unbounded. One job of 10,000 tasks took 20,000 descriptors for start calls.

Change: memory-mb and max-fds are read and divided into shares. Counts are checked while a body is read. Connections between VMs give way by progress, and the first frame has the size of a name. Calls to targets share a bounded number of connections.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,9 +8,13 @@
 //! A connection on which sent bytes stay unacknowledged is replaced, since a device between the VMs
 //! may have dropped the state of this connection while new connections work.
 //!
+//! Clients that don't belong to the deployment may reach the port. [`Limits`] bounds connections and
+//! the bytes of incomplete messages; the connection that has made the least progress gives way.
+//!
 //! There is no encryption: the mesh is for deployments on a private network whose VMs have no keys.
 
 mod link;
 mod mesh;
+mod receive;
 
-pub use mesh::{Mesh, MeshError};
+pub use mesh::{Limits, Mesh, MeshError};
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -10,14 +10,14 @@
 use std::time::Duration;
 
 use greengage_core::{SortedMap, VmName};
-use socket2::{Domain, SockRef, Socket, Type};
-use tokio::io::AsyncReadExt;
-use tokio::net::{TcpListener, TcpStream};
+use socket2::{Domain, Socket, Type};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::{JoinSet, LocalSet};
 use tokio::time::timeout;
 
 use crate::link;
+use crate::receive::Receivers;
 
 /// Several times the size of a configuration with some thousand queues.
 pub(crate) const MAX_MESSAGE_BYTES: usize = 16 << 20;
@@ -27,14 +27,33 @@
 const ACCEPT_BACKLOG: i32 = 256;
 /// Delay after a failed accept, which happens when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
-/// Space reserved in the receive buffer for each read.
-const READ_CHUNK_BYTES: usize = 16 << 10;
 /// How long sent bytes may stay unacknowledged; shorter than the time-outs of callers.
 pub(crate) const ACK_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time for the messages that are queued when the mesh is dropped: several round trips between
 /// zones. It is part of the time that a process has for its exit.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Limits on what other VMs may send.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Maximum number of accepted connections.
+    pub connections: usize,
+    /// Maximum size in bytes of all messages that are being received.
+    pub buffered_bytes: usize,
+    /// Maximum size of one message in bytes.
+    pub message_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            connections: 2048,
+            buffered_bytes: 256 << 20,
+            message_bytes: MAX_MESSAGE_BYTES,
+        }
+    }
+}
+
 /// An error that prevents the mesh from starting.
 #[derive(Debug)]
 pub enum MeshError {
@@ -77,7 +96,7 @@
     thread: Option<JoinHandle<()>>,
 }
 
-type DeliverFn = Arc<dyn Fn(VmName, Vec<u8>) + Send + Sync>;
+pub(crate) type DeliverFn = Arc<dyn Fn(VmName, Vec<u8>) + Send + Sync>;
 
 impl Mesh {
     /// Starts the mesh thread, which listens on `address` and calls `deliver` with the sender and
@@ -85,6 +104,7 @@
     pub fn start(
         local_vm: VmName,
         address: SocketAddr,
+        limits: Limits,
         deliver: impl Fn(VmName, Vec<u8>) + Send + Sync + 'static,
     ) -> Result<Mesh, MeshError> {
         let listener = listen(address).map_err(|cause| MeshError::Listen(address, cause))?;
@@ -92,7 +112,14 @@
         let deliver: DeliverFn = Arc::new(deliver);
         let thread = thread::Builder::new()
             .name("mesh".to_string())
-            .spawn(move || run(local_vm, listener, receiver, deliver))
+            .spawn(move || {
+                run(
+                    local_vm,
+                    listener,
+                    receiver,
+                    Receivers::new(limits, deliver),
+                )
+            })
             .map_err(MeshError::Thread)?;
         Ok(Mesh {
             commands: Some(commands),
@@ -144,7 +171,7 @@
     local_vm: VmName,
     listener: std::net::TcpListener,
     commands: mpsc::UnboundedReceiver<Command>,
-    deliver: DeliverFn,
+    receivers: Rc<Receivers>,
 ) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -153,7 +180,7 @@
         Ok(runtime) => LocalSet::new().block_on(&runtime, async {
             match TcpListener::from_std(listener) {
                 Ok(listener) => {
-                    tokio::task::spawn_local(accept_connections(listener, deliver));
+                    tokio::task::spawn_local(accept_connections(listener, receivers));
                     dispatch_commands(local_vm, commands).await;
                 }
                 Err(error) => log::error!("cannot register the listener for VMs: {error}"),
@@ -200,11 +227,13 @@
     }
 }
 
-async fn accept_connections(listener: TcpListener, deliver: DeliverFn) {
+async fn accept_connections(listener: TcpListener, receivers: Rc<Receivers>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(read_messages(stream, deliver.clone()));
+                receivers.add(stream);
+                // Lets a connection that gave way close before another one is accepted.
+                tokio::task::yield_now().await;
             }
             Err(error) => {
                 log::warn!("cannot accept a connection: {error}");
@@ -213,41 +242,3 @@
         }
     }
 }
-
-/// Reads the messages of an accepted connection until it closes or violates the protocol.
-async fn read_messages(mut stream: TcpStream, deliver: DeliverFn) {
-    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(ACK_TIMEOUT));
-    let mut bytes = Vec::with_capacity(READ_CHUNK_BYTES);
-    let mut sender = None;
-    loop {
-        bytes.reserve(READ_CHUNK_BYTES);
-        match stream.read_buf(&mut bytes).await {
-            Ok(0) => return,
-            Ok(_) => {}
-            Err(error) => return log::debug!("incoming connection failed: {error}"),
-        }
-        let mut start = 0;
-        while let Some(length) = link::frame_length(&bytes[start..]) {
-            if length > MAX_MESSAGE_BYTES {
-                return log::warn!("closing a connection: oversized frame of {length} bytes");
-            }
-            let Some(frame) = bytes
-                .get(start + link::FRAME_HEADER_BYTES..start + link::FRAME_HEADER_BYTES + length)
-            else {
-                break;
-            };
-            match &sender {
-                Some(from) => deliver(VmName::clone(from), frame.to_vec()),
-                None => match std::str::from_utf8(frame)
-                    .ok()
-                    .and_then(|t| VmName::new(t).ok())
-                {
-                    Some(name) => sender = Some(name),
-                    None => return log::warn!("closing a connection: first frame is no VM name"),
-                },
-            }
-            start += link::FRAME_HEADER_BYTES + length;
-        }
-        bytes.drain(..start);
-    }
-}
--- a/crates/mesh/tests/mesh.rs
+++ b/crates/mesh/tests/mesh.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use greengage_core::VmName;
-use greengage_mesh::Mesh;
+use greengage_mesh::{Limits, Mesh};
 use socket2::{Domain, Socket, Type};
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(5);
@@ -17,9 +17,17 @@
 }
 
 fn start(name: &str, address: SocketAddr) -> (Mesh, Receiver<(VmName, Vec<u8>)>) {
+    start_with(name, address, Limits::default())
+}
+
+fn start_with(
+    name: &str,
+    address: SocketAddr,
+    limits: Limits,
+) -> (Mesh, Receiver<(VmName, Vec<u8>)>) {
     let (sender, receiver) = channel();
     let name = VmName::new(name).unwrap();
-    let mesh = Mesh::start(name, address, move |from, bytes| {
+    let mesh = Mesh::start(name, address, limits, move |from, bytes| {
         let _ = sender.send((from, bytes));
     });
     (mesh.unwrap(), receiver)
@@ -166,3 +174,34 @@
     assert!(matches!(stream.read(&mut byte), Ok(0) | Err(_)));
     assert!(inbox.try_recv().is_err());
 }
+
+/// Guards against connections of other programs that keep out those of VMs, or fill the memory.
+#[test]
+fn stalled_connections_give_way_to_those_of_vms() {
+    let (a, b) = (free_address(), free_address());
+    let limits = Limits {
+        connections: 3,
+        buffered_bytes: 1 << 20,
+        message_bytes: 1 << 20,
+    };
+    let (mesh, _) = start("a", a);
+    let (_other, inbox) = start_with("b", b, limits);
+    let stalled: Vec<TcpStream> = (0..20)
+        .map(|_| {
+            let mut stream = TcpStream::connect(b).unwrap();
+            let name_and_frame = [0, 0, 0, 1, b'c', 0, 8, 0, 0];
+            stream.write_all(&name_and_frame).unwrap();
+            // Fails once the connection was closed to make room.
+            let _ = stream.write_all(&[7; 500_000]);
+            stream
+        })
+        .collect();
+    mesh.send(b, vec![1]);
+    assert_eq!(inbox.recv_timeout(TEST_TIMEOUT).unwrap().1, [1]);
+    drop(stalled);
+    // A first frame that can't be a name.
+    let mut stream = TcpStream::connect(b).unwrap();
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+    stream.write_all(&[0, 0, 4, 0]).unwrap();
+    assert!(matches!(stream.read(&mut [0]), Ok(0)));
+}
--- a/crates/outbound/src/outbound.rs
+++ b/crates/outbound/src/outbound.rs
@@ -51,11 +51,16 @@
 
 impl<T: Send + 'static> Outbound<T> {
     /// Starts the thread, on which `on_outcome` is called with the outcome of each call.
-    pub fn start(on_outcome: impl Fn(T, Outcome) + Send + 'static) -> io::Result<Outbound<T>> {
+    ///
+    /// At most `connections` are open at once; further calls wait for one until their time-out.
+    pub fn start(
+        connections: usize,
+        on_outcome: impl Fn(T, Outcome) + Send + 'static,
+    ) -> io::Result<Outbound<T>> {
         let (calls, receiver) = mpsc::unbounded_channel();
         thread::Builder::new()
             .name("outbound".to_string())
-            .spawn(move || run(receiver, on_outcome))?;
+            .spawn(move || run(receiver, connections, on_outcome))?;
         Ok(Outbound { calls })
     }
 
@@ -68,6 +73,7 @@
 
 fn run<T: 'static>(
     mut calls: mpsc::UnboundedReceiver<Call<T>>,
+    connections: usize,
     on_outcome: impl Fn(T, Outcome) + 'static,
 ) {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -80,7 +86,7 @@
         }
     };
     let on_outcome = Rc::new(on_outcome);
-    let pool = Rc::new(Pool::default());
+    let pool = Rc::new(Pool::new(connections));
     LocalSet::new().block_on(&runtime, async {
         while let Some(call) = calls.recv().await {
             let (pool, on_outcome) = (pool.clone(), on_outcome.clone());
--- a/crates/outbound/src/pool.rs
+++ b/crates/outbound/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use greengage_core::SortedMap;
@@ -13,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
 use tokio::time::{timeout_at, Instant};
 
@@ -28,6 +30,8 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    /// Its place among the open connections.
+    _permit: OwnedSemaphorePermit,
 }
 
 impl Drop for Connection {
@@ -36,13 +40,21 @@
     }
 }
 
-/// Idle connections by address.
-#[derive(Default)]
+/// Idle connections by address, and places for further ones.
 pub(crate) struct Pool {
     idle: RefCell<SortedMap<SocketAddr, Vec<Connection>>>,
+    places: Arc<Semaphore>,
 }
 
 impl Pool {
+    /// A pool with at most `connections` open connections.
+    pub(crate) fn new(connections: usize) -> Pool {
+        Pool {
+            idle: RefCell::default(),
+            places: Arc::new(Semaphore::new(connections)),
+        }
+    }
+
     /// Makes a call over an idle connection, or over a new one if there is none.
     pub(crate) async fn call(
         &self,
@@ -57,16 +69,19 @@
         loop {
             let (mut connection, reused) = match self.take_idle(address) {
                 Some(connection) => (connection, true),
-                None => match timeout_at(
-                    deadline.min(Instant::now() + CONNECT_TIMEOUT),
-                    connect(address),
-                )
-                .await
-                {
-                    Ok(Ok(connection)) => (connection, false),
-                    Ok(Err(cause)) => return Outcome::NotSent(cause),
-                    Err(_) => return Outcome::NotSent("timed out while connecting".to_string()),
-                },
+                None => {
+                    let Ok(permit) = timeout_at(deadline, self.place()).await else {
+                        return Outcome::NotSent("too many calls are open".to_string());
+                    };
+                    let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+                    match timeout_at(limit, connect(address, permit)).await {
+                        Ok(Ok(connection)) => (connection, false),
+                        Ok(Err(cause)) => return Outcome::NotSent(cause),
+                        Err(_) => {
+                            return Outcome::NotSent("timed out while connecting".to_string())
+                        }
+                    }
+                }
             };
             let mut request = Request::post(path)
                 .header(HOST, address.to_string())
@@ -97,6 +112,15 @@
         }
     }
 
+    /// Waits for a place for a new connection. Idle ones give way.
+    async fn place(&self) -> OwnedSemaphorePermit {
+        if self.places.available_permits() == 0 {
+            self.idle.borrow_mut().clear();
+        }
+        let permit = self.places.clone().acquire_owned().await;
+        permit.expect("the semaphore is never closed")
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
@@ -109,6 +133,9 @@
     }
 
     fn keep_idle(&self, address: SocketAddr, connection: Connection) {
+        if self.places.available_permits() == 0 {
+            return;
+        }
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_or_insert_with(address, Vec::new);
         if connections.len() < MAX_IDLE_CONNECTIONS {
@@ -117,7 +144,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Connection, String> {
+async fn connect(address: SocketAddr, permit: OwnedSemaphorePermit) -> Result<Connection, String> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|e| e.to_string())?;
@@ -139,6 +166,7 @@
     Ok(Connection {
         sender,
         task: task.abort_handle(),
+        _permit: permit,
     })
 }
 
--- a/crates/outbound/tests/outbound.rs
+++ b/crates/outbound/tests/outbound.rs
@@ -12,7 +12,7 @@
 
 fn start() -> (Outbound<u32>, Receiver<(u32, Outcome)>) {
     let (sender, receiver) = channel();
-    let outbound = Outbound::start(move |context, outcome| {
+    let outbound = Outbound::start(64, move |context, outcome| {
         let _ = sender.send((context, outcome));
     });
     (outbound.unwrap(), receiver)
@@ -128,3 +128,32 @@
     let (_, outcome) = outcomes.recv_timeout(TEST_TIMEOUT).unwrap();
     assert!(matches!(outcome, Outcome::NotSent(_)), "{outcome:?}");
 }
+
+/// Guards against calls that use up the descriptors of the process.
+#[test]
+fn calls_beyond_the_limit_wait_for_a_connection() {
+    let (sender, outcomes) = channel();
+    let outbound = Outbound::start(2, move |context: u32, outcome| {
+        let _ = sender.send((context, outcome));
+    });
+    let outbound = outbound.unwrap();
+    let (address, heads) = server(OK);
+    for i in 0..20 {
+        outbound.call(call(address, i, 5000));
+    }
+    for _ in 0..20 {
+        let (_, outcome) = outcomes.recv_timeout(TEST_TIMEOUT).unwrap();
+        assert!(matches!(outcome, Outcome::Answered { status: 200, .. }));
+    }
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let silent_address = silent.local_addr().unwrap();
+    for i in 0..3 {
+        outbound.call(call(silent_address, i, 300));
+    }
+    let not_sent = (0..3).filter(|_| {
+        let (_, outcome) = outcomes.recv_timeout(TEST_TIMEOUT).unwrap();
+        matches!(outcome, Outcome::NotSent(_))
+    });
+    assert_eq!(not_sent.count(), 1);
+    drop(heads);
+}
--- a/crates/runtime/src/inputs.rs
+++ b/crates/runtime/src/inputs.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crossbeam_channel::{select_biased, unbounded, Receiver, RecvTimeoutError, Sender};
+use greengage_budget::Charge;
 use greengage_cluster::{scheduler, Event, Message};
 
 /// An input of the control thread.
@@ -11,6 +12,8 @@
 pub enum Input {
     /// An event for the cluster state.
     Event(Event),
+    /// A message of another VM, whose bytes are taken until it is handled.
+    Message(Event, Charge),
     /// A write failed with this error; all later writes to the same journal fail as well.
     DiskFailed(String),
 }
@@ -22,9 +25,14 @@
 /// configuration may take until it is in force, than a VM may be silent before it counts as lost, and than a caller waits before
 /// it submits a job again.
 pub fn is_urgent(input: &Input) -> bool {
-    let Input::Event(event) = input else {
-        return false;
-    };
+    match input {
+        Input::Event(event) | Input::Message(event, _) => is_urgent_event(event),
+        Input::DiskFailed(_) => false,
+    }
+}
+
+/// As [`is_urgent`], for an event.
+pub(crate) fn is_urgent_event(event: &Event) -> bool {
     match event {
         Event::Receive { message, .. } => {
             matches!(
@@ -79,6 +87,11 @@
         };
         channel.send(input).map_err(|_| ControlEnded)
     }
+
+    /// Number of inputs that wait and aren't urgent.
+    pub fn queued(&self) -> usize {
+        self.others.len()
+    }
 }
 
 /// The two channels of the control thread. Each is taken in order, the urgent one first.
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -15,7 +15,9 @@
 
 pub use clock::Clock;
 pub use inputs::{inputs, is_urgent, ControlEnded, Input, InputSender, Inputs};
-pub use metrics::{record_answer, record_call, record_status, record_unanswered, Metrics};
+pub use metrics::{
+    record_answer, record_call, record_shed, record_status, record_unanswered, Metrics,
+};
 pub use records::{decode_entry, decode_snapshot, encode_entry, encode_snapshot};
 pub use runtime::{run, ControlPanicked, Exit, Frontend};
 pub use settings::Settings;
--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -105,3 +105,9 @@
 pub(crate) fn record_queued_inputs(inputs: usize) {
     ::metrics::gauge!("greengage_inputs_queued").set(inputs as f64);
 }
+
+/// Counts and logs a request or message that a limit on what may wait has turned away.
+pub fn record_shed(reason: &'static str) {
+    log::info!(event = "request-shed", reason = reason; "too much waits to be handled");
+    ::metrics::counter!("greengage_requests_shed_total", "reason" => reason).increment(1);
+}
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -9,19 +9,21 @@
 use crossbeam_channel::RecvTimeoutError;
 use eyre::{eyre, Report};
 use greengage_agreement::Timing;
+use greengage_budget::Pool;
 use greengage_cluster::{
     gossip, scheduler, Cluster, Effect, Event, Hints, Message, Outcome, Setup, Stage, Status,
 };
 use greengage_config as config;
 use greengage_core::{Address, Incarnation, RequestId, TargetName, Time};
+use greengage_mesh as mesh;
 use greengage_mesh::Mesh;
 use greengage_wire::{decode, encode};
 
 use crate::clock::Clock;
 use crate::disk;
 use crate::disk::SaveRequest;
-use crate::inputs::{Input, InputSender, Inputs};
-use crate::metrics::{record_queued_inputs, record_status};
+use crate::inputs::{is_urgent_event, Input, InputSender, Inputs};
+use crate::metrics::{record_queued_inputs, record_shed, record_status};
 use crate::settings::Settings;
 
 /// Raft timing of the control group. A sync takes 9 ms and a control VM has half a core, so more
@@ -35,6 +37,9 @@
 /// Maximum number of events that are processed between two checks of the VM's status.
 const MAX_BATCH_EVENTS: usize = 256;
 
+/// Estimated memory of a message besides its encoded size.
+const MESSAGE_BYTES: usize = 512;
+
 /// Interval between attempts to open the data folder after a disk failure.
 const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -179,9 +184,18 @@
     };
     let disk_sender = sender.clone();
     let mut reopen_at: Option<Time> = None;
+    let shares = &settings.shares;
+    let limits = mesh::Limits {
+        connections: shares.peer_connections,
+        buffered_bytes: shares.messages,
+        message_bytes: shares.message,
+    };
+    // Urgent messages are taken first, so they don't wait for places of others.
+    let [urgent, others] = [0; 2].map(|_| Pool::new(shares.messages / 2));
     let mesh = Mesh::start(
         settings.vm.clone(),
         settings.listen_address,
+        limits,
         move |from, bytes| {
             match decode::<(gossip::Stamp, Message)>(&bytes) {
                 Ok((stamp, message)) => {
@@ -190,8 +204,15 @@
                         stamp,
                         message,
                     };
+                    let pool = match is_urgent_event(&event) {
+                        true => &urgent,
+                        false => &others,
+                    };
+                    let Some(charge) = pool.take(bytes.len() + MESSAGE_BYTES) else {
+                        return record_shed("messages");
+                    };
                     // The send fails only while the process exits, after this loop has ended.
-                    let _ = sender.send(Input::Event(event));
+                    let _ = sender.send(Input::Message(event, charge));
                 }
                 Err(error) => log::warn!(event = "message-unreadable", from = from.as_str(),
                     cause = error.to_string().as_str(); "cannot decode a message of another VM"),
@@ -245,7 +266,7 @@
         for _ in 0..MAX_BATCH_EVENTS {
             let timeout = cluster.next_wake().since(clock.now());
             let event = match inputs.recv_timeout(timeout) {
-                Ok(Input::Event(event)) => event,
+                Ok(Input::Event(event) | Input::Message(event, _)) => event,
                 Ok(Input::DiskFailed(cause)) => {
                     if reopen_at.is_none() {
                         log::warn!(event = "disk-failed", cause = cause.as_str();
--- a/crates/runtime/src/settings.rs
+++ b/crates/runtime/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use greengage_budget::Shares;
 use greengage_core::{Address, VmName, ZoneName};
 
 /// The settings of a VM that discovers its deployment through seeds.
@@ -34,6 +35,8 @@
     pub grace_period: Duration,
     /// Longest time for which a run continues after its target has confirmed a stop.
     pub stop_delay: Duration,
+    /// The parts of the VM's memory and descriptors.
+    pub shares: Shares,
     /// Interval at which targets report.
     pub report_interval: Duration,
 }
--- a/crates/runtime/tests/abandoned.rs
+++ b/crates/runtime/tests/abandoned.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use greengage_budget::Shares;
 use greengage_cluster::{scheduler, Event, Outcome, Status};
 use greengage_core::{Address, Name, RequestId, TargetName, Time, VmName, ZoneName};
 use greengage_runtime::{inputs, run, Clock, Frontend, Input, Settings};
@@ -58,6 +59,7 @@
         voter_count: 1,
         grace_period: Duration::from_secs(1),
         stop_delay: Duration::ZERO,
+        shares: Shares::new(None, None),
         report_interval: Duration::from_secs(1),
     };
     let (sender, inputs) = inputs();
--- a/crates/runtime/tests/panic.rs
+++ b/crates/runtime/tests/panic.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use greengage_budget::Shares;
 use greengage_cluster::{scheduler, Outcome, Status};
 use greengage_core::{Address, RequestId, TargetName, VmName, ZoneName};
 use greengage_runtime::{inputs, run, ControlPanicked, Frontend, Settings};
@@ -38,6 +39,7 @@
         voter_count: 1,
         grace_period: Duration::from_secs(1),
         stop_delay: Duration::ZERO,
+        shares: Shares::new(None, None),
         report_interval: Duration::from_secs(1),
     };
     let (sender, inputs) = inputs();
--- a/crates/scheduler/src/event.rs
+++ b/crates/scheduler/src/event.rs
@@ -1,5 +1,6 @@
 //! Inputs and outputs of the scheduler.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +9,9 @@
     value, Address, Demand, Incarnation, Name, RequestId, TargetName, Time, VmName, ZoneName,
 };
 
+use serde::de::{Error, SeqAccess, Visitor};
+use serde::Deserializer;
+
 use crate::peer::PeerMessage;
 use crate::scheduler::Peer;
 
@@ -66,6 +70,7 @@
     /// Total resources for tasks.
     pub capacity: Demand,
     /// Labels that steps may require, among them its rack.
+    #[serde(deserialize_with = "deserialize_labels")]
     pub labels: Vec<Arc<str>>,
     /// Whether it will leave soon, so that no task should be started on it.
     pub draining: bool,
@@ -75,6 +80,35 @@
     pub sequence: u64,
 }
 
+/// Most labels of a target.
+pub const MAX_LABELS: usize = 256;
+
+/// Decodes labels, and fails before more than [`MAX_LABELS`] take memory.
+fn deserialize_labels<'de, D: Deserializer<'de>>(decoder: D) -> Result<Vec<Arc<str>>, D::Error> {
+    struct Labels;
+
+    impl<'de> Visitor<'de> for Labels {
+        type Value = Vec<Arc<str>>;
+
+        fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+            write!(f, "at most {MAX_LABELS} labels")
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Self::Value, A::Error> {
+            let mut labels = Vec::new();
+            while let Some(label) = seq.next_element()? {
+                if labels.len() == MAX_LABELS {
+                    return Err(Error::invalid_length(MAX_LABELS + 1, &self));
+                }
+                labels.push(label);
+            }
+            Ok(labels)
+        }
+    }
+
+    decoder.deserialize_seq(Labels)
+}
+
 /// A target's notice that it has left the deployment.
 #[value]
 pub struct Departure {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -57,7 +57,7 @@
 pub use estimate::Estimates;
 pub use event::{
     Departure, Effect, EndKind, Event, HoldCall, HoldResult, Reply, RunEnd, RunListing, StartCall,
-    StartResult, Step, StopCall, StopResult, Submission, TargetCall, TargetReport,
+    StartResult, Step, StopCall, StopResult, Submission, TargetCall, TargetReport, MAX_LABELS,
 };
 pub use peer::{OffloadOutcome, OffloadedTask, PeerMessage, ResourceOffer};
 pub use progress::earliest_end;
