Let the tests of crowds take other sizes from the environment

Cause: the crowd of 800 clients of the smallest VM is run by hand.

Change: GREENGAGE_CLIENTS, GREENGAGE_MEMORY_MB and GREENGAGE_MAX_FDS; the clients of a place share their bodies. The default crowd, bounds and checks are the same.

--- a/crates/daemon/tests/hostile/crowd.rs
+++ b/crates/daemon/tests/hostile/crowd.rs
@@ -1,6 +1,6 @@
 //! Clients that misbehave: what each kind sends at each place, and how it goes on.
 
-use std::io::{ErrorKind, Read, Write};
+use std::io::{ErrorKind, IoSlice, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -12,7 +12,7 @@
 use greengage_cluster::Message;
 use greengage_core::{Address, Demand, Incarnation, TargetName, Time, ZoneName};
 
-/// Clients at each place.
+/// Clients at each place, unless `GREENGAGE_CLIENTS` says otherwise.
 const CLIENTS: usize = 75;
 /// Size of a body that the configuration allows.
 const LEGAL_BYTES: usize = 262_009;
@@ -78,7 +78,8 @@
 /// What one client sends.
 struct Script {
     /// Sent as soon as the socket takes it, in writes of at most `piece` bytes.
-    bytes: Vec<u8>,
+    head: Vec<u8>,
+    body: Arc<[u8]>,
     piece: usize,
     /// Whether a further byte is sent in each round.
     drips: bool,
@@ -86,6 +87,10 @@
     reads: usize,
 }
 
+fn clients() -> usize {
+    crate::env_or("GREENGAGE_CLIENTS", CLIENTS)
+}
+
 /// Body of exactly `bytes` bytes, which is a job that asks for little.
 fn filler(bytes: usize) -> Vec<u8> {
     let start = br#"{"best-effort":true,"phases":[{"count":1,"estimated-ms":50}],"unused":""#;
@@ -152,58 +157,71 @@
     [name, rest].concat()
 }
 
-fn http_bytes(kind: Kind, place: &Place, client: usize) -> Vec<u8> {
-    let path = place.path.replace("{}", &format!("{client:016x}"));
-    let head = |framing: &str| {
-        format!(
-            "POST {path} HTTP/1.1\r\nhost: {}\r\ncontent-type: application/json\r\n{framing}\r\n\r\n",
-            place.host
-        )
-    };
-    let with_length = |length: usize, body: &[u8]| {
-        let head = head(&format!("content-length: {length}"));
-        [head.as_bytes(), body].concat()
-    };
-    let chunked = |body: &[u8]| {
-        let head = head("transfer-encoding: chunked");
-        [head.as_bytes(), body].concat()
-    };
+/// What follows the head of a request; `variant` selects a body of many fields.
+fn http_body(kind: Kind, place: &Place, variant: usize) -> Vec<u8> {
+    let body = filler(LEGAL_BYTES);
+    let short = &body[..LEGAL_BYTES - 1];
     let read = format!(
         "GET {} HTTP/1.1\r\nhost: {}\r\n\r\n",
         place.read_path, place.host
     );
-    let body = filler(LEGAL_BYTES);
-    let short = &body[..LEGAL_BYTES - 1];
     match kind {
-        Kind::OnePiece | Kind::SmallPieces => with_length(LEGAL_BYTES, short),
+        Kind::OnePiece | Kind::SmallPieces => short.to_vec(),
         Kind::Chunks => {
             let mut sent = chunks(&body, 4000);
             sent.truncate(sent.len() - 3);
-            chunked(&sent)
-        }
-        Kind::Declared => with_length(HUGE_BYTES, &vec![b'a'; 1 << 20]),
-        Kind::Undeclared => chunked(&chunks(&vec![b'a'; HUGE_SENT], 64 << 10)),
-        Kind::Fields => {
-            let body = &place.many_fields[client % place.many_fields.len()];
-            with_length(body.len(), body.as_bytes())
+            sent
         }
+        Kind::Declared => vec![b'a'; 1 << 20],
+        Kind::Undeclared => chunks(&vec![b'a'; HUGE_SENT], 64 << 10),
+        Kind::Fields => place.many_fields[variant].clone().into_bytes(),
         Kind::Pipelined => read.repeat(4000).into_bytes(),
         Kind::SlowReaders => read.repeat(64).into_bytes(),
-        Kind::SlowHeads => {
-            let head = head(&format!("x-fill: {}", "a".repeat(7000)));
-            head.trim_end().as_bytes().to_vec()
+        Kind::SlowHeads => Vec::new(),
+        Kind::SlowBodies => short[..16_000].to_vec(),
+    }
+}
+
+fn http_head(kind: Kind, place: &Place, client: usize, body: &[u8]) -> String {
+    let path = place.path.replace("{}", &format!("{client:016x}"));
+    let start = format!(
+        "POST {path} HTTP/1.1\r\nhost: {}\r\ncontent-type: application/json\r\n",
+        place.host
+    );
+    match kind {
+        Kind::OnePiece | Kind::SmallPieces | Kind::SlowBodies => {
+            format!("{start}content-length: {LEGAL_BYTES}\r\n\r\n")
+        }
+        Kind::Chunks | Kind::Undeclared => {
+            format!("{start}transfer-encoding: chunked\r\n\r\n")
         }
-        Kind::SlowBodies => with_length(LEGAL_BYTES, &short[..16_000]),
+        Kind::Declared => format!("{start}content-length: {HUGE_BYTES}\r\n\r\n"),
+        Kind::Fields => format!("{start}content-length: {}\r\n\r\n", body.len()),
+        Kind::Pipelined | Kind::SlowReaders => String::new(),
+        Kind::SlowHeads => format!("{start}x-fill: {}", "a".repeat(7000)),
     }
 }
 
-fn script(kind: Kind, place: &Place, client: usize) -> Script {
-    let bytes = match place.role {
-        Role::Mesh => mesh_bytes(kind),
-        Role::Post | Role::Get => http_bytes(kind, place, client),
+/// What the clients at a place send after their heads.
+fn bodies(kind: Kind, place: &Place) -> Vec<Arc<[u8]>> {
+    let variants = match (kind, place.role) {
+        (_, Role::Mesh) => return vec![mesh_bytes(kind).into()],
+        (Kind::Fields, _) => place.many_fields.len(),
+        _ => 1,
+    };
+    let body = |variant| http_body(kind, place, variant).into();
+    (0..variants).map(body).collect()
+}
+
+fn script(kind: Kind, place: &Place, bodies: &[Arc<[u8]>], client: usize) -> Script {
+    let body = bodies[client % bodies.len()].clone();
+    let head = match place.role {
+        Role::Mesh => String::new(),
+        Role::Post | Role::Get => http_head(kind, place, client, &body),
     };
     Script {
-        bytes,
+        head: head.into_bytes(),
+        body,
         piece: match kind {
             Kind::SmallPieces => 2000,
             _ => usize::MAX,
@@ -240,9 +258,11 @@
         };
         let script = &self.script;
         let mut result = Ok(0);
-        while self.sent < script.bytes.len() && result.is_ok() {
-            let rest = &script.bytes[self.sent..];
-            result = stream.write(&rest[..rest.len().min(script.piece)]);
+        while self.sent < script.head.len() + script.body.len() && result.is_ok() {
+            let head = &script.head[self.sent.min(script.head.len())..];
+            let body = &script.body[self.sent.saturating_sub(script.head.len())..];
+            let parts = [head, &body[..body.len().min(script.piece)]];
+            result = stream.write_vectored(&parts.map(IoSlice::new));
             self.sent += result.as_ref().map_or(0, |sent| *sent);
         }
         if script.drips && result.is_ok() {
@@ -270,13 +290,14 @@
         let start = |place: Place| {
             let stopped = stopped.clone();
             thread::spawn(move || {
+                let bodies = bodies(kind, &place);
                 let connect = |client| {
-                    let script = script(kind, &place, client);
+                    let script = script(kind, &place, &bodies, client);
                     let mut client = Client::connect(place.address, script);
                     client.play();
                     client
                 };
-                let mut clients: Vec<Client> = (0..CLIENTS).map(connect).collect();
+                let mut clients: Vec<Client> = (0..clients()).map(connect).collect();
                 while !stopped.load(Ordering::Relaxed) {
                     clients.iter_mut().for_each(Client::play);
                     thread::sleep(ROUND);
--- a/crates/daemon/tests/hostile/main.rs
+++ b/crates/daemon/tests/hostile/main.rs
@@ -2,6 +2,7 @@
 //!
 //! A crowd stays open while an ordinary request is served and a job handed in before it ends. Checked
 //! are the processes, their peak memory and their descriptors, against the limits in their settings.
+//! `GREENGAGE_CLIENTS`, `GREENGAGE_MEMORY_MB` and `GREENGAGE_MAX_FDS` set other crowds and limits.
 
 mod crowd;
 mod site;
@@ -14,6 +15,13 @@
 /// One crowd at a time, so that none is measured beside another.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
+fn env_or(name: &str, default: usize) -> usize {
+    match std::env::var(name) {
+        Ok(text) => text.parse().expect("a number"),
+        Err(_) => default,
+    }
+}
+
 fn withstand(kind: Kind) {
     let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let mut site = Site::start();
--- a/crates/daemon/tests/hostile/site.rs
+++ b/crates/daemon/tests/hostile/site.rs
@@ -14,8 +14,8 @@
 
 use crate::crowd::{Kind, Place, Role};
 
-/// Memory and descriptors in the settings of both VMs.
-const MEMORY_MB: u64 = 64;
+/// Memory and descriptors in the settings of both VMs, unless the environment says otherwise.
+const MEMORY_MB: usize = 64;
 const MAX_FDS: usize = 440;
 /// Descriptors that the platform keeps for files.
 const FILE_FDS: usize = 200;
@@ -30,6 +30,14 @@
 /// How long an ordinary request is tried again.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+fn memory_mb() -> usize {
+    crate::env_or("GREENGAGE_MEMORY_MB", MEMORY_MB)
+}
+
+fn max_fds() -> usize {
+    crate::env_or("GREENGAGE_MAX_FDS", MAX_FDS)
+}
+
 fn agent() -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
@@ -118,8 +126,10 @@
         let text = format!(
             "node-name = \"{name}\"\nip = \"{ip}\"\nzone = \"north\"\n\
              internal-ports = [7720,7735]\nseeds = [\"{seed}:8166\"]\nbootstrap = true\n{role}\n\
-             [limits]\ncpu-share = 1.0\ncores = 1\nmemory-mb = {MEMORY_MB}\nmax-fds = {MAX_FDS}\n\
-             [fault-tolerance]\nmachines = 1\nzones = 1\nregions = 0\n[bounds]\ngrace-s = 6\n"
+             [limits]\ncpu-share = 1.0\ncores = 1\nmemory-mb = {}\nmax-fds = {}\n\
+             [fault-tolerance]\nmachines = 1\nzones = 1\nregions = 0\n[bounds]\ngrace-s = 6\n",
+            memory_mb(),
+            max_fds()
         );
         fs::create_dir_all(path("data")).unwrap();
         fs::write(path("settings"), text).unwrap();
@@ -310,10 +320,11 @@
             if let Ok(Some(status)) = vm.process.try_wait() {
                 faults.push(format!("{name} has ended: {status}"));
             }
-            if memory > MEMORY_MB * 1000 {
-                faults.push(format!("{name} used {memory} KiB, limit {MEMORY_MB} MB"));
+            let memory_limit = memory_mb();
+            if memory > memory_limit as u64 * 1000 {
+                faults.push(format!("{name} used {memory} KiB, limit {memory_limit} MB"));
             }
-            let limit = MAX_FDS - FILE_FDS;
+            let limit = max_fds() - FILE_FDS;
             if fds > limit {
                 faults.push(format!("{name} had {fds} descriptors open, limit {limit}"));
             }
