Log refusals of a listener once a second

Cause: the log of the project's own interface has no limit on a kind of line, so a crowd writes a line for each connection.

Change: a listener logs the first refusal of each second and counts all. The tests of crowds also print the memory after a crowd has left.

Conclusion: the line says that a limit was reached, the counter how often.

--- a/crates/daemon/tests/hostile/site.rs
+++ b/crates/daemon/tests/hostile/site.rs
@@ -170,10 +170,10 @@
         format!("http://{}:{port}{path}", self.ip)
     }
 
-    /// Peak resident memory in KiB; `None` if the process has ended.
-    fn peak_memory(&self) -> Option<u64> {
+    /// A figure of the process's memory in KiB; `None` if the process has ended.
+    fn memory(&self, key: &str) -> Option<u64> {
         let status = fs::read_to_string(format!("/proc/{}/status", self.process.id())).ok()?;
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+        let line = status.lines().find(|line| line.starts_with(key))?;
         line.split_whitespace().nth(1)?.parse().ok()
     }
 }
@@ -315,8 +315,11 @@
         for vm in [&mut self.control, &mut self.entry] {
             let name = vm.name;
             let fds = vm.peak_fds.load(Ordering::Relaxed);
-            let memory = vm.peak_memory().unwrap_or_default();
-            println!("{kind:?}: {name}: {memory} KiB, {fds} descriptors at the peak");
+            let memory = vm.memory("VmHWM:").unwrap_or_default();
+            let now = vm.memory("VmRSS:").unwrap_or_default();
+            println!(
+                "{kind:?}: {name}: {memory} KiB, {fds} descriptors at the peak; now {now} KiB"
+            );
             if let Ok(Some(status)) = vm.process.try_wait() {
                 faults.push(format!("{name} has ended: {status}"));
             }
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -30,7 +30,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use hyper::body::Bytes;
@@ -326,6 +326,8 @@
         refusal: connection::refusal(reject),
         handler,
         open_connections: open_connections.clone(),
+        started: Instant::now(),
+        logged: AtomicU64::new(0),
     });
     let thread = thread::Builder::new()
         .name(name.to_string())
@@ -405,6 +407,9 @@
     refusal: Bytes,
     handler: Handler,
     open_connections: Arc<AtomicUsize>,
+    started: Instant,
+    /// Second after `started` in which a refusal was last logged; 0 if none was.
+    logged: AtomicU64,
 }
 
 /// How long `close` waits for the thread to close the listening socket.
--- a/crates/listener/src/table.rs
+++ b/crates/listener/src/table.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use greengage_budget::{Admission, Connections, Held};
@@ -43,11 +44,14 @@
     }
 }
 
-/// Counts and logs what a limit of a listener has turned away.
+/// Counts what a limit of a listener has turned away, and logs the first of each second.
 pub(crate) fn record_refusal(shared: &Shared, reason: Reason) {
     let label = reason.label();
-    log::info!(event = "connection-shed", listener = shared.name.as_str(), reason = label;
-        "a limit of the listener was reached");
+    let second = shared.started.elapsed().as_secs() + 1;
+    if shared.logged.swap(second, Ordering::Relaxed) != second {
+        log::info!(event = "connection-shed", listener = shared.name.as_str(), reason = label;
+            "a limit of the listener was reached");
+    }
     metrics::counter!("greengage_listener_refused_total", "listener" => shared.name.clone(),
         "reason" => label)
     .increment(1);
