scheduler: look at peers' offers before an own slot without margin

Cause: offers of peers were left out once a task fitted on an own target on which it was expected to end in time without a margin, so long tasks went to slow targets while fast ones of peers were free. A task that waits for runs to end had a smaller margin than one in a free slot, though their ends are uncertain too.

Change: a slot in which a task ends in time with the margin is taken, own ones first; only then one without it. Waiting for room takes twice the margin.

--- a/crates/contention/src/lib.rs
+++ b/crates/contention/src/lib.rs
@@ -15,6 +15,6 @@
 mod start;
 
 pub use forecast::{expected_end, Progress, Room};
-pub use placement::{choose_slot, finish_time, Locality, Slot};
+pub use placement::{choose_safe, choose_slot, finish_time, Locality, Slot};
 pub use rank::{Claim, Rank};
-pub use start::{decide, place_later, place_now, Decision, Need, Placement};
+pub use start::{decide, place_later, place_now, place_safe, Decision, Need, Placement};
--- a/crates/contention/src/placement.rs
+++ b/crates/contention/src/placement.rs
@@ -13,7 +13,7 @@
 
 /// Safety margin on the expected run time for a slot to count as in time, since declared run times
 /// are off by two fifths on average.
-const MARGIN_PERCENT: u32 = 60;
+pub(crate) const MARGIN_PERCENT: u32 = 60;
 
 /// Who owns the target of a slot, nearest first. A task in another zone is lost when a partition
 /// cuts that zone off.
@@ -47,33 +47,52 @@
     now + slot.delay + expected.div_f64(slot.speed.max(0.01))
 }
 
-/// Index of the best slot for a task, and whether the task is expected to end there in time; `None`
-/// if it fits in no slot.
-pub fn choose_slot(
+/// The slots that may run a task and have room for it now.
+fn fitting<'a>(
+    now: Time,
+    slots: &'a [Slot],
+    demand: &'a Demand,
+    expected: Duration,
+) -> impl Iterator<Item = (usize, &'a Slot)> {
+    slots.iter().enumerate().filter(move |(_, slot)| {
+        let fits = !slot.excluded && demand.fits(slot.room.free());
+        fits && slot
+            .room
+            .fits(now, finish_time(now, slot, expected), demand)
+    })
+}
+
+/// Index of the best slot in which a task ends in time even if it takes longer than expected.
+pub fn choose_safe(
     now: Time,
     slots: &[Slot],
     demand: &Demand,
     expected: Duration,
     objective: Time,
-) -> Option<(usize, bool)> {
-    let margin = expected * MARGIN_PERCENT / 100;
-    let fitting = || {
-        let slots = slots.iter().enumerate();
-        slots.filter(|(_, slot)| {
-            let fits = !slot.excluded && demand.fits(slot.room.free());
-            fits && slot
-                .room
-                .fits(now, finish_time(now, slot, expected), demand)
-        })
-    };
-    let in_time = fitting().filter(|(_, s)| finish_time(now, s, expected + margin) <= objective);
+) -> Option<usize> {
+    let with_margin = expected + expected * MARGIN_PERCENT / 100;
+    let in_time = fitting(now, slots, demand, expected)
+        .filter(|(_, s)| finish_time(now, s, with_margin) <= objective);
     let best = in_time.min_by(|(_, a), (_, b)| {
         let by_locality = a.locality.cmp(&b.locality);
         by_locality.then(a.speed.total_cmp(&b.speed))
     });
-    if let Some((i, _)) = best {
+    best.map(|(i, _)| i)
+}
+
+/// Index of the best slot for a task, and whether the task is expected to end there in time; `None`
+/// if it fits in no slot.
+pub fn choose_slot(
+    now: Time,
+    slots: &[Slot],
+    demand: &Demand,
+    expected: Duration,
+    objective: Time,
+) -> Option<(usize, bool)> {
+    if let Some(i) = choose_safe(now, slots, demand, expected, objective) {
         return Some((i, true));
     }
-    let first = fitting().min_by_key(|(_, slot)| finish_time(now, slot, expected));
+    let fitting = fitting(now, slots, demand, expected);
+    let first = fitting.min_by_key(|(_, slot)| finish_time(now, slot, expected));
     first.map(|(i, slot)| (i, finish_time(now, slot, expected) <= objective))
 }
--- a/crates/contention/src/start.rs
+++ b/crates/contention/src/start.rs
@@ -11,11 +11,11 @@
 
 use greengage_core::{value, Demand, Time};
 
-use crate::placement::{choose_slot, finish_time, Locality, Slot};
+use crate::placement::{choose_safe, choose_slot, finish_time, Locality, Slot, MARGIN_PERCENT};
 
-/// Safety margin on the expected run time of a task that has to wait for room, in percent: the mean
-/// of the longest of eight run times that deviate by a sixth.
-const LATER_MARGIN_PERCENT: u32 = 25;
+/// Safety margin on the expected run time of a task that has to wait for room, in percent: twice the
+/// one in a free slot, since the runs that it waits for may take longer too.
+const LATER_MARGIN_PERCENT: u32 = 2 * MARGIN_PERCENT;
 
 /// Divisor of the waiting tasks of a job that goes in waves: the part that needs a place when it
 /// starts.
@@ -62,6 +62,18 @@
     Wait,
 }
 
+impl Need {
+    /// A place in a slot, from a time on.
+    fn at(&self, start: Time, slot: usize, found: &Slot) -> Placement {
+        Placement {
+            slot,
+            start,
+            end: finish_time(start, found, self.expected),
+            demand: self.demand,
+        }
+    }
+}
+
 impl Placement {
     /// Takes the resources in the forecast of the slot.
     pub fn claim(&self, now: Time, slots: &mut [Slot]) {
@@ -76,16 +88,18 @@
     }
 }
 
+/// The best place for a task among slots that are free now and in which it ends in time even if it
+/// takes longer than expected.
+pub fn place_safe(now: Time, slots: &[Slot], need: &Need) -> Option<Placement> {
+    let slot = choose_safe(now, slots, &need.demand, need.expected, need.objective)?;
+    Some(need.at(now, slot, &slots[slot]))
+}
+
 /// The best place for a task among slots that are free now.
 pub fn place_now(now: Time, slots: &[Slot], need: &Need) -> Option<Placement> {
     let (slot, in_time) = choose_slot(now, slots, &need.demand, need.expected, need.objective)?;
     let useful = finish_time(now, &slots[slot], need.best_case) <= need.deadline;
-    (useful && (in_time || need.any_time)).then(|| Placement {
-        slot,
-        start: now,
-        end: finish_time(now, &slots[slot], need.expected),
-        demand: need.demand,
-    })
+    (useful && (in_time || need.any_time)).then(|| need.at(now, slot, &slots[slot]))
 }
 
 /// The slot of this VM in which a task is expected to start first.
@@ -102,13 +116,8 @@
         let start = slot.room.earliest(now, run_time, &need.demand)?;
         (finish_time(start, slot, with_margin) <= limit).then_some((start, i, run_time))
     });
-    let (start, slot, run_time) = starts.min()?;
-    Some(Placement {
-        slot,
-        start,
-        end: start + run_time,
-        demand: need.demand,
-    })
+    let (start, slot, _) = starts.min()?;
+    Some(need.at(start, slot, &slots[slot]))
 }
 
 /// Decides about a job with `waiting` tasks, of which `placements` have a place. A job that is wider
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use greengage_contention::{
-    decide, place_later, place_now, Claim, Decision, Locality, Need, Rank, Room, Slot,
+    decide, place_later, place_now, place_safe, Claim, Decision, Locality, Need, Rank, Room, Slot,
 };
 use greengage_core::{Demand, TargetName, Time, VmName};
 
@@ -266,9 +266,11 @@
                 self.mark_excluded(now, job, *i, pool);
                 marked = step_key;
             }
-            let mut found = place_now(now, &pool.slots, &need);
-            if found.is_none() && self.add_offers(pool) {
-                self.mark_excluded(now, job, *i, pool);
+            let mut found = place_safe(now, &pool.slots, &need);
+            if found.is_none() {
+                if self.add_offers(pool) {
+                    self.mark_excluded(now, job, *i, pool);
+                }
                 found = place_now(now, &pool.slots, &need);
             }
             let may_wait = job.started || rule == PlacementRule::InTime;
