scheduler: bound the processor time of placement rounds

Cause: perf on the scheduler's load showed a fifth of the time in comparing names: each walk over the targets in use searched all known targets by name for each, and so did the exclusion of slots for each job. Each offers message began a round while any task waited, also if nothing in it fitted. Expected run times were looked up for each task and run in each round.

Change: targets in use are kept by position; offers begin a round only if one fits the least demand that waits; expected run times are looked up once for a step and once for a run. A job for which room is kept is neither refused on arrival for the backlog nor at its longest wait, and logs changes of that at debug.

Skipped rounds on offers weren't measured yet.

--- a/crates/core/src/sorted.rs
+++ b/crates/core/src/sorted.rs
@@ -63,6 +63,24 @@
         }
     }
 
+    /// Position of `key` in the order of the keys.
+    pub fn position<Q: Ord + ?Sized>(&self, key: &Q) -> Option<usize>
+    where
+        K: Borrow<Q>,
+    {
+        self.search(key).ok()
+    }
+
+    /// The entry at a position in the order of the keys.
+    pub fn at(&self, position: usize) -> Option<(&K, &V)> {
+        self.entries.get(position).map(|(k, v)| (k, v))
+    }
+
+    /// The entry at a position in the order of the keys, with a mutable value.
+    pub fn at_mut(&mut self, position: usize) -> Option<(&K, &mut V)> {
+        self.entries.get_mut(position).map(|(k, v)| (&*k, v))
+    }
+
     /// Whether there is an entry with `key`.
     pub fn contains<Q: Ord + ?Sized>(&self, key: &Q) -> bool
     where
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -14,7 +14,7 @@
 use greengage_core::{Demand, TargetName, Time, VmName};
 
 use crate::event::{Effect, StartCall, TargetCall};
-use crate::job::{Job, TaskState};
+use crate::job::{Job, Task, TaskState};
 use crate::peer::{OffloadedTask, PeerMessage};
 use crate::scheduler::Scheduler;
 use crate::submit::{outlasts, BEST_CASE_PERCENT};
@@ -28,9 +28,10 @@
 /// After a lack of free resources, how long a VM asks others for immediate offers.
 const SHORTAGE_PERIOD: Duration = Duration::from_millis(1000);
 
-/// The target or offer behind a slot; `Remote` has the VM and the index of its offer.
+/// The target or offer behind a slot: the position of the target, or the VM and the index of its
+/// offer.
 enum Place {
-    Local(TargetName),
+    Local(usize),
     Remote(VmName, usize),
 }
 
@@ -75,10 +76,12 @@
             .map(|(job_id, job)| (!job.started, self.claim(job).rank(), *job_id))
             .collect();
         if order.is_empty() || !self.knows_callers(now) {
+            self.least_waiting = (!order.is_empty()).then(Demand::default);
             return;
         }
         order.sort_unstable();
         let mut pool = self.slot_pool(now, order.iter().map(|(.., job_id)| *job_id));
+        self.least_waiting = pool.least;
         let mut offloads = Vec::new();
         for (_, _, job_id) in order {
             let rule = match self.jobs.get(&job_id) {
@@ -90,15 +93,15 @@
             self.place_job(now, job_id, rule, &mut pool, &mut offloads, out);
         }
         for (place, slot) in pool.places.iter().zip(&pool.slots) {
-            let Place::Local(name) = place else {
-                continue;
-            };
-            if let Some(target) = self.targets.get_mut(name) {
-                target.reserved = slot.room.free().saturating_sub(&slot.room.least());
+            let reserved = slot.room.free().saturating_sub(&slot.room.least());
+            if let Place::Local(position) = place {
+                self.targets.set_reserved(*position, reserved);
             }
         }
         let waits = |job: &Job| job.tasks.iter().any(|t| t.state == TaskState::Waiting);
-        if !offloads.is_empty() || self.jobs.values().any(waits) {
+        let waits = self.jobs.values().any(waits);
+        self.least_waiting = self.least_waiting.filter(|_| waits);
+        if !offloads.is_empty() || waits {
             self.shortage_until = now + SHORTAGE_PERIOD;
         }
         self.send_offloads(now, offloads, out);
@@ -106,11 +109,11 @@
 
     /// What a job asks for, for its place in the order.
     fn claim(&self, job: &Job) -> Claim {
-        let waiting = job.tasks.iter().filter(|t| t.state == TaskState::Waiting);
-        let work = waiting.map(|task| {
-            let step = &job.steps[task.step];
+        let work = job.steps.iter().enumerate().map(|(i, step)| {
+            let waits = |task: &&Task| task.step == i && task.state == TaskState::Waiting;
+            let waiting = job.tasks.iter().filter(waits).count() as f64;
             let expected = self.estimates.expected_run_time(&job.queue, step.declared);
-            expected.mul_f64(f64::from(step.demand.milli_cores) / 1000.0)
+            expected.mul_f64(waiting * f64::from(step.demand.milli_cores) / 1000.0)
         });
         Claim {
             priority: 0,
@@ -127,15 +130,15 @@
         if !self.knows_callers(now) {
             return false;
         }
+        if self.jobs.get(&job_id).is_some_and(|job| job.kept.is_some()) {
+            return true;
+        }
         let mut pool = self.slot_pool(now, std::iter::once(job_id));
         let mut offloads = Vec::new();
-        let rules = [PlacementRule::InTime, PlacementRule::AnyTime];
-        let found = rules.into_iter().any(|rule| {
-            let decision = self.place_job(now, job_id, rule, &mut pool, &mut offloads, out);
-            decision != Decision::Wait
-        });
+        let rule = PlacementRule::AnyTime;
+        let decision = self.place_job(now, job_id, rule, &mut pool, &mut offloads, out);
         self.send_offloads(now, offloads, out);
-        found
+        decision == Decision::Start
     }
 
     fn send_offloads(
@@ -193,15 +196,19 @@
             exits: Vec::new(),
             least,
         };
-        for (name, target) in self.targets.used().filter(|(_, t)| t.accepts_tasks(now)) {
+        for position in self.targets.used_positions() {
+            let target = self.targets.at(position).map(|(_, target)| target);
+            let Some(target) = target.filter(|target| target.accepts_tasks(now)) else {
+                continue;
+            };
             pool.slots.push(Slot {
-                room: target.forecast(now, &self.estimates),
+                room: target.forecast(now),
                 speed: target.speed.factor(),
                 delay: LOCAL_ROUND_TRIP,
                 locality: Locality::Local,
                 excluded: false,
             });
-            pool.places.push(Place::Local(name.clone()));
+            pool.places.push(Place::Local(position));
             pool.exits.push(None);
         }
         pool
@@ -254,6 +261,7 @@
         // Tasks of a step that avoid no target differ in nothing: they may use the same slots, and if
         // there is none for one of them, there is none for the next.
         let (mut marked, mut exhausted) = (None, None);
+        let mut need = None;
         let mut waves = false;
         for i in &waiting {
             let task = &job.tasks[*i];
@@ -261,21 +269,21 @@
             if step_key.is_some() && step_key == exhausted {
                 continue;
             }
-            let need = self.need(job, task.step, rule);
             if step_key.is_none() || step_key != marked {
                 self.mark_excluded(now, job, *i, pool);
-                marked = step_key;
+                (marked, need) = (step_key, None);
             }
-            let mut found = place_safe(now, &pool.slots, &need);
+            let need = need.get_or_insert_with(|| self.need(job, task.step, rule));
+            let mut found = place_safe(now, &pool.slots, need);
             if found.is_none() {
                 if self.add_offers(pool) {
                     self.mark_excluded(now, job, *i, pool);
                 }
-                found = place_now(now, &pool.slots, &need);
+                found = place_now(now, &pool.slots, need);
             }
             let may_wait = job.started || rule == PlacementRule::InTime;
             let found = found.or_else(|| {
-                let later = may_wait.then(|| place_later(now, &pool.slots, &need));
+                let later = may_wait.then(|| place_later(now, &pool.slots, need));
                 later.flatten()
             });
             let Some(placement) = found else {
@@ -291,14 +299,23 @@
             placements.push(placement);
         }
         let decision = decide(now, (job.started, waves), waiting.len(), &placements);
+        let kept = match decision {
+            Decision::Keep(start) => Some(start),
+            Decision::Start | Decision::Wait => None,
+        };
+        if kept.is_some() != job.kept.is_some() {
+            log::debug!(event = "job-room", job = job.id.as_str(), queue = &*job.queue,
+                tasks = waiting.len(), places = placements.len(),
+                start_ms = kept.map(|start| start.since(now).as_millis() as u64),
+                age_ms = now.since(job.arrival).as_millis() as u64;
+                "room is kept for a job, or no longer");
+        }
+        if let Some(job) = self.jobs.get_mut(&job_id) {
+            job.kept = kept;
+        }
         match decision {
             Decision::Start => {}
-            Decision::Keep(start) => {
-                log::debug!(event = "job-waits", job = job.id.as_str(),
-                    tasks = waiting.len(), start_ms = start.since(now).as_millis() as u64;
-                    "room is kept for a job");
-                return decision;
-            }
+            Decision::Keep(_) => return decision,
             Decision::Wait => {
                 for placement in &placements {
                     placement.withdraw(now, &mut pool.slots);
@@ -311,7 +328,12 @@
                 continue;
             }
             match &pool.places[placement.slot] {
-                Place::Local(target) => self.start_local(now, job_id, i, &target.clone(), out),
+                Place::Local(position) => {
+                    let name = self.targets.at(*position).map(|(name, _)| name.clone());
+                    if let Some(name) = name {
+                        self.start_local(now, job_id, i, &name, out);
+                    }
+                }
                 Place::Remote(vm, index) => {
                     let (vm, index) = (vm.clone(), *index);
                     let offload = self.start_remote(now, job_id, i, &vm, index);
@@ -371,12 +393,9 @@
         let places = pool.places.iter().zip(&pool.exits);
         for (slot, (place, exit)) in pool.slots.iter_mut().zip(places) {
             slot.excluded = match place {
-                Place::Local(name) => {
-                    let target = self.targets.get(name);
-                    let serves =
-                        target.is_some_and(|t| t.serves(&job.service, step.label.as_ref()));
-                    avoided == Some(name) || !serves
-                }
+                Place::Local(position) => !self.targets.at(*position).is_some_and(|(name, t)| {
+                    avoided != Some(name) && t.serves(&job.service, step.label.as_ref())
+                }),
                 Place::Remote(..) => exit.is_some_and(|end| outlasts(now, expected, end)),
             };
         }
@@ -419,7 +438,7 @@
         &mut self,
         now: Time,
         name: &TargetName,
-        run: Run,
+        mut run: Run,
         spec: std::sync::Arc<str>,
         out: &mut Vec<Effect>,
     ) {
@@ -442,6 +461,7 @@
             spec,
             lease,
         };
+        run.expected = self.estimates.expected_run_time(&run.queue, run.declared);
         target.runs.push(run);
         self.offers_changed = true;
         self.call(name, TargetCall::Start(call), out);
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -81,6 +81,8 @@
     pub(crate) deadline: Time,
     /// Whether a task was sent to a target.
     pub(crate) started: bool,
+    /// Until when room was kept for it in the last round of placement, if it hasn't started.
+    pub(crate) kept: Option<Time>,
     /// Whether it was accepted although a task fits on no known target, as others may exist.
     pub(crate) unplaceable: bool,
 }
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -205,9 +205,11 @@
                     view.owned = Some(owned);
                     view.last_offers = view.last_offers.max(sent);
                     view.offers = if ignored { Vec::new() } else { offers };
+                    let least = self.least_waiting;
+                    let fits = |offer: &ResourceOffer| least.is_some_and(|l| l.fits(&offer.free));
+                    self.dispatch_due |= view.offers.iter().any(fits);
                     view.end = time_left.map(|left| sent + left);
                     view.shortage = shortage;
-                    self.dispatch_due = true;
                     // This VM's first message may have arrived before it was a peer there.
                     if is_first {
                         let message = self.offers_message(now);
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -5,7 +5,8 @@
 
 use greengage_config::Document;
 use greengage_core::{
-    value, Address, Incarnation, RequestId, SortedMap, TargetName, Time, VmName, WallTime, ZoneName,
+    value, Address, Demand, Incarnation, RequestId, SortedMap, TargetName, Time, VmName, WallTime,
+    ZoneName,
 };
 
 use crate::assignment::Candidate;
@@ -130,6 +131,9 @@
     next_review: Time,
     /// Whether waiting tasks may fit now.
     pub(crate) dispatch_due: bool,
+    /// The least amount of each resource that a task needs which found no place in the last round of
+    /// placement; `None` if all did.
+    pub(crate) least_waiting: Option<Demand>,
     /// Paths of the jobs that have ended with an unknown outcome since the shutdown began.
     unfinished: Vec<Arc<str>>,
     /// Id of the job that was accepted in this step.
@@ -201,6 +205,7 @@
             offload_records: SortedMap::new(),
             next_review: now,
             dispatch_due: false,
+            least_waiting: None,
             unfinished: Vec::new(),
             accepted_job: None,
             setup,
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -190,11 +190,12 @@
         Ok(accepted)
     }
 
-    /// Refuses a job that found no free resources on arrival, if the backlog of this VM is expected
-    /// to delay it beyond its longest wait.
+    /// Refuses a job that found no free resources on arrival and for which no room is kept, if the
+    /// backlog of this VM is expected to delay it beyond its longest wait.
     pub(crate) fn refuse_if_backlogged(&mut self, now: Time, job_id: u64, out: &mut Vec<Effect>) {
         let waiting = self.backlog(now);
-        let overdue = |job: &Job| !job.started && now + waiting > job.start_by;
+        let overdue =
+            |job: &Job| !job.started && job.kept.is_none() && now + waiting > job.start_by;
         if self.jobs.get(&job_id).is_some_and(overdue) {
             let after = retry_delay(waiting);
             self.finish(now, job_id, Reply::Refused { after }, out);
@@ -362,6 +363,7 @@
         objective: deadline.min(now + objective),
         deadline,
         started: false,
+        kept: None,
         unplaceable: false,
     }
 }
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -10,7 +10,7 @@
 use greengage_core::{Demand, Incarnation, Time, VmName};
 
 use crate::ends::RunOutcome;
-use crate::estimate::{Estimates, LearnedFactor};
+use crate::estimate::LearnedFactor;
 use crate::event::TargetReport;
 use crate::health::Health;
 use crate::renewal::RENEWAL_TIMEOUT;
@@ -95,6 +95,8 @@
     pub(crate) queue: Arc<str>,
     pub(crate) demand: Demand,
     pub(crate) declared: Duration,
+    /// Run time on a target of usual speed, as expected when it was sent.
+    pub(crate) expected: Duration,
     pub(crate) state: RunState,
     pub(crate) sent: Time,
     /// The run is stopped at this time.
@@ -138,6 +140,7 @@
             queue: params.queue,
             demand: params.demand,
             declared: params.declared,
+            expected: params.declared,
             state: RunState::Starting,
             sent: now,
             deadline: params.deadline,
@@ -324,13 +327,13 @@
     }
 
     /// Free resources now and at the expected ends of its runs.
-    pub(crate) fn forecast(&self, now: Time, estimates: &Estimates) -> Room {
+    pub(crate) fn forecast(&self, now: Time) -> Room {
         let mut room = Room::new(self.free());
+        let speed = self.speed.factor().max(0.01);
         for run in &self.runs {
-            let expected = estimates.expected_run_time(&run.queue, run.declared);
             let progress = Progress {
                 sent: run.sent,
-                expected: expected.div_f64(self.speed.factor().max(0.01)),
+                expected: run.expected.div_f64(speed),
                 percent: run.percent,
                 listed: run.progressed,
             };
--- a/crates/scheduler/src/targets.rs
+++ b/crates/scheduler/src/targets.rs
@@ -4,15 +4,17 @@
 //! them: those that it owns, or that are assigned to it, or whose last runs it still waits for. What
 //! is done often walks only these, so that its cost doesn't grow with the deployment.
 
-use greengage_core::{Address, SortedMap, TargetName};
+use greengage_core::{Address, Demand, SortedMap, TargetName};
 
 use crate::target::{Ownership, Target};
 
 #[derive(Debug, Default)]
 pub(crate) struct Targets {
     all: SortedMap<TargetName, Target>,
-    /// Names of the targets in use, and of some that no longer are, ascending.
-    used: Vec<TargetName>,
+    /// Positions in `all` of the targets in use, and of some that no longer are, ascending. The walks
+    /// over them are the most frequent ones, so that a search by name for each would cost more than
+    /// what is done with it.
+    used: Vec<usize>,
     /// The target that has last reported each address.
     by_address: SortedMap<Address, TargetName>,
 }
@@ -53,7 +55,12 @@
     pub(crate) fn insert(&mut self, name: TargetName, target: Target) {
         self.by_address
             .insert(target.report.address.clone(), name.clone());
-        self.all.insert(name, target);
+        let is_new = !self.all.contains(&name);
+        self.all.insert(name.clone(), target);
+        if let Some(added) = self.all.position(&name).filter(|_| is_new) {
+            let behind = self.used.iter_mut().filter(|position| **position >= added);
+            behind.for_each(|position| *position += 1);
+        }
     }
 
     /// Records that a target has another address than the one in its last report.
@@ -66,6 +73,12 @@
     }
 
     pub(crate) fn remove(&mut self, name: &TargetName) {
+        let Some(removed) = self.all.position(name) else {
+            return;
+        };
+        self.used.retain(|position| *position != removed);
+        let behind = self.used.iter_mut().filter(|position| **position > removed);
+        behind.for_each(|position| *position -= 1);
         if let Some(target) = self.all.remove(name) {
             self.clear_address(name, &target.report.address);
         }
@@ -91,26 +104,46 @@
     /// Determines which targets are in use, after targets were assigned. Only an assigned target is
     /// claimed, and only an owned one gets runs, so no other change adds one.
     pub(crate) fn review_used(&mut self) {
-        let used = self.all.iter().filter(|(_, target)| is_used(target));
-        self.used = used.map(|(name, _)| name.clone()).collect();
+        let used = self.all.values().enumerate();
+        let used = used.filter(|(_, target)| is_used(target));
+        self.used = used.map(|(position, _)| position).collect();
     }
 
     /// Forgets targets that are no longer in use.
     pub(crate) fn prune_used(&mut self) {
         let all = &self.all;
-        self.used.retain(|name| all.get(name).is_some_and(is_used));
+        let used = |position: usize| all.at(position).is_some_and(|(_, target)| is_used(target));
+        self.used.retain(|position| used(*position));
+    }
+
+    /// The target at a position that [`Targets::used_positions`] has returned, while no target is
+    /// added or removed.
+    pub(crate) fn at(&self, position: usize) -> Option<(&TargetName, &Target)> {
+        self.all.at(position)
+    }
+
+    /// Sets what is kept on the target at a position for waiting jobs.
+    pub(crate) fn set_reserved(&mut self, position: usize, reserved: Demand) {
+        if let Some((_, target)) = self.all.at_mut(position) {
+            target.reserved = reserved;
+        }
+    }
+
+    /// Positions of the targets in use, and of some others.
+    pub(crate) fn used_positions(&self) -> impl Iterator<Item = usize> + '_ {
+        self.used.iter().copied()
     }
 
     /// The targets in use, and some others, in the order of their names.
     pub(crate) fn used(&self) -> impl Iterator<Item = (&TargetName, &Target)> {
-        let used = self.used.iter();
-        used.filter_map(|name| self.all.get(name).map(|target| (name, target)))
+        self.used_positions()
+            .filter_map(|position| self.at(position))
     }
 
     /// Calls a function for each target in use, and some others, in the order of their names.
     pub(crate) fn for_each_used(&mut self, mut function: impl FnMut(&TargetName, &mut Target)) {
-        for name in &self.used {
-            if let Some(target) = self.all.get_mut(name) {
+        for position in &self.used {
+            if let Some((name, target)) = self.all.at_mut(*position) {
                 function(name, target);
             }
         }
