Send valid reports in the crowd of short fields

Cause: control VMs now refuse reports without fields that each target sends, so the crowd's reports of 80,000 labels were refused for that.

Change: the crowd's reports have these fields. Size, number and bounds are the same.

Conclusion: the reports are refused for their labels again.

--- a/crates/daemon/tests/hostile/site.rs
+++ b/crates/daemon/tests/hostile/site.rs
@@ -94,6 +94,7 @@
     let labels = vec![r#""""#; 80_000].join(",");
     format!(
         r#"{{"service":"desk","address":"127.0.0.1:9","zone":"north","state":"ready","sequence":1,
+        "version":"v1","slots":1,"cold-remaining-ms":0,
         "capacity":{{"cpu":1,"mem-mb":1}},"labels":[{labels}]}}"#
     )
 }
