Bound the revisions that a VM remembers of others

Cause: each VM kept the revision that every other one had named, and dropped those of forgotten VMs only on control VMs of a deployment that had evacuated a zone. Change: control VMs alone keep them, and drop forgotten VMs at each repetition. Conclusion: the state doesn't grow with VMs that come and go.

--- a/crates/cluster/src/evacuations.rs
+++ b/crates/cluster/src/evacuations.rs
@@ -50,7 +50,7 @@
     current: Option<Evacuations>,
     /// Since when.
     since: Time,
-    /// The revision that each VM has named last.
+    /// The revision that each VM has named last, on a control VM.
     named: SortedMap<VmName, Option<Revision>>,
     repeat_due: Time,
     held: Vec<HeldOrder>,
@@ -240,31 +240,32 @@
         if revision == Some(Revision(0)) {
             self.adopt_evacuations(now, wall, Evacuations::default(), out);
         }
-        self.evacuations.named.insert(member.vm.clone(), revision);
+        let is_control = self.members.own().roles.control;
+        if is_control {
+            self.evacuations.named.insert(member.vm.clone(), revision);
+        }
         let is_settled = now.since(self.evacuations.since) >= SETTLED_AFTER;
-        let tells = self.members.own().roles.control || is_settled;
-        if tells && revision < self.evacuations.revision() {
+        if (is_control || is_settled) && revision < self.evacuations.revision() {
             self.send_evacuations(now, std::slice::from_ref(&member.vm), out);
         }
     }
 
     /// Sends the zones again to entry VMs that haven't named their revision.
     pub(crate) fn repeat_evacuations(&mut self, now: Time, out: &mut Vec<Effect>) {
-        let own = self.evacuations.revision().filter(|r| *r > Revision(0));
-        let (Some(own), true) = (own, self.members.own().roles.control) else {
-            return;
-        };
-        if now < self.evacuations.repeat_due {
+        if !self.members.own().roles.control || now < self.evacuations.repeat_due {
             return;
         }
         self.evacuations.repeat_due = now + REPEAT_INTERVAL;
-        let named = |vm: &VmName| self.evacuations.named.get(vm).copied().flatten();
-        let receivers = self.receivers().map(|vm| vm.vm.clone());
-        let outdated: Vec<VmName> = receivers.filter(|vm| named(vm) < Some(own)).collect();
-        self.send_evacuations(now, &outdated, out);
         let members = &self.members;
         self.evacuations
             .named
             .retain(|vm, _| members.member(vm).is_some());
+        let Some(own) = self.evacuations.revision().filter(|r| *r > Revision(0)) else {
+            return;
+        };
+        let named = |vm: &VmName| self.evacuations.named.get(vm).copied().flatten();
+        let receivers = self.receivers().map(|vm| vm.vm.clone());
+        let outdated: Vec<VmName> = receivers.filter(|vm| named(vm) < Some(own)).collect();
+        self.send_evacuations(now, &outdated, out);
     }
 }
