--- a/crates/contention/src/rank.rs
+++ b/crates/contention/src/rank.rs
@@ -1,9 +1,19 @@
 //! Order of jobs that compete for room.
+//!
+//! The job with the earliest latest start comes first. Each level of lower priority defers a job by
+//! a part of the time that it had left on arrival, so a job is overtaken only by jobs that arrive
+//! within a bounded time after it. This order is for short crests, in which all jobs can still be
+//! served; what doesn't fit is taken out by `refusal`.
 
 use std::time::Duration;
 
 use greengage_core::{value, Time};
 
+/// Divisor of the time left on arrival: the deferral for one level of priority.
+const DEFERRAL_DIVISOR: u32 = 8;
+/// Levels of priority beyond which jobs aren't deferred further.
+const MAX_DEFERRALS: u32 = 4;
+
 /// What a waiting job asks for.
 #[value(copy)]
 pub struct Claim {
@@ -20,16 +30,27 @@
 /// Place of a job in the order; the lowest one gets room first.
 #[value(copy, key)]
 pub struct Rank {
-    latest_start: Time,
+    due: Time,
+    priority: u32,
     arrival: Time,
 }
 
 impl Claim {
-    /// Rank of the job; the job with the least time left comes first.
+    /// Rank of the job.
     pub fn rank(&self) -> Rank {
+        let left = self.latest_start.since(self.arrival);
+        let deferral = left / DEFERRAL_DIVISOR * self.priority.min(MAX_DEFERRALS);
         Rank {
-            latest_start: self.latest_start,
+            due: self.latest_start + deferral,
+            priority: self.priority,
             arrival: self.arrival,
         }
     }
 }
+
+impl Rank {
+    /// The time by which jobs are ordered: the latest start with the deferral by priority.
+    pub fn due(&self) -> Time {
+        self.due
+    }
+}
--- a/crates/contention/tests/rank.rs
+++ b/crates/contention/tests/rank.rs
@@ -20,3 +20,14 @@
     claims.sort_by_key(Claim::rank);
     assert_eq!(claims, [claim(20, 1), claim(20, 5), claim(30, 0)]);
 }
+
+#[test]
+fn low_priority_is_not_deferred_beyond_its_bound() {
+    let urgent = |arrival_ms| claim(arrival_ms + 100, arrival_ms);
+    let deferred = Claim {
+        priority: 9,
+        ..claim(400, 0)
+    };
+    assert!(urgent(350).rank() < deferred.rank());
+    assert!(deferred.rank() < urgent(550).rank());
+}
--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use greengage_contention::Windows;
 use greengage_core::Time;
 
 /// Retries allowed per hundred starts within the window.
@@ -13,40 +14,26 @@
 /// Half of the window over which starts and retries are counted.
 const HALF_WINDOW: Duration = Duration::from_secs(5);
 
+/// Numbers of starts and of retries.
+type Counts = (u64, u64);
+
 /// Counts of starts and retries in the current and in the previous half window.
 #[derive(Default)]
-pub(crate) struct RetryBudget {
-    window_start: Time,
-    starts: [u64; 2],
-    retries: [u64; 2],
-}
+pub(crate) struct RetryBudget(Windows<Counts>);
 
 impl RetryBudget {
-    /// Begins a new half window when the current one has ended.
-    fn rotate(&mut self, now: Time) {
-        let age = now.since(self.window_start);
-        if age < HALF_WINDOW {
-            return;
-        }
-        let keep = age < HALF_WINDOW * 2;
-        self.starts = [0, if keep { self.starts[0] } else { 0 }];
-        self.retries = [0, if keep { self.retries[0] } else { 0 }];
-        self.window_start = now;
-    }
-
     pub(crate) fn record_start(&mut self, now: Time) {
-        self.rotate(now);
-        self.starts[0] += 1;
+        self.0.record(now, HALF_WINDOW).0 += 1;
     }
 
     /// Counts a retry and returns true, or returns false when the budget is exhausted.
     pub(crate) fn try_take(&mut self, now: Time) -> bool {
-        self.rotate(now);
-        let starts: u64 = self.starts.iter().sum();
-        let retries: u64 = self.retries.iter().sum();
+        self.0.record(now, HALF_WINDOW);
+        let [current, previous] = self.0.values();
+        let (starts, retries) = (current.0 + previous.0, current.1 + previous.1);
         let allowed = retries < MIN_RETRIES + starts * RETRY_PERCENT / 100;
         if allowed {
-            self.retries[0] += 1;
+            self.0.record(now, HALF_WINDOW).1 += 1;
         }
         allowed
     }
--- a/crates/dispatch/src/fair.rs
+++ b/crates/dispatch/src/fair.rs
@@ -13,6 +13,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use greengage_contention::Windows;
 use greengage_core::Time;
 
 use crate::event::Share;
@@ -67,50 +68,37 @@
 /// Length of the window over which arriving work is counted.
 const ARRIVAL_SPAN: Duration = Duration::from_secs(1);
 
-/// Work that arrived in the current and in the previous window, in microseconds.
-#[derive(Default)]
-pub(crate) struct Arrivals {
-    window_start: Time,
-    /// By window, then size class of the job.
-    by_class: [[u64; SIZE_CLASSES]; 2],
-    /// By window, over all size classes.
-    total: [u64; 2],
+/// Work that arrived, in microseconds.
+#[derive(Clone, Copy, Default)]
+struct Arrived {
+    /// By size class of the job.
+    by_class: [u64; SIZE_CLASSES],
+    /// Over all size classes.
+    total: u64,
 }
 
+/// Work that arrived in the current and in the previous window.
+#[derive(Default)]
+pub(crate) struct Arrivals(Windows<Arrived>);
+
 impl Arrivals {
     fn add(&mut self, now: Time, micros: u64) {
-        let age = now.since(self.window_start);
-        if age >= ARRIVAL_SPAN {
-            let keep = age < ARRIVAL_SPAN * 2;
-            let (by_class, total) = (self.by_class[0], self.total[0]);
-            self.by_class = [
-                [0; SIZE_CLASSES],
-                if keep { by_class } else { [0; SIZE_CLASSES] },
-            ];
-            self.total = [0, if keep { total } else { 0 }];
-            self.window_start = now;
-        }
-        self.by_class[0][size_class(micros)] += micros;
-        self.total[0] += micros;
+        let arrived = self.0.record(now, ARRIVAL_SPAN);
+        arrived.by_class[size_class(micros)] += micros;
+        arrived.total += micros;
     }
 
     /// Arrival rate of jobs below a size class, in microseconds of work per microsecond.
     pub(crate) fn rate_below(&self, now: Time, class: usize) -> f64 {
-        let sum = |work: &[u64; SIZE_CLASSES]| work[..class].iter().sum::<u64>();
-        self.rate(now, sum(&self.by_class[0]) + sum(&self.by_class[1]))
+        let values = self.0.values().into_iter();
+        let sum = values.flat_map(|work| &work.by_class[..class]).sum();
+        self.0.rate(now, ARRIVAL_SPAN, sum)
     }
 
     /// Arrival rate of all jobs, in microseconds of work per microsecond.
     pub(crate) fn total_rate(&self, now: Time) -> f64 {
-        self.rate(now, self.total[0] + self.total[1])
-    }
-
-    fn rate(&self, now: Time, work: u64) -> f64 {
-        let age = now.since(self.window_start);
-        match age < ARRIVAL_SPAN * 2 {
-            true => work as f64 / (ARRIVAL_SPAN + age).as_micros() as f64,
-            false => 0.0,
-        }
+        let sum = self.0.values().into_iter().map(|work| work.total).sum();
+        self.0.rate(now, ARRIVAL_SPAN, sum)
     }
 }
 
--- a/crates/dispatch/src/reserve.rs
+++ b/crates/dispatch/src/reserve.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use greengage_contention::Windows;
 use greengage_core::Time;
 
 /// Half of the window over which the peak use by short work is kept.
@@ -20,9 +21,8 @@
     pub(crate) busy: u64,
     /// In use by long work.
     pub(crate) long_busy: u64,
-    window_start: Time,
-    /// Peak use by short work in the current and in the previous half window.
-    short_peaks: [u64; 2],
+    /// Peak use by short work.
+    short_peaks: Windows<u64>,
     /// Whether a timer is set for the next possible shrinking of the reserve.
     pub(crate) timer_set: bool,
 }
@@ -30,19 +30,8 @@
 impl WorkUsage {
     /// Records the current use by short work in the peak of this half window.
     pub(crate) fn record_peak(&mut self, now: Time) {
-        let age = now.since(self.window_start);
-        if age >= HALF_WINDOW {
-            self.short_peaks = [
-                0,
-                if age < HALF_WINDOW * 2 {
-                    self.short_peaks[0]
-                } else {
-                    0
-                },
-            ];
-            self.window_start = now;
-        }
-        self.short_peaks[0] = self.short_peaks[0].max(self.busy - self.long_busy);
+        let peak = self.short_peaks.record(now, HALF_WINDOW);
+        *peak = (*peak).max(self.busy - self.long_busy);
     }
 
     /// The most that long work may use.
@@ -51,8 +40,9 @@
             return self.capacity;
         }
         let fixed = (self.capacity * u64::from(reserve_percent.min(100))).div_ceil(100);
-        let peak = match now.since(self.window_start) < HALF_WINDOW * 2 {
-            true => self.short_peaks[0].max(self.short_peaks[1]),
+        let [current, previous] = self.short_peaks.values();
+        let peak = match self.short_peaks.is_recent(now, HALF_WINDOW) {
+            true => *current.max(previous),
             false => 0,
         };
         self.capacity - fixed.max(peak.min(self.capacity / 2))
@@ -68,6 +58,6 @@
 
     /// When the recorded peak, and with it the reserve, can next shrink.
     pub(crate) fn next_decay(&self, now: Time) -> Time {
-        (self.window_start + HALF_WINDOW * 2).max(now + HALF_WINDOW)
+        (self.short_peaks.start() + HALF_WINDOW * 2).max(now + HALF_WINDOW)
     }
 }
