Let the priority of a queue count in the order of its jobs

Cause: the scheduler passed priority 0 for each job, so the order went by latest start alone. Change: a job keeps its queue's priority, which defers it by a bounded part of the time that it has (contention, rank). Conclusion: delays go by priority and deadline; refusals still take the job that arrives.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -116,7 +116,7 @@
             expected.mul_f64(waiting * f64::from(step.demand.milli_cores) / 1000.0)
         });
         Claim {
-            priority: 0,
+            priority: job.priority,
             latest_start: self.latest_start(job),
             work: work.sum(),
             arrival: job.arrival,
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -67,6 +67,8 @@
     pub(crate) path: Arc<str>,
     pub(crate) id: Name,
     pub(crate) queue: Arc<str>,
+    /// Priority of the queue when the job was accepted; 0 is the highest.
+    pub(crate) priority: u32,
     pub(crate) service: Arc<str>,
     pub(crate) spec: Arc<str>,
     pub(crate) attempts: u32,
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -353,6 +353,7 @@
         path: job.path.clone(),
         id: job.id.clone(),
         queue: queue.name.clone(),
+        priority: queue.priority,
         service: queue.service.clone(),
         spec: job.spec.clone(),
         attempts: queue.max_attempts.max(1),
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -655,3 +655,72 @@
         assert_eq!(effects.iter().any(is_refusal), refused, "{count} tasks");
     }
 }
+
+/// Guards against an urgent job that waits behind an earlier one of lower priority.
+#[test]
+fn room_goes_to_the_higher_priority_first() {
+    let mut now = Time::from_millis(1000);
+    let mut scheduler = started_vm(now);
+    serve_target(&mut scheduler, now, 1);
+    now = now + Duration::from_secs(2);
+    let mut document = document();
+    document.version = Version(2);
+    let mut low = document.queues[0].clone();
+    (low.name, low.prefix, low.priority) = ("low".into(), "/low/".into(), 1);
+    document.queues.push(low);
+    let document = document.validated().unwrap();
+    step(&mut scheduler, now, Event::Configuration(document.into()));
+    let job = |received: Time, request: u64, prefix: &str| {
+        let Event::Submit(mut job) = submission(received, request) else {
+            unreachable!();
+        };
+        job.steps[0].demand = demand(4000);
+        job.path = format!("{prefix}{}", job.id).into();
+        Event::Submit(job)
+    };
+    let started = |effects: Vec<Effect>| {
+        let starts = effects.into_iter().filter_map(|effect| match effect {
+            Effect::Call {
+                target,
+                generation,
+                call: TargetCall::Start(start),
+                ..
+            } => Some((target, generation, start)),
+            _ => None,
+        });
+        starts.collect::<Vec<_>>()
+    };
+    let first = started(step(&mut scheduler, now, job(now, 1, "/q/")));
+    let [(target, generation, start)] = first.as_slice() else {
+        panic!("{first:?}");
+    };
+    for (request, prefix) in [(2, "/low/"), (3, "/q/")] {
+        now = now + Duration::from_millis(1);
+        let effects = step(&mut scheduler, now, job(now, request, prefix));
+        assert!(!effects.iter().any(is_start), "{effects:?}");
+    }
+    now = now + Duration::from_millis(100);
+    let end = RunEnd {
+        number: 1,
+        task: start.task.clone(),
+        run: start.number,
+        kind: EndKind::Done,
+    };
+    let result = HoldResult::Lists {
+        clock: now.0 / 1000,
+        incarnation: Some(Incarnation(1)),
+        running: Vec::new(),
+        ended: vec![end],
+    };
+    let event = Event::HoldEnded {
+        target: target.clone(),
+        generation: *generation,
+        result,
+    };
+    let next = started(step(&mut scheduler, now, event));
+    let names: Vec<&str> = next.iter().map(|(.., start)| &*start.task).collect();
+    let Event::Submit(urgent) = submission(now, 3) else {
+        unreachable!();
+    };
+    assert_eq!(names, [format!("{}.0.0.0", urgent.id)]);
+}
