Answer the caller of a job that waits for room at its deadline

A job for which room is kept isn't refused at its longest wait, nor was it at its deadline, which is earlier than its objective once a patient caller has left. Change: it waits on only before its deadline. Conclusion: a caller is answered in its time.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -130,7 +130,8 @@
         if !self.knows_callers(now) {
             return false;
         }
-        if self.jobs.get(&job_id).is_some_and(|job| job.kept.is_some()) {
+        let waits_on = |job: &Job| job.kept.is_some() && now < job.deadline;
+        if self.jobs.get(&job_id).is_some_and(waits_on) {
             return true;
         }
         let mut pool = self.slot_pool(now, std::iter::once(job_id));
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -724,3 +724,40 @@
     };
     assert_eq!(names, [format!("{}.0.0.0", urgent.id)]);
 }
+
+/// Guards against a job that waits for room beyond the time of its last caller.
+#[test]
+fn caller_of_a_job_that_waits_for_room_is_answered_at_its_deadline() {
+    let mut now = Time::from_millis(1000);
+    let mut scheduler = started_vm(now);
+    serve_target(&mut scheduler, now, 1);
+    now = now + Duration::from_secs(2);
+    let job = |received: Time, request: u64, id: &str, timeout_ms: u64| {
+        let Event::Submit(mut job) = submission(received, request) else {
+            unreachable!();
+        };
+        (job.id, job.path) = (Name::new(id).unwrap(), format!("/q/{id}").into());
+        job.steps[0].demand = demand(4000);
+        job.steps[0].declared = Duration::from_millis(500);
+        job.timeout = Duration::from_millis(timeout_ms);
+        Event::Submit(job)
+    };
+    let effects = step(&mut scheduler, now, job(now, 1, "busy", 30_000));
+    assert!(effects.iter().any(is_start), "{effects:?}");
+    step(&mut scheduler, now, job(now, 2, "waits", 30_000));
+    step(&mut scheduler, now, job(now, 3, "waits", 100));
+    step(&mut scheduler, now, Event::CallerGone(RequestId(2)));
+    let mut answered = Vec::new();
+    for millis in [20, 40, 60, 80, 100, 120] {
+        let effects = step(
+            &mut scheduler,
+            now + Duration::from_millis(millis),
+            Event::Tick,
+        );
+        answered.extend(effects.into_iter().filter_map(|effect| match effect {
+            Effect::Answer { request, .. } => Some(request.0),
+            _ => None,
+        }));
+    }
+    assert_eq!(answered, [3]);
+}
