Keep no room for late jobs, and let them take none that is kept

Cause: found in review. A started job that will be late on any target came first in each round and claimed room up to its deadline for each waiting task, so that jobs in time found gaps only. A job that starts late because its longest wait is over was placed without regard to the room that is kept for others.

Change: late jobs use what is free and not kept.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -135,6 +135,13 @@
             return true;
         }
         let mut pool = self.slot_pool(now, std::iter::once(job_id));
+        // It must not take the room that is kept for jobs which will be in time.
+        for (place, slot) in pool.places.iter().zip(&mut pool.slots) {
+            if let Place::Local(position) = place {
+                let target = self.targets.at(*position);
+                slot.room = target.map_or_else(Room::default, |(_, t)| Room::new(t.unreserved()));
+            }
+        }
         let mut offloads = Vec::new();
         let rule = PlacementRule::AnyTime;
         let decision = self.place_job(now, job_id, rule, &mut pool, &mut offloads, out);
@@ -282,7 +289,8 @@
                 }
                 found = place_now(now, &pool.slots, need);
             }
-            let may_wait = job.started || rule == PlacementRule::InTime;
+            // A late job keeps no room from jobs that can be in time.
+            let may_wait = rule == PlacementRule::InTime;
             let found = found.or_else(|| {
                 let later = may_wait.then(|| place_later(now, &pool.slots, need));
                 later.flatten()
