Tell a VM that returns of cancelled jobs in lists

Cause: each live VM sent a VM that became live one message for each job cancelled within the last minute, got a confirmation for each and repeated them every 100 ms.

Change: a list in parts of 64 KiB of keys, one confirmation for each part, repeated after 0.3 s, then every second. A VM tells the jobs that it was asked to cancel, as only it knows whom it hasn't told; all jobs come from three VMs by a hash, or from all if there are at most 14 others, where VMs may be live for some only. Known jobs are skipped; one log line for a list.

Conclusion: a confirmation of a single job still scans the jobs that wait, at most 1,024.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -354,9 +354,7 @@
         let started: Vec<VmName> = started.map(|vm| vm.vm.clone()).collect();
         let incarnations = live.iter().map(|vm| (vm.vm.clone(), vm.incarnation));
         self.live = incarnations.collect();
-        for vm in started {
-            self.tell_cancelled(now, &vm, out);
-        }
+        self.tell_cancelled(now, &started, out);
         let peers = live
             .iter()
             .filter(|vm| vm.roles.entry)
@@ -420,6 +418,10 @@
             }
             Message::Cancel { job, age } => self.cancel_for(now, &from, (job, age), out),
             Message::Cancelled { job, held } => self.cancel_confirmed(&from, &job, held, out),
+            Message::CancelAll { number, jobs } => {
+                self.cancel_all_for(now, &from, (number, jobs), out);
+            }
+            Message::CancelledAll(number) => self.list_confirmed(now, &from, number, out),
         }
     }
 
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -56,4 +56,13 @@
         /// Whether the sender had it.
         held: bool,
     },
+    /// A part of the jobs that were cancelled while the receiver may have been out of touch.
+    CancelAll {
+        /// Identifies the part.
+        number: u64,
+        /// The jobs, and the time since a caller asked for it.
+        jobs: Vec<(JobKey, Duration)>,
+    },
+    /// The sender has cancelled the jobs of a part with this number.
+    CancelledAll(u64),
 }
--- a/crates/cluster/tests/cancel.rs
+++ b/crates/cluster/tests/cancel.rs
@@ -109,9 +109,13 @@
 
 /// Entry VMs that know one another and the configuration, without targets.
 fn network() -> Network {
-    let setups = (0..VMS).map(|i| (setup(i), 1e9)).collect();
+    network_of(VMS)
+}
+
+fn network_of(vms: usize) -> Network {
+    let setups = (0..vms).map(|i| (setup(i), 1e9)).collect();
     let mut network = Network::new(Time::from_millis(10_000), setups);
-    for vm in 0..VMS {
+    for vm in 0..vms {
         network.step(vm, support::no_evacuations());
         network.step(vm, configuration());
     }
@@ -374,3 +378,33 @@
     let expected = [reply(1, Reply::Cancelled), reply(2, Reply::Cancelled)];
     assert_eq!(replies, expected);
 }
+
+/// Guards against a VM that returns and spends its time on copies of what was cancelled, and against
+/// cancelled jobs of which it isn't told because there are many.
+#[test]
+fn vm_that_returns_is_told_of_many_cancelled_jobs_in_few_messages() {
+    const JOBS: u64 = 1500;
+    let last = 19;
+    let mut network = network_of(last + 1);
+    for job in 0..JOBS {
+        network.step(job as usize % last, cancel(job, &format!("/q/{job}")));
+        if job % 100 == 0 {
+            run(&mut network, TRIP);
+        }
+    }
+    run(&mut network, 2 * SECOND);
+    network.take_replies();
+    network.cancels = 0;
+    let mut restarted = setup(last);
+    restarted.member.incarnation = Incarnation(2);
+    restarted.scheduler.as_mut().unwrap().incarnation = Incarnation(2);
+    network.restart(last, restarted);
+    network.step(last, support::no_evacuations());
+    network.step(last, configuration());
+    run(&mut network, 2 * SECOND);
+    assert!(network.cancels <= 3 * last, "{} messages", network.cancels);
+    for job in 0..JOBS {
+        network.step(last, submission(job, &job.to_string()));
+        assert_eq!(network.take_replies(), [reply(job, Reply::Cancelled)]);
+    }
+}
--- a/crates/cluster/tests/malformed.rs
+++ b/crates/cluster/tests/malformed.rs
@@ -109,6 +109,11 @@
             job: job.clone(),
             age,
         });
+        messages.push(Message::CancelAll {
+            number: u64::MAX,
+            jobs: vec![(job.clone(), age), (job.clone(), Duration::MAX)],
+        });
+        messages.push(Message::CancelledAll(u64::MAX));
         messages.push(Message::Cancelled { job, held: true });
     }
     let member = gossip::Member {
--- a/crates/cluster/tests/support/fleet.rs
+++ b/crates/cluster/tests/support/fleet.rs
@@ -64,7 +64,10 @@
         Message::Group { .. } | Message::Configuration(_) | Message::Evacuations(_) => {
             Kind::Configuration
         }
-        Message::Cancel { .. } | Message::Cancelled { .. } => Kind::Job,
+        Message::Cancel { .. }
+        | Message::Cancelled { .. }
+        | Message::CancelAll { .. }
+        | Message::CancelledAll(_) => Kind::Job,
     }
 }
 
--- a/crates/cluster/tests/support/network.rs
+++ b/crates/cluster/tests/support/network.rs
@@ -44,6 +44,8 @@
     answers: Vec<(RequestId, Outcome)>,
     /// Bytes sent to each VM.
     pub(crate) bytes: Vec<u64>,
+    /// Messages about cancelled jobs.
+    pub(crate) cancels: usize,
 }
 
 impl Network {
@@ -57,6 +59,7 @@
             last_id: 0,
             answers: Vec::new(),
             bytes: vec![0; setups.len()],
+            cancels: 0,
         };
         for (index, (setup, bandwidth)) in setups.into_iter().enumerate() {
             let vm = setup.member.vm.clone();
@@ -180,6 +183,13 @@
                 };
                 let length = greengage_wire::encode(&(&stamp, &message)).len();
                 self.bytes[to] += length as u64;
+                self.cancels += usize::from(matches!(
+                    message,
+                    Message::Cancel { .. }
+                        | Message::Cancelled { .. }
+                        | Message::CancelAll { .. }
+                        | Message::CancelledAll(_)
+                ));
                 let node = &mut self.nodes[to];
                 if self.now < node.cut_until || length > MAX_MESSAGE_BYTES {
                     return;
--- a/crates/scheduler/src/assignment.rs
+++ b/crates/scheduler/src/assignment.rs
@@ -45,7 +45,7 @@
 }
 
 /// A hash of two VMs that doesn't depend on their order.
-pub(crate) fn pair_hash(a: &VmName, b: &VmName) -> u64 {
+pub fn pair_hash(a: &VmName, b: &VmName) -> u64 {
     mix(name_hash(a.as_str()) ^ name_hash(b.as_str()))
 }
 
--- a/crates/scheduler/src/cancel.rs
+++ b/crates/scheduler/src/cancel.rs
@@ -162,6 +162,11 @@
         self.cancellations.get(now, job).is_some()
     }
 
+    /// When a job was cancelled; `None` if it wasn't lately.
+    pub fn cancelled_at(&self, now: Time, job: &JobKey) -> Option<Time> {
+        self.cancellations.get(now, job).map(|c| c.at)
+    }
+
     /// The jobs that were cancelled lately, and when.
     pub fn cancelled_jobs(&self, now: Time) -> Vec<(JobKey, Time)> {
         let jobs = self.cancellations.by_job.iter();
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -51,7 +51,7 @@
 mod target;
 mod targets;
 
-pub use assignment::{assign, Candidate, DEFAULT_WEIGHT};
+pub use assignment::{assign, pair_hash, Candidate, DEFAULT_WEIGHT};
 pub use cancel::{JobKey, CANCEL_LIFETIME};
 pub use departures::Departures;
 pub use estimate::Estimates;
