Accept orders between short pauses of the control thread

Cause: an order waited behind all other inputs, and after any gap of 0.25 s between steps all orders read in the next second were refused.

Change: orders and the notices that their operators have left are urgent inputs, in one channel, so in sequence. Orders are refused for as long after a pause as it was, a second at most.

Conclusion: left are a pause that is measured without the thread's own step time, and a metric of refused orders.

--- a/crates/cluster/src/evacuations.rs
+++ b/crates/cluster/src/evacuations.rs
@@ -35,8 +35,9 @@
 /// Time between two steps from which the process counts as paused. Without a pause it takes a step at
 /// each check of the live VMs, every 100 ms.
 const PAUSE_GAP: Duration = Duration::from_millis(250);
-/// Time from the end of a pause within which a request that is read may have arrived during it.
-const BACKLOG_TIME: Duration = Duration::from_secs(1);
+/// Limit on the time from the end of a pause within which a request that is read may have arrived during
+/// it. After a short pause it is as long as the pause, since less has arrived.
+const MAX_BACKLOG_TIME: Duration = Duration::from_secs(1);
 
 /// An order that waits until its operator is known to be there.
 struct HeldOrder {
@@ -60,8 +61,8 @@
     lost_due: Time,
     held: Vec<HeldOrder>,
     last_step: Time,
-    /// When the process last resumed after a pause.
-    resumed: Option<Time>,
+    /// Until when requests that are read may have arrived during a pause.
+    backlog_end: Time,
 }
 
 impl EvacuationState {
@@ -74,7 +75,7 @@
             lost_due: now,
             held: Vec::new(),
             last_step: now,
-            resumed: None,
+            backlog_end: now,
         }
     }
 
@@ -100,16 +101,17 @@
 
     /// Notices a pause of the process.
     pub(crate) fn begin_step(&mut self, now: Time) {
-        if now.since(self.last_step) > PAUSE_GAP {
-            self.resumed = Some(now);
+        let gap = now.since(self.last_step);
+        if gap > PAUSE_GAP {
+            let end = now + gap.min(MAX_BACKLOG_TIME);
+            self.backlog_end = self.backlog_end.max(end);
         }
         self.last_step = now;
     }
 
     /// Whether a request that was read at this time may have arrived during a pause.
     fn may_be_old(&self, received: Time) -> bool {
-        self.resumed
-            .is_some_and(|resumed| received < resumed + BACKLOG_TIME)
+        received < self.backlog_end
     }
 
     /// Drops the order of an operator that has disconnected.
--- a/crates/runtime/src/inputs.rs
+++ b/crates/runtime/src/inputs.rs
@@ -20,8 +20,9 @@
 
 /// Whether the control thread takes an input before everything else that waits.
 ///
-/// The configuration and the evacuated zones decide how all other inputs are handled, and a job may be
-/// worked on only while its caller waits. Under load the other inputs wait for longer than a
+/// The configuration and the evacuated zones decide how all other inputs are handled, a job may be
+/// worked on only while its caller waits, and an order about an evacuation is refused once it has waited
+/// for most of a second. An order and the notice that its operator has left stay in sequence. Under load the other inputs wait for longer than a
 /// configuration may take until it is in force, than a VM may be silent before it counts as lost, and than a caller waits before
 /// it submits a job again.
 pub fn is_urgent(input: &Input) -> bool {
@@ -40,6 +41,7 @@
                 Message::Configuration(_) | Message::Evacuations(_) | Message::Gossip(..)
             )
         }
+        Event::Evacuate { .. } | Event::OperatorGone(_) => true,
         Event::Scheduler(event) => matches!(
             event,
             scheduler::Event::CallerGone(_) | scheduler::Event::CallersChecked { .. }
--- a/crates/runtime/tests/inputs.rs
+++ b/crates/runtime/tests/inputs.rs
@@ -6,8 +6,8 @@
 use greengage_cluster::distribution::DistributionMessage;
 use greengage_cluster::gossip::{GossipMessage, Stamp};
 use greengage_cluster::{scheduler, Event, Message, Versions};
-use greengage_config::Evacuations;
-use greengage_core::{Incarnation, RequestId, Time, Version, VmName};
+use greengage_config::{EvacuationAction, EvacuationOrder, Evacuations};
+use greengage_core::{Incarnation, RequestId, Time, Version, VmName, WallTime, ZoneName};
 use greengage_runtime::{inputs, is_urgent, Input};
 
 fn receive(message: Message) -> Input {
@@ -27,6 +27,18 @@
     Input::Event(Event::Scheduler(event))
 }
 
+fn evacuate(request: RequestId) -> Input {
+    Input::Event(Event::Evacuate {
+        request,
+        order: EvacuationOrder {
+            zone: ZoneName::new("a").unwrap(),
+            action: EvacuationAction::Start,
+            received: WallTime(1),
+        },
+        received: Time::default(),
+    })
+}
+
 /// Inputs that don't wait behind others.
 fn urgent_inputs() -> Vec<Input> {
     let offer = Message::Configuration(DistributionMessage::Offer(Version(2)));
@@ -39,11 +51,13 @@
         receive(heartbeat),
         scheduler_input(scheduler::Event::CallerGone(RequestId(1))),
         scheduler_input(scheduler::Event::CallersChecked { until }),
+        evacuate(RequestId(2)),
+        Input::Event(Event::OperatorGone(RequestId(2))),
     ]
 }
 
-/// Guards against a configuration that is late, a VM that counts as lost, and a job that goes on after
-/// its caller has left, because a message waits behind the requests of callers.
+/// Guards against a configuration that is late, a VM that counts as lost, an order that is refused, and a
+/// job that goes on after its caller has left, because an input waits behind the requests of callers.
 #[test]
 fn configuration_heartbeats_and_departures_do_not_wait_behind_other_inputs() {
     let (sender, inputs) = inputs();
