--- a/crates/cluster/src/evacuations.rs
+++ b/crates/cluster/src/evacuations.rs
@@ -23,6 +23,9 @@
 
 /// Interval at which a VM that hasn't named the newest revision gets the zones again.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(300);
+/// The same for a VM that isn't live, which may be overloaded or gone. One that returns is told as its
+/// heartbeat names a lower revision.
+const LOST_REPEAT_INTERVAL: Duration = Duration::from_secs(3);
 /// How long an entry VM has held a revision before it tells others of it. Until then the control VMs
 /// do.
 const SETTLED_AFTER: Duration = Duration::from_millis(500);
@@ -32,8 +35,9 @@
 /// Time between two steps from which the process counts as paused. Without a pause it takes a step at
 /// each check of the live VMs, every 100 ms.
 const PAUSE_GAP: Duration = Duration::from_millis(250);
-/// Time from the end of a pause within which a request that is read may have arrived during it.
-const BACKLOG_TIME: Duration = Duration::from_secs(1);
+/// Limit on the time from the end of a pause within which a request that is read may have arrived during
+/// it. After a short pause it is as long as the pause, since less has arrived.
+const MAX_BACKLOG_TIME: Duration = Duration::from_secs(1);
 
 /// An order that waits until its operator is known to be there.
 struct HeldOrder {
@@ -53,10 +57,12 @@
     /// The revision that each VM has named last, on a control VM.
     named: SortedMap<VmName, Option<Revision>>,
     repeat_due: Time,
+    /// When VMs that aren't live get them again.
+    lost_due: Time,
     held: Vec<HeldOrder>,
     last_step: Time,
-    /// When the process last resumed after a pause.
-    resumed: Option<Time>,
+    /// Until when requests that are read may have arrived during a pause.
+    backlog_end: Time,
 }
 
 impl EvacuationState {
@@ -66,9 +72,10 @@
             since: now,
             named: SortedMap::new(),
             repeat_due: now,
+            lost_due: now,
             held: Vec::new(),
             last_step: now,
-            resumed: None,
+            backlog_end: now,
         }
     }
 
@@ -94,16 +101,17 @@
 
     /// Notices a pause of the process.
     pub(crate) fn begin_step(&mut self, now: Time) {
-        if now.since(self.last_step) > PAUSE_GAP {
-            self.resumed = Some(now);
+        let gap = now.since(self.last_step);
+        if gap > PAUSE_GAP {
+            let end = now + gap.min(MAX_BACKLOG_TIME);
+            self.backlog_end = self.backlog_end.max(end);
         }
         self.last_step = now;
     }
 
     /// Whether a request that was read at this time may have arrived during a pause.
     fn may_be_old(&self, received: Time) -> bool {
-        self.resumed
-            .is_some_and(|resumed| received < resumed + BACKLOG_TIME)
+        received < self.backlog_end
     }
 
     /// Drops the order of an operator that has disconnected.
@@ -199,6 +207,16 @@
         }
     }
 
+    /// Tells a control VM that has sent its zones which revision this VM has. The next heartbeat to it
+    /// may be seconds away in a large deployment.
+    pub(crate) fn confirm_evacuations(&self, now: Time, from: &VmName, out: &mut Vec<Effect>) {
+        let member = self.members.member(from);
+        if let Some(member) = member.filter(|member| member.roles.control) {
+            let message = Message::Gossip(self.members.greeting(), self.versions());
+            out.push(self.send(now, member.address.clone(), message));
+        }
+    }
+
     /// Takes over the zones that the control group has applied, and sends them to entry VMs.
     pub(crate) fn evacuations_applied(
         &mut self,
@@ -211,6 +229,7 @@
         self.adopt_evacuations(now, wall, zones, out);
         if is_newer {
             self.evacuations.repeat_due = now + REPEAT_INTERVAL;
+            self.evacuations.lost_due = now + LOST_REPEAT_INTERVAL;
             let receivers: Vec<VmName> = self.receivers().map(|vm| vm.vm.clone()).collect();
             self.send_evacuations(now, &receivers, out);
         }
@@ -263,9 +282,16 @@
         let Some(own) = self.evacuations.revision().filter(|r| *r > Revision(0)) else {
             return;
         };
+        let tells_lost = now >= self.evacuations.lost_due;
+        if tells_lost {
+            self.evacuations.lost_due = now + LOST_REPEAT_INTERVAL;
+        }
         let named = |vm: &VmName| self.evacuations.named.get(vm).copied().flatten();
         let receivers = self.receivers().map(|vm| vm.vm.clone());
-        let outdated: Vec<VmName> = receivers.filter(|vm| named(vm) < Some(own)).collect();
+        let outdated = receivers.filter(|vm| named(vm) < Some(own));
+        let outdated: Vec<VmName> = outdated
+            .filter(|vm| tells_lost || self.live.contains(vm))
+            .collect();
         self.send_evacuations(now, &outdated, out);
     }
 }
--- a/crates/cluster/tests/evacuations.rs
+++ b/crates/cluster/tests/evacuations.rs
@@ -57,9 +57,9 @@
 
 /// Runs a VM until a time, with all its ticks.
 fn run(cluster: &mut Cluster, until: Time) -> Vec<Effect> {
-    let mut out = Vec::new();
+    let (mut out, mut now) = (Vec::new(), Time::default());
     while cluster.next_wake() <= until {
-        let now = cluster.next_wake();
+        now = now.max(cluster.next_wake());
         let effects = cluster.step(now, WallTime(1), Event::Tick);
         for effect in effects {
             match effect {
@@ -123,6 +123,31 @@
     }
 }
 
+/// Guards against a change that is sent over and over to distant VMs, whose heartbeats reach a control VM
+/// seconds later.
+#[test]
+fn change_is_sent_few_times_to_each_of_many_vms() {
+    const VMS: usize = 24;
+    let now = at(1000);
+    let mut setups = deployment(now, VMS);
+    for (index, (setup, _)) in setups[ENTRY..].iter_mut().enumerate() {
+        let zone = ZoneName::new(["b", "c", "d"][index % 3]).unwrap();
+        setup.member.zone = zone.clone();
+        setup.scheduler.as_mut().unwrap().candidate.zone = zone;
+    }
+    let mut network = Network::new(now, setups);
+    network.run_until(Duration::from_secs(5), |_| false);
+    let leader = network.leader().expect("a leader is elected within 5 s");
+    network.evacuations = 0;
+    let event = order(1, EvacuationAction::Start, network.now);
+    network.step(leader, event);
+    network.run_until(Duration::from_secs(5), |_| false);
+    let in_force = (0..ENTRY + VMS).all(|vm| network.status(vm).revision == Some(Revision(1)));
+    assert!(in_force);
+    let sent = network.evacuations;
+    assert!(sent <= 2 * VMS, "{sent} messages");
+}
+
 /// Guards against an evacuation that a message of the past takes back.
 #[test]
 fn lower_revision_replaces_nothing() {
@@ -253,6 +278,25 @@
     assert_eq!(answers(&effects), [(RequestId(3), Outcome::Accepted)]);
 }
 
+/// Guards against an operator whose orders are all refused, because the control thread is late once a
+/// second.
+#[test]
+fn orders_between_short_pauses_are_accepted() {
+    let mut cluster = leader();
+    for request in 1..=5 {
+        let begin = 3000 + 1000 * request;
+        run(&mut cluster, at(begin));
+        step(&mut cluster, at(begin + 300), Event::Tick);
+        run(&mut cluster, at(begin + 700));
+        let received = at(begin + 700);
+        let event = order(request, EvacuationAction::Start, received);
+        let mut effects = step(&mut cluster, received, event);
+        effects.extend(run(&mut cluster, at(begin + 900)));
+        let expected = [(RequestId(request), Outcome::Accepted)];
+        assert_eq!(answers(&effects), expected);
+    }
+}
+
 /// Guards against an order that a link has held and that is carried out although its operator has
 /// given it up.
 #[test]
