budget: take a configuration whose charge exceeds the pool

Cause: a configuration is charged four times its size against M/8, so a body over M/32 was answered 503 for ever although bodies up to M/24 are allowed. Granting it in Pool::take was ruled out: a job that declares any number of tasks must not take the pool, and a committed test requires it.

--- a/crates/budget/src/pool.rs
+++ b/crates/budget/src/pool.rs
@@ -21,7 +21,21 @@
 
     /// Takes bytes until the charge is dropped; `None` if they don't fit.
     pub fn take(&self, bytes: usize) -> Option<Charge> {
-        let add = |taken: usize| taken.checked_add(bytes).filter(|sum| *sum <= self.limit);
+        self.add(bytes, |taken| {
+            taken.checked_add(bytes).filter(|sum| *sum <= self.limit)
+        })
+    }
+
+    /// As [`Pool::take`], but grants any number of bytes while no others are taken: a use of more
+    /// than the limit would otherwise be refused for ever.
+    pub fn take_or_alone(&self, bytes: usize) -> Option<Charge> {
+        self.add(bytes, |taken| match taken {
+            0 => Some(bytes),
+            _ => taken.checked_add(bytes).filter(|sum| *sum <= self.limit),
+        })
+    }
+
+    fn add(&self, bytes: usize, add: impl FnMut(usize) -> Option<usize>) -> Option<Charge> {
         let order = Ordering::Relaxed;
         self.taken.fetch_update(order, order, add).ok()?;
         Some(Charge {
--- a/crates/budget/tests/budget.rs
+++ b/crates/budget/tests/budget.rs
@@ -101,3 +101,16 @@
     drop(charge);
     assert!(pool.take(10).is_some() && pool.take(11).is_none());
 }
+
+/// Guards against a use that is refused for ever because its charge exceeds the limit.
+#[test]
+fn a_charge_above_the_limit_is_granted_alone() {
+    let pool = Pool::new(10);
+    let small = pool.take(1);
+    assert!(small.is_some() && pool.take_or_alone(25).is_none());
+    drop(small);
+    let large = pool.take_or_alone(25);
+    assert!(large.is_some() && pool.take_or_alone(1).is_none());
+    drop(large);
+    assert!(pool.take_or_alone(10).is_some());
+}
