Take configurations of any accepted size in messages between VMs

Cause: a VM closed connections with a frame over M x 7/256 (7.0 MB on 256 MB), while senders went up to 16 MiB and log entries carry a document decoded and as text. Log entries that waited were also sent together without a bound on bytes, and add_frame drops such a message each time. Distribution to entry VMs was ruled out: it sends parts of 64 KiB.

Change: every VM takes messages of 16 MiB, counted in what is buffered, of which one whole message always fits. An append carries 2 MiB of commands at most, or one command.

--- a/crates/agreement/src/log.rs
+++ b/crates/agreement/src/log.rs
@@ -142,6 +142,14 @@
         stored.map(|s| s.entry.clone()).collect()
     }
 
+    /// As [`Log::slice`], with commands of `bytes` at most, but at least one entry.
+    pub(crate) fn batch(&self, from: Index, limit: usize, bytes: u64) -> Vec<Entry<C>> {
+        let last = self.end_bytes(index_before(from)) + bytes;
+        let fitting = self.entries.partition_point(|s| s.end_bytes <= last);
+        let fitting = fitting.saturating_sub(self.offset(from)).max(1);
+        self.slice(from, limit.min(fitting))
+    }
+
     /// The bytes of all commands up to `index`, counted from an arbitrary start.
     fn end_bytes(&self, index: Index) -> u64 {
         let index = index.min(self.last_index());
--- a/crates/agreement/src/replication.rs
+++ b/crates/agreement/src/replication.rs
@@ -36,6 +36,9 @@
     }
 }
 
+/// Bytes of commands in one message, unless its first command has more.
+const BATCH_BYTES: u64 = 2 << 20;
+
 impl<C: Clone, S: Clone> Raft<C, S> {
     pub(crate) fn replicate_all(&mut self) {
         for node in self.other_members() {
@@ -68,7 +71,9 @@
                 progress.mode = Mode::Snapshot { sent_at: None };
                 break;
             };
-            let entries = self.log.slice(progress.next_index, self.batch_entries);
+            let entries = self
+                .log
+                .batch(progress.next_index, self.batch_entries, BATCH_BYTES);
             let last = Index(prev_index.0 + entries.len() as u64);
             let bytes = self.log.bytes_between(prev_index, last);
             progress.inflight.push_back(Batch { last, bytes });
--- a/crates/agreement/tests/group/support.rs
+++ b/crates/agreement/tests/group/support.rs
@@ -125,6 +125,8 @@
     pub(crate) snapshots_sent: u64,
     /// Bytes of commands sent to each node, by `large_command_bytes`.
     bytes_sent_to: BTreeMap<NodeId, usize>,
+    /// Most bytes of commands in one message, by `large_command_bytes`.
+    pub(crate) largest_batch: usize,
     /// The leader of each term.
     pub(crate) leaders: BTreeMap<Term, NodeId>,
     /// The term and content of the entry applied at each index.
@@ -336,7 +338,9 @@
                 EntryKind::Command(command) => Some(large_command_bytes(command)),
                 EntryKind::Noop | EntryKind::Config(_) => None,
             });
-            *self.bytes_sent_to.entry(to.clone()).or_default() += commands.sum::<usize>();
+            let bytes = commands.sum();
+            *self.bytes_sent_to.entry(to.clone()).or_default() += bytes;
+            self.largest_batch = self.largest_batch.max(bytes);
         }
         self.snapshots_sent += u64::from(matches!(message, Message::InstallSnapshot { .. }));
         let copies = 1 + u64::from(self.rng.below(100) < self.duplicate_percent);
--- a/crates/agreement/tests/group/traffic.rs
+++ b/crates/agreement/tests/group/traffic.rs
@@ -61,6 +61,19 @@
     );
 }
 
+/// Guards against large commands that wait for an acknowledgement and then exceed one message.
+#[test]
+fn large_commands_are_sent_one_by_one() {
+    let mut group = Group::with_commands(&THREE_VOTERS, 15, true);
+    let leader = group.elect();
+    for _ in 0..8 {
+        group.propose(&leader, LARGE_COMMAND);
+    }
+    group.run(500);
+    assert!(group.max_applied.0 >= 8);
+    assert_eq!(group.largest_batch, 4 << 20);
+}
+
 /// Guards against a snapshot that is resent with each heartbeat while it is in flight.
 #[test]
 fn in_flight_snapshot_is_not_resent() {
--- a/crates/budget/src/shares.rs
+++ b/crates/budget/src/shares.rs
@@ -20,8 +20,9 @@
 const SIDE_CONNECTIONS: (usize, usize) = (8, 64);
 /// Least and most bytes of a request's body.
 const BODY_BYTES: (u64, u64) = (512 << 10, 8 << 20);
-/// Most bytes of a message between VMs: several times a configuration with some thousand queues.
-const MAX_MESSAGE_BYTES: u64 = 16 << 20;
+/// Most bytes of a message between VMs, whatever memory each of them has: a message of the control
+/// group carries a whole configuration, and its sender doesn't know the memory of the receiver.
+const MAX_MESSAGE_BYTES: usize = 16 << 20;
 /// Estimated memory of an input of the control thread that isn't charged by itself.
 const INPUT_BYTES: u64 = 4 << 10;
 
@@ -62,7 +63,6 @@
             .max(MIN_DESCRIPTORS);
         let sixteenth = memory / 16;
         let (least_side, most_side) = SIDE_CONNECTIONS;
-        let messages = sixteenth;
         Shares {
             connections: (sockets / 2).min((3 * sixteenth / CONNECTION_BYTES) as usize),
             side_connections: (sockets / 32).clamp(least_side, most_side),
@@ -71,9 +71,9 @@
             incoming: (2 * sixteenth) as usize,
             answers: sixteenth as usize,
             requests: (2 * sixteenth) as usize,
-            messages: messages as usize,
+            messages: sixteenth as usize,
             body: (memory / 24).clamp(BODY_BYTES.0, BODY_BYTES.1) as usize,
-            message: (messages * 7 / 16).min(MAX_MESSAGE_BYTES) as usize,
+            message: MAX_MESSAGE_BYTES,
             inputs: (2 * sixteenth / INPUT_BYTES) as usize,
         }
     }
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -38,7 +38,7 @@
 pub struct Limits {
     /// Maximum number of accepted connections.
     pub connections: usize,
-    /// Maximum size in bytes of all messages that are being received.
+    /// Maximum size in bytes of all messages that are being received; at least one is taken.
     pub buffered_bytes: usize,
     /// Maximum size of one message in bytes.
     pub message_bytes: usize,
--- a/crates/mesh/src/receive.rs
+++ b/crates/mesh/src/receive.rs
@@ -34,7 +34,8 @@
 
 impl Receivers {
     pub(crate) fn new(limits: Limits, deliver: DeliverFn) -> Rc<Receivers> {
-        let bytes = [limits.buffered_bytes, 0];
+        // A whole message fits on any VM, as its sender repeats it until it arrives.
+        let bytes = [limits.buffered_bytes.max(limits.message_bytes), 0];
         let connections = Connections::new(limits.connections, bytes, Shortage::CloseStalled);
         Rc::new(Receivers {
             limits,
--- a/crates/mesh/tests/mesh.rs
+++ b/crates/mesh/tests/mesh.rs
@@ -205,3 +205,18 @@
     stream.write_all(&[0, 0, 4, 0]).unwrap();
     assert!(matches!(stream.read(&mut [0]), Ok(0)));
 }
+
+/// Guards against a large configuration that a VM with little memory never gets.
+#[test]
+fn largest_message_arrives_where_less_may_be_buffered() {
+    let (a, b) = (free_address(), free_address());
+    let limits = Limits {
+        buffered_bytes: 7_500_000,
+        ..Limits::default()
+    };
+    let (mesh, _) = start("a", a);
+    let (_other, inbox) = start_with("b", b, limits);
+    mesh.send(b, vec![7; limits.message_bytes]);
+    let (_, bytes) = inbox.recv_timeout(TEST_TIMEOUT).unwrap();
+    assert_eq!(bytes.len(), 16 << 20);
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -54,6 +54,12 @@
     encode_as(FORMAT_VERSION, value)
 }
 
+/// The size of the encoded value.
+pub fn encoded_size<T: Serialize>(value: &T) -> usize {
+    let size = postcard::experimental::serialized_size(value);
+    1 + size.expect("values of this workspace can be encoded")
+}
+
 /// Encodes a record whose type has a version of its own.
 pub fn encode_as<T: Serialize>(version: u8, value: &T) -> Vec<u8> {
     postcard::to_extend(value, vec![version]).expect("values of this workspace can be encoded")
