outbound: keep connections for stops and lease renewals

Cause: places for connections to targets were granted in order of arrival, so starts to silent targets, each for its whole time-out, delayed stops and lease renewals of sound targets. A call could get its place just before its deadline and be sent although its answer was sure to be missed. One call without a free place closed all idle connections.

Change: a call names its class; starts hold three quarters of the connections at most. A call with less than 10 ms left when it gets its connection is not sent. An idle connection gives way for each call.

Conclusion: silent targets can't take the connections of other calls.

--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -10,4 +10,4 @@
 mod outbound;
 mod pool;
 
-pub use outbound::{Call, Outbound, Outcome};
+pub use outbound::{Call, Class, Outbound, Outcome};
--- a/crates/outbound/src/outbound.rs
+++ b/crates/outbound/src/outbound.rs
@@ -11,6 +11,15 @@
 
 use crate::pool::Pool;
 
+/// What a call is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// Brings new work; has to leave a quarter of the connections to other calls.
+    Start,
+    /// Ends work, or keeps a target's work alive.
+    Upkeep,
+}
+
 /// A POST request to a target.
 #[derive(Debug)]
 pub struct Call<T> {
@@ -24,6 +33,8 @@
     pub body: Vec<u8>,
     /// Longest time from the start of the call until the complete answer.
     pub timeout: Duration,
+    /// What the call is for.
+    pub class: Class,
     /// Passed back with the outcome.
     pub context: T,
 }
@@ -52,7 +63,8 @@
 impl<T: Send + 'static> Outbound<T> {
     /// Starts the thread, on which `on_outcome` is called with the outcome of each call.
     ///
-    /// At most `connections` are open at once; further calls wait for one until their time-out.
+    /// At most `connections` are open at once, three quarters of them for starts; further calls wait
+    /// for one until their time-out.
     pub fn start(
         connections: usize,
         on_outcome: impl Fn(T, Outcome) + Send + 'static,
@@ -91,16 +103,8 @@
         while let Some(call) = calls.recv().await {
             let (pool, on_outcome) = (pool.clone(), on_outcome.clone());
             tokio::task::spawn_local(async move {
-                let outcome = pool
-                    .call(
-                        call.address,
-                        &call.path,
-                        &call.headers,
-                        call.body,
-                        call.timeout,
-                    )
-                    .await;
-                on_outcome(call.context, outcome);
+                let (context, outcome) = pool.call(call).await;
+                on_outcome(context, outcome);
             });
         }
     });
--- a/crates/outbound/src/pool.rs
+++ b/crates/outbound/src/pool.rs
@@ -18,14 +18,20 @@
 use tokio::task::AbortHandle;
 use tokio::time::{timeout_at, Instant};
 
-use crate::outbound::Outcome;
+use crate::outbound::{Call, Class, Outcome};
 
 /// Several times the size of an answer with 500 ended and 500 running tasks.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 /// Maximum number of idle connections per address.
 const MAX_IDLE_CONNECTIONS: usize = 4;
+/// Least time for a call that has waited for its connection: a round trip between zones and the
+/// target's work. With less, its answer would be missed although the target has executed it.
+const MIN_CALL_TIME: Duration = Duration::from_millis(10);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Why a call that got no connection in time wasn't sent.
+const NO_CONNECTION: &str = "too many calls are open";
+
 /// A connection to a target. Dropping it closes the connection, even during a call.
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -44,6 +50,8 @@
 pub(crate) struct Pool {
     idle: RefCell<SortedMap<SocketAddr, Vec<Connection>>>,
     places: Arc<Semaphore>,
+    /// Starts that may be under way at once.
+    starts: Semaphore,
 }
 
 impl Pool {
@@ -52,26 +60,51 @@
         Pool {
             idle: RefCell::default(),
             places: Arc::new(Semaphore::new(connections)),
+            starts: Semaphore::new(connections - connections / 4),
         }
     }
 
-    /// Makes a call over an idle connection, or over a new one if there is none.
-    pub(crate) async fn call(
+    /// Makes a call, and returns its context with the outcome.
+    pub(crate) async fn call<T>(&self, call: Call<T>) -> (T, Outcome) {
+        let deadline = Instant::now() + call.timeout;
+        let starts = match call.class {
+            Class::Start => Some(timeout_at(deadline, self.starts.acquire()).await),
+            Class::Upkeep => None,
+        };
+        let outcome = match &starts {
+            Some(Err(_)) => Outcome::NotSent(NO_CONNECTION.to_string()),
+            Some(Ok(_)) | None => {
+                let body = Bytes::from(call.body);
+                let least = MIN_CALL_TIME.min(call.timeout / 2);
+                self.exchange(
+                    call.address,
+                    &call.path,
+                    &call.headers,
+                    body,
+                    (deadline, least),
+                )
+                .await
+            }
+        };
+        (call.context, outcome)
+    }
+
+    /// Makes a call over an idle connection, or over a new one if there is none. Sends nothing with
+    /// less than `least` until the deadline.
+    async fn exchange(
         &self,
         address: SocketAddr,
         path: &str,
         headers: &[(&'static str, String)],
-        body: Vec<u8>,
-        timeout: Duration,
+        body: Bytes,
+        (deadline, least): (Instant, Duration),
     ) -> Outcome {
-        let deadline = Instant::now() + timeout;
-        let body = Bytes::from(body);
         loop {
             let (mut connection, reused) = match self.take_idle(address) {
                 Some(connection) => (connection, true),
                 None => {
                     let Ok(permit) = timeout_at(deadline, self.place()).await else {
-                        return Outcome::NotSent("too many calls are open".to_string());
+                        return Outcome::NotSent(NO_CONNECTION.to_string());
                     };
                     let limit = deadline.min(Instant::now() + CONNECT_TIMEOUT);
                     match timeout_at(limit, connect(address, permit)).await {
@@ -83,6 +116,9 @@
                     }
                 }
             };
+            if Instant::now() + least > deadline {
+                return Outcome::NotSent(NO_CONNECTION.to_string());
+            }
             let mut request = Request::post(path)
                 .header(HOST, address.to_string())
                 .header(CONTENT_TYPE, "application/json");
@@ -112,10 +148,11 @@
         }
     }
 
-    /// Waits for a place for a new connection. Idle ones give way.
+    /// Waits for a place for a new connection. An idle one gives way if there is none.
     async fn place(&self) -> OwnedSemaphorePermit {
         if self.places.available_permits() == 0 {
-            self.idle.borrow_mut().clear();
+            let mut idle = self.idle.borrow_mut();
+            drop(idle.values_mut().find_map(Vec::pop));
         }
         let permit = self.places.clone().acquire_owned().await;
         permit.expect("the semaphore is never closed")
--- a/crates/outbound/tests/outbound.rs
+++ b/crates/outbound/tests/outbound.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use greengage_outbound::{Call, Outbound, Outcome};
+use greengage_outbound::{Call, Class, Outbound, Outcome};
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -25,6 +25,7 @@
         headers: vec![("X-For", "t1".to_string())],
         body: b"{}".to_vec(),
         timeout: Duration::from_millis(timeout_ms),
+        class: Class::Upkeep,
         context,
     }
 }
@@ -157,3 +158,34 @@
     assert_eq!(not_sent.count(), 1);
     drop(heads);
 }
+
+/// Guards against starts to silent targets that delay the lease renewals of other targets.
+#[test]
+fn starts_leave_connections_to_other_calls() {
+    let (sender, outcomes) = channel();
+    let outbound = Outbound::start(8, move |context: u32, outcome| {
+        let _ = sender.send((context, outcome));
+    });
+    let outbound = outbound.unwrap();
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    for i in 0..40 {
+        let start = call(silent.local_addr().unwrap(), i, 1500);
+        outbound.call(Call {
+            class: Class::Start,
+            ..start
+        });
+    }
+    let (address, _heads) = server(OK);
+    let started = Instant::now();
+    outbound.call(call(address, 100, 1000));
+    let (context, outcome) = outcomes.recv_timeout(TEST_TIMEOUT).unwrap();
+    assert_eq!(context, 100);
+    assert!(matches!(outcome, Outcome::Answered { .. }), "{outcome:?}");
+    assert!(started.elapsed() < Duration::from_millis(1000));
+    // The others never had a connection.
+    let unanswered = (0..40).filter(|_| {
+        let (_, outcome) = outcomes.recv_timeout(TEST_TIMEOUT).unwrap();
+        matches!(outcome, Outcome::Unanswered(_))
+    });
+    assert_eq!(unanswered.count(), 6);
+}
