listener: refuse a connection for which there is no place

Cause: with all places in use by requests that are being run, a new connection was closed without an answer, and its caller had to take its request for one that has perhaps run.

Change: a listener that closes stalled connections writes the 503 refusal first; nothing was read, so it is true. The project's own interface, which refuses newcomers, closes them without an answer as before: its test connection_limit requires that.

Conclusion: callers at the platform's listeners may send elsewhere at once.

--- a/crates/listener/src/connection.rs
+++ b/crates/listener/src/connection.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Sender, TrySendError};
+use greengage_budget::Shortage;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{CONNECTION, CONTENT_TYPE, LOCATION, RETRY_AFTER};
@@ -17,7 +18,7 @@
 use tokio::sync::{oneshot, watch};
 use tokio::task::LocalSet;
 
-use crate::stream::{read_closed, Exchange, Phase, TimedStream};
+use crate::stream::{read_closed, refuse_connection, Exchange, Phase, TimedStream};
 use crate::table::{record_refusal, Reason, Table};
 use crate::{Answer, Handler, Headers, Request, Responder, Shared, ACCEPT_BACKLOG, NEXT_NUMBER};
 
@@ -178,6 +179,10 @@
     guards: &OpenGuards,
 ) {
     let Some(exchange) = table.open(Instant::now(), shared) else {
+        // With `RefuseNew` the connection is closed at once.
+        if shared.limits.shortage == Shortage::CloseStalled {
+            refuse_connection(&stream, &shared.refusal);
+        }
         return;
     };
     shared.open_connections.fetch_add(1, Ordering::Relaxed);
--- a/crates/listener/src/stream.rs
+++ b/crates/listener/src/stream.rs
@@ -242,8 +242,8 @@
 
     /// Sends the refusal, of which the socket takes what its buffer has room for.
     fn refuse(&mut self) {
-        let sent = (&*SockRef::from(&*self.tcp)).write(&self.shared.refusal);
-        self.exchange.refused.set(sent.is_ok());
+        let sent = write_refusal(&self.tcp, &self.shared.refusal);
+        self.exchange.refused.set(sent);
     }
 
     /// Reads what is in the socket. Tokio's own read reports nothing until its reactor has run.
@@ -427,6 +427,21 @@
     }
 }
 
+/// Writes a refusal; returns whether the socket has taken any of it.
+fn write_refusal(tcp: &TcpStream, refusal: &[u8]) -> bool {
+    // Tokio's own write fails until its reactor has seen the socket.
+    (&*SockRef::from(tcp)).write(refusal).is_ok()
+}
+
+/// Refuses the request of a connection that isn't served. None of it has been read, so none has run.
+pub(crate) fn refuse_connection(tcp: &TcpStream, refusal: &[u8]) {
+    write_refusal(tcp, refusal);
+    let socket = SockRef::from(tcp);
+    let _ = socket.shutdown(std::net::Shutdown::Write);
+    // Bytes that aren't read turn the close into a reset.
+    let _ = (&*socket).read(&mut [0; DISCARD_BYTES]);
+}
+
 impl Drop for TimedStream {
     /// Refuses a request that wasn't received in full when the listener ends.
     fn drop(&mut self) {
--- a/crates/listener/tests/direct.rs
+++ b/crates/listener/tests/direct.rs
@@ -384,3 +384,30 @@
     stream.read_exact(&mut status).ok()?;
     Some(String::from_utf8_lossy(&status).to_string())
 }
+
+/// Guards against a caller who has to assume that its request was run, as all places were in use.
+#[test]
+fn connections_without_a_place_are_refused() {
+    let (listener, events) = start_with(Limits {
+        max_connections: 1,
+        shortage: Shortage::CloseStalled,
+        ..Limits::default()
+    });
+    let connect = || {
+        let stream = TcpStream::connect(listener.address()).unwrap();
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+        stream
+    };
+    let mut waiting = connect();
+    waiting.write_all(REQUEST).unwrap();
+    let Ok(Event::Call(_, _, responder)) = events.recv_timeout(TIMEOUT) else {
+        panic!("no call");
+    };
+    let mut text = String::new();
+    connect().read_to_string(&mut text).unwrap();
+    assert!(text.starts_with("HTTP/1.1 503 "), "{text:?}");
+    responder.send(Answer::json(200, "{}"));
+    let mut status = [0; 12];
+    waiting.read_exact(&mut status).unwrap();
+    assert_eq!(&status, b"HTTP/1.1 200");
+}
