runtime: drop reports before other messages, the group's last

Cause: reports, messages of the control group and others that wait for the control thread shared one pool, so many reports cost the group its messages and with them its leader. A large configuration didn't fit the pool of a VM with little memory, and the leader repeats it for ever.

Change: MessagePools decides by kind. Reports have a pool of their own; messages of the control group that find no place among the others have one too, in which a message of any size is taken alone.

Conclusion: reports lose first and messages of the group last.

--- a/crates/runtime/src/inputs.rs
+++ b/crates/runtime/src/inputs.rs
@@ -32,14 +32,9 @@
 }
 
 /// As [`is_urgent`], for an event.
-pub(crate) fn is_urgent_event(event: &Event) -> bool {
+fn is_urgent_event(event: &Event) -> bool {
     match event {
-        Event::Receive { message, .. } => {
-            matches!(
-                message,
-                Message::Configuration(_) | Message::Evacuations(_) | Message::Gossip(..)
-            )
-        }
+        Event::Receive { message, .. } => is_urgent_message(message),
         Event::Scheduler(event) => matches!(
             event,
             scheduler::Event::CallerGone(_) | scheduler::Event::CallersChecked { .. }
@@ -48,6 +43,14 @@
     }
 }
 
+/// As [`is_urgent`], for a message of another VM.
+pub(crate) fn is_urgent_message(message: &Message) -> bool {
+    matches!(
+        message,
+        Message::Configuration(_) | Message::Evacuations(_) | Message::Gossip(..)
+    )
+}
+
 /// Creates the channels of the control thread.
 pub fn inputs() -> (InputSender, Inputs) {
     let (urgent_sender, urgent) = unbounded();
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -8,6 +8,7 @@
 mod clock;
 mod disk;
 mod inputs;
+mod messages;
 mod metrics;
 mod records;
 mod runtime;
@@ -15,6 +16,7 @@
 
 pub use clock::Clock;
 pub use inputs::{inputs, is_urgent, ControlEnded, Input, InputSender, Inputs};
+pub use messages::MessagePools;
 pub use metrics::{
     record_answer, record_call, record_shed, record_status, record_unanswered, Metrics,
 };
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -9,7 +9,6 @@
 use crossbeam_channel::RecvTimeoutError;
 use eyre::{eyre, Report};
 use greengage_agreement::Timing;
-use greengage_budget::Pool;
 use greengage_cluster::{
     gossip, scheduler, Cluster, Effect, Event, Hints, Message, Outcome, Setup, Stage, Status,
 };
@@ -22,7 +21,8 @@
 use crate::clock::Clock;
 use crate::disk;
 use crate::disk::SaveRequest;
-use crate::inputs::{is_urgent_event, Input, InputSender, Inputs};
+use crate::inputs::{Input, InputSender, Inputs};
+use crate::messages::MessagePools;
 use crate::metrics::{record_queued_inputs, record_shed, record_status};
 use crate::settings::Settings;
 
@@ -37,9 +37,6 @@
 /// Maximum number of events that are processed between two checks of the VM's status.
 const MAX_BATCH_EVENTS: usize = 256;
 
-/// Estimated memory of a message besides its encoded size.
-const MESSAGE_BYTES: usize = 512;
-
 /// Interval between attempts to open the data folder after a disk failure.
 const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -190,8 +187,7 @@
         buffered_bytes: shares.messages,
         message_bytes: shares.message,
     };
-    // Urgent messages are taken first, so they don't wait for places of others.
-    let [urgent, others] = [0; 2].map(|_| Pool::new(shares.messages / 2));
+    let pools = MessagePools::new(shares.messages);
     let mesh = Mesh::start(
         settings.vm.clone(),
         settings.listen_address,
@@ -199,18 +195,14 @@
         move |from, bytes| {
             match decode::<(gossip::Stamp, Message)>(&bytes) {
                 Ok((stamp, message)) => {
+                    let Some(charge) = pools.admit(&message, bytes.len()) else {
+                        return record_shed("messages");
+                    };
                     let event = Event::Receive {
                         from,
                         stamp,
                         message,
                     };
-                    let pool = match is_urgent_event(&event) {
-                        true => &urgent,
-                        false => &others,
-                    };
-                    let Some(charge) = pool.take(bytes.len() + MESSAGE_BYTES) else {
-                        return record_shed("messages");
-                    };
                     // The send fails only while the process exits, after this loop has ended.
                     let _ = sender.send(Input::Message(event, charge));
                 }
