--- a/crates/runtime/src/inputs.rs
+++ b/crates/runtime/src/inputs.rs
@@ -21,10 +21,11 @@
 /// Whether the control thread takes an input before everything else that waits.
 ///
 /// The configuration and the evacuated zones decide how all other inputs are handled, a job may be
-/// worked on only while its caller waits, and an order about an evacuation is refused once it has waited
-/// for most of a second. An order and the notice that its operator has left stay in sequence. Under load the other inputs wait for longer than a
-/// configuration may take until it is in force, than a VM may be silent before it counts as lost, and than a caller waits before
-/// it submits a job again.
+/// worked on only while its caller waits, and an order about an evacuation is refused once it has
+/// waited for most of a second. An order and the notice that its operator has left stay in sequence.
+/// Under load the other inputs wait for longer than a configuration may take until it is in force,
+/// than a VM may be silent before it counts as lost, and than a caller waits before it submits a job
+/// again.
 pub fn is_urgent(input: &Input) -> bool {
     match input {
         Input::Event(event) | Input::Message(event, _) => is_urgent_event(event),
@@ -33,14 +34,9 @@
 }
 
 /// As [`is_urgent`], for an event.
-pub(crate) fn is_urgent_event(event: &Event) -> bool {
+fn is_urgent_event(event: &Event) -> bool {
     match event {
-        Event::Receive { message, .. } => {
-            matches!(
-                message,
-                Message::Configuration(_) | Message::Evacuations(_) | Message::Gossip(..)
-            )
-        }
+        Event::Receive { message, .. } => is_urgent_message(message),
         Event::Evacuate { .. } | Event::OperatorGone(_) => true,
         Event::Scheduler(event) => matches!(
             event,
@@ -50,6 +46,14 @@
     }
 }
 
+/// As [`is_urgent`], for a message of another VM.
+pub(crate) fn is_urgent_message(message: &Message) -> bool {
+    matches!(
+        message,
+        Message::Configuration(_) | Message::Evacuations(_) | Message::Gossip(..)
+    )
+}
+
 /// Creates the channels of the control thread.
 pub fn inputs() -> (InputSender, Inputs) {
     let (urgent_sender, urgent) = unbounded();
