docs: say which rules for too little room are in force

Cause: the pages told of refusals by rank and of waits that the code doesn't have. Measured: nothing. Conclusion: refusals by rank stay open.

--- a/crates/contention/src/lib.rs
+++ b/crates/contention/src/lib.rs
@@ -1,8 +1,9 @@
 //! Decisions when jobs compete for too little room.
 //!
 //! The crate has no I/O, no clock and no encoding: the present time is an argument, and callers
-//! translate their own jobs and targets into its types. The scheduler of entry VMs and the dispatcher
-//! of the project's own interface use the same rules.
+//! translate their own jobs and targets into its types. The scheduler of entry VMs uses the order,
+//! the placement and the start of jobs, the dispatcher of the project's own interface the windows.
+//! Neither uses `refusal` and `share` yet: see `docs/design/too-little-room.md`.
 //!
 //! - `forecast`: what a target has free, now and later.
 //! - `placement`: choice of a slot for a task.
