--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -9,8 +9,8 @@
 };
 use greengage_scheduler::{
     Candidate, Departure, Effect, EndKind, Event, HoldResult, OffloadOutcome, OffloadedTask, Peer,
-    PeerMessage, Reply, RunEnd, Scheduler, Setup, Step, Submission, TargetCall, TargetReport,
-    DEFAULT_WEIGHT,
+    PeerMessage, Reply, RunEnd, Scheduler, Setup, StartCall, Step, Submission, TargetCall,
+    TargetReport, DEFAULT_WEIGHT,
 };
 
 fn document() -> Document {
@@ -508,6 +508,41 @@
     starts
 }
 
+/// The calls among the effects that start tasks.
+fn starts(effects: &[Effect]) -> Vec<(TargetName, u64, StartCall)> {
+    let starts = effects.iter().filter_map(|effect| match effect {
+        Effect::Call {
+            target,
+            generation,
+            call: TargetCall::Start(start),
+            ..
+        } => Some((target.clone(), *generation, start.clone())),
+        _ => None,
+    });
+    starts.collect()
+}
+
+/// The answer of a hold that lists a run as done.
+fn run_done(now: Time, (target, generation, start): &(TargetName, u64, StartCall)) -> Event {
+    let end = RunEnd {
+        number: 1,
+        task: start.task.clone(),
+        run: start.number,
+        kind: EndKind::Done,
+    };
+    let result = HoldResult::Lists {
+        clock: now.0 / 1000,
+        incarnation: Some(Incarnation(1)),
+        running: Vec::new(),
+        ended: vec![end],
+    };
+    Event::HoldEnded {
+        target: target.clone(),
+        generation: *generation,
+        result,
+    }
+}
+
 fn is_start(effect: &Effect) -> bool {
     matches!(
         effect,
@@ -593,34 +628,12 @@
         Event::Submit(job)
     };
     let effects = step(&mut scheduler, now, job(now, 1, Duration::from_millis(10)));
-    let start = effects.into_iter().find_map(|effect| match effect {
-        Effect::Call {
-            target,
-            generation,
-            call: TargetCall::Start(start),
-            ..
-        } => Some((target, generation, start)),
-        _ => None,
-    });
-    let (target, generation, start) = start.expect("the short task starts");
-    now = now + Duration::from_millis(29);
-    let end = RunEnd {
-        number: 1,
-        task: start.task,
-        run: start.number,
-        kind: EndKind::Done,
-    };
-    let result = HoldResult::Lists {
-        clock: now.0 / 1000,
-        incarnation: Some(Incarnation(1)),
-        running: Vec::new(),
-        ended: vec![end],
-    };
-    let event = Event::HoldEnded {
-        target,
-        generation,
-        result,
+    let started = starts(&effects);
+    let [start] = started.as_slice() else {
+        panic!("{started:?}");
     };
+    now = now + Duration::from_millis(29);
+    let event = run_done(now, start);
     let effects = step(&mut scheduler, now, event);
     assert!(effects.iter().any(|effect| matches!(
         effect,
@@ -678,20 +691,8 @@
         job.path = format!("{prefix}{}", job.id).into();
         Event::Submit(job)
     };
-    let started = |effects: Vec<Effect>| {
-        let starts = effects.into_iter().filter_map(|effect| match effect {
-            Effect::Call {
-                target,
-                generation,
-                call: TargetCall::Start(start),
-                ..
-            } => Some((target, generation, start)),
-            _ => None,
-        });
-        starts.collect::<Vec<_>>()
-    };
-    let first = started(step(&mut scheduler, now, job(now, 1, "/q/")));
-    let [(target, generation, start)] = first.as_slice() else {
+    let first = starts(&step(&mut scheduler, now, job(now, 1, "/q/")));
+    let [first] = first.as_slice() else {
         panic!("{first:?}");
     };
     for (request, prefix) in [(2, "/low/"), (3, "/q/")] {
@@ -700,24 +701,8 @@
         assert!(!effects.iter().any(is_start), "{effects:?}");
     }
     now = now + Duration::from_millis(100);
-    let end = RunEnd {
-        number: 1,
-        task: start.task.clone(),
-        run: start.number,
-        kind: EndKind::Done,
-    };
-    let result = HoldResult::Lists {
-        clock: now.0 / 1000,
-        incarnation: Some(Incarnation(1)),
-        running: Vec::new(),
-        ended: vec![end],
-    };
-    let event = Event::HoldEnded {
-        target: target.clone(),
-        generation: *generation,
-        result,
-    };
-    let next = started(step(&mut scheduler, now, event));
+    let event = run_done(now, first);
+    let next = starts(&step(&mut scheduler, now, event));
     let names: Vec<&str> = next.iter().map(|(.., start)| &*start.task).collect();
     let Event::Submit(urgent) = submission(now, 3) else {
         unreachable!();
