--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -35,6 +35,13 @@
     pub uses_advisor: bool,
 }
 
+impl Queue {
+    /// Longest time in which work with this expected run time is to be answered.
+    pub fn objective(&self, work: Duration) -> Duration {
+        work * self.slack_percent / 100 + self.latency
+    }
+}
+
 /// A pool of targets.
 #[value]
 pub struct Service {
@@ -113,30 +120,50 @@
 }
 
 impl Document {
-    /// Sorts the queues and services and validates the document.
-    pub fn validated(mut self) -> Result<Document, DocumentError> {
-        self.services.sort_by(|a, b| a.name.cmp(&b.name));
-        self.queues
-            .sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
-        for pair in self.queues.windows(2) {
-            if (&pair[0].host, &pair[0].prefix) == (&pair[1].host, &pair[1].prefix) {
-                return Err(DocumentError::DuplicateRoute {
-                    host: pair[0].host.clone(),
-                    prefix: pair[0].prefix.clone(),
-                });
-            }
-        }
-        for queue in &self.queues {
-            if self.service(&queue.service).is_none() {
-                return Err(DocumentError::UnknownService {
+    /// Why the document is invalid: numbers of queues in ascending order, each with a reason.
+    pub fn faults(&self) -> Vec<(usize, DocumentError)> {
+        let mut services: Vec<&str> = self.services.iter().map(|s| &*s.name).collect();
+        services.sort_unstable();
+        let mut faults = Vec::new();
+        for (i, queue) in self.queues.iter().enumerate() {
+            if services.binary_search(&&*queue.service).is_err() {
+                let error = DocumentError::UnknownService {
                     queue: queue.name.clone(),
                     service: queue.service.clone(),
-                });
+                };
+                faults.push((i, error));
             }
             if queue.timeout.is_zero() {
-                return Err(DocumentError::ZeroTimeout(queue.name.clone()));
+                faults.push((i, DocumentError::ZeroTimeout(queue.name.clone())));
             }
         }
+        let mut routes: Vec<(&Arc<str>, &Arc<str>, usize)> = Vec::new();
+        routes.extend(
+            self.queues
+                .iter()
+                .enumerate()
+                .map(|(i, queue)| (&queue.host, &queue.prefix, i)),
+        );
+        routes.sort_unstable();
+        for pair in routes.windows(2) {
+            let (host, prefix, i) = pair[1];
+            if (pair[0].0, pair[0].1) == (host, prefix) {
+                let (host, prefix) = (host.clone(), prefix.clone());
+                faults.push((i, DocumentError::DuplicateRoute { host, prefix }));
+            }
+        }
+        faults.sort_by_key(|(i, _)| *i);
+        faults
+    }
+
+    /// Validates the document and sorts its queues and services.
+    pub fn validated(mut self) -> Result<Document, DocumentError> {
+        if let Some((_, error)) = self.faults().into_iter().next() {
+            return Err(error);
+        }
+        self.services.sort_by(|a, b| a.name.cmp(&b.name));
+        self.queues
+            .sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
         Ok(self)
     }
 
--- a/crates/ctl/src/evacuation.rs
+++ b/crates/ctl/src/evacuation.rs
@@ -38,33 +38,50 @@
 }
 
 impl ControlVms {
-    /// Parses addresses separated by commas.
-    pub(crate) fn new(addresses: &str) -> Result<ControlVms, Report> {
+    /// Parses addresses separated by commas; `flag` is named in the error for an address that isn't
+    /// IP:PORT.
+    pub(crate) fn new(addresses: &str, flag: &str) -> Result<ControlVms, Report> {
         let parse = |text: &str| -> Result<SocketAddr, Report> {
             text.parse()
-                .wrap_err_with(|| format!("--controls: {text:?} is not of the form IP:PORT"))
+                .wrap_err_with(|| format!("{flag}: {text:?} is not of the form IP:PORT"))
         };
         let addresses: Result<Vec<SocketAddr>, Report> =
             addresses.split(',').map(str::trim).map(parse).collect();
+        Ok(ControlVms::at(addresses?, ANSWER_TIMEOUT))
+    }
+
+    /// The VMs at these addresses, each of which may take `timeout` for its answer.
+    pub(crate) fn at(addresses: Vec<SocketAddr>, timeout: Duration) -> ControlVms {
         let config = Agent::config_builder()
             .http_status_as_error(false)
             .proxy(None)
             .max_redirects(0)
-            .timeout_global(Some(ANSWER_TIMEOUT))
+            .timeout_global(Some(timeout))
             .build();
-        Ok(ControlVms {
+        ControlVms {
             agent: direct_agent(config),
-            addresses: addresses?,
-        })
+            addresses,
+        }
     }
 
-    /// Sends a request without a body and follows a VM's answer to the leader.
     fn request(
         &self,
         address: SocketAddr,
         method: &str,
         path: &str,
     ) -> Result<(u16, Value), Report> {
+        let (status, text) = self.request_text(address, method, path)?;
+        let body = serde_json::from_str(&text).unwrap_or(Value::String(text));
+        Ok((status, body))
+    }
+
+    /// Sends a request without a body and follows a VM's answer to the leader.
+    pub(crate) fn request_text(
+        &self,
+        address: SocketAddr,
+        method: &str,
+        path: &str,
+    ) -> Result<(u16, String), Report> {
         let mut uri = format!("http://{address}{path}");
         for _ in 0..=MAX_REDIRECTS {
             let request = ureq::http::Request::builder()
@@ -80,8 +97,7 @@
                 _ => {
                     let text = response.body_mut().read_to_string();
                     let text = text.wrap_err_with(|| format!("the answer of {uri} broke off"))?;
-                    let body = serde_json::from_str(&text).unwrap_or(Value::String(text));
-                    return Ok((response.status().as_u16(), body));
+                    return Ok((response.status().as_u16(), text));
                 }
             }
         }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -5,6 +5,7 @@
 //! process, and `load` runs a load test.
 
 mod admin;
+mod check;
 mod evacuation;
 mod keys;
 mod submit;
@@ -67,6 +68,8 @@
     Evacuate(evacuation::Zone),
     /// Take the evacuation of a zone back.
     Restore(evacuation::Zone),
+    /// Check a configuration before it is sent. Exit code 1 means warnings, 2 errors.
+    Check(check::Check),
     /// Cancel a job and print its outcome.
     Cancel(submit::JobRef),
     /// Read and edit templates.
@@ -101,7 +104,7 @@
         .write_style("GREENGAGE_LOG_STYLE");
     env_logger::Builder::from_env(level).init();
     match run(&args) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(error) => {
             eprintln!("greengagectl: {error:#}");
             ExitCode::FAILURE
@@ -109,11 +112,12 @@
     }
 }
 
-fn run(args: &Args) -> Result<(), Report> {
+fn run(args: &Args) -> Result<ExitCode, Report> {
     let admins = || client::Client::new(&args.admins, "--admins");
-    let controls = || evacuation::ControlVms::new(&args.controls);
+    let controls = || evacuation::ControlVms::new(&args.controls, "--controls");
     let entries = || client::Client::new(&args.entries, "--entries");
     match &args.command {
+        Command::Check(check) => return Ok(check.run()),
         Command::Keys(command) => command.run(),
         Command::Submit(submit) => submit.run(&entries()?),
         Command::Status(status) => match status.job() {
@@ -133,5 +137,6 @@
         Command::Target(target) => target.run(&args.entries),
         Command::Load(load) => load.run(&entries()?, &admins()?),
         Command::Try => trial::run(),
-    }
+    }?;
+    Ok(ExitCode::SUCCESS)
 }
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -321,7 +321,7 @@
 
 /// Creates a waiting job; `work` is the expected run time of its longest chain of steps.
 fn new_job(now: Time, job: &Submission, queue: &Queue, work: Duration) -> Job {
-    let objective = work * queue.slack_percent / 100 + queue.latency;
+    let objective = queue.objective(work);
     let deadline = answer_time(job);
     let mut tasks = Vec::new();
     for (i, step) in job.steps.iter().enumerate() {
