Bound the number of evacuated zones

Cause: a control VM whose settings list no zones takes an order about any name. Each invented one stays in the replicated state, in each message that tells the zones and in each VM, without a bound.

Orders that take one back, and repeated ones, are carried out. Deployments have some ten zones.

Conclusion: the zones take at most some 50 KB, whoever sends orders. Orders that a previous leader has left uncommitted aren't counted; they are few.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -557,6 +557,7 @@
                 let outcome = match outcome {
                     EditOutcome::Accepted => Outcome::Accepted,
                     EditOutcome::Unknown => Outcome::Unknown,
+                    EditOutcome::TooManyZones => Outcome::TooManyZones,
                 };
                 out.push(Effect::Answer { request, outcome });
             }
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -86,6 +86,8 @@
     Redirect(Address),
     /// The outcome or the newest state is unknown; the request may be retried.
     Unknown,
+    /// The order isn't carried out, since too many zones are evacuated.
+    TooManyZones,
     /// It isn't known whether another VM has the job and has cancelled it; the request may be retried.
     Unconfirmed,
 }
--- a/crates/config/src/evacuation.rs
+++ b/crates/config/src/evacuation.rs
@@ -5,6 +5,10 @@
 
 use greengage_core::{value, Revision, WallTime, ZoneName};
 
+/// Most zones that are evacuated at once, since each VM holds them all and anyone who reaches the
+/// operators' port may invent names where the settings name no zones.
+pub const MAX_EVACUATED_ZONES: usize = 256;
+
 /// What an order does to its zone.
 #[value(copy)]
 pub enum EvacuationAction {
--- a/crates/config/src/group.rs
+++ b/crates/config/src/group.rs
@@ -20,7 +20,7 @@
 
 use crate::autopilot::{next_change, Peer, VOTER_TIMEOUT};
 use crate::document::Document;
-use crate::evacuation::{EvacuationOrder, Evacuations};
+use crate::evacuation::{EvacuationAction, EvacuationOrder, Evacuations, MAX_EVACUATED_ZONES};
 use crate::state::{Edit, State, StateChange};
 
 /// A Raft message between members.
@@ -96,6 +96,8 @@
     Accepted,
     /// The outcome is unknown; the edit may be retried.
     Unknown,
+    /// The order isn't carried out, since too many zones are evacuated.
+    TooManyZones,
 }
 
 /// An input of [`Group::step`].
@@ -188,6 +190,7 @@
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum RequestKind {
     Edit,
+    Order,
     Read,
 }
 
@@ -435,16 +438,39 @@
             out.push(Effect::Edited { request, outcome });
             return;
         }
+        if self.is_leader() && self.exceeds_zones(&order) {
+            log::info!(event = "order-beyond-limit", request = request.0,
+                zone = order.zone.as_str(), most = MAX_EVACUATED_ZONES;
+                "refused an order, since too many zones are evacuated");
+            let outcome = EditOutcome::TooManyZones;
+            out.push(Effect::Edited { request, outcome });
+            return;
+        }
         self.propose(now, request, Edit::Evacuation(order), out);
     }
 
+    /// Whether an order may evacuate more zones than are allowed. Each order that is on its way counts
+    /// as one.
+    fn exceeds_zones(&self, order: &EvacuationOrder) -> bool {
+        let zones = &self.state.evacuations;
+        let is_order = |pending: &&PendingRequest| pending.kind == RequestKind::Order;
+        order.action == EvacuationAction::Start
+            && !zones.contains(&order.zone)
+            && zones.zones.len() + self.pending.values().filter(is_order).count()
+                >= MAX_EVACUATED_ZONES
+    }
+
     fn propose(&mut self, now: Time, request: RequestId, command: Edit, out: &mut Vec<Effect>) {
         if self.is_leader() && self.raft.uncommitted_bytes() > MAX_UNCOMMITTED_BYTES {
             let leader = None;
             out.push(Effect::Redirect { request, leader });
             return;
         }
-        let ticket = self.add_pending(now, request, RequestKind::Edit);
+        let kind = match command {
+            Edit::Document(_) => RequestKind::Edit,
+            Edit::Evacuation(_) => RequestKind::Order,
+        };
+        let ticket = self.add_pending(now, request, kind);
         self.step_raft(now, agreement::Event::Propose { ticket, command }, out);
     }
 
@@ -454,7 +480,7 @@
         };
         let request = pending.request;
         out.push(match pending.kind {
-            RequestKind::Edit => Effect::Edited {
+            RequestKind::Edit | RequestKind::Order => Effect::Edited {
                 request,
                 outcome: EditOutcome::Unknown,
             },
@@ -563,7 +589,7 @@
             let request = pending.request;
             if done {
                 out.push(match pending.kind {
-                    RequestKind::Edit => Effect::Edited {
+                    RequestKind::Edit | RequestKind::Order => Effect::Edited {
                         request,
                         outcome: EditOutcome::Accepted,
                     },
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -19,7 +19,9 @@
     check, differences, Bounds, Change, Difference, Entry, Finding, Problem, SHORTEST_RUN,
 };
 pub use document::{Document, DocumentError, Limits, Queue, Service};
-pub use evacuation::{EvacuatedZone, EvacuationAction, EvacuationOrder, Evacuations};
+pub use evacuation::{
+    EvacuatedZone, EvacuationAction, EvacuationOrder, Evacuations, MAX_EVACUATED_ZONES,
+};
 pub use group::{
     EditOutcome, Effect, Event, Group, GroupMessage, GroupSave, RecoveredState, Setup,
     COMPACTION_ENTRIES, MAX_ORDER_AGE,
--- a/crates/config/tests/group/evacuations.rs
+++ b/crates/config/tests/group/evacuations.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use greengage_config::{EvacuationAction, EvacuationOrder, MAX_ORDER_AGE};
+use greengage_config::{EvacuationAction, EvacuationOrder, MAX_EVACUATED_ZONES, MAX_ORDER_AGE};
 use greengage_core::{RequestId, WallTime, ZoneName};
 
 use crate::support::Simulation;
@@ -140,3 +140,28 @@
     assert!(!sim.acked_orders.contains(&request));
     assert!(!is_evacuated(&mut sim, "a"));
 }
+
+/// Guards against a state that grows with each invented zone, and against a full one that refuses to
+/// take an evacuation back or to acknowledge an order again.
+#[test]
+fn number_of_evacuated_zones_is_bounded() {
+    let mut sim = Simulation::new(1, VMS, VMS, VMS);
+    sim.run(3 * SECOND);
+    let leader = sim.leader().unwrap();
+    for zone in 0..2 * MAX_EVACUATED_ZONES {
+        let start = order(&format!("zone-{zone}"), EvacuationAction::Start);
+        sim.order(leader, start, sim.now);
+        if zone % 100 == 99 {
+            sim.run(SECOND);
+        }
+    }
+    sim.run(SECOND);
+    let evacuated = sim.evacuations(leader).unwrap().zones.len();
+    assert_eq!(evacuated, MAX_EVACUATED_ZONES);
+    let finish = order("zone-7", EvacuationAction::Finish);
+    assert!(send(&mut sim, &order("zone-8", EvacuationAction::Start)));
+    assert!(!send(&mut sim, &order("more", EvacuationAction::Start)));
+    assert!(send(&mut sim, &finish));
+    assert!(send(&mut sim, &order("more", EvacuationAction::Start)));
+    assert!(is_evacuated(&mut sim, "more"));
+}
--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -57,6 +57,7 @@
         Outcome::Evacuations(_) => "evacuations",
         Outcome::Redirect(_) => "elsewhere",
         Outcome::Unknown => "unknown",
+        Outcome::TooManyZones => "too_many_zones",
         Outcome::Unconfirmed => "unconfirmed",
     };
     ::metrics::counter!("greengage_answers_total", "outcome" => label).increment(1);
