Count the orders about evacuations that are refused

Cause: an order with an unknown zone or a malformed one was logged and answered, but counted nowhere; one that a control VM refused as late or without a majority was counted together with reads of the configuration.

Conclusion: an alarm can be set on refused orders. Orders that are dropped as their operator leaves are logged only, as before.

--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -72,6 +72,11 @@
     ::metrics::counter!("greengage_unanswered_total").increment(1);
 }
 
+/// Counts an order about an evacuation that was refused.
+pub fn record_refused_order(reason: &'static str) {
+    ::metrics::counter!("greengage_orders_refused_total", "reason" => reason).increment(1);
+}
+
 /// Counts a call to a target under its outcome.
 pub fn record_call(call: &TargetCall, outcome: &'static str) {
     let kind = match call {
