Bound the memory of the latest reports of targets

Cause: a control VM kept the latest report of each target id that it ever heard of. Clients that report under invented ids, and targets that come back under new ids for months, made it grow without a bound.

Change: reports take a sixteenth of the VM's memory at most. When it is used up, targets that have been silent for 10 s are forgotten; they are neither stored nor forwarded any more. If that isn't enough, reports of targets that aren't known are dropped, counted and logged.

Conclusion: invented ids cost a bounded part of the memory, and targets that go on reporting stay known. A crowd that keeps as many ids fresh keeps new targets out until it stops.

--- a/crates/budget/src/shares.rs
+++ b/crates/budget/src/shares.rs
@@ -45,6 +45,8 @@
     pub requests: usize,
     /// Bytes of messages from other VMs.
     pub messages: usize,
+    /// Estimated bytes of the latest reports of targets, on a control VM.
+    pub reports: usize,
     /// Bytes of one request's body.
     pub body: usize,
     /// Bytes of one message from another VM.
@@ -72,6 +74,7 @@
             answers: sixteenth as usize,
             requests: (2 * sixteenth) as usize,
             messages: sixteenth as usize,
+            reports: sixteenth as usize,
             body: (memory / 24).clamp(BODY_BYTES.0, BODY_BYTES.1) as usize,
             message: MAX_MESSAGE_BYTES,
             inputs: (2 * sixteenth / INPUT_BYTES) as usize,
--- a/crates/budget/tests/budget.rs
+++ b/crates/budget/tests/budget.rs
@@ -17,7 +17,8 @@
             + shares.incoming
             + shares.answers
             + shares.requests
-            + shares.messages;
+            + shares.messages
+            + shares.reports;
         assert!(bytes as u64 <= memory * 5 / 8, "{shares:?}");
         let sockets = shares.connections
             + 2 * shares.side_connections
--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -40,6 +40,8 @@
     pub group: Option<config::Setup>,
     /// Setup of its scheduler; `None` unless this is an entry VM.
     pub scheduler: Option<scheduler::Setup>,
+    /// Memory for the latest reports of targets, in bytes.
+    pub report_memory: usize,
     /// Hints found on disk; empty unless this is a control VM.
     pub hints: Hints,
     /// Upper limit on the duration of a shutdown.
@@ -63,6 +65,8 @@
     pub owned: usize,
     /// Number of targets that it knows.
     pub targets: usize,
+    /// Number of reports of targets that were dropped, since others take up their memory.
+    pub dropped: u64,
     /// Number of other VMs that are live.
     pub vms: usize,
     /// Number of callers and operators that wait for an answer.
@@ -113,7 +117,7 @@
             group,
             scheduler,
             cancels: Cancels::default(),
-            reports: Reports::new(now, setup.hints.targets),
+            reports: Reports::new(now, setup.hints.targets, setup.report_memory),
             document,
             evacuations: EvacuationState::new(now, evacuations),
             shutdown: Shutdown::default(),
@@ -205,6 +209,7 @@
             evacuated: self.evacuations.current().map_or(0, |e| e.zones.len()),
             owned,
             targets,
+            dropped: self.reports.dropped(),
             vms: self.live.len(),
             callers,
             is_leader,
--- a/crates/cluster/src/reports.rs
+++ b/crates/cluster/src/reports.rs
@@ -33,7 +33,16 @@
 /// first is dropped.
 const MAX_SERVICES: usize = 4;
 
+/// Estimated memory of a report besides its texts, and of one of its labels.
+const REPORT_BYTES: usize = 256;
+const LABEL_BYTES: usize = 32;
+/// Minimum time between two searches for reports to drop, each of which looks at all reports.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The latest reports of each target, with the state of forwarding and storing.
+///
+/// They take a limited memory. If it is used up, those of targets that have been silent for long give
+/// way; else a report that needs more is dropped, so that targets which go on reporting stay known.
 pub(crate) struct Reports {
     /// One report for each service that is named, and when it was received.
     latest: SortedMap<TargetName, Vec<(TargetReport, Time)>>,
@@ -44,6 +53,28 @@
     dirty: bool,
     /// Earliest time of the next write to disk.
     store_due: Time,
+    /// Estimated memory of `latest`, and its limit.
+    bytes: usize,
+    most: usize,
+    sweep_due: Time,
+    /// Number of reports that were dropped for lack of memory.
+    dropped: u64,
+}
+
+/// Estimated memory of a report.
+fn report_bytes(report: &TargetReport) -> usize {
+    let labels = report.labels.iter().map(|label| LABEL_BYTES + label.len());
+    let names = [
+        report.target.as_str(),
+        &report.service,
+        report.address.as_str(),
+        report.zone.as_str(),
+    ];
+    // The target's name is a key as well.
+    REPORT_BYTES
+        + names.map(str::len).iter().sum::<usize>()
+        + names[0].len()
+        + labels.sum::<usize>()
 }
 
 /// Whether the reports differ in more than the sequence number.
@@ -56,9 +87,12 @@
 
 impl Reports {
     /// Creates the state from the reports on disk, which count as received at `now`.
-    pub(crate) fn new(now: Time, stored: Vec<TargetReport>) -> Reports {
+    /// They take `most` bytes.
+    pub(crate) fn new(now: Time, stored: Vec<TargetReport>, most: usize) -> Reports {
         let mut latest: SortedMap<TargetName, Vec<(TargetReport, Time)>> = SortedMap::new();
+        let mut bytes = 0;
         for report in stored {
+            bytes += report_bytes(&report);
             let known = latest.get_or_insert_with(report.target.clone(), Vec::new);
             known.push((report, now));
         }
@@ -69,6 +103,10 @@
             batch_due: now,
             dirty: false,
             store_due: now,
+            bytes,
+            most,
+            sweep_due: now,
+            dropped: 0,
         }
     }
 
@@ -78,29 +116,83 @@
             return;
         }
         let order = |r: &TargetReport| (r.incarnation, r.sequence);
-        let reports = self
+        let known = self
             .latest
-            .get_or_insert_with(report.target.clone(), Vec::new);
-        let mut known = reports.iter();
-        let known = known.position(|(latest, _)| latest.service == report.service);
-        if known.is_some_and(|i| order(&reports[i].0) >= order(&report)) {
+            .get(&report.target)
+            .map_or(&[][..], Vec::as_slice);
+        let same = known.iter().map(|(latest, _)| latest);
+        let same = same
+            .into_iter()
+            .find(|latest| latest.service == report.service);
+        if same.is_some_and(|latest| order(latest) >= order(&report)) {
             return;
         }
-        self.dirty |= known.is_none_or(|i| content_differs(&reports[i].0, &report));
+        let differs = same.is_none_or(|latest| content_differs(latest, &report));
+        let replaced = match same {
+            Some(latest) => Some(latest),
+            None if known.len() < MAX_SERVICES => None,
+            None => known
+                .iter()
+                .min_by_key(|(_, received)| *received)
+                .map(|(r, _)| r),
+        };
+        let replaced = replaced.map(|r| (r.service.clone(), report_bytes(r)));
+        let (freed, taken) = (
+            replaced.as_ref().map_or(0, |(_, bytes)| *bytes),
+            report_bytes(&report),
+        );
+        if !self.make_room(now, taken.saturating_sub(freed)) {
+            self.dropped += 1;
+            log::warn!(event = "report-dropped", target = report.target.as_str(),
+                dropped = self.dropped, bytes = self.bytes;
+                "dropped a report, since those of other targets take up the memory for them");
+            return;
+        }
+        self.dirty |= differs;
         if report.draining {
             self.batch_due = now;
         }
         self.pending.push(report.clone());
-        match known {
-            Some(i) => reports[i] = (report, now),
-            None => {
-                if reports.len() >= MAX_SERVICES {
-                    let oldest = (0..reports.len()).min_by_key(|i| reports[*i].1);
-                    oldest.map(|i| reports.swap_remove(i));
+        let reports = self
+            .latest
+            .get_or_insert_with(report.target.clone(), Vec::new);
+        if let Some((service, _)) = replaced {
+            reports.retain(|(latest, _)| {
+                let stays = latest.service != service;
+                if !stays {
+                    self.bytes -= report_bytes(latest);
                 }
-                reports.push((report, now));
-            }
+                stays
+            });
+        }
+        reports.push((report, now));
+        self.bytes += taken;
+    }
+
+    /// Whether `needed` bytes more may be taken. If they don't fit, targets that have been silent for so
+    /// long that their reports are neither stored nor forwarded are forgotten.
+    fn make_room(&mut self, now: Time, needed: usize) -> bool {
+        if self.bytes + needed > self.most && now >= self.sweep_due {
+            self.sweep_due = now + SWEEP_INTERVAL;
+            self.retain(|_, received| now.since(received) < STORE_MAX_AGE);
         }
+        needed == 0 || self.bytes + needed <= self.most
+    }
+
+    /// Keeps the reports for which `keep` holds; it gets the time at which each was received.
+    fn retain(&mut self, mut keep: impl FnMut(&TargetReport, Time) -> bool) {
+        let mut bytes = 0;
+        self.latest.retain(|_, reports| {
+            reports.retain(|(report, received)| keep(report, *received));
+            bytes += reports.iter().map(|(r, _)| report_bytes(r)).sum::<usize>();
+            !reports.is_empty()
+        });
+        self.bytes = bytes;
+    }
+
+    /// Number of reports that were dropped for lack of memory.
+    pub(crate) fn dropped(&self) -> u64 {
+        self.dropped
     }
 
     /// Drops the reports of a target that has left, except those of a later incarnation.
@@ -111,17 +203,15 @@
                     .incarnation
                     .is_none_or(|left| report.incarnation <= left)
         };
-        let reports = self.latest.get_mut(&departure.target);
         let mut known = None;
-        if let Some(reports) = reports {
-            reports.retain(|(report, _)| {
+        if self.latest.contains(&departure.target) {
+            self.retain(|report, _| {
                 known = known.max(has_left(report).then_some(report.incarnation));
                 !has_left(report)
             });
         }
         self.departures.record(now, departure, known);
         self.dirty |= known.is_some();
-        self.latest.retain(|_, reports| !reports.is_empty());
         self.pending.retain(|report| !has_left(report));
     }
 
--- a/crates/cluster/tests/leadership.rs
+++ b/crates/cluster/tests/leadership.rs
@@ -55,6 +55,7 @@
         member,
         seeds: (0..VMS).map(address).collect(),
         timing: gossip::Timing::default(),
+        report_memory: 1 << 26,
         group: Some(group),
         scheduler: None,
         hints: Hints::default(),
--- a/crates/cluster/tests/stored.rs
+++ b/crates/cluster/tests/stored.rs
@@ -321,3 +321,35 @@
     let own: Vec<_> = own.filter(|r| r.service == draining.service).collect();
     assert_eq!(own, [&restarted]);
 }
+
+/// Guards against a control VM whose memory grows with each invented target, and against known targets
+/// that invented ones replace.
+#[test]
+fn reports_of_invented_targets_take_bounded_memory() {
+    let mut setup = control_setup(Time::from_millis(START));
+    setup.report_memory = 100 << 10;
+    let mut cluster = Cluster::new(Time::from_millis(START), setup);
+    let report_at = |cluster: &mut Cluster, ms, name: &str, sequence| {
+        step(cluster, ms, Event::Report(report(name, sequence)));
+    };
+    let names = |copies: &[Vec<TargetReport>]| -> Vec<String> {
+        let last = copies.last().expect("reports are stored");
+        last.iter().map(|r| r.target.to_string()).collect()
+    };
+    stored_reports(&mut cluster, START, 4000);
+    report_at(&mut cluster, 4000, "known", 1);
+    for i in 0..5000 {
+        report_at(&mut cluster, 4001, &format!("invented-{i}"), 1);
+    }
+    let stored = names(&stored_reports(&mut cluster, 4002, 9000));
+    assert!((10..1000).contains(&stored.len()), "{}", stored.len());
+    assert!(stored.contains(&"known".to_string()));
+    let dropped = cluster.status(Time::from_millis(9000)).dropped;
+    assert_eq!(stored.len() as u64 + dropped, 5001);
+    for (ms, sequence) in [(9000, 2), (14_500, 3)] {
+        report_at(&mut cluster, ms, "known", sequence);
+    }
+    report_at(&mut cluster, 14_501, "new", 1);
+    let stored = names(&stored_reports(&mut cluster, 14_502, 18_000));
+    assert_eq!(stored, ["known", "new"]);
+}
--- a/crates/cluster/tests/support/fleet.rs
+++ b/crates/cluster/tests/support/fleet.rs
@@ -233,6 +233,7 @@
         member,
         seeds: seeds.to_vec(),
         timing: gossip::Timing::default(),
+        report_memory: 1 << 26,
         group: None,
         scheduler,
         // Control VMs restart with a configuration, which the entry VMs download.
--- a/crates/cluster/tests/support/mod.rs
+++ b/crates/cluster/tests/support/mod.rs
@@ -66,6 +66,7 @@
         member: member(node().vm.as_str(), false, Incarnation(1)),
         seeds: Vec::new(),
         timing: gossip::Timing::default(),
+        report_memory: 1 << 26,
         group: Some(group(now)),
         scheduler: None,
         hints: Hints::default(),
--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -105,6 +105,7 @@
     for (name, value) in gauges {
         ::metrics::gauge!(name).set(value as f64);
     }
+    ::metrics::counter!("greengage_reports_dropped_total").absolute(status.dropped);
 }
 
 /// Sets the gauge of inputs that wait for the control thread.
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -120,6 +120,7 @@
         timing: gossip::Timing::default(),
         group,
         scheduler,
+        report_memory: settings.shares.reports,
         hints,
         grace_period: settings.grace_period,
     })
