Log body limits that the memory of a VM doesn't allow

Cause: a VM with less than 201 MB receives bodies of M/24 at most and refuses larger ones with 413, also if the configuration allows them. The page on settings didn't say so and no log line did; only the counter of the listener moved.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -57,6 +57,8 @@
     pub stage: Stage,
     /// Version of its configuration; `None` before it has one.
     pub version: Option<Version>,
+    /// Limit of that configuration on bodies of jobs, in bytes.
+    pub body_limit: Option<u64>,
     /// Revision of its evacuated zones; `None` before it knows them.
     pub revision: Option<Revision>,
     /// Number of evacuated zones.
@@ -205,6 +207,7 @@
             ready: stage == Stage::Serving && self.knows_state() && targets > 0,
             stage,
             version: self.document.as_ref().map(|d| d.version),
+            body_limit: self.document.as_ref().map(|d| d.limits.max_body_bytes),
             revision: self.evacuations.revision(),
             evacuated: self.evacuations.current().map_or(0, |e| e.zones.len()),
             owned,
--- a/crates/daemon/tests/control_vm.rs
+++ b/crates/daemon/tests/control_vm.rs
@@ -49,6 +49,17 @@
         vm
     }
 
+    fn wait_for_log(&self, part: &str) {
+        let (end, log) = (
+            Instant::now() + STEP_TIMEOUT,
+            self.folder.path().join("log"),
+        );
+        while !std::fs::read_to_string(&log).unwrap().contains(part) {
+            assert!(Instant::now() < end, "{part} isn't logged");
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
     fn reload(&self, zones: &[&str]) {
         write_settings(&self.settings, &self.ip, zones);
         kill_process(Pid::from_child(&self.process), Signal::HUP).unwrap();
@@ -71,7 +82,8 @@
     let text = format!(
         "node-name = \"vm\"\nip = \"{ip}\"\nzone = \"north\"\ninternal-ports = [7720,7735]\n\
          seeds = [\"{ip}:8166\"]\nbootstrap = true\ndata-dir = {folder:?}\n[bind-addresses]\n\
-         control = \"{ip}:8166\"\n[fault-tolerance]\nmachines = 1\n[bounds]\ngrace-s = 2\n\
+         front = \"{ip}:8161\"\nreadiness = \"{ip}:8167\"\ncontrol = \"{ip}:8166\"\n[limits]\n\
+         memory-mb = 120\nmax-fds = 3075\n[fault-tolerance]\nmachines = 1\n[bounds]\ngrace-s = 2\n\
          [zones]\n{}",
         zones.concat()
     );
@@ -79,12 +91,13 @@
     std::fs::rename(path.with_extension("new"), path).unwrap();
 }
 
-/// Sends a request without a body; returns the answer.
-fn send(address: &str, method: &str, path: &str) -> Option<String> {
+/// Sends a request; returns the answer.
+fn send(address: &str, method: &str, path: &str, body: &str) -> Option<String> {
     let mut stream = TcpStream::connect(address).ok()?;
     stream.set_read_timeout(Some(STEP_TIMEOUT)).ok()?;
     let request = format!(
-        "{method} {path} HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+        "{method} {path} HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        body.len()
     );
     stream.write_all(request.as_bytes()).ok()?;
     let mut answer = String::new();
@@ -95,7 +108,7 @@
 /// Sends an order to evacuate a zone; returns the status of the answer.
 fn evacuate(ip: &str, zone: &str) -> Option<u16> {
     let path = format!("/v1/evacuations/{zone}");
-    let answer = send(&format!("{ip}:8166"), "PUT", &path)?;
+    let answer = send(&format!("{ip}:8166"), "PUT", &path, "")?;
     answer.split(' ').nth(1)?.parse().ok()
 }
 
@@ -121,14 +134,7 @@
     vm.reload(&["north", "south"]);
     wait_for(&vm.ip, "south", 200);
     vm.reload(&["\"not a zone\""]);
-    let (end, log) = (Instant::now() + STEP_TIMEOUT, vm.folder.path().join("log"));
-    while !std::fs::read_to_string(&log)
-        .unwrap()
-        .contains("event=reload-failed")
-    {
-        assert!(Instant::now() < end, "the invalid zone isn't reported");
-        thread::sleep(Duration::from_millis(50));
-    }
+    vm.wait_for_log("event=reload-failed");
     wait_for(&vm.ip, "south", 200);
 }
 
@@ -139,9 +145,28 @@
     for (zone, status) in [("south", 404), ("a%20b", 400)] {
         assert_eq!(evacuate(&vm.ip, zone), Some(status), "{zone}");
     }
-    let metrics = send(&format!("{}:{METRICS_PORT}", vm.ip), "GET", "/metrics").unwrap();
+    let metrics = send(&format!("{}:{METRICS_PORT}", vm.ip), "GET", "/metrics", "").unwrap();
     for reason in ["unknown_zone", "invalid"] {
         let line = format!("greengage_orders_refused_total{{reason=\"{reason}\"}} 1\n");
         assert!(metrics.contains(&line), "{reason}: {metrics}");
     }
 }
+
+/// Guards against a VM that refuses bodies below the configured limit and says so nowhere.
+#[test]
+fn body_limit_beyond_the_memory_is_logged() {
+    let vm = Vm::start(3);
+    for (version, limit) in [(1, 4_000_000), (2, 6_000_000)] {
+        let body = format!(
+            "{{\"version\": {version}, \"routes\": [], \"services\": [], \
+              \"limits\": {{\"max-body-bytes\": {limit}}}}}"
+        );
+        let address = format!("{}:8166", vm.ip);
+        let answer = send(&address, "POST", "/greengageproxy/Config.Put", &body);
+        assert!(answer.unwrap().starts_with("HTTP/1.1 200"));
+        vm.wait_for_log(&format!("event=configuration version={version}"));
+    }
+    vm.wait_for_log("event=body-limit version=2 configured=6000000 received=5000000");
+    let log = std::fs::read_to_string(vm.folder.path().join("log")).unwrap();
+    assert_eq!(log.matches("event=body-limit").count(), 1, "{log}");
+}
