--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -40,6 +40,8 @@
     pub group: Option<config::Setup>,
     /// Setup of its scheduler; `None` unless this is an entry VM.
     pub scheduler: Option<scheduler::Setup>,
+    /// Memory for the latest reports of targets, in bytes.
+    pub report_memory: usize,
     /// Hints found on disk; empty unless this is a control VM.
     pub hints: Hints,
     /// Upper limit on the duration of a shutdown.
@@ -55,6 +57,8 @@
     pub stage: Stage,
     /// Version of its configuration; `None` before it has one.
     pub version: Option<Version>,
+    /// Limit of that configuration on bodies of jobs, in bytes.
+    pub body_limit: Option<u64>,
     /// Revision of its evacuated zones; `None` before it knows them.
     pub revision: Option<Revision>,
     /// Number of evacuated zones.
@@ -63,6 +67,8 @@
     pub owned: usize,
     /// Number of targets that it knows.
     pub targets: usize,
+    /// Number of reports of targets that were dropped, since others take up their memory.
+    pub dropped: u64,
     /// Number of other VMs that are live.
     pub vms: usize,
     /// Number of callers and operators that wait for an answer.
@@ -113,7 +119,7 @@
             group,
             scheduler,
             cancels: Cancels::default(),
-            reports: Reports::new(now, setup.hints.targets),
+            reports: Reports::new(now, setup.hints.targets, setup.report_memory),
             document,
             evacuations: EvacuationState::new(now, evacuations),
             shutdown: Shutdown::default(),
@@ -201,10 +207,12 @@
             ready: stage == Stage::Serving && self.knows_state() && targets > 0,
             stage,
             version: self.document.as_ref().map(|d| d.version),
+            body_limit: self.document.as_ref().map(|d| d.limits.max_body_bytes),
             revision: self.evacuations.revision(),
             evacuated: self.evacuations.current().map_or(0, |e| e.zones.len()),
             owned,
             targets,
+            dropped: self.reports.dropped(),
             vms: self.live.len(),
             callers,
             is_leader,
@@ -557,6 +565,7 @@
                 let outcome = match outcome {
                     EditOutcome::Accepted => Outcome::Accepted,
                     EditOutcome::Unknown => Outcome::Unknown,
+                    EditOutcome::TooManyZones => Outcome::TooManyZones,
                 };
                 out.push(Effect::Answer { request, outcome });
             }
--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -57,6 +57,7 @@
         Outcome::Evacuations(_) => "evacuations",
         Outcome::Redirect(_) => "elsewhere",
         Outcome::Unknown => "unknown",
+        Outcome::TooManyZones => "too_many_zones",
         Outcome::Unconfirmed => "unconfirmed",
     };
     ::metrics::counter!("greengage_answers_total", "outcome" => label).increment(1);
@@ -71,6 +72,11 @@
     ::metrics::counter!("greengage_unanswered_total").increment(1);
 }
 
+/// Counts an order about an evacuation that was refused.
+pub fn record_refused_order(reason: &'static str) {
+    ::metrics::counter!("greengage_orders_refused_total", "reason" => reason).increment(1);
+}
+
 /// Counts a call to a target under its outcome.
 pub fn record_call(call: &TargetCall, outcome: &'static str) {
     let kind = match call {
@@ -99,6 +105,7 @@
     for (name, value) in gauges {
         ::metrics::gauge!(name).set(value as f64);
     }
+    ::metrics::counter!("greengage_reports_dropped_total").absolute(status.dropped);
 }
 
 /// Sets the gauge of inputs that wait for the control thread.
