Tell operators why a job waited, started or was refused

Cause: only the end of a job was logged, so a refused job's id led to no reason: backlog and longest wait looked alike, and metrics counted refusals without queue or reason.

Change: job-refused names the reason, rank, longest wait and the ages of what was known, for accepted jobs too; job-waits and job-started follow a job that finds no room on arrival. Behaviour is unchanged.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -156,6 +156,11 @@
         scheduler.map_or(Vec::new(), |s| s.unfinished().to_vec())
     }
 
+    /// The refused jobs by queue and reason, if they have changed since the last call.
+    pub fn changed_refusals(&mut self) -> Option<Vec<(Arc<str>, scheduler::ReasonCounts)>> {
+        self.scheduler.as_mut()?.changed_refusals()
+    }
+
     /// Rejoins the control group with the state recovered from disk. Requests that wait in a member
     /// that was not dropped before are answered as unknown.
     pub fn restore_group(
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -18,7 +18,8 @@
 pub use inputs::{inputs, is_urgent, ControlEnded, Input, InputSender, Inputs};
 pub use messages::MessagePools;
 pub use metrics::{
-    record_answer, record_call, record_shed, record_status, record_unanswered, Metrics,
+    format_refusals, record_answer, record_call, record_shed, record_status, record_unanswered,
+    Metrics,
 };
 pub use records::{decode_entry, decode_snapshot, encode_entry, encode_snapshot};
 pub use runtime::{run, ControlPanicked, Exit, Frontend};
--- a/crates/runtime/src/metrics.rs
+++ b/crates/runtime/src/metrics.rs
@@ -1,9 +1,11 @@
 //! Counters, gauges and histograms of a process, exported in the Prometheus text format.
 
+use std::fmt::Write;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use eyre::{eyre, Report};
-use greengage_cluster::scheduler::{Reply, TargetCall};
+use greengage_cluster::scheduler::{Reason, ReasonCounts, Reply, TargetCall};
 use greengage_cluster::{Outcome, Status};
 use greengage_core::RequestId;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
@@ -14,6 +16,10 @@
     0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0, 20.0,
 ];
 
+/// Refused jobs by queue and reason. The recorder keeps each series that it has seen, but those of a
+/// removed queue must go.
+static REFUSALS: Mutex<Vec<(Arc<str>, ReasonCounts)>> = Mutex::new(Vec::new());
+
 /// The metrics of this process.
 #[derive(Clone)]
 pub struct Metrics(PrometheusHandle);
@@ -31,7 +37,8 @@
 
     /// Formats all metrics as Prometheus text.
     pub fn render(&self) -> String {
-        self.0.render()
+        let refusals = REFUSALS.lock().unwrap_or_else(PoisonError::into_inner);
+        self.0.render() + &format_refusals(&refusals)
     }
 
     /// Drains buffered samples into the histograms; call it every few seconds to bound memory.
@@ -40,6 +47,29 @@
     }
 }
 
+/// Formats the refused jobs by queue and reason as Prometheus text.
+pub fn format_refusals(refusals: &[(Arc<str>, ReasonCounts)]) -> String {
+    let mut text = String::from("# TYPE greengage_refusals_total counter\n");
+    for (queue, counts) in refusals {
+        let name = queue.replace('\\', "\\\\").replace('"', "\\\"");
+        let name = name.replace('\n', "\\n");
+        let counted = Reason::ALL.iter().zip(counts).filter(|(_, n)| **n > 0);
+        for (reason, n) in counted {
+            let label = reason.label();
+            let _ = writeln!(
+                text,
+                "greengage_refusals_total{{queue=\"{name}\",reason=\"{label}\"}} {n}"
+            );
+        }
+    }
+    text
+}
+
+/// Sets the counters of refused jobs.
+pub(crate) fn record_refusals(refusals: Vec<(Arc<str>, ReasonCounts)>) {
+    *REFUSALS.lock().unwrap_or_else(PoisonError::into_inner) = refusals;
+}
+
 /// Counts an answer to a caller and records its latency.
 pub fn record_answer(outcome: &Outcome, latency: Duration) {
     let label = match outcome {
--- a/crates/runtime/src/runtime.rs
+++ b/crates/runtime/src/runtime.rs
@@ -23,7 +23,7 @@
 use crate::disk::SaveRequest;
 use crate::inputs::{Input, InputSender, Inputs};
 use crate::messages::MessagePools;
-use crate::metrics::{record_queued_inputs, record_shed, record_status};
+use crate::metrics::{record_queued_inputs, record_refusals, record_shed, record_status};
 use crate::settings::Settings;
 
 /// Raft timing of the control group. A sync takes 9 ms and a control VM has half a core, so more
@@ -254,6 +254,9 @@
             frontend.status_changed(&status);
             reported = Some(status);
         }
+        if let Some(refusals) = cluster.changed_refusals() {
+            record_refusals(refusals);
+        }
         record_queued_inputs(inputs.len());
         for _ in 0..MAX_BATCH_EVENTS {
             let timeout = cluster.next_wake().since(clock.now());
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -108,7 +108,7 @@
     }
 
     /// What a job asks for, for its place in the order.
-    fn claim(&self, job: &Job) -> Claim {
+    pub(crate) fn claim(&self, job: &Job) -> Claim {
         let work = job.steps.iter().enumerate().map(|(i, step)| {
             let waits = |task: &&Task| task.step == i && task.state == TaskState::Waiting;
             let waiting = job.tasks.iter().filter(waits).count() as f64;
@@ -308,20 +308,8 @@
             placements.push(placement);
         }
         let decision = decide(now, (job.started, waves), waiting.len(), &placements);
-        let kept = match decision {
-            Decision::Keep(start) => Some(start),
-            Decision::Start | Decision::Wait => None,
-        };
-        if kept.is_some() != job.kept.is_some() {
-            log::debug!(event = "job-room", job = job.id.as_str(), queue = &*job.queue,
-                tasks = waiting.len(), places = placements.len(),
-                start_ms = kept.map(|start| start.since(now).as_millis() as u64),
-                age_ms = now.since(job.arrival).as_millis() as u64;
-                "room is kept for a job, or no longer");
-        }
-        if let Some(job) = self.jobs.get_mut(&job_id) {
-            job.kept = kept;
-        }
+        let counts = (waiting.len(), placements.len());
+        self.record_decision(now, job_id, decision, counts);
         match decision {
             Decision::Start => {}
             Decision::Keep(_) => return decision,
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -85,6 +85,8 @@
     pub(crate) started: bool,
     /// Until when room was kept for it in the last round of placement, if it hasn't started.
     pub(crate) kept: Option<Time>,
+    /// Whether it found no room in the last round of placement, which was logged in the first one.
+    pub(crate) wait_logged: bool,
     /// Whether it was accepted although a task fits on no known target, as others may exist.
     pub(crate) unplaceable: bool,
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -17,6 +17,7 @@
 //! - `cancel`: cancelled jobs.
 //! - `renewal`: which offloaded runs are still needed, and which outcomes were received.
 //! - `evacuation`: evacuated zones, on whose targets nothing is started.
+//! - `refusals`: refusals by queue and reason, and the log of decisions about waiting jobs.
 //! - `admission`: limits on the queueing time of jobs.
 //! - `scheduler`, `submit`, `dispatch`, `ends`, `leases`, `offload`: the state machine.
 //!
@@ -45,6 +46,7 @@
 mod offload;
 mod peer;
 mod progress;
+mod refusals;
 mod renewal;
 mod scheduler;
 mod submit;
@@ -61,4 +63,5 @@
 };
 pub use peer::{OffloadOutcome, OffloadedTask, PeerMessage, ResourceOffer};
 pub use progress::earliest_end;
+pub use refusals::{Reason, ReasonCounts};
 pub use scheduler::{Peer, Scheduler, Setup};
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -9,6 +9,7 @@
     ZoneName,
 };
 
+use crate::admission::retry_delay;
 use crate::assignment::Candidate;
 use crate::cancel::{Cancellations, RemovedQueues};
 use crate::departures::Departures;
@@ -17,6 +18,7 @@
 use crate::event::{Effect, Event, Reply, TargetCall};
 use crate::job::{Job, JobCaller, TaskState};
 use crate::peer::{OffloadOutcome, PeerMessage, ResourceOffer};
+use crate::refusals::{Reason, RefusalCounts};
 use crate::renewal::OffloadRecord;
 use crate::submit::RETRY_AFTER;
 use crate::target::Ownership;
@@ -103,6 +105,7 @@
     pub(crate) callers_unknown: bool,
     pub(crate) cancellations: Cancellations,
     pub(crate) removed_queues: RemovedQueues,
+    pub(crate) refusals: RefusalCounts,
     pub(crate) last_job_id: u64,
     pub(crate) last_offload_id: u64,
     pub(crate) estimates: Estimates,
@@ -187,6 +190,7 @@
             callers_unknown: false,
             cancellations: Cancellations::default(),
             removed_queues: RemovedQueues::default(),
+            refusals: RefusalCounts::default(),
             last_job_id: 0,
             last_offload_id: first_offload_id(setup.incarnation),
             estimates: Estimates::default(),
@@ -380,6 +384,8 @@
             if let Some(old) = &self.document {
                 self.removed_queues.update(old, &document);
             }
+            let has_queue = |name: &str| document.queues.iter().any(|q| *q.name == *name);
+            self.refusals.retain(has_queue);
             self.document = Some(document);
         }
         if version.is_none() {
@@ -472,8 +478,8 @@
             if started {
                 self.finish(now, job_id, Reply::TimedOut, out);
             } else if !self.start_late(now, job_id, out) {
-                let after = crate::admission::retry_delay(self.backlog(now));
-                self.finish(now, job_id, Reply::Refused { after }, out);
+                let after = retry_delay(self.backlog(now));
+                self.refuse(now, job_id, (Reason::LongestWait, after), out);
             }
         }
     }
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -10,6 +10,7 @@
 use crate::cancel::JobKey;
 use crate::event::{Effect, Reply, Step, Submission};
 use crate::job::{Job, JobCaller, StepInfo, Task, TaskState};
+use crate::refusals::Reason;
 use crate::scheduler::Scheduler;
 use crate::target::Origin;
 
@@ -67,12 +68,7 @@
                 self.dispatch_due = true;
             }
             Err((reply, reason)) => {
-                log::info!(event = "job-refused", job = job.id.as_str(), reason = reason,
-                    outcome:? = reply, waiting = self.jobs.len(),
-                    patience_ms = job.timeout.as_millis() as u64,
-                    declared_ms = job.steps.iter().map(|s| s.declared.as_millis() as u64).max(),
-                    version = self.document.as_ref().map_or(0, |d| d.version.0);
-                    "a job was refused");
+                self.log_rejection(&job, &reply, reason);
                 out.push(Effect::Answer { request, reply });
             }
         }
@@ -121,71 +117,53 @@
         Name::new(job.path.strip_prefix(&*queue.prefix)?).ok()
     }
 
-    /// Returns the accepted job, or the answer and the logged reason of its refusal.
-    fn admit(&self, now: Time, job: &Submission) -> Result<Job, (Reply, &'static str)> {
+    /// Returns the accepted job, or the answer and the reason of its refusal.
+    fn admit(&self, now: Time, job: &Submission) -> Result<Job, (Reply, Reason)> {
         let retry_later = || Reply::Refused { after: RETRY_AFTER };
         let Some(document) = &self.document else {
-            return Err((retry_later(), "no configuration yet"));
+            return Err((retry_later(), Reason::NoConfiguration));
         };
         let Some(queue) = document.queue(&job.host, &job.path) else {
-            return Err((Reply::NoQueue, "no queue has this host and path"));
+            return Err((Reply::NoQueue, Reason::NoQueue));
         };
         if job.path.strip_prefix(&*queue.prefix) != Some(job.id.as_str()) {
-            return Err((
-                Reply::NoQueue,
-                "the path is not the queue's prefix followed by the job's id",
-            ));
+            return Err((Reply::NoQueue, Reason::OtherPath));
         }
         let most = document.limits.max_body_bytes;
         if job.body_bytes > most {
-            return Err((
-                Reply::TooLarge { most },
-                "the body exceeds the configured limit",
-            ));
+            return Err((Reply::TooLarge { most }, Reason::TooLarge));
         }
         if queue.uses_advisor {
-            return Err((
-                retry_later(),
-                "the queue requires advice, which is unavailable",
-            ));
+            return Err((retry_later(), Reason::Advice));
         }
-        if let Some(unsupported) = job.unsupported {
-            return Err((retry_later(), unsupported));
+        if job.unsupported.is_some() {
+            return Err((retry_later(), Reason::Unsupported));
         }
         let count: u64 = job.steps.iter().map(|step| u64::from(step.count)).sum();
         if count == 0 || count > MAX_TASKS {
-            return Err((retry_later(), "the number of tasks is out of range"));
+            return Err((retry_later(), Reason::TaskCount));
         }
         let steps = job.steps.iter();
         let steps = steps.map(|step| (&step.demand, step.label.as_ref()));
         let unplaceable = !self.is_feasible(&queue.service, steps);
         if unplaceable && self.knows_targets(now) {
             // No target of the service, whoever owns it, has the capacity or the label.
-            return Err((Reply::Failed, "a task fits on no target of the service"));
+            return Err((Reply::Failed, Reason::NoTarget));
         }
         if !unplaceable && self.knows_targets(now) && self.exceeds_targets(now, job, queue) {
-            return Err((
-                retry_later(),
-                "the targets can't do the job's work before the caller's deadline",
-            ));
+            return Err((retry_later(), Reason::Capacity));
         }
         let work = self.critical_path(&job.steps, &queue.name);
         let mut accepted = new_job(now, job, queue, work);
         accepted.unplaceable = unplaceable;
         if let Some(leaving) = &self.leaving {
             if outlasts(now, work, leaving.end) {
-                return Err((
-                    retry_later(),
-                    "the expected run time exceeds the time until this VM has shut down",
-                ));
+                return Err((retry_later(), Reason::Shutdown));
             }
             accepted.limit_end(leaving.end);
         }
         if now + work * BEST_CASE_PERCENT / 100 > accepted.deadline {
-            return Err((
-                retry_later(),
-                "the expected run time exceeds the caller's deadline",
-            ));
+            return Err((retry_later(), Reason::Deadline));
         }
         Ok(accepted)
     }
@@ -198,7 +176,7 @@
             |job: &Job| !job.started && job.kept.is_none() && now + waiting > job.start_by;
         if self.jobs.get(&job_id).is_some_and(overdue) {
             let after = retry_delay(waiting);
-            self.finish(now, job_id, Reply::Refused { after }, out);
+            self.refuse(now, job_id, (Reason::Backlog, after), out);
         }
     }
 
@@ -365,6 +343,7 @@
         deadline,
         started: false,
         kept: None,
+        wait_logged: false,
         unplaceable: false,
     }
 }
--- a/crates/scheduler/tests/world/main.rs
+++ b/crates/scheduler/tests/world/main.rs
@@ -9,6 +9,7 @@
 mod lost_targets;
 mod owners;
 mod pauses;
+mod refusals;
 mod shutdown;
 mod support;
 mod targets;
--- /dev/null
+++ b/crates/scheduler/tests/world/refusals.rs
@@ -0,0 +1,43 @@
+//! Tests of the refusals that operators see.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use greengage_core::Version;
+use greengage_scheduler::{Event, Reason, Reply};
+
+use crate::load::run_load;
+use crate::support::{document, Action, Simulation};
+
+/// Guards against refusals that aren't counted, or under another queue, and against counters of
+/// queues that were removed.
+#[test]
+fn refusals_are_counted_by_queue_until_it_is_removed() {
+    let mut sim = Simulation::new(14, 1, 8);
+    run_load(&mut sim, 2.0, 3);
+    let counts = sim.vms[0].scheduler.changed_refusals().unwrap();
+    for queue in 0..3 {
+        let refused = |reply: &Reply| matches!(reply, Reply::Refused { .. });
+        let callers = sim.callers.iter().filter(|c| c.queue == queue);
+        let answers = callers.filter_map(|c| c.answer.as_ref());
+        let refused = answers.filter(|(_, reply)| refused(reply)).count() as u64;
+        let found = counts.iter().find(|(q, _)| **q == *format!("q{queue}"));
+        assert_eq!(found.map_or(0, |(_, c)| c.iter().sum()), refused, "{queue}");
+    }
+    let late = counts.iter().map(|(_, c)| c[Reason::LongestWait as usize]);
+    assert!(late.sum::<u64>() > 0, "{counts:?}");
+    assert!(sim.vms[0].scheduler.changed_refusals().is_none());
+    let mut smaller = (*document(2)).clone();
+    smaller.version = Version(2);
+    smaller.queues.retain(|queue| *queue.name != *"q2");
+    sim.schedule(
+        Duration::ZERO,
+        Action::Event(0, 1, Event::Configuration(Arc::new(smaller))),
+    );
+    sim.run(Duration::from_millis(10));
+    let counts = sim.vms[0].scheduler.changed_refusals().unwrap();
+    assert!(
+        counts.iter().all(|(queue, _)| **queue != *"q2"),
+        "{counts:?}"
+    );
+}
