Keep the place of a caller that reads its answer

Cause: a connection whose answer is being written is no longer busy. If all others wait for their answers, it is the only one that may be closed for a newcomer, so an answer that is ready is cut although its caller reads it.

Change: such a connection gives way for a place only after 100 ms without progress. The rule for bytes of answers is as it was.

Conclusion: an answer that is being read isn't cut for lack of places. It still is for lack of bytes if other readers make more progress.

--- a/crates/budget/src/connections.rs
+++ b/crates/budget/src/connections.rs
@@ -2,15 +2,21 @@
 //!
 //! A connection makes progress when it is opened, with each KiB that arrives, and when its owner says
 //! so. The one whose last progress is the oldest loses. One whose request is being run is busy, and
-//! never loses.
+//! never loses; one whose answer is being written loses its place to another one only once its caller
+//! has stopped reading.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use greengage_core::SortedMap;
 
 /// Bytes that count as progress. Fewer may arrive at any rate without an end in sight.
 const PROGRESS_BYTES: usize = 1 << 10;
 
+/// Time without progress after which a caller has stopped reading its answer. One that reads makes
+/// progress in each round trip, while one that reads slowly to hold its place lets the buffers of the
+/// connection fill up.
+const READ_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// What bytes are held for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Held {
@@ -46,6 +52,8 @@
     /// Bytes that have arrived since then.
     arrived: usize,
     busy: bool,
+    /// Whether an answer is being written.
+    answering: bool,
     /// Bytes held, by [`Held`].
     held: [usize; 2],
 }
@@ -78,7 +86,9 @@
     pub fn open(&mut self, now: Instant) -> Admission {
         let mut closed = None;
         if self.open.len() >= self.most {
-            closed = self.least_advanced(|_| true);
+            closed = self.least_advanced(|other| {
+                !other.answering || now.saturating_duration_since(other.progressed) >= READ_TIMEOUT
+            });
             match closed {
                 Some(id) => self.close(id),
                 None => return Admission::Full,
@@ -89,6 +99,7 @@
             progressed: now,
             arrived: 0,
             busy: false,
+            answering: false,
             held: [0; 2],
         };
         self.open.insert(self.last, connection);
@@ -118,7 +129,15 @@
     pub fn progress(&mut self, now: Instant, id: u64, busy: bool) {
         if let Some(connection) = self.open.get_mut(&id) {
             connection.progressed = now;
-            (connection.arrived, connection.busy) = (0, busy);
+            (connection.arrived, connection.busy, connection.answering) = (0, busy, false);
+        }
+    }
+
+    /// Records that an answer, or a part of it, is being written.
+    pub fn answering(&mut self, now: Instant, id: u64) {
+        self.progress(now, id, false);
+        if let Some(connection) = self.open.get_mut(&id) {
+            connection.answering = true;
         }
     }
 
--- a/crates/budget/tests/budget.rs
+++ b/crates/budget/tests/budget.rs
@@ -38,6 +38,27 @@
     assert_eq!(shares.message, 16 << 20);
 }
 
+/// Guards against an answer that is cut while its caller reads it, since all other connections wait for
+/// theirs, and against a caller that keeps its place by not reading.
+#[test]
+fn answers_that_are_being_read_keep_their_place() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut connections = Connections::new(2, [1 << 20; 2], Shortage::CloseStalled);
+    for ms in 1..=2 {
+        assert_eq!(connections.open(at(ms)), Admission::Opened(ms, None));
+    }
+    connections.progress(at(3), 1, true);
+    connections.answering(at(4), 2);
+    assert_eq!(connections.open(at(5)), Admission::Full);
+    connections.answering(at(90), 2);
+    assert_eq!(connections.open(at(180)), Admission::Full);
+    assert_eq!(connections.open(at(200)), Admission::Opened(3, Some(2)));
+    connections.answering(at(201), 3);
+    connections.progress(at(202), 3, false);
+    assert_eq!(connections.open(at(203)), Admission::Opened(4, Some(3)));
+}
+
 /// Guards against a crowd that stops half-way and keeps newcomers out.
 #[test]
 fn the_connection_without_progress_for_longest_gives_way() {
--- a/crates/listener/src/stream.rs
+++ b/crates/listener/src/stream.rs
@@ -163,7 +163,7 @@
 
     /// Marks the request as answered with this many bytes.
     pub(crate) fn start_answer(&self, now: Instant, bytes: usize, shared: &Shared) {
-        self.table.progress(now, self.id, false);
+        self.table.answering(now, self.id);
         self.table.hold(self.id, Held::Answer, bytes, shared);
     }
 
@@ -328,7 +328,7 @@
     fn wrote(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if matches!(written, Poll::Ready(Ok(1..))) {
             let exchange = &self.exchange;
-            exchange.table.progress(Instant::now(), exchange.id, false);
+            exchange.table.answering(Instant::now(), exchange.id);
         }
         written
     }
--- a/crates/listener/src/table.rs
+++ b/crates/listener/src/table.rs
@@ -103,6 +103,10 @@
         self.connections.borrow_mut().progress(now, id, busy);
     }
 
+    pub(crate) fn answering(&self, now: Instant, id: u64) {
+        self.connections.borrow_mut().answering(now, id);
+    }
+
     /// Sets how many bytes a connection holds; returns whether it may.
     pub(crate) fn hold(&self, id: u64, kind: Held, bytes: usize, shared: &Shared) -> bool {
         let mut closed = Vec::new();
