Keep connections of VMs open when a crowd reconnects

Cause: a new connection counts as advanced. At the port between VMs, a crowd that connects again and again closed the connections of other VMs, which make progress only with each heartbeat: they looked stalled.

Change: a connection that has carried no message loses its place before those that have. The rule for bytes is as it was, since the first message of a VM may be large.

Conclusion: clients that don't speak the protocol between VMs can't close its connections. One that does still can, as nothing there is signed.

--- a/crates/budget/src/connections.rs
+++ b/crates/budget/src/connections.rs
@@ -1,7 +1,8 @@
 //! Which connection is closed when a listener is short of places or bytes.
 //!
 //! A connection makes progress when it is opened, with each KiB that arrives, and when its owner says
-//! so. The one whose last progress is the oldest loses. One whose request is being run is busy, and
+//! so. The one whose last progress is the oldest loses. Where the owner says which connections have
+//! proved themselves, the others lose their places first. One whose request is being run is busy, and
 //! never loses; one whose answer is being written loses its place to another one only once its caller
 //! has stopped reading.
 
@@ -54,6 +55,8 @@
     busy: bool,
     /// Whether an answer is being written.
     answering: bool,
+    /// Whether it has proved itself.
+    proven: bool,
     /// Bytes held, by [`Held`].
     held: [usize; 2],
 }
@@ -86,9 +89,11 @@
     pub fn open(&mut self, now: Instant) -> Admission {
         let mut closed = None;
         if self.open.len() >= self.most {
-            closed = self.least_advanced(|other| {
+            let has_stopped = |other: &Connection| {
                 !other.answering || now.saturating_duration_since(other.progressed) >= READ_TIMEOUT
-            });
+            };
+            let unproven = self.least_advanced(|other| !other.proven && has_stopped(other));
+            closed = unproven.or_else(|| self.least_advanced(has_stopped));
             match closed {
                 Some(id) => self.close(id),
                 None => return Admission::Full,
@@ -100,6 +105,7 @@
             arrived: 0,
             busy: false,
             answering: false,
+            proven: false,
             held: [0; 2],
         };
         self.open.insert(self.last, connection);
@@ -133,6 +139,13 @@
         }
     }
 
+    /// Records that a connection has delivered what only a wanted client sends.
+    pub fn prove(&mut self, id: u64) {
+        if let Some(connection) = self.open.get_mut(&id) {
+            connection.proven = true;
+        }
+    }
+
     /// Records that an answer, or a part of it, is being written.
     pub fn answering(&mut self, now: Instant, id: u64) {
         self.progress(now, id, false);
--- a/crates/mesh/src/receive.rs
+++ b/crates/mesh/src/receive.rs
@@ -45,7 +45,8 @@
         })
     }
 
-    /// Reads the messages of a connection, in place of one without progress if there are too many.
+    /// Reads the messages of a connection, in place of one without progress if there are too many. One
+    /// that has carried no message gives way first: a VM sends one as soon as it has connected.
     pub(crate) fn add(self: &Rc<Receivers>, stream: TcpStream) {
         let (id, closed) = match self.connections.borrow_mut().open(Instant::now()) {
             Admission::Opened(id, closed) => (id, closed),
@@ -123,7 +124,10 @@
                     break;
                 };
                 match &sender {
-                    Some(from) => (self.deliver)(VmName::clone(from), frame.to_vec()),
+                    Some(from) => {
+                        self.connections.borrow_mut().prove(id);
+                        (self.deliver)(VmName::clone(from), frame.to_vec());
+                    }
                     None => match std::str::from_utf8(frame)
                         .ok()
                         .and_then(|t| VmName::new(t).ok())
--- a/crates/mesh/tests/mesh.rs
+++ b/crates/mesh/tests/mesh.rs
@@ -220,3 +220,35 @@
     let (_, bytes) = inbox.recv_timeout(TEST_TIMEOUT).unwrap();
     assert_eq!(bytes.len(), 16 << 20);
 }
+
+/// Guards against a crowd that connects again and again and closes the connections of VMs, which make
+/// progress only with each heartbeat.
+#[test]
+fn crowd_that_reconnects_leaves_the_connections_of_vms_open() {
+    let b = free_address();
+    let limits = Limits {
+        connections: 3,
+        ..Limits::default()
+    };
+    let (_other, inbox) = start_with("b", b, limits);
+    let mut peers: Vec<TcpStream> = (0..2).map(|_| TcpStream::connect(b).unwrap()).collect();
+    let message = [0, 0, 0, 1, 7];
+    for peer in &mut peers {
+        peer.write_all(&[0, 0, 0, 1, b'c']).unwrap();
+        peer.write_all(&message).unwrap();
+        inbox.recv_timeout(TEST_TIMEOUT).unwrap();
+    }
+    for _ in 0..20 {
+        let mut stream = TcpStream::connect(b).unwrap();
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        stream.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+        // Until it was taken, and closed since its first bytes are no frame.
+        let _ = stream.read(&mut [0]);
+    }
+    let crowd: Vec<TcpStream> = (0..20).map(|_| TcpStream::connect(b).unwrap()).collect();
+    for peer in &mut peers {
+        peer.write_all(&message).unwrap();
+        inbox.recv_timeout(TEST_TIMEOUT).expect("a VM's connection");
+    }
+    drop(crowd);
+}
