Bound the memory of targets that have left

Cause: each notice of departure was kept for a minute, on the control VM and on all VMs that it tells, also if the target is unknown, and each notice looked at all others. Clients that send notices of invented targets made memory and processor time grow without a bound.

A late report of a target that isn't known and whose notice was dropped may make it known for a while; it answers no call.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -67,7 +67,8 @@
     pub owned: usize,
     /// Number of targets that it knows.
     pub targets: usize,
-    /// Number of reports of targets that were dropped, since others take up their memory.
+    /// Number of reports of targets, and of notices that one has left, that were dropped, as there were
+    /// too many.
     pub dropped: u64,
     /// Number of other VMs that are live.
     pub vms: usize,
--- a/crates/cluster/src/reports.rs
+++ b/crates/cluster/src/reports.rs
@@ -190,9 +190,9 @@
         self.bytes = bytes;
     }
 
-    /// Number of reports that were dropped for lack of memory.
+    /// Number of reports and departures that were dropped, as there were too many.
     pub(crate) fn dropped(&self) -> u64 {
-        self.dropped
+        self.dropped + self.departures.dropped()
     }
 
     /// Drops the reports of a target that has left, except those of a later incarnation.
