--- a/crates/budget/src/connections.rs
+++ b/crates/budget/src/connections.rs
@@ -1,16 +1,23 @@
 //! Which connection is closed when a listener is short of places or bytes.
 //!
 //! A connection makes progress when it is opened, with each KiB that arrives, and when its owner says
-//! so. The one whose last progress is the oldest loses. One whose request is being run is busy, and
-//! never loses.
+//! so. The one whose last progress is the oldest loses. Where the owner says which connections have
+//! proved themselves, the others lose their places first. One whose request is being run is busy, and
+//! never loses; one whose answer is being written loses its place to another one only once its caller
+//! has stopped reading.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use greengage_core::SortedMap;
 
 /// Bytes that count as progress. Fewer may arrive at any rate without an end in sight.
 const PROGRESS_BYTES: usize = 1 << 10;
 
+/// Time without progress after which a caller has stopped reading its answer. One that reads makes
+/// progress in each round trip, while one that reads slowly to hold its place lets the buffers of the
+/// connection fill up.
+const READ_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// What bytes are held for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Held {
@@ -46,6 +53,10 @@
     /// Bytes that have arrived since then.
     arrived: usize,
     busy: bool,
+    /// Whether an answer is being written.
+    answering: bool,
+    /// Whether it has proved itself.
+    proven: bool,
     /// Bytes held, by [`Held`].
     held: [usize; 2],
 }
@@ -78,7 +89,11 @@
     pub fn open(&mut self, now: Instant) -> Admission {
         let mut closed = None;
         if self.open.len() >= self.most {
-            closed = self.least_advanced(|_| true);
+            let has_stopped = |other: &Connection| {
+                !other.answering || now.saturating_duration_since(other.progressed) >= READ_TIMEOUT
+            };
+            let unproven = self.least_advanced(|other| !other.proven && has_stopped(other));
+            closed = unproven.or_else(|| self.least_advanced(has_stopped));
             match closed {
                 Some(id) => self.close(id),
                 None => return Admission::Full,
@@ -89,6 +104,8 @@
             progressed: now,
             arrived: 0,
             busy: false,
+            answering: false,
+            proven: false,
             held: [0; 2],
         };
         self.open.insert(self.last, connection);
@@ -118,7 +135,22 @@
     pub fn progress(&mut self, now: Instant, id: u64, busy: bool) {
         if let Some(connection) = self.open.get_mut(&id) {
             connection.progressed = now;
-            (connection.arrived, connection.busy) = (0, busy);
+            (connection.arrived, connection.busy, connection.answering) = (0, busy, false);
+        }
+    }
+
+    /// Records that a connection has delivered what only a wanted client sends.
+    pub fn prove(&mut self, id: u64) {
+        if let Some(connection) = self.open.get_mut(&id) {
+            connection.proven = true;
+        }
+    }
+
+    /// Records that an answer, or a part of it, is being written.
+    pub fn answering(&mut self, now: Instant, id: u64) {
+        self.progress(now, id, false);
+        if let Some(connection) = self.open.get_mut(&id) {
+            connection.answering = true;
         }
     }
 
