Refuse a job none of whose placements was started

A job whose only tasks were refused by another VM, or by a target, stayed started for good. It waited until its callers' deadline and ended with an unknown outcome although no task of it had run. All offers of the VM that refused were dropped too.

A refused start now has an outcome of its own, NotStarted, from targets and between VMs. A job is refused, at its longest wait at the latest, unless a task of it has run, may have run or may still run; it keeps its place before jobs that wait. A run that was stopped, an old run number and a lost answer count as may have run. A renewal that a later task has overtaken no longer drops that task's outcome, which would have been reported as never started. A refusal drops only the offers that fit the refused task.

--- a/crates/scheduler/src/ends.rs
+++ b/crates/scheduler/src/ends.rs
@@ -22,6 +22,8 @@
     Failed,
     /// The run doesn't exist or was stopped; the task may be started again.
     NotRunning,
+    /// The run never began and can't any more; the task may be started again.
+    NotStarted,
     /// The run was stopped because it could not end before the deadline.
     TooLong,
 }
@@ -82,8 +84,9 @@
             }
             StartResult::NoRoom => {
                 target.full_until = now + FULL_BACKOFF;
-                self.end_run(now, name, index, RunOutcome::NotRunning, out);
+                self.end_run(now, name, index, RunOutcome::NotStarted, out);
             }
+            // A run of the task's name has been there.
             StartResult::OldNumber => {
                 self.skip_run_numbers(name, index);
                 self.end_run(now, name, index, RunOutcome::NotRunning, out);
@@ -95,15 +98,15 @@
                 log::info!(event = "start-refused", task = task, run = number,
                     target = name.as_str(), result:? = result; "a start had no effect");
                 target.full_until = now + FULL_BACKOFF;
-                self.end_run(now, name, index, RunOutcome::NotRunning, out);
+                self.end_run(now, name, index, RunOutcome::NotStarted, out);
             }
             StartResult::Fenced => {
-                self.end_run(now, name, index, RunOutcome::NotRunning, out);
+                self.end_run(now, name, index, RunOutcome::NotStarted, out);
                 self.on_fenced(now, name, generation);
             }
             StartResult::OtherLife => {
                 // The call had no effect, so this run need not wait for the lease.
-                self.end_run(now, name, index, RunOutcome::NotRunning, out);
+                self.end_run(now, name, index, RunOutcome::NotStarted, out);
                 self.target_lost(now, name, out);
             }
             StartResult::Unknown => {
@@ -278,7 +281,7 @@
                         task = &*run.task; "a target that fails its tasks is excluded");
                 }
             }
-            RunOutcome::NotRunning | RunOutcome::TooLong => {}
+            RunOutcome::NotRunning | RunOutcome::NotStarted | RunOutcome::TooLong => {}
         }
         let outcome = match outcome {
             RunOutcome::NotRunning => run.stopped_outcome(),
@@ -317,6 +320,7 @@
                     RunOutcome::Done => OffloadOutcome::Done,
                     RunOutcome::Failed => OffloadOutcome::Failed,
                     RunOutcome::NotRunning => OffloadOutcome::NotRunning,
+                    RunOutcome::NotStarted => OffloadOutcome::NotStarted,
                     RunOutcome::TooLong => OffloadOutcome::TooLong,
                 };
                 self.report_outcome(now, vm, *offload_id, end);
@@ -359,6 +363,7 @@
         self.dispatch_due = true;
         let attempts = job.attempts;
         let entry = &mut job.tasks[task];
+        entry.may_have_run |= outcome != RunOutcome::NotStarted;
         match outcome {
             RunOutcome::Done => {
                 entry.state = TaskState::Done;
@@ -376,7 +381,7 @@
                     self.finish(now, job_id, Reply::Failed, out);
                 }
             }
-            RunOutcome::NotRunning => {
+            RunOutcome::NotRunning | RunOutcome::NotStarted => {
                 entry.state = TaskState::Waiting;
                 entry.avoid_target = target.cloned();
             }
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -35,6 +35,8 @@
     pub(crate) failures: u32,
     /// Runs that were stopped because they could not end before the deadline.
     pub(crate) overruns: u32,
+    /// Whether one of its earlier runs has run or may have.
+    pub(crate) may_have_run: bool,
     /// The target of the last run that ended without success; the next run goes elsewhere.
     pub(crate) avoid_target: Option<TargetName>,
 }
@@ -75,13 +77,13 @@
     pub(crate) tasks: Vec<Task>,
     pub(crate) steps: Vec<StepInfo>,
     pub(crate) arrival: Time,
-    /// The job is refused if no task was sent to a target by then.
+    /// The job is refused if no task has run or may run by then.
     pub(crate) start_by: Time,
     /// End time up to which the job counts as in time.
     pub(crate) objective: Time,
     /// The job ends with a time-out at this time, the latest deadline of its callers.
     pub(crate) deadline: Time,
-    /// Whether a task was sent to a target.
+    /// Whether a task was sent to a target or to another VM.
     pub(crate) started: bool,
     /// Until when room was kept for it in the last round of placement, if it hasn't started.
     pub(crate) kept: Option<Time>,
@@ -121,6 +123,13 @@
             .collect()
     }
 
+    /// Whether a task has run, may have run or may still run.
+    pub(crate) fn may_have_run(&self) -> bool {
+        let mut tasks = self.tasks.iter();
+        let may_have_run = |task: &Task| task.may_have_run || task.state != TaskState::Waiting;
+        self.started && tasks.any(may_have_run)
+    }
+
     /// Removes a caller, and sets the deadline to the latest one of the others.
     pub(crate) fn remove_caller(&mut self, request: RequestId) {
         self.callers.retain(|caller| caller.request != request);
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -27,7 +27,8 @@
 //! - A VM starts nothing on a target unless it is sure that it owns the target.
 //! - A task is started, and its run goes on, only while its caller is known to wait, or was shorter
 //!   ago than callers wait before they submit a job again.
-//! - A job is refused only while none of its tasks has been sent to a target.
+//! - A job is refused only while none of its tasks has run or may run: none was sent to a target, or
+//!   each that was is known not to have begun and can't begin any more.
 
 mod admission;
 mod assignment;
--- a/crates/scheduler/src/offload.rs
+++ b/crates/scheduler/src/offload.rs
@@ -270,7 +270,7 @@
             .then(|| self.offload_target(now, sent, &offload))
             .flatten();
         let Some(target) = target else {
-            self.report_outcome(now, from, offload.offload_id, OffloadOutcome::NotRunning);
+            self.report_outcome(now, from, offload.offload_id, OffloadOutcome::NotStarted);
             self.offers_changed = true;
             return;
         };
@@ -330,8 +330,10 @@
         let has_id =
             |s: &TaskState| matches!(s, TaskState::Remote { offload_id: t, .. } if *t == id);
         let job = self.jobs.get(&job_id);
-        let task = job.and_then(|job| job.tasks.iter().position(|task| has_id(&task.state)));
-        let Some(task) = task else {
+        let Some((job, task)) = job.and_then(|job| {
+            let task = job.tasks.iter().position(|task| has_id(&task.state));
+            task.map(|task| (job, task))
+        }) else {
             return;
         };
         let outcome = match end {
@@ -339,12 +341,14 @@
             OffloadOutcome::Failed => RunOutcome::Failed,
             OffloadOutcome::TooLong => RunOutcome::TooLong,
             OffloadOutcome::Unknown => return self.finish(now, job_id, Reply::TimedOut, out),
-            OffloadOutcome::NotRunning => {
-                // Its last offers were out of date.
+            OffloadOutcome::NotRunning => RunOutcome::NotRunning,
+            OffloadOutcome::NotStarted => {
+                // Offers that fit the task were out of date; smaller ones may still hold.
+                let demand = job.steps[job.tasks[task].step].demand;
                 if let Some(view) = self.peers.get_mut(from) {
-                    view.offers.clear();
+                    view.offers.retain(|offer| !demand.fits(&offer.free));
                 }
-                RunOutcome::NotRunning
+                RunOutcome::NotStarted
             }
         };
         self.task_ended(now, job_id, task, outcome, None, out);
--- a/crates/scheduler/src/peer.rs
+++ b/crates/scheduler/src/peer.rs
@@ -48,12 +48,14 @@
     Done,
     /// The task failed.
     Failed,
-    /// The run doesn't exist; the task may be started elsewhere.
+    /// The run doesn't exist any more, and may have run; the task may be started elsewhere.
     NotRunning,
     /// The run was stopped because it could not end before the deadline.
     TooLong,
     /// The VM exits before the end of the run is known. The run ends with its lease.
     Unknown,
+    /// The run was never started and can't be any more; the task may be started elsewhere.
+    NotStarted,
 }
 
 /// A message between entry VMs.
--- a/crates/scheduler/src/renewal.rs
+++ b/crates/scheduler/src/renewal.rs
@@ -6,7 +6,7 @@
 //!
 //! - The outcome of a run that has ended is sent again. Outcomes are kept until a renewal no longer
 //!   lists the run.
-//! - A run that never arrived is reported as not running. It may still arrive, over an earlier
+//! - A run that never arrived is reported as not started. It may still arrive, over an earlier
 //!   connection; it is refused then, as its id isn't higher than the renewal's number, or since
 //!   its VM has restarted.
 //! - A run that isn't listed is stopped, since the message that stops it was lost.
@@ -241,7 +241,11 @@
             return;
         }
         (record.renewal, record.changed) = (renewal.number, now);
-        record.outcomes.retain(|id, _| renewal.lists(*id));
+        // One that was overtaken by a later run can't list it.
+        let is_later = |id: &u64| *id > renewal.number;
+        record
+            .outcomes
+            .retain(|id, _| is_later(id) || renewal.lists(*id));
         let known = self.renew_runs(from, &renewal);
         let needed = renewal.needed.iter().map(|(id, _)| id);
         for offload_id in needed.filter(|id| known.binary_search(id).is_err()) {
@@ -250,7 +254,7 @@
                 Some((_, sent)) if now.since(*sent) < REPEAT_DELAY => continue,
                 Some((outcome, _)) => *outcome,
                 // It never arrived.
-                None => OffloadOutcome::NotRunning,
+                None => OffloadOutcome::NotStarted,
             };
             log::info!(event = "outcome-repeated", vm = from.as_str(), id = *offload_id,
                 outcome:? = outcome; "a message about an offloaded run was lost");
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -343,10 +343,10 @@
         let jobs: Vec<(u64, bool)> = self
             .jobs
             .iter()
-            .map(|(id, job)| (*id, job.started))
+            .map(|(id, job)| (*id, job.may_have_run()))
             .collect();
-        for (job_id, started) in jobs {
-            let reply = match started {
+        for (job_id, may_have_run) in jobs {
+            let reply = match may_have_run {
                 true => Reply::TimedOut,
                 false => Reply::Refused { after: RETRY_AFTER },
             };
@@ -397,7 +397,7 @@
             (Some(_), Some(queue)) if *queue.prefix != *path => Reply::NoJob,
             (Some(_), Some(queue)) => {
                 let jobs = self.jobs.values();
-                let waiting = jobs.filter(|job| !job.started && job.queue == queue.name);
+                let waiting = jobs.filter(|job| !job.may_have_run() && job.queue == queue.name);
                 Reply::Pending(waiting.count() as u64)
             }
         };
@@ -410,13 +410,13 @@
             return;
         };
         log::info!(event = "job-ended", job = job.id.as_str(), queue = &*job.queue,
-            outcome:? = reply, tasks = job.tasks.len(), begun = job.started,
+            outcome:? = reply, tasks = job.tasks.len(), begun = job.may_have_run(),
             age_ms = now.since(job.arrival).as_millis() as u64,
             version = self.document.as_ref().map_or(0, |d| d.version.0); "a job has ended");
         if reply != Reply::Completed && job.started {
             log_unfinished(now, &job);
         }
-        if reply == Reply::TimedOut && job.started && self.leaving.is_some() {
+        if reply == Reply::TimedOut && job.may_have_run() && self.leaving.is_some() {
             self.unfinished.push(job.path.clone());
         }
         for JobCaller { request, .. } in &job.callers {
@@ -448,7 +448,7 @@
         self.dispatch_due = true;
     }
 
-    /// Ends jobs that have reached their deadline or weren't started in time, and answers callers
+    /// Ends jobs that have reached their deadline or didn't start in time, and answers callers
     /// that wait no longer for a job that goes on for others.
     fn review_jobs(&mut self, now: Time, out: &mut Vec<Effect>) {
         for job in self.jobs.values_mut().filter(|job| now < job.deadline) {
@@ -465,11 +465,11 @@
         let over: Vec<(u64, bool)> = self
             .jobs
             .iter()
-            .filter(|(_, job)| now >= job.deadline || (!job.started && now >= job.start_by))
-            .map(|(job_id, job)| (*job_id, job.started))
+            .filter(|(_, job)| now >= job.deadline || (now >= job.start_by && !job.may_have_run()))
+            .map(|(job_id, job)| (*job_id, job.may_have_run()))
             .collect();
-        for (job_id, started) in over {
-            if started {
+        for (job_id, may_have_run) in over {
+            if may_have_run {
                 self.finish(now, job_id, Reply::TimedOut, out);
             } else if !self.start_late(now, job_id, out) {
                 let after = crate::admission::retry_delay(self.backlog(now));
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -333,6 +333,7 @@
                 number: 0,
                 failures: 0,
                 overruns: 0,
+                may_have_run: false,
                 avoid_target: None,
             });
         }
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -284,7 +284,7 @@
         callers_age: Duration::ZERO,
         tasks: vec![task],
     };
-    let refused = PeerMessage::Ended(vec![(1, OffloadOutcome::NotRunning)]);
+    let refused = PeerMessage::Ended(vec![(1, OffloadOutcome::NotStarted)]);
     assert!(receive(&mut scheduler, start, run).contains(&refused));
     for (number, ms, repeated) in [(2, 5, false), (3, 120, true), (4, 125, false)] {
         let renewal = PeerMessage::Renew {
--- a/crates/scheduler/tests/world/answers.rs
+++ b/crates/scheduler/tests/world/answers.rs
@@ -238,6 +238,8 @@
         );
         let open: Vec<_> = sim.callers.iter().filter(|c| c.answer.is_none()).collect();
         assert!(open.is_empty(), "seed {seed}: open at the end: {open:?}");
+        let untrue = sim.untrue_refusals();
+        assert!(untrue.is_empty(), "seed {seed}: {untrue:?}");
         sim.run(PATIENCE);
         assert_eq!(sim.answer_faults(), [""; 0], "seed {seed}");
     }
--- a/crates/scheduler/tests/world/callers.rs
+++ b/crates/scheduler/tests/world/callers.rs
@@ -186,6 +186,13 @@
         faults
     }
 
+    /// Callers whose only submission was refused, which says "not run", although a task was started.
+    pub(crate) fn untrue_refusals(&self) -> Vec<&Caller> {
+        let begun = self.begun.iter().map(|index| &self.callers[*index]);
+        let refused = |caller: &&Caller| matches!(caller.answer, Some((_, Reply::Refused { .. })));
+        begun.filter(|c| c.attempts == 1).filter(refused).collect()
+    }
+
     /// Number of a queue's callers whose job completed within its objective, and number of all its
     /// callers.
     pub(crate) fn in_time(&self, queue: usize) -> (usize, usize) {
--- a/crates/scheduler/tests/world/faults.rs
+++ b/crates/scheduler/tests/world/faults.rs
@@ -565,6 +565,8 @@
         sim.run(20 * SECOND);
         let unanswered = sim.callers.iter().filter(|c| c.answer.is_none()).count();
         assert_eq!(unanswered, 0, "seed {seed}");
+        let untrue = sim.untrue_refusals();
+        assert!(untrue.is_empty(), "seed {seed}: {untrue:?}");
         let owned: usize = sim.vms.iter().map(|vm| vm.scheduler.owned()).sum();
         assert_eq!(owned, 12, "seed {seed}: each target has one owner");
         assert!(
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -2,7 +2,7 @@
 //!
 //! `targets` holds the simulated targets and `callers` the callers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -173,6 +173,8 @@
     pub(crate) queue: BTreeMap<(Time, u64), Action>,
     pub(crate) seq: u64,
     pub(crate) duplicates: Vec<String>,
+    /// Callers of which a task was started.
+    pub(crate) begun: BTreeSet<usize>,
     pub(crate) task_milli_cores: u32,
     /// Shortest delay of late calls.
     pub(crate) late_order_delay: Duration,
@@ -241,6 +243,7 @@
             queue: BTreeMap::new(),
             seq: 0,
             duplicates: Vec::new(),
+            begun: BTreeSet::new(),
             task_milli_cores: 6800,
             late_order_delay: Duration::from_millis(300),
             bytes: 300,
--- a/crates/scheduler/tests/world/targets.rs
+++ b/crates/scheduler/tests/world/targets.rs
@@ -273,7 +273,10 @@
         }
         target.starts += 1;
         let (id, task_index) = task.split_once(".0.0.").expect("a task's name");
-        let caller = self.callers.iter().find(|c| c.id.as_str() == id).unwrap();
+        let caller = self.callers.iter().position(|c| c.id.as_str() == id);
+        let caller = caller.unwrap();
+        self.begun.insert(caller);
+        let caller = &self.callers[caller];
         let work = caller.work[task_index.parse::<usize>().unwrap()];
         let speed = target.speed;
         let run = Run {
