Check the size of a configuration against control VMs

With that of an entry VM, which never receives the configuration itself, a document above the memory of that VM was called too large although control VMs with more memory accept it.

An entry VM's memory bounds the limit on bodies of jobs, a control VM's the size of the document; the least of each counts. The search for hidden ids looks at no more characters of a prefix than an id can have.

Conclusion: the check calls a document too large only where a control VM of the deployment refuses it.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -359,7 +359,8 @@
         let Some(slash) = other.prefix.rfind('/') else {
             continue;
         };
-        for (cut, _) in other.prefix.char_indices().filter(|(at, _)| *at > slash) {
+        let is_id = |at: usize| at > slash && other.prefix.len() - at <= MAX_NAME_BYTES;
+        for (cut, _) in other.prefix.char_indices().filter(|(at, _)| is_id(*at)) {
             let (shorter, start) = other.prefix.split_at(cut);
             let key = (&*other.host, shorter);
             let position =
--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -34,9 +34,10 @@
     /// Configuration in force: the control address (IP:PORT) of a VM, or a file.
     #[arg(long, value_name = "ADDRESS|FILE")]
     against: Option<String>,
-    /// Settings file of a VM, which tells the memory that it has for bodies.
+    /// Settings file of a VM, which tells the memory that it has for bodies: of jobs on an entry VM, of
+    /// configurations on a control VM. May be given several times; the least memory counts.
     #[arg(long, value_name = "FILE")]
-    settings: Option<PathBuf>,
+    settings: Vec<PathBuf>,
     /// Shortest run time of the tasks, in milliseconds.
     #[arg(long, value_name = "MS", default_value_t = SHORTEST_RUN.as_millis() as u64,
           value_parser = clap::value_parser!(u64).range(1..=86_400_000))]
@@ -62,10 +63,19 @@
 
     fn check(&self) -> Result<u8, Report> {
         let body = read(&self.file)?;
-        let shares = match &self.settings {
-            Some(path) => PlatformSettings::read(path)?.shares(),
-            None => Shares::new(None, None),
-        };
+        // Largest bodies of all VMs.
+        let mut control = Shares::new(None, None);
+        let mut job_body = control.body;
+        for path in &self.settings {
+            let settings = PlatformSettings::read(path)?;
+            let body = settings.shares().body;
+            if settings.front().is_some() {
+                job_body = job_body.min(body);
+            }
+            if settings.control().is_some() {
+                control.body = control.body.min(body);
+            }
+        }
         let served = self.served.as_ref().map(|names| {
             let mut names: Vec<Arc<str>> = names.iter().map(|name| (**name).into()).collect();
             names.sort();
@@ -73,14 +83,14 @@
         });
         let bounds = Bounds {
             shortest_run: Duration::from_millis(self.shortest_run),
-            body: shares.body as u64,
+            body: job_body as u64,
             served,
         };
         let in_force = match &self.against {
             Some(place) => Some(configuration_at(place)?),
             None => None,
         };
-        let checked = check_document(body, &bounds, &shares, in_force.as_ref());
+        let checked = check_document(body, &bounds, &control, in_force.as_ref());
         let changes = match (&in_force, &checked.document) {
             (Some(old), Some(new)) => differences(old, new),
             _ => Vec::new(),
--- a/crates/ctl/tests/check.rs
+++ b/crates/ctl/tests/check.rs
@@ -96,6 +96,32 @@
     assert_eq!((code, output.lines().count()), (Some(1), 2), "{output}");
 }
 
+/// Guards against a size that is refused for the memory of a VM which never receives the configuration.
+#[test]
+fn size_of_a_configuration_is_limited_by_control_vms() {
+    let folder = tempfile::tempdir().unwrap();
+    let write = |name: &str, text: &str| {
+        let path = folder.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        path.to_str().unwrap().to_string()
+    };
+    let mut large = std::fs::read_to_string(file("clean.json")).unwrap();
+    large.push_str(&" ".repeat(5_100_000));
+    let (large, entry) = (write("large.json", &large), file("small-vm.toml"));
+    let text = std::fs::read_to_string(&entry).unwrap();
+    let control = text.replace("front", "data-dir = \"data\"\n[bind-addresses]\ncontrol");
+    let control = control.replacen("[bind-addresses]", "", 1);
+    let control = write("control.toml", &control);
+    assert_eq!(check(&[&large, "--settings", &entry]).0, Some(0));
+    let settings = ["--settings", &entry, "--settings", &control];
+    let (code, output, _) = check(&[&[&*large][..], &settings].concat());
+    assert_eq!(code, Some(2));
+    assert!(
+        output.contains(":1: error: the configuration is too large"),
+        "{output}"
+    );
+}
+
 /// Guards against a comparison with what a VM knows that may not have the newest version, or with an
 /// answer that is no configuration.
 #[test]
