Put the margin of a wait on the time until room is expected

Cause: a task waited for room only if it ended in time at 2.2 times its expected run time. With a slack of 1.6 times the run time no long or middle kind of job was ever kept room.

Change: the time until the room is expected counts twice, the run itself as expected.

The new test fails with the margin as it was.

--- a/crates/contention/src/placement.rs
+++ b/crates/contention/src/placement.rs
@@ -13,7 +13,7 @@
 
 /// Safety margin on the expected run time for a slot to count as in time, since declared run times
 /// are off by two fifths on average.
-pub(crate) const MARGIN_PERCENT: u32 = 60;
+const MARGIN_PERCENT: u32 = 60;
 
 /// Who owns the target of a slot, nearest first. A task in another zone is lost when a partition
 /// cuts that zone off.
--- a/crates/contention/src/start.rs
+++ b/crates/contention/src/start.rs
@@ -11,11 +11,11 @@
 
 use greengage_core::{value, Demand, Time};
 
-use crate::placement::{choose_safe, choose_slot, finish_time, Locality, Slot, MARGIN_PERCENT};
+use crate::placement::{choose_safe, choose_slot, finish_time, Locality, Slot};
 
-/// Safety margin on the expected run time of a task that has to wait for room, in percent: twice the
-/// one in a free slot, since the runs that it waits for may take longer too.
-const LATER_MARGIN_PERCENT: u32 = 2 * MARGIN_PERCENT;
+/// Safety margin on the time until room is expected, in percent. A run may take 60 % longer than
+/// expected, and a job waits for the last of several.
+const AWAITED_MARGIN_PERCENT: u32 = 100;
 
 /// Divisor of the waiting tasks of a job that goes in waves: the part that needs a place when it
 /// starts.
@@ -102,19 +102,20 @@
     (useful && (in_time || need.any_time)).then(|| need.at(now, slot, &slots[slot]))
 }
 
-/// The slot of this VM in which a task is expected to start first.
+/// The slot of this VM in which a task is expected to start first. It still ends in time if the runs
+/// that are awaited take longer than expected.
 pub fn place_later(now: Time, slots: &[Slot], need: &Need) -> Option<Placement> {
     let limit = match need.any_time {
         true => need.deadline,
         false => need.objective,
     };
-    let with_margin = need.expected * (100 + LATER_MARGIN_PERCENT) / 100;
     let local = slots.iter().enumerate();
     let local = local.filter(|(_, s)| s.locality == Locality::Local && !s.excluded);
     let starts = local.filter_map(|(i, slot)| {
         let run_time = finish_time(now, slot, need.expected).since(now);
         let start = slot.room.earliest(now, run_time, &need.demand)?;
-        (finish_time(start, slot, with_margin) <= limit).then_some((start, i, run_time))
+        let delayed = start + start.since(now) * AWAITED_MARGIN_PERCENT / 100;
+        (finish_time(delayed, slot, need.expected) <= limit).then_some((start, i, run_time))
     });
     let (start, slot, _) = starts.min()?;
     Some(need.at(start, slot, &slots[slot]))
--- a/crates/contention/tests/start.rs
+++ b/crates/contention/tests/start.rs
@@ -65,6 +65,24 @@
     assert!(place_now(now, &slots, &need(cores(4), 110, now + millis(900))).is_some());
 }
 
+/// Guards against long tasks that get no kept room because their slack is shorter than their run.
+#[test]
+fn slack_of_a_wait_counts_against_the_awaited_runs() {
+    let now = Time::from_millis(1000);
+    let later = |room_ms| {
+        let mut room = Room::new(cores(0));
+        room.release(now + millis(room_ms), &cores(16));
+        let long = need(cores(16), 900, now + millis(1500));
+        place_later(now, &[slot(room)], &long)
+    };
+    assert_eq!(later(300).map(|p| p.start), Some(now + millis(300)));
+    assert_eq!(
+        later(310),
+        None,
+        "late if the awaited run takes twice as long"
+    );
+}
+
 /// Guards against room that is expected in the past from a run that takes longer than usual.
 #[test]
 fn overdue_run_is_expected_to_go_on() {
