Count only usable room when a job is taken as wider than the targets

Cause: a job goes in waves if its tasks don't fit on all targets at once. Lost, draining and evacuated targets counted, only cores did, and the targets of the whole deployment were held against the places on this VM's own targets and in offers. Such a job was refused at its longest wait.

Change: what counts is how often the demand fits on the own targets that accept tasks and in the offers of peers.

--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -24,6 +24,14 @@
             && self.accelerators <= free.accelerators
     }
 
+    /// How many times the demand fits into `free` at once.
+    pub fn count_in(&self, free: &Demand) -> u32 {
+        let count = |needed: u32, free: u32| free.checked_div(needed).unwrap_or(u32::MAX);
+        count(self.milli_cores, free.milli_cores)
+            .min(count(self.memory_mib, free.memory_mib))
+            .min(count(self.accelerators, free.accelerators))
+    }
+
     /// The sum of each resource, saturating.
     pub fn saturating_add(&self, other: &Demand) -> Demand {
         Demand {
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -296,7 +296,7 @@
                 later.flatten()
             });
             let Some(placement) = found else {
-                waves = waves || !job.started && self.is_wide(job, &waiting);
+                waves = waves || !job.started && self.is_wide(job, &waiting, pool);
                 if !job.started && !waves {
                     break;
                 }
@@ -367,23 +367,32 @@
         }
     }
 
-    /// Whether a job has more waiting tasks than all targets of its service can run at once.
-    fn is_wide(&self, job: &Job, waiting: &[usize]) -> bool {
-        let Some(first) = waiting.first() else {
-            return false;
-        };
-        let step = &job.steps[job.tasks[*first].step];
-        let serving = self.targets.iter().map(|(_, target)| target);
-        let serving = serving.filter(|t| t.serves(&job.service, step.label.as_ref()));
-        let mut slots = 0;
-        for target in serving {
-            let cores = target.report.capacity.milli_cores;
-            slots += (cores / step.demand.milli_cores.max(1)) as usize;
-            if slots >= waiting.len() {
-                return false;
+    /// Whether a job has more waiting tasks than can run at once on the targets that can be used:
+    /// those of this VM, if nothing else ran on them, and what is free in the offers of its peers.
+    fn is_wide(&self, job: &Job, waiting: &[usize], pool: &SlotPool) -> bool {
+        // The part of the targets that the tasks need.
+        let mut needed = 0.0;
+        for (i, step) in job.steps.iter().enumerate() {
+            let tasks = waiting.iter().filter(|task| job.tasks[**task].step == i);
+            let tasks = tasks.count();
+            let count = |place: &Place| match place {
+                Place::Local(position) => {
+                    let target = self.targets.at(*position).map(|(_, target)| target);
+                    let target = target.filter(|t| t.serves(&job.service, step.label.as_ref()));
+                    target.map_or(0, |t| step.demand.count_in(&t.report.capacity))
+                }
+                Place::Remote(vm, index) => {
+                    let offer = self.peers.get(vm).and_then(|view| view.offers.get(*index));
+                    offer.map_or(0, |offer| step.demand.count_in(&offer.free))
+                }
+            };
+            let places = pool.places.iter();
+            let slots: f64 = places.map(|place| f64::from(count(place))).sum();
+            if tasks > 0 {
+                needed += tasks as f64 / slots;
             }
         }
-        true
+        needed > 1.0
     }
 
     /// Excludes the slots that a task may not use. It may use the target of its last run if no other
--- /dev/null
+++ b/crates/scheduler/tests/room.rs
@@ -0,0 +1,279 @@
+//! Start of jobs on one VM whose targets answer at once and run each task for its declared time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use greengage_config::{Document, Limits, Queue, Service};
+use greengage_core::{
+    Address, Demand, Incarnation, Name, Payload, RequestId, TargetName, Time, Version, VmName,
+    WallTime, ZoneName,
+};
+use greengage_scheduler::{
+    Candidate, Effect, EndKind, Event, HoldResult, Reply, RunEnd, RunListing, Scheduler, Setup,
+    StartResult, Step, Submission, TargetCall, TargetReport, DEFAULT_WEIGHT,
+};
+
+fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn cores(cores: u32) -> Demand {
+    Demand {
+        milli_cores: cores * 1000,
+        memory_mib: 64,
+        accelerators: 0,
+    }
+}
+
+fn report(name: &str, capacity: Demand) -> TargetReport {
+    TargetReport {
+        target: TargetName::new(name).unwrap(),
+        service: "s".into(),
+        address: Address::new(&format!("{name}:8080")).unwrap(),
+        zone: ZoneName::new("a").unwrap(),
+        capacity,
+        labels: Vec::new(),
+        draining: false,
+        incarnation: Incarnation(1),
+        sequence: 1,
+    }
+}
+
+/// A target with its long poll (generation and end) and its runs with their ends.
+#[derive(Default)]
+struct Target {
+    hold: Option<(u64, Time)>,
+    runs: Vec<(RunListing, Time)>,
+    ended: Vec<RunEnd>,
+    ends: u64,
+}
+
+struct Vm {
+    scheduler: Scheduler,
+    now: Time,
+    targets: BTreeMap<TargetName, Target>,
+    /// Run time in ms by the beginning of the task's name.
+    run_ms: Vec<(String, u64)>,
+    /// Tasks in the order of their starts, and the answers by request.
+    started: Vec<(Time, String)>,
+    answers: BTreeMap<u64, (Time, Reply)>,
+    result: StartResult,
+}
+
+impl Vm {
+    /// A VM that owns targets with this capacity, and a queue whose jobs are in time within
+    /// `slack_percent` of their run time.
+    fn new(slack_percent: u32, reports: Vec<TargetReport>) -> Vm {
+        let candidate = Candidate {
+            vm: VmName::new("v1").unwrap(),
+            zone: ZoneName::new("a").unwrap(),
+            weight: DEFAULT_WEIGHT,
+        };
+        let setup = Setup {
+            candidate,
+            incarnation: Incarnation(1),
+            stop_limit: millis(50),
+            report_interval: millis(100),
+        };
+        let queue = Queue {
+            name: "q".into(),
+            host: "h".into(),
+            prefix: "/q/".into(),
+            service: "s".into(),
+            timeout: millis(10_000),
+            latency: millis(0),
+            slack_percent,
+            priority: 0,
+            max_attempts: 3,
+            uses_advisor: false,
+        };
+        let document = Document {
+            version: Version(1),
+            queues: vec![queue],
+            services: vec![Service {
+                name: "s".into(),
+                max_connections: 64,
+            }],
+            limits: Limits {
+                max_body_bytes: 1 << 18,
+            },
+            source: Payload::new(Vec::new()),
+        };
+        let now = Time::from_millis(1000);
+        let mut vm = Vm {
+            scheduler: Scheduler::new(now, setup),
+            now,
+            targets: BTreeMap::new(),
+            run_ms: Vec::new(),
+            started: Vec::new(),
+            answers: BTreeMap::new(),
+            result: StartResult::Running { clock: 1000 },
+        };
+        vm.step(Event::Configuration(document.validated().unwrap().into()));
+        for report in reports {
+            vm.step(Event::TargetReported(report));
+        }
+        vm.advance(3000);
+        vm
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut events = vec![Event::CallersChecked { until: self.now }, event];
+        while !events.is_empty() {
+            let event = events.remove(0);
+            let wall = WallTime(self.now.0 / 1000);
+            for effect in self.scheduler.step(self.now, wall, event) {
+                events.extend(self.carry_out(effect));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) -> Option<Event> {
+        let clock = self.now.0 / 1000;
+        match effect {
+            Effect::Answer { request, reply } => {
+                self.answers.insert(request.0, (self.now, reply));
+                None
+            }
+            Effect::Send { .. } => None,
+            Effect::Call {
+                target: name,
+                generation,
+                call,
+                ..
+            } => {
+                let target = self.targets.entry(name.clone()).or_default();
+                match call {
+                    TargetCall::Hold(hold) => {
+                        target.ended.retain(|end| end.number > hold.observed);
+                        target.hold = Some((generation, self.now + hold.wait));
+                        None
+                    }
+                    TargetCall::Start(start) => {
+                        let mut result = self.result.clone();
+                        if let StartResult::Running { clock: read } = &mut result {
+                            *read = clock;
+                            let known = |(task, _): &&(String, _)| start.task.starts_with(task);
+                            let run_ms = self.run_ms.iter().find(known).unwrap().1;
+                            let run = RunListing {
+                                task: start.task.clone(),
+                                run: start.number,
+                                percent: 0,
+                            };
+                            target.runs.push((run, self.now + millis(run_ms)));
+                            self.started.push((self.now, start.task.to_string()));
+                        }
+                        Some(Event::StartEnded {
+                            target: name,
+                            task: start.task,
+                            number: start.number,
+                            generation,
+                            result,
+                        })
+                    }
+                    TargetCall::Stop(_) => None,
+                }
+            }
+        }
+    }
+
+    fn advance(&mut self, ms: u64) {
+        for _ in 0..ms / 5 {
+            self.now = self.now + millis(5);
+            let now = self.now;
+            let names: Vec<TargetName> = self.targets.keys().cloned().collect();
+            for name in names {
+                let target = self.targets.get_mut(&name).unwrap();
+                for (run, _) in target.runs.extract_if(.., |run| run.1 <= now) {
+                    target.ends += 1;
+                    target.ended.push(RunEnd {
+                        number: target.ends,
+                        task: run.task,
+                        run: run.run,
+                        kind: EndKind::Done,
+                    });
+                }
+                let due = |hold: &mut (u64, Time)| now >= hold.1 || !target.ended.is_empty();
+                if let Some((generation, _)) = target.hold.take_if(due) {
+                    let result = HoldResult::Lists {
+                        clock: now.0 / 1000,
+                        incarnation: Some(Incarnation(1)),
+                        running: target.runs.iter().map(|(run, _)| run.clone()).collect(),
+                        ended: target.ended.clone(),
+                    };
+                    self.step(Event::HoldEnded {
+                        target: name,
+                        generation,
+                        result,
+                    });
+                }
+            }
+            self.step(Event::Tick);
+        }
+    }
+
+    /// Submits a job of `steps`, each after the one before, of tasks with a demand and a run time.
+    fn submit(&mut self, request: u64, steps: &[(u32, Demand, u64)]) {
+        let id = format!("j{request}");
+        let step = |(i, (count, demand, run_ms)): (usize, &(u32, Demand, u64))| {
+            self.run_ms.push((format!("{id}.0.{i}."), *run_ms));
+            Step {
+                count: *count,
+                demand: *demand,
+                declared: millis(*run_ms),
+                depends_on: (0..i as u32).rev().take(1).collect(),
+                label: None,
+            }
+        };
+        let steps = steps.iter().enumerate().map(step).collect();
+        self.step(Event::Submit(Submission {
+            request: RequestId(request),
+            host: "h".into(),
+            path: format!("/q/{id}").into(),
+            id: Name::new(&id).unwrap(),
+            spec: "".into(),
+            steps,
+            body_bytes: 100,
+            received: self.now,
+            timeout: millis(10_000),
+            unsupported: None,
+        }));
+    }
+}
+
+/// Guards against a job that never starts, because targets that can't be used, or that lack another
+/// resource than cores, count as able to run all of its tasks at once.
+#[test]
+fn job_wider_than_the_usable_targets_goes_in_waves() {
+    let small_memory = Demand {
+        milli_cores: 64_000,
+        ..cores(0)
+    };
+    let mut draining = report("t1", cores(64));
+    draining.draining = true;
+    for unusable in [draining, report("t1", small_memory)] {
+        let seen = format!("{unusable:?}");
+        let mut vm = Vm::new(150, vec![report("t0", two_tasks()), unusable]);
+        vm.submit(1, &[(8, one_task(), 200)]);
+        vm.advance(1500);
+        assert_eq!(
+            vm.answers.get(&1).map(|a| &a.1),
+            Some(&Reply::Completed),
+            "{seen}"
+        );
+    }
+}
+
+fn one_task() -> Demand {
+    Demand {
+        memory_mib: 100,
+        ..cores(4)
+    }
+}
+
+fn two_tasks() -> Demand {
+    Demand {
+        memory_mib: 200,
+        ..cores(8)
+    }
+}
