Forecast the room of targets that pause for a moment

Cause: a target that had no room for a start (30 ms) or missed one hold wasn't part of the forecast, so jobs with little time to wait were refused for a pause, and started ones lost their claims.

Change: such a target is in the forecast with nothing free until its pause is expected to end: full_until, or the wait of the repeated hold.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -138,8 +138,9 @@
         // It must not take the room that is kept for jobs which will be in time.
         for (place, slot) in pool.places.iter().zip(&mut pool.slots) {
             if let Place::Local(position) = place {
-                let target = self.targets.at(*position);
-                slot.room = target.map_or_else(Room::default, |(_, t)| Room::new(t.unreserved()));
+                let target = self.targets.at(*position).map(|(_, target)| target);
+                let target = target.filter(|target| target.accepts_tasks(now));
+                slot.room = target.map_or_else(Room::default, |t| Room::new(t.unreserved()));
             }
         }
         let mut offloads = Vec::new();
@@ -206,11 +207,11 @@
         };
         for position in self.targets.used_positions() {
             let target = self.targets.at(position).map(|(_, target)| target);
-            let Some(target) = target.filter(|target| target.accepts_tasks(now)) else {
+            let Some((target, open)) = target.and_then(|t| Some((t, t.opens_at(now)?))) else {
                 continue;
             };
             pool.slots.push(Slot {
-                room: target.forecast(now),
+                room: target.forecast(now, open),
                 speed: target.speed.factor(),
                 delay: LOCAL_ROUND_TRIP,
                 locality: Locality::Local,
--- a/crates/scheduler/src/leases.rs
+++ b/crates/scheduler/src/leases.rs
@@ -45,10 +45,10 @@
 const GENERATIONS_PER_MS: u64 = 1 << 12;
 /// How long a target may wait for an end before it answers a hold. Each hold renews the lease,
 /// which must last for several of them; stalled runs show only in the answers.
-const HOLD_WAIT: Duration = Duration::from_millis(200);
+pub(crate) const HOLD_WAIT: Duration = Duration::from_millis(200);
 /// Like `HOLD_WAIT`, on a target without runs. A start grants a lease itself, which lasts until the
 /// hold after the current one.
-const IDLE_HOLD_WAIT: Duration = Duration::from_millis(380);
+pub(crate) const IDLE_HOLD_WAIT: Duration = Duration::from_millis(380);
 /// Like `HOLD_WAIT`, while the runs of earlier owners are being stopped.
 const CLAIM_HOLD_WAIT: Duration = Duration::from_millis(15);
 /// Pause after the second and further consecutive holds without an answer. The first one is
@@ -368,8 +368,7 @@
             false => None,
         };
         let wait = match owned {
-            true if target.runs.is_empty() => IDLE_HOLD_WAIT,
-            true => HOLD_WAIT,
+            true => target.hold_wait(),
             false if target.clock.is_none() => Duration::ZERO,
             false => CLAIM_HOLD_WAIT,
         };
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -13,6 +13,7 @@
 use crate::estimate::LearnedFactor;
 use crate::event::TargetReport;
 use crate::health::Health;
+use crate::leases::{HOLD_WAIT, IDLE_HOLD_WAIT};
 use crate::renewal::RENEWAL_TIMEOUT;
 
 /// Lease of the runs on a target. A caller that loses its VM submits its job again 1.3 s later, and
@@ -326,8 +327,8 @@
         self.free().saturating_sub(&self.reserved)
     }
 
-    /// Free resources now and at the expected ends of its runs.
-    pub(crate) fn forecast(&self, now: Time) -> Room {
+    /// Free resources from `open` on, and at the expected ends of its runs.
+    pub(crate) fn forecast(&self, now: Time, open: Time) -> Room {
         let mut room = Room::new(self.free());
         let speed = self.speed.factor().max(0.01);
         for run in &self.runs {
@@ -339,12 +340,21 @@
             };
             room.release(expected_end(now, &progress), &run.demand);
         }
+        if open > now {
+            room.claim(now, (now, open), &self.report.capacity);
+        }
         room
     }
 
     /// Whether tasks may be started on it.
     pub(crate) fn accepts_tasks(&self, now: Time) -> bool {
-        self.ownership == Ownership::Owned
+        self.opens_at(now).is_some_and(|time| time <= now)
+    }
+
+    /// From when on tasks may be started on it: now, or after the short pause that follows a start
+    /// without effect or the first hold without an answer. `None` if no time is known.
+    pub(crate) fn opens_at(&self, now: Time) -> Option<Time> {
+        let usable = self.ownership == Ownership::Owned
             && self.reported
             && !self.releasing
             && !self.lost
@@ -352,10 +362,24 @@
             && !self.report.draining
             && !self.has_overdue_stop(now)
             && !self.has_expired_run(now)
-            && self.hold.misses == 0
-            && now >= self.full_until
             && self.clock.is_some()
-            && self.runs.len() < self.health.max_runs(now)
+            && self.runs.len() < self.health.max_runs(now);
+        let answered = match self.hold.misses {
+            0 => Some(now),
+            // A target that is back answers the repeated hold at the end of its wait.
+            1 => self.hold.sent.map(|sent| sent + self.hold_wait()),
+            _ => None,
+        };
+        let answered = answered.filter(|time| self.hold.misses == 0 || *time > now);
+        usable.then_some(answered?.max(self.full_until).max(now))
+    }
+
+    /// How long a hold of its owner may wait.
+    pub(crate) fn hold_wait(&self) -> Duration {
+        match self.runs.is_empty() {
+            true => IDLE_HOLD_WAIT,
+            false => HOLD_WAIT,
+        }
     }
 
     /// Grants a lease that starts now and updates `lease_end`. Returns its end in milliseconds of
--- a/crates/scheduler/tests/room.rs
+++ b/crates/scheduler/tests/room.rs
@@ -239,6 +239,18 @@
             unsupported: None,
         }));
     }
+
+    /// Number of tasks of a job that were started.
+    fn starts_of(&self, request: u64) -> usize {
+        let prefix = format!("j{request}.");
+        let of_job = |(_, task): &&(Time, String)| task.starts_with(&prefix);
+        self.started.iter().filter(of_job).count()
+    }
+
+    fn has_completed(&self, request: u64) -> bool {
+        let answer = self.answers.get(&request);
+        matches!(answer, Some((_, Reply::Completed)))
+    }
 }
 
 /// Guards against a job that never starts, because targets that can't be used, or that lack another
@@ -277,3 +289,16 @@
         ..cores(8)
     }
 }
+
+/// Guards against a job that is refused because its targets pause for a moment.
+#[test]
+fn job_waits_for_a_target_that_pauses_after_a_start_without_effect() {
+    let mut vm = Vm::new(300, vec![report("t0", two_tasks())]);
+    vm.result = StartResult::NoRoom;
+    vm.submit(1, &[(1, one_task(), 40)]);
+    vm.result = StartResult::Running { clock: 0 };
+    vm.submit(2, &[(1, one_task(), 40)]);
+    assert_eq!(vm.starts_of(2), 0);
+    vm.advance(200);
+    assert!(vm.has_completed(2), "{:?}", vm.answers);
+}
