Bound the forecast by the capacity and tell peers of kept room

Cause: the forecast added what runs give back to what is free, which is zero if the runs use more than the target has, as after a report of a smaller capacity; the sum could exceed the capacity. A change of the room that is kept for own jobs didn't mark the offers as changed, so peers saw it as free until the next broadcast.

Change: the forecast takes runs from the capacity. A round compares what is kept on each target with the round before, and marks the offers as changed.

--- a/crates/contention/src/forecast.rs
+++ b/crates/contention/src/forecast.rs
@@ -1,7 +1,7 @@
 //! Forecast of the free resources of a target.
 //!
-//! A [`Room`] is a step function of time: what is free now, what runs give back at their expected
-//! ends, and what is claimed for tasks that start later.
+//! A [`Room`] is a step function of time: the capacity less what runs use up to their expected ends,
+//! and less what is claimed for tasks that start later.
 
 use std::time::Duration;
 
@@ -81,14 +81,6 @@
         }
     }
 
-    /// Adds resources that become free at a time.
-    pub fn release(&mut self, at: Time, demand: &Demand) {
-        let first = self.step_at(at);
-        for (_, free) in &mut self.steps[first..] {
-            *free = free.saturating_add(demand);
-        }
-    }
-
     /// What stays free: no claim reduces it.
     pub fn least(&self) -> Demand {
         self.steps
--- a/crates/contention/tests/start.rs
+++ b/crates/contention/tests/start.rs
@@ -50,8 +50,8 @@
 #[test]
 fn kept_room_is_passed_only_by_tasks_that_end_before_it_is_needed() {
     let now = Time::from_millis(1000);
-    let mut room = Room::new(cores(8));
-    room.release(now + millis(100), &cores(8));
+    let mut room = Room::new(cores(16));
+    room.claim(now, (now, now + millis(100)), &cores(8));
     let mut slots = [slot(room)];
     let wide = need(cores(16), 50, now + millis(300));
     assert_eq!(place_now(now, &slots, &wide), None);
@@ -70,8 +70,8 @@
 fn slack_of_a_wait_counts_against_the_awaited_runs() {
     let now = Time::from_millis(1000);
     let later = |room_ms| {
-        let mut room = Room::new(cores(0));
-        room.release(now + millis(room_ms), &cores(16));
+        let mut room = Room::new(cores(16));
+        room.claim(now, (now, now + millis(room_ms)), &cores(16));
         let long = need(cores(16), 900, now + millis(1500));
         place_later(now, &[slot(room)], &long)
     };
@@ -180,7 +180,7 @@
         }
         jobs.retain(|_, job| job.waiting + job.running > 0);
         let mut slots: Vec<Slot> = (0..16).map(|_| slot(Room::new(cores(16)))).collect();
-        for (target, job, sent, end) in &runs {
+        for (target, job, sent, _) in &runs {
             let progress = Progress {
                 sent: *sent,
                 expected: millis(KINDS[jobs[job].kind].1),
@@ -188,8 +188,7 @@
                 listed: *sent,
             };
             let room = &mut slots[*target].room;
-            room.claim(now, (now, *end + millis(10_000)), &cores(8));
-            room.release(expected_end(now, &progress), &cores(8));
+            room.claim(now, (now, expected_end(now, &progress)), &cores(8));
         }
         let mut order: Vec<usize> = jobs.keys().copied().collect();
         order.sort_by_key(|i| (!jobs[i].started, jobs[i].latest_start()));
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -67,8 +67,6 @@
 impl Scheduler {
     /// Starts the waiting tasks for which there is room, and keeps room for others.
     pub(crate) fn dispatch(&mut self, now: Time, out: &mut Vec<Effect>) {
-        self.targets
-            .for_each_used(|_, target| target.reserved = Demand::default());
         let mut order: Vec<(bool, Rank, u64)> = self
             .jobs
             .iter()
@@ -77,6 +75,7 @@
             .collect();
         if order.is_empty() || !self.knows_callers(now) {
             self.least_waiting = (!order.is_empty()).then(Demand::default);
+            self.offers_changed |= self.targets.set_reserved(std::iter::empty());
             return;
         }
         order.sort_unstable();
@@ -92,12 +91,15 @@
             };
             self.place_job(now, job_id, rule, &mut pool, &mut offloads, out);
         }
-        for (place, slot) in pool.places.iter().zip(&pool.slots) {
-            let reserved = slot.room.free().saturating_sub(&slot.room.least());
-            if let Place::Local(position) = place {
-                self.targets.set_reserved(*position, reserved);
-            }
-        }
+        let reserved = pool.places.iter().zip(&pool.slots);
+        let reserved = reserved.filter_map(|(place, slot)| match place {
+            Place::Local(position) => Some((
+                *position,
+                slot.room.free().saturating_sub(&slot.room.least()),
+            )),
+            Place::Remote(..) => None,
+        });
+        self.offers_changed |= self.targets.set_reserved(reserved);
         let waits = |job: &Job| job.tasks.iter().any(|t| t.state == TaskState::Waiting);
         let waits = self.jobs.values().any(waits);
         self.least_waiting = self.least_waiting.filter(|_| waits);
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -329,7 +329,7 @@
 
     /// Free resources from `open` on, and at the expected ends of its runs.
     pub(crate) fn forecast(&self, now: Time, open: Time) -> Room {
-        let mut room = Room::new(self.free());
+        let mut room = Room::new(self.report.capacity);
         let speed = self.speed.factor().max(0.01);
         for run in &self.runs {
             let progress = Progress {
@@ -338,7 +338,7 @@
                 percent: run.percent,
                 listed: run.progressed,
             };
-            room.release(expected_end(now, &progress), &run.demand);
+            room.claim(now, (now, expected_end(now, &progress)), &run.demand);
         }
         if open > now {
             room.claim(now, (now, open), &self.report.capacity);
--- a/crates/scheduler/src/targets.rs
+++ b/crates/scheduler/src/targets.rs
@@ -122,11 +122,20 @@
         self.all.at(position)
     }
 
-    /// Sets what is kept on the target at a position for waiting jobs.
-    pub(crate) fn set_reserved(&mut self, position: usize, reserved: Demand) {
-        if let Some((_, target)) = self.all.at_mut(position) {
-            target.reserved = reserved;
+    /// Sets what is kept for waiting jobs on the targets at some positions, ascending, and nothing on
+    /// the others in use. Returns whether that is a change.
+    pub(crate) fn set_reserved(&mut self, reserved: impl Iterator<Item = (usize, Demand)>) -> bool {
+        let mut reserved = reserved.peekable();
+        let mut changed = false;
+        for position in &self.used {
+            let found = reserved.next_if(|(kept, _)| kept == position);
+            let demand = found.map_or_else(Demand::default, |(_, demand)| demand);
+            if let Some((_, target)) = self.all.at_mut(*position) {
+                changed |= target.reserved != demand;
+                target.reserved = demand;
+            }
         }
+        changed
     }
 
     /// Positions of the targets in use, and of some others.
--- a/crates/scheduler/tests/room.rs
+++ b/crates/scheduler/tests/room.rs
@@ -9,8 +9,9 @@
     WallTime, ZoneName,
 };
 use greengage_scheduler::{
-    Candidate, Effect, EndKind, Event, HoldResult, Reply, RunEnd, RunListing, Scheduler, Setup,
-    StartResult, Step, Submission, TargetCall, TargetReport, DEFAULT_WEIGHT,
+    Candidate, Effect, EndKind, Event, HoldResult, Peer, PeerMessage, Reply, ResourceOffer, RunEnd,
+    RunListing, Scheduler, Setup, StartResult, Step, Submission, TargetCall, TargetReport,
+    DEFAULT_WEIGHT,
 };
 
 fn millis(ms: u64) -> Duration {
@@ -25,6 +26,14 @@
     }
 }
 
+/// Capacity for that many cores, and for any number of tasks on them.
+fn room(of: u32) -> Demand {
+    Demand {
+        memory_mib: 4096,
+        ..cores(of)
+    }
+}
+
 fn report(name: &str, capacity: Demand) -> TargetReport {
     TargetReport {
         target: TargetName::new(name).unwrap(),
@@ -57,6 +66,8 @@
     /// Tasks in the order of their starts, and the answers by request.
     started: Vec<(Time, String)>,
     answers: BTreeMap<u64, (Time, Reply)>,
+    /// Offers of free resources that were sent last.
+    offers: Vec<ResourceOffer>,
     result: StartResult,
 }
 
@@ -107,6 +118,7 @@
             run_ms: Vec::new(),
             started: Vec::new(),
             answers: BTreeMap::new(),
+            offers: Vec::new(),
             result: StartResult::Running { clock: 1000 },
         };
         vm.step(Event::Configuration(document.validated().unwrap().into()));
@@ -135,7 +147,12 @@
                 self.answers.insert(request.0, (self.now, reply));
                 None
             }
-            Effect::Send { .. } => None,
+            Effect::Send { message, .. } => {
+                if let PeerMessage::Offers { offers, .. } = message {
+                    self.offers = offers;
+                }
+                None
+            }
             Effect::Call {
                 target: name,
                 generation,
@@ -302,3 +319,55 @@
     vm.advance(200);
     assert!(vm.has_completed(2), "{:?}", vm.answers);
 }
+
+/// Guards against room that is expected beyond the capacity of a target, which has become smaller
+/// than what runs there.
+#[test]
+fn no_room_is_kept_beyond_the_capacity_of_a_target() {
+    let mut vm = Vm::new(400, vec![report("t0", room(16))]);
+    vm.submit(1, &[(1, cores(8), 1000)]);
+    vm.submit(2, &[(1, cores(8), 140)]);
+    let mut smaller = report("t0", room(8));
+    smaller.sequence = 2;
+    vm.step(Event::TargetReported(smaller));
+    vm.submit(3, &[(1, cores(8), 100)]);
+    vm.advance(125);
+    let answer = vm.answers.get(&3).map(|answer| &answer.1);
+    assert!(matches!(answer, Some(Reply::Refused { .. })), "{answer:?}");
+}
+
+/// Guards against peers that send tasks into room which is kept for this VM's own jobs.
+#[test]
+fn peers_are_told_at_once_of_room_that_is_kept() {
+    let mut vm = Vm::new(400, vec![report("t0", room(16))]);
+    let candidate = Candidate {
+        vm: VmName::new("v2").unwrap(),
+        zone: ZoneName::new("b").unwrap(),
+        weight: DEFAULT_WEIGHT,
+    };
+    vm.step(Event::Peers(vec![Peer {
+        candidate: candidate.clone(),
+        incarnation: Incarnation(1),
+        leaving: false,
+    }]));
+    vm.step(Event::Peer {
+        from: candidate.vm,
+        sent: vm.now,
+        message: PeerMessage::Offers {
+            owned: Vec::new(),
+            offers: Vec::new(),
+            shortage: true,
+            time_left: None,
+        },
+    });
+    // This VM is short of room, which is told for a second, and gets it back.
+    vm.submit(1, &[(1, cores(16), 100)]);
+    vm.submit(2, &[(1, cores(16), 100)]);
+    vm.advance(310);
+    vm.submit(3, &[(1, cores(8), 100)]);
+    vm.advance(50);
+    assert_eq!(vm.offers.len(), 1, "half of the target is free");
+    vm.submit(4, &[(1, cores(16), 100)]);
+    vm.advance(30);
+    assert_eq!((vm.starts_of(4), vm.offers.len()), (0, 0), "half is kept");
+}
