Leave time for the later steps of a job

Cause: each step was placed, and the job ordered, as if the whole time up to the objective were its own, so a job of two steps waited for room until its second step could only end late.

Change: a step's tasks have to end early enough for the longest chain of steps after it, as expected when the job was accepted. The order, the time from which a started job counts as late, and the objective of an offloaded task use the same.

Result: the new test of the scheduler, a job of 100 and 300 ms behind a run of 240 ms, waits until it can only end late before, and is refused at its longest wait after (cargo test -p greengage-scheduler, all pass).

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -176,22 +176,23 @@
         }
     }
 
-    /// Expected run time of the job's longest task that isn't done.
-    fn longest_run_time(&self, job: &Job) -> Duration {
+    /// Expected time that the job takes from now on if all of its steps that are ready start.
+    fn remaining_time(&self, job: &Job) -> Duration {
         let steps = job.steps.iter().filter(|step| step.remaining > 0);
-        let times = steps.map(|step| self.estimates.expected_run_time(&job.queue, step.declared));
+        let times = steps
+            .map(|step| step.after + self.estimates.expected_run_time(&job.queue, step.declared));
         times.max().unwrap_or_default()
     }
 
     /// When the tasks have to start on a target of usual speed for the job to end in time.
     fn latest_start(&self, job: &Job) -> Time {
-        job.objective - self.longest_run_time(job)
+        job.objective - self.remaining_time(job)
     }
 
     /// Like `latest_start`, on the fastest target; tasks that start later are late on any target.
     fn latest_useful_start(&self, job: &Job, pool: &SlotPool) -> Time {
         let fastest = pool.slots.iter().map(|slot| slot.speed).fold(1.0, f64::max);
-        job.objective - self.longest_run_time(job).div_f64(fastest)
+        job.objective - self.remaining_time(job).div_f64(fastest)
     }
 
     /// Collects the resources of this VM's targets, for the waiting tasks of some jobs.
@@ -364,8 +365,8 @@
             demand: step.demand,
             expected,
             best_case: expected * BEST_CASE_PERCENT / 100,
-            objective: job.objective,
-            deadline: job.deadline,
+            objective: job.objective - step.after,
+            deadline: job.deadline - step.after * BEST_CASE_PERCENT / 100,
             any_time: rule == PlacementRule::AnyTime,
         }
     }
@@ -517,7 +518,7 @@
             demand: step.demand,
             declared: step.declared,
             label: step.label.clone(),
-            objective: job.objective.since(now),
+            objective: (job.objective - step.after).since(now),
             deadline: job.deadline.since(now),
         };
         log::debug!(event = "offload", task = &*offload.task, run = offload.number,
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -46,6 +46,8 @@
     pub(crate) declared: Duration,
     pub(crate) depends_on: Vec<u32>,
     pub(crate) label: Option<Arc<str>>,
+    /// Expected run time of the steps after it, when the job was accepted.
+    pub(crate) after: Duration,
     /// Number of tasks that aren't done.
     pub(crate) remaining: u32,
 }
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -171,6 +171,10 @@
         }
         let work = self.critical_path(&job.steps, &queue.name);
         let mut accepted = new_job(now, job, queue, work);
+        let times_after = self.times_after(&job.steps, &queue.name);
+        for (step, after) in accepted.steps.iter_mut().zip(times_after) {
+            step.after = after;
+        }
         accepted.unplaceable = unplaceable;
         if let Some(leaving) = &self.leaving {
             if outlasts(now, work, leaving.end) {
@@ -271,22 +275,41 @@
         }
     }
 
+    /// Expected run time of the slowest of `count` equal tasks.
+    fn slowest_run_time(&self, queue: &str, count: u32, declared: Duration) -> Duration {
+        let found = SLOWEST_TASK_PERCENT.iter().find(|(most, _)| count <= *most);
+        let percent = found.map_or(100, |(_, percent)| *percent);
+        self.estimates.expected_run_time(queue, declared) * percent / 100
+    }
+
     /// Expected run time of the longest dependency chain of steps.
     fn critical_path(&self, steps: &[Step], queue: &Arc<str>) -> Duration {
         let mut paths: Vec<Duration> = Vec::with_capacity(steps.len());
         for step in steps {
             let before = step.depends_on.iter();
             let before = before.filter_map(|i| paths.get(*i as usize)).max();
-            let found = SLOWEST_TASK_PERCENT
-                .iter()
-                .find(|(most, _)| step.count <= *most);
-            let percent = found.map_or(100, |(_, percent)| *percent);
-            let run_time = self.estimates.expected_run_time(queue, step.declared) * percent / 100;
+            let run_time = self.slowest_run_time(queue, step.count, step.declared);
             paths.push(run_time + before.copied().unwrap_or_default());
         }
         paths.into_iter().max().unwrap_or_default()
     }
 
+    /// For each step, the expected run time of the longest chain of steps after it.
+    fn times_after(&self, steps: &[Step], queue: &Arc<str>) -> Vec<Duration> {
+        let mut after = vec![Duration::ZERO; steps.len()];
+        for (i, step) in steps.iter().enumerate().rev() {
+            let run_time = self.slowest_run_time(queue, step.count, step.declared);
+            let time = run_time + after[i];
+            // A step depends on earlier ones.
+            for before in step.depends_on.iter().map(|before| *before as usize) {
+                if before < i {
+                    after[before] = after[before].max(time);
+                }
+            }
+        }
+        after
+    }
+
     /// Expected time until the tasks that wait on this VM are served.
     pub(crate) fn backlog(&self, now: Time) -> Duration {
         let mut work = Duration::ZERO;
@@ -342,6 +365,7 @@
         declared: step.declared,
         depends_on: step.depends_on.clone(),
         label: step.label.clone(),
+        after: Duration::ZERO,
         remaining: step.count,
     });
     Job {
--- a/crates/scheduler/tests/room.rs
+++ b/crates/scheduler/tests/room.rs
@@ -371,3 +371,15 @@
     vm.advance(30);
     assert_eq!((vm.starts_of(4), vm.offers.len()), (0, 0), "half is kept");
 }
+
+/// Guards against a first step that waits until the later ones can't end in time any more.
+#[test]
+fn first_step_leaves_time_for_the_later_ones() {
+    let mut vm = Vm::new(150, vec![report("t0", room(8))]);
+    vm.submit(1, &[(1, cores(8), 240)]);
+    // It counts as in time until 600 ms, and would end after 640 ms.
+    vm.submit(2, &[(1, cores(8), 100), (1, cores(8), 300)]);
+    vm.advance(200);
+    let answer = vm.answers.get(&2).map(|answer| &answer.1);
+    assert!(matches!(answer, Some(Reply::Refused { .. })), "{answer:?}");
+}
