Look up the targets of peers only for jobs that exceed all targets

Cause: each submission searched every target that a peer owns among the known ones, to learn whether all targets are known, before it checked whether the job needs more than all of them have, which is rare. perf showed a fifth of the control thread's time in comparing names there.

Change: the check of the job comes first.

--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -163,7 +163,7 @@
             // No target of the service, whoever owns it, has the capacity or the label.
             return Err((Reply::Failed, "a task fits on no target of the service"));
         }
-        if !unplaceable && self.knows_targets(now) && self.exceeds_targets(now, job, queue) {
+        if !unplaceable && self.exceeds_targets(now, job, queue) && self.knows_targets(now) {
             return Err((
                 retry_later(),
                 "the targets can't do the job's work before the caller's deadline",
