Compute no work for the order of jobs and scan slots once

Cause: the order of a round counted the work of each job over its steps and tasks, which the rank doesn't use. A task without a safe place scanned the slots for one a second time. A job of one step without any place was checked for waves.

Change: the rank is built without the work, the second scan is made only if offers were added, and such a job isn't checked. What found no free slot was also remembered for needs of the round that are at least as large; that is left out.

The decisions are the same.

--- a/crates/contention/src/placement.rs
+++ b/crates/contention/src/placement.rs
@@ -80,6 +80,18 @@
     best.map(|(i, _)| i)
 }
 
+/// Index of the slot in which a task ends first.
+pub(crate) fn choose_first(
+    now: Time,
+    slots: &[Slot],
+    demand: &Demand,
+    expected: Duration,
+) -> Option<usize> {
+    let fitting = fitting(now, slots, demand, expected);
+    let first = fitting.min_by_key(|(_, slot)| finish_time(now, slot, expected));
+    first.map(|(i, _)| i)
+}
+
 /// Index of the best slot for a task, and whether the task is expected to end there in time; `None`
 /// if it fits in no slot.
 pub fn choose_slot(
@@ -92,7 +104,9 @@
     if let Some(i) = choose_safe(now, slots, demand, expected, objective) {
         return Some((i, true));
     }
-    let fitting = fitting(now, slots, demand, expected);
-    let first = fitting.min_by_key(|(_, slot)| finish_time(now, slot, expected));
-    first.map(|(i, slot)| (i, finish_time(now, slot, expected) <= objective))
+    let first = choose_first(now, slots, demand, expected)?;
+    Some((
+        first,
+        finish_time(now, &slots[first], expected) <= objective,
+    ))
 }
--- a/crates/contention/src/rank.rs
+++ b/crates/contention/src/rank.rs
@@ -38,17 +38,22 @@
 impl Claim {
     /// Rank of the job.
     pub fn rank(&self) -> Rank {
-        let left = self.latest_start.since(self.arrival);
-        let deferral = left / DEFERRAL_DIVISOR * self.priority.min(MAX_DEFERRALS);
-        Rank {
-            due: self.latest_start + deferral,
-            priority: self.priority,
-            arrival: self.arrival,
-        }
+        Rank::new(self.priority, self.latest_start, self.arrival)
     }
 }
 
 impl Rank {
+    /// Rank of a job of this priority that has to start its last task by `latest_start`.
+    pub fn new(priority: u32, latest_start: Time, arrival: Time) -> Rank {
+        let left = latest_start.since(arrival);
+        let deferral = left / DEFERRAL_DIVISOR * priority.min(MAX_DEFERRALS);
+        Rank {
+            due: latest_start + deferral,
+            priority,
+            arrival,
+        }
+    }
+
     /// The time by which jobs are ordered: the latest start with the deferral by priority.
     pub fn due(&self) -> Time {
         self.due
--- a/crates/contention/src/start.rs
+++ b/crates/contention/src/start.rs
@@ -11,7 +11,7 @@
 
 use greengage_core::{value, Demand, Time};
 
-use crate::placement::{choose_safe, choose_slot, finish_time, Locality, Slot};
+use crate::placement::{choose_first, choose_safe, finish_time, Locality, Slot};
 
 /// Safety margin on the time until room is expected, in percent. A run may take 60 % longer than
 /// expected, and a job waits for the last of several.
@@ -95,10 +95,11 @@
     Some(need.at(now, slot, &slots[slot]))
 }
 
-/// The best place for a task among slots that are free now.
+/// The place in which a task ends first among slots that are free now, for one without a safe place.
 pub fn place_now(now: Time, slots: &[Slot], need: &Need) -> Option<Placement> {
-    let (slot, in_time) = choose_slot(now, slots, &need.demand, need.expected, need.objective)?;
+    let slot = choose_first(now, slots, &need.demand, need.expected)?;
     let useful = finish_time(now, &slots[slot], need.best_case) <= need.deadline;
+    let in_time = finish_time(now, &slots[slot], need.expected) <= need.objective;
     (useful && (in_time || need.any_time)).then(|| need.at(now, slot, &slots[slot]))
 }
 
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -9,12 +9,12 @@
 use std::time::Duration;
 
 use greengage_contention::{
-    decide, place_later, place_now, place_safe, Claim, Decision, Locality, Need, Rank, Room, Slot,
+    decide, place_later, place_now, place_safe, Decision, Locality, Need, Rank, Room, Slot,
 };
 use greengage_core::{Demand, TargetName, Time, VmName};
 
 use crate::event::{Effect, StartCall, TargetCall};
-use crate::job::{Job, Task, TaskState};
+use crate::job::{Job, TaskState};
 use crate::peer::{OffloadedTask, PeerMessage};
 use crate::scheduler::Scheduler;
 use crate::submit::{outlasts, BEST_CASE_PERCENT};
@@ -71,7 +71,7 @@
             .jobs
             .iter()
             .filter(|(_, job)| job.tasks.iter().any(|t| t.state == TaskState::Waiting))
-            .map(|(job_id, job)| (!job.started, self.claim(job).rank(), *job_id))
+            .map(|(job_id, job)| (!job.started, self.rank(job), *job_id))
             .collect();
         if order.is_empty() || !self.knows_callers(now) {
             self.least_waiting = (!order.is_empty()).then(Demand::default);
@@ -109,20 +109,9 @@
         self.send_offloads(now, offloads, out);
     }
 
-    /// What a job asks for, for its place in the order.
-    fn claim(&self, job: &Job) -> Claim {
-        let work = job.steps.iter().enumerate().map(|(i, step)| {
-            let waits = |task: &&Task| task.step == i && task.state == TaskState::Waiting;
-            let waiting = job.tasks.iter().filter(waits).count() as f64;
-            let expected = self.estimates.expected_run_time(&job.queue, step.declared);
-            expected.mul_f64(waiting * f64::from(step.demand.milli_cores) / 1000.0)
-        });
-        Claim {
-            priority: job.priority,
-            latest_start: self.latest_start(job),
-            work: work.sum(),
-            arrival: job.arrival,
-        }
+    /// Place of a job in the order.
+    fn rank(&self, job: &Job) -> Rank {
+        Rank::new(job.priority, self.latest_start(job), job.arrival)
     }
 
     /// Reviews a job that has reached its longest wait: it waits on if room is kept for it, and
@@ -290,8 +279,9 @@
             if found.is_none() {
                 if self.add_offers(pool) {
                     self.mark_excluded(now, job, *i, pool);
+                    found = place_safe(now, &pool.slots, need);
                 }
-                found = place_now(now, &pool.slots, need);
+                found = found.or_else(|| place_now(now, &pool.slots, need));
             }
             // A late job keeps no room from jobs that can be in time.
             let may_wait = rule == PlacementRule::InTime;
@@ -300,7 +290,9 @@
                 later.flatten()
             });
             let Some(placement) = found else {
-                waves = waves || !job.started && self.is_wide(job, &waiting, pool);
+                // A job of one step without any place has none in waves either.
+                let may_go = !job.started && (job.steps.len() > 1 || !placements.is_empty());
+                waves = waves || may_go && self.is_wide(job, &waiting, pool);
                 if !job.started && !waves {
                     break;
                 }
