--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -9,12 +9,12 @@
 use std::time::Duration;
 
 use greengage_contention::{
-    decide, place_later, place_now, place_safe, Claim, Decision, Locality, Need, Rank, Room, Slot,
+    decide, place_later, place_now, place_safe, Decision, Locality, Need, Rank, Room, Slot,
 };
 use greengage_core::{Demand, TargetName, Time, VmName};
 
 use crate::event::{Effect, StartCall, TargetCall};
-use crate::job::{Job, Task, TaskState};
+use crate::job::{Job, TaskState};
 use crate::peer::{OffloadedTask, PeerMessage};
 use crate::scheduler::Scheduler;
 use crate::submit::{outlasts, BEST_CASE_PERCENT};
@@ -67,16 +67,15 @@
 impl Scheduler {
     /// Starts the waiting tasks for which there is room, and keeps room for others.
     pub(crate) fn dispatch(&mut self, now: Time, out: &mut Vec<Effect>) {
-        self.targets
-            .for_each_used(|_, target| target.reserved = Demand::default());
         let mut order: Vec<(bool, Rank, u64)> = self
             .jobs
             .iter()
             .filter(|(_, job)| job.tasks.iter().any(|t| t.state == TaskState::Waiting))
-            .map(|(job_id, job)| (!job.started, self.claim(job).rank(), *job_id))
+            .map(|(job_id, job)| (!job.started, self.rank(job), *job_id))
             .collect();
         if order.is_empty() || !self.knows_callers(now) {
             self.least_waiting = (!order.is_empty()).then(Demand::default);
+            self.offers_changed |= self.targets.set_reserved(std::iter::empty());
             return;
         }
         order.sort_unstable();
@@ -92,12 +91,15 @@
             };
             self.place_job(now, job_id, rule, &mut pool, &mut offloads, out);
         }
-        for (place, slot) in pool.places.iter().zip(&pool.slots) {
-            let reserved = slot.room.free().saturating_sub(&slot.room.least());
-            if let Place::Local(position) = place {
-                self.targets.set_reserved(*position, reserved);
-            }
-        }
+        let reserved = pool.places.iter().zip(&pool.slots);
+        let reserved = reserved.filter_map(|(place, slot)| match place {
+            Place::Local(position) => Some((
+                *position,
+                slot.room.free().saturating_sub(&slot.room.least()),
+            )),
+            Place::Remote(..) => None,
+        });
+        self.offers_changed |= self.targets.set_reserved(reserved);
         let waits = |job: &Job| job.tasks.iter().any(|t| t.state == TaskState::Waiting);
         let waits = self.jobs.values().any(waits);
         self.least_waiting = self.least_waiting.filter(|_| waits);
@@ -107,20 +109,9 @@
         self.send_offloads(now, offloads, out);
     }
 
-    /// What a job asks for, for its place in the order.
-    pub(crate) fn claim(&self, job: &Job) -> Claim {
-        let work = job.steps.iter().enumerate().map(|(i, step)| {
-            let waits = |task: &&Task| task.step == i && task.state == TaskState::Waiting;
-            let waiting = job.tasks.iter().filter(waits).count() as f64;
-            let expected = self.estimates.expected_run_time(&job.queue, step.declared);
-            expected.mul_f64(waiting * f64::from(step.demand.milli_cores) / 1000.0)
-        });
-        Claim {
-            priority: job.priority,
-            latest_start: self.latest_start(job),
-            work: work.sum(),
-            arrival: job.arrival,
-        }
+    /// Place of a job in the order.
+    pub(crate) fn rank(&self, job: &Job) -> Rank {
+        Rank::new(job.priority, self.latest_start(job), job.arrival)
     }
 
     /// Reviews a job that has reached its longest wait: it waits on if room is kept for it, and
@@ -138,8 +129,9 @@
         // It must not take the room that is kept for jobs which will be in time.
         for (place, slot) in pool.places.iter().zip(&mut pool.slots) {
             if let Place::Local(position) = place {
-                let target = self.targets.at(*position);
-                slot.room = target.map_or_else(Room::default, |(_, t)| Room::new(t.unreserved()));
+                let target = self.targets.at(*position).map(|(_, target)| target);
+                let target = target.filter(|target| target.accepts_tasks(now));
+                slot.room = target.map_or_else(Room::default, |t| Room::new(t.unreserved()));
             }
         }
         let mut offloads = Vec::new();
@@ -173,22 +165,23 @@
         }
     }
 
-    /// Expected run time of the job's longest task that isn't done.
-    fn longest_run_time(&self, job: &Job) -> Duration {
+    /// Expected time that the job takes from now on if all of its steps that are ready start.
+    fn remaining_time(&self, job: &Job) -> Duration {
         let steps = job.steps.iter().filter(|step| step.remaining > 0);
-        let times = steps.map(|step| self.estimates.expected_run_time(&job.queue, step.declared));
+        let times = steps
+            .map(|step| step.after + self.estimates.expected_run_time(&job.queue, step.declared));
         times.max().unwrap_or_default()
     }
 
     /// When the tasks have to start on a target of usual speed for the job to end in time.
     fn latest_start(&self, job: &Job) -> Time {
-        job.objective - self.longest_run_time(job)
+        job.objective - self.remaining_time(job)
     }
 
     /// Like `latest_start`, on the fastest target; tasks that start later are late on any target.
     fn latest_useful_start(&self, job: &Job, pool: &SlotPool) -> Time {
         let fastest = pool.slots.iter().map(|slot| slot.speed).fold(1.0, f64::max);
-        job.objective - self.longest_run_time(job).div_f64(fastest)
+        job.objective - self.remaining_time(job).div_f64(fastest)
     }
 
     /// Collects the resources of this VM's targets, for the waiting tasks of some jobs.
@@ -206,11 +199,11 @@
         };
         for position in self.targets.used_positions() {
             let target = self.targets.at(position).map(|(_, target)| target);
-            let Some(target) = target.filter(|target| target.accepts_tasks(now)) else {
+            let Some((target, open)) = target.and_then(|t| Some((t, t.opens_at(now)?))) else {
                 continue;
             };
             pool.slots.push(Slot {
-                room: target.forecast(now),
+                room: target.forecast(now, open),
                 speed: target.speed.factor(),
                 delay: LOCAL_ROUND_TRIP,
                 locality: Locality::Local,
@@ -286,8 +279,9 @@
             if found.is_none() {
                 if self.add_offers(pool) {
                     self.mark_excluded(now, job, *i, pool);
+                    found = place_safe(now, &pool.slots, need);
                 }
-                found = place_now(now, &pool.slots, need);
+                found = found.or_else(|| place_now(now, &pool.slots, need));
             }
             // A late job keeps no room from jobs that can be in time.
             let may_wait = rule == PlacementRule::InTime;
@@ -296,7 +290,9 @@
                 later.flatten()
             });
             let Some(placement) = found else {
-                waves = waves || !job.started && self.is_wide(job, &waiting);
+                // A job of one step without any place has none in waves either.
+                let may_go = !job.started && (job.steps.len() > 1 || !placements.is_empty());
+                waves = waves || may_go && self.is_wide(job, &waiting, pool);
                 if !job.started && !waves {
                     break;
                 }
@@ -349,29 +345,38 @@
             demand: step.demand,
             expected,
             best_case: expected * BEST_CASE_PERCENT / 100,
-            objective: job.objective,
-            deadline: job.deadline,
+            objective: job.objective - step.after,
+            deadline: job.deadline - step.after * BEST_CASE_PERCENT / 100,
             any_time: rule == PlacementRule::AnyTime,
         }
     }
 
-    /// Whether a job has more waiting tasks than all targets of its service can run at once.
-    fn is_wide(&self, job: &Job, waiting: &[usize]) -> bool {
-        let Some(first) = waiting.first() else {
-            return false;
-        };
-        let step = &job.steps[job.tasks[*first].step];
-        let serving = self.targets.iter().map(|(_, target)| target);
-        let serving = serving.filter(|t| t.serves(&job.service, step.label.as_ref()));
-        let mut slots = 0;
-        for target in serving {
-            let cores = target.report.capacity.milli_cores;
-            slots += (cores / step.demand.milli_cores.max(1)) as usize;
-            if slots >= waiting.len() {
-                return false;
+    /// Whether a job has more waiting tasks than can run at once on the targets that can be used:
+    /// those of this VM, if nothing else ran on them, and what is free in the offers of its peers.
+    fn is_wide(&self, job: &Job, waiting: &[usize], pool: &SlotPool) -> bool {
+        // The part of the targets that the tasks need.
+        let mut needed = 0.0;
+        for (i, step) in job.steps.iter().enumerate() {
+            let tasks = waiting.iter().filter(|task| job.tasks[**task].step == i);
+            let tasks = tasks.count();
+            let count = |place: &Place| match place {
+                Place::Local(position) => {
+                    let target = self.targets.at(*position).map(|(_, target)| target);
+                    let target = target.filter(|t| t.serves(&job.service, step.label.as_ref()));
+                    target.map_or(0, |t| step.demand.count_in(&t.report.capacity))
+                }
+                Place::Remote(vm, index) => {
+                    let offer = self.peers.get(vm).and_then(|view| view.offers.get(*index));
+                    offer.map_or(0, |offer| step.demand.count_in(&offer.free))
+                }
+            };
+            let places = pool.places.iter();
+            let slots: f64 = places.map(|place| f64::from(count(place))).sum();
+            if tasks > 0 {
+                needed += tasks as f64 / slots;
             }
         }
-        true
+        needed > 1.0
     }
 
     /// Excludes the slots that a task may not use. It may use the target of its last run if no other
@@ -493,7 +498,7 @@
             demand: step.demand,
             declared: step.declared,
             label: step.label.clone(),
-            objective: job.objective.since(now),
+            objective: (job.objective - step.after).since(now),
             deadline: job.deadline.since(now),
         };
         log::debug!(event = "offload", task = &*offload.task, run = offload.number,
--- a/crates/scheduler/src/refusals.rs
+++ b/crates/scheduler/src/refusals.rs
@@ -188,7 +188,7 @@
         let (targets_age, offers_age) = self.knowledge_ages(now);
         log::info!(event = "job-refused", job = job.id.as_str(), queue = &*job.queue,
             reason = reason.text(), kind = reason.label(), priority = job.priority,
-            rank_ms = millis(self.claim(job).rank().due().since(now)),
+            rank_ms = millis(self.rank(job).due().since(now)),
             start_by_ms = millis(job.start_by.since(now)),
             expected_ms = millis(self.backlog(now)), waiting = self.jobs.len(),
             tasks = job.tasks.len(), after_ms = millis(after),
@@ -234,7 +234,7 @@
             return;
         };
         let (targets_age, offers_age) = self.knowledge_ages(now);
-        let rank = self.claim(job).rank().due();
+        let rank = self.rank(job).due();
         if starts {
             log::info!(event = "job-started", job = job.id.as_str(), queue = &*job.queue,
                 priority = job.priority, rank_ms = millis(rank.since(now)), tasks = waiting,
