Refuse a job that costs callers less in place of one without room

Cause: a job without room was refused whatever waited beside it, so a flood on one queue took the room of another queue of its priority.

Change: where the scheduler refuses a job for lack of room, as before on arrival and at its longest wait, another job that waits and has none of its tasks sent may give way: of a priority that was served clearly more of its demand, or a queue of the same priority that was admitted clearly more work, then by work. The spared job takes its place in the order, and only if it then has room in time and the jobs between keep theirs. Each spared job costs one other, once, so refusals don't rise. What was tried and left: keeping the spared job's own place, with which a third of them still found no room.

Result: cargo test -p greengage-contention -p greengage-scheduler passes. Jobs of clearly different size rarely make room for each other, and nothing changes there.

--- a/crates/contention/src/refusal.rs
+++ b/crates/contention/src/refusal.rs
@@ -118,6 +118,58 @@
     refusals
 }
 
+/// Part by which a class must be better served than the refused job's for one of its jobs to give
+/// way, in percent. Counts of a second differ by as much at random.
+const ADVANTAGE_PERCENT: f64 = 5.0;
+
+/// Number of jobs that are tried in place of a refused one, since each trial takes a round of
+/// placement.
+const MAX_TRIALS: usize = 3;
+
+/// The job that is refused in place of `refused`, if there is one that costs callers less, and without
+/// which `refused` starts in time. The number of refusals stays the same.
+///
+/// A job of a priority that is clearly better served gives way, or of a queue of the same priority
+/// that was admitted clearly more work; of these jobs, the smallest one that makes room. Few are
+/// tried, from about the work of `refused` on.
+pub fn choose_substitute(
+    now: Time,
+    refused: &Contender,
+    others: &[Contender],
+    shares: &Shares,
+    mut makes_room: impl FnMut(u64) -> bool,
+) -> Option<u64> {
+    let class = |c: &Contender| {
+        let priority = c.claim.priority;
+        let quotient = shares.quotient(now, priority);
+        (quotient, shares.admitted(now, &c.queue))
+    };
+    let (quotient, admitted) = class(refused);
+    let exceeds = |a: f64, b: f64| a > b * (1.0 + ADVANTAGE_PERCENT / 100.0);
+    let open = others.iter().filter(|c| c.start_by.is_some());
+    let classes = open.map(|c| (class(c), c));
+    let mut cheaper: Vec<((f64, f64), &Contender)> = classes
+        .filter(
+            |(found, c)| match c.claim.priority == refused.claim.priority {
+                true => c.queue != refused.queue && exceeds(found.1, admitted),
+                false => exceeds(found.0, quotient),
+            },
+        )
+        .collect();
+    // Within a class those that may be too small come last, the largest of them first.
+    let needed = refused.claim.work;
+    let size = |c: &Contender| match c.claim.work >= needed {
+        true => (false, c.claim.work),
+        false => (true, needed - c.claim.work),
+    };
+    cheaper.sort_by(|(a, x), (b, y)| {
+        let by_class = b.0.total_cmp(&a.0).then(b.1.total_cmp(&a.1));
+        by_class.then_with(|| size(x).cmp(&size(y)))
+    });
+    let mut tried = cheaper.iter().take(MAX_TRIALS).map(|(_, c)| c.id);
+    tried.find(|id| makes_room(*id))
+}
+
 /// Removes the job that gives way for `missing` processor time, and returns its index.
 fn give_way(classes: &mut [(&Arc<str>, u32, Class)], missing: Duration) -> Option<usize> {
     let open = classes.iter_mut().filter(|(.., c)| !c.jobs.is_empty());
--- a/crates/contention/tests/refusal.rs
+++ b/crates/contention/tests/refusal.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use greengage_contention::{choose_refusals, Claim, Contender, Shares};
+use greengage_contention::{choose_refusals, choose_substitute, Claim, Contender, Rank, Shares};
 use greengage_core::Time;
 
 const CORES: u64 = 100;
@@ -19,6 +19,10 @@
 enum Policy {
     /// The one that arrives, if the whole backlog outlasts its wait.
     Arriving,
+    /// The one that arrives, if the work of the jobs before it outlasts its wait.
+    Ranked,
+    /// The same, or a substitute, whose place it takes.
+    Substitute,
     /// Those of `choose_refusals`.
     Chosen,
 }
@@ -29,6 +33,7 @@
     let mut waiting: Vec<(usize, Contender)> = Vec::new();
     let mut totals = vec![(0, 0); kinds(0).len()];
     let mut running: Vec<(Time, u64)> = Vec::new();
+    let mut taken: Vec<(u64, Rank)> = Vec::new();
     let mut id = 0;
     for step in 0..seconds * 100 {
         let now = Time::from_millis(10_000 + step * 10);
@@ -67,6 +72,45 @@
                 chosen.iter().map(|r| r.id).collect()
             }
             Policy::Chosen => Vec::new(),
+            Policy::Ranked | Policy::Substitute => {
+                let mut gone = Vec::new();
+                for id in &arrived {
+                    let rank = |c: &Contender| {
+                        let place = taken.iter().find(|(id, _)| *id == c.id);
+                        (place.map_or(c.claim.rank(), |(_, rank)| *rank), c.id)
+                    };
+                    let refused = contenders.iter().find(|c| c.id == *id).unwrap();
+                    let others = contenders.iter().filter(|c| !gone.contains(&c.id));
+                    let others = others.filter(|c| rank(c) < (refused.claim.rank(), *id));
+                    let others: Vec<Contender> = others.cloned().collect();
+                    // The jobs between the two don't start later if the substitute was larger.
+                    let in_time = |other: u64| {
+                        let found = others.iter().find(|c| c.id == other);
+                        let larger = found.filter(|c| c.claim.work >= refused.claim.work);
+                        let ahead = others.iter().filter(|c| match larger {
+                            Some(found) => rank(c) < rank(found),
+                            None => c.id != other,
+                        });
+                        let work: Duration = ahead.map(|c| c.claim.work).sum();
+                        let wait = (work + refused.claim.work) / CORES as u32;
+                        refused.start_by.is_some_and(|by| now + wait <= by)
+                    };
+                    if in_time(0) {
+                        continue;
+                    }
+                    let other = match policy {
+                        Policy::Ranked => None,
+                        _ => choose_substitute(now, refused, &others, &shares, in_time),
+                    };
+                    let place = others
+                        .iter()
+                        .find(|c| Some(c.id) == other)
+                        .map(|c| rank(c).0);
+                    taken.extend(place.map(|place| (*id, place)));
+                    gone.push(other.unwrap_or(*id));
+                }
+                gone
+            }
             Policy::Arriving => {
                 let mut backlog = Duration::ZERO;
                 let overdue = contenders.iter().filter(|c| {
@@ -91,7 +135,11 @@
             !late
         });
         running.retain(|(end, _)| *end > now);
-        waiting.sort_by_key(|(_, c)| c.claim.rank());
+        taken.retain(|(id, _)| waiting.iter().any(|(_, c)| c.id == *id));
+        waiting.sort_by_key(|(_, c)| {
+            let place = taken.iter().find(|(id, _)| *id == c.id);
+            place.map_or(c.claim.rank(), |(_, rank)| *rank)
+        });
         waiting.retain(|(k, c)| {
             let cores = kinds(step)[*k].3;
             let used: u64 = running.iter().map(|(_, cores)| cores).sum();
@@ -177,3 +225,48 @@
     let chosen = parts(play(Policy::Chosen, 20, |_| mix(0.7)));
     assert!(chosen.iter().all(|part| *part >= 0.99), "{chosen:?}");
 }
+
+/// Guards against a priority that pays alone for an overload of jobs of one size, and against
+/// substitutes that add refusals.
+#[test]
+fn substitutes_share_the_refusals_of_lasting_overload() {
+    let loads: [Vec<Kind>; 3] = [
+        vec![("high", 0, 600, 4, 50), ("low", 5, 200, 4, 50)],
+        vec![
+            ("high", 0, 300, 4, 50),
+            ("mid", 1, 300, 4, 50),
+            ("low", 2, 300, 4, 50),
+        ],
+        vec![
+            ("high", 0, 100, 4, 200),
+            ("mid", 1, 100, 4, 200),
+            ("low", 2, 100, 4, 200),
+        ],
+    ];
+    let served = |totals: &Totals| -> u64 { totals.iter().map(|(_, served)| served).sum() };
+    for kinds in loads {
+        let ranked = play(Policy::Ranked, 40, |_| kinds.clone());
+        let shared = play(Policy::Substitute, 40, |_| kinds.clone());
+        assert!(served(&shared) >= served(&ranked), "{shared:?} {ranked:?}");
+        let (shared, ranked) = (parts(shared), parts(ranked));
+        let least = |parts: &[f64]| parts.iter().copied().fold(1.0, f64::min);
+        let best = shared.iter().copied().fold(0.0, f64::max);
+        assert!(least(&shared) >= 0.85 * best, "{shared:?}");
+        assert!(least(&ranked) < 0.85 * best, "{ranked:?}");
+    }
+}
+
+/// Guards against jobs of a queue that pay for a flood on another one of their priority.
+#[test]
+fn substitutes_leave_the_refusals_of_a_flood_to_its_queue() {
+    let flood = |step: u64| {
+        let flooded = if step < 500 { 100 } else { 1000 };
+        vec![("flooded", 1, flooded, 4, 100), ("steady", 1, 100, 4, 100)]
+    };
+    let ranked = play(Policy::Ranked, 30, flood);
+    let shared = play(Policy::Substitute, 30, flood);
+    let served = |totals: &Totals| -> u64 { totals.iter().map(|(_, served)| served).sum() };
+    assert!(served(&shared) >= served(&ranked), "{shared:?} {ranked:?}");
+    assert!(part(shared[1]) >= 0.95, "{shared:?}");
+    assert!(part(ranked[1]) < 0.95, "{ranked:?}");
+}
--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use greengage_contention::{
-    decide, place_later, place_now, place_safe, Claim, Decision, Locality, Need, Rank, Room, Slot,
+    decide, place_later, place_now, place_safe, Claim, Decision, Locality, Need, Placement, Rank,
+    Room, Slot,
 };
 use greengage_core::{Demand, TargetName, Time, VmName};
 
@@ -55,6 +56,16 @@
     least: Option<Demand>,
 }
 
+/// Places of the tasks of a job.
+struct Plan {
+    decision: Decision,
+    /// Number of waiting tasks.
+    waiting: usize,
+    /// Indices of the tasks that have a place, in the order of `placements`.
+    tasks: Vec<usize>,
+    placements: Vec<Placement>,
+}
+
 /// The smaller amount of each resource.
 fn least_demand(a: Demand, b: &Demand) -> Demand {
     Demand {
@@ -69,27 +80,16 @@
     pub(crate) fn dispatch(&mut self, now: Time, out: &mut Vec<Effect>) {
         self.targets
             .for_each_used(|_, target| target.reserved = Demand::default());
-        let mut order: Vec<(bool, Rank, u64)> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| job.tasks.iter().any(|t| t.state == TaskState::Waiting))
-            .map(|(job_id, job)| (!job.started, self.claim(job).rank(), *job_id))
-            .collect();
+        let order = self.placement_order();
         if order.is_empty() || !self.knows_callers(now) {
             self.least_waiting = (!order.is_empty()).then(Demand::default);
             return;
         }
-        order.sort_unstable();
         let mut pool = self.slot_pool(now, order.iter().map(|(.., job_id)| *job_id));
         self.least_waiting = pool.least;
         let mut offloads = Vec::new();
         for (_, _, job_id) in order {
-            let rule = match self.jobs.get(&job_id) {
-                Some(job) if job.started && now >= self.latest_useful_start(job, &pool) => {
-                    PlacementRule::AnyTime
-                }
-                _ => PlacementRule::InTime,
-            };
+            let rule = self.placement_rule(now, job_id, &pool);
             self.place_job(now, job_id, rule, &mut pool, &mut offloads, out);
         }
         for (place, slot) in pool.places.iter().zip(&pool.slots) {
@@ -107,6 +107,58 @@
         self.send_offloads(now, offloads, out);
     }
 
+    /// The jobs with waiting tasks, in the order in which they are placed.
+    pub(crate) fn placement_order(&self) -> Vec<(bool, Rank, u64)> {
+        let waits = |job: &Job| job.tasks.iter().any(|t| t.state == TaskState::Waiting);
+        let waiting = self.jobs.iter().filter(|(_, job)| waits(job));
+        let mut order: Vec<(bool, Rank, u64)> = waiting
+            .map(|(job_id, job)| (!job.started, self.rank(job), *job_id))
+            .collect();
+        order.sort_unstable();
+        order
+    }
+
+    fn placement_rule(&self, now: Time, job_id: u64, pool: &SlotPool) -> PlacementRule {
+        match self.jobs.get(&job_id) {
+            Some(job) if job.started && now >= self.latest_useful_start(job, pool) => {
+                PlacementRule::AnyTime
+            }
+            _ => PlacementRule::InTime,
+        }
+    }
+
+    /// Whether a job has room in time if it takes the place of another one in the order, and those
+    /// between the two keep theirs.
+    pub(crate) fn starts_instead(
+        &self,
+        now: Time,
+        (job_id, other): (u64, u64),
+        order: &[(bool, Rank, u64)],
+    ) -> bool {
+        let mut pool = self.slot_pool(now, order.iter().map(|(.., id)| *id));
+        let mut replaced = false;
+        for (.., id) in order.iter().take_while(|(.., id)| *id != job_id) {
+            let id = match *id == other {
+                true => job_id,
+                false => *id,
+            };
+            replaced |= id == job_id;
+            let rule = self.placement_rule(now, id, &pool);
+            let plan = self.plan_job(now, id, rule, &mut pool);
+            let had_room = self.jobs.get(&id).is_some_and(|job| job.kept.is_some());
+            let needs_room = id == job_id || replaced && had_room;
+            if needs_room && plan.decision == Decision::Wait {
+                return false;
+            }
+        }
+        replaced
+    }
+
+    /// Place of a job in the order.
+    pub(crate) fn rank(&self, job: &Job) -> Rank {
+        job.taken_rank.unwrap_or_else(|| self.claim(job).rank())
+    }
+
     /// What a job asks for, for its place in the order.
     pub(crate) fn claim(&self, job: &Job) -> Claim {
         let work = job.steps.iter().enumerate().map(|(i, step)| {
@@ -174,7 +226,7 @@
     }
 
     /// Expected run time of the job's longest task that isn't done.
-    fn longest_run_time(&self, job: &Job) -> Duration {
+    pub(crate) fn longest_run_time(&self, job: &Job) -> Duration {
         let steps = job.steps.iter().filter(|step| step.remaining > 0);
         let times = steps.map(|step| self.estimates.expected_run_time(&job.queue, step.declared));
         times.max().unwrap_or_default()
@@ -260,8 +312,48 @@
         offloads: &mut Vec<(VmName, OffloadedTask)>,
         out: &mut Vec<Effect>,
     ) -> Decision {
+        let Plan {
+            decision,
+            waiting,
+            tasks,
+            placements,
+        } = self.plan_job(now, job_id, rule, pool);
+        let counts = (waiting, placements.len());
+        self.record_decision(now, job_id, decision, counts);
+        if decision != Decision::Start {
+            return decision;
+        }
+        for (i, placement) in tasks.into_iter().zip(placements) {
+            if placement.start > now {
+                continue;
+            }
+            match &pool.places[placement.slot] {
+                Place::Local(position) => {
+                    let name = self.targets.at(*position).map(|(name, _)| name.clone());
+                    if let Some(name) = name {
+                        self.start_local(now, job_id, i, &name, out);
+                    }
+                }
+                Place::Remote(vm, index) => {
+                    let (vm, index) = (vm.clone(), *index);
+                    let offload = self.start_remote(now, job_id, i, &vm, index);
+                    offloads.extend(offload.map(|offload| (vm, offload)));
+                }
+            }
+        }
+        decision
+    }
+
+    /// Finds places for the waiting tasks of a job. They are claimed in the pool unless the job has to
+    /// wait.
+    fn plan_job(&self, now: Time, job_id: u64, rule: PlacementRule, pool: &mut SlotPool) -> Plan {
         let Some(job) = self.jobs.get(&job_id) else {
-            return Decision::Wait;
+            return Plan {
+                decision: Decision::Wait,
+                waiting: 0,
+                tasks: Vec::new(),
+                placements: Vec::new(),
+            };
         };
         let waiting = job.waiting_tasks();
         let mut tasks = Vec::new();
@@ -308,37 +400,17 @@
             placements.push(placement);
         }
         let decision = decide(now, (job.started, waves), waiting.len(), &placements);
-        let counts = (waiting.len(), placements.len());
-        self.record_decision(now, job_id, decision, counts);
-        match decision {
-            Decision::Start => {}
-            Decision::Keep(_) => return decision,
-            Decision::Wait => {
-                for placement in &placements {
-                    placement.withdraw(now, &mut pool.slots);
-                }
-                return decision;
+        if decision == Decision::Wait {
+            for placement in &placements {
+                placement.withdraw(now, &mut pool.slots);
             }
         }
-        for (i, placement) in tasks.into_iter().zip(placements) {
-            if placement.start > now {
-                continue;
-            }
-            match &pool.places[placement.slot] {
-                Place::Local(position) => {
-                    let name = self.targets.at(*position).map(|(name, _)| name.clone());
-                    if let Some(name) = name {
-                        self.start_local(now, job_id, i, &name, out);
-                    }
-                }
-                Place::Remote(vm, index) => {
-                    let (vm, index) = (vm.clone(), *index);
-                    let offload = self.start_remote(now, job_id, i, &vm, index);
-                    offloads.extend(offload.map(|offload| (vm, offload)));
-                }
-            }
+        Plan {
+            decision,
+            waiting: waiting.len(),
+            tasks,
+            placements,
         }
-        decision
     }
 
     /// What a task of a step needs.
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use greengage_contention::Rank;
 use greengage_core::{Demand, Name, RequestId, TargetName, Time, VmName};
 
 use crate::event::Submission;
@@ -87,6 +88,8 @@
     pub(crate) kept: Option<Time>,
     /// Whether it found no room in the last round of placement, which was logged in the first one.
     pub(crate) wait_logged: bool,
+    /// The place in the order of a job that was refused in its place; `None` if there is none.
+    pub(crate) taken_rank: Option<Rank>,
     /// Whether it was accepted although a task fits on no known target, as others may exist.
     pub(crate) unplaceable: bool,
 }
--- a/crates/scheduler/src/refusals.rs
+++ b/crates/scheduler/src/refusals.rs
@@ -7,10 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use greengage_contention::Decision;
+use greengage_contention::{choose_substitute, Contender, Decision};
 use greengage_core::{value, SortedMap, Time};
 
+use crate::admission::retry_delay;
 use crate::event::{Effect, Reply, Submission};
+use crate::job::Job;
 use crate::scheduler::Scheduler;
 
 /// Why a job is refused.
@@ -42,10 +44,12 @@
     Backlog,
     /// It found no room within its longest wait.
     LongestWait,
+    /// It gave way to a job that would have been refused otherwise.
+    GaveWay,
 }
 
 /// Number of reasons.
-const REASONS: usize = Reason::LongestWait as usize + 1;
+const REASONS: usize = Reason::GaveWay as usize + 1;
 
 impl Reason {
     /// All reasons.
@@ -63,6 +67,7 @@
         Reason::Shutdown,
         Reason::Backlog,
         Reason::LongestWait,
+        Reason::GaveWay,
     ];
 
     /// Its name in metrics.
@@ -81,6 +86,7 @@
             Reason::Shutdown => "shutdown",
             Reason::Backlog => "backlog",
             Reason::LongestWait => "longest_wait",
+            Reason::GaveWay => "gave_way",
         }
     }
 
@@ -102,6 +108,7 @@
             }
             Reason::Backlog => "the waiting work would delay the job beyond its longest wait",
             Reason::LongestWait => "the job found no room within its longest wait",
+            Reason::GaveWay => "the job gave way to one whose refusal costs more",
         }
     }
 }
@@ -174,6 +181,66 @@
         }
     }
 
+    /// Refuses a job for lack of room, or in its place another one that waits, if that costs callers
+    /// less and the first one starts in time without it. Returns whether the job itself was refused.
+    pub(crate) fn refuse_for_room(
+        &mut self,
+        now: Time,
+        job_id: u64,
+        reason: Reason,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let after = retry_delay(self.backlog(now));
+        let Some(other) = self.substitute(now, job_id) else {
+            self.refuse(now, job_id, (reason, after), out);
+            return true;
+        };
+        let rank = self.jobs.get(&other).map(|job| self.rank(job));
+        if let Some(job) = self.jobs.get_mut(&job_id) {
+            job.taken_rank = rank;
+            let (id, reason) = (job.id.clone(), reason.label());
+            if let Some(other) = self.jobs.get(&other) {
+                log::info!(event = "job-spared", job = id.as_str(), kind = reason,
+                    other = other.id.as_str(), queue = &*other.queue, priority = other.priority;
+                    "another job is refused in place of one");
+            }
+        }
+        self.refuse(now, other, (Reason::GaveWay, after), out);
+        false
+    }
+
+    /// The job that is refused in place of another one. Only a job with room that comes before it in
+    /// the order can make room for it. A job has a substitute once: that its forecast fails again
+    /// mustn't cost another job.
+    fn substitute(&self, now: Time, job_id: u64) -> Option<u64> {
+        let refused = self
+            .jobs
+            .get(&job_id)
+            .filter(|job| job.taken_rank.is_none())?;
+        let order = self.placement_order();
+        let place = order.iter().position(|(.., id)| *id == job_id)?;
+        let before = order[..place].iter();
+        let before = before.filter_map(|(.., id)| Some((*id, self.jobs.get(id)?)));
+        let may_go = |job: &Job| !job.started && job.kept.is_some() && job.taken_rank.is_none();
+        let others: Vec<Contender> = before
+            .filter(|(_, job)| may_go(job))
+            .map(|(id, job)| self.contender(id, job))
+            .collect();
+        let makes_room = |other| self.starts_instead(now, (job_id, other), &order);
+        let refused = self.contender(job_id, refused);
+        choose_substitute(now, &refused, &others, &self.shares, makes_room)
+    }
+
+    fn contender(&self, id: u64, job: &Job) -> Contender {
+        Contender {
+            id,
+            queue: job.queue.clone(),
+            claim: self.claim(job),
+            start_by: (!job.started).then_some(job.start_by),
+            run_time: self.longest_run_time(job),
+        }
+    }
+
     /// Refuses an accepted job of which no task was started.
     pub(crate) fn refuse(
         &mut self,
@@ -188,14 +255,15 @@
         let (targets_age, offers_age) = self.knowledge_ages(now);
         log::info!(event = "job-refused", job = job.id.as_str(), queue = &*job.queue,
             reason = reason.text(), kind = reason.label(), priority = job.priority,
-            rank_ms = millis(self.claim(job).rank().due().since(now)),
+            rank_ms = millis(self.rank(job).due().since(now)),
             start_by_ms = millis(job.start_by.since(now)),
             expected_ms = millis(self.backlog(now)), waiting = self.jobs.len(),
             tasks = job.tasks.len(), after_ms = millis(after),
             age_ms = millis(now.since(job.arrival)),
             targets_age_ms = targets_age, offers_age_ms = offers_age;
             "a job that waited for room was refused");
-        let queue = job.queue.clone();
+        let (queue, work) = (job.queue.clone(), self.claim(job).work);
+        self.shares.record_refusal(now, &queue, work);
         self.count_refusal(&queue, reason);
         self.finish(now, job_id, Reply::Refused { after }, out);
     }
@@ -234,7 +302,7 @@
             return;
         };
         let (targets_age, offers_age) = self.knowledge_ages(now);
-        let rank = self.claim(job).rank().due();
+        let rank = self.rank(job).due();
         if starts {
             log::info!(event = "job-started", job = job.id.as_str(), queue = &*job.queue,
                 priority = job.priority, rank_ms = millis(rank.since(now)), tasks = waiting,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use greengage_config::Document;
+use greengage_contention::Shares;
 use greengage_core::{
     value, Address, Demand, Incarnation, RequestId, SortedMap, TargetName, Time, VmName, WallTime,
     ZoneName,
 };
 
-use crate::admission::retry_delay;
 use crate::assignment::Candidate;
 use crate::cancel::{Cancellations, RemovedQueues};
 use crate::departures::Departures;
@@ -106,6 +106,8 @@
     pub(crate) cancellations: Cancellations,
     pub(crate) removed_queues: RemovedQueues,
     pub(crate) refusals: RefusalCounts,
+    /// Work that was offered and admitted, by queue.
+    pub(crate) shares: Shares,
     pub(crate) last_job_id: u64,
     pub(crate) last_offload_id: u64,
     pub(crate) estimates: Estimates,
@@ -191,6 +193,7 @@
             cancellations: Cancellations::default(),
             removed_queues: RemovedQueues::default(),
             refusals: RefusalCounts::default(),
+            shares: Shares::default(),
             last_job_id: 0,
             last_offload_id: first_offload_id(setup.incarnation),
             estimates: Estimates::default(),
@@ -314,7 +317,11 @@
             self.dispatch(now, &mut out);
         }
         if let Some(job) = self.accepted_job.take() {
-            self.refuse_if_backlogged(now, job, &mut out);
+            if self.refuse_if_backlogged(now, job, &mut out) {
+                // Another job was refused in its place.
+                self.dispatch_due = false;
+                self.dispatch(now, &mut out);
+            }
         }
         self.send_outcomes(&mut out);
         self.send_offers(now, &mut out);
@@ -386,6 +393,7 @@
             }
             let has_queue = |name: &str| document.queues.iter().any(|q| *q.name == *name);
             self.refusals.retain(has_queue);
+            self.shares.retain(has_queue);
             self.document = Some(document);
         }
         if version.is_none() {
@@ -478,8 +486,7 @@
             if started {
                 self.finish(now, job_id, Reply::TimedOut, out);
             } else if !self.start_late(now, job_id, out) {
-                let after = retry_delay(self.backlog(now));
-                self.refuse(now, job_id, (Reason::LongestWait, after), out);
+                self.refuse_for_room(now, job_id, Reason::LongestWait, out);
             }
         }
     }
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -6,7 +6,7 @@
 use greengage_config::Queue;
 use greengage_core::{Demand, Name, Time};
 
-use crate::admission::{backlog, max_wait, retry_delay};
+use crate::admission::{backlog, max_wait};
 use crate::cancel::JobKey;
 use crate::event::{Effect, Reply, Step, Submission};
 use crate::job::{Job, JobCaller, StepInfo, Task, TaskState};
@@ -62,6 +62,9 @@
                     queue = &*accepted.queue, tasks = accepted.tasks.len(),
                     received_ms = now.since(job.received).as_millis() as u64,
                     patience_ms = job.timeout.as_millis() as u64; "a job was accepted");
+                let work = self.claim(&accepted).work;
+                let (queue, priority) = (accepted.queue.clone(), accepted.priority);
+                self.shares.record_admission(now, &queue, priority, work);
                 self.requests.insert(request, self.last_job_id);
                 self.jobs.insert(self.last_job_id, accepted);
                 self.accepted_job = Some(self.last_job_id);
@@ -169,15 +172,19 @@
     }
 
     /// Refuses a job that found no free resources on arrival and for which no room is kept, if the
-    /// backlog of this VM is expected to delay it beyond its longest wait.
-    pub(crate) fn refuse_if_backlogged(&mut self, now: Time, job_id: u64, out: &mut Vec<Effect>) {
+    /// backlog of this VM is expected to delay it beyond its longest wait. Returns whether another job
+    /// was refused in its place.
+    pub(crate) fn refuse_if_backlogged(
+        &mut self,
+        now: Time,
+        job_id: u64,
+        out: &mut Vec<Effect>,
+    ) -> bool {
         let waiting = self.backlog(now);
         let overdue =
             |job: &Job| !job.started && job.kept.is_none() && now + waiting > job.start_by;
-        if self.jobs.get(&job_id).is_some_and(overdue) {
-            let after = retry_delay(waiting);
-            self.refuse(now, job_id, (Reason::Backlog, after), out);
-        }
+        let overdue = self.jobs.get(&job_id).is_some_and(overdue);
+        overdue && !self.refuse_for_room(now, job_id, Reason::Backlog, out)
     }
 
     /// Whether each step's tasks, given by demand and label, fit on a target of the service, or no
@@ -344,6 +351,7 @@
         started: false,
         kept: None,
         wait_logged: false,
+        taken_rank: None,
         unplaceable: false,
     }
 }
--- a/crates/scheduler/tests/world/refusals.rs
+++ b/crates/scheduler/tests/world/refusals.rs
@@ -41,3 +41,39 @@
         "{counts:?}"
     );
 }
+
+/// Guards against jobs that are refused for a flood on another queue of their priority: of a queue
+/// that offers less than its share, more than half is served.
+#[test]
+fn flooded_queue_gives_way_to_another_of_its_priority() {
+    let mut sim = Simulation::new(31, 1, 12);
+    let mut equal = (*document(2)).clone();
+    equal.version = Version(2);
+    for queue in &mut equal.queues {
+        queue.priority = 1;
+    }
+    sim.schedule(
+        Duration::ZERO,
+        Action::Event(0, 1, Event::Configuration(Arc::new(equal))),
+    );
+    for _ in 0..500 {
+        for _ in 0..4 {
+            sim.submit(0, 0, vec![Duration::from_millis(50); 4]);
+        }
+        if sim.rng.chance(40) {
+            sim.submit(0, 1, vec![Duration::from_millis(50); 4]);
+        }
+        sim.run(Duration::from_millis(10));
+    }
+    sim.run(Duration::from_secs(2));
+    let part = |(in_time, all): (usize, usize)| in_time as f64 / all as f64;
+    let (flooded, steady) = (part(sim.in_time(0)), part(sim.in_time(1)));
+    assert!(steady > 0.5 && flooded < 0.5, "{steady} {flooded}");
+    let counts = sim.vms[0].scheduler.changed_refusals().unwrap();
+    let gave_way = |queue: &str| {
+        let found = counts.iter().find(|(q, _)| **q == *queue);
+        found.map_or(0, |(_, c)| c[Reason::GaveWay as usize])
+    };
+    assert!(gave_way("q0") > 0, "{counts:?}");
+    assert_eq!(gave_way("q1"), 0, "{counts:?}");
+}
