Send refused callers back by rank, and refuse at once without live targets

Cause: Retry-After counted all waiting work, so a less urgent caller that was refused last returned first. A job whose label only leaving or evacuated targets have waited a quarter of its objective for nothing, and work beyond what the targets of its label can do was accepted if those of its service could do it.

Change: Retry-After counts the work before the job in the order, plus half a second as before. Without a target of its label that is neither leaving nor evacuated, a job is refused on arrival; a lost target may come back, and is waited for as before. The check of work against the time until the caller's deadline is made for each label too. It stays at the deadline: a job that can only end late is still answered.

Result: cargo test -p greengage-scheduler -p greengage-cluster -p greengage-runtime passes; the new test of the order fails with the earlier Retry-After.

--- a/crates/scheduler/src/refusals.rs
+++ b/crates/scheduler/src/refusals.rs
@@ -34,6 +34,8 @@
     TaskCount,
     /// A task of it fits on no target.
     NoTarget,
+    /// All targets that can run some task of it are leaving or evacuated.
+    NoLiveTarget,
     /// All targets together can't do its work in time.
     Capacity,
     /// It can't end before its caller's deadline.
@@ -62,6 +64,7 @@
         Reason::Unsupported,
         Reason::TaskCount,
         Reason::NoTarget,
+        Reason::NoLiveTarget,
         Reason::Capacity,
         Reason::Deadline,
         Reason::Shutdown,
@@ -81,6 +84,7 @@
             Reason::Unsupported => "unsupported",
             Reason::TaskCount => "task_count",
             Reason::NoTarget => "no_target",
+            Reason::NoLiveTarget => "no_live_target",
             Reason::Capacity => "capacity",
             Reason::Deadline => "deadline",
             Reason::Shutdown => "shutdown",
@@ -101,6 +105,7 @@
             Reason::Unsupported => "a requested feature is not supported",
             Reason::TaskCount => "the number of tasks is out of range",
             Reason::NoTarget => "a task fits on no target of the service",
+            Reason::NoLiveTarget => "the targets that can run a task are leaving or evacuated",
             Reason::Capacity => "the targets can't do the job's work before the caller's deadline",
             Reason::Deadline => "the expected run time exceeds the caller's deadline",
             Reason::Shutdown => {
@@ -182,20 +187,22 @@
     }
 
     /// Refuses a job for lack of room, or in its place another one that waits, if that costs callers
-    /// less and the first one starts in time without it. Returns whether the job itself was refused.
+    /// less and the first one starts in time without it. `room_after` is the time until there is room
+    /// for the job. Returns whether the job itself was refused.
     pub(crate) fn refuse_for_room(
         &mut self,
         now: Time,
         job_id: u64,
-        reason: Reason,
+        (reason, room_after): (Reason, Duration),
         out: &mut Vec<Effect>,
     ) -> bool {
-        let after = retry_delay(self.backlog(now));
         let Some(other) = self.substitute(now, job_id) else {
-            self.refuse(now, job_id, (reason, after), out);
+            self.refuse(now, job_id, (reason, room_after), out);
             return true;
         };
-        let rank = self.jobs.get(&other).map(|job| self.rank(job));
+        let given_up = self.jobs.get(&other);
+        let rank = given_up.map(|job| self.rank(job));
+        let room_after = given_up.map_or(room_after, |job| self.room_after(now, job));
         if let Some(job) = self.jobs.get_mut(&job_id) {
             job.taken_rank = rank;
             let (id, reason) = (job.id.clone(), reason.label());
@@ -205,7 +212,7 @@
                     "another job is refused in place of one");
             }
         }
-        self.refuse(now, other, (Reason::GaveWay, after), out);
+        self.refuse(now, other, (Reason::GaveWay, room_after), out);
         false
     }
 
@@ -246,12 +253,13 @@
         &mut self,
         now: Time,
         job_id: u64,
-        (reason, after): (Reason, Duration),
+        (reason, room_after): (Reason, Duration),
         out: &mut Vec<Effect>,
     ) {
         let Some(job) = self.jobs.get(&job_id) else {
             return;
         };
+        let after = retry_delay(room_after);
         let (targets_age, offers_age) = self.knowledge_ages(now);
         log::info!(event = "job-refused", job = job.id.as_str(), queue = &*job.queue,
             reason = reason.text(), kind = reason.label(), priority = job.priority,
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -476,17 +476,19 @@
                 });
             }
         }
-        let over: Vec<(u64, bool)> = self
+        // Callers that are refused together return in the order of their jobs.
+        let over: Vec<(u64, bool, Duration)> = self
             .jobs
             .iter()
             .filter(|(_, job)| now >= job.deadline || (!job.started && now >= job.start_by))
-            .map(|(job_id, job)| (*job_id, job.started))
+            .map(|(job_id, job)| (*job_id, job.started, self.room_after(now, job)))
             .collect();
-        for (job_id, started) in over {
+        for (job_id, started, room_after) in over {
             if started {
                 self.finish(now, job_id, Reply::TimedOut, out);
             } else if !self.start_late(now, job_id, out) {
-                self.refuse_for_room(now, job_id, Reason::LongestWait, out);
+                let reason = (Reason::LongestWait, room_after);
+                self.refuse_for_room(now, job_id, reason, out);
             }
         }
     }
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -12,7 +12,7 @@
 use crate::job::{Job, JobCaller, StepInfo, Task, TaskState};
 use crate::refusals::Reason;
 use crate::scheduler::Scheduler;
-use crate::target::Origin;
+use crate::target::{Origin, Target};
 
 /// Retry delay of jobs that are refused for another reason than load.
 pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -156,6 +156,10 @@
         if !unplaceable && self.knows_targets(now) && self.exceeds_targets(now, job, queue) {
             return Err((retry_later(), Reason::Capacity));
         }
+        let labels = job.steps.iter().map(|step| step.label.as_ref());
+        if self.knows_targets(now) && self.lacks_live_target(&queue.service, labels) {
+            return Err((retry_later(), Reason::NoLiveTarget));
+        }
         let work = self.critical_path(&job.steps, &queue.name);
         let mut accepted = new_job(now, job, queue, work);
         accepted.unplaceable = unplaceable;
@@ -183,8 +187,11 @@
         let waiting = self.backlog(now);
         let overdue =
             |job: &Job| !job.started && job.kept.is_none() && now + waiting > job.start_by;
-        let overdue = self.jobs.get(&job_id).is_some_and(overdue);
-        overdue && !self.refuse_for_room(now, job_id, Reason::Backlog, out)
+        let Some(job) = self.jobs.get(&job_id).filter(|job| overdue(job)) else {
+            return false;
+        };
+        let reason = (Reason::Backlog, self.room_after(now, job));
+        !self.refuse_for_room(now, job_id, reason, out)
     }
 
     /// Whether each step's tasks, given by demand and label, fit on a target of the service, or no
@@ -202,26 +209,56 @@
         !targets().any(|target| target.serves(service, None)) || steps.all(fits)
     }
 
-    /// Whether a job needs more of the processors than all targets of its service have until the
-    /// caller's deadline, even if it runs as fast as possible and alone.
+    /// Whether a step's tasks can run only on targets that are leaving or evacuated. A lost target may
+    /// come back within the job's longest wait.
+    fn lacks_live_target<'a>(
+        &self,
+        service: &str,
+        mut labels: impl Iterator<Item = Option<&'a Arc<str>>>,
+    ) -> bool {
+        let is_live = |target: &Target| !target.report.draining && !target.evacuated;
+        labels.any(|label| {
+            let targets = self.targets.iter().map(|(_, target)| target);
+            let mut serving = targets.filter(|t| t.serves(service, label)).peekable();
+            serving.peek().is_some() && !serving.any(is_live)
+        })
+    }
+
+    /// Whether a job needs more of the processors than all targets of its service, or all that have
+    /// the label of some of its steps, have until the caller's deadline, even if it runs as fast as
+    /// possible and alone.
     fn exceeds_targets(&self, now: Time, job: &Submission, queue: &Queue) -> bool {
         let step_work = |step: &Step| {
             let time = self.estimates.expected_run_time(&queue.name, step.declared);
             let best = time * BEST_CASE_PERCENT / 100;
             best.as_secs_f64() * f64::from(step.count) * f64::from(step.demand.milli_cores)
         };
+        let mut by_label: Vec<(Option<&Arc<str>>, f64)> = job
+            .steps
+            .iter()
+            .filter(|step| step.label.is_some())
+            .map(|step| (step.label.as_ref(), step_work(step)))
+            .collect();
+        by_label.sort_by_key(|(label, _)| *label);
+        by_label.dedup_by(|(label, work), (kept, sum)| {
+            let equal = label == kept;
+            *sum += if equal { *work } else { 0.0 };
+            equal
+        });
+        by_label.push((None, job.steps.iter().map(step_work).sum()));
         let time = answer_time(job).since(now).as_secs_f64();
-        let mut work: f64 = job.steps.iter().map(step_work).sum();
-        let targets = self.targets.iter().map(|(_, target)| target);
-        let mut any = false;
-        for target in targets.filter(|t| t.serves(&queue.service, None)) {
-            any = true;
-            work -= time * f64::from(target.report.capacity.milli_cores);
-            if work <= 0.0 {
-                return false;
+        by_label.into_iter().any(|(label, mut work)| {
+            let targets = self.targets.iter().map(|(_, target)| target);
+            let mut any = false;
+            for target in targets.filter(|t| t.serves(&queue.service, label)) {
+                any = true;
+                work -= time * f64::from(target.report.capacity.milli_cores);
+                if work <= 0.0 {
+                    return false;
+                }
             }
-        }
-        any
+            any
+        })
     }
 
     /// Whether all targets have had time to report, and no other VM owns one that this VM doesn't
@@ -274,8 +311,20 @@
 
     /// Expected time until the tasks that wait on this VM are served.
     pub(crate) fn backlog(&self, now: Time) -> Duration {
+        self.serving_time(now, self.jobs.values())
+    }
+
+    /// Expected time until there is room for a job: until the waiting tasks of the jobs before it in
+    /// the order are served.
+    pub(crate) fn room_after(&self, now: Time, job: &Job) -> Duration {
+        let rank = self.rank(job);
+        let before = |other: &&Job| other.started || self.rank(other) < rank;
+        self.serving_time(now, self.jobs.values().filter(before))
+    }
+
+    fn serving_time<'a>(&self, now: Time, jobs: impl Iterator<Item = &'a Job>) -> Duration {
         let mut work = Duration::ZERO;
-        for job in self.jobs.values() {
+        for job in jobs {
             for i in job.waiting_tasks() {
                 let step = &job.steps[job.tasks[i].step];
                 work += self.estimates.expected_run_time(&job.queue, step.declared);
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -669,6 +669,82 @@
     }
 }
 
+/// Guards against a job that waits for targets of its label which can't do its work in time, since
+/// others can do theirs.
+#[test]
+fn job_with_more_work_than_the_targets_of_its_label_can_do_is_refused_at_once() {
+    let start = Time::from_millis(1000);
+    let mut scheduler = started_vm(start);
+    let mut labelled = report("labelled", 4000);
+    labelled.labels = vec!["x".into()];
+    step(&mut scheduler, start, Event::TargetReported(labelled));
+    let now = start + Duration::from_secs(3);
+    for (request, label, refused) in [(1, Some("x".into()), true), (2, None, false)] {
+        let Event::Submit(mut job) = submission(now, request) else {
+            unreachable!();
+        };
+        (job.steps[0].count, job.steps[0].label) = (20, label);
+        job.steps[0].demand = demand(4000);
+        job.timeout = Duration::from_millis(500);
+        let effects = step(&mut scheduler, now, Event::Submit(job));
+        assert_eq!(!refusals(&effects).is_empty(), refused, "{effects:?}");
+    }
+}
+
+/// The refused requests and when they may return.
+fn refusals(effects: &[Effect]) -> Vec<(u64, Duration)> {
+    let refusal = |effect: &Effect| match effect {
+        Effect::Answer {
+            request,
+            reply: Reply::Refused { after },
+        } => Some((request.0, *after)),
+        _ => None,
+    };
+    effects.iter().filter_map(refusal).collect()
+}
+
+/// Guards against callers that return before those of more urgent jobs, which then find no room
+/// again.
+#[test]
+fn refused_callers_return_in_the_order_of_their_jobs() {
+    let mut now = Time::from_millis(1000);
+    let mut scheduler = started_vm(now);
+    serve_target(&mut scheduler, now, 1);
+    now = now + Duration::from_secs(2);
+    let mut document = document();
+    document.version = Version(2);
+    let urgent = &mut document.queues[0];
+    (urgent.slack_percent, urgent.latency) = (160, Duration::from_secs(1));
+    let mut low = urgent.clone();
+    (low.name, low.prefix, low.priority) = ("low".into(), "/low/".into(), 1);
+    document.queues.push(low);
+    let document = document.validated().unwrap();
+    step(&mut scheduler, now, Event::Configuration(document.into()));
+    let job = |request: u64, prefix: &str, declared_ms: u64| {
+        let Event::Submit(mut job) = submission(now, request) else {
+            unreachable!();
+        };
+        job.steps[0].demand = demand(4000);
+        job.steps[0].declared = Duration::from_millis(declared_ms);
+        job.path = format!("{prefix}{}", job.id).into();
+        Event::Submit(job)
+    };
+    let effects = step(&mut scheduler, now, job(1, "/q/", 5000));
+    assert!(effects.iter().any(is_start), "{effects:?}");
+    for (request, prefix) in [(3, "/q/"), (5, "/q/"), (2, "/low/"), (4, "/low/")] {
+        let effects = step(&mut scheduler, now, job(request, prefix, 50));
+        assert!(refusals(&effects).is_empty(), "{effects:?}");
+    }
+    let later = now + Duration::from_millis(280);
+    let refused = refusals(&step(&mut scheduler, later, Event::Tick));
+    let latest = |low: bool| {
+        let of_queue = refused.iter().filter(|(id, _)| (id % 2 == 0) == low);
+        of_queue.map(|(_, after)| *after).max()
+    };
+    assert_eq!(refused.len(), 4, "{refused:?}");
+    assert!(latest(true) > latest(false), "{refused:?}");
+}
+
 /// Guards against an urgent job that waits behind an earlier one of lower priority.
 #[test]
 fn room_goes_to_the_higher_priority_first() {
--- a/crates/scheduler/tests/world/evacuations.rs
+++ b/crates/scheduler/tests/world/evacuations.rs
@@ -84,6 +84,8 @@
     let answer = sim.callers[caller].answer.clone();
     let is_refused = matches!(&answer, Some((_, Reply::Refused { after })) if !after.is_zero());
     assert!(is_refused, "{answer:?}");
+    let waited = answer.unwrap().0.since(sim.callers[caller].sent);
+    assert!(waited <= 5 * MS, "{waited:?}");
     evacuate(&mut sim, &[]);
     let caller = sim.submit(0, 0, vec![50 * MS; 2]);
     sim.run(Duration::from_secs(1));
