Give no job a substitute while the callers are unknown

Cause: while no news of the callers has come, for instance after a pause, nothing is started, and the room that is kept is that of an earlier round. A job at its longest wait could then have cost another one its place without a start.

Change: no substitute is looked for then. A direct test of the choice between two queues is added; the guard itself has none, since the kept room would have to outlast the time after which callers count as unknown.

--- a/crates/scheduler/src/refusals.rs
+++ b/crates/scheduler/src/refusals.rs
@@ -218,8 +218,12 @@
 
     /// The job that is refused in place of another one. Only a job with room that comes before it in
     /// the order can make room for it. A job has a substitute once: that its forecast fails again
-    /// mustn't cost another job.
+    /// mustn't cost another job. While nothing is started for lack of news of the callers, there is
+    /// none.
     fn substitute(&self, now: Time, job_id: u64) -> Option<u64> {
+        if !self.knows_callers(now) {
+            return None;
+        }
         let refused = self
             .jobs
             .get(&job_id)
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -745,6 +745,43 @@
     assert!(latest(true) > latest(false), "{refused:?}");
 }
 
+/// Guards against a refused job whose room another one of a queue with more admitted work holds, and
+/// against the refusal of a job that has run.
+#[test]
+fn job_with_room_gives_way_to_one_of_another_queue() {
+    let mut now = Time::from_millis(1000);
+    let mut scheduler = started_vm(now);
+    serve_target(&mut scheduler, now, 1);
+    now = now + Duration::from_secs(2);
+    let mut document = document();
+    document.version = Version(2);
+    let queue = &mut document.queues[0];
+    (queue.slack_percent, queue.latency) = (160, Duration::from_millis(200));
+    let mut other = queue.clone();
+    (other.name, other.prefix) = ("other".into(), "/other/".into());
+    document.queues.push(other);
+    let document = document.validated().unwrap();
+    step(&mut scheduler, now, Event::Configuration(document.into()));
+    // All of the target for 100 ms, in 360 ms: only one of the jobs that wait has room in time.
+    let mut submit = |request: u64, prefix: &str| {
+        let Event::Submit(mut job) = submission(now, request) else {
+            unreachable!();
+        };
+        job.steps[0].demand = demand(4000);
+        job.steps[0].declared = Duration::from_millis(100);
+        job.path = format!("{prefix}{}", job.id).into();
+        step(&mut scheduler, now, Event::Submit(job))
+    };
+    assert!(submit(1, "/q/").iter().any(is_start));
+    assert!(refusals(&submit(2, "/q/")).is_empty());
+    let refused = refusals(&submit(3, "/other/"));
+    let refused: Vec<u64> = refused.iter().map(|(request, _)| *request).collect();
+    assert_eq!(refused, [2]);
+    let refused = refusals(&submit(4, "/q/"));
+    let refused: Vec<u64> = refused.iter().map(|(request, _)| *request).collect();
+    assert_eq!(refused, [4]);
+}
+
 /// Guards against an urgent job that waits behind an earlier one of lower priority.
 #[test]
 fn room_goes_to_the_higher_priority_first() {
