--- a/crates/scheduler/src/refusals.rs
+++ b/crates/scheduler/src/refusals.rs
@@ -7,10 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use greengage_contention::Decision;
+use greengage_contention::{choose_substitute, Contender, Decision};
 use greengage_core::{value, SortedMap, Time};
 
+use crate::admission::retry_delay;
 use crate::event::{Effect, Reply, Submission};
+use crate::job::Job;
 use crate::scheduler::Scheduler;
 
 /// Why a job is refused.
@@ -32,6 +34,8 @@
     TaskCount,
     /// A task of it fits on no target.
     NoTarget,
+    /// All targets that can run some task of it are leaving or evacuated.
+    NoLiveTarget,
     /// All targets together can't do its work in time.
     Capacity,
     /// It can't end before its caller's deadline.
@@ -42,10 +46,12 @@
     Backlog,
     /// It found no room within its longest wait.
     LongestWait,
+    /// It gave way to a job that would have been refused otherwise.
+    GaveWay,
 }
 
 /// Number of reasons.
-const REASONS: usize = Reason::LongestWait as usize + 1;
+const REASONS: usize = Reason::GaveWay as usize + 1;
 
 impl Reason {
     /// All reasons.
@@ -58,11 +64,13 @@
         Reason::Unsupported,
         Reason::TaskCount,
         Reason::NoTarget,
+        Reason::NoLiveTarget,
         Reason::Capacity,
         Reason::Deadline,
         Reason::Shutdown,
         Reason::Backlog,
         Reason::LongestWait,
+        Reason::GaveWay,
     ];
 
     /// Its name in metrics.
@@ -76,11 +84,13 @@
             Reason::Unsupported => "unsupported",
             Reason::TaskCount => "task_count",
             Reason::NoTarget => "no_target",
+            Reason::NoLiveTarget => "no_live_target",
             Reason::Capacity => "capacity",
             Reason::Deadline => "deadline",
             Reason::Shutdown => "shutdown",
             Reason::Backlog => "backlog",
             Reason::LongestWait => "longest_wait",
+            Reason::GaveWay => "gave_way",
         }
     }
 
@@ -95,6 +105,7 @@
             Reason::Unsupported => "a requested feature is not supported",
             Reason::TaskCount => "the number of tasks is out of range",
             Reason::NoTarget => "a task fits on no target of the service",
+            Reason::NoLiveTarget => "the targets that can run a task are leaving or evacuated",
             Reason::Capacity => "the targets can't do the job's work before the caller's deadline",
             Reason::Deadline => "the expected run time exceeds the caller's deadline",
             Reason::Shutdown => {
@@ -102,6 +113,7 @@
             }
             Reason::Backlog => "the waiting work would delay the job beyond its longest wait",
             Reason::LongestWait => "the job found no room within its longest wait",
+            Reason::GaveWay => "the job gave way to one whose refusal costs more",
         }
     }
 }
@@ -174,17 +186,84 @@
         }
     }
 
+    /// Refuses a job for lack of room, or in its place another one that waits, if that costs callers
+    /// less and the first one starts in time without it. `room_after` is the time until there is room
+    /// for the job. Returns whether the job itself was refused.
+    pub(crate) fn refuse_for_room(
+        &mut self,
+        now: Time,
+        job_id: u64,
+        (reason, room_after): (Reason, Duration),
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let Some(other) = self.substitute(now, job_id) else {
+            self.refuse(now, job_id, (reason, room_after), out);
+            return true;
+        };
+        let given_up = self.jobs.get(&other);
+        let rank = given_up.map(|job| self.rank(job));
+        let room_after = given_up.map_or(room_after, |job| self.room_after(now, job));
+        if let Some(job) = self.jobs.get_mut(&job_id) {
+            job.taken_rank = rank;
+            let (id, reason) = (job.id.clone(), reason.label());
+            if let Some(other) = self.jobs.get(&other) {
+                log::info!(event = "job-spared", job = id.as_str(), kind = reason,
+                    other = other.id.as_str(), queue = &*other.queue, priority = other.priority;
+                    "another job is refused in place of one");
+            }
+        }
+        self.refuse(now, other, (Reason::GaveWay, room_after), out);
+        false
+    }
+
+    /// The job that is refused in place of another one. Only a job with room that comes before it in
+    /// the order can make room for it. A job has a substitute once: that its forecast fails again
+    /// mustn't cost another job. While nothing is started for lack of news of the callers, there is
+    /// none.
+    fn substitute(&self, now: Time, job_id: u64) -> Option<u64> {
+        if !self.knows_callers(now) {
+            return None;
+        }
+        let refused = self
+            .jobs
+            .get(&job_id)
+            .filter(|job| job.taken_rank.is_none())?;
+        let order = self.placement_order();
+        let place = order.iter().position(|(.., id)| *id == job_id)?;
+        let before = order[..place].iter();
+        let before = before.filter_map(|(.., id)| Some((*id, self.jobs.get(id)?)));
+        let may_go = |job: &Job| !job.started && job.kept.is_some() && job.taken_rank.is_none();
+        let others: Vec<Contender> = before
+            .filter(|(_, job)| may_go(job))
+            .map(|(id, job)| self.contender(id, job))
+            .collect();
+        let makes_room = |other| self.starts_instead(now, (job_id, other), &order);
+        let refused = self.contender(job_id, refused);
+        choose_substitute(now, &refused, &others, &self.shares, makes_room)
+    }
+
+    fn contender(&self, id: u64, job: &Job) -> Contender {
+        Contender {
+            id,
+            queue: job.queue.clone(),
+            claim: self.claim(job),
+            start_by: (!job.started).then_some(job.start_by),
+            run_time: self.longest_run_time(job),
+        }
+    }
+
     /// Refuses an accepted job of which no task was started.
     pub(crate) fn refuse(
         &mut self,
         now: Time,
         job_id: u64,
-        (reason, after): (Reason, Duration),
+        (reason, room_after): (Reason, Duration),
         out: &mut Vec<Effect>,
     ) {
         let Some(job) = self.jobs.get(&job_id) else {
             return;
         };
+        let after = retry_delay(room_after);
         let (targets_age, offers_age) = self.knowledge_ages(now);
         log::info!(event = "job-refused", job = job.id.as_str(), queue = &*job.queue,
             reason = reason.text(), kind = reason.label(), priority = job.priority,
@@ -195,7 +274,8 @@
             age_ms = millis(now.since(job.arrival)),
             targets_age_ms = targets_age, offers_age_ms = offers_age;
             "a job that waited for room was refused");
-        let queue = job.queue.clone();
+        let (queue, work) = (job.queue.clone(), self.claim(job).work);
+        self.shares.record_refusal(now, &queue, work);
         self.count_refusal(&queue, reason);
         self.finish(now, job_id, Reply::Refused { after }, out);
     }
