Rank waiting jobs in time linear in their tasks

Cause: the claim of a waiting job, which each round of placement needs for its rank, looked at all tasks of the job for each of its steps. A legal job of 1,200 steps and 9,600 tasks took 5.5 ms a round, and a round follows each event and each 20 ms: some ten such jobs that wait for room held up the control thread, so that the VM misses its heartbeats.

Change: the claim goes through the tasks once, as those of a step follow each other.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -109,9 +109,12 @@
 
     /// What a job asks for, for its place in the order.
     pub(crate) fn claim(&self, job: &Job) -> Claim {
-        let work = job.steps.iter().enumerate().map(|(i, step)| {
-            let waits = |task: &&Task| task.step == i && task.state == TaskState::Waiting;
-            let waiting = job.tasks.iter().filter(waits).count() as f64;
+        // The tasks of a step follow each other.
+        let steps = job.tasks.chunk_by(|a, b| a.step == b.step);
+        let work = steps.map(|tasks| {
+            let step = &job.steps[tasks[0].step];
+            let waits = |task: &&Task| task.state == TaskState::Waiting;
+            let waiting = tasks.iter().filter(waits).count() as f64;
             let expected = self.estimates.expected_run_time(&job.queue, step.declared);
             expected.mul_f64(waiting * f64::from(step.demand.milli_cores) / 1000.0)
         });
--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge.rs
@@ -746,3 +746,47 @@
     }
     assert_eq!(answered, [3]);
 }
+
+/// Guards against waiting jobs of many steps and tasks that hold up the control thread, since the time
+/// that each takes in a round grows with the product of both.
+#[test]
+fn rounds_with_jobs_of_many_steps_take_as_long_as_with_few() {
+    let is_answer = |effect: &Effect| matches!(effect, Effect::Answer { .. });
+    let time_of_rounds = |counts: &[u32]| {
+        let mut now = Time::from_millis(1000);
+        let mut scheduler = started_vm(now);
+        serve_target(&mut scheduler, now, 1);
+        now = now + Duration::from_secs(2);
+        for request in 1..=4 {
+            let Event::Submit(mut job) = submission(now, request) else {
+                unreachable!();
+            };
+            let mut step_of = job.steps[0].clone();
+            step_of.demand = demand(4000);
+            job.steps = Vec::new();
+            // The first job takes the only target; the steps of the others follow each other.
+            let counts = if request == 1 { &[1] } else { counts };
+            for (i, count) in counts.iter().enumerate() {
+                step_of.count = *count;
+                step_of.depends_on = (0..i as u32).rev().take(1).collect();
+                step_of.declared = Duration::from_millis(if request == 1 { 5000 } else { 10 });
+                job.steps.push(step_of.clone());
+            }
+            job.timeout = Duration::from_secs(60);
+            let effects = step(&mut scheduler, now, Event::Submit(job));
+            assert!(!effects.iter().any(is_answer), "{effects:?}");
+        }
+        let round = |scheduler: &mut Scheduler, i: u64| {
+            let began = std::time::Instant::now();
+            let now = now + Duration::from_millis(20 * i);
+            let effects = step(scheduler, now, Event::Tick);
+            assert!(!effects.iter().any(is_answer), "{effects:?}");
+            began.elapsed()
+        };
+        let times = (1..=10).map(|i| round(&mut scheduler, i));
+        times.min().unwrap()
+    };
+    let few = time_of_rounds(&[1, 9599]);
+    let many = time_of_rounds(&[8; 1200]);
+    assert!(many < 10 * few, "{many:?}, {few:?} with two steps");
+}
