Look at one target only when it leaves

Cause: since the reports of targets are counted in bytes, each notice that a known target has left looked at all reports. Clients that send reports of invented targets and then notices for them made each notice cost 138 microseconds at 16,000 reports, more than a millisecond at a share of a tenth of a core.

Change: only the reports of the target that leaves are looked at and subtracted.

--- a/crates/cluster/src/reports.rs
+++ b/crates/cluster/src/reports.rs
@@ -204,11 +204,18 @@
                     .is_none_or(|left| report.incarnation <= left)
         };
         let mut known = None;
-        if self.latest.contains(&departure.target) {
-            self.retain(|report, _| {
-                known = known.max(has_left(report).then_some(report.incarnation));
-                !has_left(report)
+        if let Some(reports) = self.latest.get_mut(&departure.target) {
+            reports.retain(|(report, _)| {
+                let left = has_left(report);
+                if left {
+                    known = known.max(Some(report.incarnation));
+                    self.bytes -= report_bytes(report);
+                }
+                !left
             });
+            if reports.is_empty() {
+                self.latest.remove(&departure.target);
+            }
         }
         self.departures.record(now, departure, known);
         self.dirty |= known.is_some();
