Keep invented targets of unknown services from real ones

Cause: once the memory for reports of targets was used up, reports of targets that weren't known yet were dropped, whoever had taken it. Clients that don't know a service's name could so keep targets that start out of a deployment, as a control VM stores reports of any service.

Change: reports of services that aren't configured take half of the memory at most, and give way once those of configured ones need it. Before the first configuration all count as configured.

Conclusion: a crowd has to name a configured service to keep new targets out, and to keep as many ids fresh as fit.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -507,7 +507,9 @@
             scheduler::Event::TargetReported(report.clone()),
             out,
         );
-        self.reports.add(now, report);
+        let document = self.document.as_deref();
+        let is_configured = |service: &str| document.is_none_or(|d| d.service(service).is_some());
+        self.reports.add(now, report, is_configured);
         self.forward_reports(now, out);
     }
 
--- a/crates/cluster/src/reports.rs
+++ b/crates/cluster/src/reports.rs
@@ -41,8 +41,9 @@
 
 /// The latest reports of each target, with the state of forwarding and storing.
 ///
-/// They take a limited memory. If it is used up, those of targets that have been silent for long give
-/// way; else a report that needs more is dropped, so that targets which go on reporting stay known.
+/// They take a limited memory, half of it at most for services that aren't configured. If it is used up,
+/// these give way, and targets that have been silent for long; else a report that needs more is dropped,
+/// so that targets which go on reporting stay known.
 pub(crate) struct Reports {
     /// One report for each service that is named, and when it was received.
     latest: SortedMap<TargetName, Vec<(TargetReport, Time)>>,
@@ -110,8 +111,14 @@
         }
     }
 
-    /// Records a report, unless the same or a later one is known.
-    pub(crate) fn add(&mut self, now: Time, report: TargetReport) {
+    /// Records a report, unless the same or a later one is known. `is_configured` tells whether a
+    /// service is configured, as far as this VM knows.
+    pub(crate) fn add(
+        &mut self,
+        now: Time,
+        report: TargetReport,
+        is_configured: impl Fn(&str) -> bool,
+    ) {
         if self.departures.covers(now, &report) {
             return;
         }
@@ -141,7 +148,13 @@
             replaced.as_ref().map_or(0, |(_, bytes)| *bytes),
             report_bytes(&report),
         );
-        if !self.make_room(now, taken.saturating_sub(freed)) {
+        let needed = taken.saturating_sub(freed);
+        let has_room = match is_configured(&report.service) {
+            true => self.make_room(now, needed, is_configured),
+            // One that isn't recorded is sent again, and is recorded once its service is configured.
+            false => needed == 0 || self.bytes + needed <= self.most / 2,
+        };
+        if !has_room {
             self.dropped += 1;
             log::warn!(event = "report-dropped", target = report.target.as_str(),
                 dropped = self.dropped, bytes = self.bytes;
@@ -169,12 +182,20 @@
         self.bytes += taken;
     }
 
-    /// Whether `needed` bytes more may be taken. If they don't fit, targets that have been silent for so
-    /// long that their reports are neither stored nor forwarded are forgotten.
-    fn make_room(&mut self, now: Time, needed: usize) -> bool {
+    /// Whether `needed` bytes more may be taken. If they don't fit, targets whose service isn't
+    /// configured are forgotten, and those that have been silent for so long that their reports are
+    /// neither stored nor forwarded.
+    fn make_room(
+        &mut self,
+        now: Time,
+        needed: usize,
+        is_configured: impl Fn(&str) -> bool,
+    ) -> bool {
         if self.bytes + needed > self.most && now >= self.sweep_due {
             self.sweep_due = now + SWEEP_INTERVAL;
-            self.retain(|_, received| now.since(received) < STORE_MAX_AGE);
+            self.retain(|report, received| {
+                is_configured(&report.service) && now.since(received) < STORE_MAX_AGE
+            });
         }
         needed == 0 || self.bytes + needed <= self.most
     }
--- a/crates/cluster/tests/stored.rs
+++ b/crates/cluster/tests/stored.rs
@@ -4,6 +4,7 @@
 
 use greengage_cluster::distribution::DistributionMessage;
 use greengage_cluster::{gossip, Cluster, Effect, Event, Message, Versions};
+use greengage_config::Service;
 use greengage_core::{Incarnation, Time, Version, VmName, WallTime};
 use greengage_scheduler::{Departure, TargetReport};
 
@@ -353,3 +354,37 @@
     let stored = names(&stored_reports(&mut cluster, 14_502, 18_000));
     assert_eq!(stored, ["known", "new"]);
 }
+
+/// Guards against invented targets of services that aren't configured, which keep out real ones.
+#[test]
+fn reports_of_configured_services_take_the_memory_of_others() {
+    let mut setup = control_setup(Time::from_millis(START));
+    setup.report_memory = 100 << 10;
+    let mut configured = (*document(1)).clone();
+    configured.services = vec![Service {
+        name: report("known", 1).service,
+        max_connections: 64,
+    }];
+    setup.hints.document = Some(configured.into());
+    let mut cluster = Cluster::new(Time::from_millis(START), setup);
+    stored_reports(&mut cluster, START, 4000);
+    // Enough to use up half of the memory, and reports of real targets for more than the other half.
+    for i in 0..5000 {
+        let invented = TargetReport {
+            service: "other".into(),
+            ..report(&format!("invented-{i}"), 1)
+        };
+        step(&mut cluster, 4001, Event::Report(invented));
+        if i % 25 == 24 {
+            step(
+                &mut cluster,
+                4001,
+                Event::Report(report(&format!("t-{i}"), 1)),
+            );
+        }
+    }
+    let copies = stored_reports(&mut cluster, 4002, 9000);
+    let stored = copies.last().expect("reports are stored");
+    let real = stored.iter().filter(|r| &*r.service != "other").count();
+    assert_eq!(real, 200);
+}
