Share the steps of tests between knowledge and refused placements

The tests of refused placements repeated the document, the peer and the submission of the tests in knowledge.rs, 100 lines. They are now a module of it and use its functions.

--- a/crates/scheduler/tests/knowledge.rs
+++ b/crates/scheduler/tests/knowledge/main.rs
@@ -1,5 +1,7 @@
 //! Decisions of a VM that doesn't know all targets, their owners, or which messages have arrived.
 
+mod refused_placements;
+
 use std::time::Duration;
 
 use greengage_config::{Document, Limits, Queue, Service};
@@ -123,19 +125,21 @@
     }
 }
 
-/// Receives a message that VM `v2` has just sent, and returns the messages that are sent then.
-fn receive(scheduler: &mut Scheduler, now: Time, message: PeerMessage) -> Vec<PeerMessage> {
+/// Receives a message that VM `v2` has just sent.
+fn deliver(scheduler: &mut Scheduler, now: Time, message: PeerMessage) -> Vec<Effect> {
     let from = VmName::new("v2").unwrap();
     let sent = now;
-    let effects = step(
-        scheduler,
-        now,
-        Event::Peer {
-            from,
-            sent,
-            message,
-        },
-    );
+    let event = Event::Peer {
+        from,
+        sent,
+        message,
+    };
+    step(scheduler, now, event)
+}
+
+/// Receives a message that VM `v2` has just sent, and returns the messages that are sent then.
+fn receive(scheduler: &mut Scheduler, now: Time, message: PeerMessage) -> Vec<PeerMessage> {
+    let effects = deliver(scheduler, now, message);
     let replies = effects.into_iter().filter_map(|effect| match effect {
         Effect::Send { message, .. } => Some(message),
         _ => None,
--- a/crates/scheduler/tests/refused_placements.rs
+++ b/crates/scheduler/tests/knowledge/refused_placements.rs
@@ -2,87 +2,20 @@
 
 use std::time::Duration;
 
-use greengage_config::{Document, Limits, Queue, Service};
-use greengage_core::{
-    Demand, Incarnation, Name, Payload, RequestId, Time, Version, VmName, WallTime, ZoneName,
-};
+use greengage_core::{Incarnation, Time};
 use greengage_scheduler::{
-    Candidate, Effect, Event, OffloadOutcome, OffloadedTask, Peer, PeerMessage, Reply,
-    ResourceOffer, Scheduler, Setup, Step, Submission, DEFAULT_WEIGHT,
+    Effect, Event, OffloadOutcome, OffloadedTask, PeerMessage, Reply, ResourceOffer, Scheduler,
+    Step,
 };
 
+use crate::{deliver, demand, peer, started_vm, step, submission};
+
 const START: Time = Time(1_000_000);
 
 fn millis(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
-fn document() -> Document {
-    let queue = Queue {
-        name: "q".into(),
-        host: "h".into(),
-        prefix: "/q/".into(),
-        service: "s".into(),
-        timeout: Duration::from_secs(10),
-        latency: millis(60),
-        slack_percent: 20_000,
-        priority: 0,
-        max_attempts: 3,
-        uses_advisor: false,
-    };
-    let service = Service {
-        name: "s".into(),
-        max_connections: 64,
-    };
-    let document = Document {
-        version: Version(1),
-        queues: vec![queue],
-        services: vec![service],
-        limits: Limits {
-            max_body_bytes: 1 << 18,
-        },
-        source: Payload::new(Vec::new()),
-    };
-    document.validated().unwrap()
-}
-
-fn candidate(vm: &str) -> Candidate {
-    Candidate {
-        vm: VmName::new(vm).unwrap(),
-        zone: ZoneName::new("a").unwrap(),
-        weight: DEFAULT_WEIGHT,
-    }
-}
-
-fn demand(milli_cores: u32) -> Demand {
-    Demand {
-        milli_cores,
-        memory_mib: 64,
-        accelerators: 0,
-    }
-}
-
-fn step(scheduler: &mut Scheduler, now: Time, event: Event) -> Vec<Effect> {
-    let wall = WallTime(1_000_000);
-    let mut effects = scheduler.step(now, wall, Event::CallersChecked { until: now });
-    effects.extend(scheduler.step(now, wall, event));
-    effects
-}
-
-fn receive(scheduler: &mut Scheduler, now: Time, message: PeerMessage) -> Vec<Effect> {
-    let from = VmName::new("v2").unwrap();
-    let sent = now;
-    step(
-        scheduler,
-        now,
-        Event::Peer {
-            from,
-            sent,
-            message,
-        },
-    )
-}
-
 /// Receives what `v2` has free on each of its targets.
 fn receive_offers(scheduler: &mut Scheduler, now: Time, free: &[u32]) -> Vec<Effect> {
     let offers = free.iter().map(|milli_cores| ResourceOffer {
@@ -95,30 +28,14 @@
         shortage: false,
         time_left: None,
     };
-    receive(scheduler, now, message)
+    deliver(scheduler, now, message)
 }
 
-/// A VM without targets, and its peer `v2` with an offer of 8 cores and one of 2.
+/// A VM that owns no target, and its peer `v2` with an offer of 4 cores and one of 2.
 fn vm_with_offers() -> Scheduler {
-    let setup = Setup {
-        candidate: candidate("v1"),
-        incarnation: Incarnation(1),
-        stop_limit: millis(50),
-        report_interval: millis(1500),
-    };
-    let mut scheduler = Scheduler::new(START, setup);
-    step(
-        &mut scheduler,
-        START,
-        Event::Configuration(document().into()),
-    );
-    let peer = Peer {
-        candidate: candidate("v2"),
-        incarnation: Incarnation(1),
-        leaving: false,
-    };
-    step(&mut scheduler, START, Event::Peers(vec![peer]));
-    receive_offers(&mut scheduler, START, &[8000, 2000]);
+    let mut scheduler = started_vm(START);
+    step(&mut scheduler, START, Event::Peers(vec![peer("v2")]));
+    receive_offers(&mut scheduler, START, &[4000, 2000]);
     scheduler
 }
 
@@ -129,27 +46,15 @@
     request: u64,
     milli_cores: &[u32],
 ) -> Vec<OffloadedTask> {
-    let steps = milli_cores.iter().map(|milli_cores| Step {
-        count: 1,
+    let Event::Submit(mut job) = submission(now, request) else {
+        unreachable!();
+    };
+    let step_of = |milli_cores: &u32| Step {
         demand: demand(*milli_cores),
-        declared: millis(100),
-        depends_on: Vec::new(),
-        label: None,
-    });
-    let job = Submission {
-        request: RequestId(request),
-        host: "h".into(),
-        path: format!("/q/j{request}").into(),
-        id: Name::new(&format!("j{request}")).unwrap(),
-        spec: "".into(),
-        steps: steps.collect(),
-        body_bytes: 100,
-        received: now,
-        timeout: Duration::from_secs(30),
-        unsupported: None,
+        ..job.steps[0].clone()
     };
-    let effects = step(scheduler, now, Event::Submit(job));
-    offloaded(&effects)
+    job.steps = milli_cores.iter().map(step_of).collect();
+    offloaded(&step(scheduler, now, Event::Submit(job)))
 }
 
 fn offloaded(effects: &[Effect]) -> Vec<OffloadedTask> {
@@ -188,14 +93,14 @@
 /// Plays a job of two tasks whose placements end so, and returns its answer.
 fn answer_after(outcomes: [Option<OffloadOutcome>; 2]) -> (Duration, Vec<Reply>) {
     let mut scheduler = vm_with_offers();
-    let tasks = submit(&mut scheduler, START, 1, &[5000, 2000]);
+    let tasks = submit(&mut scheduler, START, 1, &[3000, 2000]);
     assert_eq!(tasks.len(), 2);
     let now = START + millis(5);
     receive_offers(&mut scheduler, now, &[]);
     for (task, outcome) in tasks.iter().zip(outcomes) {
         if let Some(outcome) = outcome {
             let ended = PeerMessage::Ended(vec![(task.offload_id, outcome)]);
-            let effects = receive(&mut scheduler, now, ended);
+            let effects = deliver(&mut scheduler, now, ended);
             assert_eq!(answers(&effects), []);
         }
     }
@@ -237,13 +142,13 @@
 #[test]
 fn refusal_of_a_large_task_keeps_offers_for_small_ones() {
     let mut scheduler = vm_with_offers();
-    let tasks = submit(&mut scheduler, START, 1, &[5000]);
+    let tasks = submit(&mut scheduler, START, 1, &[3000]);
     let [task] = tasks.as_slice() else {
         panic!("{tasks:?}");
     };
     let refusal = vec![(task.offload_id, OffloadOutcome::NotStarted)];
     let now = START + millis(5);
-    let effects = receive(&mut scheduler, now, PeerMessage::Ended(refusal));
+    let effects = deliver(&mut scheduler, now, PeerMessage::Ended(refusal));
     assert_eq!(offloaded(&effects), []);
     assert_eq!(submit(&mut scheduler, now, 2, &[2000]).len(), 1);
 }
@@ -261,7 +166,7 @@
         callers_age: Duration::ZERO,
         tasks: vec![task],
     };
-    receive(&mut scheduler, START, run);
+    deliver(&mut scheduler, START, run);
     let renewal = |number, needed| PeerMessage::Renew {
         sender: Incarnation(1),
         receiver: Incarnation(1),
@@ -270,9 +175,9 @@
         needed,
     };
     // The outcome is kept, so it isn't sent again before it has had time to arrive.
-    receive(&mut scheduler, START + millis(5), renewal(4, Vec::new()));
+    deliver(&mut scheduler, START + millis(5), renewal(4, Vec::new()));
     let needed = vec![(5, Duration::from_secs(1))];
-    let effects = receive(&mut scheduler, START + millis(6), renewal(6, needed));
+    let effects = deliver(&mut scheduler, START + millis(6), renewal(6, needed));
     let repeats = |effect: &Effect| {
         matches!(
             effect,
