scheduler: tell the next owners of targets what speeds they have

Cause: a target that changes hands is taken for one of usual speed until some runs have ended there, so long work is put on slow targets after a restart. Change: a VM tells the speeds that it has learned to the VMs that may own its targets next, with every eighth broadcast of offers, with a release and when it shuts down; a VM that joins gets back what is known of targets without an owner. A told speed counts when the target is claimed, for the same boot only, unless this VM has learned later.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -63,6 +63,8 @@
     pub owned: usize,
     /// Number of targets that it knows.
     pub targets: usize,
+    /// Number of targets whose speed other VMs have told.
+    pub speeds: usize,
     /// Number of other VMs that are live.
     pub vms: usize,
     /// Number of callers and operators that wait for an answer.
@@ -195,6 +197,7 @@
         let callers = scheduler.map_or(0, Scheduler::callers) + self.cancels.callers() + operators;
         let owned = scheduler.map_or(0, Scheduler::owned);
         let targets = scheduler.map_or(0, Scheduler::known);
+        let speeds = scheduler.map_or(0, Scheduler::told_speeds);
         let is_leader = self.group.as_ref().is_some_and(Group::is_leader);
         let stage = self.shutdown.stage(now, callers, owned > 0 || is_leader);
         Status {
@@ -205,6 +208,7 @@
             evacuated: self.evacuations.current().map_or(0, |e| e.zones.len()),
             owned,
             targets,
+            speeds,
             vms: self.live.len(),
             callers,
             is_leader,
@@ -463,7 +467,7 @@
                 "dropped a message whose age is unknown or whose sender has restarted");
             return;
         };
-        if !matches!(message, PeerMessage::Offers { .. }) {
+        if !matches!(message, PeerMessage::Offers { .. } | PeerMessage::Speeds(_)) {
             self.members.mark_active(now, &from);
         }
         let event = scheduler::Event::Peer {
@@ -654,7 +658,7 @@
                 call,
             }),
             scheduler::Effect::Send { to, message } => {
-                if !matches!(message, PeerMessage::Offers { .. }) {
+                if !matches!(message, PeerMessage::Offers { .. } | PeerMessage::Speeds(_)) {
                     self.members.mark_active(now, &to);
                 }
                 if let Some(member) = self.members.member(&to) {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -8,6 +8,7 @@
 //! - `event`: inputs and outputs.
 //! - `peer`: messages between entry VMs.
 //! - `estimate`: run time per queue and speed per target, learned from completed runs.
+//! - `speeds`: speeds of targets that other VMs have learned.
 //! - `health`: exclusion of targets that fail or stall their tasks.
 //! - `target`: a target, its owner, its lease and its runs.
 //! - `assignment`: assignment of targets to entry VMs.
@@ -47,6 +48,7 @@
 mod progress;
 mod renewal;
 mod scheduler;
+mod speeds;
 mod submit;
 mod target;
 mod targets;
@@ -62,3 +64,4 @@
 pub use peer::{OffloadOutcome, OffloadedTask, PeerMessage, ResourceOffer};
 pub use progress::earliest_end;
 pub use scheduler::{Peer, Scheduler, Setup};
+pub use speeds::{TargetSpeed, ToldSpeed, ToldSpeeds};
--- a/crates/scheduler/src/peer.rs
+++ b/crates/scheduler/src/peer.rs
@@ -5,6 +5,8 @@
 
 use greengage_core::{value, Demand, Incarnation, TargetName};
 
+use crate::speeds::TargetSpeed;
+
 /// Free resources of one target, offered to other VMs.
 #[value(copy)]
 pub struct ResourceOffer {
@@ -71,6 +73,8 @@
         /// doesn't.
         time_left: Option<Duration>,
     },
+    /// Speeds of targets that the receiver may own next.
+    Speeds(Vec<TargetSpeed>),
     /// Run these tasks.
     Run {
         /// Incarnation of the sender.
--- a/crates/scheduler/src/target.rs
+++ b/crates/scheduler/src/target.rs
@@ -222,6 +222,8 @@
     /// Free resources that are kept for waiting jobs of this VM.
     pub(crate) reserved: Demand,
     pub(crate) speed: LearnedFactor,
+    /// When this VM has last learned from a run on it.
+    pub(crate) learned: Option<Time>,
     pub(crate) health: Health,
 }
 
@@ -248,6 +250,7 @@
             runs: Vec::new(),
             reserved: Demand::default(),
             speed: LearnedFactor::default(),
+            learned: None,
             health: Health::default(),
         }
     }
@@ -261,7 +264,7 @@
         self.lost = false;
         self.release();
         self.mark_runs_stopping();
-        self.speed = LearnedFactor::default();
+        (self.speed, self.learned) = (LearnedFactor::default(), None);
         self.health = Health::default();
     }
 
--- a/crates/scheduler/tests/world/main.rs
+++ b/crates/scheduler/tests/world/main.rs
@@ -10,5 +10,6 @@
 mod owners;
 mod pauses;
 mod shutdown;
+mod speeds;
 mod support;
 mod targets;
--- a/crates/scheduler/tests/world/support.rs
+++ b/crates/scheduler/tests/world/support.rs
@@ -77,6 +77,7 @@
     Ended,
     Stop,
     Renew,
+    Speeds,
 }
 
 impl MessageKind {
@@ -86,6 +87,7 @@
             PeerMessage::Ended(_) => Some(MessageKind::Ended),
             PeerMessage::Stop(_) => Some(MessageKind::Stop),
             PeerMessage::Renew { .. } => Some(MessageKind::Renew),
+            PeerMessage::Speeds(_) => Some(MessageKind::Speeds),
             PeerMessage::Offers { .. } => None,
         }
     }
