--- a/crates/scheduler/tests/world/main.rs
+++ b/crates/scheduler/tests/world/main.rs
@@ -11,5 +11,6 @@
 mod pauses;
 mod refusals;
 mod shutdown;
+mod speeds;
 mod support;
 mod targets;
