Compute the quotient of each priority once for a substitute

Cause: the choice of a substitute computed the quotient of a priority, which looks at all queues, for each job that may give way. With the 4,200 queues of a large configuration that took most of a refusal, and under overload one follows most submissions.

Change: each priority's quotient is computed once for a choice.

--- a/crates/contention/src/refusal.rs
+++ b/crates/contention/src/refusal.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use greengage_core::{value, Time};
+use greengage_core::{value, SortedMap, Time};
 
 use crate::rank::Claim;
 use crate::share::Shares;
@@ -139,10 +139,15 @@
     shares: &Shares,
     mut makes_room: impl FnMut(u64) -> bool,
 ) -> Option<u64> {
+    // A quotient looks at all queues, of which there may be thousands, so each is computed once.
+    let priorities = others.iter().chain([refused]).map(|c| c.claim.priority);
+    let mut quotients: SortedMap<u32, f64> = SortedMap::new();
+    for priority in priorities {
+        quotients.get_or_insert_with(priority, || shares.quotient(now, priority));
+    }
     let class = |c: &Contender| {
-        let priority = c.claim.priority;
-        let quotient = shares.quotient(now, priority);
-        (quotient, shares.admitted(now, &c.queue))
+        let quotient = quotients.get(&c.claim.priority).copied();
+        (quotient.unwrap_or_default(), shares.admitted(now, &c.queue))
     };
     let (quotient, admitted) = class(refused);
     let exceeds = |a: f64, b: f64| a > b * (1.0 + ADVANTAGE_PERCENT / 100.0);
