Start no wave of a job with a step that no target runs

Cause: a job counts as wider than the usable targets once its tasks need more than all of them. A step without any place, as all targets with its label drain or belong to busy peers, made that infinite, so the job started with an eighth of its tasks. It then could neither end nor be refused. The count also looked at all waiting tasks for each step of the job.

Change: such a job isn't wide and waits, as before the rule; each waiting task is looked at once.

Result: the new test of the scheduler, two steps of which one has only a draining target, started the other step and timed out before, and is refused after; cargo test -p greengage-scheduler passes.

Conclusion: a wave starts only if each step that is ready has room to come.

--- a/crates/scheduler/src/dispatch.rs
+++ b/crates/scheduler/src/dispatch.rs
@@ -368,9 +368,8 @@
     fn is_wide(&self, job: &Job, waiting: &[usize], pool: &SlotPool) -> bool {
         // The part of the targets that the tasks need.
         let mut needed = 0.0;
-        for (i, step) in job.steps.iter().enumerate() {
-            let tasks = waiting.iter().filter(|task| job.tasks[**task].step == i);
-            let tasks = tasks.count();
+        for tasks in waiting.chunk_by(|a, b| job.tasks[*a].step == job.tasks[*b].step) {
+            let step = &job.steps[job.tasks[tasks[0]].step];
             let count = |place: &Place| match place {
                 Place::Local(position) => {
                     let target = self.targets.at(*position).map(|(_, target)| target);
@@ -382,11 +381,16 @@
                     offer.map_or(0, |offer| step.demand.count_in(&offer.free))
                 }
             };
-            let places = pool.places.iter();
-            let slots: f64 = places.map(|place| f64::from(count(place))).sum();
-            if tasks > 0 {
-                needed += tasks as f64 / slots;
+            let slots: f64 = pool
+                .places
+                .iter()
+                .map(|place| f64::from(count(place)))
+                .sum();
+            // Waves don't help a step that no target can run.
+            if slots == 0.0 {
+                return false;
             }
+            needed += tasks.len() as f64 / slots;
         }
         needed > 1.0
     }
--- a/crates/scheduler/tests/room.rs
+++ b/crates/scheduler/tests/room.rs
@@ -383,3 +383,37 @@
     let answer = vm.answers.get(&2).map(|answer| &answer.1);
     assert!(matches!(answer, Some(Reply::Refused { .. })), "{answer:?}");
 }
+
+/// Guards against a job that starts, and ends with an unknown outcome, although no usable target has the
+/// label of one of its steps.
+#[test]
+fn job_with_a_step_that_no_usable_target_runs_is_not_started() {
+    let mut labelled = report("t1", cores(16));
+    labelled.labels = vec!["x".into()];
+    labelled.draining = true;
+    let mut vm = Vm::new(150, vec![report("t0", cores(16)), labelled]);
+    vm.run_ms.push(("j1.0.".into(), 200));
+    let one = |label: Option<&str>| Step {
+        count: 1,
+        demand: cores(4),
+        declared: millis(200),
+        depends_on: Vec::new(),
+        label: label.map(Into::into),
+    };
+    vm.step(Event::Submit(Submission {
+        request: RequestId(1),
+        host: "h".into(),
+        path: "/q/j1".into(),
+        id: Name::new("j1").unwrap(),
+        spec: "".into(),
+        steps: vec![one(None), one(Some("x"))],
+        body_bytes: 100,
+        received: vm.now,
+        timeout: millis(3_000),
+        unsupported: None,
+    }));
+    vm.advance(3000);
+    assert_eq!(vm.started, []);
+    let answer = vm.answers.get(&1).map(|a| &a.1);
+    assert!(matches!(answer, Some(Reply::Refused { .. })), "{answer:?}");
+}
