review: a cancelled job runs after a crowd of DELETEs

Cause: the memory of cancelled jobs holds 4,096, and DELETEs of jobs that no VM has push out those that were acknowledged.

--- /dev/null
+++ b/review/lib-3/scenarios.rs
@@ -0,0 +1,264 @@
+//! The scenarios of the review's scripts.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::{limit_share, plain_job, request, Answer, Machine, Plan, Record, World, HOST};
+
+const COULD_NOT_RUN: i32 = 2;
+
+pub fn run(scenario: &str, record: Record, trouble: bool) -> i32 {
+    match scenario {
+        "wide-job" => wide_job(record, trouble),
+        "many-tasks" => many_tasks(record, trouble),
+        "cancels" => cancels(record, trouble),
+        "dependencies" => dependencies(record, trouble),
+        _ => COULD_NOT_RUN,
+    }
+}
+
+/// Watches the memory of a process. Like the platform, kills it once it uses more than it may.
+fn watch_memory(record: Record, machine: Arc<Machine>, killed: Arc<AtomicBool>, over: Arc<AtomicBool>) {
+    thread::spawn(move || {
+        let mut most = 0;
+        while !over.load(Ordering::Relaxed) {
+            let kib = machine.memory_kib("VmRSS:");
+            if kib * 1024 > machine.memory_mb * 1_000_000 {
+                record.line(format!(
+                    "{} uses {kib} KiB of memory, more than its {} MB: the platform kills it",
+                    machine.name, machine.memory_mb
+                ));
+                killed.store(true, Ordering::Relaxed);
+                machine.kill();
+                return;
+            }
+            if kib > most + 10_000 {
+                most = kib;
+                record.line(format!("{} uses {kib} KiB of memory", machine.name));
+            }
+            if let Some(status) = machine.ended() {
+                record.line(format!("{} has ended by itself: {status}", machine.name));
+                killed.store(true, Ordering::Relaxed);
+                return;
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+    });
+}
+
+fn env_or(name: &str, default: usize) -> usize {
+    std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(default)
+}
+
+/// A client hands in one job of legal size with a long spec and many tasks.
+fn wide_job(record: Record, trouble: bool) -> i32 {
+    let world = World::start(record.clone(), &Plan { edges: 2, executors: &[0, 1, 1, 1, 1], capacity: 64_000 });
+    let edge = world.edges[0].clone();
+    let (killed, over) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+    watch_memory(record.clone(), edge.clone(), killed.clone(), over.clone());
+    thread::sleep(Duration::from_secs(5));
+    let world = Arc::new(world);
+    // An ordinary job is at work at the edge.
+    let (ordinary, at) = (world.clone(), edge.clone());
+    let ordinary = thread::spawn(move || ordinary.submit(&at, "00000000000000f1", &plain_job(1500), 8000));
+    thread::sleep(Duration::from_millis(300));
+    if trouble {
+        let (count, spec) = (env_or("COUNT", 1200), env_or("SPEC", 250_000));
+        let body = format!(
+            "{{\"spec\":\"ms=1000;{}\",\"best-effort\":true,\"phases\":[{{\"count\":{count},\"cpu\":100,\"estimated-ms\":1000}}]}}",
+            "x".repeat(spec)
+        );
+        let jobs = env_or("JOBS", 3);
+        record.line(format!("POST of {jobs} jobs with {count} tasks and a spec of {spec} bytes each; body {} bytes", body.len()));
+        let clients: Vec<_> = (0..jobs)
+            .map(|i| {
+                let (world, edge, body, record) = (world.clone(), edge.clone(), body.clone(), record.clone());
+                thread::spawn(move || {
+                    let answer = world.submit(&edge, &format!("{:016x}", 0xf200 + i), &body, 6000);
+                    record.line(format!("answer to the wide job {i}: {}", text(&answer)));
+                })
+            })
+            .collect();
+        clients.into_iter().for_each(|client| drop(client.join()));
+    }
+    let ordinary = ordinary.join().unwrap();
+    match &ordinary {
+        Ok(a) => record.line(format!("answer to the ordinary job: {} {}", a.status, String::from_utf8_lossy(&a.body))),
+        Err(e) => record.line(format!("no answer to the ordinary job: {e}")),
+    }
+    thread::sleep(Duration::from_secs(1));
+    over.store(true, Ordering::Relaxed);
+    record.line(format!("peak memory of {}: {} KiB", edge.name, edge.memory_kib("VmHWM:")));
+    for executor in &world.executors {
+        let (starts, done, running) = executor.counts();
+        record.line(format!("executor {}: {starts} starts, {done} done, {running} running", executor.id));
+    }
+    let ordinary_served = ordinary.is_ok_and(|a| a.status == 200);
+    let broken = killed.load(Ordering::Relaxed) || edge.memory_kib("VmHWM:") * 1024 > edge.memory_mb * 1_000_000;
+    world.stop();
+    record.line(format!("ordinary job served: {ordinary_served}; process killed or over its memory: {broken}"));
+    i32::from(broken)
+}
+
+/// Clients hand in jobs of legal size that keep an edge busy; then ordinary jobs are handed in there.
+fn busy_edge(record: Record, trouble: bool, jobs: usize, body: &str, share: Option<f64>) -> i32 {
+    let world = Arc::new(World::start(record.clone(), &Plan { edges: 2, executors: &[0, 1, 0, 1], capacity: 64_000 }));
+    let edge = world.edges[0].clone();
+    thread::sleep(Duration::from_secs(5));
+    if let Some(share) = share {
+        record.line(format!("each edge gets {share} of a core from now on, as a quota in each tenth of a second"));
+        world.edges.iter().for_each(|edge| limit_share(edge.clone(), share));
+        thread::sleep(Duration::from_secs(2));
+    }
+    let cpu = edge.cpu_s();
+    let started = Instant::now();
+    if trouble {
+        let start = &body[..body.len().min(180)];
+        record.line(format!("POST of {jobs} jobs, {} bytes each, deadline 100 s: {start} ...", body.len()));
+        for i in 0..jobs {
+            let (world, edge, body, record) = (world.clone(), edge.clone(), body.to_string(), record.clone());
+            thread::spawn(move || {
+                let answer = world.submit(&edge, &format!("{:016x}", 0xd00 + i), &body, 100_000);
+                record.line(format!("answer to the job {i}: {}", text(&answer)));
+            });
+            thread::sleep(Duration::from_millis(100));
+        }
+    }
+    thread::sleep(Duration::from_secs(2));
+    let (mut answered, mut served) = (0, 0);
+    let tries = 4;
+    for i in 0..tries {
+        let begin = Instant::now();
+        let answer = world.submit(&edge, &format!("{:016x}", 0xe00 + i), &plain_job(50), 8_000);
+        let ready = request(edge.readiness(), ("GET", "/greengageproxy/ready"), &[], &[], Duration::from_secs(1));
+        record.line(format!(
+            "ordinary job {i}, deadline 8 s, at {}: after {} ms: {}; readiness: {}",
+            edge.name,
+            begin.elapsed().as_millis(),
+            text(&answer),
+            ready.map_or(0, |a| a.status)
+        ));
+        answered += usize::from(answer.is_ok());
+        served += usize::from(answer.is_ok_and(|a| a.status == 200));
+    }
+    record.line(format!(
+        "{}: {:.1} s of processor time in {:.1} s; memory {} KiB",
+        edge.name,
+        edge.cpu_s() - cpu,
+        started.elapsed().as_secs_f64(),
+        edge.memory_kib("VmHWM:")
+    ));
+    let ended = edge.ended();
+    for executor in &world.executors {
+        let (starts, done, running) = executor.counts();
+        record.line(format!("executor {}: {starts} starts, {done} done, {running} running", executor.id));
+    }
+    record.line(format!("{answered} of {tries} ordinary jobs were answered, {served} served"));
+    world.stop();
+    i32::from(answered == 0 || ended.is_some())
+}
+
+/// One job of many small tasks.
+fn many_tasks(record: Record, trouble: bool) -> i32 {
+    let (count, ms, cpu) = (env_or("COUNT", 10_000), env_or("MS", 9000), env_or("CPU", 10));
+    let body = format!(
+        "{{\"spec\":\"ms={ms};cpu={cpu};\",\"best-effort\":true,\"phases\":[{{\"count\":{count},\"cpu\":{cpu},\"estimated-ms\":{ms}}}]}}"
+    );
+    busy_edge(record, trouble, env_or("JOBS", 1), &body, Some(0.25))
+}
+
+/// Jobs whose tasks wait for very many dependencies.
+fn dependencies(record: Record, trouble: bool) -> i32 {
+    let depends = format!("{}1", "0,".repeat(1198));
+    let wide = format!("{{\"count\":99,\"cpu\":10,\"estimated-ms\":10,\"depends-on\":[{depends}]}}");
+    let wide = vec![wide; 100].join(",");
+    let body = format!(
+        "{{\"spec\":\"ms=90000;cpu=10;\",\"best-effort\":true,\"phases\":[{{\"count\":0}},\
+         {{\"count\":1,\"cpu\":10,\"estimated-ms\":90000}},{wide}]}}"
+    );
+    busy_edge(record, trouble, env_or("JOBS", 8), &body, None)
+}
+
+/// A crowd cancels jobs that don't exist, after a client has cancelled one that does.
+fn cancels(record: Record, trouble: bool) -> i32 {
+    let world = Arc::new(World::start(record.clone(), &Plan { edges: 3, executors: &[0, 1, 2], capacity: 64_000 }));
+    thread::sleep(Duration::from_secs(4));
+    let (first, second) = (world.edges[0].clone(), world.edges[1].clone());
+    let id = "5c0e7a21d94b36f8";
+    let body = plain_job(3_000);
+    let (owner, at, copy, record2) = (world.clone(), first.clone(), body.clone(), record.clone());
+    let submitted = thread::spawn(move || {
+        let answer = owner.submit(&at, id, &copy, 30_000);
+        record2.line(format!("answer to the POST of job {id}: {}", text(&answer)));
+    });
+    thread::sleep(Duration::from_millis(800));
+    let path = format!("/lohu930/{id}");
+    let headers = [("Host", HOST.to_string())];
+    let answer = request(first.front(), ("DELETE", &path), &headers, &[], Duration::from_secs(2));
+    let cancelled = Instant::now();
+    record.line(format!("answer of {} to the DELETE of job {id}: {}", first.name, text(&answer)));
+    if !answer.is_ok_and(|a| a.status == 200) {
+        world.cannot_run("the job was not cancelled");
+    }
+    let _ = submitted.join();
+    if trouble {
+        let (clients, each) = (64, env_or("EACH", 80));
+        let mut crowd = Vec::new();
+        for client in 0..clients {
+            let to = first.front();
+            crowd.push(thread::spawn(move || delete_many(to, client, each)));
+        }
+        let answered: usize = crowd.into_iter().filter_map(|c| c.join().ok()).sum();
+        record.line(format!("{clients} clients have sent {} DELETEs of jobs that don't exist; {answered} were answered", clients * each));
+    }
+    thread::sleep(Duration::from_millis(4500).saturating_sub(cancelled.elapsed()));
+    record.line(format!("a copy of the POST of job {id} arrives at {}, {} ms after the cancelling was acknowledged", second.name, cancelled.elapsed().as_millis()));
+    let answer = world.submit(&second, id, &body, 8_000);
+    record.line(format!("answer to the copy: {}", text(&answer)));
+    thread::sleep(Duration::from_millis(500));
+    let mut late = 0;
+    for executor in &world.executors {
+        for (at, task) in executor.starts_of(id) {
+            let after = at.checked_duration_since(cancelled).unwrap_or_default().as_millis();
+            record.line(format!("executor {} has started {task}, {after} ms after the ack of the cancelling (0: before)", executor.id));
+            late += usize::from(after > 3000);
+        }
+    }
+    record.line(format!("starts later than cancel_ms (3000) after the ack: {late}"));
+    world.stop();
+    i32::from(late > 0)
+}
+
+fn text(answer: &Result<Answer, String>) -> String {
+    match answer {
+        Ok(answer) => format!("{} {}", answer.status, String::from_utf8_lossy(&answer.body)),
+        Err(error) => format!("none: {error}"),
+    }
+}
+
+/// Sends DELETEs ahead on one connection; returns how many were answered.
+fn delete_many(to: std::net::SocketAddr, client: usize, count: usize) -> usize {
+    use std::io::{Read, Write};
+    let Ok(mut stream) = std::net::TcpStream::connect(to) else { return 0 };
+    let mut bytes = String::new();
+    for i in 0..count {
+        bytes += &format!("DELETE /lohu930/{:016x} HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n\r\n", 0xabc_0000_0000 + client * 65536 + i);
+    }
+    if stream.write_all(bytes.as_bytes()).is_err() {
+        return 0;
+    }
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(3)));
+    let (mut seen, mut chunk) = (Vec::new(), [0u8; 65536]);
+    loop {
+        let answered = seen.windows(9).filter(|w| *w == b"HTTP/1.1 ").count();
+        if answered >= count {
+            return answered;
+        }
+        match stream.read(&mut chunk) {
+            Ok(n) if n > 0 => seen.extend_from_slice(&chunk[..n]),
+            _ => return answered,
+        }
+    }
+}
