review: one job of many small tasks stops an entry VM

Cause: each event is followed by a round of placement, whose cost grows with the runs and with the waiting tasks. Conclusion: the process answers nothing for over 30 s.

--- a/review/lib-3/scenarios.rs
+++ b/review/lib-3/scenarios.rs
@@ -114,14 +114,24 @@
     }
     let cpu = edge.cpu_s();
     let started = Instant::now();
+    let over = Arc::new(AtomicBool::new(false));
     if trouble {
         let start = &body[..body.len().min(180)];
         record.line(format!("POST of {jobs} jobs, {} bytes each, deadline 100 s: {start} ...", body.len()));
         for i in 0..jobs {
             let (world, edge, body, record) = (world.clone(), edge.clone(), body.to_string(), record.clone());
+            let over = over.clone();
             thread::spawn(move || {
-                let answer = world.submit(&edge, &format!("{:016x}", 0xd00 + i), &body, 100_000);
-                record.line(format!("answer to the job {i}: {}", text(&answer)));
+                // Like the clients of a crowd, it sends the next job once one was answered.
+                for round in 0..200 {
+                    let id = format!("{:016x}", 0xd000 + i * 256 + round);
+                    let answer = world.submit(&edge, &id, &body, 100_000);
+                    if over.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    record.line(format!("answer to the job {i}, round {round}: {}", text(&answer)));
+                    thread::sleep(Duration::from_millis(200));
+                }
             });
             thread::sleep(Duration::from_millis(100));
         }
@@ -151,6 +161,7 @@
         edge.memory_kib("VmHWM:")
     ));
     let ended = edge.ended();
+    over.store(true, Ordering::Relaxed);
     for executor in &world.executors {
         let (starts, done, running) = executor.counts();
         record.line(format!("executor {}: {starts} starts, {done} done, {running} running", executor.id));
