--- a/review/lib-3/scenarios.rs
+++ b/review/lib-3/scenarios.rs
@@ -13,6 +13,7 @@
     match scenario {
         "wide-job" => wide_job(record, trouble),
         "many-tasks" => many_tasks(record, trouble),
+        "cancel-restart" => cancel_restart(record, trouble),
         "cancels" => cancels(record, trouble),
         "dependencies" => dependencies(record, trouble),
         _ => COULD_NOT_RUN,
@@ -192,8 +193,8 @@
     busy_edge(record, trouble, env_or("JOBS", 8), &body, None)
 }
 
-/// A crowd cancels jobs that don't exist, after a client has cancelled one that does.
-fn cancels(record: Record, trouble: bool) -> i32 {
+/// A client cancels a job; after `disruption` a copy of its POST arrives, `pause` after the ack.
+fn cancelled_copy(record: Record, pause: Duration, disruption: impl FnOnce(&World)) -> i32 {
     let world = Arc::new(World::start(record.clone(), &Plan { edges: 3, executors: &[0, 1, 2], capacity: 64_000 }));
     thread::sleep(Duration::from_secs(4));
     let (first, second) = (world.edges[0].clone(), world.edges[1].clone());
@@ -214,17 +215,8 @@
         world.cannot_run("the job was not cancelled");
     }
     let _ = submitted.join();
-    if trouble {
-        let (clients, each) = (64, env_or("EACH", 80));
-        let mut crowd = Vec::new();
-        for client in 0..clients {
-            let to = first.front();
-            crowd.push(thread::spawn(move || delete_many(to, client, each)));
-        }
-        let answered: usize = crowd.into_iter().filter_map(|c| c.join().ok()).sum();
-        record.line(format!("{clients} clients have sent {} DELETEs of jobs that don't exist; {answered} were answered", clients * each));
-    }
-    thread::sleep(Duration::from_millis(4500).saturating_sub(cancelled.elapsed()));
+    disruption(&world);
+    thread::sleep(pause.saturating_sub(cancelled.elapsed()));
     record.line(format!("a copy of the POST of job {id} arrives at {}, {} ms after the cancelling was acknowledged", second.name, cancelled.elapsed().as_millis()));
     let answer = world.submit(&second, id, &body, 8_000);
     record.line(format!("answer to the copy: {}", text(&answer)));
@@ -242,6 +234,38 @@
     i32::from(late > 0)
 }
 
+/// A crowd cancels jobs that don't exist, after a client has cancelled one that does.
+fn cancels(record: Record, trouble: bool) -> i32 {
+    cancelled_copy(record, Duration::from_millis(4500), |world| {
+        if !trouble {
+            return;
+        }
+        let (clients, each) = (64, env_or("EACH", 80));
+        let mut crowd = Vec::new();
+        for client in 0..clients {
+            let to = world.edges[0].front();
+            crowd.push(thread::spawn(move || delete_many(to, client, each)));
+        }
+        let answered: usize = crowd.into_iter().filter_map(|c| c.join().ok()).sum();
+        world.record.line(format!("{clients} clients have sent {} DELETEs of jobs that don't exist; {answered} were answered", clients * each));
+    })
+}
+
+/// All processes are killed and restarted, after a client has cancelled a job.
+fn cancel_restart(record: Record, trouble: bool) -> i32 {
+    cancelled_copy(record, Duration::from_millis(9500), |world| {
+        if !trouble {
+            return;
+        }
+        let machines = || world.edges.iter().chain(&world.cores);
+        machines().for_each(|machine| machine.kill());
+        world.record.line("all processes of the system have been killed");
+        thread::sleep(Duration::from_millis(600));
+        machines().for_each(|machine| machine.start());
+        world.record.line("they have been started again");
+    })
+}
+
 fn text(answer: &Result<Answer, String>) -> String {
     match answer {
         Ok(answer) => format!("{} {}", answer.status, String::from_utf8_lossy(&answer.body)),
