--- a/review/lib-3/json.rs
+++ b/review/lib-3/json.rs
@@ -13,7 +13,10 @@
 impl Json {
     pub fn parse(bytes: &[u8]) -> Option<Json> {
         let text = std::str::from_utf8(bytes).ok()?;
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         reader.value()
     }
 
@@ -103,7 +106,11 @@
             }
             _ => {
                 let start = self.at;
-                while self.bytes.get(self.at).is_some_and(|b| !b",]}".contains(b) && !b.is_ascii_whitespace()) {
+                while self
+                    .bytes
+                    .get(self.at)
+                    .is_some_and(|b| !b",]}".contains(b) && !b.is_ascii_whitespace())
+                {
                     self.at += 1;
                 }
                 let word = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
@@ -131,7 +138,8 @@
                         b't' => out.push(b'\t'),
                         b'r' => out.push(b'\r'),
                         b'u' => {
-                            let digits = std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
+                            let digits =
+                                std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
                             self.at += 4;
                             let code = u32::from_str_radix(digits, 16).ok()?;
                             let mut buffer = [0; 4];
--- a/review/lib-3/world.rs
+++ b/review/lib-3/world.rs
@@ -40,7 +40,10 @@
 
 impl Record {
     pub fn create(path: &str) -> Record {
-        Record(Arc::new((Instant::now(), Mutex::new(fs::File::create(path).unwrap()))))
+        Record(Arc::new((
+            Instant::now(),
+            Mutex::new(fs::File::create(path).unwrap()),
+        )))
     }
 
     pub fn line(&self, text: impl AsRef<str>) {
@@ -57,7 +60,10 @@
     pub body: Vec<u8>,
 }
 
-fn read_message(stream: &mut TcpStream, kept: &mut Vec<u8>) -> std::io::Result<Option<(String, Vec<u8>)>> {
+fn read_message(
+    stream: &mut TcpStream,
+    kept: &mut Vec<u8>,
+) -> std::io::Result<Option<(String, Vec<u8>)>> {
     let mut chunk = [0u8; 65536];
     let end = loop {
         if let Some(at) = kept.windows(4).position(|w| w == b"\r\n\r\n") {
@@ -69,7 +75,9 @@
         }
     };
     let head = String::from_utf8_lossy(&kept[..end]).to_string();
-    let length: usize = header(&head, "content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+    let length: usize = header(&head, "content-length")
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(0);
     while kept.len() < end + length {
         match stream.read(&mut chunk)? {
             0 => return Ok(None),
@@ -84,7 +92,8 @@
 fn header(head: &str, name: &str) -> Option<String> {
     head.lines().skip(1).find_map(|line| {
         let (key, value) = line.split_once(':')?;
-        key.eq_ignore_ascii_case(name).then(|| value.trim().to_string())
+        key.eq_ignore_ascii_case(name)
+            .then(|| value.trim().to_string())
     })
 }
 
@@ -99,7 +108,10 @@
     let end = Instant::now() + timeout;
     let mut stream = TcpStream::connect_timeout(&to, timeout).map_err(|e| e.to_string())?;
     let _ = stream.set_nodelay(true);
-    let mut head = format!("{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+    let mut head = format!(
+        "{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     if !headers.iter().any(|(key, _)| *key == "Host") {
         head += &format!("Host: {to}\r\n");
     }
@@ -107,14 +119,28 @@
         head += &format!("{key}: {value}\r\n");
     }
     head += "Content-Type: application/json\r\nConnection: close\r\n\r\n";
-    let left = || end.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
-    stream.set_write_timeout(Some(left())).map_err(|e| e.to_string())?;
-    stream.write_all(head.as_bytes()).and_then(|_| stream.write_all(body)).map_err(|e| e.to_string())?;
-    stream.set_read_timeout(Some(left())).map_err(|e| e.to_string())?;
+    let left = || {
+        end.saturating_duration_since(Instant::now())
+            .max(Duration::from_millis(1))
+    };
+    stream
+        .set_write_timeout(Some(left()))
+        .map_err(|e| e.to_string())?;
+    stream
+        .write_all(head.as_bytes())
+        .and_then(|_| stream.write_all(body))
+        .map_err(|e| e.to_string())?;
+    stream
+        .set_read_timeout(Some(left()))
+        .map_err(|e| e.to_string())?;
     match read_message(&mut stream, &mut Vec::new()) {
         Ok(Some((head, body))) => {
             let status = head.split_whitespace().nth(1).and_then(|s| s.parse().ok());
-            Ok(Answer { status: status.unwrap_or(0), head, body })
+            Ok(Answer {
+                status: status.unwrap_or(0),
+                head,
+                body,
+            })
         }
         Ok(None) => Err("the channel ended without an answer".to_string()),
         Err(error) => Err(error.to_string()),
@@ -162,11 +188,18 @@
 }
 
 fn spec_field(spec: &str, name: &str) -> Option<u64> {
-    spec.split(';').find_map(|part| part.strip_prefix(name)?.parse().ok())
+    spec.split(';')
+        .find_map(|part| part.strip_prefix(name)?.parse().ok())
 }
 
 impl Executor {
-    pub fn start(id: &str, ip: &str, zone: &'static str, capacity: u64, controls: Vec<SocketAddr>) -> Arc<Executor> {
+    pub fn start(
+        id: &str,
+        ip: &str,
+        zone: &'static str,
+        capacity: u64,
+        controls: Vec<SocketAddr>,
+    ) -> Arc<Executor> {
         let listener = TcpListener::bind((ip, 0)).unwrap();
         let executor = Arc::new(Executor {
             id: id.to_string(),
@@ -183,7 +216,9 @@
         let server = executor.clone();
         thread::spawn(move || {
             for stream in listener.incoming() {
-                let (Ok(stream), server) = (stream, server.clone()) else { continue };
+                let (Ok(stream), server) = (stream, server.clone()) else {
+                    continue;
+                };
                 let serve = move || server.serve(stream);
                 let _ = thread::Builder::new().stack_size(256 << 10).spawn(serve);
             }
@@ -200,7 +235,13 @@
                 let path = format!("/greengageproxy/Instances.Heartbeat/{}", beat.id);
                 for _ in 0..controls.len() {
                     let to = controls[turn % controls.len()];
-                    let answer = request(to, ("POST", &path), &[], beat.report().as_bytes(), Duration::from_secs(1));
+                    let answer = request(
+                        to,
+                        ("POST", &path),
+                        &[],
+                        beat.report().as_bytes(),
+                        Duration::from_secs(1),
+                    );
                     if answer.is_ok_and(|a| a.status / 100 == 2) {
                         break;
                     }
@@ -260,7 +301,10 @@
     /// The starts of a job's tasks.
     pub fn starts_of(&self, job: &str) -> Vec<(Instant, String)> {
         let state = self.state.lock().unwrap();
-        let found = state.started.iter().filter(|(_, task)| task.starts_with(job));
+        let found = state
+            .started
+            .iter()
+            .filter(|(_, task)| task.starts_with(job));
         found.cloned().collect()
     }
 
@@ -297,7 +341,11 @@
 
     fn plain(&self, reason: Option<&str>) -> String {
         let reason = reason.map_or(String::new(), |r| format!(",\"reason\":\"{r}\""));
-        format!("{{\"clock-ms\":{},\"born\":{}{reason}}}", self.clock(), self.born)
+        format!(
+            "{{\"clock-ms\":{},\"born\":{}{reason}}}",
+            self.clock(),
+            self.born
+        )
     }
 
     /// Checks the generation number; `false` for a lower one.
@@ -326,7 +374,11 @@
             return (409, self.plain(Some("late")));
         }
         self.grant(&mut state, call);
-        if state.running.get(&task).is_some_and(|run| run.number == number) {
+        if state
+            .running
+            .get(&task)
+            .is_some_and(|run| run.number == number)
+        {
             return (200, self.plain(None));
         }
         if state.seen.get(&task).is_some_and(|seen| *seen >= number) {
@@ -343,8 +395,15 @@
         let length = Duration::from_millis(spec_field(&spec, "ms=").unwrap_or(50));
         state.seen.insert(task.clone(), number);
         state.starts += 1;
-        state.started.push((Instant::now(), format!("{task} run {number}")));
-        let run = Run { number, started: Instant::now(), length, demand };
+        state
+            .started
+            .push((Instant::now(), format!("{task} run {number}")));
+        let run = Run {
+            number,
+            started: Instant::now(),
+            length,
+            demand,
+        };
         state.running.insert(task, run);
         (200, self.plain(None))
     }
@@ -357,7 +416,11 @@
         }
         let seen = state.seen.entry(task.clone()).or_insert(0);
         *seen = (*seen).max(number);
-        if state.running.get(&task).is_some_and(|run| run.number <= number) {
+        if state
+            .running
+            .get(&task)
+            .is_some_and(|run| run.number <= number)
+        {
             Executor::end(&mut state, &task, "stopped");
         }
         drop(state);
@@ -384,7 +447,8 @@
             .running
             .iter()
             .map(|(task, run)| {
-                let percent = 100 * run.started.elapsed().as_millis() / run.length.as_millis().max(1);
+                let percent =
+                    100 * run.started.elapsed().as_millis() / run.length.as_millis().max(1);
                 format!("[\"{task}\",{},\"\",{},0]", run.number, percent.min(99))
             })
             .collect();
@@ -437,7 +501,11 @@
 
     /// Starts the process with the command of the deploy file.
     pub fn start(&self) {
-        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log).unwrap();
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .unwrap();
         let child = Command::new("target/release/greengageproxy")
             .args(["platform", "--metrics", &METRICS.to_string()])
             .env("GREENGAGEPROXY_BOOT", &self.settings)
@@ -457,6 +525,15 @@
         }
     }
 
+    /// Sends a signal to the process, unless it has ended: its id may be another process's by then.
+    pub fn signal(&self, signal: i32) {
+        if let Some(child) = self.process.lock().unwrap().as_mut() {
+            if matches!(child.try_wait(), Ok(None)) {
+                unsafe { kill(child.id() as i32, signal) };
+            }
+        }
+    }
+
     /// How the process has ended by itself; `None` while it runs.
     pub fn ended(&self) -> Option<String> {
         let mut process = self.process.lock().unwrap();
@@ -479,13 +556,21 @@
         let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
         let rest = stat.rsplit(')').next().unwrap_or("").to_string();
         let fields: Vec<&str> = rest.split_whitespace().collect();
-        let ticks = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+        let ticks = |i: usize| {
+            fields
+                .get(i)
+                .and_then(|f| f.parse::<f64>().ok())
+                .unwrap_or(0.0)
+        };
         (ticks(11) + ticks(12)) / 100.0
     }
 
     pub fn log_lines(&self, pattern: &str) -> Vec<String> {
         let text = fs::read_to_string(&self.log).unwrap_or_default();
-        text.lines().filter(|line| line.contains(pattern)).map(str::to_string).collect()
+        text.lines()
+            .filter(|line| line.contains(pattern))
+            .map(str::to_string)
+            .collect()
     }
 }
 
@@ -499,6 +584,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+pub const SIGTERM: i32 = 15;
 const SIGCONT: i32 = 18;
 const SIGSTOP: i32 = 19;
 
@@ -507,20 +593,11 @@
 pub fn limit_share(machine: Arc<Machine>, share: f64) {
     const PERIOD: Duration = Duration::from_millis(100);
     thread::spawn(move || {
-        let signal = |signal| {
-            let process = machine.process.lock().unwrap();
-            // The process isn't reaped while the lock is held, so the id is still its own.
-            process.as_ref().map(|child| unsafe { kill(child.id() as i32, signal) })
-        };
-        loop {
+        while machine.pid().is_some() {
             thread::sleep(PERIOD.mul_f64(share));
-            if signal(SIGSTOP).is_none() {
-                return;
-            }
+            machine.signal(SIGSTOP);
             thread::sleep(PERIOD.mul_f64(1.0 - share));
-            if signal(SIGCONT).is_none() {
-                return;
-            }
+            machine.signal(SIGCONT);
         }
     });
 }
@@ -541,7 +618,14 @@
     pub capacity: u64,
 }
 
-fn settings(name: &str, ip: &str, zone: &str, seeds: &[String], edge: bool, folder: &str) -> String {
+fn settings(
+    name: &str,
+    ip: &str,
+    zone: &str,
+    seeds: &[String],
+    edge: bool,
+    folder: &str,
+) -> String {
     let (class, serves, binds, limits) = match edge {
         true => (
             "edge",
@@ -557,8 +641,15 @@
         ),
     };
     let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}:{CONTROL}\"")).collect();
-    let data = if edge { String::new() } else { format!("data-dir = \"{folder}\"\n") };
-    let zones: String = ZONES.iter().map(|zone| format!("{zone} = \"sul\"\n")).collect();
+    let data = if edge {
+        String::new()
+    } else {
+        format!("data-dir = \"{folder}\"\n")
+    };
+    let zones: String = ZONES
+        .iter()
+        .map(|zone| format!("{zone} = \"sul\"\n"))
+        .collect();
     format!(
         "node-name = \"{name}\"\nrole = \"{class}\"\nmachine-class = \"{class}\"\nserves = [\"{serves}\"]\n\
          ip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"sul\"\ninternal-ports = [7720,7735]\n\
@@ -591,14 +682,29 @@
             fs::write(&path, text).unwrap();
             let log = folder.join(format!("{name}.log"));
             let memory_mb = if edge { 260 } else { 256 };
-            let machine = Machine { name, ip, memory_mb, settings: path, log, process: Mutex::new(None) };
+            let machine = Machine {
+                name,
+                ip,
+                memory_mb,
+                settings: path,
+                log,
+                process: Mutex::new(None),
+            };
             machine.start();
             Arc::new(machine)
         };
-        let cores: Vec<Arc<Machine>> =
-            (0..3).map(|i| machine(format!("core-{}-1", ZONES[i]), ip(10 + i), ZONES[i], false)).collect();
+        let cores: Vec<Arc<Machine>> = (0..3)
+            .map(|i| machine(format!("core-{}-1", ZONES[i]), ip(10 + i), ZONES[i], false))
+            .collect();
         let edges: Vec<Arc<Machine>> = (0..plan.edges)
-            .map(|i| machine(format!("edge-{}-{}", ZONES[i % 3], i / 3 + 1), ip(20 + i), ZONES[i % 3], true))
+            .map(|i| {
+                machine(
+                    format!("edge-{}-{}", ZONES[i % 3], i / 3 + 1),
+                    ip(20 + i),
+                    ZONES[i % 3],
+                    true,
+                )
+            })
             .collect();
         let controls: Vec<SocketAddr> = cores.iter().map(|core| core.control()).collect();
         let executors = plan.executors.iter().enumerate();
@@ -608,13 +714,24 @@
                 Executor::start(&id, &ip(100 + i), zone, plan.capacity, controls.clone())
             })
             .collect();
-        let world = World { record, edges, cores, executors, folder };
+        let world = World {
+            record,
+            edges,
+            cores,
+            executors,
+            folder,
+        };
         world.watch_time();
         world.put(&world.configuration(1));
         for (i, edge) in world.edges.iter().enumerate() {
             let end = Instant::now() + Duration::from_secs(25);
             loop {
-                let id = format!("{:016x}", 0xa000 + i as u64 * 4096 + end.saturating_duration_since(Instant::now()).as_millis() as u64 % 4096);
+                let id = format!(
+                    "{:016x}",
+                    0xa000
+                        + i as u64 * 4096
+                        + end.saturating_duration_since(Instant::now()).as_millis() as u64 % 4096
+                );
                 let answer = world.submit(edge, &id, &plain_job(50), 2000);
                 if answer.is_ok_and(|a| a.status == 200) {
                     break;
@@ -625,7 +742,9 @@
                 thread::sleep(Duration::from_millis(100));
             }
         }
-        world.record.line("the deployment has started, and each edge has served a job");
+        world
+            .record
+            .line("the deployment has started, and each edge has served a job");
         world
     }
 
@@ -659,7 +778,11 @@
                 Ok(answer) if answer.status == 200 => return,
                 Ok(answer) if answer.status == 307 => {
                     let location = header(&answer.head, "location").unwrap_or_default();
-                    let address = location.trim_start_matches("http://").split('/').next().unwrap_or("");
+                    let address = location
+                        .trim_start_matches("http://")
+                        .split('/')
+                        .next()
+                        .unwrap_or("");
                     if let Ok(address) = address.parse() {
                         to = address;
                         continue;
@@ -675,14 +798,26 @@
     }
 
     /// Hands a job in and waits for the answer; an error is no answer.
-    pub fn submit(&self, edge: &Machine, id: &str, body: &str, deadline_ms: u64) -> Result<Answer, String> {
+    pub fn submit(
+        &self,
+        edge: &Machine,
+        id: &str,
+        body: &str,
+        deadline_ms: u64,
+    ) -> Result<Answer, String> {
         let path = format!("/lohu930/{id}");
         let headers = [
             ("Host", HOST.to_string()),
             ("Greengageproxy-Deadline-Ms", deadline_ms.to_string()),
         ];
         let timeout = Duration::from_millis(deadline_ms);
-        request(edge.front(), ("POST", &path), &headers, body.as_bytes(), timeout)
+        request(
+            edge.front(),
+            ("POST", &path),
+            &headers,
+            body.as_bytes(),
+            timeout,
+        )
     }
 
     /// Ends all processes and removes the temporary folder.
@@ -724,9 +859,15 @@
 
 fn main() {
     let mut args = std::env::args().skip(1);
-    let (scenario, record) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
+    let (scenario, record) = (
+        args.next().unwrap_or_default(),
+        args.next().unwrap_or_default(),
+    );
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(&record);
-    record.line(format!("scenario {scenario}, disruption: {}", if trouble { "yes" } else { "no" }));
+    record.line(format!(
+        "scenario {scenario}, disruption: {}",
+        if trouble { "yes" } else { "no" }
+    ));
     std::process::exit(scenarios::run(&scenario, record, trouble));
 }
